--- /dev/null
+++ b/crates/bench/src/cmd.rs
@@ -0,0 +1,4 @@
+//! The subcommands, one module each.
+
+pub mod demo;
+pub mod overhead;
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,334 @@
+//! A whole site in one process: stand-ins, agents and entries over loopback TCP.
+
+use std::{collections::BTreeMap, fmt, io, net::SocketAddr, time::Duration};
+
+use async_std::task;
+use serde_json::{Value, json};
+use tarragonhill_core::{
+    Clock,
+    placement::Policy,
+    settings::{Customer, Endpoint, Key, Role, Row, Running, VERSION_ROW, digest},
+};
+use tarragonhill_daemon::{
+    StartError,
+    agent::Agent,
+    config::{AgentSettings, CommonSettings, EntrySettings},
+    entry::Entry,
+    logging,
+};
+use tarragonhill_http::{
+    client::{Call, Pool},
+    server::Limits,
+};
+
+use crate::standin::{
+    decode,
+    hosts::Hosts,
+    plain::Service,
+    prefill,
+    table::{Rates, Table},
+};
+
+/// Longest wait for a fleet to be ready.
+const READY: Duration = Duration::from_secs(10);
+/// Name of the model that all engines serve.
+pub const MODEL: &str = "drafting";
+/// Name of the plain service.
+pub const SERVICE: &str = "filing";
+
+/// A customer of the fleet.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Name; its key is `NAME-key`.
+    pub name: String,
+    /// Tokens a second.
+    pub rate: u64,
+    /// Most tokens at once.
+    pub burst: u64,
+}
+
+impl Tenant {
+    /// A customer.
+    pub fn new(name: &str, rate: u64, burst: u64) -> Self {
+        Self { name: name.to_owned(), rate, burst }
+    }
+}
+
+/// What the key of a customer is.
+pub fn key_of(tenant: &str) -> String {
+    format!("{tenant}-key")
+}
+
+/// Size of a fleet.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Entries.
+    pub entries: usize,
+    /// Prefill engines.
+    pub prefill: usize,
+    /// Decode engines.
+    pub decode: usize,
+    /// Plain services.
+    pub plain: usize,
+    /// Availability zones.
+    pub zones: usize,
+    /// Customers.
+    pub tenants: Vec<Tenant>,
+    /// Placement policy.
+    pub policy: Policy,
+    /// What prefill engines can do.
+    pub prefill_power: prefill::Power,
+    /// What decode engines can do.
+    pub decode_power: decode::Power,
+    /// Time a plain call takes.
+    pub plain_latency: Duration,
+}
+
+impl Shape {
+    /// A few of everything.
+    pub fn small() -> Self {
+        Self {
+            entries: 3,
+            prefill: 2,
+            decode: 3,
+            plain: 2,
+            zones: 3,
+            tenants: vec![Tenant::new("faculty", 200_000, 400_000), Tenant::new("grants", 50_000, 100_000)],
+            policy: Policy::Current,
+            prefill_power: prefill::Power::default(),
+            decode_power: decode::Power::default(),
+            plain_latency: Duration::from_millis(2),
+        }
+    }
+}
+
+/// Why a fleet does not start.
+#[derive(Debug)]
+pub enum FleetError {
+    /// A stand-in cannot listen.
+    Io(io::Error),
+    /// A daemon does not start.
+    Start(StartError),
+    /// It did not become ready in time.
+    NotReady,
+}
+
+impl fmt::Display for FleetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => write!(f, "a stand-in does not start: {error}"),
+            Self::Start(error) => write!(f, "a daemon does not start: {error}"),
+            Self::NotReady => f.write_str("the fleet did not become ready in time"),
+        }
+    }
+}
+
+impl std::error::Error for FleetError {}
+
+impl From<io::Error> for FleetError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+impl From<StartError> for FleetError {
+    fn from(error: StartError) -> Self {
+        Self::Start(error)
+    }
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// The table.
+    pub table: Table,
+    /// The list of hosts.
+    pub hosts: Hosts,
+    /// Prefill engines.
+    pub prefill: Vec<prefill::Engine>,
+    /// Decode engines.
+    pub decode: Vec<decode::Engine>,
+    /// Plain services.
+    pub plain: Vec<Service>,
+    /// Agents by endpoint name.
+    pub agents: BTreeMap<String, Agent>,
+    /// Entries; one that was killed is gone.
+    pub entries: Vec<Option<Entry>>,
+    shape: Shape,
+}
+
+impl Fleet {
+    /// Starts everything and waits until all entries serve.
+    pub async fn start(shape: Shape) -> Result<Self, FleetError> {
+        let mut fleet = Self {
+            table: Table::start(Rates::default()).await?,
+            hosts: Hosts::start(Duration::from_secs(2)).await?,
+            prefill: Vec::new(),
+            decode: Vec::new(),
+            plain: Vec::new(),
+            agents: BTreeMap::new(),
+            entries: Vec::new(),
+            shape,
+        };
+        let mut rows = fleet.start_endpoints().await?;
+        rows.extend(fleet.tenant_rows());
+        rows.push((VERSION_ROW.to_owned(), json!(1)));
+        fleet.table.put(rows);
+        for number in 0..fleet.shape.entries {
+            let entry = fleet.start_entry(number).await?;
+            fleet.entries.push(Some(entry));
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn start_endpoints(&mut self) -> Result<Vec<(String, Value)>, FleetError> {
+        let mut rows = Vec::new();
+        for number in 0..self.shape.prefill {
+            let engine = prefill::Engine::start(self.shape.prefill_power).await?;
+            rows.push(self.endpoint(Role::Prefill, number, engine.address()).await?);
+            self.prefill.push(engine);
+        }
+        for number in 0..self.shape.decode {
+            let engine = decode::Engine::start(self.shape.decode_power).await?;
+            rows.push(self.endpoint(Role::Decode, number, engine.address()).await?);
+            self.decode.push(engine);
+        }
+        for number in 0..self.shape.plain {
+            let service = Service::start(self.shape.plain_latency).await?;
+            rows.push(self.endpoint(Role::Plain, number, service.address()).await?);
+            self.plain.push(service);
+        }
+        Ok(rows)
+    }
+
+    async fn endpoint(
+        &mut self,
+        role: Role,
+        number: usize,
+        address: SocketAddr,
+    ) -> Result<(String, Value), FleetError> {
+        let name = format!("{role}-{number}");
+        let agent = self.start_agent(&name, number).await?;
+        let endpoint = Endpoint {
+            role,
+            serves: if role == Role::Plain { SERVICE.into() } else { MODEL.into() },
+            host: format!("host-{name}").into(),
+            zone: self.zone(number).into(),
+            address: address.to_string().into(),
+            agent: agent.address().to_string().into(),
+            pieces: if role == Role::Decode { self.shape.decode_power.pieces } else { 0 },
+            context: if role == Role::Plain { 0 } else { 100_000 },
+            checks_fencing: role == Role::Prefill,
+            leaving: false,
+            generation: 1,
+        };
+        self.agents.insert(name.clone(), agent);
+        Ok(row(&Row::Endpoint(name.into(), Some(endpoint))))
+    }
+
+    fn zone(&self, number: usize) -> String {
+        format!("zone-{}", number % self.shape.zones.max(1))
+    }
+
+    fn common(&self, name: &str, number: usize) -> CommonSettings {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        CommonSettings {
+            name: name.into(),
+            zone: self.zone(number).into(),
+            listen: any,
+            admin: any,
+            table: self.table.address(),
+            poll: Duration::from_millis(500),
+            drain: Duration::from_secs(20),
+            log: logging::off(),
+        }
+    }
+
+    async fn start_agent(&self, endpoint: &str, number: usize) -> Result<Agent, FleetError> {
+        let common = self.common(&format!("agent-{endpoint}"), number);
+        let settings = AgentSettings { common, fronts: [endpoint.into()].into() };
+        Ok(Agent::start(settings, Clock::runtime()).await?)
+    }
+
+    /// Starts entry `number`; also after it was killed.
+    pub async fn start_entry(&self, number: usize) -> Result<Entry, FleetError> {
+        let settings = EntrySettings {
+            common: self.common(&format!("entry-{number}"), number),
+            peer: SocketAddr::from(([127, 0, 0, 1], 0)),
+            hosts: Some(self.hosts.address()),
+            first_token: Duration::from_millis(900),
+            rate_wait: Duration::from_millis(300),
+            limits: Limits { body: 1 << 20, ..Limits::default() },
+            policy: self.shape.policy,
+            operator_token: None,
+        };
+        Ok(Entry::start(settings, Clock::runtime()).await?)
+    }
+
+    fn tenant_rows(&self) -> Vec<(String, Value)> {
+        let mut rows = Vec::new();
+        for Tenant { name, rate, burst } in &self.shape.tenants {
+            let customer = Customer { rate: *rate, burst: *burst, weight: 1 };
+            let key = Key {
+                id: format!("{name}-1").into(),
+                customer: name.as_str().into(),
+                withdrawn: false,
+                running: Running::Cut,
+            };
+            rows.push(row(&Row::Customer(name.as_str().into(), Some(customer))));
+            rows.push(row(&Row::Key(digest(&key_of(name)).into(), Some(key))));
+        }
+        rows
+    }
+
+    async fn wait_ready(&self) -> Result<(), FleetError> {
+        let began = std::time::Instant::now();
+        let links = self.agents.len();
+        while began.elapsed() < READY {
+            if self.is_ready(links).await {
+                return Ok(());
+            }
+            task::sleep(Duration::from_millis(50)).await;
+        }
+        Err(FleetError::NotReady)
+    }
+
+    async fn is_ready(&self, links: usize) -> bool {
+        let mut homes = 0;
+        for entry in self.entries.iter().flatten() {
+            let Some(dump) = dump(entry.admin()).await else { return false };
+            if dump["serving"] != true || dump["links"]["up"] != links || dump["lease_renewed"] != true {
+                return false;
+            }
+            homes += dump["homes"].as_u64().unwrap_or(0);
+        }
+        homes == u64::from(tarragonhill_core::home::SHARDS)
+    }
+
+    /// Entry `number`; panics if it was killed.
+    #[allow(clippy::expect_used, reason = "a caller of the bench asks only for entries it has not killed")]
+    pub fn entry(&self, number: usize) -> &Entry {
+        self.entries[number].as_ref().expect("entry was killed")
+    }
+
+    /// Stops everything at once.
+    pub async fn stop(self) {
+        for entry in self.entries.into_iter().flatten() {
+            entry.kill().await;
+        }
+        for (_, agent) in self.agents {
+            agent.kill().await;
+        }
+    }
+}
+
+fn row(row: &Row) -> (String, Value) {
+    (row.key(), row.value().unwrap_or_default())
+}
+
+/// A daemon's state dump.
+pub async fn dump(admin: SocketAddr) -> Option<Value> {
+    let pool = Pool::default();
+    let answer = pool.send(admin, Call::get("/dump"), Duration::from_secs(2)).await.ok()?;
+    answer.json().await.ok()
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,40 @@
+//! `tarragonhill-bench`: stand-ins, load and experiments. For tests and measurement only.
+
+use std::process::ExitCode;
+
+use async_std::task;
+use bpaf::Bpaf;
+use tarragonhill_bench::cmd::{demo, overhead};
+use tarragonhill_daemon::logging;
+
+/// Stand-ins, load and experiments for the tarragonhill router
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Options {
+    /// Start a whole site in one process and show it at work
+    #[bpaf(command)]
+    Demo,
+    /// Measure the time that entry and agent add to a request
+    #[bpaf(command)]
+    Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+}
+
+fn main() -> ExitCode {
+    // The daemons' logs would drown the report.
+    if let Err(error) = logging::init(logging::off()) {
+        eprintln!("tarragonhill-bench: {error}");
+        return ExitCode::FAILURE;
+    }
+    let result = match options().run() {
+        Options::Demo => task::block_on(demo::execute()),
+        Options::Overhead(options) => task::block_on(overhead::execute(options)),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("tarragonhill-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/standin/hosts.rs
@@ -0,0 +1,56 @@
+//! The platform's lagging list of hosts.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use tarragonhill_http::server::Outbound;
+use tarragonhill_platform::{Host, HostState};
+
+use super::{Listening, Switches, lock};
+
+type Known = BTreeMap<String, Vec<(Instant, HostState)>>;
+
+/// The list.
+#[derive(Debug)]
+pub struct Hosts {
+    /// Failure switches.
+    pub switches: Arc<Switches>,
+    listening: Listening,
+    known: Arc<Mutex<Known>>,
+}
+
+impl Hosts {
+    /// Starts an empty list that shows changes after `lag`.
+    pub async fn start(lag: Duration) -> std::io::Result<Self> {
+        let switches = Arc::new(Switches::default());
+        let known: Arc<Mutex<Known>> = Arc::default();
+        let shared = known.clone();
+        let listening = Listening::start(switches.clone(), move |_| {
+            let known = shared.clone();
+            async move { Outbound::json(200, &listed(&lock(&known), lag)) }
+        })
+        .await?;
+        Ok(Self { switches, listening, known })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.listening.address
+    }
+
+    /// Sets a host's state; the list shows it after the lag.
+    pub fn set(&self, name: &str, state: HostState) {
+        lock(&self.known).entry(name.to_owned()).or_default().push((Instant::now(), state));
+    }
+}
+
+fn listed(known: &Known, lag: Duration) -> Vec<Host> {
+    let shown = known.iter().filter_map(|(name, states)| {
+        let (_, state) = states.iter().rev().find(|(since, _)| since.elapsed() >= lag)?;
+        Some(Host { name: name.clone(), state: *state })
+    });
+    shown.collect()
+}
--- /dev/null
+++ b/crates/bench/src/standin/table.rs
@@ -0,0 +1,193 @@
+//! The transactional table service.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+use tarragonhill_core::{Time, quota::Bucket};
+use tarragonhill_http::server::{Inbound, Outbound};
+use tarragonhill_platform::{Row, Rows, Transaction};
+
+use super::{Listening, Switches, body, lock, query};
+
+/// Limits of the service, a second.
+#[derive(Clone, Copy, Debug)]
+pub struct Rates {
+    /// Writes.
+    pub writes: u64,
+    /// Reads.
+    pub reads: u64,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self { writes: 400, reads: 2_000 }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Stored {
+    rows: BTreeMap<String, (u64, Option<Value>)>,
+    by_version: BTreeMap<u64, Vec<String>>,
+    version: u64,
+}
+
+impl Stored {
+    fn commit(&mut self, transaction: &Transaction) -> Result<u64, String> {
+        for write in &transaction.writes {
+            let stands = self
+                .rows
+                .get(&write.key)
+                .filter(|(_, value)| value.is_some())
+                .map_or(0, |(version, _)| *version);
+            if write.expected.is_some_and(|expected| expected != stands) {
+                return Err(write.key.clone());
+            }
+        }
+        self.version += 1;
+        for write in &transaction.writes {
+            let old = self.rows.insert(write.key.clone(), (self.version, write.value.clone()));
+            if let Some((version, _)) = old {
+                self.forget(version, &write.key);
+            }
+            self.by_version.entry(self.version).or_default().push(write.key.clone());
+        }
+        Ok(self.version)
+    }
+
+    fn forget(&mut self, version: u64, key: &str) {
+        if let Some(keys) = self.by_version.get_mut(&version) {
+            keys.retain(|other| other != key);
+        }
+    }
+
+    fn row(&self, key: &str) -> Option<Row> {
+        let (version, value) = self.rows.get(key)?;
+        Some(Row { key: key.to_owned(), version: *version, value: value.clone() })
+    }
+
+    fn list(&self, prefix: &str, after: u64) -> Rows {
+        let changed = self.by_version.range(after + 1..).flat_map(|(_, keys)| keys);
+        let rows = changed.filter(|key| key.starts_with(prefix)).filter_map(|key| self.row(key)).collect();
+        Rows { rows, version: self.version }
+    }
+}
+
+#[derive(Debug)]
+struct Limiter {
+    began: Instant,
+    writes: Bucket,
+    reads: Bucket,
+}
+
+/// The service.
+#[derive(Debug)]
+pub struct Table {
+    /// Failure switches.
+    pub switches: Arc<Switches>,
+    listening: Listening,
+    stored: Arc<Mutex<Stored>>,
+    reads: Arc<AtomicU64>,
+    writes: Arc<AtomicU64>,
+}
+
+impl Table {
+    /// Starts an empty table.
+    pub async fn start(rates: Rates) -> std::io::Result<Self> {
+        let switches = Arc::new(Switches::default());
+        let stored: Arc<Mutex<Stored>> = Arc::default();
+        let (reads, writes): (Arc<AtomicU64>, Arc<AtomicU64>) = Default::default();
+        let limiter = Arc::new(Mutex::new(Limiter {
+            began: Instant::now(),
+            writes: Bucket::full(rates.writes, rates.writes, Time::ZERO),
+            reads: Bucket::full(rates.reads, rates.reads, Time::ZERO),
+        }));
+        let shared = (stored.clone(), limiter, switches.clone(), reads.clone(), writes.clone());
+        let listening = Listening::start(switches.clone(), move |inbound| {
+            let (stored, limiter, switches, reads, writes) = shared.clone();
+            async move {
+                let is_write = inbound.method == "POST";
+                if !allowed(&limiter, is_write) {
+                    return Outbound::text(429, "rate limited");
+                }
+                if is_write { &writes } else { &reads }.fetch_add(1, Ordering::Relaxed);
+                let outbound = answer(&stored, &inbound);
+                if is_write && switches.loses() {
+                    // The write took effect and its answer is lost.
+                    async_std::task::sleep(Duration::from_secs(3)).await;
+                    return Outbound::text(500, "lost");
+                }
+                outbound
+            }
+        })
+        .await?;
+        Ok(Self { switches, listening, stored, reads, writes })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.listening.address
+    }
+
+    /// Writes rows as if an operator had, past limits and switches.
+    pub fn put(&self, rows: impl IntoIterator<Item = (String, Value)>) {
+        let writes = rows.into_iter().map(|(key, value)| tarragonhill_platform::Write {
+            key,
+            expected: None,
+            value: Some(value),
+        });
+        let _ = lock(&self.stored).commit(&Transaction { writes: writes.collect() });
+    }
+
+    /// A row's value.
+    pub fn get(&self, key: &str) -> Option<Value> {
+        lock(&self.stored).row(key)?.value
+    }
+
+    /// Keys that start with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        lock(&self.stored).rows.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Reads and writes served so far.
+    pub fn served(&self) -> (u64, u64) {
+        (self.reads.load(Ordering::Relaxed), self.writes.load(Ordering::Relaxed))
+    }
+}
+
+fn allowed(limiter: &Mutex<Limiter>, is_write: bool) -> bool {
+    let mut limiter = lock(limiter);
+    let now = Time::ZERO.plus(limiter.began.elapsed());
+    let bucket = if is_write { &mut limiter.writes } else { &mut limiter.reads };
+    bucket.take(now, 1).is_some()
+}
+
+fn answer(stored: &Mutex<Stored>, inbound: &Inbound) -> Outbound {
+    if inbound.method == "POST" && inbound.path == "/commit" {
+        let transaction: Transaction = match body(inbound) {
+            Ok(transaction) => transaction,
+            Err(outbound) => return outbound,
+        };
+        return match lock(stored).commit(&transaction) {
+            Ok(version) => Outbound::json(200, &json!({ "version": version })),
+            Err(key) => Outbound::json(409, &json!({ "key": key })),
+        };
+    }
+    if inbound.path == "/list" {
+        let query = query(inbound);
+        let after = query.get("after").and_then(|after| after.parse().ok()).unwrap_or(0);
+        let prefix = query.get("prefix").copied().unwrap_or_default();
+        return Outbound::json(200, &lock(stored).list(prefix, after));
+    }
+    let key = inbound.path.strip_prefix("/rows/").unwrap_or_default();
+    match lock(stored).row(key).filter(|row| row.value.is_some()) {
+        Some(row) => Outbound::json(200, &row),
+        None => Outbound::text(404, "no such row"),
+    }
+}
--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,55 @@
+//! Identifiers of requests and of the attempts to serve them.
+
+use std::{fmt, num::ParseIntError, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies one request of a caller over its whole life; random.
+///
+/// Written as 32 hex digits, in JSON too: JSON numbers do not hold 128 bits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Request(pub u128);
+
+impl From<Request> for String {
+    fn from(request: Request) -> Self {
+        request.to_string()
+    }
+}
+
+impl TryFrom<String> for Request {
+    type Error = ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Request {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// One try at serving a request. Whatever bears an older number is dropped on arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Attempt {
+    /// The request served.
+    pub request: Request,
+    /// Counts the tries from 1.
+    pub number: u32,
+}
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.request, self.number)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,30 @@
+//! The admin address that every daemon has: metrics, health, readiness and state dump.
+
+use prometheus::{Encoder as _, Registry, TextEncoder};
+use tarragonhill_http::server::{Inbound, Outbound};
+
+/// Answers what is the same on every daemon; `None` for other paths.
+pub(crate) fn common(inbound: &Inbound, registry: &Registry, ready: bool) -> Option<Outbound> {
+    match (inbound.method.as_str(), inbound.path.as_str()) {
+        ("GET", "/metrics") => Some(metrics(registry)),
+        ("GET", "/healthz") => Some(Outbound::text(200, "ok\n")),
+        ("GET", "/readyz") if ready => Some(Outbound::text(200, "ready\n")),
+        ("GET", "/readyz") => Some(Outbound::text(503, "not ready\n")),
+        _ => None,
+    }
+}
+
+fn metrics(registry: &Registry) -> Outbound {
+    let mut text = Vec::new();
+    let encoder = TextEncoder::new();
+    match encoder.encode(&registry.gather(), &mut text) {
+        Ok(()) => Outbound::whole(200, "text/plain; version=0.0.4", text),
+        Err(error) => Outbound::text(500, error.to_string()),
+    }
+}
+
+/// The answer for a path that does not exist.
+pub(crate) fn not_found(inbound: &Inbound) -> Outbound {
+    let message = format!("no {} {}", inbound.method, inbound.path);
+    Outbound::json(404, &serde_json::json!({"error": {"code": "not_found", "message": message}}))
+}
--- /dev/null
+++ b/crates/daemon/src/agent.rs
@@ -0,0 +1,121 @@
+//! The agent role: one small process beside endpoints, the only one that drives them.
+
+mod control;
+mod metrics;
+mod server;
+mod work;
+
+pub(crate) use metrics::counters;
+pub(crate) use server::listen;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_std::task::{self, JoinHandle};
+use tarragonhill_core::{Clock, agent::Input};
+use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
+use tarragonhill_platform::HttpTable;
+
+use crate::{
+    StartError, admin,
+    agent::{control::Control, metrics::Metrics},
+    config::AgentSettings,
+    settings::Current,
+};
+
+/// How often time passes for the decisions.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A running agent.
+pub struct Agent {
+    address: SocketAddr,
+    admin: SocketAddr,
+    control: Control,
+    clock: Clock,
+    drain: Duration,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Agent {
+    /// Starts an agent.
+    pub async fn start(settings: AgentSettings, clock: Clock) -> Result<Self, StartError> {
+        let common = settings.common;
+        let current = Arc::new(Current::new(clock.clone()));
+        let metrics = Metrics::new();
+        let control = control::start(settings.fronts, clock.clone(), current.clone(), metrics.clone())
+            .map_err(StartError::Thread)?;
+        let (address, serve) = server::serve(common.listen, control.clone(), current.clone())?;
+        let admin_server = bind("admin", common.admin).await?;
+        let admin = admin_server.address();
+        let mut tasks = vec![serve];
+        tasks.push(task::spawn(follow(current.clone(), common.table, common.poll, control.clone())));
+        tasks.push(task::spawn(tick(clock.clone(), control.clone())));
+        let handler_control = control.clone();
+        tasks.push(task::spawn(admin_server.serve(move |inbound| {
+            answer(inbound, handler_control.clone(), current.clone(), metrics.clone())
+        })));
+        spdlog::info!("agent started", kv: { name = &*common.name, listen = address.to_string().as_str() });
+        Ok(Self { address, admin, control, clock, drain: common.drain, tasks })
+    }
+
+    /// Where entries reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where operators reach it.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Takes no new work, waits for what runs, then stops.
+    pub async fn shutdown(self) {
+        self.control.input(Input::Leave);
+        let began = self.clock.now();
+        while self.clock.now().since(began) < self.drain && !self.control.is_idle().await {
+            self.clock.sleep(TICK).await;
+        }
+        self.kill().await;
+    }
+
+    /// Stops at once, as a crash would.
+    pub async fn kill(self) {
+        self.control.stop();
+        for task in self.tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+/// Binds an HTTP server for the setting named.
+pub(crate) async fn bind(setting: &'static str, address: SocketAddr) -> Result<Server, StartError> {
+    let server = Server::bind(&address.to_string(), Limits::default()).await;
+    server.map_err(|error| StartError::Listen { setting, address: address.to_string(), error })
+}
+
+async fn follow(current: Arc<Current>, table: SocketAddr, poll: Duration, control: Control) {
+    let table = HttpTable::new(table);
+    current.follow(&table, poll, |snapshot| control.input(Input::Settings(snapshot))).await;
+}
+
+async fn tick(clock: Clock, control: Control) {
+    loop {
+        clock.sleep(TICK).await;
+        control.input(Input::Tick);
+    }
+}
+
+async fn answer(
+    inbound: Inbound,
+    control: Control,
+    current: Arc<Current>,
+    metrics: Arc<Metrics>,
+) -> Outbound {
+    let ready = current.get().version > 0;
+    if let Some(outbound) = admin::common(&inbound, metrics.registry(), ready) {
+        return outbound;
+    }
+    match (inbound.method.as_str(), inbound.path.as_str()) {
+        ("GET", "/dump") => Outbound::json(200, &control.dump().await),
+        _ => admin::not_found(&inbound),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/control.rs
@@ -0,0 +1,190 @@
+//! The agent's control thread: the only owner of its decisions.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    sync::Arc,
+    thread,
+};
+
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use serde_json::{Value, json};
+use tarragonhill_core::{
+    Attempt, Clock,
+    agent::{Action, Input, Link, State},
+    message::{Event, Load},
+};
+
+use crate::{
+    agent::{metrics::Metrics, work::Workers},
+    settings::Current,
+};
+
+enum Command {
+    Input(Input),
+    Opened(Link, Sender<Event>),
+    Loads(Sender<Vec<Load>>),
+    Idle(Sender<bool>),
+    Dump(Sender<Value>),
+    Stop,
+}
+
+/// Talks to the control thread.
+#[derive(Clone)]
+pub(crate) struct Control(Sender<Command>);
+
+impl Control {
+    /// Hands an input to the decisions.
+    pub(crate) fn input(&self, input: Input) {
+        let _ = self.0.try_send(Command::Input(input));
+    }
+
+    /// Announces a link, and where its events go.
+    pub(crate) fn opened(&self, link: Link, events: Sender<Event>) {
+        let _ = self.0.try_send(Command::Opened(link, events));
+    }
+
+    /// Load of all endpoints, fresh.
+    pub(crate) async fn loads(&self) -> Vec<Load> {
+        self.ask(Command::Loads).await.unwrap_or_default()
+    }
+
+    /// Whether nothing runs or waits.
+    pub(crate) async fn is_idle(&self) -> bool {
+        self.ask(Command::Idle).await.unwrap_or(true)
+    }
+
+    /// The state, for people.
+    pub(crate) async fn dump(&self) -> Value {
+        self.ask(Command::Dump).await.unwrap_or_default()
+    }
+
+    /// Ends the thread.
+    pub(crate) fn stop(&self) {
+        let _ = self.0.try_send(Command::Stop);
+    }
+
+    async fn ask<T>(&self, command: impl FnOnce(Sender<T>) -> Command) -> Option<T> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.0.try_send(command(sender)).ok()?;
+        receiver.recv().await.ok()
+    }
+}
+
+/// Starts the thread.
+pub(crate) fn start(
+    fronts: BTreeSet<Arc<str>>,
+    clock: Clock,
+    current: Arc<Current>,
+    metrics: Arc<Metrics>,
+) -> io::Result<Control> {
+    let (sender, receiver) = async_channel::unbounded();
+    let control = Control(sender);
+    let workers = Workers::new(control.clone());
+    let owner = Owner { state: State::new(fronts), clock, current, metrics, workers, links: BTreeMap::new() };
+    thread::Builder::new().name("control".into()).spawn(move || task::block_on(owner.run(receiver)))?;
+    Ok(control)
+}
+
+struct Owner {
+    state: State,
+    clock: Clock,
+    current: Arc<Current>,
+    metrics: Arc<Metrics>,
+    workers: Workers,
+    links: BTreeMap<Link, Sender<Event>>,
+}
+
+impl Owner {
+    async fn run(mut self, commands: Receiver<Command>) {
+        while let Ok(command) = commands.recv().await {
+            match command {
+                Command::Input(input) => self.step(input),
+                Command::Opened(link, events) => {
+                    self.links.insert(link, events);
+                }
+                Command::Loads(reply) => {
+                    let loads = self.state.loads();
+                    self.metrics.report(&loads);
+                    let _ = reply.try_send(loads);
+                }
+                Command::Idle(reply) => {
+                    let _ = reply.try_send(self.state.is_idle());
+                }
+                Command::Dump(reply) => {
+                    let _ = reply.try_send(self.dump());
+                }
+                Command::Stop => return self.workers.stop(),
+            }
+        }
+    }
+
+    fn step(&mut self, input: Input) {
+        if let Input::LinkLost(link) = &input {
+            self.links.remove(link);
+        }
+        let actions = self.state.step(self.clock.now(), input);
+        for action in actions {
+            self.metrics.count(&action);
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let endpoints = self.current.get();
+        match action {
+            Action::Send(link, event) => self.send(link, event),
+            Action::Prefill(work, prompt) => self.workers.prefill(&endpoints, work, prompt),
+            Action::Decode { link, work, source, kv, from_index } => {
+                let Some(events) = self.links.get(&link).cloned() else {
+                    // The link went while the action was made; nobody waits for the tokens.
+                    return self.workers.skip(work);
+                };
+                self.workers.decode(&endpoints, work, source, kv, from_index, events);
+            }
+            Action::Call(work, call) => self.workers.call(&endpoints, work, call),
+            Action::Abort(attempt, endpoint) => self.workers.abort(&endpoints, attempt, endpoint),
+            Action::Serve(_, endpoint) => self.workers.serve(endpoint),
+        }
+    }
+
+    /// An entry too slow to take its events would wait for a lost one for ever; it is better off
+    /// with a broken link, which it notices.
+    fn send(&mut self, link: Link, event: Event) {
+        let Some(events) = self.links.get(&link) else { return };
+        if events.try_send(event).is_err() {
+            events.close();
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let loads: Vec<Value> = self.state.loads().iter().map(load).collect();
+        let beat = self.current.beat();
+        json!({
+            "role": "agent",
+            "settings_version": beat.version,
+            "settings_age_ms": u64::try_from(beat.age.as_millis()).unwrap_or(u64::MAX),
+            "links": self.links.len(),
+            "endpoints": loads,
+            "tombstones": self.state.tombstones(),
+            "idle": self.state.is_idle(),
+        })
+    }
+}
+
+fn load(load: &Load) -> Value {
+    json!({
+        "endpoint": load.endpoint,
+        "free_pieces": load.free_pieces,
+        "capacity_pieces": load.capacity_pieces,
+        "queued_tokens": load.queued_tokens,
+        "running": load.running,
+        "leaving": load.leaving,
+    })
+}
+
+/// Names work towards an engine.
+pub(crate) fn work_id(attempt: Attempt) -> String {
+    attempt.to_string()
+}
--- /dev/null
+++ b/crates/daemon/src/agent/server.rs
@@ -0,0 +1,117 @@
+//! The agent's side of links: a tonic server on async-std tasks.
+
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_std::task::{self, JoinHandle};
+use futures_lite::{FutureExt as _, Stream, StreamExt as _};
+use tarragonhill_core::{
+    agent::{Input, Link},
+    message::{Event, Order},
+};
+use tarragonhill_wire::proto::{self, agent_server};
+use tonic::{
+    Request, Response, Status, Streaming,
+    transport::{Server, server::TcpIncoming},
+};
+
+use crate::{StartError, agent::control::Control, settings::Current};
+
+/// How often heartbeats with fresh load go out on each link.
+const BEAT: Duration = Duration::from_millis(250);
+/// A link that brought nothing for this long is taken for dead. The entry beats more often.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Events that may wait for a slow link.
+const BUFFER: usize = 65_536;
+
+/// Listens for entries.
+pub(crate) fn serve(
+    address: SocketAddr,
+    control: Control,
+    current: Arc<Current>,
+) -> Result<(SocketAddr, JoinHandle<()>), StartError> {
+    let (incoming, address) = listen("listen", address)?;
+    let service = agent_server::AgentServer::new(Links { control, current, next: AtomicU64::new(1) });
+    let task = task::spawn(async move {
+        if let Err(error) = Server::builder().add_service(service).serve_with_incoming(incoming).await {
+            spdlog::error!("link server ended: {error}");
+        }
+    });
+    Ok((address, task))
+}
+
+/// Listens on `address` for tonic, with no-delay on every accepted socket.
+pub(crate) fn listen(
+    setting: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpIncoming, SocketAddr), StartError> {
+    let failed = |error| StartError::Listen { setting, address: address.to_string(), error };
+    let listener = std::net::TcpListener::bind(address).map_err(failed)?;
+    listener.set_nonblocking(true).map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    let listener = tokio::net::TcpListener::from_std(listener).map_err(failed)?;
+    Ok((TcpIncoming::from(listener).with_nodelay(Some(true)), bound))
+}
+
+struct Links {
+    control: Control,
+    current: Arc<Current>,
+    next: AtomicU64,
+}
+
+type Events = Pin<Box<dyn Stream<Item = Result<proto::Event, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl agent_server::Agent for Links {
+    type LinkStream = Events;
+
+    async fn link(&self, request: Request<Streaming<proto::Order>>) -> Result<Response<Events>, Status> {
+        let link = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = async_channel::bounded(BUFFER);
+        self.control.opened(link, sender.clone());
+        let (control, current) = (self.control.clone(), self.current.clone());
+        let orders = request.into_inner();
+        task::spawn(async move {
+            let beats = beat(&control, &current, &sender);
+            let reads = read(&control, &current, link, orders);
+            reads.or(beats).await;
+            control.input(Input::LinkLost(link));
+            sender.close();
+        });
+        Ok(Response::new(Box::pin(receiver.map(|event: Event| Ok(event.into())))))
+    }
+}
+
+/// Reads orders until the link ends or falls silent. An open connection can go silent for good
+/// while new ones work; nothing but the missing heartbeats shows it.
+async fn read(control: &Control, current: &Current, link: Link, mut orders: Streaming<proto::Order>) {
+    while let Ok(Some(Ok(order))) = async_std::future::timeout(SILENCE, orders.next()).await {
+        match Order::try_from(order) {
+            Ok(Order::Beat(beat)) => {
+                if beat.version > current.get().version {
+                    current.nudge();
+                }
+            }
+            Ok(order) => control.input(Input::Order(link, order)),
+            Err(error) => spdlog::warn!("order ignored: {error}"),
+        }
+    }
+}
+
+async fn beat(control: &Control, current: &Current, events: &async_channel::Sender<Event>) {
+    loop {
+        let mut beat = current.beat();
+        beat.loads = control.loads().await;
+        if events.send(Event::Beat(beat)).await.is_err() {
+            return;
+        }
+        task::sleep(BEAT).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/work.rs
@@ -0,0 +1,152 @@
+//! Runs what the decisions start: one task for each prefill, decode and call.
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use async_channel::Sender;
+use async_std::task::{self, JoinHandle};
+use tarragonhill_core::{
+    Attempt,
+    agent::{Call, Input, Outcome},
+    message::{Breakage, Event, Work},
+    settings::{Endpoint, Snapshot},
+};
+use tarragonhill_engine::{Engine, EngineError, HttpEngine, Sink};
+
+use crate::agent::control::{Control, work_id};
+
+type Key = (Attempt, Arc<str>);
+
+/// All running tasks of one agent.
+pub(crate) struct Workers {
+    control: Control,
+    engines: BTreeMap<Arc<str>, Arc<dyn Engine>>,
+    running: Arc<Mutex<BTreeMap<Key, JoinHandle<()>>>>,
+}
+
+impl Workers {
+    pub(crate) fn new(control: Control) -> Self {
+        Self { control, engines: BTreeMap::new(), running: Arc::default() }
+    }
+
+    fn engine(&mut self, settings: &Snapshot, endpoint: &str) -> Option<Arc<dyn Engine>> {
+        let address = settings.endpoints.get(endpoint)?.address.clone();
+        self.engine_at(&address)
+    }
+
+    fn engine_at(&mut self, address: &Arc<str>) -> Option<Arc<dyn Engine>> {
+        if let Some(engine) = self.engines.get(address) {
+            return Some(engine.clone());
+        }
+        let engine: Arc<dyn Engine> = Arc::new(HttpEngine::new(address.parse().ok()?));
+        self.engines.insert(address.clone(), engine.clone());
+        Some(engine)
+    }
+
+    pub(crate) fn prefill(&mut self, settings: &Snapshot, work: Work, prompt: Arc<str>) {
+        let Some(engine) = self.engine(settings, &work.endpoint) else { return self.skip(work) };
+        self.run(work, move |work| async move { engine.prefill(&work, prompt).await });
+    }
+
+    pub(crate) fn decode(
+        &mut self,
+        settings: &Snapshot,
+        work: Work,
+        source: Arc<str>,
+        kv: Arc<str>,
+        from_index: u32,
+        events: Sender<Event>,
+    ) {
+        let Some(engine) = self.engine(settings, &work.endpoint) else { return self.skip(work) };
+        let sink = Tokens { attempt: work.attempt, events };
+        self.run(work, move |work| async move { engine.decode(&work, source, kv, from_index, &sink).await });
+    }
+
+    pub(crate) fn call(&mut self, settings: &Snapshot, work: Work, call: Call) {
+        let Some(engine) = self.engine(settings, &work.endpoint) else { return self.skip(work) };
+        self.run(work, move |work| async move { engine.call(&work, &call).await });
+    }
+
+    /// Reports work that cannot run here as failed.
+    pub(crate) fn skip(&self, work: Work) {
+        let outcome = Outcome::Failed(Breakage::Failed);
+        self.control.input(Input::Finished { attempt: work.attempt, endpoint: work.endpoint, outcome });
+    }
+
+    fn run<F, Fut>(&self, work: Work, body: F)
+    where
+        F: FnOnce(Work) -> Fut,
+        Fut: Future<Output = Outcome> + Send + 'static,
+    {
+        let key = (work.attempt, work.endpoint.clone());
+        let (control, running, owned) = (self.control.clone(), self.running.clone(), key.clone());
+        let body = body(work);
+        let mut table = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        let handle = task::spawn(async move {
+            let outcome = body.await;
+            // Whoever takes the handle out reports the end, so that it is reported exactly once.
+            let mine = running.lock().unwrap_or_else(PoisonError::into_inner).remove(&owned).is_some();
+            if mine {
+                let (attempt, endpoint) = owned;
+                control.input(Input::Finished { attempt, endpoint, outcome });
+            }
+        });
+        table.insert(key, handle);
+    }
+
+    /// Stops a task, has the engine let go of its work, then reports the end.
+    pub(crate) fn abort(&mut self, settings: &Snapshot, attempt: Attempt, endpoint: Arc<str>) {
+        let key = (attempt, endpoint.clone());
+        let handle = self.running.lock().unwrap_or_else(PoisonError::into_inner).remove(&key);
+        let Some(handle) = handle else { return };
+        let engine = self.engine(settings, &endpoint);
+        let control = self.control.clone();
+        task::spawn(async move {
+            handle.cancel().await;
+            if let Some(engine) = engine {
+                engine.cancel(&work_id(attempt)).await;
+            }
+            control.input(Input::Finished { attempt, endpoint, outcome: Outcome::Aborted });
+        });
+    }
+
+    /// Orders an endpoint to serve something else.
+    pub(crate) fn serve(&mut self, endpoint: Arc<Endpoint>) {
+        let Some(engine) = self.engine_at(&endpoint.address) else { return };
+        task::spawn(async move {
+            let serves = endpoint.serves.to_string();
+            match engine.serve(&endpoint).await {
+                Ok(()) => spdlog::info!("endpoint ordered", kv: { serves = serves.as_str() }),
+                Err(error @ (EngineError::Fenced | EngineError::Failed(_))) => {
+                    spdlog::error!("order refused: {error}", kv: { serves = serves.as_str() });
+                }
+            }
+        });
+    }
+
+    /// Drops all tasks, as a crash would.
+    pub(crate) fn stop(self) {
+        let running = std::mem::take(&mut *self.running.lock().unwrap_or_else(PoisonError::into_inner));
+        for (_, handle) in running {
+            task::spawn(handle.cancel());
+        }
+    }
+}
+
+struct Tokens {
+    attempt: Attempt,
+    events: Sender<Event>,
+}
+
+impl Sink for Tokens {
+    fn token(&self, index: u32, text: Arc<str>) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        let event = Event::Tokens { attempt: self.attempt, first_index: index, texts: vec![text] };
+        Box::pin(async move {
+            let _ = self.events.send(event).await;
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/peers.rs
@@ -0,0 +1,112 @@
+//! Talk between entries: loans, heartbeats, crash counts and renewals.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use async_std::task::{self, JoinHandle};
+use tarragonhill_core::message::{Answer, Ask};
+use tarragonhill_wire::proto::{self, peer_client::PeerClient, peer_server};
+use tonic::{
+    Request, Response, Status,
+    transport::{Channel, Endpoint, Server, server::TcpIncoming},
+};
+
+use crate::entry::{context::Context, control::Control};
+
+/// Longest wait for a peer's answer. Shorter than a borrower's own patience.
+const TIMEOUT: Duration = Duration::from_millis(250);
+/// How often each entry beats to each other.
+const BEAT: Duration = Duration::from_secs(1);
+
+/// Clients of all peers. Clones share them.
+#[derive(Clone, Default)]
+pub(crate) struct Peers(Arc<Mutex<BTreeMap<Arc<str>, PeerClient<Channel>>>>);
+
+impl Peers {
+    fn client(&self, address: &Arc<str>) -> Option<PeerClient<Channel>> {
+        let mut clients = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(address) {
+            return Some(client.clone());
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+        let channel = endpoint.connect_timeout(TIMEOUT).tcp_nodelay(true).connect_lazy();
+        let client = PeerClient::new(channel);
+        clients.insert(address.clone(), client.clone());
+        Some(client)
+    }
+
+    /// Asks the peer at `address`; `None` if it does not answer in time. A client that timed out
+    /// is dropped, since its connection may have gone silent for good.
+    pub(crate) async fn ask(&self, address: &Arc<str>, from: &Arc<str>, ask: Ask) -> Option<Answer> {
+        let mut client = self.client(address)?;
+        let request = proto::PeerRequest { entry: from.to_string(), body: Some(ask.into()) };
+        let reply = async_std::future::timeout(TIMEOUT, client.exchange(request)).await;
+        let Ok(Ok(reply)) = reply else {
+            self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
+            return None;
+        };
+        Answer::try_from(reply.into_inner()).ok()
+    }
+
+    /// Asks a home for tokens and hands the reply to the control thread.
+    pub(crate) fn borrow(&self, control: Control, address: Arc<str>, from: Arc<str>, serial: u64, ask: Ask) {
+        let peers = self.clone();
+        task::spawn(async move {
+            let Ask::Borrow { customer, .. } = &ask else { return };
+            let customer = customer.clone();
+            let grant = match peers.ask(&address, &from, ask).await {
+                Some(Answer::Lent(grant)) => Some(grant),
+                _ => None,
+            };
+            control.lent(&customer, serial, grant);
+        });
+    }
+}
+
+/// Serves peers.
+pub(crate) fn serve(incoming: TcpIncoming, context: Arc<Context>) -> JoinHandle<()> {
+    let service = peer_server::PeerServer::new(Service(context));
+    task::spawn(async move {
+        if let Err(error) = Server::builder().add_service(service).serve_with_incoming(incoming).await {
+            spdlog::error!("peer server ended: {error}");
+        }
+    })
+}
+
+struct Service(Arc<Context>);
+
+#[tonic::async_trait]
+impl peer_server::Peer for Service {
+    async fn exchange(
+        &self,
+        request: Request<proto::PeerRequest>,
+    ) -> Result<Response<proto::PeerReply>, Status> {
+        let request = request.into_inner();
+        let body = request.body.ok_or_else(|| Status::invalid_argument("empty request"))?;
+        let ask = Ask::try_from(body).map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let answer = self.0.control.answer(request.entry.into(), ask).await;
+        let answer = answer.ok_or_else(|| Status::unavailable("stopping"))?;
+        Ok(Response::new(answer.into()))
+    }
+}
+
+/// Beats to all other entries for ever.
+pub(crate) async fn beat(context: Arc<Context>) {
+    loop {
+        context.clock.sleep(BEAT).await;
+        let entries = context.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let addresses = context.control.addresses((*entries).clone()).await;
+        for (name, address) in addresses {
+            let context = context.clone();
+            task::spawn(async move {
+                let ask = Ask::Beat(context.current.beat());
+                if let Some(Answer::Beat(beat)) = context.peers.ask(&address, &context.name, ask).await {
+                    context.current.heard(&name, &beat);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/stages/complete.rs
@@ -0,0 +1,242 @@
+//! Serves a completion: attempts until one ends with a whole answer or the budget is spent.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use futures_lite::FutureExt as _;
+use tarragonhill_core::{
+    Attempt, Code, Refusal,
+    message::Breakage,
+    quarantine::{Strike, fingerprint},
+};
+use tarragonhill_http::server::{Outbound, Watch};
+
+use super::{
+    Charge, Ticket, admit,
+    answer::Output,
+    attempt::{Dispatch, Failure},
+    decode::decode,
+    plan::plan,
+    prefill::prefill,
+};
+use crate::entry::{caller::Completion, context::Context, control};
+
+/// Other endpoints tried when one has no room. Not a retry: nothing has run.
+const ALTERNATIVES: usize = 2;
+/// An endpoint that had no room is avoided for this long.
+const AVOID: Duration = Duration::from_millis(50);
+
+/// Serves a completion.
+pub(crate) async fn complete(
+    context: &Arc<Context>,
+    ticket: Ticket,
+    completion: Completion,
+    watch: Watch,
+) -> Result<Outbound, Refusal> {
+    check_size(context, &completion)?;
+    if completion.stream {
+        return stream(context.clone(), ticket, completion, watch).await;
+    }
+    let output = Output::whole(context, ticket.request, ticket.arrived);
+    let gone = async {
+        watch.gone().await;
+        Err(Some(caller_left()))
+    };
+    let outbound = serve(context, &ticket, &completion, output).or(gone).await;
+    match outbound {
+        Ok(Some(outbound)) => Ok(outbound),
+        Ok(None) | Err(None) => Err(Refusal::run(Code::Broken, "the answer was lost")),
+        Err(Some(refusal)) => Err(refusal),
+    }
+}
+
+/// Streams in a task of its own; completes with the head once there is a first token.
+async fn stream(
+    context: Arc<Context>,
+    ticket: Ticket,
+    completion: Completion,
+    watch: Watch,
+) -> Result<Outbound, Refusal> {
+    let (head, heads) = async_channel::bounded(1);
+    let (refusals, refused) = async_channel::bounded(1);
+    let inside = context.enter();
+    async_std::task::spawn(async move {
+        let _inside = inside;
+        let output = Output::stream(&context, ticket.request, ticket.arrived, head);
+        let gone = async {
+            watch.gone().await;
+            Err(Some(caller_left()))
+        };
+        if let Err(Some(refusal)) = serve(&context, &ticket, &completion, output).or(gone).await {
+            let _ = refusals.try_send(refusal);
+        }
+    });
+    let head = async { heads.recv().await.map_err(|_| None) };
+    let refusal = async {
+        match refused.recv().await {
+            Ok(refusal) => Err(Some(refusal)),
+            Err(_) => std::future::pending().await,
+        }
+    };
+    match head.or(refusal).await {
+        Ok(outbound) => Ok(outbound),
+        Err(Some(refusal)) => Err(refusal),
+        // The head's sender is dropped with the task, just before the refusal is sent.
+        Err(None) => refused.recv().await.map_or_else(|_| Err(caller_left()), Err),
+    }
+}
+
+fn caller_left() -> Refusal {
+    Refusal::run(Code::Cancelled, "the caller left")
+}
+
+fn check_size(context: &Context, completion: &Completion) -> Result<(), Refusal> {
+    let settings = context.current.get();
+    let Some(most) = settings.context(&completion.model) else {
+        let message = format!("no endpoint serves model {:?}", completion.model);
+        return Err(Refusal::not_run(Code::UnknownModel, message));
+    };
+    let wanted = u64::from(completion.prompt_tokens()) + u64::from(completion.max_tokens);
+    if wanted > u64::from(most) {
+        let message = format!("prompt and max_tokens are {wanted} tokens together; the model takes {most}");
+        return Err(Refusal::not_run(Code::PromptTooLong, message));
+    }
+    Ok(())
+}
+
+type Served = Result<Option<Outbound>, Option<Refusal>>;
+
+async fn serve(
+    context: &Context,
+    ticket: &Ticket,
+    completion: &Completion,
+    mut output: Output<'_>,
+) -> Served {
+    let cost = u64::from(completion.prompt_tokens()) + u64::from(completion.max_tokens);
+    let mark = fingerprint(&ticket.key.customer, completion.prompt.as_bytes());
+    let admitted = match quarantined(context, ticket, mark).await {
+        Ok(()) => admit(context, ticket, cost).await,
+        Err(refusal) => Err(refusal),
+    };
+    let mut charge = match admitted {
+        Ok(charge) => charge,
+        Err(refusal) => return Err(output.break_off(refusal).await),
+    };
+    let ended = attempts(context, ticket, completion, mark, &mut output).await;
+    settle(&mut charge, completion, &output, &ended);
+    drop(charge);
+    match ended {
+        Ok(()) => {
+            context.metrics.answered.with_label_values(&["completion"]).inc();
+            output.finish().await.map_err(|_| Some(caller_left()))
+        }
+        Err(refusal) => Err(output.break_off(refusal).await),
+    }
+}
+
+/// Charges what was used: nothing for a request that did not run.
+fn settle(
+    charge: &mut Charge<'_>,
+    completion: &Completion,
+    output: &Output<'_>,
+    ended: &Result<(), Refusal>,
+) {
+    if ended.as_ref().is_err_and(|refusal| refusal.not_run) {
+        return;
+    }
+    charge.used(u64::from(completion.prompt_tokens()) + u64::from(output.next()));
+}
+
+async fn quarantined(context: &Context, ticket: &Ticket, mark: u64) -> Result<(), Refusal> {
+    let Strike { quarantined, .. } = context.control.strike(&ticket.key.customer, mark, false).await;
+    if quarantined.is_zero() {
+        return Ok(());
+    }
+    let message = "this request has crashed endpoints and is refused for a while";
+    Err(Refusal::not_run(Code::Quarantined, message).retry_after(quarantined))
+}
+
+async fn attempts(
+    context: &Context,
+    ticket: &Ticket,
+    completion: &Completion,
+    mark: u64,
+    output: &mut Output<'_>,
+) -> Result<(), Refusal> {
+    let mut tried = BTreeSet::new();
+    let mut full = 0;
+    let mut ran = false;
+    let (mut number, mut failures) = (1, 1);
+    loop {
+        let attempt = Attempt { request: ticket.request, number };
+        let mut dispatch = Dispatch::new(context, attempt);
+        let ended = one(context, ticket, completion, &mut dispatch, &tried, output, &mut ran).await;
+        drop(dispatch);
+        number += 1;
+        match ended {
+            Ok(endpoint) => {
+                context.control.earn(&ticket.key.customer, &endpoint);
+                return Ok(());
+            }
+            Err(Failure::Refused(refusal)) => {
+                return Err(Refusal { not_run: refusal.not_run && !ran, ..refusal });
+            }
+            Err(Failure::Full { endpoint, retry_after }) => {
+                context.control.avoid(&endpoint, AVOID.max(retry_after.min(context.first_token)));
+                full += 1;
+                let late = super::plan::slack(context, ticket).is_zero();
+                if full > ALTERNATIVES || late {
+                    return Err(overloaded(ran, retry_after));
+                }
+                tried.insert(endpoint);
+            }
+            Err(Failure::Broken { endpoint, cause }) => {
+                ran = true;
+                if cause == Breakage::Crashed {
+                    let strike = context.control.strike(&ticket.key.customer, mark, true).await;
+                    if !strike.quarantined.is_zero() {
+                        return Err(broken(cause));
+                    }
+                }
+                let failure = control::Failure {
+                    customer: ticket.key.customer.clone(),
+                    endpoint: endpoint.clone(),
+                    number: failures,
+                    cause,
+                };
+                failures += 1;
+                if !context.control.retry(failure).await {
+                    return Err(broken(cause));
+                }
+                context.metrics.retries.inc();
+                tried.insert(endpoint);
+            }
+        }
+    }
+}
+
+/// One attempt through all costly stages; returns the endpoint that finished it.
+async fn one(
+    context: &Context,
+    ticket: &Ticket,
+    completion: &Completion,
+    dispatch: &mut Dispatch<'_>,
+    tried: &BTreeSet<Arc<str>>,
+    output: &mut Output<'_>,
+    ran: &mut bool,
+) -> Result<Arc<str>, Failure> {
+    let planned = plan(context, ticket, completion, dispatch, tried).await?;
+    let prefilled = prefill(context, ticket, completion, dispatch, &planned, tried).await?;
+    *ran = true;
+    decode(context, ticket, completion, dispatch, &planned, prefilled, output).await?;
+    Ok(planned.decode.endpoint)
+}
+
+fn overloaded(ran: bool, retry_after: Duration) -> Refusal {
+    let message = "no endpoint can meet the target for the first token";
+    let refusal = Refusal { not_run: !ran, ..Refusal::run(Code::Overloaded, message) };
+    refusal.retry_after(retry_after.max(Duration::from_millis(200)))
+}
+
+fn broken(cause: Breakage) -> Refusal {
+    Refusal::run(Code::Broken, format!("the work broke off ({cause}) and could not be resumed"))
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,369 @@
+//! Conversions between protobuf types and the types of the decisions.
+
+use std::{fmt, time::Duration};
+
+use tarragonhill_core::{
+    clock::micros,
+    id::{Attempt, Request},
+    message::{Answer, Ask, Beat, Event, Load, Order, Work},
+};
+
+use crate::proto::{self, event, order, peer_reply, peer_request};
+
+/// A message that does not make sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DecodeError {
+    /// A part that every message of its kind has is missing.
+    Missing(&'static str),
+    /// A name or number is none of those known.
+    Unknown(&'static str, String),
+}
+
+impl fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(part) => write!(f, "message without {part}"),
+            Self::Unknown(part, value) => write!(f, "message with unknown {part} {value:?}"),
+        }
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+fn need<T>(part: &'static str, value: Option<T>) -> Result<T, DecodeError> {
+    value.ok_or(DecodeError::Missing(part))
+}
+
+fn named<T: std::str::FromStr>(part: &'static str, value: &str) -> Result<T, DecodeError> {
+    value.parse().map_err(|_| DecodeError::Unknown(part, value.to_owned()))
+}
+
+fn status(value: u32) -> Result<u16, DecodeError> {
+    u16::try_from(value).map_err(|_| DecodeError::Unknown("status", value.to_string()))
+}
+
+impl From<Attempt> for proto::Attempt {
+    fn from(attempt: Attempt) -> Self {
+        let request = attempt.request.0;
+        Self { request_high: (request >> 64) as u64, request_low: request as u64, number: attempt.number }
+    }
+}
+
+impl From<proto::Attempt> for Attempt {
+    fn from(sent: proto::Attempt) -> Self {
+        let request = u128::from(sent.request_high) << 64 | u128::from(sent.request_low);
+        Self { request: Request(request), number: sent.number }
+    }
+}
+
+fn attempt(sent: Option<proto::Attempt>) -> Result<Attempt, DecodeError> {
+    need("attempt", sent).map(Attempt::from)
+}
+
+impl From<Work> for proto::Work {
+    fn from(work: Work) -> Self {
+        Self {
+            attempt: Some(work.attempt.into()),
+            endpoint: work.endpoint.to_string(),
+            customer: work.customer.to_string(),
+            key: work.key.to_string(),
+            prompt_tokens: work.prompt_tokens,
+            max_tokens: work.max_tokens,
+            slack_us: micros(work.slack),
+        }
+    }
+}
+
+fn work(sent: Option<proto::Work>) -> Result<Work, DecodeError> {
+    let sent = need("work", sent)?;
+    Ok(Work {
+        attempt: attempt(sent.attempt)?,
+        endpoint: sent.endpoint.into(),
+        customer: sent.customer.into(),
+        key: sent.key.into(),
+        prompt_tokens: sent.prompt_tokens,
+        max_tokens: sent.max_tokens,
+        slack: Duration::from_micros(sent.slack_us),
+    })
+}
+
+impl From<Beat> for proto::Beat {
+    fn from(beat: Beat) -> Self {
+        Self {
+            version: beat.version,
+            age_us: micros(beat.age),
+            loads: beat.loads.into_iter().map(proto::Load::from).collect(),
+        }
+    }
+}
+
+impl From<proto::Beat> for Beat {
+    fn from(sent: proto::Beat) -> Self {
+        Self {
+            version: sent.version,
+            age: Duration::from_micros(sent.age_us),
+            loads: sent.loads.into_iter().map(Load::from).collect(),
+        }
+    }
+}
+
+impl From<Load> for proto::Load {
+    fn from(load: Load) -> Self {
+        Self {
+            endpoint: load.endpoint.to_string(),
+            free_pieces: load.free_pieces,
+            capacity_pieces: load.capacity_pieces,
+            queued_tokens: load.queued_tokens,
+            running: load.running,
+            leaving: load.leaving,
+        }
+    }
+}
+
+impl From<proto::Load> for Load {
+    fn from(sent: proto::Load) -> Self {
+        Self {
+            endpoint: sent.endpoint.into(),
+            free_pieces: sent.free_pieces,
+            capacity_pieces: sent.capacity_pieces,
+            queued_tokens: sent.queued_tokens,
+            running: sent.running,
+            leaving: sent.leaving,
+        }
+    }
+}
+
+impl From<Order> for proto::Order {
+    fn from(message: Order) -> Self {
+        let body = match message {
+            Order::Hello { entry } => order::Body::Hello(proto::Hello { entry: entry.to_string() }),
+            Order::Hold { work, ahead } => order::Body::Hold(proto::Hold { work: Some(work.into()), ahead }),
+            Order::Prefill { work, prompt, wait } => order::Body::Prefill(proto::Prefill {
+                work: Some(work.into()),
+                prompt: prompt.to_string(),
+                wait_us: micros(wait),
+            }),
+            Order::Decode { work, source, kv, from_index, held } => order::Body::Decode(proto::Decode {
+                work: Some(work.into()),
+                source: source.to_string(),
+                kv: kv.to_string(),
+                from_index,
+                held,
+            }),
+            Order::Call { work, method, path, body, idempotency_key } => order::Body::Call(proto::Call {
+                work: Some(work.into()),
+                method: method.to_string(),
+                path: path.to_string(),
+                body,
+                idempotency_key: idempotency_key.to_string(),
+            }),
+            Order::Cancel(attempt) => order::Body::Cancel(attempt.into()),
+            Order::Beat(beat) => order::Body::Beat(beat.into()),
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<proto::Order> for Order {
+    type Error = DecodeError;
+
+    fn try_from(sent: proto::Order) -> Result<Self, Self::Error> {
+        Ok(match need("order", sent.body)? {
+            order::Body::Hello(hello) => Self::Hello { entry: hello.entry.into() },
+            order::Body::Hold(hold) => Self::Hold { work: work(hold.work)?, ahead: hold.ahead },
+            order::Body::Prefill(prefill) => Self::Prefill {
+                work: work(prefill.work)?,
+                prompt: prefill.prompt.into(),
+                wait: Duration::from_micros(prefill.wait_us),
+            },
+            order::Body::Decode(decode) => Self::Decode {
+                work: work(decode.work)?,
+                source: decode.source.into(),
+                kv: decode.kv.into(),
+                from_index: decode.from_index,
+                held: decode.held,
+            },
+            order::Body::Call(call) => Self::Call {
+                work: work(call.work)?,
+                method: call.method.into(),
+                path: call.path.into(),
+                body: call.body,
+                idempotency_key: call.idempotency_key.into(),
+            },
+            order::Body::Cancel(attempt) => Self::Cancel(attempt.into()),
+            order::Body::Beat(beat) => Self::Beat(beat.into()),
+        })
+    }
+}
+
+impl From<Event> for proto::Event {
+    fn from(message: Event) -> Self {
+        let body = match message {
+            Event::Held { attempt, ready_in } => event::Body::Held(proto::Held {
+                attempt: Some(attempt.into()),
+                ready_in_us: micros(ready_in),
+            }),
+            Event::Refused { attempt, code, not_run, retry_after } => event::Body::Refused(proto::Refused {
+                attempt: Some(attempt.into()),
+                code: code.to_string(),
+                not_run,
+                retry_after_us: micros(retry_after),
+            }),
+            Event::Prefilled { attempt, source, kv, lives } => event::Body::Prefilled(proto::Prefilled {
+                attempt: Some(attempt.into()),
+                source: source.to_string(),
+                kv: kv.to_string(),
+                lives_us: micros(lives),
+            }),
+            Event::Tokens { attempt, first_index, texts } => event::Body::Tokens(proto::Tokens {
+                attempt: Some(attempt.into()),
+                first_index,
+                texts: texts.iter().map(|text| text.to_string()).collect(),
+            }),
+            Event::Ended { attempt, total } => {
+                event::Body::Ended(proto::Ended { attempt: Some(attempt.into()), total })
+            }
+            Event::Broken { attempt, cause } => {
+                event::Body::Broken(proto::Broken { attempt: Some(attempt.into()), code: cause.to_string() })
+            }
+            Event::Answered { attempt, status, body } => event::Body::Answered(proto::Answered {
+                attempt: Some(attempt.into()),
+                status: status.into(),
+                body,
+            }),
+            Event::Beat(beat) => event::Body::Beat(beat.into()),
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<proto::Event> for Event {
+    type Error = DecodeError;
+
+    fn try_from(sent: proto::Event) -> Result<Self, Self::Error> {
+        Ok(match need("event", sent.body)? {
+            event::Body::Held(held) => Self::Held {
+                attempt: attempt(held.attempt)?,
+                ready_in: Duration::from_micros(held.ready_in_us),
+            },
+            event::Body::Refused(refused) => Self::Refused {
+                attempt: attempt(refused.attempt)?,
+                code: named("code", &refused.code)?,
+                not_run: refused.not_run,
+                retry_after: Duration::from_micros(refused.retry_after_us),
+            },
+            event::Body::Prefilled(done) => Self::Prefilled {
+                attempt: attempt(done.attempt)?,
+                source: done.source.into(),
+                kv: done.kv.into(),
+                lives: Duration::from_micros(done.lives_us),
+            },
+            event::Body::Tokens(tokens) => Self::Tokens {
+                attempt: attempt(tokens.attempt)?,
+                first_index: tokens.first_index,
+                texts: tokens.texts.into_iter().map(Into::into).collect(),
+            },
+            event::Body::Ended(ended) => Self::Ended { attempt: attempt(ended.attempt)?, total: ended.total },
+            event::Body::Broken(broken) => {
+                Self::Broken { attempt: attempt(broken.attempt)?, cause: named("breakage", &broken.code)? }
+            }
+            event::Body::Answered(answered) => Self::Answered {
+                attempt: attempt(answered.attempt)?,
+                status: status(answered.status)?,
+                body: answered.body,
+            },
+            event::Body::Beat(beat) => Self::Beat(beat.into()),
+        })
+    }
+}
+
+impl From<Ask> for peer_request::Body {
+    fn from(ask: Ask) -> Self {
+        match ask {
+            Ask::Borrow { customer, loan } => Self::Borrow(proto::Borrow {
+                customer: customer.to_string(),
+                tokens: loan.tokens,
+                minimum: loan.minimum,
+                unspent: loan.unspent,
+                refund: loan.refund,
+                serial: loan.serial,
+            }),
+            Ask::Beat(beat) => Self::Beat(beat.into()),
+            Ask::Strike { customer, fingerprint, crashed } => {
+                Self::Strike(proto::Strike { customer: customer.to_string(), fingerprint, crashed })
+            }
+            Ask::Renew { incarnation } => Self::Renew(proto::Renew { incarnation }),
+        }
+    }
+}
+
+impl TryFrom<peer_request::Body> for Ask {
+    type Error = DecodeError;
+
+    fn try_from(sent: peer_request::Body) -> Result<Self, Self::Error> {
+        Ok(match sent {
+            peer_request::Body::Borrow(borrow) => Self::Borrow {
+                customer: borrow.customer.into(),
+                loan: tarragonhill_core::quota::Loan {
+                    tokens: borrow.tokens,
+                    minimum: borrow.minimum,
+                    unspent: borrow.unspent,
+                    refund: borrow.refund,
+                    serial: borrow.serial,
+                },
+            },
+            peer_request::Body::Beat(beat) => Self::Beat(beat.into()),
+            peer_request::Body::Strike(strike) => Self::Strike {
+                customer: strike.customer.into(),
+                fingerprint: strike.fingerprint,
+                crashed: strike.crashed,
+            },
+            peer_request::Body::Renew(renew) => Self::Renew { incarnation: renew.incarnation },
+        })
+    }
+}
+
+impl From<Answer> for proto::PeerReply {
+    fn from(answer: Answer) -> Self {
+        let body = match answer {
+            Answer::Lent(grant) => peer_reply::Body::Lent(proto::Lent {
+                tokens: grant.tokens,
+                term_us: micros(grant.term),
+                retry_after_us: micros(grant.retry_after),
+            }),
+            Answer::Beat(beat) => peer_reply::Body::Beat(beat.into()),
+            Answer::Struck(strike) => peer_reply::Body::Struck(proto::Struck {
+                crashes: strike.crashes,
+                quarantined_us: micros(strike.quarantined),
+            }),
+            Answer::Renewed { granted } => peer_reply::Body::Renewed(proto::Renewed { granted }),
+            Answer::NotHome { owner, epoch } => {
+                peer_reply::Body::NotHome(proto::NotHome { owner: owner.to_string(), epoch })
+            }
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<proto::PeerReply> for Answer {
+    type Error = DecodeError;
+
+    fn try_from(sent: proto::PeerReply) -> Result<Self, Self::Error> {
+        Ok(match need("reply", sent.body)? {
+            peer_reply::Body::Lent(lent) => Self::Lent(tarragonhill_core::quota::Grant {
+                tokens: lent.tokens,
+                term: Duration::from_micros(lent.term_us),
+                retry_after: Duration::from_micros(lent.retry_after_us),
+            }),
+            peer_reply::Body::Beat(beat) => Self::Beat(beat.into()),
+            peer_reply::Body::Struck(struck) => Self::Struck(tarragonhill_core::quarantine::Strike {
+                crashes: struck.crashes,
+                quarantined: Duration::from_micros(struck.quarantined_us),
+            }),
+            peer_reply::Body::Renewed(renewed) => Self::Renewed { granted: renewed.granted },
+            peer_reply::Body::NotHome(elsewhere) => {
+                Self::NotHome { owner: elsewhere.owner.into(), epoch: elsewhere.epoch }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! Operators' command line.
+fn main() {}
