Cut the cost of links and of placement at the size designed for

Cause, found by tarragonhill-bench slopes: bounded channels take the memory for all their slots at once (65,536 events a link, 16,384 orders a link, 4,096 events an attempt), agents ticked 100 times a second through a task of their own, and placement looked at every endpoint of a model for each choice. Ruled out: allocator growth (memory fell with the channels). Also: the operators' command line; heartbeat pace follows the number of links.

--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -2,3 +2,4 @@
 
 pub mod demo;
 pub mod overhead;
+pub mod slopes;
--- a/crates/bench/src/cmd/overhead.rs
+++ b/crates/bench/src/cmd/overhead.rs
@@ -1,7 +1,6 @@
 //! `overhead`: the time that entry and agent add to a small request, and what they cost.
 
 use std::{
-    fs,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -13,7 +12,10 @@
 use serde_json::json;
 use tarragonhill_http::client::{Call, Pool};
 
-use crate::fleet::{Fleet, FleetError, SERVICE, Shape, Tenant, key_of};
+use crate::{
+    fleet::{Fleet, FleetError, SERVICE, Shape, Tenant, key_of},
+    usage::cpu_time,
+};
 
 /// Longest wait for one answer.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -100,16 +102,6 @@
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds")
 }
 
-/// Processor time of this process so far (`/proc/self/stat`, fields 14 and 15, in hundredths of a
-/// second on Linux).
-pub fn cpu_time() -> Duration {
-    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let rest = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
-    let ticks: u64 =
-        rest.split_whitespace().skip(11).take(2).filter_map(|field| field.parse::<u64>().ok()).sum();
-    Duration::from_millis(ticks * 10)
-}
-
 fn report(options: &Options, base: &Side, through: &Side) {
     let side = |name: &str, side: &Side| {
         let per_request = side.cpu.as_micros() / (side.latency.len().max(1) as u128);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod cmd;
 pub mod fleet;
 pub mod standin;
+pub mod usage;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use bpaf::Bpaf;
-use tarragonhill_bench::cmd::{demo, overhead};
+use tarragonhill_bench::cmd::{demo, overhead, slopes};
 use tarragonhill_daemon::logging;
 
 /// Stand-ins, load and experiments for the tarragonhill router
@@ -17,6 +17,9 @@
     /// Measure the time that entry and agent add to a request
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+    /// Measure how the cost of each role grows with the size of the fleet
+    #[bpaf(command)]
+    Slopes,
 }
 
 fn main() -> ExitCode {
@@ -27,6 +30,7 @@
     }
     let result = match options().run() {
         Options::Demo => task::block_on(demo::execute()),
+        Options::Slopes => task::block_on(slopes::execute()),
         Options::Overhead(options) => task::block_on(overhead::execute(options)),
     };
     match result {
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -30,7 +30,7 @@
 /// Prefix of the lease rows of entries.
 pub const MEMBER_PREFIX: &str = "home/member/";
 /// How long a renewal lasts, counted by the holder from when it began to renew.
-pub const LEASE: Duration = Duration::from_secs(5);
+pub const LEASE: Duration = Duration::from_secs(6);
 /// How much longer others wait, counted from when they last saw the lease row change. They see a
 /// change only after the holder began it, so their count ends later by itself; the margin covers
 /// drift of clocks.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -192,6 +192,8 @@
     pub version: u64,
     /// How long ago the sender, or someone it heard of, confirmed that version with the table.
     pub age: Duration,
+    /// How often the sender beats and wants to be beaten to; zero for as the receiver likes.
+    pub every: Duration,
     /// Fresh load of the endpoints that an agent fronts; empty from entries.
     pub loads: Vec<Load>,
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -10,10 +10,18 @@
     time::Duration,
 };
 
-use rand::{Rng, seq::IteratorRandom as _};
+use rand::{
+    Rng,
+    seq::{IteratorRandom as _, index},
+};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
-use crate::{clock::Time, id::Attempt, message::Load, settings::Endpoint};
+use crate::{
+    clock::Time,
+    id::Attempt,
+    message::Load,
+    settings::{Endpoint, Named},
+};
 
 /// How requests are placed. All but `current` are baselines to measure against.
 #[derive(
@@ -55,6 +63,8 @@
 const IN_FLIGHT: Duration = Duration::from_millis(10);
 /// Random candidates compared.
 const CANDIDATES: usize = 3;
+/// Random candidates looked at, some of which may be unusable.
+const DRAWN: usize = 2 * CANDIDATES;
 /// Prefixes remembered for affinity.
 const PREFIXES: usize = 20_000;
 
@@ -128,35 +138,33 @@
         self.seen.retain(|name, _| keep(name));
     }
 
-    /// Chooses an endpoint for `attempt` and counts the send.
+    /// Chooses an endpoint for `attempt` among `candidates` and counts the send.
     #[allow(clippy::too_many_arguments, reason = "each is one independent input of the decision")]
-    pub fn place<'a, R: Rng>(
+    pub fn place<R: Rng>(
         &mut self,
         now: Time,
         rng: &mut R,
         policy: Policy,
         zone: &str,
-        candidates: impl Iterator<Item = (&'a Arc<str>, &'a Arc<Endpoint>)>,
+        candidates: &[Named],
         need: Need,
         attempt: Attempt,
         tried: &BTreeSet<Arc<str>>,
     ) -> Option<Arc<str>> {
-        let usable =
-            candidates.filter(|(name, endpoint)| !endpoint.leaving && self.is_usable(now, name, tried));
-        let affine = self.affine(need);
+        let usable = |(name, endpoint): &&Named| !endpoint.leaving && self.is_usable(now, name, tried);
         let choice = match policy {
-            Policy::RoundRobin => usable.choose(rng).map(|(name, _)| name.clone()),
+            Policy::RoundRobin => candidates.iter().filter(usable).choose(rng),
             Policy::LeastLoaded => {
-                usable.min_by_key(|(name, _)| self.reported(name, need)).map(|(name, _)| name.clone())
+                candidates.iter().filter(usable).min_by_key(|(name, _)| self.reported(name, need))
             }
             Policy::HoldFirst | Policy::Current => {
-                let mut few = usable.sample(rng, CANDIDATES, affine.as_ref());
-                few.sort_unstable_by_key(|(name, endpoint)| {
-                    self.score(now, name, endpoint, zone, need, affine.as_ref())
-                });
-                few.first().map(|(name, _)| (*name).clone())
+                let affine = self.affine(need);
+                let score =
+                    |(name, endpoint): &&Named| self.score(now, name, endpoint, zone, need, affine.as_ref());
+                sample(rng, candidates, affine.as_ref(), usable).into_iter().min_by_key(score)
             }
-        }?;
+        };
+        let choice = choice?.0.clone();
         self.sent(now, &choice, need, attempt);
         Some(choice)
     }
@@ -254,20 +262,25 @@
     }
 }
 
-/// Sampling that always includes the affine endpoint, so that affinity can win at all.
-trait Sample<'a>: Iterator<Item = (&'a Arc<str>, &'a Arc<Endpoint>)> + Sized {
-    fn sample<R: Rng>(
-        self,
-        rng: &mut R,
-        most: usize,
-        affine: Option<&Arc<str>>,
-    ) -> Vec<(&'a Arc<str>, &'a Arc<Endpoint>)> {
-        let all: Vec<_> = self.collect();
-        let mut few = all.iter().copied().choose_multiple(rng, most);
-        let matching = all.iter().copied().find(|(name, _)| Some(*name) == affine);
-        few.extend(matching);
-        few
+/// Draws a few usable candidates, always with the affine one, so that affinity can win at all.
+/// Draws before it looks: the cost does not grow with the number of endpoints, unless most of
+/// them are unusable.
+fn sample<'a, R: Rng>(
+    rng: &mut R,
+    candidates: &'a [Named],
+    affine: Option<&Arc<str>>,
+    usable: impl Fn(&&'a Named) -> bool,
+) -> Vec<&'a Named> {
+    let matching = affine.and_then(|affine| {
+        let at = candidates.binary_search_by(|(name, _)| name.cmp(affine)).ok()?;
+        candidates.get(at).filter(&usable)
+    });
+    let drawn = index::sample(rng, candidates.len(), DRAWN.min(candidates.len()));
+    let mut few: Vec<&Named> =
+        drawn.iter().map(|at| &candidates[at]).filter(&usable).take(CANDIDATES).collect();
+    if few.is_empty() {
+        few = candidates.iter().filter(usable).choose_multiple(rng, CANDIDATES);
     }
+    few.extend(matching);
+    few
 }
-
-impl<'a, I: Iterator<Item = (&'a Arc<str>, &'a Arc<Endpoint>)>> Sample<'a> for I {}
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -359,7 +359,7 @@
     let on_host = settings.endpoints.values().filter(|endpoint| endpoint.host == *host);
     let alone = on_host.filter(|endpoint| {
         let others = settings.serving(&endpoint.serves, endpoint.role);
-        others.filter(|(_, other)| other.host != *host && !other.leaving).count() == 0
+        others.iter().filter(|(_, other)| other.host != *host && !other.leaving).count() == 0
     });
     alone
         .map(|endpoint| format!("no other {} endpoint serves {:?}", endpoint.role, endpoint.serves))
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -226,6 +226,9 @@
 
 impl std::error::Error for RowError {}
 
+/// An endpoint with its name.
+pub type Named = (Arc<str>, Arc<Endpoint>);
+
 /// All settings at one version.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -237,8 +240,9 @@
     pub keys: BTreeMap<Arc<str>, Arc<Key>>,
     /// Endpoints by name.
     pub endpoints: BTreeMap<Arc<str>, Arc<Endpoint>>,
-    /// Names of the endpoints for each thing served, by role. Derived from `endpoints`.
-    served: BTreeMap<(Arc<str>, Role), BTreeSet<Arc<str>>>,
+    /// Endpoints for each thing served, by role; each list in the order of names. Derived from
+    /// `endpoints`.
+    served: BTreeMap<Role, BTreeMap<Arc<str>, Vec<Named>>>,
     /// Digests of withdrawn keys by key identifier. Derived from `keys`.
     withdrawn: BTreeSet<Arc<str>>,
 }
@@ -276,18 +280,16 @@
 
     fn put_endpoint(&mut self, name: &Arc<str>, value: &Option<Endpoint>) {
         if let Some(old) = self.endpoints.get(name) {
-            let slot = (old.serves.clone(), old.role);
-            if let Some(names) = self.served.get_mut(&slot) {
-                names.remove(name);
-                if names.is_empty() {
-                    self.served.remove(&slot);
-                }
+            let list = self.served.get_mut(&old.role).and_then(|served| served.get_mut(&old.serves));
+            if let Some(list) = list {
+                list.retain(|(other, _)| other != name);
             }
         }
-        if let Some(endpoint) = value {
-            self.served.entry((endpoint.serves.clone(), endpoint.role)).or_default().insert(name.clone());
-        }
         set(&mut self.endpoints, name, value);
+        let Some(endpoint) = self.endpoints.get(name) else { return };
+        let list = self.served.entry(endpoint.role).or_default().entry(endpoint.serves.clone()).or_default();
+        let at = list.partition_point(|(other, _)| other < name);
+        list.insert(at, (name.clone(), endpoint.clone()));
     }
 
     /// The customer and key behind a caller's key, unless unknown or withdrawn.
@@ -302,18 +304,14 @@
         self.withdrawn.contains(id)
     }
 
-    /// Names of the endpoints that serve `name` in `role`, leaving ones included.
-    pub fn serving(&self, name: &str, role: Role) -> impl Iterator<Item = (&Arc<str>, &Arc<Endpoint>)> {
-        self.served
-            .get(&(Arc::from(name), role))
-            .into_iter()
-            .flatten()
-            .filter_map(|name| self.endpoints.get_key_value(name))
+    /// The endpoints that serve `name` in `role`, leaving ones included.
+    pub fn serving(&self, name: &str, role: Role) -> &[Named] {
+        self.served.get(&role).and_then(|served| served.get(name)).map_or(&[], Vec::as_slice)
     }
 
     /// The most tokens of prompt and answer together that `model` takes, if it is served.
     pub fn context(&self, model: &str) -> Option<u32> {
-        self.serving(model, Role::Decode).map(|(_, endpoint)| endpoint.context).max()
+        self.serving(model, Role::Decode).iter().map(|(_, endpoint)| endpoint.context).max()
     }
 }
 
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -22,8 +22,8 @@
     settings::Current,
 };
 
-/// How often time passes for the decisions.
-const TICK: Duration = Duration::from_millis(10);
+/// How often a shutdown looks whether everything has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
 
 /// A running agent.
 pub struct Agent {
@@ -48,7 +48,6 @@
         let admin = admin_server.address();
         let mut tasks = vec![serve];
         tasks.push(task::spawn(follow(current.clone(), common.table, common.poll, control.clone())));
-        tasks.push(task::spawn(tick(clock.clone(), control.clone())));
         let handler_control = control.clone();
         tasks.push(task::spawn(admin_server.serve(move |inbound| {
             answer(inbound, handler_control.clone(), current.clone(), metrics.clone())
@@ -72,7 +71,7 @@
         self.control.input(Input::Leave);
         let began = self.clock.now();
         while self.clock.now().since(began) < self.drain && !self.control.is_idle().await {
-            self.clock.sleep(TICK).await;
+            self.clock.sleep(DRAIN_POLL).await;
         }
         self.kill().await;
     }
@@ -97,13 +96,6 @@
     current.follow(&table, poll, |snapshot| control.input(Input::Settings(snapshot))).await;
 }
 
-async fn tick(clock: Clock, control: Control) {
-    loop {
-        clock.sleep(TICK).await;
-        control.input(Input::Tick);
-    }
-}
-
 async fn answer(
     inbound: Inbound,
     control: Control,
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -5,6 +5,7 @@
     io,
     sync::Arc,
     thread,
+    time::Duration,
 };
 
 use async_channel::{Receiver, Sender};
@@ -21,6 +22,15 @@
     settings::Current,
 };
 
+/// Events that may wait for a slow link. The channel itself has no bound, since a bounded one
+/// takes the memory for all of them at once, for each link.
+pub(crate) const LINK_BACKLOG: usize = 65_536;
+
+/// How often time passes for the decisions while there is work.
+const TICK: Duration = Duration::from_millis(5);
+/// How often it passes while there is none: only tombstones age.
+const IDLE_TICK: Duration = Duration::from_millis(250);
+
 enum Command {
     Input(Input),
     Opened(Link, Sender<Event>),
@@ -98,7 +108,13 @@
 
 impl Owner {
     async fn run(mut self, commands: Receiver<Command>) {
-        while let Ok(command) = commands.recv().await {
+        loop {
+            let pause = if self.state.is_idle() { IDLE_TICK } else { TICK };
+            let command = match async_std::future::timeout(pause, commands.recv()).await {
+                Ok(Ok(command)) => command,
+                Ok(Err(_)) => return,
+                Err(_) => Command::Input(Input::Tick),
+            };
             match command {
                 Command::Input(input) => self.step(input),
                 Command::Opened(link, events) => {
@@ -149,11 +165,11 @@
         }
     }
 
-    /// An entry too slow to take its events would wait for a lost one for ever; it is better off
+    /// An entry too slow to take its events must not fill the agent's memory; it is better off
     /// with a broken link, which it notices.
     fn send(&mut self, link: Link, event: Event) {
         let Some(events) = self.links.get(&link) else { return };
-        if events.try_send(event).is_err() {
+        if events.len() >= LINK_BACKLOG || events.try_send(event).is_err() {
             events.close();
         }
     }
--- a/crates/daemon/src/agent/server.rs
+++ b/crates/daemon/src/agent/server.rs
@@ -14,6 +14,7 @@
 use futures_lite::{FutureExt as _, Stream, StreamExt as _};
 use tarragonhill_core::{
     agent::{Input, Link},
+    clock::micros,
     message::{Event, Order},
 };
 use tarragonhill_wire::proto::{self, agent_server};
@@ -24,12 +25,12 @@
 
 use crate::{StartError, agent::control::Control, settings::Current};
 
-/// How often heartbeats with fresh load go out on each link.
+/// How often heartbeats with fresh load go out on a link whose entry has not asked for a pace.
 const BEAT: Duration = Duration::from_millis(250);
-/// A link that brought nothing for this long is taken for dead. The entry beats more often.
-const SILENCE: Duration = Duration::from_secs(3);
-/// Events that may wait for a slow link.
-const BUFFER: usize = 65_536;
+/// Beats that may be missing before a link is taken for dead.
+const MISSED: u32 = 4;
+/// Added to the silence allowed, for scheduling.
+const SILENCE_GRACE: Duration = Duration::from_secs(1);
 
 /// Listens for entries.
 pub(crate) fn serve(
@@ -74,13 +75,14 @@
 
     async fn link(&self, request: Request<Streaming<proto::Order>>) -> Result<Response<Events>, Status> {
         let link = self.next.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = async_channel::bounded(BUFFER);
+        let (sender, receiver) = async_channel::unbounded();
         self.control.opened(link, sender.clone());
         let (control, current) = (self.control.clone(), self.current.clone());
         let orders = request.into_inner();
         task::spawn(async move {
-            let beats = beat(&control, &current, &sender);
-            let reads = read(&control, &current, link, orders);
+            let pace = Pace::default();
+            let beats = beat(&control, &current, &sender, &pace);
+            let reads = read(&control, &current, link, orders, &pace);
             reads.or(beats).await;
             control.input(Input::LinkLost(link));
             sender.close();
@@ -89,12 +91,35 @@
     }
 }
 
+/// How often a link's entry wants to be beaten to; with many links it wants fewer beats on each.
+#[derive(Default)]
+struct Pace(AtomicU64);
+
+impl Pace {
+    fn set(&self, every: Duration) {
+        self.0.store(micros(every), Ordering::Relaxed);
+    }
+
+    fn every(&self) -> Duration {
+        Duration::from_micros(self.0.load(Ordering::Relaxed)).max(BEAT)
+    }
+}
+
 /// Reads orders until the link ends or falls silent. An open connection can go silent for good
 /// while new ones work; nothing but the missing heartbeats shows it.
-async fn read(control: &Control, current: &Current, link: Link, mut orders: Streaming<proto::Order>) {
-    while let Ok(Some(Ok(order))) = async_std::future::timeout(SILENCE, orders.next()).await {
+async fn read(
+    control: &Control,
+    current: &Current,
+    link: Link,
+    mut orders: Streaming<proto::Order>,
+    pace: &Pace,
+) {
+    loop {
+        let silence = pace.every() * MISSED + SILENCE_GRACE;
+        let Ok(Some(Ok(order))) = async_std::future::timeout(silence, orders.next()).await else { return };
         match Order::try_from(order) {
             Ok(Order::Beat(beat)) => {
+                pace.set(beat.every);
                 if beat.version > current.get().version {
                     current.nudge();
                 }
@@ -105,13 +130,13 @@
     }
 }
 
-async fn beat(control: &Control, current: &Current, events: &async_channel::Sender<Event>) {
+async fn beat(control: &Control, current: &Current, events: &async_channel::Sender<Event>, pace: &Pace) {
     loop {
         let mut beat = current.beat();
         beat.loads = control.loads().await;
         if events.send(Event::Beat(beat)).await.is_err() {
             return;
         }
-        task::sleep(BEAT).await;
+        task::sleep(pace.every()).await;
     }
 }
--- a/crates/daemon/src/agent/work.rs
+++ b/crates/daemon/src/agent/work.rs
@@ -17,7 +17,7 @@
 };
 use tarragonhill_engine::{Engine, EngineError, HttpEngine, Sink};
 
-use crate::agent::control::{Control, work_id};
+use crate::agent::control::{Control, LINK_BACKLOG, work_id};
 
 type Key = (Attempt, Arc<str>);
 
@@ -146,7 +146,9 @@
     fn token(&self, index: u32, text: Arc<str>) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
         let event = Event::Tokens { attempt: self.attempt, first_index: index, texts: vec![text] };
         Box::pin(async move {
-            let _ = self.events.send(event).await;
+            if self.events.len() >= LINK_BACKLOG || self.events.send(event).await.is_err() {
+                self.events.close();
+            }
         })
     }
 }
--- a/crates/daemon/src/entry/homes.rs
+++ b/crates/daemon/src/entry/homes.rs
@@ -10,8 +10,8 @@
 
 use crate::entry::context::Context;
 
-/// How often the lease is renewed and ownership looked over.
-const ROUND: Duration = Duration::from_secs(1);
+/// How often the lease is renewed and ownership looked over: four times in a lease.
+const ROUND: Duration = Duration::from_millis(1_500);
 /// Prefix of all rows of this module.
 const PREFIX: &str = "home/";
 
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -20,18 +20,24 @@
 
 use crate::{entry::control::Control, settings::Current};
 
-/// How often heartbeats go out on each link.
-const BEAT: Duration = Duration::from_millis(500);
-/// A link that brought nothing for this long is taken for dead. The agent beats more often.
-const SILENCE: Duration = Duration::from_secs(2);
+/// Fewest and most time between heartbeats on a link.
+const BEAT: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
+/// Time that each link adds to the heartbeat interval of all: what beats cost an entry stays the
+/// same however many agents there are.
+const BEAT_PER_LINK: Duration = Duration::from_millis(8);
+/// Beats that may be missing before a link is taken for dead.
+const MISSED: u32 = 4;
+/// Added to the silence allowed, for scheduling.
+const SILENCE_GRACE: Duration = Duration::from_secs(1);
 /// Longest time to open a link.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Pause before a lost link is opened again.
 const REOPEN: Duration = Duration::from_millis(200);
-/// Orders that may wait for a slow link.
-const BUFFER: usize = 16_384;
-/// Events that may wait for one attempt.
-const INBOX: usize = 4_096;
+/// Orders that may wait for a slow link. The channel itself has no bound, since a bounded one takes
+/// the memory for all of them at once, for each link.
+const BACKLOG: usize = 16_384;
+/// Events that may wait for one attempt whose caller reads slowly.
+const INBOX: usize = 16_384;
 
 /// An order could not be handed to an agent; it was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,7 +111,7 @@
 
     /// Makes an inbox for an attempt's events.
     pub(crate) fn route(&self, attempt: Attempt) -> Receiver<Event> {
-        let (inbox, receiver) = async_channel::bounded(INBOX);
+        let (inbox, receiver) = async_channel::unbounded();
         self.state().routes.insert(attempt, Route { inbox, agents: Vec::new() });
         receiver
     }
@@ -122,6 +128,9 @@
         if let Some(route) = state.routes.get_mut(&attempt).filter(|route| !route.agents.contains(agent)) {
             route.agents.push(agent.clone());
         }
+        if orders.len() >= BACKLOG {
+            return Err(Unreachable);
+        }
         orders.try_send(order).map_err(|_| Unreachable)
     }
 
@@ -145,7 +154,7 @@
         let endpoint = Endpoint::from_shared(format!("http://{agent}")).map_err(invalid)?;
         let endpoint = endpoint.connect_timeout(CONNECT).tcp_nodelay(true);
         let channel = endpoint.connect().await.map_err(invalid)?;
-        let (orders, receiver) = async_channel::bounded(BUFFER);
+        let (orders, receiver) = async_channel::unbounded();
         orders.try_send(Order::Hello { entry: self.0.name.clone() }).map_err(invalid)?;
         let outbound = receiver.map(proto::Order::from);
         let events = AgentClient::new(channel).link(outbound).await?.into_inner();
@@ -165,11 +174,12 @@
         mut events: tonic::Streaming<proto::Event>,
     ) -> Result<(), tonic::Status> {
         loop {
-            let next = async_std::future::timeout(SILENCE, events.next()).await;
+            let silence = self.every() * MISSED + SILENCE_GRACE;
+            let next = async_std::future::timeout(silence, events.next()).await;
             let Some(event) = next.map_err(invalid)? else { return Ok(()) };
             match Event::try_from(event?) {
                 Ok(Event::Beat(beat)) => self.heard(agent, beat),
-                Ok(event) => self.deliver(event).await,
+                Ok(event) => self.deliver(event),
                 Err(error) => spdlog::warn!("event ignored: {error}", kv: { agent = &**agent }),
             }
         }
@@ -180,20 +190,34 @@
         self.0.control.loads(beat.loads);
     }
 
-    async fn deliver(&self, event: Event) {
+    /// One slow caller must not hold up the link that all share: an inbox that is full is closed,
+    /// which ends that attempt.
+    fn deliver(&self, event: Event) {
         let Some(attempt) = event.attempt() else { return };
-        let inbox = self.state().routes.get(&attempt).map(|route| route.inbox.clone());
-        if let Some(inbox) = inbox {
-            let _ = inbox.send(event).await;
+        let state = self.state();
+        let Some(route) = state.routes.get(&attempt) else { return };
+        if route.inbox.len() >= INBOX || route.inbox.try_send(event).is_err() {
+            route.inbox.close();
         }
     }
 
     async fn beat(&self, orders: &Sender<Order>) {
-        while orders.send(Order::Beat(self.0.current.beat())).await.is_ok() {
-            task::sleep(BEAT).await;
+        loop {
+            let every = self.every();
+            let beat = Beat { every, ..self.0.current.beat() };
+            if orders.send(Order::Beat(beat)).await.is_err() {
+                return;
+            }
+            task::sleep(every).await;
         }
     }
 
+    /// Time between heartbeats on each link.
+    fn every(&self) -> Duration {
+        let links = u32::try_from(self.state().links.len()).unwrap_or(u32::MAX);
+        BEAT_PER_LINK.saturating_mul(links).clamp(BEAT.0, BEAT.1)
+    }
+
     fn up(&self, agent: &Arc<str>, orders: Sender<Order>) {
         if let Some(link) = self.state().links.get_mut(agent) {
             link.orders = Some(orders);
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -18,8 +18,10 @@
 
 /// Longest wait for a peer's answer. Shorter than a borrower's own patience.
 const TIMEOUT: Duration = Duration::from_millis(250);
-/// How often each entry beats to each other.
-const BEAT: Duration = Duration::from_secs(1);
+/// Fewest and most time between heartbeats to each other entry.
+const BEAT: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
+/// Time that each entry adds to the interval, so that what beats cost stays the same.
+const BEAT_PER_ENTRY: Duration = Duration::from_millis(60);
 
 /// Clients of all peers. Clones share them.
 #[derive(Clone, Default)]
@@ -96,8 +98,9 @@
 /// Beats to all other entries for ever.
 pub(crate) async fn beat(context: Arc<Context>) {
     loop {
-        context.clock.sleep(BEAT).await;
         let entries = context.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+        context.clock.sleep(BEAT_PER_ENTRY.saturating_mul(count).clamp(BEAT.0, BEAT.1)).await;
         let addresses = context.control.addresses((*entries).clone()).await;
         for (name, address) in addresses {
             let context = context.clone();
--- a/crates/daemon/src/entry/stages/plain.rs
+++ b/crates/daemon/src/entry/stages/plain.rs
@@ -79,9 +79,9 @@
 /// Refuses a service that nobody serves.
 pub(crate) fn check_service(context: &Context, service: &Arc<str>) -> Result<(), Refusal> {
     let settings = context.current.get();
-    match settings.serving(service, Role::Plain).next() {
-        Some(_) => Ok(()),
-        None => Err(Refusal::not_run(Code::UnknownModel, format!("no endpoint serves {service:?}"))),
+    match settings.serving(service, Role::Plain) {
+        [] => Err(Refusal::not_run(Code::UnknownModel, format!("no endpoint serves {service:?}"))),
+        _ => Ok(()),
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -53,7 +53,7 @@
     pub(crate) fn beat(&self) -> Beat {
         let inner = self.lock();
         let age = inner.freshness.age(self.clock.now());
-        Beat { version: inner.snapshot.version, age, loads: Vec::new() }
+        Beat { version: inner.snapshot.version, age, ..Beat::default() }
     }
 
     /// Takes a peer's heartbeat, and asks the table if the peer has newer settings.
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -92,6 +92,7 @@
         Self {
             version: beat.version,
             age_us: micros(beat.age),
+            every_us: micros(beat.every),
             loads: beat.loads.into_iter().map(proto::Load::from).collect(),
         }
     }
@@ -102,6 +103,7 @@
         Self {
             version: sent.version,
             age: Duration::from_micros(sent.age_us),
+            every: Duration::from_micros(sent.every_us),
             loads: sent.loads.into_iter().map(Load::from).collect(),
         }
     }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -194,6 +194,8 @@
     pub age_us: u64,
     #[prost(message, repeated, tag = "3")]
     pub loads: ::prost::alloc::vec::Vec<Load>,
+    #[prost(uint64, tag = "4")]
+    pub every_us: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Load {
--- /dev/null
+++ b/src/cmd.rs
@@ -0,0 +1,98 @@
+//! The subcommands, one module each with its parser and its `execute`.
+
+pub(crate) mod confirm;
+pub(crate) mod dump;
+pub(crate) mod plan;
+pub(crate) mod resolve;
+pub(crate) mod show;
+
+use std::{fmt, io, net::SocketAddr, path::PathBuf};
+
+use bpaf::{Parser, construct, long};
+use serde_json::Value;
+use tarragonhill_operator::{Client, OperatorError};
+
+/// One invocation.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    Plan(plan::Options),
+    Confirm(confirm::Options),
+    Resolve(resolve::Options),
+    Show(show::Options),
+    Dump(dump::Options),
+}
+
+impl Command {
+    /// Carries the invocation out.
+    pub(crate) async fn execute(self) -> Result<(), CommandError> {
+        match self {
+            Self::Plan(options) => plan::execute(options).await,
+            Self::Confirm(options) => confirm::execute(options).await,
+            Self::Resolve(options) => resolve::execute(options).await,
+            Self::Show(options) => show::execute(options).await,
+            Self::Dump(options) => dump::execute(options).await,
+        }
+    }
+}
+
+/// Why a subcommand failed.
+#[derive(Debug)]
+pub(crate) enum CommandError {
+    Operator(OperatorError),
+    File(PathBuf, io::Error),
+    NotAPlan(PathBuf, serde_json::Error),
+}
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Operator(error) => write!(f, "{error}"),
+            Self::File(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::NotAPlan(path, error) => write!(f, "{} is not a plan: {error}", path.display()),
+        }
+    }
+}
+
+impl std::error::Error for CommandError {}
+
+impl From<OperatorError> for CommandError {
+    fn from(error: OperatorError) -> Self {
+        Self::Operator(error)
+    }
+}
+
+/// Which entry to talk to.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    address: SocketAddr,
+    token: Option<String>,
+}
+
+impl Entry {
+    /// Parser of the flags that all subcommands share.
+    pub(crate) fn parser() -> impl Parser<Self> {
+        let address = long("entry")
+            .env("TARRAGONHILL_ENTRY")
+            .help("Admin address of an entry")
+            .argument::<SocketAddr>("IP:PORT");
+        construct!(Self { address, token(token()) })
+    }
+
+    pub(crate) fn client(&self) -> Client {
+        Client::new(self.address, self.token.clone())
+    }
+}
+
+/// Parser of the operator's token.
+pub(crate) fn token() -> impl Parser<Option<String>> {
+    long("token")
+        .env("TARRAGONHILL_OPERATOR_TOKEN")
+        .help("Operator token, if the entry asks for one")
+        .argument::<String>("TOKEN")
+        .optional()
+}
+
+/// Prints a value for people and scripts alike.
+pub(crate) fn print(value: &Value) {
+    println!("{value:#}");
+}
