Measure policies under load; hand homes over without a blackout

Cause found with it: an in-rate customer was refused with quota_unavailable at a fleet's start. While a shard is offered to another entry nobody lends for it until the taker's next round, 1.5 s later; a request waits 0.3 s. Now the offering entry asks the taker to look at once, and a borrower told NotHome reads the rows again. Also: a hand too small for the next request goes back to the home, and an entry asks for 0.2 s ahead instead of 0.5 s, since what is spent but not reported keeps the bucket from filling.

--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -1,5 +1,6 @@
 //! The subcommands, one module each.
 
 pub mod demo;
+pub mod measure;
 pub mod overhead;
 pub mod slopes;
--- a/crates/bench/src/cmd/overhead.rs
+++ b/crates/bench/src/cmd/overhead.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     fleet::{Fleet, FleetError, SERVICE, Shape, Tenant, key_of},
+    score::new_histogram,
     usage::cpu_time,
 };
 
@@ -29,7 +30,7 @@
     #[bpaf(long, argument("N"), fallback(20_000), display_fallback)]
     pub requests: usize,
     /// Callers at once
-    #[bpaf(long, argument("N"), fallback(4), display_fallback)]
+    #[bpaf(long, argument("N"), fallback(32), display_fallback)]
     pub callers: usize,
 }
 
@@ -97,11 +98,6 @@
     latency
 }
 
-#[allow(clippy::expect_used, reason = "constant bounds are valid")]
-fn new_histogram() -> Histogram<u64> {
-    Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds")
-}
-
 fn report(options: &Options, base: &Side, through: &Side) {
     let side = |name: &str, side: &Side| {
         let per_request = side.cpu.as_micros() / (side.latency.len().max(1) as u128);
--- a/crates/bench/src/cmd/slopes.rs
+++ b/crates/bench/src/cmd/slopes.rs
@@ -6,7 +6,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -25,7 +25,8 @@
 };
 
 use crate::{
-    fleet::{Fleet, FleetError, Shape},
+    caller::{Caller, Completion},
+    fleet::{Fleet, FleetError, MODEL, Shape, Tenant, key_of},
     usage::{cpu_time, loopback, resident},
 };
 
@@ -37,6 +38,8 @@
 const AGENTS: [usize; 3] = [10, 40, 120];
 /// Numbers of entries.
 const ENTRIES: [usize; 4] = [2, 4, 8, 16];
+/// Numbers of answers streamed at once.
+const STREAMS: [usize; 3] = [50, 150, 450];
 /// How long running daemons are watched.
 const WATCH: Duration = Duration::from_secs(6);
 /// Time for daemons to come to rest.
@@ -124,6 +127,7 @@
     agent_queue();
     links().await?;
     entries().await?;
+    tokens().await?;
     Ok(true)
 }
 
@@ -155,7 +159,7 @@
 
 fn endpoint(number: usize) -> Endpoint {
     Endpoint {
-        role: if number % 2 == 0 { Role::Prefill } else { Role::Decode },
+        role: if number.is_multiple_of(2) { Role::Prefill } else { Role::Decode },
         serves: name("model", number % 39),
         host: name("host", number),
         zone: name("zone", number % 6),
@@ -383,6 +387,51 @@
     Ok(())
 }
 
+/// Answers being streamed, about 40 tokens a second each, by one entry. Caller, stand-ins, both ends
+/// of the link and the entry are counted together.
+async fn tokens() -> Result<(), FleetError> {
+    let mut series = Series::new("entry, agent, caller and stand-ins", "streams", "streamed answers");
+    for n in STREAMS {
+        let mut shape = at_rest(1, 0);
+        (shape.prefill, shape.decode) = (1, 1);
+        shape.tenants = vec![Tenant::new("reader", 10_000_000, 10_000_000)];
+        (shape.decode_power.pieces, shape.decode_power.step_each) = (1_000, Duration::ZERO);
+        let fleet = Fleet::start(shape).await?;
+        let readers: Vec<_> =
+            (0..n).map(|number| task::spawn(read(fleet.entry(0).address(), number))).collect();
+        task::sleep(SETTLE).await;
+        let generated = || fleet.decode[0].counts.tokens.load(Ordering::Relaxed);
+        let (cpu, (bytes, packets), first) = (cpu_time(), loopback(), generated());
+        task::sleep(WATCH).await;
+        let seconds = WATCH.as_secs_f64();
+        let (more_bytes, more_packets) = loopback();
+        let used = cpu_time().saturating_sub(cpu).as_secs_f64() * 1e6;
+        let made = generated() - first;
+        series.add(Point {
+            n,
+            cpu_us_per_s: used / seconds,
+            bytes: 0.0,
+            msgs_per_s: (more_packets - packets) as f64 / seconds,
+            net_bytes_per_s: (more_bytes - bytes) as f64 / seconds,
+        });
+        let each = round(used / made.max(1) as f64);
+        let per_s = round(made as f64 / seconds);
+        println!("{}", json!({ "note": "tokens", "streams": n, "tokens_per_s": per_s, "cpu_us_each": each }));
+        for reader in readers {
+            reader.cancel().await;
+        }
+        fleet.stop().await;
+    }
+    series.fit();
+    Ok(())
+}
+
+async fn read(entry: std::net::SocketAddr, number: usize) {
+    let prompt = format!("stream {number}");
+    let completion = Completion { model: MODEL.to_owned(), prompt, max_tokens: 1_000, stream: true };
+    Caller::new(entry, key_of("reader")).complete(&completion).await;
+}
+
 /// Entries at rest, with 4 agents.
 async fn entries() -> Result<(), FleetError> {
     let mut series = Series::new("entries", "leases, homes and heartbeats at rest, all entries", "entries");
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -16,5 +16,7 @@
 pub mod caller;
 pub mod cmd;
 pub mod fleet;
+pub mod score;
 pub mod standin;
 pub mod usage;
+pub mod workload;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use bpaf::Bpaf;
-use tarragonhill_bench::cmd::{demo, overhead, slopes};
+use tarragonhill_bench::cmd::{demo, measure, overhead, slopes};
 use tarragonhill_daemon::logging;
 
 /// Stand-ins, load and experiments for the tarragonhill router
@@ -17,6 +17,9 @@
     /// Measure the time that entry and agent add to a request
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::options))] overhead::Options),
+    /// Measure goodput, waste and fairness of each policy under load and faults
+    #[bpaf(command)]
+    Measure(#[bpaf(external(measure::options))] measure::Options),
     /// Measure how the cost of each role grows with the size of the fleet
     #[bpaf(command)]
     Slopes,
@@ -31,6 +34,7 @@
     let result = match options().run() {
         Options::Demo => task::block_on(demo::execute()),
         Options::Slopes => task::block_on(slopes::execute()),
+        Options::Measure(options) => task::block_on(measure::execute(options)),
         Options::Overhead(options) => task::block_on(overhead::execute(options)),
     };
     match result {
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -94,8 +94,8 @@
         self.peers.iter().filter(|(_, heard)| heard.version < version).map(|(name, _)| name.clone()).collect()
     }
 
-    /// Forgets peers that are no longer there.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.peers.retain(|name, _| keep(name));
+    /// Forgets a peer that is no longer there.
+    pub fn forget(&mut self, peer: &str) {
+        self.peers.remove(peer);
     }
 }
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -264,6 +264,12 @@
         self.leaving = true;
     }
 
+    /// The entry a write offers a shard to, if it does.
+    pub fn offered_to(write: &Write) -> Option<Arc<str>> {
+        let row: Shard = serde_json::from_value(write.value.clone()).ok()?;
+        (row.incarnation == 0).then_some(row.owner)
+    }
+
     /// Whether nothing is left to hand over.
     pub fn is_empty(&self) -> bool {
         self.tenures.is_empty()
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -241,6 +241,8 @@
         /// Incarnation of the member that asks.
         incarnation: u64,
     },
+    /// Asks to read the rows of homes now: a home has been offered.
+    Look,
 }
 
 /// What an entry answers another.
@@ -257,6 +259,8 @@
         /// Whether the lease was extended.
         granted: bool,
     },
+    /// Understood.
+    Noted,
     /// The customer's home is elsewhere.
     NotHome {
         /// The owner as far as known, empty if not.
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -24,11 +24,13 @@
 /// Stands among the borrowers for the slices of the last home; no entry has an empty name.
 const LAST_HOME: &str = "";
 /// A borrower asks for as much as it spent in this span.
-const LOOKAHEAD: Duration = Duration::from_millis(500);
+const LOOKAHEAD: Duration = Duration::from_millis(200);
 /// A borrower whose question got no answer asks again after this long.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// A borrower that was lent nothing waits at least this long before it asks again.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
+/// Spending is measured over spans of this length.
+const MEASURED: Duration = Duration::from_millis(500);
 /// A borrower whose home cannot be reached waits this long before it asks again.
 const SILENT_PAUSE: Duration = Duration::from_millis(50);
 /// Unspent tokens are given back when the slice has this long to live and nothing was spent.
@@ -371,20 +373,20 @@
         }
         let ahead = self.pace.saturating_mul(crate::clock::micros(LOOKAHEAD)) / MICRO;
         let waiting: u64 = self.waiters.iter().map(|waiter| waiter.cost).sum();
-        let minimum = self.waiters.front().map_or(0, |waiter| waiter.cost.saturating_sub(self.hand));
         let low = self.hand < ahead / 2;
         let stale = self.until.since(now) < GIVE_BACK && self.hand > 0;
         if self.waiters.is_empty() && !low && !stale && self.refund == 0 {
             return None;
         }
-        let idle = self.waiters.is_empty() && !low;
-        let given_back = if idle { std::mem::take(&mut self.hand) } else { 0 };
-        let wanted = if idle { 0 } else { (waiting + ahead).saturating_sub(self.hand) };
+        // A hand too small for the next request is worth more at the home, where it adds up with
+        // those of other entries, than kept here while the request is refused.
+        let given_back = if low && waiting == 0 { 0 } else { std::mem::take(&mut self.hand) };
+        let idle = waiting == 0 && !low;
         self.serial += 1;
         self.asked = Some(now);
         Some(Loan {
-            tokens: wanted,
-            minimum,
+            tokens: if idle { 0 } else { (waiting + ahead).saturating_sub(self.hand) },
+            minimum: self.waiters.front().map_or(0, |waiter| waiter.cost),
             unspent: self.hand,
             refund: std::mem::take(&mut self.refund) + given_back,
             serial: self.serial,
@@ -393,7 +395,7 @@
 
     fn measure(&mut self, now: Time) {
         let span = now.since(self.spent_since);
-        if span < LOOKAHEAD {
+        if span < MEASURED {
             return;
         }
         let pace = self.spent.saturating_mul(MICRO) / crate::clock::micros(span).max(1);
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -22,6 +22,8 @@
     settings::Current,
 };
 
+/// Settings that entries vouch for as no older than this are not polled for.
+const TRUST: Duration = Duration::from_secs(6);
 /// How often a shutdown looks whether everything has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -93,7 +95,7 @@
 
 async fn follow(current: Arc<Current>, table: SocketAddr, poll: Duration, control: Control) {
     let table = HttpTable::new(table);
-    current.follow(&table, poll, |snapshot| control.input(Input::Settings(snapshot))).await;
+    current.follow(&table, poll, Some(TRUST), |snapshot| control.input(Input::Settings(snapshot))).await;
 }
 
 async fn answer(
--- a/crates/daemon/src/agent/server.rs
+++ b/crates/daemon/src/agent/server.rs
@@ -28,7 +28,7 @@
 /// How often heartbeats with fresh load go out on a link whose entry has not asked for a pace.
 const BEAT: Duration = Duration::from_millis(250);
 /// Beats that may be missing before a link is taken for dead.
-const MISSED: u32 = 4;
+const MISSED: u32 = 2;
 /// Added to the silence allowed, for scheduling.
 const SILENCE_GRACE: Duration = Duration::from_secs(1);
 
@@ -85,6 +85,7 @@
             let reads = read(&control, &current, link, orders, &pace);
             reads.or(beats).await;
             control.input(Input::LinkLost(link));
+            current.freshness(|freshness| freshness.forget(&link_name(link)));
             sender.close();
         });
         Ok(Response::new(Box::pin(receiver.map(|event: Event| Ok(event.into())))))
@@ -120,9 +121,7 @@
         match Order::try_from(order) {
             Ok(Order::Beat(beat)) => {
                 pace.set(beat.every);
-                if beat.version > current.get().version {
-                    current.nudge();
-                }
+                current.heard(&link_name(link), &beat);
             }
             Ok(order) => control.input(Input::Order(link, order)),
             Err(error) => spdlog::warn!("order ignored: {error}"),
@@ -130,6 +129,11 @@
     }
 }
 
+/// Name under which an entry's heartbeats count.
+fn link_name(link: Link) -> Arc<str> {
+    format!("link {link}").into()
+}
+
 async fn beat(control: &Control, current: &Current, events: &async_channel::Sender<Event>, pace: &Pace) {
     loop {
         let mut beat = current.beat();
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -61,8 +61,9 @@
         let current = Arc::new(Current::new(clock.clone()));
         let peers = Peers::default();
         let identity = control::Identity::new(common.name.clone(), peer, common.zone.clone());
+        let (look, looks) = async_channel::bounded(1);
         let control =
-            Control::start(identity, settings.policy, clock.clone(), current.clone(), peers.clone())
+            Control::start(identity, settings.policy, clock.clone(), current.clone(), peers.clone(), look)
                 .map_err(StartError::Thread)?;
         let links = Links::new(common.name.clone(), control.clone(), current.clone());
         let context = Arc::new(Context {
@@ -85,7 +86,7 @@
 
         let mut tasks = vec![
             task::spawn(follow(context.clone(), common.poll)),
-            task::spawn(homes::keep(context.clone(), settings.hosts)),
+            task::spawn(homes::keep(context.clone(), settings.hosts, looks)),
             task::spawn(peers::beat(context.clone())),
             peers::serve(incoming, context.clone()),
         ];
@@ -147,5 +148,5 @@
         context.links.want(&snapshot);
         context.control.settings(snapshot);
     };
-    current.follow(&*context.table, poll, adopted).await;
+    current.follow(&*context.table, poll, None, adopted).await;
 }
--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -120,10 +120,11 @@
         clock: Clock,
         current: Arc<Current>,
         peers: Peers,
+        look: Sender<()>,
     ) -> io::Result<Self> {
         let (commands, receiver) = async_channel::unbounded();
         let control = Self { commands, incarnation: identity.incarnation };
-        let owner = Owner::new(identity, policy, clock, current, peers, control.clone());
+        let owner = Owner::new(identity, policy, clock, current, peers, look, control.clone());
         thread::Builder::new().name("control".into()).spawn(move || task::block_on(owner.run(receiver)))?;
         Ok(control)
     }
@@ -263,6 +264,7 @@
     clock: Clock,
     current: Arc<Current>,
     peers: Peers,
+    look: Sender<()>,
     control: Control,
     rng: ChaCha8Rng,
     home: Home,
@@ -288,6 +290,7 @@
         clock: Clock,
         current: Arc<Current>,
         peers: Peers,
+        look: Sender<()>,
         control: Control,
     ) -> Self {
         let Identity { name, peer, zone, incarnation } = identity;
@@ -301,6 +304,7 @@
             clock,
             current,
             peers,
+            look,
             control,
             rng: ChaCha8Rng::seed_from_u64(incarnation),
             members: 1,
@@ -399,7 +403,10 @@
             Command::Successors(reply) => {
                 let _ = reply.try_send(self.home.successors());
             }
-            Command::Leave => self.home.leave(),
+            Command::Leave => {
+                self.home.leave();
+                self.look();
+            }
             Command::HasLeft(reply) => {
                 let _ = reply.try_send(self.home.is_empty());
             }
@@ -493,6 +500,9 @@
     }
 
     fn lent(&mut self, now: Time, customer: &Arc<str>, serial: u64, grant: Option<Grant>) {
+        if grant.is_none() {
+            self.look();
+        }
         self.settle(now, customer, serial, grant);
         self.pursue(now, customer);
     }
@@ -550,6 +560,11 @@
         self.speed = Some(self.speed.map_or(speed, |old| old * (1.0 - NEWEST) + speed * NEWEST));
     }
 
+    /// Has the rows of homes read now.
+    fn look(&self) {
+        let _ = self.look.try_send(());
+    }
+
     fn strike(&mut self, now: Time, customer: &Arc<str>, fingerprint: u64, crashed: bool) -> Strike {
         match crashed {
             true => self.quarantine.crashed(now, customer, fingerprint),
@@ -573,6 +588,10 @@
             Ask::Strike { customer, fingerprint, crashed } => {
                 Answer::Struck(self.strike(now, &customer, fingerprint, crashed))
             }
+            Ask::Look => {
+                self.look();
+                Answer::Noted
+            }
             Ask::Renew { incarnation } => {
                 Answer::Renewed { granted: self.home.grant_renewal(now, from, incarnation) }
             }
--- a/crates/daemon/src/entry/homes.rs
+++ b/crates/daemon/src/entry/homes.rs
@@ -2,8 +2,11 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
+use async_channel::Receiver;
+use async_std::task;
+use futures_lite::FutureExt as _;
 use tarragonhill_core::{
-    home,
+    home::{self, Home},
     message::{Answer, Ask},
 };
 use tarragonhill_platform::{HostState, Hosts as _, HttpHosts, Table, TableError, Transaction, Write};
@@ -15,8 +18,8 @@
 /// Prefix of all rows of this module.
 const PREFIX: &str = "home/";
 
-/// Runs rounds for ever.
-pub(crate) async fn keep(context: Arc<Context>, hosts: Option<SocketAddr>) {
+/// Runs rounds for ever, one at once whenever `looks` says so.
+pub(crate) async fn keep(context: Arc<Context>, hosts: Option<SocketAddr>, looks: Receiver<()>) {
     let hosts = hosts.map(HttpHosts::new);
     let mut read = 0;
     loop {
@@ -32,7 +35,11 @@
         if write(&context).await {
             read = observe(&context, read).await.unwrap_or(read);
         }
-        context.clock.sleep(ROUND).await;
+        // A handover keeps customers without a home only until its taker has looked.
+        let looked = async {
+            let _ = looks.recv().await;
+        };
+        context.clock.sleep(ROUND).or(looked).await;
     }
 }
 
@@ -78,15 +85,22 @@
 }
 
 /// Carries out what the decisions want written; true if anything was.
-async fn write(context: &Context) -> bool {
+async fn write(context: &Arc<Context>) -> bool {
     let writes = context.control.writes().await;
     let any = !writes.is_empty();
+    let mut takers = BTreeSet::new();
     for write in writes {
+        let taker = Home::offered_to(&write);
         // The outcome shows when the rows are read again, also when the answer is lost.
-        if let Err(error) = commit(&*context.table, write).await {
-            spdlog::debug!("home not written: {error}");
+        match commit(&*context.table, write).await {
+            Ok(_) => takers.extend(taker),
+            Err(error) => spdlog::debug!("home not written: {error}"),
         }
     }
+    for address in context.control.addresses(takers).await.into_values() {
+        let context = context.clone();
+        task::spawn(async move { context.peers.ask(&address, &context.name, Ask::Look).await });
+    }
     any
 }
 
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -21,12 +21,12 @@
 use crate::{entry::control::Control, settings::Current};
 
 /// Fewest and most time between heartbeats on a link.
-const BEAT: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
+const BEAT: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 /// Time that each link adds to the heartbeat interval of all: what beats cost an entry stays the
 /// same however many agents there are.
-const BEAT_PER_LINK: Duration = Duration::from_millis(8);
+const BEAT_PER_LINK: Duration = Duration::from_millis(24);
 /// Beats that may be missing before a link is taken for dead.
-const MISSED: u32 = 4;
+const MISSED: u32 = 2;
 /// Added to the silence allowed, for scheduling.
 const SILENCE_GRACE: Duration = Duration::from_secs(1);
 /// Longest time to open a link.
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    ops::Bound,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -21,7 +22,7 @@
 /// Fewest and most time between heartbeats to each other entry.
 const BEAT: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
 /// Time that each entry adds to the interval, so that what beats cost stays the same.
-const BEAT_PER_ENTRY: Duration = Duration::from_millis(60);
+const BEAT_PER_ENTRY: Duration = Duration::from_millis(120);
 
 /// Clients of all peers. Clones share them.
 #[derive(Clone, Default)]
@@ -101,7 +102,9 @@
         let entries = context.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
         context.clock.sleep(BEAT_PER_ENTRY.saturating_mul(count).clamp(BEAT.0, BEAT.1)).await;
-        let addresses = context.control.addresses((*entries).clone()).await;
+        // An exchange tells both sides, so one of each pair begins it.
+        let later = entries.range::<str, _>((Bound::Excluded(&*context.name), Bound::Unbounded));
+        let addresses = context.control.addresses(later.cloned().collect()).await;
         for (name, address) in addresses {
             let context = context.clone();
             task::spawn(async move {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -71,10 +71,24 @@
     }
 
     /// Polls the table for ever and calls `adopted` with each new snapshot, whoever read it.
-    pub(crate) async fn follow(&self, table: &dyn Table, poll: Duration, adopted: impl Fn(Arc<Snapshot>)) {
+    ///
+    /// With `trust`, polls are left out while heartbeats vouch that the settings in force are no
+    /// older: hundreds of agents then read the table only when there is something to read.
+    pub(crate) async fn follow(
+        &self,
+        table: &dyn Table,
+        poll: Duration,
+        trust: Option<Duration>,
+        adopted: impl Fn(Arc<Snapshot>),
+    ) {
         let mut seen = 0;
+        let mut nudged = true;
         loop {
-            if let Err(error) = self.refresh(table).await {
+            let age = self.freshness(|freshness| freshness.age(self.clock.now()));
+            let vouched = trust.is_some_and(|trust| age <= trust);
+            if (nudged || !vouched)
+                && let Err(error) = self.refresh(table).await
+            {
                 spdlog::debug!("settings not read: {error}");
             }
             let snapshot = self.get();
@@ -82,8 +96,7 @@
                 seen = snapshot.version;
                 adopted(snapshot);
             }
-            let nudged = self.changed.1.recv();
-            let _ = async_std::future::timeout(poll, nudged).await;
+            nudged = async_std::future::timeout(poll, self.changed.1.recv()).await.is_ok();
         }
     }
 
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -295,6 +295,7 @@
                 Self::Strike(proto::Strike { customer: customer.to_string(), fingerprint, crashed })
             }
             Ask::Renew { incarnation } => Self::Renew(proto::Renew { incarnation }),
+            Ask::Look => Self::Look(proto::Look {}),
         }
     }
 }
@@ -321,6 +322,7 @@
                 crashed: strike.crashed,
             },
             peer_request::Body::Renew(renew) => Self::Renew { incarnation: renew.incarnation },
+            peer_request::Body::Look(proto::Look {}) => Self::Look,
         })
     }
 }
@@ -338,6 +340,7 @@
                 crashes: strike.crashes,
                 quarantined_us: micros(strike.quarantined),
             }),
+            Answer::Noted => peer_reply::Body::Noted(proto::Noted {}),
             Answer::Renewed { granted } => peer_reply::Body::Renewed(proto::Renewed { granted }),
             Answer::NotHome { owner, epoch } => {
                 peer_reply::Body::NotHome(proto::NotHome { owner: owner.to_string(), epoch })
@@ -362,6 +365,7 @@
                 crashes: struck.crashes,
                 quarantined: Duration::from_micros(struck.quarantined_us),
             }),
+            peer_reply::Body::Noted(proto::Noted {}) => Self::Noted,
             peer_reply::Body::Renewed(renewed) => Self::Renewed { granted: renewed.granted },
             peer_reply::Body::NotHome(elsewhere) => {
                 Self::NotHome { owner: elsewhere.owner.into(), epoch: elsewhere.epoch }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -216,7 +216,7 @@
 pub struct PeerRequest {
     #[prost(string, tag = "1")]
     pub entry: ::prost::alloc::string::String,
-    #[prost(oneof = "peer_request::Body", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "peer_request::Body", tags = "2, 3, 4, 5, 6")]
     pub body: ::core::option::Option<peer_request::Body>,
 }
 /// Nested message and enum types in `PeerRequest`.
@@ -231,6 +231,8 @@
         Strike(super::Strike),
         #[prost(message, tag = "5")]
         Renew(super::Renew),
+        #[prost(message, tag = "6")]
+        Look(super::Look),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -258,13 +260,15 @@
     pub crashed: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Look {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Renew {
     #[prost(uint64, tag = "1")]
     pub incarnation: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerReply {
-    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: ::core::option::Option<peer_reply::Body>,
 }
 /// Nested message and enum types in `PeerReply`.
@@ -281,6 +285,8 @@
         Renewed(super::Renewed),
         #[prost(message, tag = "5")]
         NotHome(super::NotHome),
+        #[prost(message, tag = "6")]
+        Noted(super::Noted),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -304,6 +310,8 @@
     #[prost(bool, tag = "1")]
     pub granted: bool,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Noted {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NotHome {
     #[prost(string, tag = "1")]
