Look up an unknown home at once; lend little ahead when the bucket is low

Cause, found by printing when and where refusals fell: an entry that had not yet read who owns a shard waited for its next round, 1.5 s, and refused in-rate requests with quota_unavailable; and grants ahead of need of up to half the bucket left tokens in the hands of entries that did not need them.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -29,6 +29,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// A borrower that was lent nothing waits at least this long before it asks again.
 const ASK_PAUSE: Duration = Duration::from_millis(20);
+/// A grant beyond what is needed at once is at most this part of what the bucket holds.
+const RESERVE: u64 = 8;
 /// Spending is measured over spans of this length.
 const MEASURED: Duration = Duration::from_millis(500);
 /// A borrower whose home cannot be reached waits this long before it asks again.
@@ -270,8 +272,9 @@
             let retry_after = self.bucket.wait(loan.minimum).unwrap_or(TERM);
             return Grant { tokens: 0, term: TERM, retry_after };
         }
-        // Half stays for other borrowers, beyond what this one needs at once.
-        let tokens = loan.tokens.min((available / 2).max(loan.minimum));
+        // What is asked for ahead of need comes from plenty only: near the end of the bucket,
+        // tokens in one entry's hand would be missing at another.
+        let tokens = loan.tokens.min((available / RESERVE).max(loan.minimum));
         self.bucket.level -= tokens * MICRO;
         Grant { tokens, term: TERM, retry_after: Duration::ZERO }
     }
--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -483,6 +483,7 @@
 
     fn borrow(&mut self, now: Time, customer: &Arc<str>, serial: u64, ask: Ask) {
         let Some((owner, _, _)) = self.home.owner(customer) else {
+            self.look();
             return self.settle(now, customer, serial, None);
         };
         if owner == self.me {
@@ -495,7 +496,10 @@
             Some(address) => {
                 self.peers.borrow(self.control.clone(), address, self.borrower.clone(), serial, ask)
             }
-            None => self.settle(now, customer, serial, None),
+            None => {
+                self.look();
+                self.settle(now, customer, serial, None);
+            }
         }
     }
 
--- a/crates/daemon/src/entry/homes.rs
+++ b/crates/daemon/src/entry/homes.rs
@@ -15,6 +15,11 @@
 
 /// How often the lease is renewed and ownership looked over: four times in a lease.
 const ROUND: Duration = Duration::from_millis(1_500);
+/// Least time between rounds, however many borrowers miss a home: the table is shared.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Writes under way at once. One after another, the shards offered first would be without a home
+/// until the last is written.
+const AT_ONCE: usize = 16;
 /// Prefix of all rows of this module.
 const PREFIX: &str = "home/";
 
@@ -40,6 +45,7 @@
             let _ = looks.recv().await;
         };
         context.clock.sleep(ROUND).or(looked).await;
+        context.clock.sleep(PAUSE).await;
     }
 }
 
@@ -88,22 +94,34 @@
 async fn write(context: &Arc<Context>) -> bool {
     let writes = context.control.writes().await;
     let any = !writes.is_empty();
-    let mut takers = BTreeSet::new();
-    for write in writes {
-        let taker = Home::offered_to(&write);
-        // The outcome shows when the rows are read again, also when the answer is lost.
-        match commit(&*context.table, write).await {
-            Ok(_) => takers.extend(taker),
-            Err(error) => spdlog::debug!("home not written: {error}"),
+    for some in writes.chunks(AT_ONCE) {
+        let tasks: Vec<_> =
+            some.iter().cloned().map(|write| task::spawn(one(context.clone(), write))).collect();
+        let mut takers = BTreeSet::new();
+        for task in tasks {
+            takers.extend(task.await);
+        }
+        for address in context.control.addresses(takers).await.into_values() {
+            let context = context.clone();
+            task::spawn(async move { context.peers.ask(&address, &context.name, Ask::Look).await });
         }
-    }
-    for address in context.control.addresses(takers).await.into_values() {
-        let context = context.clone();
-        task::spawn(async move { context.peers.ask(&address, &context.name, Ask::Look).await });
     }
     any
 }
 
+/// Carries one write out; the entry that a shard was offered to by it, if one was.
+async fn one(context: Arc<Context>, write: home::Write) -> Option<Arc<str>> {
+    let taker = Home::offered_to(&write);
+    // The outcome shows when the rows are read again, also when the answer is lost.
+    match commit(&*context.table, write).await {
+        Ok(_) => taker,
+        Err(error) => {
+            spdlog::debug!("home not written: {error}");
+            None
+        }
+    }
+}
+
 async fn commit(table: &dyn Table, write: home::Write) -> Result<u64, TableError> {
     let write = Write { key: write.key, expected: Some(write.expected), value: Some(write.value) };
     table.commit(&Transaction { writes: vec![write] }).await
