Serve late what cannot meet its first token instead of refusing it

Cause: at the peak the agents refused early what could no longer meet 0.9 s, though its customer was inside its rate and capacity was there a moment later. Now such work waits behind all that can still meet its target, until the caller's patience (a setting, 4 s) would be over; what cannot make that is refused at once with the time to come back.

--- a/crates/bench/src/cmd/slopes.rs
+++ b/crates/bench/src/cmd/slopes.rs
@@ -328,6 +328,7 @@
                 prompt_tokens: 4_000,
                 max_tokens: 200,
                 slack: Duration::from_secs(3_600),
+                patience: Duration::from_secs(3_600),
             };
             let order = Order::Prefill { work, prompt: "".into(), wait: Duration::ZERO };
             state.step(Time::ZERO, Input::Order(1, order)).len()
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -27,6 +27,9 @@
     pub max_tokens: u32,
     /// Time left until the first token is due, counted by the receiver from arrival.
     pub slack: Duration,
+    /// Time after which the work is given up, counted likewise. What cannot meet the first-token
+    /// target is served after everything that can, until then.
+    pub patience: Duration,
 }
 
 /// What an entry tells an agent.
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -95,6 +95,9 @@
     /// Target for the first token, milliseconds
     #[bpaf(long, env("TARRAGONHILL_FIRST_TOKEN_MS"), argument("MS"), fallback(900), display_fallback)]
     pub first_token_ms: u64,
+    /// Longest wait for the first token of a request that cannot meet the target, milliseconds
+    #[bpaf(long, env("TARRAGONHILL_PATIENCE_MS"), argument("MS"), fallback(4_000), display_fallback)]
+    pub patience_ms: u64,
     /// Longest wait for tokens of the customer's rate, milliseconds
     #[bpaf(long, env("TARRAGONHILL_RATE_WAIT_MS"), argument("MS"), fallback(300), display_fallback)]
     pub rate_wait_ms: u64,
@@ -179,6 +182,8 @@
     pub hosts: Option<SocketAddr>,
     /// Target for the first token.
     pub first_token: Duration,
+    /// Longest wait for the first token.
+    pub patience: Duration,
     /// Longest wait for tokens of the customer's rate.
     pub rate_wait: Duration,
     /// Bounds on what callers send.
@@ -271,6 +276,7 @@
             peer: address("peer", &entry.peer)?,
             hosts: entry.hosts.map(|hosts| address("hosts", &hosts)).transpose()?,
             first_token: millis("first-token-ms", entry.first_token_ms, 10, 600_000)?,
+            patience: millis("patience-ms", entry.patience_ms, entry.first_token_ms, 600_000)?,
             rate_wait: millis("rate-wait-ms", entry.rate_wait_ms, 0, 60_000)?,
             limits,
             policy,
@@ -316,7 +322,7 @@
 }
 
 /// Names of all settings, as flags without the dashes.
-pub const NAMES: [&str; 19] = [
+pub const NAMES: [&str; 20] = [
     "name",
     "zone",
     "listen",
@@ -328,6 +334,7 @@
     "peer",
     "hosts",
     "first-token-ms",
+    "patience-ms",
     "rate-wait-ms",
     "max-body",
     "head-ms",
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -69,6 +69,7 @@
         let context = Arc::new(Context {
             name: common.name,
             first_token: settings.first_token,
+            patience: settings.patience,
             rate_wait: settings.rate_wait,
             policy: settings.policy,
             operator_token: settings.operator_token,
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -24,6 +24,7 @@
 pub(crate) struct Context {
     pub(crate) name: Arc<str>,
     pub(crate) first_token: Duration,
+    pub(crate) patience: Duration,
     pub(crate) rate_wait: Duration,
     pub(crate) policy: Policy,
     pub(crate) operator_token: Option<Arc<str>>,
--- a/crates/daemon/src/entry/stages/complete.rs
+++ b/crates/daemon/src/entry/stages/complete.rs
@@ -183,7 +183,7 @@
             Err(Failure::Full { endpoint, retry_after }) => {
                 context.control.avoid(&endpoint, AVOID.max(retry_after.min(context.first_token)));
                 full += 1;
-                let late = super::plan::slack(context, ticket).is_zero();
+                let late = super::plan::patience(context, ticket).is_zero();
                 if full > ALTERNATIVES || late {
                     return Err(overloaded(ran, retry_after));
                 }
--- a/crates/daemon/src/entry/stages/plain.rs
+++ b/crates/daemon/src/entry/stages/plain.rs
@@ -112,6 +112,7 @@
         prompt_tokens: 0,
         max_tokens: 0,
         slack: LONGEST,
+        patience: LONGEST,
     };
     let order = Order::Call {
         work,
--- a/crates/daemon/src/entry/stages/plan.rs
+++ b/crates/daemon/src/entry/stages/plan.rs
@@ -49,6 +49,7 @@
         prompt_tokens: completion.prompt_tokens(),
         max_tokens: completion.max_tokens,
         slack: slack(context, ticket),
+        patience: patience(context, ticket),
     }
 }
 
@@ -60,6 +61,14 @@
     context.first_token.saturating_sub(context.clock.now().since(ticket.arrived))
 }
 
+/// Time left until the request is given up.
+pub(super) fn patience(context: &Context, ticket: &Ticket) -> Duration {
+    if !context.policy.holds() {
+        return NO_SLACK;
+    }
+    context.patience.saturating_sub(context.clock.now().since(ticket.arrived))
+}
+
 /// Chooses a decode endpoint and, by policy, holds its memory.
 pub(super) async fn plan(
     context: &Context,
@@ -82,7 +91,7 @@
         return Ok(Planned { decode: placed, ready_in: Duration::ZERO, held: false });
     }
     let work = work(context, ticket, completion, dispatch, &placed.endpoint);
-    let limit = work.slack + ANSWER_GRACE;
+    let limit = work.patience + ANSWER_GRACE;
     let order = Order::Hold { work, ahead: context.policy.promises_ahead() };
     dispatch.send(&placed.agent, &placed.endpoint, order)?;
     loop {
--- a/crates/daemon/src/entry/stages/prefill.rs
+++ b/crates/daemon/src/entry/stages/prefill.rs
@@ -12,7 +12,7 @@
 use super::{
     Ticket,
     attempt::{Dispatch, Failure},
-    plan::{Planned, no_endpoint, slack, work},
+    plan::{Planned, no_endpoint, patience, work},
 };
 use crate::entry::{caller::Completion, context::Context, control::Placement};
 
@@ -53,7 +53,7 @@
     let wait = planned.ready_in.saturating_sub(placed.prefill);
     let order = Order::Prefill { work, prompt: completion.prompt.clone(), wait };
     dispatch.send(&placed.agent, &placed.endpoint, order)?;
-    let limit = slack(context, ticket) + LONGEST;
+    let limit = patience(context, ticket) + LONGEST;
     let began = context.clock.now();
     loop {
         if let Event::Prefilled { source, kv, .. } = dispatch.next(&placed.endpoint, limit).await? {
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -70,6 +70,7 @@
             prompt_tokens: work.prompt_tokens,
             max_tokens: work.max_tokens,
             slack_us: micros(work.slack),
+            patience_us: micros(work.patience),
         }
     }
 }
@@ -84,6 +85,7 @@
         prompt_tokens: sent.prompt_tokens,
         max_tokens: sent.max_tokens,
         slack: Duration::from_micros(sent.slack_us),
+        patience: Duration::from_micros(sent.patience_us),
     })
 }
 
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -55,6 +55,8 @@
     pub max_tokens: u32,
     #[prost(uint64, tag = "7")]
     pub slack_us: u64,
+    #[prost(uint64, tag = "8")]
+    pub patience_us: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Hold {
