Ask other prefill engines before one may be late

Cause: loads are up to 0.4 s old, so an entry sent work to an engine that could only do it late while another was free. The agent answers from fresh figures, so it is asked first whether it can be in time; two others follow, and only the last may be late. The hold stays.

--- a/crates/daemon/src/entry/stages/prefill.rs
+++ b/crates/daemon/src/entry/stages/prefill.rs
@@ -14,10 +14,16 @@
     attempt::{Dispatch, Failure},
     plan::{Planned, no_endpoint, patience, work},
 };
-use crate::entry::{caller::Completion, context::Context, control::Placement};
+use crate::entry::{
+    caller::Completion,
+    context::Context,
+    control::{Placed, Placement},
+};
 
 /// Longest prefill once its turn has come.
 const LONGEST: Duration = Duration::from_secs(30);
+/// Other endpoints asked before one may do it late.
+const ALTERNATIVES: usize = 2;
 /// Bytes of a prompt's beginning that engines are likely to have cached.
 const PREFIX: usize = 2_048;
 
@@ -28,7 +34,9 @@
     pub(super) kv: Arc<str>,
 }
 
-/// Chooses a prefill endpoint and runs the prefill there.
+/// Chooses a prefill endpoint and runs the prefill there. An endpoint that cannot do it in time for
+/// the first-token target is passed over as long as there is another to ask; the last one asked
+/// may do it late.
 pub(super) async fn prefill(
     context: &Context,
     ticket: &Ticket,
@@ -38,6 +46,31 @@
     tried: &BTreeSet<Arc<str>>,
 ) -> Result<Prefilled, Failure> {
     super::recheck(context, ticket)?;
+    let mut tried = tried.clone();
+    for left in (0..=ALTERNATIVES).rev() {
+        let Some(placed) = place(context, completion, dispatch, &tried).await else {
+            // Everybody has been asked: the next attempt may ask the first one again.
+            tried.clear();
+            continue;
+        };
+        let ended = run(context, ticket, completion, dispatch, planned, &placed, left == 0).await;
+        match ended {
+            Err(Failure::Full { endpoint, .. }) if left > 0 => {
+                context.control.done(&endpoint, dispatch.attempt());
+                tried.insert(endpoint);
+            }
+            ended => return ended,
+        }
+    }
+    Err(no_endpoint())
+}
+
+async fn place(
+    context: &Context,
+    completion: &Completion,
+    dispatch: &Dispatch<'_>,
+    tried: &BTreeSet<Arc<str>>,
+) -> Option<Placed> {
     let beginning = &completion.prompt.as_bytes()[..completion.prompt.len().min(PREFIX)];
     let need = Need::Prefill(completion.prompt_tokens(), fingerprint(&completion.model, beginning));
     let placement = Placement {
@@ -47,8 +80,22 @@
         need,
         tried: tried.clone(),
     };
-    let placed = context.control.place(placement).await.ok_or_else(no_endpoint)?;
-    let work = work(context, ticket, completion, dispatch, &placed.endpoint);
+    context.control.place(placement).await
+}
+
+async fn run(
+    context: &Context,
+    ticket: &Ticket,
+    completion: &Completion,
+    dispatch: &mut Dispatch<'_>,
+    planned: &Planned,
+    placed: &Placed,
+    may_be_late: bool,
+) -> Result<Prefilled, Failure> {
+    let mut work = work(context, ticket, completion, dispatch, &placed.endpoint);
+    if !may_be_late {
+        work.patience = work.slack;
+    }
     // A result is evicted in under a second: it must not be ready long before its place is.
     let wait = planned.ready_in.saturating_sub(placed.prefill);
     let order = Order::Prefill { work, prompt: completion.prompt.clone(), wait };
