Check every promise on random histories with faults

A killed process now really goes silent: connections end with their server, and an agent without its control thread stops beating. A graceful shutdown keeps accepting while requests run, so that a late caller is told to go elsewhere.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -40,6 +40,8 @@
     Broken {
         /// What came before.
         text: String,
+        /// Whether an error event told why.
+        told: bool,
     },
     /// No proper HTTP answer.
     Failed(String),
@@ -56,6 +58,17 @@
     pub not_run: bool,
     /// Seconds after which to come back.
     pub retry_after: Option<u64>,
+    /// The router's identifier of the request.
+    pub request: String,
+}
+
+impl Refused {
+    /// Reads the body of a refusal.
+    pub fn read(status: u16, body: &Value, retry_after: Option<u64>) -> Self {
+        let text = |field: &str| body["error"][field].as_str().unwrap_or_default().to_owned();
+        let not_run = body["error"]["not_run"].as_bool().unwrap_or(false);
+        Self { status, code: text("code"), not_run, retry_after, request: text("request_id") }
+    }
 }
 
 /// An outcome with its times.
@@ -161,9 +174,7 @@
     let Ok(body) = answer.json::<Value>().await else {
         return Outcome::Failed(format!("status {status} without a JSON body"));
     };
-    let code = body["error"]["code"].as_str().unwrap_or_default().to_owned();
-    let not_run = body["error"]["not_run"].as_bool().unwrap_or(false);
-    Outcome::Refused(Refused { status, code, not_run, retry_after })
+    Outcome::Refused(Refused::read(status, &body, retry_after))
 }
 
 async fn read_whole(answer: Answer<'_>) -> Outcome {
@@ -177,7 +188,7 @@
     let mut timed = Timed::plain(Outcome::Failed("stream ended early".into()));
     let mut text = String::new();
     let mut last = began;
-    let mut done = false;
+    let (mut done, mut told) = (false, false);
     loop {
         let line = match async_std::future::timeout(PATIENCE, answer.line()).await {
             Ok(Ok(Some(line))) => line,
@@ -187,10 +198,11 @@
                 return timed;
             }
             _ => {
-                timed.outcome = Outcome::Broken { text };
+                timed.outcome = Outcome::Broken { text, told };
                 return timed;
             }
         };
+        told |= line == "event: error";
         let Some(data) = line.strip_prefix("data: ") else { continue };
         let value: Value = serde_json::from_str(data).unwrap_or_default();
         done |= value["done"] == true;
--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -1,6 +1,8 @@
 //! The subcommands, one module each.
 
+pub mod check;
 pub mod demo;
 pub mod measure;
 pub mod overhead;
+pub mod site;
 pub mod slopes;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod caller;
+pub mod check;
 pub mod cmd;
 pub mod fleet;
 pub mod score;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use bpaf::Bpaf;
-use tarragonhill_bench::cmd::{demo, measure, overhead, slopes};
+use tarragonhill_bench::cmd::{check, demo, measure, overhead, site, slopes};
 use tarragonhill_daemon::logging;
 
 /// Stand-ins, load and experiments for the tarragonhill router
@@ -14,6 +14,12 @@
     /// Start a whole site in one process and show it at work
     #[bpaf(command)]
     Demo,
+    /// Run random histories with faults and check every promise on each
+    #[bpaf(command)]
+    Check(#[bpaf(external(check::options))] check::Options),
+    /// Start stand-ins for trying the daemons out by hand
+    #[bpaf(command)]
+    Site,
     /// Measure the time that entry and agent add to a request
     #[bpaf(command)]
     Overhead(#[bpaf(external(overhead::options))] overhead::Options),
@@ -33,6 +39,8 @@
     }
     let result = match options().run() {
         Options::Demo => task::block_on(demo::execute()),
+        Options::Check(options) => task::block_on(check::execute(options)),
+        Options::Site => task::block_on(site::execute()),
         Options::Slopes => task::block_on(slopes::execute()),
         Options::Measure(options) => task::block_on(measure::execute(options)),
         Options::Overhead(options) => task::block_on(overhead::execute(options)),
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -205,7 +205,7 @@
     let completion = &done.arrival.completion;
     match &done.timed.outcome {
         Outcome::Answered { .. } => !is_right(done),
-        Outcome::Broken { text } => {
+        Outcome::Broken { text, .. } => {
             !crate::standin::answer(&completion.prompt, completion.max_tokens).starts_with(text.as_str())
         }
         Outcome::Refused(_) | Outcome::Failed(_) => false,
@@ -238,7 +238,7 @@
 
 fn used(done: &Done) -> f64 {
     match &done.timed.outcome {
-        Outcome::Answered { text } | Outcome::Broken { text } => {
+        Outcome::Answered { text } | Outcome::Broken { text, .. } => {
             (done.arrival.completion.prompt.len().div_ceil(4) + text.split_whitespace().count()) as f64
         }
         Outcome::Refused(_) | Outcome::Failed(_) => 0.0,
--- a/crates/bench/src/standin.rs
+++ b/crates/bench/src/standin.rs
@@ -15,7 +15,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::task::{self, JoinHandle};
@@ -65,6 +65,8 @@
     /// Of 1,000 answers, how many are lost after they took effect.
     lose: AtomicU64,
     lost: AtomicU64,
+    defect: AtomicBool,
+    crossed: AtomicBool,
 }
 
 impl Switches {
@@ -93,6 +95,25 @@
         self.lose.store(per_mille, Ordering::Relaxed);
     }
 
+    /// Plants the stand-in's own defect: an engine keeps memory that it was told to free, a service
+    /// executes each call twice.
+    pub fn set_defect(&self, on: bool) {
+        self.defect.store(on, Ordering::Relaxed);
+    }
+
+    pub(crate) fn has_defect(&self) -> bool {
+        self.defect.load(Ordering::Relaxed)
+    }
+
+    /// Makes an engine answer with the tokens of another prompt.
+    pub fn set_crossed(&self, on: bool) {
+        self.crossed.store(on, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_crossed(&self) -> bool {
+        self.crossed.load(Ordering::Relaxed)
+    }
+
     /// Whether the answer to the request just carried out gets lost. Spread evenly, not at random,
     /// so that runs repeat.
     pub fn loses(&self) -> bool {
@@ -118,6 +139,21 @@
     }
 }
 
+/// When an engine began which work.
+#[derive(Debug, Default)]
+pub struct Starts(Mutex<Vec<(Instant, String)>>);
+
+impl Starts {
+    pub(crate) fn note(&self, work: &str) {
+        lock(&self.0).push((Instant::now(), work.to_owned()));
+    }
+
+    /// All of them, in order.
+    pub fn all(&self) -> Vec<(Instant, String)> {
+        lock(&self.0).clone()
+    }
+}
+
 /// A stand-in's listener and task.
 #[derive(Debug)]
 pub struct Listening {
--- a/crates/bench/src/standin/decode.rs
+++ b/crates/bench/src/standin/decode.rs
@@ -18,7 +18,7 @@
     server::{Inbound, Outbound},
 };
 
-use super::{Listening, Switches, body, length, lock, token};
+use super::{Listening, Starts, Switches, body, length, lock, token};
 
 /// Longest wait for an export.
 const IMPORT: Duration = Duration::from_secs(5);
@@ -84,6 +84,8 @@
     pub switches: Arc<Switches>,
     /// What it did.
     pub counts: Arc<Counts>,
+    /// When it began which decode.
+    pub starts: Arc<Starts>,
     listening: Listening,
     state: Arc<Mutex<State>>,
 }
@@ -95,13 +97,14 @@
         let counts: Arc<Counts> = Arc::default();
         let state: Arc<Mutex<State>> = Arc::default();
         let pool: Arc<Pool> = Arc::default();
-        let shared = (state.clone(), counts.clone(), switches.clone(), pool);
+        let starts: Arc<Starts> = Arc::default();
+        let shared = (state.clone(), counts.clone(), starts.clone(), switches.clone(), pool);
         let listening = Listening::start(switches.clone(), move |inbound| {
-            let (state, counts, switches, pool) = shared.clone();
-            async move { answer(Running { state, counts, switches, pool, power }, inbound) }
+            let (state, counts, starts, switches, pool) = shared.clone();
+            async move { answer(Running { state, counts, starts, switches, pool, power }, inbound) }
         })
         .await?;
-        Ok(Self { switches, counts, listening, state })
+        Ok(Self { switches, counts, starts, listening, state })
     }
 
     /// Where it listens.
@@ -120,6 +123,7 @@
 struct Running {
     state: Arc<Mutex<State>>,
     counts: Arc<Counts>,
+    starts: Arc<Starts>,
     switches: Arc<Switches>,
     pool: Arc<Pool>,
     power: Power,
@@ -138,7 +142,9 @@
             if let Some((_, cancelled)) = state.memory.get_mut(id) {
                 *cancelled = true;
             }
-            state.free(id);
+            if !running.switches.has_defect() {
+                state.free(id);
+            }
             Outbound::text(200, "cancelled")
         }
         _ => Outbound::text(404, "no such path"),
@@ -154,19 +160,25 @@
             let _ = send(&sender, &Line::Full).await;
             return;
         }
+        running.starts.note(&work.id);
         run(&running, &work, &sender).await;
-        lock(&running.state).free(&work.id);
+        if !running.switches.has_defect() {
+            lock(&running.state).free(&work.id);
+        }
     });
     outbound
 }
 
 async fn run(running: &Running, work: &Decode, sender: &Sender) {
-    let Some(export) = import(running, work).await else {
+    let Some(mut export) = import(running, work).await else {
         running.counts.evicted.fetch_add(1, Ordering::Relaxed);
         let _ = send(sender, &Line::Evicted).await;
         return;
     };
     running.counts.imported.fetch_add(export.prompt_tokens.into(), Ordering::Relaxed);
+    if running.switches.is_crossed() {
+        export.content = !export.content;
+    }
     if !send(sender, &Line::Imported).await {
         return;
     }
--- a/crates/bench/src/standin/plain.rs
+++ b/crates/bench/src/standin/plain.rs
@@ -19,6 +19,10 @@
     pub idempotency_key: String,
     /// The customer on whose behalf it ran.
     pub customer: String,
+    /// The router's identifier of the request.
+    pub request: String,
+    /// Whether a caller's key came with it.
+    pub key_seen: bool,
 }
 
 /// The service. It executes every call it gets, as often as it gets it: keeping calls from being
@@ -44,6 +48,9 @@
                     task::sleep(latency).await;
                 }
                 let outbound = answer(&executed, &inbound);
+                if switches.has_defect() {
+                    answer(&executed, &inbound);
+                }
                 match inbound.method != "GET" && switches.loses() {
                     true => super::prefill::crash(),
                     false => outbound,
@@ -67,6 +74,11 @@
         }
         counts
     }
+
+    /// All executions, in order.
+    pub fn log(&self) -> Vec<Execution> {
+        lock(&self.executed).clone()
+    }
 }
 
 fn answer(executed: &Mutex<Vec<Execution>>, inbound: &Inbound) -> Outbound {
@@ -75,6 +87,11 @@
     }
     let header = |name| inbound.header(name).unwrap_or_default().to_owned();
     let mut executed = lock(executed);
-    executed.push(Execution { idempotency_key: header("idempotency-key"), customer: header("x-customer") });
+    executed.push(Execution {
+        idempotency_key: header("idempotency-key"),
+        customer: header("x-customer"),
+        request: header("x-request-id"),
+        key_seen: inbound.header("authorization").is_some(),
+    });
     Outbound::json(200, &json!({ "filed": inbound.path, "number": executed.len() }))
 }
--- a/crates/bench/src/standin/prefill.rs
+++ b/crates/bench/src/standin/prefill.rs
@@ -14,7 +14,7 @@
 use tarragonhill_engine::protocol::{Export, Prefill, Prefilled, Serve};
 use tarragonhill_http::server::{Inbound, Outbound};
 
-use super::{Listening, POISON, Switches, body, content, lock};
+use super::{Listening, POISON, Starts, Switches, body, content, lock};
 
 /// What a prefill engine can do.
 #[derive(Clone, Copy, Debug)]
@@ -80,6 +80,8 @@
     pub switches: Arc<Switches>,
     /// What it did.
     pub counts: Arc<Counts>,
+    /// When it began which prefill.
+    pub starts: Arc<Starts>,
     listening: Listening,
 }
 
@@ -96,13 +98,14 @@
             next: 0,
             fence: 0,
         }));
-        let shared = (state, counts.clone());
+        let starts: Arc<Starts> = Arc::default();
+        let shared = (state, counts.clone(), starts.clone());
         let listening = Listening::start(switches.clone(), move |inbound| {
-            let (state, counts) = shared.clone();
-            async move { answer(&state, &counts, power, inbound).await }
+            let (state, counts, starts) = shared.clone();
+            async move { answer(&state, &counts, &starts, power, inbound).await }
         })
         .await?;
-        Ok(Self { switches, counts, listening })
+        Ok(Self { switches, counts, starts, listening })
     }
 
     /// Where it listens.
@@ -111,9 +114,15 @@
     }
 }
 
-async fn answer(state: &Mutex<State>, counts: &Counts, power: Power, inbound: Inbound) -> Outbound {
+async fn answer(
+    state: &Mutex<State>,
+    counts: &Counts,
+    starts: &Starts,
+    power: Power,
+    inbound: Inbound,
+) -> Outbound {
     match (inbound.method.as_str(), inbound.path.as_str()) {
-        ("POST", "/prefill") => prefill(state, counts, power, &inbound).await,
+        ("POST", "/prefill") => prefill(state, counts, starts, power, &inbound).await,
         ("POST", "/serve") => serve(state, counts, &inbound),
         ("GET", path) => match path.strip_prefix("/export/") {
             Some(kv) => export(state, counts, power, kv).await,
@@ -125,11 +134,18 @@
     }
 }
 
-async fn prefill(state: &Mutex<State>, counts: &Counts, power: Power, inbound: &Inbound) -> Outbound {
+async fn prefill(
+    state: &Mutex<State>,
+    counts: &Counts,
+    starts: &Starts,
+    power: Power,
+    inbound: &Inbound,
+) -> Outbound {
     let work: Prefill = match body(inbound) {
         Ok(work) => work,
         Err(outbound) => return outbound,
     };
+    starts.note(&work.id);
     let content = content(&work.prompt);
     let done = reserve(&mut lock(state), power, &work);
     task::sleep(done.saturating_duration_since(Instant::now())).await;
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -55,9 +55,9 @@
         let _ = self.0.try_send(Command::Opened(link, events));
     }
 
-    /// Load of all endpoints, fresh.
-    pub(crate) async fn loads(&self) -> Vec<Load> {
-        self.ask(Command::Loads).await.unwrap_or_default()
+    /// Load of all endpoints, fresh; none once the thread has ended.
+    pub(crate) async fn loads(&self) -> Option<Vec<Load>> {
+        self.ask(Command::Loads).await
     }
 
     /// Whether nothing runs or waits.
--- a/crates/daemon/src/agent/server.rs
+++ b/crates/daemon/src/agent/server.rs
@@ -137,7 +137,9 @@
 async fn beat(control: &Control, current: &Current, events: &async_channel::Sender<Event>, pace: &Pace) {
     loop {
         let mut beat = current.beat();
-        beat.loads = control.loads().await;
+        // Without its control thread the agent is dead, and must look so.
+        let Some(loads) = control.loads().await else { return };
+        beat.loads = loads;
         if events.send(Event::Beat(beat)).await.is_err() {
             return;
         }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -30,6 +30,8 @@
     settings::Current,
 };
 
+/// Time for the last answers to leave the process once they are made.
+const LAST_BYTES: Duration = Duration::from_millis(100);
 /// How often a shutdown looks whether everything has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -115,12 +117,14 @@
     pub async fn shutdown(self) {
         let context = &self.context;
         context.leaving.store(true, Ordering::Relaxed);
-        self.accept.cancel().await;
         let began = context.clock.now();
         let left = || context.clock.now().since(began) < self.drain;
+        // Still accepting: whoever comes now is told to go elsewhere, instead of a broken connection.
         while left() && context.running.load(Ordering::Relaxed) > 0 {
             context.clock.sleep(DRAIN_POLL).await;
         }
+        context.clock.sleep(LAST_BYTES).await;
+        self.accept.cancel().await;
         context.control.leave();
         while left() && !context.control.has_left().await {
             context.clock.sleep(DRAIN_POLL).await;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -200,7 +200,7 @@
         self.address
     }
 
-    /// Serves until the task is dropped.
+    /// Serves until the future is dropped, which also ends all connections.
     pub async fn serve<F, Fut>(self, handler: F)
     where
         F: Fn(Inbound) -> Fut + Send + Sync + 'static,
@@ -208,6 +208,8 @@
     {
         let handler = Arc::new(handler);
         let open = Arc::new(AtomicUsize::new(0));
+        // Dropped with this future; every connection watches for that.
+        let (_alive, ended) = async_channel::bounded::<()>(1);
         loop {
             let Ok((stream, _)) = self.listener.accept().await else {
                 // Out of file descriptors, most likely: accepting again at once would spin.
@@ -218,9 +220,13 @@
                 open.fetch_sub(1, Ordering::Relaxed);
                 continue;
             }
-            let (handler, open, limits) = (handler.clone(), open.clone(), self.limits);
+            let (handler, open, limits, ended) = (handler.clone(), open.clone(), self.limits, ended.clone());
             task::spawn(async move {
-                connection(stream, limits, &*handler).await;
+                let served = connection(stream, limits, &*handler);
+                let ended = async {
+                    let _ = ended.recv().await;
+                };
+                served.or(ended).await;
                 open.fetch_sub(1, Ordering::Relaxed);
             });
         }
