--- a/crates/bench/src/cmd/check.rs
+++ b/crates/bench/src/cmd/check.rs
@@ -73,7 +73,10 @@
             for (fault, count) in &history.faults {
                 *faults.entry(fault.to_string()).or_insert(0) += count;
             }
-            violations.extend(check(&scenario, &history));
+            for violation in check(&scenario, &history) {
+                eprintln!("{}: {}", violation.promise, violation.what);
+                violations.push(violation);
+            }
         }
         eprintln!("{done} of {} histories, {} violations", all.len(), violations.len());
     }
@@ -124,7 +127,6 @@
     let mut by_promise: BTreeMap<String, usize> = BTreeMap::new();
     for violation in violations {
         *by_promise.entry(violation.promise.to_string()).or_insert(0) += 1;
-        eprintln!("{}: {}", violation.promise, violation.what);
     }
     println!(
         "{}",
--- /dev/null
+++ b/crates/bench/tests/path.rs
@@ -0,0 +1,354 @@
+//! The whole path over real connections: entries, agents and stand-ins in one process.
+
+use std::time::Duration;
+
+use async_std::{future, task};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+use quickcheck::{Arbitrary as _, Gen};
+use serde_json::json;
+use tarragonhill_bench::{
+    caller::{Caller, Completion, Outcome, Refused},
+    fleet::{Fleet, MODEL, SERVICE, Shape, Tenant, key_of},
+    standin::{POISON, prefill},
+};
+use tarragonhill_core::{
+    plan::Intent,
+    settings::{Role, Running},
+};
+use tarragonhill_operator::{Client, OperatorError};
+
+/// Longest wait for what must come about; nothing is asserted about how long it takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn shape() -> Shape {
+    Shape {
+        prefill_power: prefill::Power { tokens_per_s: 1_000_000, ..prefill::Power::default() },
+        tenants: vec![Tenant::new("faculty", 500_000, 1_000_000), Tenant::new("grants", 1_000, 1_000)],
+        ..Shape::small()
+    }
+}
+
+fn completion(prompt: &str, max_tokens: u32, stream: bool) -> Completion {
+    Completion { model: MODEL.into(), prompt: prompt.into(), max_tokens, stream }
+}
+
+fn caller(fleet: &Fleet, entry: usize, tenant: &str) -> Caller {
+    Caller::new(fleet.entry(entry).address(), key_of(tenant))
+}
+
+async fn eventually<F: Future<Output = bool>>(holds: impl Fn() -> F) -> bool {
+    let look = async {
+        while !holds().await {
+            task::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    future::timeout(PATIENCE, look).await.is_ok()
+}
+
+fn run<F: Future>(test: impl FnOnce(Fleet) -> F) -> F::Output {
+    task::block_on(async { test(Fleet::start(shape()).await.expect("the fleet starts")).await })
+}
+
+fn refusal(outcome: &Outcome) -> (&str, bool) {
+    match outcome {
+        Outcome::Refused(Refused { code, not_run, .. }) => (code, *not_run),
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn answers_are_whole_streamed_or_not_through_every_entry() {
+    run(|fleet| async move {
+        for (entry, stream) in [(0, true), (1, false), (2, true)] {
+            let wanted = completion(&format!("question {entry}"), 20, stream);
+            let timed = caller(&fleet, entry, "faculty").complete(&wanted).await;
+            assert!(timed.is_right(&wanted), "{:?}", timed.outcome);
+        }
+        fleet.stop().await;
+    });
+}
+
+/// A caller leaves in the middle of its stream. Unless that reaches the engine, its memory stays
+/// held until the answer nobody reads is done.
+#[test]
+fn memory_falls_free_when_the_caller_leaves() {
+    run(|fleet| async move {
+        let wanted = completion("never read to its end", 5_000, true);
+        caller(&fleet, 0, "faculty").leave_after(&wanted, 2).await.expect("the stream begins");
+        let free = || async { fleet.decode.iter().all(|engine| engine.memory().0 == 0) };
+        assert!(eventually(free).await);
+        fleet.stop().await;
+    });
+}
+
+/// Bad input gets a clear 4xx that says "not run", and no engine sees it.
+#[test]
+fn bad_input_is_refused_and_reaches_no_engine() {
+    run(|fleet| async move {
+        let address = fleet.entry(0).address();
+        let head = |key: &str, length: usize| {
+            format!(
+                "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\ncontent-length: {length}\r\n\r\n"
+            )
+        };
+        let key = key_of("faculty");
+        let body = |body: &str| format!("{}{body}", head(&key, body.len()));
+        for (request, status, code) in [
+            (body("{"), 400, "bad_request"),
+            (body(r#"{"model":"drafting","prompt":"x","colour":1}"#), 400, "colour"),
+            (body(r#"{"model":"drafting","prompt":""}"#), 400, "prompt is empty"),
+            (body(r#"{"model":"drafting","prompt":"x","max_tokens":0}"#), 400, "max_tokens"),
+            (body(r#"{"model":"unheard-of","prompt":"x"}"#), 404, "unknown_model"),
+            (body(r#"{"model":"drafting","prompt":"x","max_tokens":999999}"#), 400, "prompt_too_long"),
+            (head("wrong", 0), 401, "bad_key"),
+            (head(&key, 50_000_000), 413, "body_too_large"),
+            ("POST /v1/completions HTTP/1.1\r\nhost: x\r\n\r\n".into(), 401, "bad_key"),
+            (
+                format!("GET /nowhere HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\r\n"),
+                404,
+                "not_found",
+            ),
+            ("no http at all\r\n\r\n".into(), 400, "bad_request"),
+            (
+                format!("GET / HTTP/1.1\r\nhost: x\r\nlong: {}\r\n\r\n", "x".repeat(20_000)),
+                400,
+                "bad_request",
+            ),
+        ] {
+            let answer = raw(address, request.as_bytes()).await;
+            let start: String = request.chars().take(90).collect();
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{start:?}: {answer}");
+            assert!(answer.contains(code) && answer.contains(r#""not_run":true"#), "{start:?}: {answer}");
+        }
+        assert!(fleet.prefill.iter().all(|engine| engine.starts.all().is_empty()));
+        fleet.stop().await;
+    });
+}
+
+/// Sends bytes and reads what comes back at once.
+async fn raw(address: std::net::SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = async_std::net::TcpStream::connect(address).await.expect("connects");
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let mut part = [0; 4_096];
+    while !String::from_utf8_lossy(&answer).contains('}') {
+        match future::timeout(PATIENCE, stream.read(&mut part)).await {
+            Ok(Ok(count)) if count > 0 => answer.extend_from_slice(&part[..count]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Whatever bytes a caller sends as a body, it gets a refusal and the entry lives.
+#[test]
+fn any_body_is_refused_or_answered() {
+    run(|fleet| async move {
+        let caller = caller(&fleet, 0, "faculty");
+        let mut generator = Gen::from_size_and_seed(60, 7);
+        for _ in 0..100 {
+            let text = String::arbitrary(&mut generator);
+            let (status, _) =
+                caller.call("POST", "/v1/completions", &json!(text), None).await.expect("an answer");
+            assert_eq!(status, 400);
+        }
+        fleet.stop().await;
+    });
+}
+
+/// A tenant far over its burst is refused with the time to come back, and nothing of it runs.
+#[test]
+fn over_rate_is_refused_as_not_run() {
+    run(|fleet| async move {
+        let mut refused = 0;
+        for number in 0..6 {
+            let wanted = completion(&format!("{number}{}", "x".repeat(3_000)), 4, false);
+            let timed = caller(&fleet, number % 3, "grants").complete(&wanted).await;
+            if let Outcome::Refused(refusal) = &timed.outcome {
+                assert_eq!((refusal.code.as_str(), refusal.not_run), ("over_rate", true));
+                assert!(refusal.retry_after.is_some());
+                refused += 1;
+            }
+        }
+        assert!(refused >= 2, "{refused}");
+        fleet.stop().await;
+    });
+}
+
+/// The plain service's answer is lost after the call took effect. The caller tries again under the
+/// same key, through another entry: the call must not be sent a second time.
+#[test]
+fn call_with_a_lost_answer_is_never_sent_again() {
+    run(|fleet| async move {
+        fleet.plain.iter().for_each(|service| service.switches.set_lose(1_000));
+        let path = format!("/v1/services/{SERVICE}/submissions");
+        let file = |entry| {
+            let caller = caller(&fleet, entry, "faculty");
+            let path = path.clone();
+            async move { caller.call("POST", &path, &json!({"page": 1}), Some("s-1")).await.expect("an answer") }
+        };
+        let (status, body) = file(0).await;
+        assert_eq!((status, body["error"]["code"].as_str()), (502, Some("outcome_unknown")));
+        fleet.plain.iter().for_each(|service| service.switches.set_lose(0));
+        let (status, body) = file(1).await;
+        assert_eq!((status, body["error"]["code"].as_str()), (502, Some("outcome_unknown")));
+        let executed: u32 = fleet.plain.iter().flat_map(|s| s.executions().into_values()).sum();
+        assert_eq!(executed, 1);
+        fleet.stop().await;
+    });
+}
+
+/// The table is down before the call. Sent without a record, it might be repeated; it is refused.
+#[test]
+fn call_without_a_record_is_not_sent() {
+    run(|fleet| async move {
+        fleet.table.switches.set_down(true);
+        let path = format!("/v1/services/{SERVICE}/submissions");
+        let caller = caller(&fleet, 0, "faculty");
+        let (status, body) = caller.call("POST", &path, &json!({}), Some("s-2")).await.expect("an answer");
+        assert_eq!(
+            (status, &body["error"]["code"], &body["error"]["not_run"]),
+            (503, &json!("record_unavailable"), &json!(true))
+        );
+        assert!(fleet.plain.iter().all(|service| service.executions().is_empty()));
+        fleet.table.switches.set_down(false);
+        let (status, _) = caller.call("POST", &path, &json!({}), Some("s-2")).await.expect("an answer");
+        assert_eq!(status, 200);
+        fleet.stop().await;
+    });
+}
+
+#[test]
+fn key_used_with_another_body_is_refused_and_belongs_to_its_customer() {
+    run(|fleet| async move {
+        let path = format!("/v1/services/{SERVICE}/submissions");
+        let faculty = caller(&fleet, 0, "faculty");
+        let one = faculty.call("POST", &path, &json!({"page": 1}), Some("k")).await.expect("an answer");
+        let other = faculty.call("POST", &path, &json!({"page": 2}), Some("k")).await.expect("an answer");
+        let foreign = caller(&fleet, 0, "grants").call("POST", &path, &json!({"page": 2}), Some("k")).await;
+        assert_eq!((one.0, other.0, foreign.expect("an answer").0), (200, 422, 200));
+        fleet.stop().await;
+    });
+}
+
+/// A request crashes each engine it runs on and is sent again and again. After two crashes it is
+/// refused, and others are served.
+#[test]
+fn crashing_request_is_quarantined_and_others_are_served() {
+    run(|fleet| async move {
+        let poison = completion(POISON, 4, false);
+        let caller = caller(&fleet, 0, "faculty");
+        caller.complete(&poison).await;
+        let again = caller.complete(&poison).await;
+        assert_eq!(refusal(&again.outcome), ("quarantined", true));
+        let crashes: usize = fleet.prefill.iter().map(|engine| engine.starts.all().len()).sum();
+        assert_eq!(crashes, 2);
+        let innocent = completion("innocent", 4, false);
+        assert!(caller.complete(&innocent).await.is_right(&innocent));
+        fleet.stop().await;
+    });
+}
+
+/// A decode engine dies in the middle of an answer. The rest comes from another engine, and the
+/// caller sees one whole answer without a repeated token.
+#[test]
+fn broken_decode_resumes_elsewhere() {
+    run(|fleet| async move {
+        let wanted = completion("resumed", 200, true);
+        let caller = caller(&fleet, 0, "faculty");
+        let asked = wanted.clone();
+        let answer = task::spawn(async move { caller.complete(&asked).await });
+        let running = || async { fleet.decode.iter().any(|engine| engine.memory().1 > 0) };
+        assert!(eventually(running).await);
+        let engine = fleet.decode.iter().find(|engine| engine.memory().1 > 0).expect("it runs");
+        engine.switches.set_down(true);
+        let timed = answer.await;
+        assert!(timed.is_right(&wanted), "{:?}", timed.outcome);
+        fleet.stop().await;
+    });
+}
+
+/// An entry is shut down while it streams an answer. The answer comes whole; new callers are told
+/// to go elsewhere.
+#[test]
+fn graceful_shutdown_cuts_no_request() {
+    run(|mut fleet| async move {
+        let wanted = completion("still running", 60, true);
+        let caller = caller(&fleet, 1, "faculty");
+        let asked = wanted.clone();
+        let answer = task::spawn(async move { caller.complete(&asked).await });
+        let running = || async { fleet.decode.iter().any(|engine| engine.memory().1 > 0) };
+        assert!(eventually(running).await);
+        let entry = fleet.entries[1].take().expect("not killed");
+        entry.shutdown().await;
+        assert!(answer.await.is_right(&wanted));
+        fleet.stop().await;
+    });
+}
+
+/// Two operators confirm at once. One wins; the other is told clearly and changes nothing.
+#[test]
+fn of_two_racing_operators_one_wins() {
+    run(|fleet| async move {
+        let put = |burst| Intent::PutCustomer { name: "grants".into(), rate: 1_000, burst, weight: 1 };
+        let clients = [0, 1].map(|entry| Client::new(fleet.entry(entry).admin(), None));
+        let first = clients[0].plan(&put(5_000)).await.expect("a plan");
+        let second = clients[1].plan(&put(6_000)).await.expect("a plan");
+        assert_eq!(clients[0].confirm(&first).await, Ok(2));
+        let lost = clients[1].confirm(&second).await;
+        assert!(matches!(lost, Err(OperatorError::Refused { code, .. }) if code == "moved"));
+        let settings = clients[0].settings().await.expect("settings");
+        assert_eq!(settings["customers"]["grants"]["burst"], 5_000);
+        assert_eq!(clients[1].resolve(&first.plan.id).await.expect("known")["outcome"], "confirmed");
+        assert_eq!(clients[1].resolve(&second.plan.id).await.expect("known")["outcome"], "not_confirmed");
+        assert!(clients[1].confirm(&second).await.is_err(), "resolved as not confirmed, it stays so");
+        fleet.stop().await;
+    });
+}
+
+/// A key is withdrawn while the table's answers are lost. It stops working on every entry.
+#[test]
+fn withdrawn_key_stops_everywhere_though_the_answer_is_lost() {
+    run(|fleet| async move {
+        let client = Client::new(fleet.entry(0).admin(), None);
+        let intent = Intent::WithdrawKey { id: "grants-1".into(), running: Running::Cut };
+        let planned = client.plan(&intent).await.expect("a plan");
+        fleet.table.switches.set_lose(1_000);
+        let _ = client.confirm(&planned).await;
+        fleet.table.switches.set_lose(0);
+        assert_eq!(client.resolve(&planned.plan.id).await.expect("known")["outcome"], "confirmed");
+        for entry in 0..3 {
+            let caller = caller(&fleet, entry, "grants");
+            let path = format!("/v1/services/{SERVICE}/records/1");
+            let refused =
+                || async { caller.call("GET", &path, &json!(null), None).await.is_ok_and(|a| a.0 == 401) };
+            assert!(eventually(refused).await);
+        }
+        fleet.stop().await;
+    });
+}
+
+/// A host is drained. New requests go elsewhere on every entry.
+#[test]
+fn drained_endpoint_gets_no_new_work() {
+    run(|fleet| async move {
+        let client = Client::new(fleet.entry(0).admin(), None);
+        let planned =
+            client.plan(&Intent::DrainHost { host: "host-prefill-0".into() }).await.expect("a plan");
+        client.confirm(&planned).await.expect("confirmed");
+        let everywhere = || async {
+            let known = client.resolve(&planned.plan.id).await;
+            known.is_ok_and(|known| known["not_in_force_at"] == json!([]))
+        };
+        assert!(eventually(everywhere).await);
+        let before = fleet.prefill[0].starts.all().len();
+        for number in 0..9 {
+            let wanted = completion(&format!("after the drain {number}"), 2, false);
+            let timed = caller(&fleet, number % 3, "faculty").complete(&wanted).await;
+            assert!(timed.is_right(&wanted), "{:?}", timed.outcome);
+        }
+        assert_eq!(fleet.prefill[0].starts.all().len(), before);
+        assert!(fleet.agents.contains_key(&format!("{}-0", Role::Prefill)));
+        fleet.stop().await;
+    });
+}
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -202,7 +202,7 @@
 fn paused_borrower_does_not_spend_an_expired_slice() {
     let (mut home, mut purse) = (Lender::full(&terms(), Time::ZERO), Purse::new(Time::ZERO));
     assert_eq!(purse.admit(Time::ZERO, waiter(1, 500, Time::ZERO)), None);
-    let loan = Loan { tokens: 2_000, ..asked(&mut purse, Time::ZERO) };
+    let loan = Loan { tokens: 2_000, minimum: 1_000, ..asked(&mut purse, Time::ZERO) };
     let grant = home.lend(Time::ZERO, &"a".into(), loan);
     assert_eq!(purse.answered(Time::ZERO, loan.serial, grant), [Verdict::Admitted(Request(1))]);
     assert!(purse.in_hand(Time::ZERO) >= 500);
--- /dev/null
+++ b/crates/daemon/tests/config.rs
@@ -0,0 +1,91 @@
+//! Settings are checked at start, and what is wrong is told by name.
+
+use tarragonhill_daemon::config::{self, ConfigError, NAMES, Settings};
+
+const ENTRY: [&str; 13] = [
+    "entry",
+    "--name",
+    "e",
+    "--zone",
+    "z",
+    "--listen",
+    "127.0.0.1:0",
+    "--admin",
+    "127.0.0.1:0",
+    "--table",
+    "127.0.0.1:1",
+    "--peer",
+    "127.0.0.1:0",
+];
+
+fn parse(more: &[&str]) -> Result<Settings, ConfigError> {
+    let arguments: Vec<&str> = ENTRY.iter().chain(more).copied().collect();
+    let options = config::options().run_inner(arguments.as_slice()).expect("the flags are known");
+    Settings::try_from(options)
+}
+
+fn problem(more: &[&str]) -> String {
+    parse(more).expect_err("refused").to_string()
+}
+
+#[test]
+fn defaults_are_valid() {
+    assert!(matches!(parse(&[]), Ok(Settings::Entry(_))));
+}
+
+#[test]
+fn each_bad_value_is_told_by_its_setting() {
+    for (flag, value) in [
+        ("--hosts", "nowhere"),
+        ("--first-token-ms", "0"),
+        ("--patience-ms", "100"),
+        ("--max-body", "1"),
+        ("--head-ms", "1"),
+        ("--max-connections", "0"),
+        ("--policy", "best"),
+        ("--operator-token", "short"),
+        ("--poll-ms", "1"),
+        ("--log", "loud"),
+    ] {
+        let problem = problem(&[flag, value]);
+        assert!(problem.starts_with(flag), "{problem}");
+    }
+}
+
+#[test]
+fn unknown_flag_is_refused() {
+    let arguments: Vec<&str> = ENTRY.iter().copied().chain(["--colour", "red"]).collect();
+    assert!(config::options().run_inner(arguments.as_slice()).is_err());
+}
+
+/// `TARRAGONHILL_POLICI=...` would be ignored without a word, and the daemon run with the default.
+#[test]
+fn misspelt_environment_variable_is_refused_by_name() {
+    let error =
+        config::check_environment(["TARRAGONHILL_POLICI".to_owned()].into_iter()).expect_err("refused");
+    assert!(error.to_string().contains("TARRAGONHILL_POLICI"));
+    let known = NAMES.iter().map(|name| format!("TARRAGONHILL_{}", name.to_uppercase().replace('-', "_")));
+    assert_eq!(config::check_environment(known), Ok(()));
+}
+
+/// The reference page lists every setting, and no others, with the defaults in force.
+#[test]
+fn reference_page_matches_the_code() {
+    let page = include_str!("../../../docs/settings.md");
+    let listed: Vec<&str> =
+        page.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next()).collect();
+    assert_eq!(
+        listed.iter().copied().collect::<std::collections::BTreeSet<_>>(),
+        NAMES.into_iter().collect()
+    );
+    let help = config::options().run_inner(&["entry", "--help"]).expect_err("help").unwrap_stdout();
+    for line in page.lines().filter(|line| line.starts_with("| `")) {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        if !cells[2].is_empty() {
+            let (_, rest) =
+                help.split_once(&format!("--{}", cells[1].trim_matches('`'))).expect("in the help");
+            let own = rest.split("[default: ").nth(1).and_then(|rest| rest.split(']').next());
+            assert_eq!(own, Some(cells[2]), "{}", cells[1]);
+        }
+    }
+}
