--- a/crates/bench/tests/path.rs
+++ b/crates/bench/tests/path.rs
@@ -328,6 +328,27 @@
     });
 }
 
+/// A key is withdrawn while its prefill runs. The agent stops it, and the caller was told "not run"
+/// though the engine had worked on it: found by `check`, seed 12, as not-run-true broken.
+#[test]
+fn request_cut_in_its_prefill_is_not_called_not_run() {
+    let slow = prefill::Power { tokens_per_s: 50, ..prefill::Power::default() };
+    task::block_on(async {
+        let fleet = Fleet::start(Shape { prefill_power: slow, ..shape() }).await.expect("the fleet starts");
+        let wanted = completion(&"x".repeat(2_000), 4, false);
+        let caller = caller(&fleet, 0, "grants");
+        let answer = task::spawn(async move { caller.complete(&wanted).await });
+        let running = || async { fleet.prefill.iter().any(|engine| !engine.starts.all().is_empty()) };
+        assert!(eventually(running).await);
+        let client = Client::new(fleet.entry(0).admin(), None);
+        let intent = Intent::WithdrawKey { id: "grants-1".into(), running: Running::Cut };
+        let planned = client.plan(&intent).await.expect("a plan");
+        client.confirm(&planned).await.expect("confirmed");
+        assert_eq!(refusal(&answer.await.outcome), ("bad_key", false));
+        fleet.stop().await;
+    });
+}
+
 /// A host is drained. New requests go elsewhere on every entry.
 #[test]
 fn drained_endpoint_gets_no_new_work() {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -19,7 +19,7 @@
 
 use async_std::task::{self, JoinHandle};
 use tarragonhill_core::{Clock, settings::Snapshot};
-use tarragonhill_http::server::Server;
+use tarragonhill_http::server::{Closer, Server};
 use tarragonhill_platform::HttpTable;
 
 use crate::{
@@ -30,8 +30,6 @@
     settings::Current,
 };
 
-/// Time for the last answers to leave the process once they are made.
-const LAST_BYTES: Duration = Duration::from_millis(100);
 /// How often a shutdown looks whether everything has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -42,6 +40,7 @@
     context: Arc<Context>,
     drain: Duration,
     tasks: Vec<JoinHandle<()>>,
+    callers: Closer,
     accept: JoinHandle<()>,
 }
 
@@ -57,6 +56,7 @@
         })?;
         let admin_server = bind("admin", common.admin).await?;
         let (address, admin) = (callers.address(), admin_server.address());
+        let closer = callers.closer();
         let (incoming, peer) = crate::agent::listen("peer", settings.peer)?;
 
         let metrics = Metrics::new();
@@ -100,7 +100,7 @@
         let served = context.clone();
         let accept = task::spawn(callers.serve(move |inbound| caller::answer(served.clone(), inbound)));
         spdlog::info!("entry started", kv: { name = &*context.name, listen = address.to_string().as_str() });
-        Ok(Self { address, admin, context, drain: common.drain, tasks, accept })
+        Ok(Self { address, admin, context, drain: common.drain, tasks, callers: closer, accept })
     }
 
     /// Where callers reach it.
@@ -123,7 +123,7 @@
         while left() && context.running.load(Ordering::Relaxed) > 0 {
             context.clock.sleep(DRAIN_POLL).await;
         }
-        context.clock.sleep(LAST_BYTES).await;
+        self.callers.close().await;
         self.accept.cancel().await;
         context.control.leave();
         while left() && !context.control.has_left().await {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -24,6 +24,11 @@
 
 /// How long an oversized request may go on sending once it has been answered.
 const LINGER: Duration = Duration::from_millis(300);
+/// A connection without a request under way is closed this long after closing has begun: a request
+/// may be on its way.
+const CLOSE_GRACE: Duration = Duration::from_millis(300);
+/// How often closing looks whether it is done.
+const CLOSE_POLL: Duration = Duration::from_millis(10);
 /// Unsent data may stand this long before the operating system gives the peer up; a connection that
 /// went silent for good ends by this.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -185,6 +190,49 @@
     listener: TcpListener,
     address: SocketAddr,
     limits: Limits,
+    closing: Closing,
+}
+
+/// Ends a server gracefully. Dropping the server's future instead cuts all connections.
+#[derive(Clone, Debug)]
+pub struct Closer {
+    sender: async_channel::Sender<()>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Closer {
+    /// Lets no new connection in, answers what is being sent or served, closes idle connections;
+    /// completes when all are closed.
+    pub async fn close(&self) {
+        self.sender.close();
+        while self.open.load(Ordering::Relaxed) > 0 {
+            task::sleep(CLOSE_POLL).await;
+        }
+    }
+}
+
+/// Seen by every connection of a server.
+#[derive(Clone, Debug)]
+struct Closing {
+    sender: async_channel::Sender<()>,
+    closed: async_channel::Receiver<()>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Closing {
+    fn new() -> Self {
+        let (sender, closed) = async_channel::bounded(1);
+        Self { sender, closed, open: Arc::default() }
+    }
+
+    /// Completes once the server is being closed.
+    async fn begun(&self) {
+        let _ = self.closed.recv().await;
+    }
+
+    fn has_begun(&self) -> bool {
+        self.closed.is_closed()
+    }
 }
 
 impl Server {
@@ -192,7 +240,7 @@
     pub async fn bind(address: &str, limits: Limits) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        Ok(Self { listener, address, limits })
+        Ok(Self { listener, address, limits, closing: Closing::new() })
     }
 
     /// Where it listens.
@@ -200,40 +248,59 @@
         self.address
     }
 
-    /// Serves until the future is dropped, which also ends all connections.
+    /// What ends the server gracefully.
+    pub fn closer(&self) -> Closer {
+        Closer { sender: self.closing.sender.clone(), open: self.closing.open.clone() }
+    }
+
+    /// Serves until it is closed or the future is dropped, which also ends all connections.
     pub async fn serve<F, Fut>(self, handler: F)
     where
         F: Fn(Inbound) -> Fut + Send + Sync + 'static,
         Fut: Future<Output = Outbound> + Send + 'static,
     {
         let handler = Arc::new(handler);
-        let open = Arc::new(AtomicUsize::new(0));
         // Dropped with this future; every connection watches for that.
         let (_alive, ended) = async_channel::bounded::<()>(1);
-        loop {
-            let Ok((stream, _)) = self.listener.accept().await else {
+        while let Some(accepted) = self.accept().await {
+            let Ok((stream, _)) = accepted else {
                 // Out of file descriptors, most likely: accepting again at once would spin.
                 task::sleep(Duration::from_millis(10)).await;
                 continue;
             };
-            if open.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
-                open.fetch_sub(1, Ordering::Relaxed);
+            let closing = self.closing.clone();
+            if closing.open.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+                closing.open.fetch_sub(1, Ordering::Relaxed);
                 continue;
             }
-            let (handler, open, limits, ended) = (handler.clone(), open.clone(), self.limits, ended.clone());
+            let (handler, limits, ended) = (handler.clone(), self.limits, ended.clone());
             task::spawn(async move {
-                let served = connection(stream, limits, &*handler);
+                let served = connection(stream, limits, &*handler, &closing);
                 let ended = async {
                     let _ = ended.recv().await;
                 };
                 served.or(ended).await;
-                open.fetch_sub(1, Ordering::Relaxed);
+                closing.open.fetch_sub(1, Ordering::Relaxed);
             });
         }
+        while self.closing.open.load(Ordering::Relaxed) > 0 {
+            task::sleep(CLOSE_POLL).await;
+        }
+    }
+
+    /// The next connection; none once the server is being closed and the system's backlog is
+    /// empty: whoever is in it has connected and expects an answer.
+    async fn accept(&self) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+        let accept = async { Some(self.listener.accept().await) };
+        let closed = async {
+            self.closing.begun().await;
+            future::timeout(CLOSE_POLL, self.listener.accept()).await.ok()
+        };
+        accept.or(closed).await
     }
 }
 
-async fn connection<F, Fut>(stream: TcpStream, limits: Limits, handler: &F)
+async fn connection<F, Fut>(stream: TcpStream, limits: Limits, handler: &F, closing: &Closing)
 where
     F: Fn(Inbound) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Outbound> + Send + 'static,
@@ -249,9 +316,18 @@
     loop {
         started.store(false, Ordering::Relaxed);
         let one = async { Next::Done(server.accept_one().await) };
-        match one.or(head_overdue(limits.head_time, &started)).await {
-            Next::Done(Ok(ConnectionStatus::KeepAlive)) => {}
-            Next::Done(Ok(ConnectionStatus::Close)) => return,
+        let idle = async {
+            closing.begun().await;
+            unless_started(CLOSE_GRACE, &started).await;
+            Next::Closed
+        };
+        let overdue = async {
+            unless_started(limits.head_time, &started).await;
+            Next::Overdue
+        };
+        match one.or(overdue).or(idle).await {
+            Next::Done(Ok(ConnectionStatus::KeepAlive)) if !closing.has_begun() => {}
+            Next::Done(Ok(_)) | Next::Closed => return,
             Next::Done(Err(error)) if is_bad_head(&error) => {
                 return reject(stream, 400, "bad_request", "the request's head is malformed or too large")
                     .await;
@@ -267,16 +343,16 @@
 enum Next {
     Done(http_types::Result<ConnectionStatus>),
     Overdue,
+    Closed,
 }
 
-/// Completes when no head has come in time. async-h1 has a limit of its own, but it is fixed at a
-/// minute and ends without an answer.
-async fn head_overdue(head_time: Duration, started: &AtomicBool) -> Next {
-    task::sleep(head_time).await;
+/// Completes after `span` unless a request's head has come by then. async-h1 has a limit of its
+/// own, but it is fixed at a minute and ends without an answer.
+async fn unless_started(span: Duration, started: &AtomicBool) {
+    task::sleep(span).await;
     if started.load(Ordering::Relaxed) {
         std::future::pending::<()>().await;
     }
-    Next::Overdue
 }
 
 fn is_bad_head(error: &http_types::Error) -> bool {
