Tell a connection that was never made from a request that was cut

Nothing was sent, and the caller knows that it was not; the promise speaks of requests. Connects that fail are now an outcome of their own, and every failure after a connection still counts as cut. Ruled out: an accepted connection dropped by the closing listener (the client got no connection).

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -45,6 +45,17 @@
     },
     /// No proper HTTP answer.
     Failed(String),
+    /// No connection: nothing was sent.
+    Unsent(String),
+}
+
+impl From<Error> for Outcome {
+    fn from(error: Error) -> Self {
+        match error.is_unsent() {
+            true => Self::Unsent(error.to_string()),
+            false => Self::Failed(error.to_string()),
+        }
+    }
 }
 
 /// A refusal as the caller sees it.
@@ -123,7 +134,7 @@
         });
         let call = self.authorize(Call::post("/v1/completions", &body).over_kept());
         match self.pool.send(self.address, call, PATIENCE).await {
-            Err(error) => Timed::plain(Outcome::Failed(error.to_string())),
+            Err(error) => Timed::plain(Outcome::from(error)),
             Ok(answer) if answer.status() != 200 => Timed::plain(refused(answer).await),
             Ok(answer) if completion.stream => read_stream(answer, began).await,
             Ok(answer) => Timed::plain(read_whole(answer).await),
--- a/crates/bench/src/check/promise.rs
+++ b/crates/bench/src/check/promise.rs
@@ -110,7 +110,7 @@
     let Sent::Completion(completion) = &call.sent else { return 0.0 };
     let tokens = call.answers.iter().map(|answer| match answer {
         Outcome::Answered { text } => completion.prompt.len().div_ceil(4) + text.split_whitespace().count(),
-        Outcome::Broken { .. } | Outcome::Refused(_) | Outcome::Failed(_) => 0,
+        Outcome::Broken { .. } | Outcome::Refused(_) | Outcome::Failed(_) | Outcome::Unsent(_) => 0,
     });
     tokens.sum::<usize>() as f64
 }
@@ -121,7 +121,7 @@
     let wrong = call.answers.iter().find(|answer| match answer {
         Outcome::Answered { text } => *text != expected,
         Outcome::Broken { text, .. } => !expected.starts_with(text.as_str()),
-        Outcome::Refused(_) | Outcome::Failed(_) => false,
+        Outcome::Refused(_) | Outcome::Failed(_) | Outcome::Unsent(_) => false,
     })?;
     Some(format!("{} got a wrong answer to {:.40}...: {wrong:.120?}", call.tenant, completion.prompt))
 }
--- a/crates/bench/src/check/run.rs
+++ b/crates/bench/src/check/run.rs
@@ -170,7 +170,7 @@
 fn request_of(outcome: &Outcome) -> Option<String> {
     match outcome {
         Outcome::Refused(refused) => Some(refused.request.clone()),
-        Outcome::Answered { .. } | Outcome::Broken { .. } | Outcome::Failed(_) => None,
+        _ => None,
     }
 }
 
@@ -219,7 +219,7 @@
         let outcome = match answer {
             Ok((200, body)) => Outcome::Answered { text: body.to_string() },
             Ok((status, body)) => Outcome::Refused(Refused::read(status, &body, None)),
-            Err(error) => Outcome::Failed(error.to_string()),
+            Err(error) => Outcome::from(error),
         };
         let request = request_of(&outcome);
         let sent = Sent::Filing { key, body: body.to_string() };
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -208,7 +208,7 @@
         Outcome::Broken { text, .. } => {
             !crate::standin::answer(&completion.prompt, completion.max_tokens).starts_with(text.as_str())
         }
-        Outcome::Refused(_) | Outcome::Failed(_) => false,
+        Outcome::Refused(_) | Outcome::Failed(_) | Outcome::Unsent(_) => false,
     }
 }
 
@@ -241,7 +241,7 @@
         Outcome::Answered { text } | Outcome::Broken { text, .. } => {
             (done.arrival.completion.prompt.len().div_ceil(4) + text.split_whitespace().count()) as f64
         }
-        Outcome::Refused(_) | Outcome::Failed(_) => 0.0,
+        Outcome::Refused(_) | Outcome::Failed(_) | Outcome::Unsent(_) => 0.0,
     }
 }
 
@@ -273,7 +273,7 @@
             Outcome::Answered { .. } => continue,
             Outcome::Refused(refused) => refused.code.clone(),
             Outcome::Broken { .. } => "broken_stream".to_owned(),
-            Outcome::Failed(why) => format!("failed: {why}"),
+            Outcome::Failed(why) | Outcome::Unsent(why) => format!("failed: {why}"),
         };
         *codes.entry(code).or_insert(0) += 1;
     }
