Bring innocent neighbours of a crash out served

A request that crashes decode engines takes up to twenty neighbours with it. Cause of what the new test showed, one after another: (1) suspects retried together could be caught in a second crash and be quarantined, now an engine runs one suspect at a time; (2) their patience was over while they waited for that, now it counts from the break; (3) after failing on each engine they were refused with no_endpoint, now tried endpoints are better than none; (4) retry budgets of 10 were smaller than one engine's twenty requests, now 50. Crashes are counted at every entry, so another entry does not start anew. Ruled out: lost links.

--- a/crates/bench/src/cmd/slopes.rs
+++ b/crates/bench/src/cmd/slopes.rs
@@ -19,7 +19,7 @@
     agent::{Input, State},
     home::{self, Home, Start},
     message::{Load, Order, Work},
-    placement::{Need, Policy, View},
+    placement::{Need, Policy, Search, View},
     quota::{Loan, Purse, Waiter},
     settings::{Customer, Endpoint, Key, Role, Row, Running, Snapshot, digest},
 };
@@ -287,9 +287,15 @@
         for number in 0..CHOICES {
             let attempt = Attempt { request: Request(number as u128), number: 1 };
             let (now, tried) = (Time::ZERO.plus(Duration::from_millis(20)), BTreeSet::new());
-            let need = Need::Decode(3);
-            let chosen =
-                view.place(now, &mut rng, Policy::Current, "zone-0", &endpoints, need, attempt, &tried);
+            let search = Search {
+                policy: Policy::Current,
+                zone: "zone-0",
+                candidates: &endpoints,
+                need: Need::Decode(3),
+                attempt,
+                tried: &tried,
+            };
+            let chosen = view.place(now, &mut rng, &search);
             if let Some(chosen) = chosen {
                 view.done(&chosen, attempt);
             }
@@ -329,6 +335,7 @@
                 max_tokens: 200,
                 slack: Duration::from_secs(3_600),
                 patience: Duration::from_secs(3_600),
+                suspect: false,
             };
             let order = Order::Prefill { work, prompt: "".into(), wait: Duration::ZERO };
             state.step(Time::ZERO, Input::Order(1, order)).len()
--- a/crates/bench/src/standin.rs
+++ b/crates/bench/src/standin.rs
@@ -23,6 +23,9 @@
 
 /// Digest that stands for the KV cache of a prompt.
 pub fn content(prompt: &str) -> u64 {
+    if prompt.contains(DECODE_POISON) {
+        return CRASHING;
+    }
     tarragonhill_core::quarantine::fingerprint("", prompt.as_bytes())
 }
 
@@ -48,6 +51,12 @@
 /// A prompt with this word in it crashes every engine that runs it.
 pub const POISON: &str = "<poison>";
 
+/// A prompt with this word in it crashes every decode engine that runs it, with all its neighbours.
+pub const DECODE_POISON: &str = "<decode-poison>";
+
+/// The content of a cache that crashes decode engines.
+pub(crate) const CRASHING: u64 = u64::MAX;
+
 /// Locks a mutex whose holder may have panicked.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/core/src/agent/lane.rs
+++ b/crates/core/src/agent/lane.rs
@@ -1,7 +1,7 @@
 //! One endpoint as its agent sees it: what waits, what runs, and its memory.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -68,6 +68,11 @@
     pub(super) imports: Vec<Import>,
     pub(super) active: BTreeMap<Attempt, Active>,
     pub(super) ledger: Ledger,
+    /// The one suspect of a crash that may hold or run here.
+    suspect: Option<Attempt>,
+    /// Other suspects, oldest first. Guards against innocent neighbours that are caught in a second
+    /// crash and refused for it: of those that run together, only one can be caught twice.
+    parked: VecDeque<Job>,
     /// Links of the holds whose decode has not come yet.
     holders: BTreeMap<Attempt, Link>,
     /// Prompt tokens a second; none before the first measurement.
@@ -88,6 +93,8 @@
             imports: Vec::new(),
             active: BTreeMap::new(),
             ledger: Ledger::new(endpoint.pieces),
+            suspect: None,
+            parked: VecDeque::new(),
             holders: BTreeMap::new(),
             speed: None,
             pace: micros(FIRST_PACE) as f64,
@@ -126,6 +133,10 @@
         let start_by = now.plus(work.slack.saturating_sub(self.own_time(&work, &task)));
         let admission = self.admission(now, &work, &task);
         let job = Job { link, work, weight, start_by, until, task };
+        if job.work.suspect && self.role == Role::Decode {
+            self.parked.push_back(job);
+            return;
+        }
         match admission {
             Admission::Hopeless(span) => actions.push(refuse(link, attempt, Code::Overloaded, span)),
             Admission::Timely | Admission::Late if !wait.is_zero() => {
@@ -189,7 +200,7 @@
     /// Whether nothing runs, waits or is held.
     pub(super) fn is_idle(&self) -> bool {
         let quiet = self.active.is_empty() && self.waiting.is_empty();
-        let settled = self.imports.is_empty() && self.delayed.is_empty();
+        let settled = self.imports.is_empty() && self.delayed.is_empty() && self.parked.is_empty();
         quiet && settled && self.ledger.free() == self.ledger.capacity()
     }
 
@@ -202,6 +213,7 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         self.waiting.take(&mine);
+        self.parked.retain(|job| !mine(job.work.attempt, job.link));
         self.delayed.retain(|(_, job)| !mine(job.work.attempt, job.link));
         let waiting: Vec<Attempt> = self
             .imports
@@ -261,7 +273,10 @@
 
     /// Refuses at once what can no longer be served in time; its caller may go elsewhere.
     fn lapse(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let given_up = self.waiting.lapse(now);
+        let mut given_up = self.waiting.lapse(now);
+        while let Some(job) = self.parked.pop_front_if(|job| job.until <= now) {
+            given_up.push(job);
+        }
         actions.extend(
             given_up.iter().map(|job| refuse(job.link, job.work.attempt, Code::Overloaded, Duration::ZERO)),
         );
@@ -311,6 +326,7 @@
 
     fn pump_decode(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.start_imports(now, actions);
+        self.unpark();
         let mut granted = Vec::new();
         let ledger = std::cell::RefCell::new(&mut self.ledger);
         while let Some(job) = self.waiting.pop(|job| {
@@ -331,6 +347,17 @@
         }
     }
 
+    /// Queues the next suspect once the last one has left.
+    fn unpark(&mut self) {
+        let here = |attempt: &Attempt| self.ledger.has(*attempt) || self.waiting.contains(*attempt);
+        if self.suspect.as_ref().is_some_and(here) {
+            return;
+        }
+        let next = self.parked.pop_front();
+        self.suspect = next.as_ref().map(|job| job.work.attempt);
+        next.into_iter().for_each(|job| self.waiting.push(job));
+    }
+
     pub(super) fn start_imports(&mut self, now: Time, actions: &mut Vec<Action>) {
         let waiting = std::mem::take(&mut self.imports);
         for import in waiting {
--- a/crates/core/src/agent/waiting.rs
+++ b/crates/core/src/agent/waiting.rs
@@ -87,6 +87,11 @@
         taken
     }
 
+    pub(super) fn contains(&self, attempt: Attempt) -> bool {
+        let holds = |job: &Job| job.work.attempt == attempt;
+        self.timely.any(holds) || self.late.any(holds)
+    }
+
     /// Tokens that would run before a new timely job of `customer`.
     pub(super) fn ahead_of(&self, customer: &Arc<str>, cost: u64) -> u64 {
         self.timely.ahead_of(customer, cost)
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -30,6 +30,8 @@
     /// Time after which the work is given up, counted likewise. What cannot meet the first-token
     /// target is served after everything that can, until then.
     pub patience: Duration,
+    /// It was running when an endpoint crashed. An endpoint runs one such at a time.
+    pub suspect: bool,
 }
 
 /// What an entry tells an agent.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -16,12 +16,7 @@
 };
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
-use crate::{
-    clock::Time,
-    id::Attempt,
-    message::Load,
-    settings::{Endpoint, Named},
-};
+use crate::{clock::Time, id::Attempt, message::Load, settings::Named};
 
 /// How requests are placed. All but `current` are baselines to measure against.
 #[derive(
@@ -97,6 +92,23 @@
     down: bool,
 }
 
+/// One question where to send work.
+#[derive(Clone, Copy, Debug)]
+pub struct Search<'a> {
+    /// How to choose.
+    pub policy: Policy,
+    /// Availability zone of the entry; breaks ties.
+    pub zone: &'a str,
+    /// Endpoints that serve what is asked for, in the order of names.
+    pub candidates: &'a [Named],
+    /// What the work needs.
+    pub need: Need,
+    /// The attempt that is sent.
+    pub attempt: Attempt,
+    /// Endpoints on which this request has failed.
+    pub tried: &'a BTreeSet<Arc<str>>,
+}
+
 /// What one entry knows of all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -138,44 +150,48 @@
         self.seen.retain(|name, _| keep(name));
     }
 
-    /// Chooses an endpoint for `attempt` among `candidates` and counts the send.
-    #[allow(clippy::too_many_arguments, reason = "each is one independent input of the decision")]
-    pub fn place<R: Rng>(
-        &mut self,
+    /// Chooses an endpoint and counts the send.
+    ///
+    /// Endpoints tried before, and those that have just refused, are passed over as long as there
+    /// are others; a fleet in which each has failed once must still serve.
+    pub fn place<R: Rng>(&mut self, now: Time, rng: &mut R, search: &Search<'_>) -> Option<Arc<str>> {
+        let fresh = |named: &&Named| self.is_up(named) && self.is_fresh(now, &named.0, search.tried);
+        let up = |named: &&Named| self.is_up(named);
+        let choice = self.choose(now, rng, search, fresh).or_else(|| self.choose(now, rng, search, up))?;
+        self.sent(now, &choice, search.need, search.attempt);
+        Some(choice)
+    }
+
+    fn choose<R: Rng>(
+        &self,
         now: Time,
         rng: &mut R,
-        policy: Policy,
-        zone: &str,
-        candidates: &[Named],
-        need: Need,
-        attempt: Attempt,
-        tried: &BTreeSet<Arc<str>>,
+        search: &Search<'_>,
+        usable: impl Fn(&&Named) -> bool,
     ) -> Option<Arc<str>> {
-        let usable = |(name, endpoint): &&Named| !endpoint.leaving && self.is_usable(now, name, tried);
-        let choice = match policy {
+        let Search { candidates, need, .. } = *search;
+        let choice = match search.policy {
             Policy::RoundRobin => candidates.iter().filter(usable).choose(rng),
             Policy::LeastLoaded => {
                 candidates.iter().filter(usable).min_by_key(|(name, _)| self.reported(name, need))
             }
             Policy::HoldFirst | Policy::Current => {
                 let affine = self.affine(need);
-                let score =
-                    |(name, endpoint): &&Named| self.score(now, name, endpoint, zone, need, affine.as_ref());
+                let score = |named: &&Named| self.score(now, named, search, affine.as_ref());
                 sample(rng, candidates, affine.as_ref(), usable).into_iter().min_by_key(score)
             }
         };
-        let choice = choice?.0.clone();
-        self.sent(now, &choice, need, attempt);
-        Some(choice)
+        choice.map(|(name, _)| name.clone())
     }
 
-    fn is_usable(&self, now: Time, name: &Arc<str>, tried: &BTreeSet<Arc<str>>) -> bool {
-        if tried.contains(name) {
-            return false;
-        }
-        let Some(seen) = self.seen.get(name) else { return true };
+    fn is_up(&self, (name, endpoint): &Named) -> bool {
+        let Some(seen) = self.seen.get(name) else { return !endpoint.leaving };
         let leaving = seen.load.as_ref().is_some_and(|(load, _)| load.leaving);
-        !seen.down && !leaving && seen.avoid <= now
+        !endpoint.leaving && !leaving && !seen.down
+    }
+
+    fn is_fresh(&self, now: Time, name: &Arc<str>, tried: &BTreeSet<Arc<str>>) -> bool {
+        !tried.contains(name) && self.seen.get(name).is_none_or(|seen| seen.avoid <= now)
     }
 
     fn affine(&self, need: Need) -> Option<Arc<str>> {
@@ -191,15 +207,9 @@
     }
 
     /// Lower is better.
-    fn score(
-        &self,
-        now: Time,
-        name: &Arc<str>,
-        endpoint: &Endpoint,
-        zone: &str,
-        need: Need,
-        affine: Option<&Arc<str>>,
-    ) -> u64 {
+    fn score(&self, now: Time, named: &Named, search: &Search<'_>, affine: Option<&Arc<str>>) -> u64 {
+        let (name, endpoint) = named;
+        let need = search.need;
         let seen = self.seen.get(name);
         let (pieces, tokens) = seen.map_or((0, 0), |seen| {
             seen.sent
@@ -209,7 +219,7 @@
         let fresh = seen.and_then(|seen| seen.load.as_ref()).filter(|(_, at)| now.since(*at) < STALE);
         let base =
             fresh.map_or(u64::from(pieces) * 1_000 + tokens, |(load, _)| cost(load, pieces, tokens, need));
-        let away = u64::from(&*endpoint.zone != zone);
+        let away = u64::from(&*endpoint.zone != search.zone);
         let matched = if affine == Some(name) { affinity(need) } else { 0 };
         (base + away).saturating_sub(matched)
     }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -115,6 +115,11 @@
         taken
     }
 
+    /// Whether an item for which `holds` is queued.
+    pub fn any(&self, holds: impl Fn(&T) -> bool) -> bool {
+        self.flows.values().flat_map(|flow| flow.items.values()).any(|item| holds(&item.value))
+    }
+
     /// Tokens queued.
     pub fn queued(&self) -> u64 {
         self.queued
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -9,8 +9,9 @@
 
 /// Retries earned with each success.
 const EARNED: f64 = 0.2;
-/// Retries at hand before any success, and at most.
-const MOST: f64 = 10.0;
+/// Retries at hand before any success, and at most: a crash breaks the twenty or so requests of an
+/// engine at once, and a request that crashes one crashes a second before it is known.
+const MOST: f64 = 50.0;
 /// Tries of one request, the first included.
 pub const TRIES: u32 = 3;
 
--- a/crates/core/tests/agent.rs
+++ b/crates/core/tests/agent.rs
@@ -65,6 +65,7 @@
         max_tokens: 100,
         slack: Duration::from_millis(900),
         patience: Duration::from_secs(4),
+        suspect: false,
     }
 }
 
@@ -234,6 +235,25 @@
     );
 }
 
+/// A request crashes a decode engine with its neighbours, and all of them are tried again. If two
+/// suspects ran together again, an innocent one could be caught twice and refused for it.
+#[test]
+fn suspects_of_a_crash_run_one_at_a_time() {
+    let mut state = agent();
+    let suspect = |number| {
+        let work = Work { suspect: true, ..work(number, "decode", "faculty") };
+        Input::Order(LINK, Order::Hold { work, ahead: false })
+    };
+    let held = |actions: &[Action]| {
+        actions.iter().any(|action| matches!(action, Action::Send(_, Event::Held { .. })))
+    };
+    assert!(held(&state.step(at(0), suspect(1))));
+    assert!(!held(&state.step(at(1), suspect(2))), "there is room, but not for two suspects");
+    assert!(state.step(at(2), decode(1)).iter().any(|action| matches!(action, Action::Decode { .. })));
+    assert!(!held(&state.step(at(3), Input::Tick)));
+    assert!(held(&state.step(at(4), finished(1, "decode", Outcome::Decoded { total: 1 }))));
+}
+
 /// A decode engine crashes. Its memory is gone with it, so nothing may stay booked.
 #[test]
 fn crashed_engine_leaves_nothing_booked() {
--- a/crates/daemon/src/entry/caller.rs
+++ b/crates/daemon/src/entry/caller.rs
@@ -111,7 +111,7 @@
     let arrived = context.clock.now();
     let body = std::mem::replace(&mut inbound.body, Ok(Vec::new())).map_err(unreadable)?;
     let key = stages::identify(context, inbound.header("authorization"))?;
-    let ticket = Ticket { request, key, arrived };
+    let ticket = Ticket { request, key, arrived, waiting: arrived, suspect: false };
     if inbound.path == "/v1/completions" {
         if inbound.method != "POST" {
             return Err(Refusal::not_run(Code::NotFound, "completions take POST"));
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -9,7 +9,8 @@
     time::Duration,
 };
 
-use tarragonhill_core::{Clock, Code, Refusal, Request, placement::Policy};
+use async_std::task;
+use tarragonhill_core::{Clock, Code, Refusal, Request, message::Ask, placement::Policy, quarantine::Strike};
 use tarragonhill_platform::Table;
 
 use crate::{
@@ -61,6 +62,18 @@
         Err(Refusal::not_run(Code::SettingsUnconfirmed, message).retry_after(CATCH_UP))
     }
 
+    /// Counts a crash here and tells all other entries, so that sending the request again through
+    /// another one does not start the count anew. Crashes are rare, so telling all costs little.
+    pub(crate) async fn strike(self: &Arc<Self>, customer: &Arc<str>, fingerprint: u64) -> Strike {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for address in self.control.addresses((*entries).clone()).await.into_values() {
+            let context = self.clone();
+            let ask = Ask::Strike { customer: customer.clone(), fingerprint, crashed: true };
+            task::spawn(async move { context.peers.ask(&address, &context.name, ask).await });
+        }
+        self.control.strike(customer, fingerprint, true).await
+    }
+
     /// Sets the other entries known.
     pub(crate) fn set_entries(&self, entries: BTreeSet<Arc<str>>) {
         *self.entries.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(entries);
--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -18,7 +18,7 @@
     Attempt, Clock, Request, Time,
     home::{self, Home},
     message::{Answer, Ask, Breakage, Load},
-    placement::{Need, Policy, View},
+    placement::{Need, Policy, Search, View},
     quarantine::{self, Strike},
     quota::{Bucket, Grant, Purse, Verdict, Waiter},
     retry::Budget,
@@ -90,6 +90,7 @@
     Earn(Arc<str>, Arc<str>),
     Retry(Failure, Sender<bool>),
     Strike(Arc<str>, u64, bool, Sender<Strike>),
+    Clear(Arc<str>, u64),
     Ask(Arc<str>, Ask, Sender<Answer>),
     Lent(Arc<str>, u64, Option<Grant>),
     Renewal(Sender<home::Write>),
@@ -193,12 +194,17 @@
         self.ask(|reply| Command::Retry(failure, reply)).await.unwrap_or(false)
     }
 
-    /// Reports or looks up crashes that this process keeps as a customer's home.
+    /// Counts a crash, or looks up those counted.
     pub(crate) async fn strike(&self, customer: &Arc<str>, fingerprint: u64, crashed: bool) -> Strike {
         let strike = self.ask(|reply| Command::Strike(customer.clone(), fingerprint, crashed, reply)).await;
         strike.unwrap_or_default()
     }
 
+    /// Clears a suspect that ran to its end.
+    pub(crate) fn clear(&self, customer: &Arc<str>, fingerprint: u64) {
+        self.tell(Command::Clear(customer.clone(), fingerprint));
+    }
+
     /// Answers another entry.
     pub(crate) async fn answer(&self, from: Arc<str>, ask: Ask) -> Option<Answer> {
         self.ask(|reply| Command::Ask(from, ask, reply)).await
@@ -376,6 +382,7 @@
             Command::Strike(customer, fingerprint, crashed, reply) => {
                 let _ = reply.try_send(self.strike(now, &customer, fingerprint, crashed));
             }
+            Command::Clear(customer, fingerprint) => self.quarantine.cleared(&customer, fingerprint),
             Command::Ask(from, ask, reply) => {
                 let _ = reply.try_send(self.answer(now, &from, ask));
             }
@@ -540,17 +547,15 @@
 
     fn place(&mut self, now: Time, placement: &Placement) -> Option<Placed> {
         let settings = self.current.get();
-        let candidates = settings.serving(&placement.serves, placement.role);
-        let endpoint = self.view.place(
-            now,
-            &mut self.rng,
-            self.policy,
-            &self.zone,
-            candidates,
-            placement.need,
-            placement.attempt,
-            &placement.tried,
-        )?;
+        let search = Search {
+            policy: self.policy,
+            zone: &self.zone,
+            candidates: settings.serving(&placement.serves, placement.role),
+            need: placement.need,
+            attempt: placement.attempt,
+            tried: &placement.tried,
+        };
+        let endpoint = self.view.place(now, &mut self.rng, &search)?;
         let agent = settings.endpoints.get(&endpoint)?.agent.clone();
         let prefill = match (placement.need, self.speed) {
             (Need::Prefill(tokens, _), Some(speed)) => Duration::from_secs_f64(f64::from(tokens) / speed),
--- a/crates/daemon/src/entry/stages.rs
+++ b/crates/daemon/src/entry/stages.rs
@@ -32,6 +32,10 @@
     /// The key it came with, in force when it came.
     pub(crate) key: Arc<Key>,
     pub(crate) arrived: Time,
+    /// Since when it waits for its next token: since it came, or since its last attempt broke off.
+    pub(crate) waiting: Time,
+    /// Whether it was running when an endpoint crashed, here or at another entry.
+    pub(crate) suspect: bool,
 }
 
 /// Finds out whose request it is.
--- a/crates/daemon/src/entry/stages/complete.rs
+++ b/crates/daemon/src/entry/stages/complete.rs
@@ -3,11 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use futures_lite::FutureExt as _;
-use tarragonhill_core::{
-    Attempt, Code, Refusal,
-    message::Breakage,
-    quarantine::{Strike, fingerprint},
-};
+use tarragonhill_core::{Attempt, Code, Refusal, message::Breakage, quarantine::fingerprint};
 use tarragonhill_http::server::{Outbound, Watch};
 
 use super::{
@@ -41,7 +37,7 @@
         watch.gone().await;
         Err(Some(caller_left()))
     };
-    let outbound = serve(context, &ticket, &completion, output).or(gone).await;
+    let outbound = serve(context, ticket, &completion, output).or(gone).await;
     match outbound {
         Ok(Some(outbound)) => Ok(outbound),
         Ok(None) | Err(None) => Err(Refusal::run(Code::Broken, "the answer was lost")),
@@ -66,7 +62,7 @@
             watch.gone().await;
             Err(Some(caller_left()))
         };
-        if let Err(Some(refusal)) = serve(&context, &ticket, &completion, output).or(gone).await {
+        if let Err(Some(refusal)) = serve(&context, ticket, &completion, output).or(gone).await {
             let _ = refusals.try_send(refusal);
         }
     });
@@ -106,39 +102,51 @@
 type Served = Result<Option<Outbound>, Option<Refusal>>;
 
 async fn serve(
-    context: &Context,
-    ticket: &Ticket,
+    context: &Arc<Context>,
+    mut ticket: Ticket,
     completion: &Completion,
     mut output: Output<'_>,
 ) -> Served {
     let cost = u64::from(completion.prompt_tokens()) + u64::from(completion.max_tokens);
     let mark = fingerprint(&ticket.key.customer, completion.prompt.as_bytes());
-    let admitted = match quarantined(context, ticket, mark).await {
-        Ok(()) => admit(context, ticket, cost).await,
+    let admitted = match quarantined(context, &mut ticket, mark).await {
+        Ok(()) => admit(context, &ticket, cost).await,
         Err(refusal) => Err(refusal),
     };
     let mut charge = match admitted {
         Ok(charge) => charge,
         Err(refusal) => return Err(output.break_off(refusal).await),
     };
-    let ended = attempts(context, ticket, completion, mark, &mut output).await;
+    let ended = attempts(context, &mut ticket, completion, mark, &mut output).await;
     settle(&mut charge, completion, &output, &ended);
     drop(charge);
     match ended {
-        Ok(()) => {
-            context.metrics.answered.with_label_values(&["completion"]).inc();
+        Ok(endpoint) => {
+            note_answer(context, &ticket, &endpoint, output.next());
+            if ticket.suspect {
+                context.control.clear(&ticket.key.customer, mark);
+            }
             output.finish().await.map_err(|_| Some(caller_left()))
         }
         Err(refusal) => Err(output.break_off(refusal).await),
     }
 }
 
+fn note_answer(context: &Context, ticket: &Ticket, endpoint: &Arc<str>, tokens: u32) {
+    context.control.earn(&ticket.key.customer, endpoint);
+    context.metrics.answered.with_label_values(&["completion"]).inc();
+    let request = ticket.request.to_string();
+    spdlog::info!("answered", kv: {
+        request = request.as_str(), customer = &*ticket.key.customer, endpoint = &**endpoint, tokens
+    });
+}
+
 /// Charges what was used: nothing for a request that did not run.
 fn settle(
     charge: &mut Charge<'_>,
     completion: &Completion,
     output: &Output<'_>,
-    ended: &Result<(), Refusal>,
+    ended: &Result<Arc<str>, Refusal>,
 ) {
     if ended.as_ref().is_err_and(|refusal| refusal.not_run) {
         return;
@@ -146,87 +154,109 @@
     charge.used(u64::from(completion.prompt_tokens()) + u64::from(output.next()));
 }
 
-async fn quarantined(context: &Context, ticket: &Ticket, mark: u64) -> Result<(), Refusal> {
-    let Strike { quarantined, .. } = context.control.strike(&ticket.key.customer, mark, false).await;
-    if quarantined.is_zero() {
+/// Refuses a request that has crashed too many endpoints, and marks one that was seen at a crash.
+async fn quarantined(context: &Context, ticket: &mut Ticket, mark: u64) -> Result<(), Refusal> {
+    let strike = context.control.strike(&ticket.key.customer, mark, false).await;
+    ticket.suspect = strike.is_suspect();
+    if strike.quarantined.is_zero() {
         return Ok(());
     }
     let message = "this request has crashed endpoints and is refused for a while";
-    Err(Refusal::not_run(Code::Quarantined, message).retry_after(quarantined))
+    Err(Refusal::not_run(Code::Quarantined, message).retry_after(strike.quarantined))
+}
+
+/// What the attempts of one request have come to so far.
+#[derive(Default)]
+struct Tries {
+    /// Attempts made.
+    number: u32,
+    /// Attempts that broke off.
+    broken: u32,
+    /// Endpoints that had no room.
+    full: usize,
+    /// Whether anything has run.
+    ran: bool,
+    /// Endpoints not to be asked again.
+    tried: BTreeSet<Arc<str>>,
 }
 
+/// Tries until an attempt ends with a whole answer; returns the endpoint that finished it.
 async fn attempts(
-    context: &Context,
-    ticket: &Ticket,
+    context: &Arc<Context>,
+    ticket: &mut Ticket,
     completion: &Completion,
     mark: u64,
     output: &mut Output<'_>,
-) -> Result<(), Refusal> {
-    let mut tried = BTreeSet::new();
-    let mut full = 0;
-    let mut ran = false;
-    let (mut number, mut failures) = (1, 1);
+) -> Result<Arc<str>, Refusal> {
+    let mut tries = Tries::default();
     loop {
-        let attempt = Attempt { request: ticket.request, number };
+        tries.number += 1;
+        let attempt = Attempt { request: ticket.request, number: tries.number };
         let mut dispatch = Dispatch::new(context, attempt);
-        let ended = one(context, ticket, completion, &mut dispatch, &tried, output, &mut ran).await;
+        let ended = one(context, ticket, completion, &mut dispatch, &mut tries, output).await;
         drop(dispatch);
-        number += 1;
         match ended {
-            Ok(endpoint) => {
-                context.control.earn(&ticket.key.customer, &endpoint);
-                return Ok(());
-            }
+            Ok(endpoint) => return Ok(endpoint),
             Err(Failure::Refused(refusal)) => {
-                return Err(Refusal { not_run: refusal.not_run && !ran, ..refusal });
+                return Err(Refusal { not_run: refusal.not_run && !tries.ran, ..refusal });
             }
             Err(Failure::Full { endpoint, retry_after }) => {
                 context.control.avoid(&endpoint, AVOID.max(retry_after.min(context.first_token)));
-                full += 1;
+                tries.full += 1;
                 let late = super::plan::patience(context, ticket).is_zero();
-                if full > ALTERNATIVES || late {
-                    return Err(overloaded(ran, retry_after));
+                if tries.full > ALTERNATIVES || late {
+                    return Err(overloaded(tries.ran, retry_after));
                 }
-                tried.insert(endpoint);
+                tries.tried.insert(endpoint);
             }
             Err(Failure::Broken { endpoint, cause }) => {
-                ran = true;
-                if cause == Breakage::Crashed {
-                    let strike = context.control.strike(&ticket.key.customer, mark, true).await;
-                    if !strike.quarantined.is_zero() {
-                        return Err(broken(cause));
-                    }
-                }
-                let failure = control::Failure {
-                    customer: ticket.key.customer.clone(),
-                    endpoint: endpoint.clone(),
-                    number: failures,
-                    cause,
-                };
-                failures += 1;
-                if !context.control.retry(failure).await {
-                    return Err(broken(cause));
-                }
+                tries.ran = true;
+                tries.broken += 1;
+                may_retry(context, ticket, mark, &endpoint, tries.broken, cause).await?;
                 context.metrics.retries.inc();
-                tried.insert(endpoint);
+                ticket.waiting = context.clock.now();
+                tries.tried.insert(endpoint);
             }
         }
     }
 }
 
+/// Whether a request that broke off may be tried again: it must not have crashed too many
+/// endpoints, and the budgets of its customer and the endpoint must allow it.
+async fn may_retry(
+    context: &Arc<Context>,
+    ticket: &mut Ticket,
+    mark: u64,
+    endpoint: &Arc<str>,
+    number: u32,
+    cause: Breakage,
+) -> Result<(), Refusal> {
+    let customer = ticket.key.customer.clone();
+    if cause == Breakage::Crashed {
+        ticket.suspect = true;
+        if !context.strike(&customer, mark).await.quarantined.is_zero() {
+            return Err(broken(cause));
+        }
+    }
+    let failure = control::Failure { customer, endpoint: endpoint.clone(), number, cause };
+    match context.control.retry(failure).await {
+        true => Ok(()),
+        false => Err(broken(cause)),
+    }
+}
+
 /// One attempt through all costly stages; returns the endpoint that finished it.
 async fn one(
     context: &Context,
     ticket: &Ticket,
     completion: &Completion,
     dispatch: &mut Dispatch<'_>,
-    tried: &BTreeSet<Arc<str>>,
+    tries: &mut Tries,
     output: &mut Output<'_>,
-    ran: &mut bool,
 ) -> Result<Arc<str>, Failure> {
-    let planned = plan(context, ticket, completion, dispatch, tried).await?;
-    let prefilled = prefill(context, ticket, completion, dispatch, &planned, tried).await?;
-    *ran = true;
+    let planned = plan(context, ticket, completion, dispatch, &tries.tried).await?;
+    let prefilled = prefill(context, ticket, completion, dispatch, &planned, &tries.tried).await?;
+    tries.ran = true;
     decode(context, ticket, completion, dispatch, &planned, prefilled, output).await?;
     Ok(planned.decode.endpoint)
 }
--- a/crates/daemon/src/entry/stages/plain.rs
+++ b/crates/daemon/src/entry/stages/plain.rs
@@ -113,6 +113,7 @@
         max_tokens: 0,
         slack: LONGEST,
         patience: LONGEST,
+        suspect: false,
     };
     let order = Order::Call {
         work,
--- a/crates/daemon/src/entry/stages/plan.rs
+++ b/crates/daemon/src/entry/stages/plan.rs
@@ -21,6 +21,9 @@
 
 /// An agent answers a hold by its deadline; this much later it is taken for stalled.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
+/// Patience of suspects of a crash. They run one at a time, and most of them are innocent and have
+/// been paid for.
+const SUSPECT_PATIENCE: Duration = Duration::from_secs(30);
 /// Slack of the baselines, which know no early refusal.
 const NO_SLACK: Duration = Duration::from_secs(30);
 
@@ -50,6 +53,7 @@
         max_tokens: completion.max_tokens,
         slack: slack(context, ticket),
         patience: patience(context, ticket),
+        suspect: ticket.suspect,
     }
 }
 
@@ -58,7 +62,7 @@
     if !context.policy.holds() {
         return NO_SLACK;
     }
-    context.first_token.saturating_sub(context.clock.now().since(ticket.arrived))
+    context.first_token.saturating_sub(context.clock.now().since(ticket.waiting))
 }
 
 /// Time left until the request is given up.
@@ -66,7 +70,8 @@
     if !context.policy.holds() {
         return NO_SLACK;
     }
-    context.patience.saturating_sub(context.clock.now().since(ticket.arrived))
+    let all = if ticket.suspect { context.patience.max(SUSPECT_PATIENCE) } else { context.patience };
+    all.saturating_sub(context.clock.now().since(ticket.waiting))
 }
 
 /// Chooses a decode endpoint and, by policy, holds its memory.
--- a/crates/daemon/src/entry/stages/prefill.rs
+++ b/crates/daemon/src/entry/stages/prefill.rs
@@ -48,11 +48,7 @@
     super::recheck(context, ticket)?;
     let mut tried = tried.clone();
     for left in (0..=ALTERNATIVES).rev() {
-        let Some(placed) = place(context, completion, dispatch, &tried).await else {
-            // Everybody has been asked: the next attempt may ask the first one again.
-            tried.clear();
-            continue;
-        };
+        let placed = place(context, completion, dispatch, &tried).await.ok_or_else(no_endpoint)?;
         let ended = run(context, ticket, completion, dispatch, planned, &placed, left == 0).await;
         match ended {
             Err(Failure::Full { endpoint, .. }) if left > 0 => {
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -71,6 +71,7 @@
             max_tokens: work.max_tokens,
             slack_us: micros(work.slack),
             patience_us: micros(work.patience),
+            suspect: work.suspect,
         }
     }
 }
@@ -86,6 +87,7 @@
         max_tokens: sent.max_tokens,
         slack: Duration::from_micros(sent.slack_us),
         patience: Duration::from_micros(sent.patience_us),
+        suspect: sent.suspect,
     })
 }
 
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -57,6 +57,8 @@
     pub slack_us: u64,
     #[prost(uint64, tag = "8")]
     pub patience_us: u64,
+    #[prost(bool, tag = "9")]
+    pub suspect: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Hold {
