Let a lone entry leave, and be followed

Found by hand: SIGTERM on the only entry took the whole drain time, 120 s. Cause: a shard can be offered only to another entry, and there was none. Ruled out: the listener (closed at once) and running requests (none). Now the last entry offers its shards to nobody in particular; and a dead entry that was alone, which nobody could have renewed, is followed without the platform's word, at half the share.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -398,7 +398,12 @@
         wanted: Option<&Arc<str>>,
         ranked: &[Arc<str>],
     ) -> Option<Write> {
-        let moves = wanted.is_some_and(|wanted| *wanted != self.me);
+        // The last entry to leave offers to nobody in particular: whoever comes first may take it.
+        let nobody: Arc<str> = "".into();
+        let taker = match wanted {
+            Some(wanted) => (*wanted != self.me).then_some(wanted),
+            None => self.leaving.then_some(&nobody),
+        };
         let parted: BTreeMap<_, _> = known
             .row
             .parted
@@ -411,10 +416,10 @@
         if tenure.offered.is_some_and(|since| now.since(since) < OFFER_TIMEOUT) {
             return None;
         }
-        if moves && tenure.offered.is_none() {
+        if let Some(taker) = taker.filter(|_| tenure.offered.is_none()) {
             tenure.offered = Some(now);
             let start = Start::Handed(tenure.hand_over(now, settings, shard));
-            let owner = wanted?.clone();
+            let owner = taker.clone();
             let row = Shard { owner, incarnation: 0, epoch: known.row.epoch + 1, start, ..known.row.clone() };
             return Some(write(shard_key(shard), known.version, &row));
         }
@@ -445,6 +450,8 @@
         let first = ranked.first() == Some(&self.me);
         let heir = match live.contains(&row.successor) {
             true => row.successor == self.me,
+            // It was alone, so nobody has renewed it: cut off, it lends half.
+            false if row.successor.is_empty() => first,
             // Owner and successor are both silent. They may be cut off together and renew one
             // another, so a third entry follows only once the platform says that both are gone.
             false => first && self.gone.contains(&row.successor) && self.gone.contains(&row.owner),
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -269,3 +269,30 @@
     let since = 12 * RATE;
     assert!(lent < since, "{lent} tokens: the wait for slices was not kept");
 }
+
+/// The only entry is shut down and another comes in its place. Unless it hands over to whoever
+/// comes, its shutdown never ends, and the next one waits for a word that nobody gives.
+#[test]
+fn last_entry_to_leave_hands_over_to_the_next_that_comes() {
+    let mut world = World::new(&["a"]);
+    world.drain("a");
+    world.entries.get_mut("a").expect("known").leave();
+    (0..2).for_each(|_| world.round());
+    assert!(world.entries["a"].is_empty());
+    world.entries.remove("a");
+    world.start("b", 1);
+    (0..3).for_each(|_| world.round());
+    assert_eq!(&*world.owner("b"), "b");
+    assert!(world.drain("b") <= 6 * RATE);
+}
+
+/// The only entry host dies for good and another one comes under a new name.
+#[test]
+fn dead_lone_entry_is_followed_by_the_next_that_comes() {
+    let mut world = World::new(&["a"]);
+    world.entries.remove("a");
+    world.start("b", 1);
+    (0..16).for_each(|_| world.round());
+    assert_eq!(&*world.owner("b"), "b");
+    assert!((1..=BURST / 2).contains(&world.drain("b")), "half, until the old one is known to be gone");
+}
