Compare the record's version when an outcome is written

Found by reading: an outcome was written over the record of a call without comparing versions. A write taken for lost may land later; an 'abandoned' that lands after the next request under the key has run makes the call look as if it had not, and the next caller makes it again. Before: the new test's third call runs again (429 instead of the recorded answer); after: it is answered from the record.

--- a/crates/bench/src/standin/table.rs
+++ b/crates/bench/src/standin/table.rs
@@ -95,6 +95,31 @@
     stored: Arc<Mutex<Stored>>,
     reads: Arc<AtomicU64>,
     writes: Arc<AtomicU64>,
+    late: Arc<Mutex<Option<Late>>>,
+}
+
+/// A write that is to be answered with an error at once and to land later.
+#[derive(Clone, Debug)]
+struct Late {
+    prefix: String,
+    /// Writes under the prefix that pass before it.
+    skip: u32,
+    after: Duration,
+}
+
+impl Late {
+    /// Whether this is the one.
+    fn takes(late: &mut Option<Self>, transaction: &Transaction) -> Option<Duration> {
+        let next = late.as_mut()?;
+        if !transaction.writes.iter().any(|write| write.key.starts_with(&next.prefix)) {
+            return None;
+        }
+        if next.skip > 0 {
+            next.skip -= 1;
+            return None;
+        }
+        late.take().map(|late| late.after)
+    }
 }
 
 impl Table {
@@ -108,15 +133,19 @@
             writes: Bucket::full(rates.writes, rates.writes, Time::ZERO),
             reads: Bucket::full(rates.reads, rates.reads, Time::ZERO),
         }));
-        let shared = (stored.clone(), limiter, switches.clone(), reads.clone(), writes.clone());
+        let late: Arc<Mutex<Option<Late>>> = Arc::default();
+        let shared = (stored.clone(), limiter, switches.clone(), reads.clone(), writes.clone(), late.clone());
         let listening = Listening::start(switches.clone(), move |inbound| {
-            let (stored, limiter, switches, reads, writes) = shared.clone();
+            let (stored, limiter, switches, reads, writes, late) = shared.clone();
             async move {
                 let is_write = inbound.method == "POST";
                 if !allowed(&limiter, is_write) {
                     return Outbound::text(429, "rate limited");
                 }
                 if is_write { &writes } else { &reads }.fetch_add(1, Ordering::Relaxed);
+                if is_write && delayed(&stored, &late, &inbound) {
+                    return Outbound::text(500, "lost");
+                }
                 let outbound = answer(&stored, &inbound);
                 if is_write && switches.loses() {
                     // The write took effect and its answer is lost.
@@ -127,7 +156,7 @@
             }
         })
         .await?;
-        Ok(Self { switches, listening, stored, reads, writes })
+        Ok(Self { switches, listening, stored, reads, writes, late })
     }
 
     /// Where it listens.
@@ -155,12 +184,29 @@
         lock(&self.stored).rows.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Makes one write under `prefix`, the one after `skip` others, look lost and land after a while.
+    pub fn delay_write(&self, prefix: &str, skip: u32, after: Duration) {
+        *lock(&self.late) = Some(Late { prefix: prefix.to_owned(), skip, after });
+    }
+
     /// Reads and writes served so far.
     pub fn served(&self) -> (u64, u64) {
         (self.reads.load(Ordering::Relaxed), self.writes.load(Ordering::Relaxed))
     }
 }
 
+/// Takes a write that is to land later; true if this was one.
+fn delayed(stored: &Arc<Mutex<Stored>>, late: &Mutex<Option<Late>>, inbound: &Inbound) -> bool {
+    let Ok(transaction) = body::<Transaction>(inbound) else { return false };
+    let Some(after) = Late::takes(&mut lock(late), &transaction) else { return false };
+    let stored = stored.clone();
+    async_std::task::spawn(async move {
+        async_std::task::sleep(after).await;
+        let _ = lock(&stored).commit(&transaction);
+    });
+    true
+}
+
 fn allowed(limiter: &Mutex<Limiter>, is_write: bool) -> bool {
     let mut limiter = lock(limiter);
     let now = Time::ZERO.plus(limiter.began.elapsed());
--- a/crates/bench/tests/path.rs
+++ b/crates/bench/tests/path.rs
@@ -23,7 +23,11 @@
 fn shape() -> Shape {
     Shape {
         prefill_power: prefill::Power { tokens_per_s: 1_000_000, ..prefill::Power::default() },
-        tenants: vec![Tenant::new("faculty", 500_000, 1_000_000), Tenant::new("grants", 1_000, 1_000)],
+        tenants: vec![
+            Tenant::new("faculty", 500_000, 1_000_000),
+            Tenant::new("grants", 1_000, 1_000),
+            Tenant::new("poor", 1, 1),
+        ],
         ..Shape::small()
     }
 }
@@ -198,6 +202,35 @@
     });
 }
 
+/// A call is given up before it is sent, and the write that says so looks lost and lands late. In
+/// between the call was made under the same key. The late write must not undo the record of that,
+/// or the next caller makes it again.
+#[test]
+fn late_write_does_not_undo_a_record() {
+    run(|fleet| async move {
+        let late = Duration::from_secs(2);
+        let caller = caller(&fleet, 0, "poor");
+        // Spends what the customer has, so that the call is given up for lack of tokens.
+        let lookup = format!("/v1/services/{SERVICE}/records/1");
+        caller.call("GET", &lookup, &json!(null), None).await.expect("an answer");
+        fleet.table.delay_write("once/", 1, late);
+        let path = format!("/v1/services/{SERVICE}/submissions");
+        let body = json!({});
+        let file = || caller.call("POST", &path, &body, Some("s-3"));
+        let mut given_up = 0;
+        while file().await.expect("an answer").0 != 200 {
+            given_up += 1;
+            task::sleep(Duration::from_millis(100)).await;
+        }
+        assert!(given_up > 0, "the call was never given up");
+        task::sleep(late).await;
+        assert_eq!(file().await.expect("an answer").0, 200);
+        let executed: u32 = fleet.plain.iter().flat_map(|s| s.executions().into_values()).sum();
+        assert_eq!(executed, 1);
+        fleet.stop().await;
+    });
+}
+
 /// The table is down before the call. Sent without a record, it might be repeated; it is refused.
 #[test]
 fn call_without_a_record_is_not_sent() {
--- a/crates/daemon/src/entry/once.rs
+++ b/crates/daemon/src/entry/once.rs
@@ -36,15 +36,18 @@
         digest: call_digest(&call),
         token: ticket.request,
     };
-    match record.start().await? {
-        Step::Dispatch => {}
-        Step::Replay { status, body } => {
-            return Ok(stages::Reply { status, body: body.into_bytes() }.outbound());
-        }
-        Step::Refuse(refusal) => return Err(refusal),
-        Step::Reclaim => return Err(unavailable("the record is contended")),
+    match record.begin().await? {
+        Begun::Ours(version) => dispatch(context, ticket, &call, &record, version).await,
+        Begun::Replay(reply) => Ok(reply.outbound()),
     }
-    dispatch(context, ticket, &call, &record).await
+}
+
+/// What became of the attempt to begin a call.
+enum Begun {
+    /// The record is ours and stands at this version: dispatch, once.
+    Ours(u64),
+    /// The call was made before; this is its answer.
+    Replay(stages::Reply),
 }
 
 /// Digest of everything that makes it this call and no other.
@@ -58,22 +61,23 @@
     ticket: &Ticket,
     call: &Call,
     record: &Entry<'_>,
+    version: u64,
 ) -> Result<Outbound, Refusal> {
     let _charge = match stages::charge_call(context, ticket).await {
         Ok(charge) => charge,
         Err(refusal) => {
-            record.finish(State::Abandoned).await;
+            record.finish(version, State::Abandoned).await;
             return Err(refusal);
         }
     };
     match stages::dispatch(context, ticket, call, 1, &BTreeSet::new()).await {
         Ok((_, reply)) => {
             let body = String::from_utf8_lossy(&reply.body).into_owned();
-            record.finish(State::Answered { status: reply.status, body }).await;
+            record.finish(version, State::Answered { status: reply.status, body }).await;
             context.metrics.answered.with_label_values(&["call_once"]).inc();
             Ok(reply.outbound())
         }
-        Err(failure) => Err(record.failed(failure).await),
+        Err(failure) => Err(record.failed(version, failure).await),
     }
 }
 
@@ -86,32 +90,32 @@
 }
 
 impl Entry<'_> {
-    /// Inserts the record; completes with what that means for this request.
-    async fn start(&self) -> Result<Step, Refusal> {
+    /// Inserts the record, unless another stands there.
+    async fn begin(&self) -> Result<Begun, Refusal> {
         for _ in 0..TRIES {
             let found = self.read().await?;
-            let Some((version, record)) = found else {
-                match self.insert(0).await? {
-                    Some(step) => return Ok(step),
-                    None => continue,
-                }
-            };
-            match once::step(&record, &self.digest, self.token) {
-                Step::Reclaim => {
-                    if let Some(step) = self.insert(version).await? {
-                        return Ok(step);
+            let expected = match found {
+                None => 0,
+                Some((version, record)) => match once::step(&record, &self.digest, self.token) {
+                    Step::Dispatch => return Ok(Begun::Ours(version)),
+                    Step::Replay { status, body } => {
+                        return Ok(Begun::Replay(stages::Reply { status, body: body.into_bytes() }));
                     }
-                }
-                step => return Ok(step),
+                    Step::Refuse(refusal) => return Err(refusal),
+                    Step::Reclaim => version,
+                },
+            };
+            if let Some(version) = self.insert(expected).await? {
+                return Ok(Begun::Ours(version));
             }
         }
         Err(unavailable("the record is contended"))
     }
 
-    /// Writes `Started` over `expected`; `None` if another stands there now.
-    async fn insert(&self, expected: u64) -> Result<Option<Step>, Refusal> {
-        match self.write(State::Started, Some(expected)).await {
-            Ok(_) => Ok(Some(Step::Dispatch)),
+    /// Writes `Started` over `expected`; the version it stands at, none if another stands there now.
+    async fn insert(&self, expected: u64) -> Result<Option<u64>, Refusal> {
+        match self.write(State::Started, expected).await {
+            Ok(version) => Ok(Some(version)),
             Err(TableError::Conflict(_)) => Ok(None),
             Err(TableError::Unavailable(why)) => Err(unavailable(&why)),
             Err(TableError::Unknown(_)) => self.settle(expected).await,
@@ -120,7 +124,7 @@
 
     /// Finds out whether a write whose answer was lost has landed, and makes sure that it cannot
     /// land later: the tombstone takes the place that the write expects to be free.
-    async fn settle(&self, expected: u64) -> Result<Option<Step>, Refusal> {
+    async fn settle(&self, expected: u64) -> Result<Option<u64>, Refusal> {
         for _ in 0..TRIES {
             let Ok(found) = self.read().await else {
                 self.context.clock.sleep(PAUSE).await;
@@ -128,10 +132,10 @@
             };
             let standing = found.as_ref().filter(|(version, _)| *version != expected);
             match once::settle(standing.map(|(_, record)| record), self.token) {
-                Lost::Landed => return Ok(Some(Step::Dispatch)),
+                Lost::Landed => return Ok(standing.map(|(version, _)| *version)),
                 Lost::Other => return Ok(None),
                 Lost::Tombstone => {
-                    if self.write(State::Abandoned, Some(expected)).await.is_ok() {
+                    if self.write(State::Abandoned, expected).await.is_ok() {
                         return Err(unavailable("the record could not be written"));
                     }
                 }
@@ -149,17 +153,21 @@
         Ok(Some((version, record)))
     }
 
-    async fn write(&self, state: State, expected: Option<u64>) -> Result<u64, TableError> {
+    async fn write(&self, state: State, expected: u64) -> Result<u64, TableError> {
         let record = Record { digest: self.digest.clone(), token: self.token, state };
-        let write = Write { key: self.key.clone(), expected, value: Some(json!(record)) };
+        let write = Write { key: self.key.clone(), expected: Some(expected), value: Some(json!(record)) };
         self.context.table.commit(&Transaction { writes: vec![write] }).await
     }
 
-    /// Records an outcome. The record is ours, so writing it again is idempotent.
-    async fn finish(&self, state: State) {
+    /// Records an outcome over our record, which stands at `version`.
+    ///
+    /// Guards against a write that was taken for lost and lands late, when the next request under
+    /// this key has long run: unconditional, it would make the call look as if it had not.
+    async fn finish(&self, version: u64, state: State) {
         for _ in 0..TRIES {
-            match self.write(state.clone(), None).await {
-                Ok(_) => return,
+            match self.write(state.clone(), version).await {
+                // Nobody else writes over a started record: an earlier try of ours has landed.
+                Ok(_) | Err(TableError::Conflict(_)) => return,
                 Err(error) => {
                     spdlog::warn!("outcome not recorded yet: {error}", kv: { row = self.key.as_str() })
                 }
@@ -169,20 +177,20 @@
         spdlog::error!("outcome not recorded", kv: { row = self.key.as_str() });
     }
 
-    async fn failed(&self, failure: stages::Failure) -> Refusal {
+    async fn failed(&self, version: u64, failure: stages::Failure) -> Refusal {
         match failure {
             // The agent confirmed, or nothing was sent: the call never runs, so it may be made again.
             stages::Failure::Refused(refusal) if refusal.not_run => {
-                self.finish(State::Abandoned).await;
+                self.finish(version, State::Abandoned).await;
                 refusal
             }
             stages::Failure::Full { retry_after, .. } => {
-                self.finish(State::Abandoned).await;
+                self.finish(version, State::Abandoned).await;
                 let refusal = Refusal::not_run(Code::Overloaded, "the service has no room");
                 refusal.retry_after(retry_after.max(PAUSE))
             }
             stages::Failure::Refused(_) | stages::Failure::Broken { .. } => {
-                self.finish(State::Unknown).await;
+                self.finish(version, State::Unknown).await;
                 once::unknown()
             }
         }
--- /dev/null
+++ b/crates/wire/tests/convert.rs
@@ -0,0 +1,120 @@
+//! Every message survives the trip to protobuf and back; what makes no sense is refused.
+
+use std::{sync::Arc, time::Duration};
+
+use tarragonhill_core::{
+    Attempt, Code, Request,
+    message::{Answer, Ask, Beat, Breakage, Event, Load, Order, Work},
+    quarantine::Strike,
+    quota::{Grant, Loan},
+};
+use tarragonhill_wire::{DecodeError, proto};
+
+const SPAN: Duration = Duration::from_micros(1_234_567);
+
+fn attempt() -> Attempt {
+    Attempt { request: Request(u128::MAX - 5), number: 3 }
+}
+
+fn name(text: &str) -> Arc<str> {
+    text.into()
+}
+
+fn work() -> Work {
+    Work {
+        attempt: attempt(),
+        endpoint: name("decode"),
+        customer: name("faculty"),
+        key: name("key"),
+        prompt_tokens: 7,
+        max_tokens: 8,
+        slack: SPAN,
+        patience: SPAN * 2,
+        suspect: true,
+    }
+}
+
+fn beat() -> Beat {
+    let load = Load {
+        endpoint: name("decode"),
+        free_pieces: 1,
+        capacity_pieces: 2,
+        queued_tokens: 3,
+        running: 4,
+        leaving: true,
+    };
+    Beat { version: 9, age: SPAN, every: SPAN, loads: vec![load] }
+}
+
+#[test]
+fn orders_survive() {
+    for order in [
+        Order::Hello { entry: name("entry") },
+        Order::Hold { work: work(), ahead: true },
+        Order::Prefill { work: work(), prompt: name("prompt"), wait: SPAN },
+        Order::Decode { work: work(), source: name("a"), kv: name("b"), from_index: 5, held: true },
+        Order::Call {
+            work: work(),
+            method: name("POST"),
+            path: name("/p"),
+            body: vec![0, 255],
+            idempotency_key: name("k"),
+        },
+        Order::Cancel(attempt()),
+        Order::Beat(beat()),
+    ] {
+        assert_eq!(Order::try_from(proto::Order::from(order.clone())), Ok(order));
+    }
+}
+
+#[test]
+fn events_survive() {
+    let attempt = attempt();
+    for event in [
+        Event::Held { attempt, ready_in: SPAN },
+        Event::Refused { attempt, code: Code::Overloaded, not_run: true, retry_after: SPAN },
+        Event::Prefilled { attempt, source: name("a"), kv: name("b"), lives: SPAN },
+        Event::Tokens { attempt, first_index: 4, texts: vec![name("x"), name("y")] },
+        Event::Ended { attempt, total: 6 },
+        Event::Broken { attempt, cause: Breakage::Evicted },
+        Event::Answered { attempt, status: 204, body: vec![1] },
+        Event::Beat(beat()),
+    ] {
+        assert_eq!(Event::try_from(proto::Event::from(event.clone())), Ok(event));
+    }
+}
+
+#[test]
+fn questions_and_answers_of_peers_survive() {
+    let loan = Loan { tokens: 1, minimum: 2, unspent: 3, refund: 4, serial: 5 };
+    for ask in [
+        Ask::Borrow { customer: name("faculty"), loan },
+        Ask::Beat(beat()),
+        Ask::Strike { customer: name("faculty"), fingerprint: u64::MAX, crashed: true },
+        Ask::Renew { incarnation: 8 },
+        Ask::Look,
+    ] {
+        assert_eq!(Ask::try_from(proto::peer_request::Body::from(ask.clone())), Ok(ask));
+    }
+    for answer in [
+        Answer::Lent(Grant { tokens: 1, term: SPAN, retry_after: SPAN }),
+        Answer::Beat(beat()),
+        Answer::Struck(Strike { crashes: 2, quarantined: SPAN }),
+        Answer::Renewed { granted: true },
+        Answer::Noted,
+        Answer::NotHome { owner: name("entry"), epoch: 3 },
+    ] {
+        assert_eq!(Answer::try_from(proto::PeerReply::from(answer.clone())), Ok(answer));
+    }
+}
+
+#[test]
+fn incomplete_or_unknown_parts_are_refused_by_name() {
+    assert_eq!(Order::try_from(proto::Order { body: None }), Err(DecodeError::Missing("order")));
+    let hold =
+        proto::Order { body: Some(proto::order::Body::Hold(proto::Hold { work: None, ahead: false })) };
+    assert_eq!(Order::try_from(hold), Err(DecodeError::Missing("work")));
+    let broken = proto::Broken { attempt: Some(attempt().into()), code: "melted".into() };
+    let event = proto::Event { body: Some(proto::event::Body::Broken(broken)) };
+    assert_eq!(Event::try_from(event), Err(DecodeError::Unknown("breakage", "melted".into())));
+}
