Promise places 0.3 s ahead instead of up to the whole slack

Cause: how soon a decode ends is predicted from mean answer lengths; 0.9 s ahead that is wrong too often, and the prefill's result waits for its place or is evicted. Ruled out: the fair queue (hold-first uses it too).

--- a/crates/core/src/agent/lane.rs
+++ b/crates/core/src/agent/lane.rs
@@ -33,8 +33,9 @@
 const FIRST_LENGTH: f64 = 1.0;
 /// Weight of the newest measurement in a running mean.
 const NEWEST: f64 = 0.2;
-/// How far ahead a place is promised to work that can no longer meet its target.
-const LATE_HORIZON: Duration = Duration::from_millis(300);
+/// How far ahead a place about to fall free is promised: about as long as a prefill takes, so that
+/// neither waits for the other. Predictions further ahead are wrong too often (docs/rounds.md).
+const AHEAD: Duration = Duration::from_millis(300);
 
 /// A decode order whose memory is not free yet.
 #[derive(Clone, Debug)]
@@ -331,7 +332,7 @@
         let ledger = std::cell::RefCell::new(&mut self.ledger);
         while let Some(job) = self.waiting.pop(|job| {
             let Task::Hold { ahead } = job.task else { return false };
-            let horizon = ahead.then(|| job.start_by.since(now).max(LATE_HORIZON));
+            let horizon = ahead.then_some(AHEAD);
             let until = job.until.plus(HOLD_GRACE);
             let hold = ledger.borrow_mut().hold(now, job.work.attempt, job.pieces(), until, horizon);
             matches!(hold, Hold::Granted(_))
