Charge callers that leave; close the listener before the last requests end

By reading: a request whose caller left was refunded whole, so a customer could have any number of prefills run by leaving each answer in its middle. Before: the new test's second request of 990 tokens is served at a burst of 1,000; after: over_rate. Ruled out: the grace of 0.3 s for requests being sent (its own test passes both ways).

--- a/crates/bench/tests/path.rs
+++ b/crates/bench/tests/path.rs
@@ -179,6 +179,22 @@
     });
 }
 
+/// A caller leaves each answer in its middle. Charged for nothing, its customer could have any
+/// number of prefills run beyond its rate.
+#[test]
+fn leaving_early_is_not_free() {
+    run(|fleet| async move {
+        let caller = caller(&fleet, 0, "grants");
+        let wanted = completion(&"x".repeat(3_200), 100, true);
+        caller.leave_after(&wanted, 1).await.expect("the stream begins");
+        let free = || async { fleet.decode.iter().all(|engine| engine.memory().0 == 0) };
+        assert!(eventually(free).await);
+        let again = caller.complete(&completion(&"y".repeat(3_600), 90, false)).await;
+        assert_eq!(refusal(&again.outcome), ("over_rate", true));
+        fleet.stop().await;
+    });
+}
+
 /// The plain service's answer is lost after the call took effect. The caller tries again under the
 /// same key, through another entry: the call must not be sent a second time.
 #[test]
--- a/crates/daemon/src/entry/stages.rs
+++ b/crates/daemon/src/entry/stages.rs
@@ -71,6 +71,9 @@
 }
 
 /// Tokens charged for a request, given back unless they are used.
+///
+/// Guards against a caller that leaves in the middle of its answer, again and again: what has begun
+/// to run is paid for, unless its end says how much of it was used.
 pub(crate) struct Charge<'a> {
     context: &'a Context,
     customer: Arc<str>,
@@ -81,8 +84,14 @@
 }
 
 impl Charge<'_> {
-    fn used(&mut self, tokens: u64) {
-        self.unused = self.unused.saturating_sub(tokens);
+    /// Notes that costly work begins: if nothing more is heard, all of the charge is used.
+    fn begin(&mut self) {
+        self.unused = 0;
+    }
+
+    /// Notes at the end how much of the charge was not used.
+    fn settle(&mut self, unused: u64) {
+        self.unused = unused;
     }
 }
 
@@ -134,6 +143,6 @@
 /// Charges a call of a plain service that may not be repeated.
 pub(crate) async fn charge_call<'a>(context: &'a Context, ticket: &Ticket) -> Result<Charge<'a>, Refusal> {
     let mut charge = admit(context, ticket, plain::COST).await?;
-    charge.used(plain::COST);
+    charge.begin();
     Ok(charge)
 }
--- a/crates/daemon/src/entry/stages/complete.rs
+++ b/crates/daemon/src/entry/stages/complete.rs
@@ -117,8 +117,8 @@
         Ok(charge) => charge,
         Err(refusal) => return Err(output.break_off(refusal).await),
     };
-    let ended = attempts(context, &mut ticket, completion, mark, &mut output).await;
-    settle(&mut charge, completion, &output, &ended);
+    let ended = attempts(context, &mut ticket, completion, mark, &mut charge, &mut output).await;
+    charge.settle(unused(cost, completion, &output, &ended));
     drop(charge);
     match ended {
         Ok(endpoint) => {
@@ -141,17 +141,12 @@
     });
 }
 
-/// Charges what was used: nothing for a request that did not run.
-fn settle(
-    charge: &mut Charge<'_>,
-    completion: &Completion,
-    output: &Output<'_>,
-    ended: &Result<Arc<str>, Refusal>,
-) {
+/// What is left of the charge at the end: all of it for a request that did not run.
+fn unused(cost: u64, completion: &Completion, output: &Output<'_>, ended: &Result<Arc<str>, Refusal>) -> u64 {
     if ended.as_ref().is_err_and(|refusal| refusal.not_run) {
-        return;
+        return cost;
     }
-    charge.used(u64::from(completion.prompt_tokens()) + u64::from(output.next()));
+    cost.saturating_sub(u64::from(completion.prompt_tokens()) + u64::from(output.next()))
 }
 
 /// Refuses a request that has crashed too many endpoints, and marks one that was seen at a crash.
@@ -186,6 +181,7 @@
     ticket: &mut Ticket,
     completion: &Completion,
     mark: u64,
+    charge: &mut Charge<'_>,
     output: &mut Output<'_>,
 ) -> Result<Arc<str>, Refusal> {
     let mut tries = Tries::default();
@@ -193,7 +189,7 @@
         tries.number += 1;
         let attempt = Attempt { request: ticket.request, number: tries.number };
         let mut dispatch = Dispatch::new(context, attempt);
-        let ended = one(context, ticket, completion, &mut dispatch, &mut tries, output).await;
+        let ended = one(context, ticket, completion, &mut dispatch, &mut tries, charge, output).await;
         drop(dispatch);
         match ended {
             Ok(endpoint) => return Ok(endpoint),
@@ -252,9 +248,11 @@
     completion: &Completion,
     dispatch: &mut Dispatch<'_>,
     tries: &mut Tries,
+    charge: &mut Charge<'_>,
     output: &mut Output<'_>,
 ) -> Result<Arc<str>, Failure> {
     let planned = plan(context, ticket, completion, dispatch, &tries.tried).await?;
+    charge.begin();
     let prefilled = prefill(context, ticket, completion, dispatch, &planned, &tries.tried).await?;
     tries.ran = true;
     decode(context, ticket, completion, dispatch, &planned, prefilled, output).await?;
--- a/crates/daemon/src/entry/stages/plain.rs
+++ b/crates/daemon/src/entry/stages/plain.rs
@@ -47,13 +47,13 @@
 ) -> Result<Outbound, Refusal> {
     check_service(context, &call.service)?;
     let mut charge = admit(context, ticket, COST).await?;
+    charge.begin();
     let mut tried = BTreeSet::new();
     let mut number = 1;
     loop {
         match dispatch(context, ticket, &call, number, &tried).await {
             Ok((endpoint, reply)) => {
                 context.control.earn(&ticket.key.customer, &endpoint);
-                charge.used(COST);
                 context.metrics.answered.with_label_values(&["call"]).inc();
                 return Ok(reply.outbound());
             }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -283,6 +283,9 @@
                 closing.open.fetch_sub(1, Ordering::Relaxed);
             });
         }
+        // Closed before the open connections have ended: one that the system takes meanwhile would be
+        // accepted by nobody, and be reset with its request in the end.
+        drop(self.listener);
         while self.closing.open.load(Ordering::Relaxed) > 0 {
             task::sleep(CLOSE_POLL).await;
         }
