Wait for the first request of a connection taken before closing

Before: the new test's write meets a closed connection; after: it is answered. Kept connections are still closed after 0.3 s, new ones after head-ms.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -316,12 +316,15 @@
         async move { Ok(handle(request, stream, limits, handler).await) }
     };
     let mut server = async_h1::server::Server::new(stream.clone(), endpoint);
+    let mut answered = false;
     loop {
         started.store(false, Ordering::Relaxed);
         let one = async { Next::Done(server.accept_one().await) };
         let idle = async {
             closing.begun().await;
-            unless_started(CLOSE_GRACE, &started).await;
+            // Whoever has only just connected is about to send; whoever has been answered is not.
+            let grace = if answered { CLOSE_GRACE } else { limits.head_time };
+            unless_started(grace, &started).await;
             Next::Closed
         };
         let overdue = async {
@@ -329,7 +332,7 @@
             Next::Overdue
         };
         match one.or(overdue).or(idle).await {
-            Next::Done(Ok(ConnectionStatus::KeepAlive)) if !closing.has_begun() => {}
+            Next::Done(Ok(ConnectionStatus::KeepAlive)) if !closing.has_begun() => answered = true,
             Next::Done(Ok(_)) | Next::Closed => return,
             Next::Done(Err(error)) if is_bad_head(&error) => {
                 return reject(stream, 400, "bad_request", "the request's head is malformed or too large")
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -61,6 +61,22 @@
     });
 }
 
+/// A caller connects just before the server is closed and is slow to send, as on a busy host. Its
+/// connection was taken, so its request must be answered (found by `check`, seed 21).
+#[test]
+fn closing_waits_for_the_first_request_of_a_new_connection() {
+    task::block_on(async {
+        let server = bind(Limits::default()).await;
+        let (address, closer) = (server.address(), server.closer());
+        let _serving = task::spawn(server.serve(|_| async { Outbound::text(200, "done") }));
+        let mut new = connect(address).await;
+        let _closing = task::spawn(async move { closer.close().await });
+        task::sleep(Duration::from_secs(1)).await;
+        new.write_all(REQUEST).await.expect("sent");
+        assert!(read(&mut new, "done").await.contains("200 OK"));
+    });
+}
+
 /// An entry waits for its last requests. Who connects meanwhile must be refused by the system: a
 /// connection that nobody accepts is reset with its request in the end, which looks like a request
 /// that was cut (found by `check`, seed 21).
