--- a/crates/bench/src/check/run.rs
+++ b/crates/bench/src/check/run.rs
@@ -419,7 +419,13 @@
         Promise::OneAnswer | Promise::WholeAnswer => {
             calls.extend(complete(fleet, recorder, 0, 1, completion(1, 8)))
         }
-        Promise::KeyHonoured | Promise::AtMostOnce => calls.extend(file(fleet, recorder, 0, 1, 9)),
+        Promise::KeyHonoured | Promise::AtMostOnce => {
+            // Several, since the scenario may have spent what the customer has.
+            for key in 0..8 {
+                calls.extend(file(fleet, recorder, 0, 1, 9 + key));
+                task::sleep(FAULT / 2).await;
+            }
+        }
         Promise::WithinRate => {
             for number in 0..8 {
                 calls.extend(complete(fleet, recorder, 0, 1, completion(2_000 + number, 4)));
