Work a link's silence out with heartbeats; name what home::owner returns

Reading the whole change again: each event of a link, so each token, took the lock that all links share only to learn how long silence may last, which depends on the number of links; now that is asked with each heartbeat. Home::owner gave a tuple of which its caller used one part; owner and successor_of say what they give. Not measured.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -296,10 +296,14 @@
         !member.row.left && now.since(member.since) < LEASE + LEASE_MARGIN
     }
 
-    /// The owner of a customer's shard, and the entry to ask when the owner is silent.
-    pub fn owner(&self, customer: &str) -> Option<(Arc<str>, Arc<str>, u64)> {
-        let row = &self.shards.get(&shard(customer))?.row;
-        Some((row.owner.clone(), row.successor.clone(), row.epoch))
+    /// The owner of a customer's shard.
+    pub fn owner(&self, customer: &str) -> Option<Arc<str>> {
+        Some(self.shards.get(&shard(customer))?.row.owner.clone())
+    }
+
+    /// The entry that may follow the owner of a customer's shard.
+    pub fn successor_of(&self, customer: &str) -> Option<Arc<str>> {
+        Some(self.shards.get(&shard(customer))?.row.successor.clone())
     }
 
     /// Lends to a borrower, if this is the customer's home.
--- a/crates/core/tests/home.rs
+++ b/crates/core/tests/home.rs
@@ -101,7 +101,7 @@
     }
 
     fn owner(&self, asked: &str) -> Arc<str> {
-        self.entries[asked].owner(CUSTOMER).expect("owned").0
+        self.entries[asked].owner(CUSTOMER).expect("owned")
     }
 
     /// What `name` lends for the asking; none if it is not the home.
@@ -212,7 +212,7 @@
 fn successors_word_renews_the_owner_through_an_outage() {
     let mut world = World::new(&["a", "b", "c"]);
     let owner = world.owner("a");
-    let successor = world.entries["a"].owner(CUSTOMER).expect("owned").1;
+    let successor = world.entries["a"].successor_of(CUSTOMER).expect("owned");
     world.drain(&owner);
     for _ in 0..30 {
         world.pass(Duration::from_secs(1));
--- a/crates/daemon/src/entry/control/owner.rs
+++ b/crates/daemon/src/entry/control/owner.rs
@@ -259,7 +259,7 @@
     }
 
     fn borrow(&mut self, now: Time, customer: &Arc<str>, serial: u64, ask: Ask) {
-        let Some((owner, _, _)) = self.home.owner(customer) else {
+        let Some(owner) = self.home.owner(customer) else {
             self.look();
             return self.settle(now, customer, serial, None);
         };
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -173,12 +173,16 @@
         agent: &Arc<str>,
         mut events: tonic::Streaming<proto::Event>,
     ) -> Result<(), tonic::Status> {
+        // Worked out anew with each heartbeat, not with each token: it asks for the lock that all share.
+        let mut silence = self.silence();
         loop {
-            let silence = self.every() * MISSED + SILENCE_GRACE;
             let next = async_std::future::timeout(silence, events.next()).await;
             let Some(event) = next.map_err(invalid)? else { return Ok(()) };
             match Event::try_from(event?) {
-                Ok(Event::Beat(beat)) => self.heard(agent, beat),
+                Ok(Event::Beat(beat)) => {
+                    self.heard(agent, beat);
+                    silence = self.silence();
+                }
                 Ok(event) => self.deliver(event),
                 Err(error) => spdlog::warn!("event ignored: {error}", kv: { agent = &**agent }),
             }
@@ -212,6 +216,11 @@
         }
     }
 
+    /// Longest time without any event before a link is taken for dead.
+    fn silence(&self) -> Duration {
+        self.every() * MISSED + SILENCE_GRACE
+    }
+
     /// Time between heartbeats on each link.
     fn every(&self) -> Duration {
         let links = u32::try_from(self.state().links.len()).unwrap_or(u32::MAX);
