--- a/crates/bench/src/standin/hosts.rs
+++ b/crates/bench/src/standin/hosts.rs
@@ -7,7 +7,7 @@
 };
 
 use tarragonhill_http::server::Outbound;
-use tarragonhill_platform::{Host, HostState};
+use tarragonhill_table::{Host, HostState};
 
 use super::{Listening, Switches, lock};
 
--- a/crates/bench/src/standin/table.rs
+++ b/crates/bench/src/standin/table.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tarragonhill_core::{Time, quota::Bucket};
 use tarragonhill_http::server::{Inbound, Outbound};
-use tarragonhill_platform::{Row, Rows, Transaction};
+use tarragonhill_table::{Row, Rows, Transaction};
 
 use super::{Listening, Switches, body, lock, query};
 
@@ -166,7 +166,7 @@
 
     /// Writes rows as if an operator had, past limits and switches.
     pub fn put(&self, rows: impl IntoIterator<Item = (String, Value)>) {
-        let writes = rows.into_iter().map(|(key, value)| tarragonhill_platform::Write {
+        let writes = rows.into_iter().map(|(key, value)| tarragonhill_table::Write {
             key,
             expected: None,
             value: Some(value),
--- /dev/null
+++ b/crates/core/src/gateway.rs
@@ -0,0 +1,17 @@
+//! Decisions for requests that are passed on as they come: which route and customer they belong
+//! to, whether the customer may spend, where they run, and when they run again.
+//!
+//! All entries decide alike from the same inputs: the operator's [`catalog`], the [`directory`] of
+//! endpoints, and the [`digest`]s that entries send each other. None of them waits for another.
+
+pub mod allowance;
+pub mod budget;
+pub mod catalog;
+pub mod digest;
+pub mod directory;
+pub mod health;
+pub mod line;
+pub mod load;
+pub mod placement;
+pub mod state;
+pub mod suspect;
--- /dev/null
+++ b/crates/core/src/gateway/allowance.rs
@@ -0,0 +1,205 @@
+//! What each customer may still spend, over all entries together.
+//!
+//! Every entry keeps the customer's whole token bucket and takes from it what it spends itself and
+//! what the others say they spent. While another entry is silent, it is charged with its even
+//! share of the rate; so does that entry with this one, so that two that cannot hear each other
+//! spend no more than the rate together. What was charged that way is settled when it is heard.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    catalog::Customer,
+    digest::{Digest, Peers},
+};
+use crate::clock::{Time, micros};
+
+const MICRO: i64 = 1_000_000;
+
+/// Silence after which an entry is charged with its share. Digests come several times a second;
+/// some lost ones are no silence.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// A process that starts may spend this part of a burst before it has heard how much is left: it
+/// may follow one that was killed after it spent all.
+const UNHEARD: i64 = 4;
+/// How long a new process waits to hear what is left before it takes its own view for good.
+const LEARNING: Duration = Duration::from_secs(3);
+/// Shortest wait told to a caller that is over its rate: below it, callers come back in step.
+const SHORTEST_WAIT: Duration = Duration::from_millis(200);
+
+/// What this entry believes of one other entry and one customer.
+#[derive(Clone, Copy, Debug, Default)]
+struct Other {
+    incarnation: u64,
+    /// Tokens spent there, by its newest digest.
+    spent: u64,
+    /// Microtokens charged for its silence since that digest.
+    charged: i64,
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    rate: i64,
+    /// Microtokens; may be below zero when others spent at the same moment.
+    level: i64,
+    /// Microtokens.
+    burst: i64,
+    at: Time,
+    /// Tokens spent here since the process started.
+    spent: u64,
+    others: BTreeMap<Arc<str>, Other>,
+}
+
+impl Account {
+    fn new(customer: &Customer, now: Time) -> Self {
+        let burst = signed(customer.burst) * MICRO;
+        Self {
+            rate: signed(customer.rate),
+            level: burst / UNHEARD,
+            burst,
+            at: now,
+            spent: 0,
+            others: BTreeMap::new(),
+        }
+    }
+
+    fn refill(&mut self, now: Time) {
+        let passed = signed(micros(now.since(self.at)));
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.at = self.at.max(now);
+    }
+
+    fn adjust(&mut self, customer: &Customer) {
+        self.rate = signed(customer.rate);
+        self.burst = signed(customer.burst) * MICRO;
+        self.level = self.level.min(self.burst);
+    }
+
+    /// What a peer says it has spent, against what it said before and was charged since.
+    fn heard(&mut self, peer: &Arc<str>, incarnation: u64, spent: u64) {
+        let other = self.others.entry(peer.clone()).or_insert(Other { incarnation, spent, charged: 0 });
+        let before = if other.incarnation == incarnation { other.spent } else { 0 };
+        let fresh = signed(spent.saturating_sub(before)) * MICRO;
+        let settled = std::mem::replace(other, Other { incarnation, spent, charged: 0 }).charged;
+        self.level = (self.level - fresh + settled).clamp(-self.burst, self.burst);
+    }
+
+    fn charge_silence(&mut self, peer: &Arc<str>, passed: Duration, sharers: u32) {
+        let share = signed(micros(passed)) * self.rate / i64::from(sharers.max(1));
+        self.others.entry(peer.clone()).or_default().charged += share;
+        self.level = (self.level - share).max(-self.burst);
+    }
+}
+
+/// The accounts of all customers that have a rate.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    accounts: BTreeMap<Arc<str>, Account>,
+    started: Time,
+    /// Whether some entry has told what is left; until then the accounts are guesses.
+    is_told: bool,
+    charged_at: Time,
+}
+
+impl Allowance {
+    /// No customers yet.
+    pub fn new(now: Time) -> Self {
+        Self { accounts: BTreeMap::new(), started: now, is_told: false, charged_at: now }
+    }
+
+    /// Puts the customers of a new configuration in force. What they have spent stays spent.
+    pub fn adjust<'a>(&mut self, now: Time, customers: impl Iterator<Item = &'a Arc<Customer>>) {
+        let mut before = std::mem::take(&mut self.accounts);
+        for customer in customers.filter(|customer| customer.rate > 0) {
+            let account = before.remove(&customer.name);
+            let mut account = account.unwrap_or_else(|| Account::new(customer, now));
+            account.refill(now);
+            account.adjust(customer);
+            self.accounts.insert(customer.name.clone(), account);
+        }
+    }
+
+    /// Spends `tokens` of a customer, or tells when they may be there.
+    pub fn spend(&mut self, now: Time, customer: &str, tokens: u64) -> Result<(), Duration> {
+        let Some(account) = self.accounts.get_mut(customer) else { return Ok(()) };
+        account.refill(now);
+        // A request larger than the whole burst could never be paid at once: it may run when the
+        // bucket is full, and leaves a debt.
+        let needed = (signed(tokens) * MICRO).min(account.burst.max(1));
+        if account.level < needed {
+            let missing = u64::try_from(needed - account.level).unwrap_or_default();
+            let rate = u64::try_from(account.rate).unwrap_or(1).max(1);
+            return Err(Duration::from_micros(missing / rate).max(SHORTEST_WAIT));
+        }
+        account.level -= signed(tokens) * MICRO;
+        account.spent += tokens;
+        Ok(())
+    }
+
+    /// Gives back what was spent on a request that nobody ran.
+    pub fn give_back(&mut self, customer: &str, tokens: u64) {
+        let Some(account) = self.accounts.get_mut(customer) else { return };
+        account.spent = account.spent.saturating_sub(tokens);
+        account.level = (account.level + signed(tokens) * MICRO).min(account.burst);
+    }
+
+    /// Takes what another entry has spent.
+    pub fn heard(&mut self, now: Time, digest: &Digest) {
+        for (name, account) in &mut self.accounts {
+            account.refill(now);
+            account.heard(&digest.name, digest.incarnation, digest.spent.get(name).copied().unwrap_or(0));
+        }
+        if !self.is_told && now.since(self.started) < LEARNING {
+            self.learn(digest);
+        }
+    }
+
+    /// A new process takes the level from one that has been there longer.
+    fn learn(&mut self, digest: &Digest) {
+        for (name, account) in &mut self.accounts {
+            if let Some(left) = digest.left.get(name) {
+                account.level = left.saturating_mul(MICRO).clamp(-account.burst, account.burst);
+                self.is_told = true;
+            }
+        }
+    }
+
+    /// Charges the entries that are silent; call it several times a second.
+    pub fn settle(&mut self, now: Time, peers: &Peers) {
+        let passed = now.since(self.charged_at);
+        self.charged_at = now;
+        let silent = peers.silence(now).filter(|(_, silence)| *silence >= SILENCE);
+        for (peer, _) in silent {
+            for account in self.accounts.values_mut() {
+                account.refill(now);
+                account.charge_silence(peer, passed, peers.count());
+            }
+        }
+    }
+
+    /// Forgets an entry that is gone: what it was charged with stays charged.
+    pub fn forget(&mut self, peer: &str) {
+        for account in self.accounts.values_mut() {
+            account.others.remove(peer);
+        }
+    }
+
+    /// Tokens spent here, by customer.
+    pub fn spent(&self) -> BTreeMap<Arc<str>, u64> {
+        self.accounts.iter().map(|(name, account)| (name.clone(), account.spent)).collect()
+    }
+
+    /// Tokens left, by customer, as this entry sees it.
+    pub fn left(&mut self, now: Time) -> BTreeMap<Arc<str>, i64> {
+        let mut left = BTreeMap::new();
+        for (name, account) in &mut self.accounts {
+            account.refill(now);
+            left.insert(name.clone(), account.level / MICRO);
+        }
+        left
+    }
+}
+
+fn signed(value: u64) -> i64 {
+    // Rates and counts stay far below 2^40, so that microtokens fit.
+    i64::try_from(value).unwrap_or(i64::MAX).min(1 << 40)
+}
--- /dev/null
+++ b/crates/core/src/gateway/digest.rs
@@ -0,0 +1,139 @@
+//! What entries tell each other, and who they are.
+//!
+//! A digest holds running totals, not changes: one that is lost, repeated or overtaken costs
+//! nothing but time, so datagrams carry it.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::clock::Time;
+
+/// An entry that was not heard for this long is not counted as sharing anything any more. Long
+/// enough for a host that was cut off or frozen for some seconds to be remembered.
+const FORGET: Duration = Duration::from_secs(12);
+
+/// An entry is named to others only while it was heard itself within this time: some lost
+/// datagrams, far below [`FORGET`].
+const HEARSAY: Duration = Duration::from_secs(3);
+
+/// What an entry has taken of one endpoint at this moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Requests under way.
+    pub running: u32,
+    /// Memory promised to them, tokens.
+    pub memory: u64,
+    /// Prompt tokens sent to be read and not answered yet.
+    pub reading: u64,
+}
+
+/// What an entry says of itself, as of the moment it was sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Digest {
+    /// The sender's name.
+    pub name: Arc<str>,
+    /// Tells starts of one name apart; a later start has a larger one.
+    pub incarnation: u64,
+    /// Grows with each digest of one start.
+    pub serial: u64,
+    /// Where the sender hears, and every entry that it knows.
+    pub members: Vec<Member>,
+    /// Tokens that each customer has spent there since the sender's start.
+    pub spent: BTreeMap<Arc<str>, u64>,
+    /// Whole tokens left to each customer, as the sender sees it.
+    pub left: BTreeMap<Arc<str>, i64>,
+    /// What the sender has taken of each endpoint.
+    pub shares: BTreeMap<Arc<str>, Share>,
+    /// Requests that were running when an endpoint crashed, and at how many crashes.
+    pub suspects: BTreeMap<u64, u32>,
+}
+
+/// Where an entry hears digests.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Member {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its address for digests.
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    /// Incarnation and serial of the newest digest.
+    newest: (u64, u64),
+    /// When it was heard, or first named by somebody.
+    heard: Time,
+}
+
+/// The other entries.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own: Arc<str>,
+    peers: BTreeMap<Arc<str>, Peer>,
+}
+
+impl Peers {
+    /// No peers yet; `own` is this entry's name.
+    pub fn new(own: Arc<str>) -> Self {
+        Self { own, peers: BTreeMap::new() }
+    }
+
+    /// Takes an entry that somebody named. Where it was heard itself, its own word goes first.
+    pub fn named(&mut self, now: Time, member: Member) {
+        if member.name == self.own {
+            return;
+        }
+        let peer = Peer { address: member.address, newest: (0, 0), heard: now };
+        self.peers.entry(member.name).or_insert(peer);
+    }
+
+    /// Takes a digest; false if it is older than one that came before.
+    pub fn heard(&mut self, now: Time, digest: &Digest, from: SocketAddr) -> bool {
+        if digest.name == self.own {
+            return false;
+        }
+        let newest = (digest.incarnation, digest.serial);
+        if self.peers.get(&digest.name).is_some_and(|peer| peer.newest >= newest) {
+            return false;
+        }
+        self.peers.insert(digest.name.clone(), Peer { address: from, newest, heard: now });
+        for member in &digest.members {
+            self.named(now, member.clone());
+        }
+        true
+    }
+
+    /// Forgets entries that were silent too long; gives their names.
+    pub fn settle(&mut self, now: Time) -> Vec<Arc<str>> {
+        let is_gone = |peer: &Peer| now.since(peer.heard) >= FORGET;
+        let gone: Vec<Arc<str>> =
+            self.peers.iter().filter(|(_, peer)| is_gone(peer)).map(|(name, _)| name.clone()).collect();
+        self.peers.retain(|_, peer| !is_gone(peer));
+        gone
+    }
+
+    /// The entries known, this one not among them.
+    pub fn members(&self) -> impl Iterator<Item = Member> {
+        self.peers.iter().map(|(name, peer)| Member { name: name.clone(), address: peer.address })
+    }
+
+    /// The entries that were heard themselves of late: the only ones to name to others. Passing on
+    /// hearsay would keep an entry that is gone in every memory for ever.
+    pub fn heard_of_late(&self, now: Time) -> impl Iterator<Item = Member> {
+        let is_fresh = move |peer: &Peer| peer.newest != (0, 0) && now.since(peer.heard) < HEARSAY;
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| is_fresh(peer))
+            .map(|(name, peer)| Member { name: name.clone(), address: peer.address })
+    }
+
+    /// How many entries share the traffic, this one among them.
+    pub fn count(&self) -> u32 {
+        1 + self.peers.len() as u32
+    }
+
+    /// For how long each entry has been silent.
+    pub fn silence(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, Duration)> {
+        self.peers.iter().map(move |(name, peer)| (name, now.since(peer.heard)))
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/line.rs
@@ -0,0 +1,132 @@
+//! Requests that wait for memory at a decode endpoint.
+//!
+//! Under a burst the memory of all decode endpoints is taken. Whoever can still be on time goes
+//! first, in the order of arrival; those that cannot any more go when nobody else waits. Serving
+//! strictly by arrival would instead make everybody late once the line is longer than the
+//! time to the first event. Nobody is passed over for being large.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::clock::Time;
+
+/// A request in the line.
+#[derive(Clone, Debug)]
+pub struct Waiting<T> {
+    /// Whom to answer.
+    pub tag: T,
+    /// The service.
+    pub service: Arc<str>,
+    /// Memory it needs, tokens.
+    pub memory: u64,
+    /// When it came.
+    pub arrived: Time,
+    /// A start later than this is late.
+    pub on_time: Time,
+    /// A start later than this cannot end before the caller has left.
+    pub last_start: Time,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Endpoints that have failed it.
+    pub avoid: Vec<Arc<str>>,
+}
+
+impl<T> Waiting<T> {
+    fn rank(&self, now: Time) -> (bool, u8, Time) {
+        (self.on_time < now, self.priority, self.arrived)
+    }
+}
+
+/// What becomes of a request in the line.
+#[derive(Clone, Debug)]
+pub enum Verdict<P> {
+    /// It runs there.
+    Placed(P),
+    /// It cannot end in time any more.
+    Hopeless,
+}
+
+/// The line.
+#[derive(Clone, Debug)]
+pub struct Line<T>(Vec<Waiting<T>>);
+
+impl<T> Default for Line<T> {
+    fn default() -> Self {
+        Self(Vec::new())
+    }
+}
+
+impl<T> Line<T> {
+    /// Adds a request.
+    pub fn push(&mut self, waiting: Waiting<T>) {
+        self.0.push(waiting);
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Tokens of memory that those waiting for a service need.
+    pub fn memory(&self, service: &str) -> u64 {
+        self.0.iter().filter(|waiting| &*waiting.service == service).map(|waiting| waiting.memory).sum()
+    }
+
+    /// Drops those whose callers are gone.
+    pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
+        self.0.retain(|waiting| keep(&waiting.tag));
+    }
+
+    /// Places whom `place` finds room for, in order, up to the first of each service that finds
+    /// none, and gives up those that wait in vain.
+    pub fn pump<P>(
+        &mut self,
+        now: Time,
+        mut place: impl FnMut(&Waiting<T>) -> Option<P>,
+    ) -> Vec<(T, Verdict<P>)> {
+        self.0.sort_by_key(|waiting| waiting.rank(now));
+        let mut verdicts = Vec::new();
+        let mut blocked: Vec<Arc<str>> = Vec::new();
+        let mut left = Vec::new();
+        for waiting in std::mem::take(&mut self.0) {
+            if waiting.last_start < now {
+                verdicts.push((waiting.tag, Verdict::Hopeless));
+                continue;
+            }
+            if blocked.contains(&waiting.service) {
+                left.push(waiting);
+                continue;
+            }
+            match place(&waiting) {
+                Some(found) => verdicts.push((waiting.tag, Verdict::Placed(found))),
+                None => {
+                    blocked.push(waiting.service.clone());
+                    left.push(waiting);
+                }
+            }
+        }
+        self.0 = left;
+        verdicts
+    }
+
+    /// When the next request is to be given up.
+    pub fn next_hopeless(&self) -> Option<Time> {
+        self.0.iter().map(|waiting| waiting.last_start).min()
+    }
+}
+
+/// How long a run takes from its start to its end on a busy endpoint, for a number of tokens.
+pub fn run_time(tokens: u64) -> Duration {
+    FIRST_EVENT + Duration::from_micros(tokens * MICROS_PER_TOKEN)
+}
+
+/// From the start of a prefill to the first event, on an idle endpoint: reading 5,000 tokens takes
+/// 90 ms, the first step 80 ms by the engines' sheet, moving the result 5 ms.
+pub const FIRST_EVENT: Duration = Duration::from_millis(200);
+/// Microseconds for one token beside ten other runs: a step of 3.3 ms and 0.026 ms for each 1,000
+/// tokens in memory, by the engines' sheet.
+const MICROS_PER_TOKEN: u64 = 5_000;
--- /dev/null
+++ b/crates/core/src/gateway/load.rs
@@ -0,0 +1,121 @@
+//! What is under way at each endpoint, by this entry's own requests and the others' digests.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    digest::{Digest, Share},
+    health::{Health, Outcome},
+};
+use crate::clock::Time;
+
+/// A digest older than this says nothing of what runs now.
+const STALE: Duration = Duration::from_secs(3);
+/// After an endpoint refused for want of memory it is taken as full for this long: about the time
+/// in which one of ten running requests ends.
+const FULL: Duration = Duration::from_millis(100);
+
+/// What is under way at one endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    /// By this entry.
+    pub own: Share,
+    /// By the others, with the time at which each said so.
+    others: BTreeMap<Arc<str>, (Time, Share)>,
+    /// How its requests have ended of late.
+    pub health: Health,
+    full_until: Time,
+}
+
+impl Load {
+    /// By all entries.
+    pub fn all(&self, now: Time) -> Share {
+        let fresh = self.others.values().filter(|(at, _)| now.since(*at) < STALE);
+        fresh.fold(self.own, |sum, (_, share)| Share {
+            running: sum.running + share.running,
+            memory: sum.memory + share.memory,
+            reading: sum.reading + share.reading,
+        })
+    }
+
+    /// Whether it refused for want of room a moment ago.
+    pub fn is_full(&self, now: Time) -> bool {
+        self.full_until > now
+    }
+}
+
+/// One request's part in an endpoint's load; handed back when it ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+    /// What is taken there.
+    pub share: Share,
+    number: u64,
+    sent: Time,
+}
+
+/// The loads of all endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct Loads(BTreeMap<Arc<str>, Load>);
+
+impl Loads {
+    /// The load of an endpoint; none if nothing was ever sent there.
+    pub fn get(&self, endpoint: &str) -> Option<&Load> {
+        self.0.get(endpoint)
+    }
+
+    /// Notes a request that is sent now.
+    pub fn take(&mut self, now: Time, endpoint: &Arc<str>, share: Share) -> Lease {
+        let load = self.0.entry(endpoint.clone()).or_default();
+        load.own.running += share.running;
+        load.own.memory += share.memory;
+        load.own.reading += share.reading;
+        let number = load.health.sent(now);
+        Lease { endpoint: endpoint.clone(), share, number, sent: now }
+    }
+
+    /// Notes an answer's beginning: what follows says nothing of how fast the endpoint answers.
+    pub fn answered(&mut self, now: Time, lease: &Lease) {
+        if let Some(load) = self.0.get_mut(&lease.endpoint) {
+            load.health.ended(now, lease.number, Outcome::Answered(now.since(lease.sent)));
+        }
+    }
+
+    /// Takes a lease back.
+    pub fn give_back(&mut self, now: Time, lease: &Lease, outcome: Outcome) {
+        let Some(load) = self.0.get_mut(&lease.endpoint) else { return };
+        load.own.running = load.own.running.saturating_sub(lease.share.running);
+        load.own.memory = load.own.memory.saturating_sub(lease.share.memory);
+        load.own.reading = load.own.reading.saturating_sub(lease.share.reading);
+        load.health.ended(now, lease.number, outcome);
+        if outcome == Outcome::Full {
+            load.full_until = now.plus(FULL);
+        }
+    }
+
+    /// Takes another entry's digest.
+    pub fn heard(&mut self, now: Time, digest: &Digest) {
+        for (endpoint, load) in &mut self.0 {
+            if !digest.shares.contains_key(endpoint) {
+                load.others.remove(&digest.name);
+            }
+        }
+        for (endpoint, share) in &digest.shares {
+            let load = self.0.entry(endpoint.clone()).or_default();
+            load.others.insert(digest.name.clone(), (now, *share));
+        }
+    }
+
+    /// What this entry has taken, by endpoint; endpoints with nothing left out.
+    pub fn own(&self) -> BTreeMap<Arc<str>, Share> {
+        let busy = self.0.iter().filter(|(_, load)| load.own != Share::default());
+        busy.map(|(endpoint, load)| (endpoint.clone(), load.own)).collect()
+    }
+
+    /// Forgets an endpoint that is gone, unless requests still run there.
+    pub fn forget(&mut self, endpoint: &str) {
+        if self.0.get(endpoint).is_some_and(|load| load.own == Share::default()) {
+            self.0.remove(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/placement.rs
@@ -0,0 +1,136 @@
+//! Which endpoint takes a request.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    catalog::Engine,
+    directory::{Directory, Endpoint, Stage},
+    load::{Load, Loads},
+};
+use crate::clock::{Time, micros};
+
+/// An endpoint whose failure ratio is this far above the best of its service is left out while
+/// another can take the request. Ten calls with one failure stay below it; an endpoint that fails
+/// two in five goes above it.
+const OUTLIER: f64 = 0.3;
+/// An answer from another availability zone counts this much slower, so that the own zone is taken
+/// where both are alike: bytes between zones cost.
+const CROSS_ZONE: f64 = 1.2;
+/// A prompt is read in another zone only to save waiting behind this many prompt tokens: moving
+/// its result costs twice there.
+const CROSS_ZONE_READING: u64 = 3_000;
+/// Part of an engine's memory that a decode endpoint in the own zone may be fuller and still be
+/// taken.
+const CROSS_ZONE_MEMORY: f64 = 0.05;
+
+/// What placement looks at.
+#[derive(Clone, Copy)]
+pub struct View<'a> {
+    /// The moment of the decision.
+    pub now: Time,
+    /// The endpoints.
+    pub directory: &'a Directory,
+    /// What is under way at them.
+    pub loads: &'a Loads,
+    /// The availability zone of this entry.
+    pub zone: &'a str,
+}
+
+impl<'a> View<'a> {
+    fn load(&self, endpoint: &Endpoint) -> Option<&'a Load> {
+        self.loads.get(&endpoint.id)
+    }
+
+    /// Endpoints that may be tried, without those known to do worse than the rest.
+    fn candidates(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
+        let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
+        let tried: Vec<_> = serving.filter(|endpoint| !avoid.contains(&endpoint.id)).collect();
+        let reachable: Vec<_> = tried.iter().copied().filter(|endpoint| !self.is_shunned(endpoint)).collect();
+        let best = reachable.iter().map(|endpoint| self.failing(endpoint)).fold(1.0, f64::min);
+        reachable.into_iter().filter(|endpoint| self.failing(endpoint) <= best + OUTLIER).collect()
+    }
+
+    fn is_shunned(&self, endpoint: &Endpoint) -> bool {
+        self.load(endpoint).is_some_and(|load| load.health.is_shunned(self.now))
+    }
+
+    fn failing(&self, endpoint: &Endpoint) -> f64 {
+        self.load(endpoint).map_or(0.0, |load| load.health.failing(self.now))
+    }
+
+    /// An endpoint for a whole request: the one that is expected to answer first.
+    pub fn whole(&self, service: &str, avoid: &[Arc<str>]) -> Option<Arc<Endpoint>> {
+        let expected = |endpoint: &Endpoint| {
+            let Some(load) = self.load(endpoint) else { return 0 };
+            let ahead = f64::from(load.all(self.now).running + 1);
+            let zones = if self.is_near(endpoint, self.zone) { 1.0 } else { CROSS_ZONE };
+            micros(load.health.answer_time(self.now).mul_f64(ahead * zones))
+        };
+        let candidates = self.candidates(service, Stage::Whole, avoid);
+        candidates.into_iter().min_by_key(|endpoint| expected(endpoint)).cloned()
+    }
+
+    /// An endpoint that reads a prompt: the one with the fewest prompt tokens ahead, near `zone`
+    /// where its result goes.
+    pub fn prefill(&self, service: &str, zone: &str, avoid: &[Arc<str>]) -> Option<Arc<Endpoint>> {
+        let ahead = |endpoint: &Endpoint| {
+            let reading = self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
+            reading + if self.is_near(endpoint, zone) { 0 } else { CROSS_ZONE_READING }
+        };
+        let candidates = self.candidates(service, Stage::Prefill, avoid);
+        candidates.into_iter().min_by_key(|endpoint| ahead(endpoint)).cloned()
+    }
+
+    /// An endpoint with room for a run of `memory` tokens: the one with the most.
+    pub fn decode(
+        &self,
+        service: &str,
+        engine: &Engine,
+        memory: u64,
+        avoid: &[Arc<str>],
+    ) -> Option<Arc<Endpoint>> {
+        let candidates = self.candidates(service, Stage::Decode, avoid).into_iter();
+        let fitting =
+            candidates.filter_map(|endpoint| Some((self.room(endpoint, engine, memory)?, endpoint)));
+        fitting.max_by_key(|(room, _)| *room).map(|(_, endpoint)| endpoint.clone())
+    }
+
+    /// Memory left at an endpoint once a run has been placed there, corrected for its zone.
+    fn room(&self, endpoint: &Endpoint, engine: &Engine, memory: u64) -> Option<u64> {
+        let load = self.load(endpoint);
+        if load.is_some_and(|load| load.is_full(self.now)) {
+            return None;
+        }
+        let taken = load.map(|load| load.all(self.now)).unwrap_or_default();
+        if taken.running >= engine.slots {
+            return None;
+        }
+        let left = engine.memory.checked_sub(taken.memory + memory)?;
+        let bonus = if self.is_near(endpoint, self.zone) { CROSS_ZONE_MEMORY } else { 0.0 };
+        Some(left + (engine.memory as f64 * bonus) as u64)
+    }
+
+    fn is_near(&self, endpoint: &Endpoint, zone: &str) -> bool {
+        &*endpoint.zone == zone
+    }
+
+    /// Whether a service has any endpoint of a stage that takes work.
+    pub fn has(&self, service: &str, stage: Stage) -> bool {
+        self.directory.serving(service).any(|endpoint| endpoint.stage == stage)
+    }
+
+    /// Whether a service has any endpoint of a stage that is not left alone at the moment.
+    pub fn can_reach(&self, service: &str, stage: Stage) -> bool {
+        let mut serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
+        serving.any(|endpoint| !self.is_shunned(endpoint))
+    }
+}
+
+/// How long reading a prompt takes on an idle endpoint.
+pub fn reading_time(tokens: u64) -> Duration {
+    Duration::from_micros(tokens * MICROS_PER_PROMPT_TOKEN)
+}
+
+/// Microseconds to read one prompt token: 18 on the engines in use, by their sheet (55.6 tokens a
+/// millisecond); only forecasts rest on it.
+const MICROS_PER_PROMPT_TOKEN: u64 = 18;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod agent;
 pub mod clock;
 pub mod freshness;
+pub mod gateway;
 pub mod home;
 pub mod id;
 pub mod memory;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -46,6 +46,8 @@
     InProgress,
     /// It cannot be told whether the call took effect.
     OutcomeUnknown,
+    /// The caller's or the operator's time ran out.
+    Timeout,
     /// The answer broke off and could not be resumed.
     Broken,
     /// The caller left.
@@ -66,6 +68,7 @@
             Self::OverRate => 429,
             Self::Cancelled => 499,
             Self::Broken | Self::OutcomeUnknown => 502,
+            Self::Timeout => 504,
             Self::QuotaUnavailable
             | Self::Overloaded
             | Self::NoEndpoint
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -13,7 +13,7 @@
 use async_std::task::{self, JoinHandle};
 use tarragonhill_core::{Clock, agent::Input};
 use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
-use tarragonhill_platform::HttpTable;
+use tarragonhill_table::HttpTable;
 
 use crate::{
     StartError, admin,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -7,7 +7,7 @@
 
 use bpaf::Bpaf;
 use spdlog::LevelFilter;
-use tarragonhill_core::placement::Policy;
+use tarragonhill_core::{gateway::budget::Rule, placement::Policy};
 use tarragonhill_http::server::Limits;
 
 use crate::logging;
@@ -40,13 +40,25 @@
         /// Settings of this role.
         agent: AgentOptions,
     },
+    #[bpaf(command("gateway"))]
+    /// Passes requests on to the platform's endpoints on an entry host
+    Gateway {
+        #[bpaf(external(common))]
+        /// Settings of all roles.
+        common: Common,
+        #[bpaf(external(gateway_options))]
+        /// Settings of this role.
+        gateway: GatewayOptions,
+    },
 }
 
 impl Options {
     /// Whether the settings are only to be checked.
     pub fn is_check(&self) -> bool {
         match self {
-            Self::Entry { common, .. } | Self::Agent { common, .. } => common.check,
+            Self::Entry { common, .. } | Self::Agent { common, .. } | Self::Gateway { common, .. } => {
+                common.check
+            }
         }
     }
 }
@@ -129,6 +141,26 @@
     pub fronts: String,
 }
 
+/// Settings of a gateway, as given.
+#[derive(Clone, Debug, Bpaf)]
+pub struct GatewayOptions {
+    /// Where to hear other entries' digests
+    #[bpaf(long, env("TARRAGONHILL_PEER"), argument("IP:PORT"))]
+    pub peer: String,
+    /// Longest time from the order to stop to the end, seconds
+    #[bpaf(long, env("TARRAGONHILL_GRACE_S"), argument("S"), fallback(8.0), display_fallback)]
+    pub grace_s: f64,
+    /// Sends to a further endpoint for each request of a service
+    #[bpaf(long, env("TARRAGONHILL_RETRY_RATIO"), argument("RATIO"), fallback(0.2), display_fallback)]
+    pub retry_ratio: f64,
+    /// Sends to a further endpoint on top, over all entries
+    #[bpaf(long, env("TARRAGONHILL_RETRY_SLACK"), argument("N"), fallback(50.0), display_fallback)]
+    pub retry_slack: f64,
+    /// Span over which sends to a further endpoint are counted, seconds
+    #[bpaf(long, env("TARRAGONHILL_RETRY_WINDOW_S"), argument("S"), fallback(10.0), display_fallback)]
+    pub retry_window_s: f64,
+}
+
 /// A setting that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigError {
@@ -203,6 +235,19 @@
     pub fronts: BTreeSet<Arc<str>>,
 }
 
+/// Checked settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Settings of all roles.
+    pub common: CommonSettings,
+    /// Where to hear other entries.
+    pub peer: SocketAddr,
+    /// Longest time from the order to stop to the end.
+    pub grace: Duration,
+    /// How often requests may be sent to a further endpoint.
+    pub retries: Rule,
+}
+
 /// Checked settings of a daemon.
 #[derive(Clone, Debug)]
 pub enum Settings {
@@ -210,6 +255,8 @@
     Entry(Box<EntrySettings>),
     /// Run an agent.
     Agent(AgentSettings),
+    /// Run a gateway.
+    Gateway(GatewaySettings),
 }
 
 impl Settings {
@@ -218,6 +265,7 @@
         match self {
             Self::Entry(settings) => &settings.common,
             Self::Agent(settings) => &settings.common,
+            Self::Gateway(settings) => &settings.common,
         }
     }
 }
@@ -231,6 +279,9 @@
                 Ok(Self::Entry(Box::new(EntrySettings::check(common, entry)?)))
             }
             Options::Agent { common, agent } => Ok(Self::Agent(AgentSettings::check(common, agent)?)),
+            Options::Gateway { common, gateway } => {
+                Ok(Self::Gateway(GatewaySettings::check(common, gateway)?))
+            }
         }
     }
 }
@@ -292,6 +343,22 @@
     }
 }
 
+impl GatewaySettings {
+    fn check(common: Common, gateway: GatewayOptions) -> Result<Self, ConfigError> {
+        let retries = Rule {
+            ratio: number("retry-ratio", gateway.retry_ratio, 0.0, 10.0)?,
+            slack: number("retry-slack", gateway.retry_slack, 0.0, 1e6)?,
+            window: Duration::from_secs_f64(number("retry-window-s", gateway.retry_window_s, 0.5, 600.0)?),
+        };
+        Ok(Self {
+            common: common.try_into()?,
+            peer: address("peer", &gateway.peer)?,
+            grace: Duration::from_secs_f64(number("grace-s", gateway.grace_s, 0.0, 3_600.0)?),
+            retries,
+        })
+    }
+}
+
 fn name(setting: &str, text: &str) -> Result<Arc<str>, ConfigError> {
     let plain = text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
     if text.is_empty() || text.len() > 64 || !plain {
@@ -314,6 +381,13 @@
     Ok(Duration::from_millis(value))
 }
 
+fn number(setting: &str, value: f64, least: f64, most: f64) -> Result<f64, ConfigError> {
+    if !(least..=most).contains(&value) {
+        return Err(wrong(setting, format!("{value} is not between {least} and {most}")));
+    }
+    Ok(value)
+}
+
 fn count(setting: &str, value: usize, least: usize, most: usize) -> Result<usize, ConfigError> {
     if !(least..=most).contains(&value) {
         return Err(wrong(setting, format!("{value} is not between {least} and {most}")));
@@ -322,7 +396,7 @@
 }
 
 /// Names of all settings, as flags without the dashes.
-pub const NAMES: [&str; 20] = [
+pub const NAMES: [&str; 24] = [
     "name",
     "zone",
     "listen",
@@ -343,12 +417,22 @@
     "policy",
     "operator-token",
     "fronts",
+    "grace-s",
+    "retry-ratio",
+    "retry-slack",
+    "retry-window-s",
 ];
 
+/// Names the platform's own file of settings; ours come as flags and environment variables.
+const PLATFORM_FILE: &str = "TARRAGONHILL_SETTINGS";
+
 /// Refuses environment variables with our prefix that name no setting: a misspelt one would
 /// otherwise be ignored without a word.
 pub fn check_environment(names: impl Iterator<Item = String>) -> Result<(), ConfigError> {
     for variable in names {
+        if variable == PLATFORM_FILE {
+            continue;
+        }
         let Some(rest) = variable.strip_prefix(ENV_PREFIX) else { continue };
         let setting = rest.to_ascii_lowercase().replace('_', "-");
         if !NAMES.contains(&setting.as_str()) {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -20,7 +20,7 @@
 use async_std::task::{self, JoinHandle};
 use tarragonhill_core::{Clock, settings::Snapshot};
 use tarragonhill_http::server::{Closer, Server};
-use tarragonhill_platform::HttpTable;
+use tarragonhill_table::HttpTable;
 
 use crate::{
     StartError,
--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -11,7 +11,7 @@
 
 use async_std::task;
 use tarragonhill_core::{Clock, Code, Refusal, Request, message::Ask, placement::Policy, quarantine::Strike};
-use tarragonhill_platform::Table;
+use tarragonhill_table::Table;
 
 use crate::{
     entry::{control::Control, links::Links, metrics::Metrics, peers::Peers},
--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -22,7 +22,7 @@
     quota::{Grant, Verdict, Waiter},
     settings::{Role, Snapshot},
 };
-use tarragonhill_platform::Row;
+use tarragonhill_table::Row;
 
 use crate::{
     entry::{control::owner::Owner, peers::Peers},
--- a/crates/daemon/src/entry/control/owner.rs
+++ b/crates/daemon/src/entry/control/owner.rs
@@ -19,7 +19,7 @@
     quota::{Bucket, Grant, Purse, Verdict, Waiter},
     retry::Budget,
 };
-use tarragonhill_platform::Row;
+use tarragonhill_table::Row;
 
 use super::{Command, Control, Failure, Identity, Placed, Placement};
 use crate::{entry::peers::Peers, settings::Current};
--- a/crates/daemon/src/entry/homes.rs
+++ b/crates/daemon/src/entry/homes.rs
@@ -9,7 +9,7 @@
     home::{self, Home},
     message::{Answer, Ask},
 };
-use tarragonhill_platform::{HostState, Hosts as _, HttpHosts, Table, TableError, Transaction, Write};
+use tarragonhill_table::{HostState, Hosts as _, HttpHosts, Table, TableError, Transaction, Write};
 
 use crate::entry::context::Context;
 
--- a/crates/daemon/src/entry/once.rs
+++ b/crates/daemon/src/entry/once.rs
@@ -9,7 +9,7 @@
     settings::digest,
 };
 use tarragonhill_http::server::Outbound;
-use tarragonhill_platform::{Row, TableError, Transaction, Write};
+use tarragonhill_table::{Row, TableError, Transaction, Write};
 
 use crate::entry::{
     caller::Call,
--- a/crates/daemon/src/entry/operators.rs
+++ b/crates/daemon/src/entry/operators.rs
@@ -9,7 +9,7 @@
     settings::VERSION_ROW,
 };
 use tarragonhill_http::server::{Inbound, Outbound};
-use tarragonhill_platform::{TableError, Transaction, Write};
+use tarragonhill_table::{TableError, Transaction, Write};
 
 use crate::{
     admin,
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -16,6 +16,8 @@
     },
     /// A thread cannot be started.
     Thread(io::Error),
+    /// The gateway does not start.
+    Gateway(tarragonhill_gateway::StartError),
 }
 
 impl fmt::Display for StartError {
@@ -23,6 +25,7 @@
         match self {
             Self::Listen { setting, address, error } => write!(f, "--{setting} {address}: {error}"),
             Self::Thread(error) => write!(f, "cannot start a thread: {error}"),
+            Self::Gateway(error) => write!(f, "gateway: {error}"),
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/gateway.rs
@@ -0,0 +1,78 @@
+//! The gateway role: passes requests on to the platform's endpoints.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use async_channel::Receiver;
+use async_std::task;
+use prometheus::Registry;
+use tarragonhill_core::{Clock, gateway::digest::Member};
+use tarragonhill_gateway::{Gateway, Settings};
+use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
+use tarragonhill_platform::{READINESS, dialect::Dialect, store};
+
+use crate::{StartError, admin, config::GatewaySettings};
+
+/// New connections still come this long after the process has said that it is leaving: the
+/// balancer asks once a second and believes the second answer.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Kept of the grace for the end itself: flushing logs and ending tasks.
+const END: Duration = Duration::from_millis(300);
+/// Updates of the store that may wait for the control thread.
+const UPDATES: usize = 64;
+
+/// Runs a gateway until `stop` gives the word.
+pub async fn run(settings: GatewaySettings, clock: Clock, stop: Receiver<()>) -> Result<(), StartError> {
+    let registry = Registry::new();
+    let common = &settings.common;
+    let (updates, received) = async_channel::bounded(UPDATES);
+    let gateway = Settings {
+        name: common.name.clone(),
+        zone: common.zone.clone(),
+        listen: common.listen,
+        peer: settings.peer,
+        incarnation: unix_millis(),
+        retries: settings.retries,
+        linger: LINGER,
+        grace: settings.grace.saturating_sub(END),
+    };
+    let started = Gateway::start(gateway, clock, Arc::new(Dialect), received, &registry).await;
+    let gateway = started.map_err(StartError::Gateway)?;
+    let own = Member { name: common.name.clone(), address: gateway.peer() };
+    store::follow(common.table, own, updates);
+    let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
+    let server = server.map_err(|error| StartError::Listen {
+        setting: "admin",
+        address: common.admin.to_string(),
+        error,
+    })?;
+    let view = gateway.view();
+    let admin = task::spawn(server.serve(move |inbound| answer(inbound, view.clone(), registry.clone())));
+    spdlog::info!("gateway started", kv: {
+        name = &*common.name, zone = &*common.zone, listen = gateway.address().to_string().as_str()
+    });
+    let _ = stop.recv().await;
+    spdlog::info!("gateway stopping", kv: { name = &*common.name });
+    gateway.shutdown().await;
+    admin.cancel().await;
+    Ok(())
+}
+
+async fn answer(inbound: Inbound, view: tarragonhill_gateway::View, registry: Registry) -> Outbound {
+    let is_ready = view.is_ready();
+    if inbound.path == READINESS {
+        return Outbound::text(if is_ready { 200 } else { 503 }, "");
+    }
+    if inbound.path == "/state" {
+        return Outbound::json(200, &view.dump().await);
+    }
+    admin::common(&inbound, &registry, is_ready).unwrap_or_else(|| admin::not_found(&inbound))
+}
+
+/// The host's time of day. It may jump, but starts of one process lie seconds apart.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod config;
 pub mod entry;
 mod error;
+pub mod gateway;
 pub mod logging;
 mod settings;
 
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,21 +1,65 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard output, which never hold up the process.
+//!
+//! Lines go through a bounded queue to a thread that writes them. Where nobody reads standard
+//! output, the queue fills, and further lines are dropped and counted.
 
-use std::sync::Arc;
+use std::{
+    num::NonZeroUsize,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use spdlog::{
-    LevelFilter, Logger,
+    LevelFilter, Logger, ThreadPool,
     formatter::JsonFormatter,
-    sink::{StdStream, StdStreamSink},
+    sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
 };
 
-/// Sends all logs to standard error as JSON lines, from `level` up (`off` for none).
-pub fn init(level: LevelFilter) -> Result<(), spdlog::Error> {
-    let sink =
-        StdStreamSink::builder().std_stream(StdStream::Stderr).formatter(JsonFormatter::new()).build()?;
+/// Lines that may wait to be written: a second of a busy entry, half a megabyte.
+const QUEUE: usize = 2_048;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// How many lines were dropped since the start.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// The queue of lines; closing it writes what waits.
+#[must_use = "lines that still wait are lost unless it is closed"]
+pub struct Queue(Arc<ThreadPool>);
+
+/// Sends all logs to standard output as JSON lines, from `level` up (`off` for none).
+pub fn init(level: LevelFilter) -> Result<Queue, spdlog::Error> {
+    let out =
+        StdStreamSink::builder().std_stream(StdStream::Stdout).formatter(JsonFormatter::new()).build()?;
+    let capacity = NonZeroUsize::new(QUEUE).unwrap_or(NonZeroUsize::MIN);
+    let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(out))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(pool.clone())
+        .error_handler(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
+        .build()?;
     let logger = Logger::builder().sink(Arc::new(sink)).level_filter(level).build()?;
-    logger.set_flush_level_filter(LevelFilter::All);
     spdlog::set_default_logger(Arc::new(logger));
-    Ok(())
+    Ok(Queue(pool))
+}
+
+impl Queue {
+    /// Writes the lines that wait, and stops logging.
+    pub fn close(self) {
+        match Logger::builder().build() {
+            Ok(silent) => drop(spdlog::swap_default_logger(Arc::new(silent))),
+            Err(error) => eprintln!("logs not closed: {error}"),
+        }
+        // The last handle on the pool waits for its thread.
+        drop(self.0);
+    }
 }
 
 /// Reads a level by name.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 use tarragonhill_core::Clock;
@@ -12,7 +12,7 @@
     agent::Agent,
     config::{self, Settings},
     entry::Entry,
-    logging,
+    gateway, logging,
 };
 
 /// Exit code for settings that cannot be used.
@@ -34,11 +34,16 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logging::init(settings.common().log) {
-        eprintln!("tarragonhilld: logs cannot be set up: {error}");
-        return ExitCode::FAILURE;
-    }
-    match task::block_on(run(settings)) {
+    let logs = match logging::init(settings.common().log) {
+        Ok(logs) => logs,
+        Err(error) => {
+            eprintln!("tarragonhilld: logs cannot be set up: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = task::block_on(run(settings));
+    logs.close();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("tarragonhilld: {error}");
@@ -60,6 +65,7 @@
             let _ = signals.recv().await;
             agent.shutdown().await;
         }
+        Settings::Gateway(settings) => gateway::run(settings, Clock::runtime(), signals).await?,
     }
     Ok(())
 }
@@ -67,15 +73,23 @@
 /// Completes at the first SIGTERM or SIGINT; the second ends the process at once.
 fn signals() -> std::io::Result<async_channel::Receiver<()>> {
     let (sender, receiver) = async_channel::bounded(1);
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     std::thread::Builder::new().name("signals".into()).spawn(move || {
-        let mut caught = signals.forever();
-        caught.next();
-        let _ = sender.try_send(());
-        caught.next();
-        // Logs are flushed line by line; nothing else is worth waiting for.
-        std::thread::sleep(Duration::from_millis(1));
-        std::process::exit(1);
+        let mut stops = 0;
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                // Flags and variables of a process never change; a new file takes a new start.
+                spdlog::info!("reload asked for; settings are read at the start only");
+                continue;
+            }
+            stops += 1;
+            if stops > 1 {
+                // Nothing but the last log lines is worth waiting for.
+                std::thread::sleep(Duration::from_millis(1));
+                std::process::exit(1);
+            }
+            let _ = sender.try_send(());
+        }
     })?;
     Ok(receiver)
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,7 +12,7 @@
     message::Beat,
     settings::{self, Row, Snapshot},
 };
-use tarragonhill_platform::{Rows, Table, TableError};
+use tarragonhill_table::{Rows, Table, TableError};
 
 /// The settings in force in this process.
 #[derive(Debug)]
@@ -130,7 +130,7 @@
     }
 }
 
-fn parse(row: &tarragonhill_platform::Row) -> Option<Row> {
+fn parse(row: &tarragonhill_table::Row) -> Option<Row> {
     match Row::parse(&row.key, row.value.as_ref()) {
         Ok(row) => Some(row),
         Err(error) => {
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,96 @@
+//! What all requests of the process share.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
+};
+
+use bytes::Bytes;
+use tarragonhill_core::{
+    Clock, Time,
+    gateway::{
+        catalog::{Customer, Route},
+        directory::Endpoint,
+        state::Admission,
+    },
+};
+use tarragonhill_h1::head::Request;
+
+use crate::{
+    control::Control,
+    edge::{Call, Dialect, Message},
+    exchange::Sender,
+    metrics::Metrics,
+    pool::Pool,
+};
+
+/// Shared by all tasks.
+pub(crate) struct Context {
+    pub(crate) clock: Clock,
+    pub(crate) control: Control,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    /// Whether the process is to stop: it takes no new connections and keeps none.
+    pub(crate) leaving: AtomicBool,
+    /// Requests under way.
+    pub(crate) running: AtomicUsize,
+}
+
+impl Context {
+    pub(crate) fn sender(&self) -> Sender<'_> {
+        Sender { pool: &self.pool, dialect: &*self.dialect }
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Sends a message whose answer nobody waits for, beside the traffic.
+    pub(crate) fn send_beside(self: &Arc<Self>, endpoint: Arc<Endpoint>, message: Message) {
+        let context = self.clone();
+        async_std::task::spawn(async move {
+            let sent = context.sender().send(&endpoint, &message.head, &message.body, None, BESIDE_LIMIT);
+            match sent.await {
+                Ok(exchange) => drop(exchange.whole().await),
+                Err(failure) => {
+                    spdlog::debug!("release failed", kv: { endpoint = &*endpoint.id, reason = failure.to_string().as_str() });
+                }
+            }
+        });
+    }
+}
+
+/// Longest time for a message beside the traffic; what it releases lapses by itself later.
+const BESIDE_LIMIT: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// One request on its way.
+pub(crate) struct Inbound {
+    pub(crate) head: Request,
+    pub(crate) body: Bytes,
+    pub(crate) call: Call,
+    pub(crate) route: Arc<Route>,
+    pub(crate) customer: Option<Arc<Customer>>,
+    pub(crate) service: Arc<str>,
+    pub(crate) admission: Admission,
+    /// When it had been read.
+    pub(crate) received: Time,
+    /// When the caller or the operator gives up.
+    pub(crate) ends: Time,
+    /// Whether an endpoint may have run it, or may yet.
+    pub(crate) may_have_run: AtomicBool,
+}
+
+impl Inbound {
+    pub(crate) fn id(&self) -> &str {
+        self.call.id.as_deref().unwrap_or("-")
+    }
+
+    pub(crate) fn priority(&self) -> u8 {
+        self.customer.as_ref().and_then(|customer| customer.priority).unwrap_or(self.route.priority)
+    }
+
+    pub(crate) fn customer_name(&self) -> Option<&str> {
+        self.customer.as_ref().map(|customer| &*customer.name)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,368 @@
+//! The control thread, and the handle by which traffic asks it.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use async_channel::{Receiver, Sender};
+use async_std::{future::timeout, task};
+use tarragonhill_core::{
+    Clock, Refusal, Time,
+    gateway::{
+        budget::Rule,
+        catalog::Catalog,
+        digest::{Digest, Member},
+        directory::{Change, Endpoint},
+        health::Outcome,
+        line::{Verdict, Waiting},
+        load::Lease,
+        state::{Admission, Identity, Place, State},
+    },
+    refusal::Code,
+};
+
+use crate::edge::Update;
+
+/// How often time alone is looked at: digests are sent and lapsed things settled. Places taken by
+/// others are seen this late, which is a third of the time that one placement lasts.
+const TICK: Duration = Duration::from_millis(200);
+/// The same while requests wait, so that one that waits in vain is told soon.
+const BUSY_TICK: Duration = Duration::from_millis(25);
+
+/// Whom to answer.
+type Reply<T> = Sender<T>;
+/// A place, or why there is none.
+type Placing = Result<Ticket, Refusal>;
+
+enum Command {
+    Admit(Admission, Reply<Result<(), Refusal>>),
+    GiveBack(Admission),
+    Retry(Arc<str>, Reply<bool>),
+    IsSplit(Arc<str>, Reply<bool>),
+    Whole(Arc<str>, Vec<Arc<str>>, Reply<Placing>),
+    Prefill(Reading, Reply<Option<Ticket>>),
+    LineUp(Waiting<Reply<Placing>>),
+    Answered(Lease),
+    Ended(Lease, Outcome),
+    Broke(Arc<str>, u64),
+    Update(Update),
+    Digest(Box<Digest>, SocketAddr),
+    Dump(Reply<serde_json::Value>),
+}
+
+/// A prompt that is to be read.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    /// The service.
+    pub service: Arc<str>,
+    /// Prompt tokens.
+    pub tokens: u64,
+    /// The availability zone where the result goes.
+    pub zone: Arc<str>,
+    /// Endpoints that have failed it.
+    pub avoid: Vec<Arc<str>>,
+}
+
+/// A request's place at an endpoint; given back when dropped.
+pub struct Ticket {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    lease: Lease,
+    outcome: Outcome,
+    control: Control,
+}
+
+impl Ticket {
+    /// The answer has begun.
+    pub fn answered(&mut self) {
+        self.outcome = Outcome::Abandoned;
+        self.control.tell(Command::Answered(self.lease.clone()));
+    }
+
+    /// How the request ended here.
+    pub fn ended(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.control.tell(Command::Ended(self.lease.clone(), self.outcome));
+    }
+}
+
+/// A handle on the control thread.
+#[derive(Clone)]
+pub struct Control {
+    commands: Sender<Command>,
+    catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
+}
+
+/// A digest that is to be sent, and to whom.
+pub type Outgoing = (Digest, Vec<Member>);
+
+impl Control {
+    /// Starts the thread; digests to be sent come out of `digests`.
+    pub fn start(
+        identity: Identity,
+        retries: Rule,
+        clock: Clock,
+        digests: Sender<Outgoing>,
+    ) -> io::Result<Self> {
+        let (commands, received) = async_channel::unbounded();
+        let control = Self { commands, catalog: Arc::default() };
+        let state = State::new(identity, retries, clock.now());
+        let back = control.clone();
+        let mut desk = Desk { state, clock, back, digests, told: Time::ZERO };
+        thread::Builder::new()
+            .name("control".into())
+            .spawn(move || task::block_on(async move { desk.run(received).await }))?;
+        Ok(control)
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn tell(&self, command: Command) {
+        // Fails only once the control thread has ended, with the process.
+        let _ = self.commands.try_send(command);
+    }
+
+    async fn ask<T>(&self, command: impl FnOnce(Reply<T>) -> Command) -> Option<T> {
+        let (reply, answer) = async_channel::bounded(1);
+        self.tell(command(reply));
+        answer.recv().await.ok()
+    }
+
+    /// Whether a request may run at all; charges its customer if so.
+    pub async fn admit(&self, admission: Admission) -> Result<(), Refusal> {
+        self.ask(|reply| Command::Admit(admission, reply)).await.unwrap_or(Err(stopping()))
+    }
+
+    /// Gives back what a request was charged that nobody ran.
+    pub fn give_back(&self, admission: Admission) {
+        self.tell(Command::GiveBack(admission));
+    }
+
+    /// Whether a request may be sent to a further endpoint.
+    pub async fn retry(&self, service: &Arc<str>) -> bool {
+        self.ask(|reply| Command::Retry(service.clone(), reply)).await.unwrap_or(false)
+    }
+
+    /// Whether a service reads prompts and makes tokens at different endpoints.
+    pub async fn is_split(&self, service: &Arc<str>) -> bool {
+        self.ask(|reply| Command::IsSplit(service.clone(), reply)).await.unwrap_or(false)
+    }
+
+    /// A place for a whole request.
+    pub async fn whole(&self, service: &Arc<str>, avoid: &[Arc<str>]) -> Placing {
+        let asked = self.ask(|reply| Command::Whole(service.clone(), avoid.to_vec(), reply)).await;
+        asked.unwrap_or(Err(stopping()))
+    }
+
+    /// A place for reading a prompt.
+    pub async fn prefill(&self, reading: Reading) -> Option<Ticket> {
+        self.ask(|reply| Command::Prefill(reading, reply)).await.flatten()
+    }
+
+    /// Waits for a place where tokens are made.
+    pub async fn decode(&self, waiting: Waiting<()>) -> Placing {
+        let asked = self.ask(|tag| {
+            Command::LineUp(Waiting {
+                tag,
+                service: waiting.service,
+                memory: waiting.memory,
+                arrived: waiting.arrived,
+                on_time: waiting.on_time,
+                last_start: waiting.last_start,
+                priority: waiting.priority,
+                avoid: waiting.avoid,
+            })
+        });
+        asked.await.unwrap_or(Err(stopping()))
+    }
+
+    /// A request broke off at an endpoint.
+    pub fn broke(&self, endpoint: &Arc<str>, fingerprint: u64) {
+        self.tell(Command::Broke(endpoint.clone(), fingerprint));
+    }
+
+    /// Takes what the store tells.
+    pub fn update(&self, update: Update) {
+        self.tell(Command::Update(update));
+    }
+
+    /// Takes another entry's digest.
+    pub fn digest(&self, digest: Digest, from: SocketAddr) {
+        self.tell(Command::Digest(Box::new(digest), from));
+    }
+
+    /// What the process believes, for people.
+    pub async fn dump(&self) -> serde_json::Value {
+        self.ask(Command::Dump).await.unwrap_or_default()
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal::not_run(Code::ShuttingDown, "the process is stopping")
+}
+
+/// The control thread's own.
+struct Desk {
+    state: State<Reply<Placing>>,
+    clock: Clock,
+    back: Control,
+    digests: Sender<Outgoing>,
+    /// When the last digest was sent.
+    told: Time,
+}
+
+impl Desk {
+    async fn run(&mut self, commands: Receiver<Command>) {
+        loop {
+            let tick = if self.state.line_length() > 0 { BUSY_TICK } else { TICK };
+            match timeout(tick, commands.recv()).await {
+                Ok(Ok(command)) => self.take(command),
+                Ok(Err(_)) => return,
+                Err(_) => {}
+            }
+            self.pass_time();
+        }
+    }
+
+    fn pass_time(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.told) >= TICK {
+            self.told = now;
+            let (changes, gone) = self.state.settle(now);
+            log_changes(&changes);
+            for peer in gone {
+                spdlog::info!("entry forgotten", kv: { peer = &*peer });
+            }
+            // Full only while the sender is behind; the next digest says the same and more.
+            let _ = self.digests.try_send(self.state.digest(now));
+        }
+        self.state.retain_line(|reply| !reply.is_closed());
+        for (reply, verdict) in self.state.pump(now) {
+            let placing = match verdict {
+                Verdict::Placed(place) => Ok(self.ticket(place)),
+                Verdict::Hopeless => Err(overloaded()),
+            };
+            // A ticket whose asker is gone is dropped here, which gives it back.
+            let _ = reply.try_send(placing);
+        }
+    }
+
+    fn ticket(&self, place: Place) -> Ticket {
+        let Place { endpoint, lease } = place;
+        Ticket { endpoint, lease, outcome: Outcome::Abandoned, control: self.back.clone() }
+    }
+
+    fn take(&mut self, command: Command) {
+        let now = self.clock.now();
+        match command {
+            Command::Admit(admission, reply) => drop(reply.try_send(self.state.admit(now, &admission))),
+            Command::GiveBack(admission) => self.state.give_back(&admission),
+            Command::Retry(service, reply) => drop(reply.try_send(self.state.retry(now, &service))),
+            Command::IsSplit(service, reply) => drop(reply.try_send(self.state.is_split(now, &service))),
+            Command::Whole(service, avoid, reply) => {
+                let place = self.state.whole(now, &service, &avoid).map(|place| self.ticket(place));
+                drop(reply.try_send(place));
+            }
+            Command::Prefill(reading, reply) => {
+                let Reading { service, tokens, zone, avoid } = &reading;
+                let place = self.state.prefill(now, service, *tokens, zone, avoid);
+                drop(reply.try_send(place.map(|place| self.ticket(place))));
+            }
+            Command::LineUp(waiting) => self.state.line_up(waiting),
+            Command::Answered(lease) => self.state.answered(now, &lease),
+            Command::Ended(lease, outcome) => self.state.ended(now, &lease, outcome),
+            Command::Broke(endpoint, fingerprint) => self.state.broke(now, &endpoint, fingerprint),
+            Command::Update(update) => self.update(now, update),
+            Command::Digest(digest, from) => self.state.heard(now, &digest, from),
+            Command::Dump(reply) => drop(reply.try_send(self.dump(now))),
+        }
+    }
+
+    fn update(&mut self, now: Time, update: Update) {
+        match update {
+            Update::Catalog { order, catalog } => self.adopt(now, order, catalog),
+            Update::Listing(listing) => log_changes(&self.state.list(now, listing)),
+            Update::Member(member) => {
+                spdlog::info!("entry named", kv: { peer = &*member.name, address = member.address.to_string().as_str() });
+                self.state.member(now, member);
+            }
+            Update::Lost { what, reason } => {
+                spdlog::warn!("store lost", kv: { what, reason = reason.as_str() });
+                self.state.store_lost();
+            }
+            Update::Regained { what } => spdlog::info!("store regained", kv: { what }),
+        }
+    }
+
+    fn adopt(&mut self, now: Time, order: u64, catalog: Arc<Catalog>) {
+        let (version, routes) = (catalog.version(), catalog.route_count());
+        if !self.state.adopt(now, order, catalog.clone()) {
+            spdlog::info!("older configuration ignored", kv: { version, order });
+            return;
+        }
+        *self.back.catalog.lock().unwrap_or_else(PoisonError::into_inner) = Some(catalog);
+        spdlog::info!("configuration in force", kv: { version, order, routes });
+    }
+
+    fn dump(&mut self, now: Time) -> serde_json::Value {
+        let endpoints: Vec<serde_json::Value> = self
+            .state
+            .directory()
+            .all()
+            .map(|endpoint| {
+                let load = self.state.loads().get(&endpoint.id);
+                let all = load.map(|load| load.all(now)).unwrap_or_default();
+                serde_json::json!({
+                    "id": endpoint.id, "service": endpoint.service, "zone": endpoint.zone,
+                    "stage": endpoint.stage.to_string(), "leaving": endpoint.leaving,
+                    "running": all.running, "memory": all.memory, "reading": all.reading,
+                    "failing": load.map(|load| load.health.failing(now)),
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "version": self.state.catalog().map(|catalog| catalog.version()),
+            "endpoints": endpoints,
+            "left": self.state.left(now),
+            "sharers": self.state.sharers(),
+            "waiting": self.state.line_length(),
+        })
+    }
+}
+
+fn overloaded() -> Refusal {
+    Refusal::not_run(Code::Overloaded, "no memory becomes free in time").retry_after(LINE_SHORTER)
+}
+
+/// What a caller is told that waited in vain: about half the time a run takes, after which half of
+/// what is in memory has ended.
+const LINE_SHORTER: Duration = Duration::from_millis(1_500);
+
+fn log_changes(changes: &[Change]) {
+    for change in changes {
+        let (what, endpoint) = match change {
+            Change::Seen(endpoint) => ("seen", endpoint),
+            Change::Restarted(endpoint) => ("restarted", endpoint),
+            Change::Leaving(endpoint) => ("leaving", endpoint),
+            Change::Lapsed(endpoint) => ("lapsed", endpoint),
+            Change::Gone(endpoint) => ("gone", endpoint),
+        };
+        let stage: &'static str = endpoint.stage.into();
+        spdlog::info!("endpoint", kv: {
+            change = what, endpoint = &*endpoint.id, service = &*endpoint.service, zone = &*endpoint.zone, stage,
+            address = endpoint.address.to_string().as_str()
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/identify.rs
@@ -0,0 +1,86 @@
+//! Finds a request's route, customer and service.
+
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rand::Rng as _;
+use tarragonhill_core::{
+    Refusal, Time,
+    gateway::{
+        catalog::{Catalog, Customer, Route, Unknown},
+        state::Admission,
+    },
+    refusal::Code,
+};
+use tarragonhill_h1::head::Request;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{context::Inbound, edge::Call};
+
+/// What callers are told while this entry has not read a configuration yet: it reads one within a
+/// second of the store's answer.
+const NO_CATALOG: Duration = Duration::from_millis(500);
+
+/// Finds out what a request is.
+pub(crate) fn identify(
+    catalog: Option<&Catalog>,
+    head: Request,
+    body: Bytes,
+    call: Call,
+    received: Time,
+) -> Result<Inbound, Refusal> {
+    let found = match catalog {
+        Some(catalog) => look_up(catalog, &head, &call),
+        None => {
+            let refusal = Refusal::not_run(Code::SettingsUnconfirmed, "no configuration is known yet");
+            Err(refusal.retry_after(NO_CATALOG))
+        }
+    };
+    let (route, customer) = found?;
+    let service = route.service(rand::rng().random()).clone();
+    let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let admission = Admission {
+        customer: customer.clone(),
+        tokens: customer.as_ref().map_or(0, |customer| counted(customer, &call)),
+        service: service.clone(),
+        fingerprint: fingerprint(customer.as_ref().map_or("", |customer| &*customer.name), &head, &body),
+    };
+    let may_have_run = AtomicBool::new(false);
+    let ends = received.plus(patience);
+    Ok(Inbound { head, body, call, route, customer, service, admission, received, ends, may_have_run })
+}
+
+/// What a request takes of its customer's rate.
+fn counted(customer: &Customer, call: &Call) -> u64 {
+    let tokens = call.tokens.filter(|_| customer.by_tokens);
+    tokens.map_or(customer.flat, |tokens| tokens.prompt + tokens.output)
+}
+
+type Found = (Arc<Route>, Option<Arc<Customer>>);
+
+fn look_up(catalog: &Catalog, head: &Request, call: &Call) -> Result<Found, Refusal> {
+    let host = head.fields.get("host").unwrap_or_default();
+    let route = catalog.route(host, head.path()).map_err(unknown)?;
+    let customer = catalog.caller(route, call.key.as_deref()).map_err(unknown)?;
+    Ok((route.clone(), customer.cloned()))
+}
+
+fn unknown(what: Unknown) -> Refusal {
+    match what {
+        Unknown::Route => Refusal::not_run(Code::NotFound, "no route leads there"),
+        Unknown::Key => Refusal::not_run(Code::BadKey, "the key is unknown"),
+    }
+}
+
+/// Tells requests apart by who sends what where; the same request sent again has the same.
+fn fingerprint(customer: &str, head: &Request, body: &[u8]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in [customer.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,518 @@
+//! Requests whose answers are streams of events: completions.
+//!
+//! On split services a run takes three steps: memory is reserved where tokens will be made, the
+//! prompt is read elsewhere, and the run starts from its result. No prompt is read before its place
+//! is promised, so none is read in vain for want of memory.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_std::future::timeout;
+use bytes::{Bytes, BytesMut};
+use tarragonhill_core::{
+    Refusal,
+    gateway::{
+        catalog::Engine,
+        directory::Endpoint,
+        health::Outcome,
+        line::{FIRST_EVENT, Waiting, run_time},
+        placement::reading_time,
+    },
+    refusal::Code,
+};
+use tarragonhill_h1::head::Response;
+
+use crate::{
+    answer::Answer,
+    context::{Context, Inbound},
+    control::{Reading, Ticket},
+    edge::{Decode, Passage, Task},
+    exchange::{Exchange, Failure},
+    whole::{MISDIRECTED, is_promise},
+};
+
+/// Most times that a request is sent on when endpoints turn it away unrun.
+const MOST_SENDS: u32 = 4;
+/// Most endpoints asked to read one prompt.
+const MOST_READERS: u32 = 3;
+/// A prompt is asked of another endpoint if reading takes longer than this many times what it takes
+/// on an idle one, plus [`READING_SLACK`]. Three prompts may be ahead in a burst.
+const READING_PATIENCE: u32 = 4;
+/// See [`READING_PATIENCE`].
+const READING_SLACK: Duration = Duration::from_millis(700);
+/// Longest time to answer a reservation; it needs no computing.
+const HOLD_LIMIT: Duration = Duration::from_millis(500);
+/// Reservations are made for this long at most: a prompt is read within it, or asked elsewhere.
+const HOLD_TTL: Duration = Duration::from_millis(2_000);
+/// A resumable stream goes on elsewhere after this many of its longest allowed pauses without an
+/// event; callers leave a silent stream after eight.
+const STALLED_GAPS: u32 = 5;
+/// The same where no longest pause is declared.
+const STALLED: Duration = Duration::from_millis(1_500);
+
+/// One request's way through its runs.
+struct Progress {
+    /// The last event that the caller has.
+    last_event: Option<Arc<str>>,
+    /// Endpoints that failed it.
+    avoid: Vec<Arc<str>>,
+    /// Endpoints that may have run it.
+    runs: u32,
+}
+
+/// A run that has begun.
+struct Run<'a> {
+    exchange: Exchange<'a>,
+    ticket: Ticket,
+}
+
+/// Why a run has not begun.
+enum Trouble {
+    /// The request was not run; it may be tried again.
+    NotRun(String),
+    /// The request may have run.
+    Broken(String),
+    /// The endpoint ran it and answers with a failure.
+    Answered(Response, Bytes),
+}
+
+/// Why a stream has stopped before its end.
+enum Stop {
+    /// The caller takes no more.
+    CallerGone(std::io::Error),
+    /// The endpoint broke off.
+    Broken(String),
+}
+
+/// Serves a request; an error is to be told to the caller.
+pub(crate) async fn serve(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    answer: &mut Answer,
+) -> Result<(), Refusal> {
+    let mut progress = Progress { last_event: None, avoid: Vec::new(), runs: 0 };
+    for sends in 1.. {
+        let place = lease_endpoint(context, inbound, &progress).await?;
+        let endpoint = place.endpoint().clone();
+        let reason = match start(context, inbound, &progress, place, &endpoint).await {
+            Ok(run) => match pass_on(context, inbound, run, answer, &mut progress).await {
+                Ok(()) => return Ok(()),
+                Err(Stop::CallerGone(error)) => {
+                    spdlog::info!("caller gone", kv: { request = inbound.id(), reason = error.to_string().as_str() });
+                    return Ok(());
+                }
+                Err(Stop::Broken(reason)) => {
+                    broken(context, inbound, answer, &mut progress, &endpoint, reason)?
+                }
+            },
+            Err(Trouble::Answered(head, body)) if answer.is_open() => {
+                // Only the caller's own connection can fail here, and then nobody is left to tell.
+                let _ = answer.whole(head, &body).await;
+                return Ok(());
+            }
+            Err(Trouble::Answered(head, _)) => {
+                let reason = format!("resuming failed with status {}", head.status);
+                broken(context, inbound, answer, &mut progress, &endpoint, reason)?
+            }
+            Err(Trouble::Broken(reason)) => {
+                broken(context, inbound, answer, &mut progress, &endpoint, reason)?
+            }
+            Err(Trouble::NotRun(reason)) => {
+                progress.avoid.push(endpoint.id.clone());
+                Some(reason)
+            }
+        };
+        // The stream was cut and cannot go on; the connection ends without the stream's end.
+        let Some(reason) = reason else { return Ok(()) };
+        if sends >= MOST_SENDS || !context.control.retry(&inbound.service).await {
+            return exhausted(inbound, answer, reason);
+        }
+        spdlog::info!("sent again", kv: {
+            request = inbound.id(), sends, reason = reason.as_str(),
+            after = progress.last_event.as_deref().unwrap_or("")
+        });
+    }
+    Ok(())
+}
+
+/// Deals with a run that broke off: gives the reason if it may run again, nothing if the stream is
+/// over, and a refusal if the caller is still to be told.
+fn broken(
+    context: &Context,
+    inbound: &Inbound,
+    answer: &Answer,
+    progress: &mut Progress,
+    endpoint: &Arc<Endpoint>,
+    reason: String,
+) -> Result<Option<String>, Refusal> {
+    progress.runs += 1;
+    progress.avoid.push(endpoint.id.clone());
+    context.control.broke(&endpoint.id, inbound.admission.fingerprint);
+    if inbound.route.is_repeatable() && progress.runs < inbound.route.attempts {
+        return Ok(Some(reason));
+    }
+    cut(inbound, answer, reason)
+}
+
+fn exhausted(inbound: &Inbound, answer: &Answer, reason: String) -> Result<(), Refusal> {
+    if answer.is_open() && !inbound.may_have_run.load(Ordering::Relaxed) {
+        return Err(Refusal::not_run(Code::Overloaded, reason).retry_after(crate::front::COME_BACK));
+    }
+    cut(inbound, answer, reason).map(|_| ())
+}
+
+fn cut(inbound: &Inbound, answer: &Answer, reason: String) -> Result<Option<String>, Refusal> {
+    if answer.is_open() {
+        return Err(Refusal::run(Code::Broken, reason));
+    }
+    spdlog::warn!("stream cut", kv: { request = inbound.id(), reason = reason.as_str() });
+    Ok(None)
+}
+
+/// Where a run goes.
+enum Placing {
+    /// To an endpoint that does all of it.
+    Whole(Ticket),
+    /// To one that makes the tokens, with what was reserved there.
+    Decode(Ticket, Option<Release>),
+}
+
+impl Placing {
+    fn endpoint(&self) -> &Arc<Endpoint> {
+        match self {
+            Self::Whole(ticket) | Self::Decode(ticket, _) => &ticket.endpoint,
+        }
+    }
+}
+
+/// Something kept at an endpoint for a request, given back when dropped.
+struct Release {
+    context: Arc<Context>,
+    endpoint: Arc<Endpoint>,
+    kept: Kept,
+}
+
+enum Kept {
+    Hold(Arc<str>),
+    Result(Arc<str>),
+    /// It was used, or is no longer there.
+    Nothing,
+}
+
+impl Release {
+    fn name(&self) -> Option<&str> {
+        match &self.kept {
+            Kept::Hold(name) | Kept::Result(name) => Some(name),
+            Kept::Nothing => None,
+        }
+    }
+
+    fn used(&mut self) {
+        self.kept = Kept::Nothing;
+    }
+}
+
+impl Drop for Release {
+    fn drop(&mut self) {
+        let message = match &self.kept {
+            Kept::Hold(hold) => self.context.dialect.release_hold(&self.endpoint, hold),
+            Kept::Result(result) => self.context.dialect.release_result(&self.endpoint, result),
+            Kept::Nothing => return,
+        };
+        self.context.send_beside(self.endpoint.clone(), message);
+    }
+}
+
+/// Waits for an endpoint and, on split services, reserves memory there.
+async fn lease_endpoint(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    progress: &Progress,
+) -> Result<Placing, Refusal> {
+    let engine = context.control.catalog().and_then(|catalog| catalog.service(&inbound.service)?.engine);
+    let Some(engine) = engine else { return whole(context, inbound, progress).await };
+    if !context.control.is_split(&inbound.service).await {
+        return whole(context, inbound, progress).await;
+    }
+    let mut avoid = progress.avoid.clone();
+    loop {
+        let waiting = waiting(inbound, &engine, &avoid);
+        let memory = waiting.memory;
+        let ticket = context.control.decode(waiting).await?;
+        if engine.longest_hold.is_zero() {
+            return Ok(Placing::Decode(ticket, None));
+        }
+        match hold(context, &ticket.endpoint, &engine, memory).await {
+            Ok(Some(release)) => return Ok(Placing::Decode(ticket, Some(release))),
+            Ok(None) => ticket.ended(Outcome::Full),
+            Err(reason) => {
+                spdlog::info!("no reservation", kv: {
+                    request = inbound.id(), endpoint = &*ticket.endpoint.id, reason = reason.as_str()
+                });
+                avoid.push(ticket.endpoint.id.clone());
+                ticket.ended(Outcome::Unreachable);
+            }
+        }
+    }
+}
+
+async fn whole(context: &Context, inbound: &Inbound, progress: &Progress) -> Result<Placing, Refusal> {
+    context.control.whole(&inbound.service, &progress.avoid).await.map(Placing::Whole)
+}
+
+fn waiting(inbound: &Inbound, engine: &Engine, avoid: &[Arc<str>]) -> Waiting<()> {
+    let tokens = inbound.call.tokens.map_or((0, 0), |tokens| (tokens.prompt, tokens.output));
+    let (prompt, output) = tokens;
+    let expected = inbound.call.tokens.and_then(|tokens| tokens.expected).unwrap_or(output).min(output);
+    let first = FIRST_EVENT + reading_time(prompt);
+    Waiting {
+        tag: (),
+        service: inbound.service.clone(),
+        memory: (prompt + output).min(engine.memory),
+        arrived: inbound.received,
+        on_time: inbound.received.plus(inbound.route.aim.saturating_sub(first)),
+        last_start: before(inbound.ends, reading_time(prompt) + run_time(expected)),
+        priority: inbound.priority(),
+        avoid: avoid.to_vec(),
+    }
+}
+
+fn before(time: tarragonhill_core::Time, span: Duration) -> tarragonhill_core::Time {
+    tarragonhill_core::Time::ZERO.plus(time.since(tarragonhill_core::Time::ZERO.plus(span)))
+}
+
+/// Reserves memory at an endpoint; nothing if it has none.
+async fn hold(
+    context: &Arc<Context>,
+    endpoint: &Arc<Endpoint>,
+    engine: &Engine,
+    memory: u64,
+) -> Result<Option<Release>, String> {
+    let message = context.dialect.hold(endpoint, memory, engine.longest_hold.min(HOLD_TTL));
+    let sent = context.sender().send(endpoint, &message.head, &message.body, None, HOLD_LIMIT).await;
+    let exchange = sent.map_err(|failure| failure.to_string())?;
+    let (head, _, body) = exchange.whole().await.map_err(|failure| failure.to_string())?;
+    match (head.status, context.dialect.held(&body)) {
+        (200, Some(hold)) => {
+            Ok(Some(Release { context: context.clone(), endpoint: endpoint.clone(), kept: Kept::Hold(hold) }))
+        }
+        (503, _) => Ok(None),
+        (status, _) => Err(format!("status {status}")),
+    }
+}
+
+/// Starts a run and waits for the head of its answer.
+async fn start<'a>(
+    context: &'a Arc<Context>,
+    inbound: &Inbound,
+    progress: &Progress,
+    placing: Placing,
+    endpoint: &'a Arc<Endpoint>,
+) -> Result<Run<'a>, Trouble> {
+    match placing {
+        Placing::Whole(ticket) => {
+            let after = progress.last_event.as_deref();
+            let task = match after {
+                Some(_) => Task::Decode(Decode { after, ..Decode::default() }),
+                None => Task::Whole,
+            };
+            send(context, inbound, ticket, endpoint, task).await
+        }
+        Placing::Decode(ticket, mut held) => {
+            let mut read = read_prompt(context, inbound, &endpoint.zone).await?;
+            let decode = Decode {
+                source: read.as_ref().and_then(|read| Some((read.endpoint.address, read.name()?))),
+                hold: held.as_ref().and_then(Release::name),
+                after: progress.last_event.as_deref(),
+            };
+            let started = send(context, inbound, ticket, endpoint, Task::Decode(decode)).await;
+            if !matches!(started, Err(Trouble::NotRun(_))) {
+                held.iter_mut().chain(&mut read).for_each(Release::used);
+            }
+            started
+        }
+    }
+}
+
+/// Has the prompt read; nothing if no endpoint can be reached that only reads.
+async fn read_prompt(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    zone: &Arc<str>,
+) -> Result<Option<Release>, Trouble> {
+    let prompt = inbound.call.tokens.map_or(0, |tokens| tokens.prompt);
+    let mut avoid = Vec::new();
+    for readers in 1.. {
+        let service = inbound.service.clone();
+        let reading = Reading { service, tokens: prompt, zone: zone.clone(), avoid: avoid.clone() };
+        let Some(ticket) = context.control.prefill(reading).await else { return Ok(None) };
+        avoid.push(ticket.endpoint.id.clone());
+        let endpoint = ticket.endpoint.clone();
+        let (reason, was_sent) = match read_at(context, inbound, ticket, &endpoint, prompt).await {
+            Ok(result) => {
+                let kept = Kept::Result(result);
+                return Ok(Some(Release { context: context.clone(), endpoint, kept }));
+            }
+            Err(Failure::Unsent(error)) => (format!("{}: {error}", endpoint.id), false),
+            Err(failure) => (format!("{}: {failure}", endpoint.id), true),
+        };
+        spdlog::info!("prompt not read", kv: { request = inbound.id(), reason = reason.as_str() });
+        if readers >= MOST_READERS || was_sent && !context.control.retry(&inbound.service).await {
+            return Err(Trouble::NotRun(reason));
+        }
+    }
+    Ok(None)
+}
+
+async fn read_at(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    mut ticket: Ticket,
+    endpoint: &Arc<Endpoint>,
+    prompt: u64,
+) -> Result<Arc<str>, Failure> {
+    let left = inbound.ends.since(context.clock.now());
+    let limit = (reading_time(prompt) * READING_PATIENCE + READING_SLACK).min(left);
+    let passage = passage(inbound, endpoint, left, Task::Prefill);
+    let head = context.dialect.pass(&inbound.head, &passage);
+    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), limit).await;
+    let taken = match sent {
+        Ok(exchange) => exchange.whole().await,
+        Err(failure) => Err(failure),
+    };
+    match taken {
+        Ok((head, _, body)) if head.status == 200 => {
+            let result = context.dialect.prefilled(&body);
+            if result.is_some() {
+                ticket.answered();
+            }
+            result.ok_or(Failure::Spoilt("a result without a name"))
+        }
+        Ok((head, reply, _)) => {
+            ticket.ended(if reply.not_run { Outcome::Full } else { Outcome::Failed });
+            Err(Failure::Spoilt(if head.status == MISDIRECTED { "another endpoint" } else { "refused" }))
+        }
+        Err(failure) => {
+            let is_unsent = matches!(failure, Failure::Unsent(_));
+            if !is_unsent {
+                context.control.broke(&endpoint.id, inbound.admission.fingerprint);
+            }
+            ticket.ended(if is_unsent { Outcome::Unreachable } else { Outcome::Failed });
+            Err(failure)
+        }
+    }
+}
+
+fn passage<'a>(inbound: &'a Inbound, endpoint: &'a Endpoint, left: Duration, task: Task<'a>) -> Passage<'a> {
+    Passage { endpoint, customer: inbound.customer_name(), left, priority: inbound.priority(), task }
+}
+
+/// Sends the run itself.
+async fn send<'a>(
+    context: &'a Arc<Context>,
+    inbound: &Inbound,
+    mut ticket: Ticket,
+    endpoint: &'a Arc<Endpoint>,
+    task: Task<'_>,
+) -> Result<Run<'a>, Trouble> {
+    let left = inbound.ends.since(context.clock.now());
+    let head = context.dialect.pass(&inbound.head, &passage(inbound, endpoint, left, task));
+    let had_run = inbound.may_have_run.swap(true, Ordering::Relaxed);
+    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), left).await;
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(Failure::Unsent(error)) => {
+            inbound.may_have_run.store(had_run, Ordering::Relaxed);
+            ticket.ended(Outcome::Unreachable);
+            return Err(Trouble::NotRun(format!("{} cannot be reached: {error}", endpoint.id)));
+        }
+        Err(failure) => {
+            ticket.ended(Outcome::Failed);
+            return Err(Trouble::Broken(format!("{}: {failure}", endpoint.id)));
+        }
+    };
+    let status = exchange.head.status;
+    if exchange.reply.not_run || status == MISDIRECTED {
+        inbound.may_have_run.store(had_run, Ordering::Relaxed);
+        let reason = format!("{} did not run it, status {status}", endpoint.id);
+        // The body is of no use, but reading it keeps the connection.
+        let _ = exchange.whole().await;
+        ticket.ended(Outcome::Full);
+        return Err(Trouble::NotRun(reason));
+    }
+    if status == 200 && exchange.reply.signed && !exchange.reply.encoded {
+        ticket.answered();
+        return Ok(Run { exchange, ticket });
+    }
+    ticket.ended(Outcome::Failed);
+    let is_own = exchange.reply.signed && status >= 400 && !is_promise(status);
+    match exchange.whole().await {
+        Ok((head, _, body)) if is_own => Err(Trouble::Answered(head, body)),
+        Ok(_) => Err(Trouble::Broken(format!("{}: status {status} is no answer of its own", endpoint.id))),
+        Err(failure) => Err(Trouble::Broken(format!("{}: {failure}", endpoint.id))),
+    }
+}
+
+/// Passes a run's events on, whole events only: what comes of an event that is cut in the middle
+/// must not reach the caller if the stream goes on elsewhere.
+async fn pass_on(
+    context: &Context,
+    inbound: &Inbound,
+    run: Run<'_>,
+    answer: &mut Answer,
+    progress: &mut Progress,
+) -> Result<(), Stop> {
+    let Run { mut exchange, ticket } = run;
+    let mut held = BytesMut::new();
+    loop {
+        let part = match next_part(inbound, &mut exchange).await {
+            Ok(part) => part,
+            Err(failure) => {
+                let reason = format!("{}: {failure}", ticket.endpoint.id);
+                ticket.ended(Outcome::Failed);
+                return Err(Stop::Broken(reason));
+            }
+        };
+        if answer.is_open() {
+            let seconds = context.clock.now().since(inbound.received).as_secs_f64();
+            context.metrics.first.with_label_values(&["streaming"]).observe(seconds);
+            answer.begin(exchange.head.clone()).await.map_err(Stop::CallerGone)?;
+        }
+        let Some(part) = part else {
+            answer.part(&held).await.map_err(Stop::CallerGone)?;
+            answer.end().await.map_err(Stop::CallerGone)?;
+            exchange.keep();
+            return Ok(());
+        };
+        held.extend_from_slice(&part);
+        let Some(end) = events_end(&held) else { continue };
+        let events = held.split_to(end);
+        if let Some(id) = last_id(&events) {
+            progress.last_event = Some(id.into());
+        }
+        answer.part(&events).await.map_err(Stop::CallerGone)?;
+    }
+}
+
+async fn next_part(inbound: &Inbound, exchange: &mut Exchange<'_>) -> Result<Option<Bytes>, Failure> {
+    if !inbound.route.resumable {
+        return exchange.part().await;
+    }
+    let stalled = if inbound.route.gap.is_zero() { STALLED } else { inbound.route.gap * STALLED_GAPS };
+    timeout(stalled, exchange.part()).await.unwrap_or(Err(Failure::Late))
+}
+
+/// Where the last whole event ends.
+fn events_end(bytes: &[u8]) -> Option<usize> {
+    let end = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+    let carriage = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    end.max(carriage)
+}
+
+/// The id of the last event that has one.
+fn last_id(events: &[u8]) -> Option<&str> {
+    let text = std::str::from_utf8(events).ok()?;
+    text.lines().rev().find_map(|line| line.strip_prefix("id:")).map(str::trim)
+}
--- /dev/null
+++ b/crates/h1/src/head.rs
@@ -0,0 +1,230 @@
+//! Heads of requests and responses.
+
+use crate::{Malformed, body::Framing, field::Fields};
+
+/// Most header fields of one head.
+const MOST_FIELDS: usize = 100;
+
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The method as it came.
+    pub method: String,
+    /// Path and query as they came.
+    pub target: String,
+    /// Minor version: 0 or 1.
+    pub minor: u8,
+    /// The header fields.
+    pub fields: Fields,
+}
+
+impl Request {
+    /// A request without fields.
+    pub fn new(method: &str, target: impl Into<String>) -> Self {
+        Self { method: method.into(), target: target.into(), minor: 1, fields: Fields::default() }
+    }
+
+    /// Reads a head and its length in bytes; `None` while it is not whole.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, Malformed> {
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut request = httparse::Request::new(&mut fields);
+        let length = match request.parse(bytes) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(error) => return Err(malformed(error)),
+        };
+        let head = Self {
+            method: request.method.unwrap_or_default().to_owned(),
+            target: request.path.unwrap_or_default().to_owned(),
+            minor: request.version.unwrap_or(1),
+            fields: collect(request.headers),
+        };
+        Ok(Some((head, length)))
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// How the body is framed.
+    ///
+    /// A head that names two framings, or one that is not known here, is refused: another reader
+    /// would find the end of the body elsewhere, and what follows would pass for a request.
+    pub fn framing(&self) -> Result<Framing, Malformed> {
+        if self.fields.count("transfer-encoding") == 0 {
+            return Ok(content_length(&self.fields)?.map_or(Framing::Empty, Framing::Length));
+        }
+        if self.minor == 0 {
+            return Err(Malformed("transfer-encoding in HTTP/1.0"));
+        }
+        if self.fields.count("content-length") > 0 {
+            return Err(Malformed("both content-length and transfer-encoding"));
+        }
+        chunked(&self.fields)
+    }
+
+    /// The head as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512);
+        bytes.extend_from_slice(self.method.as_bytes());
+        bytes.push(b' ');
+        bytes.extend_from_slice(self.target.as_bytes());
+        bytes.extend_from_slice(b" HTTP/1.1\r\n");
+        encode_fields(&self.fields, &mut bytes);
+        bytes
+    }
+
+    /// Whether the peer wants to send more requests on the connection.
+    pub fn keeps_alive(&self) -> bool {
+        keeps_alive(self.minor, &self.fields)
+    }
+}
+
+/// The head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// The status code.
+    pub status: u16,
+    /// The reason phrase.
+    pub reason: String,
+    /// Minor version: 0 or 1.
+    pub minor: u8,
+    /// The header fields.
+    pub fields: Fields,
+}
+
+impl Response {
+    /// A response without fields.
+    pub fn new(status: u16) -> Self {
+        Self { status, reason: reason(status).into(), minor: 1, fields: Fields::default() }
+    }
+
+    /// Reads a head and its length in bytes; `None` while it is not whole.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, Malformed> {
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut response = httparse::Response::new(&mut fields);
+        let length = match response.parse(bytes) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(error) => return Err(malformed(error)),
+        };
+        let head = Self {
+            status: response.code.unwrap_or_default(),
+            reason: response.reason.unwrap_or_default().to_owned(),
+            minor: response.version.unwrap_or(1),
+            fields: collect(response.headers),
+        };
+        Ok(Some((head, length)))
+    }
+
+    /// How the body of a response to `method` is framed.
+    pub fn framing(&self, method: &str) -> Result<Framing, Malformed> {
+        if method == "HEAD" || self.status < 200 || matches!(self.status, 204 | 304) {
+            return Ok(Framing::Empty);
+        }
+        let length = content_length(&self.fields)?;
+        if self.fields.count("transfer-encoding") == 0 {
+            return Ok(length.map_or(Framing::UntilClose, Framing::Length));
+        }
+        if length.is_some() {
+            return Err(Malformed("both content-length and transfer-encoding"));
+        }
+        chunked(&self.fields)
+    }
+
+    /// The head as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(512);
+        bytes.extend_from_slice(format!("HTTP/1.1 {} {}\r\n", self.status, self.reason).as_bytes());
+        encode_fields(&self.fields, &mut bytes);
+        bytes
+    }
+
+    /// Whether the peer leaves the connection open after this response.
+    pub fn keeps_alive(&self) -> bool {
+        keeps_alive(self.minor, &self.fields)
+    }
+}
+
+fn collect(headers: &[httparse::Header<'_>]) -> Fields {
+    let mut fields = Fields::default();
+    for header in headers {
+        fields.push(header.name, header.value);
+    }
+    fields
+}
+
+fn encode_fields(fields: &Fields, bytes: &mut Vec<u8>) {
+    for field in fields.iter() {
+        bytes.extend_from_slice(field.name.as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(&field.value);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"\r\n");
+}
+
+fn malformed(error: httparse::Error) -> Malformed {
+    Malformed(match error {
+        httparse::Error::HeaderName => "invalid field name",
+        httparse::Error::HeaderValue => "invalid field value",
+        httparse::Error::NewLine => "invalid line end",
+        httparse::Error::Status => "invalid status",
+        httparse::Error::Token => "invalid token",
+        httparse::Error::TooManyHeaders => "too many fields",
+        httparse::Error::Version => "invalid version",
+    })
+}
+
+fn content_length(fields: &Fields) -> Result<Option<u64>, Malformed> {
+    if fields.count("content-length") != fields.all("content-length").count() {
+        return Err(Malformed("invalid content-length"));
+    }
+    let mut length = None;
+    for value in fields.all("content-length") {
+        if value.is_empty() || !value.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(Malformed("invalid content-length"));
+        }
+        let parsed = value.parse().map_err(|_| Malformed("invalid content-length"))?;
+        if length.is_some_and(|known| known != parsed) {
+            return Err(Malformed("two values of content-length"));
+        }
+        length = Some(parsed);
+    }
+    Ok(length)
+}
+
+fn chunked(fields: &Fields) -> Result<Framing, Malformed> {
+    let is_chunked =
+        fields.get("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
+    if fields.count("transfer-encoding") == 1 && is_chunked {
+        return Ok(Framing::Chunked);
+    }
+    Err(Malformed("unknown transfer-encoding"))
+}
+
+fn keeps_alive(minor: u8, fields: &Fields) -> bool {
+    if fields.has_token("connection", "close") {
+        return false;
+    }
+    minor == 1 || fields.has_token("connection", "keep-alive")
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/h1/src/lib.rs
@@ -0,0 +1,34 @@
+//! HTTP/1.1 messages with exact framing, for traffic that is passed on.
+//!
+//! Unlike a general HTTP library, this crate keeps the bytes of a body as they came, tells a body
+//! that was cut from one that is whole, and refuses every message whose framing two readers could
+//! take differently. Heads are parsed by `httparse`.
+//!
+//! ```
+//! use tarragonhill_h1::head::Request;
+//!
+//! let (request, length) = Request::parse(b"GET /a HTTP/1.1\r\nHost: b\r\n\r\n")?.expect("a whole head");
+//! assert_eq!(request.target, "/a");
+//! assert_eq!(request.fields.get("host"), Some("b"));
+//! assert_eq!(length, 28);
+//! # Ok::<(), tarragonhill_h1::Malformed>(())
+//! ```
+
+pub mod body;
+pub mod connection;
+pub mod field;
+pub mod head;
+
+pub use connection::{Connection, Error};
+
+/// A message that cannot be read, and why; the text is fit for logs and answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+impl std::fmt::Display for Malformed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
--- /dev/null
+++ b/crates/wire/src/digest.rs
@@ -0,0 +1,83 @@
+//! Digests between entries, as they are sent.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use tarragonhill_core::gateway::digest::{Digest, Member, Share};
+
+use crate::{DecodeError, proto};
+
+impl From<&Digest> for proto::Digest {
+    fn from(digest: &Digest) -> Self {
+        let spending = digest.spent.iter().map(|(customer, spent)| proto::Spending {
+            customer: customer.to_string(),
+            spent: *spent,
+            left: digest.left.get(customer).copied().unwrap_or(0),
+        });
+        let shares = digest.shares.iter().map(|(endpoint, share)| proto::Share {
+            endpoint: endpoint.to_string(),
+            running: share.running,
+            memory: share.memory,
+            reading: share.reading,
+        });
+        let suspects = digest.suspects.iter();
+        Self {
+            name: digest.name.to_string(),
+            incarnation: digest.incarnation,
+            serial: digest.serial,
+            members: digest.members.iter().map(proto::Member::from).collect(),
+            spending: spending.collect(),
+            shares: shares.collect(),
+            suspects: suspects
+                .map(|(fingerprint, crashes)| proto::Suspect { fingerprint: *fingerprint, crashes: *crashes })
+                .collect(),
+        }
+    }
+}
+
+impl From<&Member> for proto::Member {
+    fn from(member: &Member) -> Self {
+        Self { name: member.name.to_string(), address: member.address.to_string() }
+    }
+}
+
+impl TryFrom<proto::Member> for Member {
+    type Error = DecodeError;
+
+    fn try_from(member: proto::Member) -> Result<Self, DecodeError> {
+        let address =
+            member.address.parse().map_err(|_| DecodeError::Unknown("address", member.address.clone()))?;
+        Ok(Self { name: member.name.into(), address })
+    }
+}
+
+impl TryFrom<proto::Digest> for Digest {
+    type Error = DecodeError;
+
+    fn try_from(digest: proto::Digest) -> Result<Self, DecodeError> {
+        if digest.name.is_empty() {
+            return Err(DecodeError::Missing("name"));
+        }
+        let members: Result<Vec<Member>, _> = digest.members.into_iter().map(Member::try_from).collect();
+        let mut spent = BTreeMap::new();
+        let mut left = BTreeMap::new();
+        for spending in digest.spending {
+            let customer: Arc<str> = spending.customer.into();
+            spent.insert(customer.clone(), spending.spent);
+            left.insert(customer, spending.left);
+        }
+        let shares = digest.shares.into_iter().map(|share| {
+            let taken = Share { running: share.running, memory: share.memory, reading: share.reading };
+            (share.endpoint.into(), taken)
+        });
+        Ok(Self {
+            name: digest.name.into(),
+            incarnation: digest.incarnation,
+            serial: digest.serial,
+            members: members?,
+            spent,
+            left,
+            shares: shares.collect(),
+            suspects: digest.suspects.into_iter().map(|told| (told.fingerprint, told.crashes)).collect(),
+        })
+    }
+}
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -323,6 +323,58 @@
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
 }
+/// What an entry tells the others of itself, in datagrams; running totals, so losses do no harm.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Digest {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub serial: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub members: ::prost::alloc::vec::Vec<Member>,
+    #[prost(message, repeated, tag = "5")]
+    pub spending: ::prost::alloc::vec::Vec<Spending>,
+    #[prost(message, repeated, tag = "6")]
+    pub shares: ::prost::alloc::vec::Vec<Share>,
+    #[prost(message, repeated, tag = "7")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Member {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub address: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Spending {
+    #[prost(string, tag = "1")]
+    pub customer: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub spent: u64,
+    #[prost(sint64, tag = "3")]
+    pub left: i64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Share {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint64, tag = "3")]
+    pub memory: u64,
+    #[prost(uint64, tag = "4")]
+    pub reading: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Suspect {
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+}
 /// Generated client implementations.
 pub mod agent_client {
     #![allow(unused_variables, dead_code, missing_docs, clippy::wildcard_imports, clippy::let_unit_value)]
