Leave replaced endpoints at once; send refused callers back one after the other

Callers over a customer's rate were all told 0.2 s and refused again. A stopping process took streams that outlast it and cut them.

Ruled out: lost reservations (their answers were 200).

Change: an endpoint at the address of another takes its place; a 421 from another instance leaves the endpoint alone for 5 s; refused callers are told to come one after the other at the customer's rate; a stopping process sends streams that would outlast it to another entry; one total limit for connect and answer; a wait that ends with the deadline is told as 504.

--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -23,6 +23,8 @@
 const UNHEARD: i64 = 4;
 /// How long a new process waits to hear what is left before it takes its own view for good.
 const LEARNING: Duration = Duration::from_secs(3);
+/// Longest wait told: callers that wait longer have often left.
+const LONGEST_WAIT: Duration = Duration::from_secs(6);
 /// Shortest wait told to a caller that is over its rate: below it, callers come back in step.
 const SHORTEST_WAIT: Duration = Duration::from_millis(200);
 
@@ -44,6 +46,9 @@
     /// Microtokens.
     burst: i64,
     at: Time,
+    /// Microtokens that refused callers were told to come back for, and that have not flowed in
+    /// since.
+    promised: i64,
     /// Tokens spent here since the process started.
     spent: u64,
     others: BTreeMap<Arc<str>, Other>,
@@ -57,14 +62,16 @@
             level: burst / UNHEARD,
             burst,
             at: now,
+            promised: 0,
             spent: 0,
             others: BTreeMap::new(),
         }
     }
 
     fn refill(&mut self, now: Time) {
-        let passed = signed(micros(now.since(self.at)));
-        self.level = (self.level + passed * self.rate).min(self.burst);
+        let inflow = signed(micros(now.since(self.at))) * self.rate;
+        self.level = (self.level + inflow).min(self.burst);
+        self.promised = (self.promised - inflow).max(0);
         self.at = self.at.max(now);
     }
 
@@ -74,6 +81,17 @@
         self.level = self.level.min(self.burst);
     }
 
+    /// When a caller should come back that needs `needed` microtokens: behind those that were sent
+    /// back before it. Told the same moment, they would meet there, and all but one would be refused
+    /// once more.
+    fn send_back(&mut self, needed: i64) -> Duration {
+        let missing = (needed - self.level).max(self.promised + needed - self.level.max(0));
+        let longest = signed(micros(LONGEST_WAIT)) * self.rate;
+        self.promised = missing.min(longest);
+        let wait = u64::try_from(missing.min(longest) / self.rate.max(1)).unwrap_or_default();
+        Duration::from_micros(wait).max(SHORTEST_WAIT)
+    }
+
     /// What a peer says it has spent, against what it said before and was charged since.
     fn heard(&mut self, peer: &Arc<str>, incarnation: u64, spent: u64) {
         let other = self.others.entry(peer.clone()).or_insert(Other { incarnation, spent, charged: 0 });
@@ -126,9 +144,7 @@
         // bucket is full, and leaves a debt.
         let needed = (signed(tokens) * MICRO).min(account.burst.max(1));
         if account.level < needed {
-            let missing = u64::try_from(needed - account.level).unwrap_or_default();
-            let rate = u64::try_from(account.rate).unwrap_or(1).max(1);
-            return Err(Duration::from_micros(missing / rate).max(SHORTEST_WAIT));
+            return Err(account.send_back(needed));
         }
         account.level -= signed(tokens) * MICRO;
         account.spent += tokens;
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -114,7 +114,28 @@
     /// Takes rows that changed.
     pub fn update(&mut self, now: Time, version: u64, rows: Vec<Row>) -> Vec<Change> {
         self.version = self.version.max(version);
-        rows.into_iter().filter_map(|row| self.take(now, row)).collect()
+        let mut changes: Vec<Change> = rows.into_iter().filter_map(|row| self.take(now, row)).collect();
+        changes.extend(self.drop_replaced());
+        changes
+    }
+
+    /// Drops endpoints at whose addresses others have started since: one address is one process,
+    /// and the old entry lapses only after some missed heartbeats.
+    fn drop_replaced(&mut self) -> Vec<Change> {
+        let mut newest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+        for endpoint in self.all() {
+            let born = newest.entry(endpoint.address).or_default();
+            *born = endpoint.born.max(*born);
+        }
+        let is_replaced = |endpoint: &Endpoint| newest.get(&endpoint.address) > Some(&endpoint.born);
+        let mut changes = Vec::new();
+        for known in self.known.values_mut() {
+            if known.endpoint.as_deref().is_some_and(is_replaced) {
+                known.lapses = None;
+                changes.extend(known.endpoint.take().map(Change::Gone));
+            }
+        }
+        changes
     }
 
     /// Takes the whole list as of a version. What is missing from it is gone, unless the list is
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -13,6 +13,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause: an endpoint that is back should be found within seconds.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Pause after another endpoint was found at the address: an entry lapses after three missed
+/// heartbeats, within about 4 s.
+const REPLACED_PAUSE: Duration = Duration::from_secs(5);
 /// Weight of one outcome in the failure ratio: five outcomes decide.
 const WEIGHT: f64 = 0.2;
 /// The failure ratio halves in this time without outcomes, so that trial requests come back.
@@ -29,6 +32,8 @@
     Failed,
     /// No connection could be made: nothing was sent.
     Unreachable,
+    /// Another endpoint has its address.
+    Replaced,
     /// The endpoint had no room; the request did not run.
     Full,
     /// The entry gave the request up itself; says nothing of the endpoint.
@@ -77,6 +82,7 @@
                 self.unreachable += 1;
                 self.shunned = now.plus(pause);
             }
+            Outcome::Replaced => self.shunned = now.plus(REPLACED_PAUSE),
             Outcome::Full => self.unreachable = 0,
             Outcome::Abandoned => {}
         }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -203,7 +203,9 @@
         if let Some(customer) = &admission.customer
             && let Err(wait) = self.allowance.spend(now, &customer.name, admission.tokens)
         {
-            return Err(Refusal::not_run(Code::OverRate, "rate and burst are spent").retry_after(wait));
+            let left = self.allowance.left(now).get(&customer.name).copied().unwrap_or(0);
+            let message = format!("{} has {left} tokens left of {} asked", customer.name, admission.tokens);
+            return Err(Refusal::not_run(Code::OverRate, message).retry_after(wait));
         }
         self.budget.request(now, &admission.service);
         Ok(())
--- a/crates/core/tests/gateway/allowance.rs
+++ b/crates/core/tests/gateway/allowance.rs
@@ -144,3 +144,19 @@
         .tests(200)
         .quickcheck(property as fn(Vec<(u8, u8)>) -> TestResult);
 }
+
+/// A customer sends half as much again as its rate. All callers that are refused are told the same
+/// short wait, come back together, and all but one are refused again.
+#[test]
+fn callers_that_are_refused_are_sent_back_one_after_the_other() {
+    let faculty = Arc::new(customer("faculty", RATE, BURST));
+    let mut allowance = allowance(&faculty);
+    assert_eq!(allowance.spend(at(10_000), "faculty", BURST), Ok(()));
+    let waits: Vec<u64> = (0..4)
+        .map(|_| allowance.spend(at(10_000), "faculty", 1_000).expect_err("over the rate").as_millis() as u64)
+        .collect();
+    assert_eq!(waits, [1_000, 2_000, 3_000, 4_000]);
+    for wait in waits {
+        assert_eq!(allowance.spend(at(10_000 + wait), "faculty", 1_000), Ok(()));
+    }
+}
--- a/crates/core/tests/gateway/directory.rs
+++ b/crates/core/tests/gateway/directory.rs
@@ -101,3 +101,22 @@
     let changes = directory.update(at(1), 2, vec![Row { sequence: 0, ..row(2, again) }]);
     assert!(matches!(changes[..], [Change::Restarted(_)]), "{changes:?}");
 }
+
+/// Three endpoints crash and start again at their old addresses under new names. Their old entries
+/// lapse only after some seconds; until then the old names are given work that the new processes
+/// turn away, after the prompts have been read for it.
+#[test]
+fn an_endpoint_at_the_address_of_another_takes_its_place() {
+    let mut directory = Directory::default();
+    directory.update(at(0), 1, vec![row(1, endpoint("old", Stage::Decode))]);
+    let newer = Endpoint { born: 2, ..endpoint("new", Stage::Decode) };
+    let changes = directory.update(at(1), 2, vec![row(2, newer)]);
+    assert!(
+        changes.iter().any(|change| matches!(change, Change::Gone(gone) if &*gone.id == "old")),
+        "{changes:?}"
+    );
+    assert_eq!(names(&directory), ["new".into()]);
+    // A late write of the old one changes nothing.
+    directory.update(at(2), 3, vec![row(3, endpoint("old", Stage::Decode))]);
+    assert_eq!(names(&directory), ["new".into()]);
+}
--- a/crates/core/tests/gateway/health.rs
+++ b/crates/core/tests/gateway/health.rs
@@ -48,3 +48,14 @@
     assert!(health.failing(at(0)) > 0.8);
     assert!(health.failing(at(9_000)) < 0.2);
 }
+
+/// An endpoint was replaced at its address, and the list does not show it yet. Every request that is
+/// sent there is turned away by the newcomer, after its prompt has been read elsewhere.
+#[test]
+fn an_endpoint_that_was_replaced_is_left_alone_until_the_list_shows_it() {
+    let mut health = Health::default();
+    let number = health.sent(at(0));
+    health.ended(at(0), number, Outcome::Replaced);
+    assert!(health.is_shunned(at(3_900)));
+    assert!(!health.is_shunned(at(5_100)));
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
 use bytes::Bytes;
@@ -31,8 +31,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
-    /// Whether the process is to stop: it takes no new connections and keeps none.
-    pub(crate) leaving: AtomicBool,
+    /// When the process ends, microseconds on its clock; zero while it is not told to stop.
+    pub(crate) ends: AtomicU64,
     /// Requests under way.
     pub(crate) running: AtomicUsize,
 }
@@ -42,8 +42,14 @@
         Sender { pool: &self.pool, dialect: &*self.dialect }
     }
 
+    /// When the process ends; nothing while it is not told to stop.
+    pub(crate) fn ends(&self) -> Option<Time> {
+        let ends = self.ends.load(Ordering::Relaxed);
+        (ends > 0).then(|| Time::from_micros(ends))
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.ends().is_some()
     }
 
     /// Sends a message whose answer nobody waits for, beside the traffic.
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -75,6 +75,8 @@
 pub struct Reply {
     /// The request that it answers.
     pub id: Option<String>,
+    /// The endpoint that answers, if it says.
+    pub instance: Option<String>,
     /// Whether the endpoint has signed it.
     pub signed: bool,
     /// Whether it says that the request has not run and will not.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
     io,
     pin::{Pin, pin},
     task::{Context as Poller, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::{future::timeout, net::TcpStream};
@@ -76,6 +76,11 @@
 }
 
 impl Exchange<'_> {
+    /// Whether the endpoint meant has turned the request away because it is another one now.
+    pub(crate) fn is_replaced(&self) -> bool {
+        is_replaced(&self.head, &self.reply, self.endpoint)
+    }
+
     /// The next part of the body; `None` at its proper end.
     pub(crate) async fn part(&mut self) -> Result<Option<Bytes>, Failure> {
         self.connection.part(&mut self.decoder).await.map_err(Failure::Broken)
@@ -115,6 +120,7 @@
         id: Option<&str>,
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
+        let began = Instant::now();
         let connection = match self.pool.take(endpoint).await {
             Some(connection) => connection,
             None => {
@@ -123,7 +129,7 @@
             }
         };
         let exchanged = self.exchange(endpoint, connection, head, body, id);
-        timeout(limit, exchanged).await.unwrap_or(Err(Failure::Late))
+        timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Late))
     }
 
     async fn exchange(
@@ -177,6 +183,14 @@
     bytes
 }
 
+/// Whether an answer comes from another endpoint than the one meant.
+pub(crate) fn is_replaced(head: &Response, reply: &Reply, endpoint: &Endpoint) -> bool {
+    head.status == MISDIRECTED && reply.instance.as_deref().is_some_and(|instance| instance != &*endpoint.id)
+}
+
+/// An endpoint that is not the one meant, or not of the kind asked, answers so.
+pub(crate) const MISDIRECTED: u16 = 421;
+
 fn spoilt(why: Malformed) -> Failure {
     Failure::Spoilt(why.0)
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -201,6 +201,10 @@
     let served = timeout(limit, carry(context, &inbound, answer)).await;
     let refusal = match served {
         Ok(Ok(())) => None,
+        // A wait at an endpoint ends at the same moment as ours; whichever is seen first.
+        Ok(Err(refusal)) if !refusal.not_run && context.clock.now() >= inbound.ends => {
+            Some(out_of_time(&inbound))
+        }
         Ok(Err(refusal)) => Some(refusal),
         Err(_) => Some(out_of_time(&inbound)),
     };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -118,7 +118,7 @@
             control: control.clone(),
             dialect,
             metrics: Metrics::new(registry),
-            leaving: AtomicBool::new(false),
+            ends: AtomicU64::new(0),
             running: AtomicUsize::new(0),
         });
         let (closing, closed) = async_channel::bounded(1);
@@ -150,9 +150,9 @@
     /// lets running requests end, and gives up at the end of the grace.
     pub async fn shutdown(self) {
         let Self { context, settings, tasks, closing, .. } = self;
-        context.leaving.store(true, Ordering::Relaxed);
         let clock = context.clock.clone();
         let began = clock.now();
+        context.ends.store(began.plus(settings.grace).as_micros().max(1), Ordering::Relaxed);
         // Callers are sent here until the balancer has noticed; a closed door would turn them away.
         clock.sleep(settings.linger.min(settings.grace)).await;
         drop(closing);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -28,9 +28,9 @@
     answer::Answer,
     context::{Context, Inbound},
     control::{Reading, Ticket},
-    edge::{Decode, Passage, Task},
-    exchange::{Exchange, Failure},
-    whole::{MISDIRECTED, is_promise},
+    edge::{Decode, Passage, Task, Tokens},
+    exchange::{Exchange, Failure, MISDIRECTED},
+    whole::{is_promise, unrun},
 };
 
 /// Most times that a request is sent on when endpoints turn it away unrun.
@@ -52,6 +52,11 @@
 /// The same where no longest pause is declared.
 const STALLED: Duration = Duration::from_millis(1_500);
 
+/// Callers' estimates are right in the middle and off by up to this factor for nine in ten.
+const GUESS: u32 = 2;
+/// What callers are told to wait that another entry can serve at once.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// One request's way through its runs.
 struct Progress {
     /// The last event that the caller has.
@@ -92,6 +97,7 @@
     inbound: &Inbound,
     answer: &mut Answer,
 ) -> Result<(), Refusal> {
+    fits_before_end(context, inbound)?;
     let mut progress = Progress { last_event: None, avoid: Vec::new(), runs: 0 };
     for sends in 1.. {
         let place = lease_endpoint(context, inbound, &progress).await?;
@@ -137,6 +143,24 @@
     Ok(())
 }
 
+/// Refuses a stream that this process would cut: it is told to stop, and the stream is expected to
+/// last longer. The caller comes again at once, by another entry.
+fn fits_before_end(context: &Context, inbound: &Inbound) -> Result<(), Refusal> {
+    let Some(ends) = context.ends() else { return Ok(()) };
+    let tokens = inbound.call.tokens.unwrap_or_default();
+    let takes = FIRST_EVENT + reading_time(tokens.prompt) + run_time(expected(&tokens)) * GUESS;
+    if context.clock.now().plus(takes) < ends {
+        return Ok(());
+    }
+    Err(Refusal::not_run(Code::ShuttingDown, "the process stops before the stream would end")
+        .retry_after(ELSEWHERE))
+}
+
+/// Tokens that an answer is expected to have.
+fn expected(tokens: &Tokens) -> u64 {
+    tokens.expected.unwrap_or(tokens.output).min(tokens.output)
+}
+
 /// Deals with a run that broke off: gives the reason if it may run again, nothing if the stream is
 /// over, and a refusal if the caller is still to be told.
 fn broken(
@@ -247,7 +271,11 @@
         match hold(context, &ticket.endpoint, &engine, memory).await {
             Ok(Some(release)) => return Ok(Placing::Decode(ticket, Some(release))),
             Ok(None) => ticket.ended(Outcome::Full),
-            Err(reason) => {
+            Err(NoHold::Replaced) => {
+                avoid.push(ticket.endpoint.id.clone());
+                ticket.ended(Outcome::Replaced);
+            }
+            Err(NoHold::Unreachable(reason)) => {
                 spdlog::info!("no reservation", kv: {
                     request = inbound.id(), endpoint = &*ticket.endpoint.id, reason = reason.as_str()
                 });
@@ -264,7 +292,7 @@
 
 fn waiting(inbound: &Inbound, engine: &Engine, avoid: &[Arc<str>]) -> Waiting<()> {
     let tokens = inbound.call.tokens.unwrap_or_default();
-    let expected = tokens.expected.unwrap_or(tokens.output).min(tokens.output);
+    let expected = expected(&tokens);
     let first = FIRST_EVENT + reading_time(tokens.prompt);
     // The caller leaves at its deadline, and before it if it sees no event for too long.
     let in_time = before(inbound.ends, first + run_time(expected));
@@ -291,20 +319,32 @@
     endpoint: &Arc<Endpoint>,
     engine: &Engine,
     memory: u64,
-) -> Result<Option<Release>, String> {
+) -> Result<Option<Release>, NoHold> {
     let message = context.dialect.hold(endpoint, memory, engine.longest_hold.min(HOLD_TTL));
     let sent = context.sender().send(endpoint, &message.head, &message.body, None, HOLD_LIMIT).await;
-    let exchange = sent.map_err(|failure| failure.to_string())?;
-    let (head, _, body) = exchange.whole().await.map_err(|failure| failure.to_string())?;
+    let unreachable = |failure: Failure| NoHold::Unreachable(failure.to_string());
+    let exchange = sent.map_err(unreachable)?;
+    if exchange.is_replaced() {
+        return Err(NoHold::Replaced);
+    }
+    let (head, _, body) = exchange.whole().await.map_err(unreachable)?;
     match (head.status, context.dialect.held(&body)) {
         (200, Some(hold)) => {
             Ok(Some(Release { context: context.clone(), endpoint: endpoint.clone(), kept: Kept::Hold(hold) }))
         }
         (503, _) => Ok(None),
-        (status, _) => Err(format!("status {status}")),
+        (status, _) => Err(NoHold::Unreachable(format!("status {status}"))),
     }
 }
 
+/// Why an endpoint gave neither a reservation nor a refusal.
+enum NoHold {
+    /// Another endpoint has its address.
+    Replaced,
+    /// It did not answer, or not so that it can be understood.
+    Unreachable(String),
+}
+
 /// Starts a run and waits for the head of its answer.
 async fn start<'a>(
     context: &'a Arc<Context>,
@@ -393,8 +433,9 @@
             result.ok_or(Failure::Spoilt("a result without a name"))
         }
         Ok((head, reply, _)) => {
-            ticket.ended(if reply.not_run { Outcome::Full } else { Outcome::Failed });
-            Err(Failure::Spoilt(if head.status == MISDIRECTED { "another endpoint" } else { "refused" }))
+            let is_unrun = reply.not_run || head.status == MISDIRECTED;
+            ticket.ended(if is_unrun { unrun(&head, &reply, endpoint) } else { Outcome::Failed });
+            Err(Failure::Spoilt(if is_unrun { "not run" } else { "refused" }))
         }
         Err(failure) => {
             let is_unsent = matches!(failure, Failure::Unsent(_));
@@ -439,9 +480,9 @@
     if exchange.reply.not_run || status == MISDIRECTED {
         inbound.may_have_run.store(had_run, Ordering::Relaxed);
         let reason = format!("{} did not run it, status {status}", endpoint.id);
+        ticket.ended(unrun(&exchange.head, &exchange.reply, endpoint));
         // The body is of no use, but reading it keeps the connection.
         let _ = exchange.whole().await;
-        ticket.ended(Outcome::Full);
         return Err(Trouble::NotRun(reason));
     }
     if status == 200 && exchange.reply.signed && !exchange.reply.encoded {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -8,15 +8,19 @@
 use async_std::future::timeout;
 use bytes::Bytes;
 use futures_lite::future::{self, FutureExt as _};
-use tarragonhill_core::{Refusal, gateway::health::Outcome, refusal::Code};
+use tarragonhill_core::{
+    Refusal,
+    gateway::{directory::Endpoint, health::Outcome},
+    refusal::Code,
+};
 use tarragonhill_h1::head::Response;
 
 use crate::{
     answer::Answer,
     context::{Context, Inbound},
     control::Ticket,
-    edge::{Passage, Task},
-    exchange::Failure,
+    edge::{Passage, Reply, Task},
+    exchange::{Failure, MISDIRECTED, is_replaced},
 };
 
 /// Part of the aim after which an idempotent request is sent to a second endpoint as well: late
@@ -176,7 +180,7 @@
     attempt
 }
 
-type Taken = Result<(Response, crate::edge::Reply, Bytes), Failure>;
+type Taken = Result<(Response, Reply, Bytes), Failure>;
 
 fn judge(inbound: &Inbound, taken: Taken, ticket: Ticket, context: &Context) -> Attempt {
     let (head, reply, body) = match taken {
@@ -195,7 +199,8 @@
     };
     if reply.not_run || head.status == MISDIRECTED {
         let reason = format!("{} did not run it, status {}", ticket.endpoint.id, head.status);
-        ticket.ended(if head.status == MISDIRECTED { Outcome::Unreachable } else { Outcome::Full });
+        let outcome = unrun(&head, &reply, &ticket.endpoint);
+        ticket.ended(outcome);
         return Attempt::NotRun(reason);
     }
     let is_success = (200..300).contains(&head.status);
@@ -217,8 +222,10 @@
     Attempt::Answered { head, body }
 }
 
-/// An endpoint that is not the one meant answers so.
-pub(crate) const MISDIRECTED: u16 = 421;
+/// What it says of an endpoint that it did not run a request.
+pub(crate) fn unrun(head: &Response, reply: &Reply, endpoint: &Endpoint) -> Outcome {
+    if is_replaced(head, reply, endpoint) { Outcome::Replaced } else { Outcome::Full }
+}
 
 /// Whether a status promises the caller that its request has not run.
 pub(crate) fn is_promise(status: u16) -> bool {
