--- /dev/null
+++ b/crates/bench/src/published/store.rs
@@ -0,0 +1,235 @@
+//! A stand-in of the platform's store: rows, feeds, and its ways to fail.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use async_std::task;
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use strum::Display;
+use tarragonhill_h1::{
+    Connection,
+    head::{Request, Response},
+};
+
+use super::server::{Server, Then};
+use crate::standin::lock;
+
+/// How often a waiting feed looks for changes.
+const POLL: Duration = Duration::from_millis(5);
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Fault {
+    /// It does not.
+    #[default]
+    None,
+    /// It answers 503; nothing is done.
+    Busy,
+    /// It resets connections.
+    Reset,
+    /// It takes calls and does not answer.
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    value: String,
+    version: u64,
+    removed: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    version: u64,
+    /// By table and key; gone rows stay as marks.
+    rows: BTreeMap<(String, String), Row>,
+    /// Changes before this version are forgotten.
+    oldest: u64,
+    fault: Fault,
+    calls: u64,
+}
+
+impl State {
+    fn write(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.version += 1;
+        let row = Row { removed: value.is_none(), value: value.unwrap_or_default(), version: self.version };
+        self.rows.insert((table.into(), key.into()), row);
+    }
+
+    fn select(&self, table: &str, keep: impl Fn(&str, &Row) -> bool) -> Vec<Value> {
+        let rows = self.rows.iter().filter(|((of, key), row)| of == table && keep(key, row));
+        let mut rows: Vec<_> = rows.collect();
+        rows.sort_by_key(|(_, row)| row.version);
+        rows.into_iter().map(|((table, key), row)| encode(table, key, row)).collect()
+    }
+
+    fn answer(&self, rows: Vec<Value>) -> Value {
+        json!({"rows": rows, "truncated": false, "row_version": self.version, "now_ms": 0})
+    }
+}
+
+fn encode(table: &str, key: &str, row: &Row) -> Value {
+    let mut encoded = json!({"table": table, "part": "", "key": key, "row_version": row.version});
+    if row.removed {
+        encoded["removed"] = true.into();
+    } else {
+        encoded["value"] = row.value.as_str().into();
+    }
+    encoded
+}
+
+/// A running store.
+pub struct Store {
+    server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    /// Starts an empty store on an address, port 0 for any.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let state: Arc<Mutex<State>> = Arc::default();
+        let shared = state.clone();
+        let server = Server::start(address, move |head, body, connection| {
+            let state = shared.clone();
+            async move { answer(state, head, body.to_vec(), connection).await }
+        });
+        Ok(Self { server: server.await?, state })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Writes a row, as the operator or an endpoint would.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        lock(&self.state).write(table, key, Some(STANDARD.encode(value.to_string())));
+    }
+
+    /// Writes bytes that are no JSON.
+    pub fn put_garbage(&self, table: &str, key: &str) {
+        lock(&self.state).write(table, key, Some(STANDARD.encode([0xff, 0, 0x7b])));
+    }
+
+    /// Drops a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        lock(&self.state).write(table, key, None);
+    }
+
+    /// Fails from now on, or stops failing.
+    pub fn set_fault(&self, fault: Fault) {
+        lock(&self.state).fault = fault;
+    }
+
+    /// Forgets its history: feeds that go on from before are told so.
+    pub fn forget(&self) {
+        let mut state = lock(&self.state);
+        state.version += 1;
+        state.oldest = state.version;
+    }
+
+    /// Calls taken.
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    head: Request,
+    body: Vec<u8>,
+    mut connection: Connection,
+) -> (Connection, Then) {
+    lock(&state).calls += 1;
+    let fault = lock(&state).fault;
+    match fault {
+        Fault::None => {}
+        Fault::Busy => return reply(connection, 503, &json!({})).await,
+        Fault::Reset => return (connection, Then::Reset),
+        Fault::Silent => {
+            // Until the peer gives up.
+            while matches!(connection.fill().await, Ok(read) if read > 0) {}
+            return (connection, Then::Close);
+        }
+    }
+    let query: BTreeMap<&str, &str> = head
+        .target
+        .split_once('?')
+        .map(|(_, query)| query.split('&').filter_map(|pair| pair.split_once('=')).collect())
+        .unwrap_or_default();
+    let table = query.get("table").copied().unwrap_or_default();
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let (status, value) = match head.path() {
+        "/v1/rows-get" => (200, get(&lock(&state), table, query.get("from").copied().unwrap_or_default())),
+        "/v1/rows-feed" => {
+            feed(&state, table, number("after"), Duration::from_millis(number("wait_ms"))).await
+        }
+        "/v1/rows-tx" => transact(&mut lock(&state), &body),
+        _ => (404, json!({})),
+    };
+    if lock(&state).fault == Fault::Reset {
+        return (connection, Then::Reset);
+    }
+    reply(connection, status, &value).await
+}
+
+fn get(state: &State, table: &str, from: &str) -> Value {
+    state.answer(state.select(table, |key, row| !row.removed && key >= from))
+}
+
+async fn feed(state: &Mutex<State>, table: &str, after: u64, wait: Duration) -> (u16, Value) {
+    let began = Instant::now();
+    loop {
+        {
+            let state = lock(state);
+            if after < state.oldest {
+                return (410, json!({}));
+            }
+            let rows = state.select(table, |_, row| row.version > after);
+            if !rows.is_empty() || began.elapsed() >= wait || state.fault != Fault::None {
+                return (200, state.answer(rows));
+            }
+        }
+        task::sleep(POLL).await;
+    }
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    puts: Vec<Put>,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    table: String,
+    key: String,
+    value: String,
+}
+
+fn transact(state: &mut State, body: &[u8]) -> (u16, Value) {
+    let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else { return (400, json!({})) };
+    for put in transaction.puts {
+        state.write(&put.table, &put.key, Some(put.value));
+    }
+    (200, json!({"row_version": state.version, "now_ms": 0}))
+}
+
+async fn reply(mut connection: Connection, status: u16, value: &Value) -> (Connection, Then) {
+    let body = value.to_string();
+    let mut head = Response::new(status);
+    head.fields.push("Content-Type", "application/json");
+    head.fields.push("Content-Length", body.len().to_string());
+    let mut bytes = head.encode();
+    bytes.extend_from_slice(body.as_bytes());
+    let written = connection.write(&bytes).await;
+    (connection, if written.is_ok() { Then::Keep } else { Then::Close })
+}
--- /dev/null
+++ b/crates/bench/tests/gateway.rs
@@ -0,0 +1,611 @@
+//! The whole path of a gateway, through the platform's protocols, against stand-ins that fail.
+
+use async_std::task;
+use serde_json::json;
+use tarragonhill_bench::published::{
+    caller::{self, Answer, Caller, completion, plain},
+    endpoint::{EVENTS, Endpoint, Fault, Role},
+    site::{KEY, SMALL_KEY, Shape, Site, configuration, eventually},
+    store,
+};
+use tarragonhill_h1::head::Request;
+
+/// A prompt's size, tokens.
+const PROMPT: u64 = 5_000;
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    task::block_on(test)
+}
+
+async fn site() -> Site {
+    Site::start(Shape::default()).await.expect("the site starts")
+}
+
+/// A site with one endpoint of each kind.
+async fn small() -> Site {
+    let shape = Shape { gateways: 1, prefill: 1, decode: 1, plain: 1 };
+    Site::start(shape).await.expect("the site starts")
+}
+
+async fn ask(site: &Site, head: Request, body: &[u8]) -> Answer {
+    caller::ask(site.address(), head, body).await.expect("an answer")
+}
+
+fn stream(id: &str) -> Request {
+    completion("/stream/x", KEY, id, PROMPT)
+}
+
+fn resumable(id: &str) -> Request {
+    completion("/resumable/x", KEY, id, PROMPT)
+}
+
+fn submit(id: &str) -> Request {
+    plain("POST", "/submit/x?y=1", KEY, id)
+}
+
+fn lookup(id: &str) -> Request {
+    plain("GET", "/lookup/x", KEY, id)
+}
+
+fn whole_ids() -> Vec<u32> {
+    (1..=EVENTS).collect()
+}
+
+fn runs(endpoints: &[std::sync::Arc<Endpoint>]) -> usize {
+    endpoints.iter().map(|endpoint| endpoint.runs().len()).sum()
+}
+
+#[test]
+fn a_stream_is_read_at_one_endpoint_and_made_at_another() {
+    run(async {
+        let site = site().await;
+        let answer = ask(&site, stream("r1"), b"prompt").await;
+        assert_eq!((answer.head.status, answer.whole), (200, true));
+        assert_eq!(answer.ids(), whole_ids());
+        assert!(
+            answer.field("Tarragonhill-Server-Signature").is_some_and(|stamp| stamp.starts_with("decode"))
+        );
+        assert_eq!(runs(&site.endpoints(Role::Prefill)), 1);
+        assert_eq!(runs(&site.endpoints(Role::Decode)), 1);
+        let decodes = site.endpoints(Role::Decode);
+        assert!(decodes.iter().all(|endpoint| endpoint.holds() == 0 && endpoint.released() == 0));
+    });
+}
+
+/// What a caller may not say for itself reaches no endpoint, and what it says of its request does.
+#[test]
+fn an_endpoint_sees_the_callers_request_and_the_gateways_word() {
+    run(async {
+        let site = small().await;
+        let mut head = submit("r1");
+        for (name, value) in [
+            ("Tarragonhill-Tenant", "someone-else"),
+            ("Tarragonhill-Kv-Hold", "stolen"),
+            ("Tarragonhill-Pin-Ms", "4000"),
+            ("Tarragonhill-Kv-Backup", "127.0.0.1:1"),
+            ("Tarragonhill-Kv-Source", "127.0.0.1:1/stolen"),
+            ("Tarragonhill-Request-Priority", "0"),
+            ("Connection", "X-Private"),
+            ("X-Private", "for this hop"),
+            ("X-Kept", "for the endpoint"),
+        ] {
+            head.fields.push(name, value);
+        }
+        let answer = ask(&site, head, b"the body").await;
+        assert_eq!(answer.text(), "POST /submit/x?y=1 the body");
+        let arrival = site.endpoints(Role::Plain)[0].runs().remove(0);
+        let fields = &arrival.head.fields;
+        assert_eq!(fields.get("Tarragonhill-Tenant"), Some("faculty"));
+        assert_eq!(fields.count("Tarragonhill-Tenant"), 1);
+        assert_eq!(fields.get("Tarragonhill-Expected-Instance"), Some("plain-5"));
+        assert_eq!(fields.get("Tarragonhill-Request-Id"), Some("r1"));
+        assert_eq!(fields.get("X-Kept"), Some("for the endpoint"));
+        let left: u64 =
+            fields.get("Tarragonhill-Deadline-Ms").and_then(|left| left.parse().ok()).expect("a number");
+        assert!(left <= 5_000);
+        for dropped in [
+            "Authorization",
+            "Tarragonhill-Kv-Hold",
+            "Tarragonhill-Pin-Ms",
+            "Tarragonhill-Kv-Backup",
+            "Tarragonhill-Kv-Source",
+            "X-Private",
+        ] {
+            assert_eq!(fields.count(dropped), 0, "{dropped}");
+        }
+    });
+}
+
+#[test]
+fn a_body_in_chunks_arrives_as_it_was() {
+    run(async {
+        let site = small().await;
+        let mut connection = Caller::open(site.address()).await.expect("a connection");
+        let mut head = submit("r1");
+        head.fields.push("Transfer-Encoding", "chunked");
+        let mut bytes = head.encode();
+        bytes.extend_from_slice(b"4;ext=1\r\nthe \r\n4\r\nbody\r\n0\r\nTrailer: x\r\n\r\n");
+        connection.write(&bytes).await.expect("written");
+        let answer = connection.answer().await.expect("an answer");
+        assert_eq!(answer.text(), "POST /submit/x?y=1 the body");
+        // The connection goes on behind it.
+        let answer = connection.ask(lookup("r2"), b"").await.expect("an answer");
+        assert_eq!(answer.text(), "GET /lookup/x ");
+    });
+}
+
+#[test]
+fn who_is_not_known_is_told_so() {
+    run(async {
+        let site = small().await;
+        assert_eq!(ask(&site, plain("GET", "/nowhere/x", KEY, "r1"), b"").await.head.status, 404);
+        assert_eq!(ask(&site, plain("GET", "/lookup/x", "key-nobody", "r2"), b"").await.head.status, 401);
+        assert!(site.endpoints(Role::Plain)[0].arrivals().is_empty());
+    });
+}
+
+/// A process that has just started knows no configuration. Told 404 or 401, callers would take
+/// their requests and keys for wrong and not come back.
+#[test]
+fn before_the_first_configuration_callers_are_told_to_come_back() {
+    run(async {
+        let mut site = Site::empty().await.expect("a store");
+        site.add_gateway().await.expect("a gateway");
+        let answer = ask(&site, lookup("r1"), b"").await;
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.field("Retry-After").is_some());
+    });
+}
+
+/// A request hides a second one in its body, by naming two framings. A reader that takes the other
+/// framing would run the hidden request under the first one's name.
+#[test]
+fn a_smuggled_request_reaches_no_endpoint() {
+    run(async {
+        let site = small().await;
+        for fields in [
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            "Content-Length: 4\r\nContent-Length: 5\r\n",
+            "Transfer-Encoding: chunked, identity\r\n",
+            "Content-Length: +4\r\n",
+            "Host: b.example\r\nContent-Length: 0\r\n",
+        ] {
+            let mut connection = Caller::open(site.address()).await.expect("a connection");
+            let head = format!(
+                "POST /submit/x HTTP/1.1\r\nHost: a.example\r\nTarragonhill-Request-Id: r1\r\n\
+                 Authorization: Bearer {KEY}\r\n{fields}\r\n0\r\n\r\nPOST /submit/hidden HTTP/1.1\r\n\r\n"
+            );
+            connection.write(head.as_bytes()).await.expect("written");
+            assert_eq!(connection.answer().await.expect("an answer").head.status, 400, "{fields}");
+            assert!(connection.answer().await.is_err(), "{fields}");
+        }
+        assert!(site.endpoints(Role::Plain)[0].arrivals().is_empty());
+    });
+}
+
+#[test]
+fn what_is_too_large_is_told_and_reaches_no_endpoint() {
+    run(async {
+        let site = small().await;
+        assert_eq!(ask(&site, submit("r1"), &[b'x'; 65_537]).await.head.status, 413);
+        let mut head = lookup("r2");
+        head.fields.push("X-Long", "x".repeat(17_000));
+        assert_eq!(ask(&site, head, b"").await.head.status, 431);
+        assert!(site.endpoints(Role::Plain)[0].arrivals().is_empty());
+    });
+}
+
+/// An editor closes the page in the middle of a summary. The engine would go on making tokens for
+/// nobody, and keep the memory.
+#[test]
+fn a_caller_that_leaves_ends_its_run() {
+    run(async {
+        let site = small().await;
+        let mut connection = Caller::open(site.address()).await.expect("a connection");
+        connection.send(stream("r1"), b"prompt").await.expect("sent");
+        let (head, _) = connection.first_part().await.expect("the first event");
+        assert_eq!(head.status, 200);
+        drop(connection);
+        let engine = &site.endpoints(Role::Decode)[0];
+        eventually("the run has ended", async || engine.running() == 0 && engine.abandoned() == 1).await;
+        eventually("the gateway knows", async || {
+            let state = site.state(0).await;
+            state["endpoints"].as_array().is_some_and(|all| all.iter().all(|one| one["running"] == 0))
+        })
+        .await;
+    });
+}
+
+/// A caller leaves while its prompt is read: the memory reserved for its run is given back.
+#[test]
+fn a_caller_that_leaves_early_frees_what_was_reserved() {
+    run(async {
+        let site = small().await;
+        site.endpoints(Role::Prefill)[0].set_fault(Fault::Hang);
+        let mut connection = Caller::open(site.address()).await.expect("a connection");
+        connection.send(stream("r1"), b"prompt").await.expect("sent");
+        let engine = &site.endpoints(Role::Decode)[0];
+        eventually("memory is reserved", async || engine.holds() == 1).await;
+        drop(connection);
+        eventually("memory is given back", async || engine.holds() == 0 && engine.released() == 1).await;
+        assert!(engine.arrivals().is_empty());
+    });
+}
+
+/// An engine crashes in the middle of a stream that may run once only. The caller must see that the
+/// answer is not whole, and nobody may run it again.
+#[test]
+fn a_stream_that_may_run_once_ends_visibly_cut() {
+    run(async {
+        let site = site().await;
+        for engine in site.endpoints(Role::Decode) {
+            engine.set_fault(Fault::Cut);
+        }
+        let answer = ask(&site, stream("r1"), b"prompt").await;
+        assert_eq!((answer.head.status, answer.whole), (200, false));
+        assert_eq!(runs(&site.endpoints(Role::Decode)), 1);
+    });
+}
+
+/// An engine crashes inside an event of a stream that may be resumed: the caller gets every event
+/// once, in order, under the first engine's signature, and no part of the torn one.
+#[test]
+fn a_resumable_stream_goes_on_elsewhere() {
+    for fault in [Fault::Cut, Fault::CutInEvent] {
+        run(async {
+            let site = site().await;
+            for engine in site.endpoints(Role::Decode) {
+                engine.fail_next(fault, 1);
+            }
+            let answer = ask(&site, resumable("r1"), b"prompt").await;
+            // Both engines fail their first run, so the second run is cut as well; its events up to
+            // there follow those of the first without a gap.
+            let ids = answer.ids();
+            assert_eq!(ids, (1..=ids.len() as u32).collect::<Vec<_>>(), "{fault}");
+            assert_eq!(runs(&site.endpoints(Role::Decode)), 2, "{fault}");
+
+            let answer = ask(&site, resumable("r2"), b"prompt").await;
+            assert_eq!((answer.whole, answer.ids()), (true, whole_ids()), "{fault}");
+        });
+    }
+}
+
+#[test]
+fn one_failure_of_a_resumable_stream_is_not_seen() {
+    run(async {
+        let site = site().await;
+        site.endpoints(Role::Decode)[0].set_fault(Fault::CutInEvent);
+        for id in ["r1", "r2", "r3", "r4"] {
+            let answer = ask(&site, resumable(id), b"prompt").await;
+            assert_eq!((answer.head.status, answer.whole), (200, true), "{id}");
+            assert_eq!(answer.ids(), whole_ids(), "{id}");
+        }
+    });
+}
+
+/// A submission runs, and its answer is lost. Told "not run", the caller would file it twice.
+#[test]
+fn a_submission_whose_answer_is_lost_is_not_run_again_nor_denied() {
+    for fault in [Fault::ResetAfterRun, Fault::Cut, Fault::Unsigned, Fault::Busy] {
+        run(async {
+            let site = site().await;
+            for endpoint in site.endpoints(Role::Plain) {
+                endpoint.set_fault(fault);
+            }
+            let answer = ask(&site, submit("r1"), b"case").await;
+            assert_eq!(answer.head.status, 502, "{fault}");
+            assert_eq!(answer.field("Tarragonhill-Server-Signature"), None, "{fault}");
+            let arrivals: usize =
+                site.endpoints(Role::Plain).iter().map(|endpoint| endpoint.arrivals().len()).sum();
+            assert_eq!(arrivals, 1, "{fault}");
+        });
+    }
+}
+
+#[test]
+fn a_submission_that_an_endpoint_turned_away_runs_at_another() {
+    run(async {
+        let site = site().await;
+        let plains = site.endpoints(Role::Plain);
+        plains[0].set_fault(Fault::Refuse);
+        for id in ["r1", "r2", "r3"] {
+            assert_eq!(ask(&site, submit(id), b"case").await.head.status, 200);
+        }
+        assert_eq!((plains[0].runs().len(), plains[1].runs().len()), (0, 3));
+    });
+}
+
+#[test]
+fn a_submission_that_everybody_turns_away_is_refused_as_not_run() {
+    run(async {
+        let site = site().await;
+        for endpoint in site.endpoints(Role::Plain) {
+            endpoint.set_fault(Fault::Refuse);
+        }
+        let answer = ask(&site, submit("r1"), b"case").await;
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.field("Retry-After").is_some());
+        assert_eq!(runs(&site.endpoints(Role::Plain)), 0);
+    });
+}
+
+#[test]
+fn an_endpoints_own_failure_is_passed_on_as_it_is() {
+    run(async {
+        let site = small().await;
+        site.endpoints(Role::Plain)[0].set_fault(Fault::Error);
+        let answer = ask(&site, submit("r1"), b"case").await;
+        assert_eq!((answer.head.status, answer.text().as_str()), (500, "failed"));
+        assert!(answer.field("Tarragonhill-Server-Signature").is_some());
+    });
+}
+
+/// Endpoints fail in all ways there are, and a lookup may be asked again: callers get the right
+/// answer from the other endpoint.
+#[test]
+fn a_lookup_gets_its_own_answer_whatever_one_endpoint_does() {
+    for fault in [
+        Fault::Refuse,
+        Fault::Busy,
+        Fault::Error,
+        Fault::ResetAfterRun,
+        Fault::Hang,
+        Fault::Cut,
+        Fault::Extra,
+        Fault::Unframed,
+        Fault::Unsigned,
+        Fault::Replaced,
+    ] {
+        run(async {
+            let site = site().await;
+            site.endpoints(Role::Plain)[0].set_fault(fault);
+            let mut connection = Caller::open(site.address()).await.expect("a connection");
+            for number in 0..6 {
+                let target = format!("/lookup/{number}");
+                let head = plain("GET", &target, KEY, &format!("r{number}"));
+                let answer = connection.ask(head, b"").await.expect("an answer");
+                assert_eq!((answer.head.status, answer.text()), (200, format!("GET {target} ")), "{fault}");
+            }
+        });
+    }
+}
+
+#[test]
+fn an_endpoint_that_is_gone_costs_no_request() {
+    run(async {
+        let site = site().await;
+        site.endpoints(Role::Plain)[0].kill().await;
+        site.endpoints(Role::Decode)[0].kill().await;
+        site.endpoints(Role::Prefill)[0].kill().await;
+        for id in ["r1", "r2", "r3", "r4"] {
+            assert_eq!(ask(&site, submit(id), b"case").await.head.status, 200);
+            assert_eq!(ask(&site, stream(id), b"prompt").await.ids(), whole_ids());
+        }
+    });
+}
+
+/// Prefill endpoints fail one after the other: as long as one that makes tokens is left, it reads the
+/// prompts itself.
+#[test]
+fn without_prefill_endpoints_runs_read_their_own_prompts() {
+    run(async {
+        let site = site().await;
+        for endpoint in site.endpoints(Role::Prefill) {
+            endpoint.kill().await;
+        }
+        let answer = ask(&site, stream("r1"), b"prompt").await;
+        assert_eq!((answer.head.status, answer.ids()), (200, whole_ids()));
+    });
+}
+
+#[test]
+fn an_endpoint_at_anothers_address_is_not_given_its_work() {
+    run(async {
+        let mut site = small().await;
+        let old = site.endpoints(Role::Decode)[0].clone();
+        let address = old.address();
+        old.kill().await;
+        let new = site.add_at(Role::Decode, address).await.expect("an endpoint");
+        eventually("the newcomer is known", async || {
+            let state = site.state(0).await;
+            let endpoints = state["endpoints"].as_array().cloned().unwrap_or_default();
+            let names: Vec<_> = endpoints.iter().filter_map(|one| one["id"].as_str()).collect();
+            names.contains(&&**new.id()) && !names.contains(&&**old.id())
+        })
+        .await;
+        assert_eq!(ask(&site, stream("r1"), b"prompt").await.ids(), whole_ids());
+        assert_eq!(new.runs().len(), 1);
+    });
+}
+
+/// A process that is no endpoint at all listens at an endpoint's old address, and answers everything
+/// with 404. Passed on, callers would take their own requests for wrong.
+#[test]
+fn a_strangers_answer_reaches_no_caller() {
+    run(async {
+        let site = site().await;
+        let stranger = json!({
+            "service": "filing", "address": site.store.address().to_string(), "zone": "zone-a", "version": "v1",
+            "slots": 48, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": 99,
+        });
+        site.store.put("servers", "stranger", &stranger);
+        eventually("the stranger is known", async || {
+            site.state(0).await["endpoints"].as_array().is_some_and(|all| all.len() == 7)
+        })
+        .await;
+        for number in 0..6 {
+            let answer = ask(&site, lookup(&format!("r{number}")), b"").await;
+            assert_eq!((answer.head.status, answer.text().as_str()), (200, "GET /lookup/x "));
+            let answer = ask(&site, submit(&format!("s{number}")), b"").await;
+            assert!([200, 502].contains(&answer.head.status), "{}", answer.head.status);
+        }
+    });
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new() {
+    run(async {
+        let mut site = site().await;
+        let leaving = site.endpoints(Role::Plain)[0].clone();
+        site.list(&leaving, "draining");
+        eventually("the gateway knows", async || {
+            let state = site.state(0).await;
+            let endpoints = state["endpoints"].as_array().cloned().unwrap_or_default();
+            endpoints.iter().any(|one| one["leaving"] == true)
+        })
+        .await;
+        let before = leaving.arrivals().len();
+        for id in ["r1", "r2", "r3"] {
+            assert_eq!(ask(&site, submit(id), b"case").await.head.status, 200);
+        }
+        assert_eq!(leaving.arrivals().len(), before);
+    });
+}
+
+#[test]
+fn rows_that_nobody_can_read_change_nothing() {
+    run(async {
+        let site = small().await;
+        site.store.put_garbage("servers", "broken-1");
+        site.store.put("servers", "broken-2", &json!({"service": "filing", "address": 7, "state": "ready"}));
+        site.store.put("servers", "broken-3", &json!({"service": "filing", "state": "asleep"}));
+        site.store.put_garbage("op", "config");
+        site.configure(&configuration(7));
+        site.in_force(7).await;
+        assert_eq!(ask(&site, submit("r1"), b"case").await.head.status, 200);
+        assert_eq!(site.state(0).await["endpoints"].as_array().map(Vec::len), Some(3));
+    });
+}
+
+#[test]
+fn a_new_configuration_is_in_force_for_kept_connections() {
+    run(async {
+        let site = small().await;
+        let mut connection = Caller::open(site.address()).await.expect("a connection");
+        assert_eq!(connection.ask(lookup("r1"), b"").await.expect("an answer").head.status, 200);
+        let mut next = configuration(2);
+        next["tenants"][0]["api_keys"] = json!(["key-other"]);
+        site.configure(&next);
+        site.in_force(2).await;
+        assert_eq!(connection.ask(lookup("r2"), b"").await.expect("an answer").head.status, 401);
+    });
+}
+
+/// The store goes away for a while, in each of its ways. Requests never wait for it.
+#[test]
+fn the_store_may_be_away() {
+    for fault in [store::Fault::Busy, store::Fault::Reset, store::Fault::Silent] {
+        run(async {
+            let site = small().await;
+            site.store.set_fault(fault);
+            for id in ["r1", "r2", "r3"] {
+                assert_eq!(ask(&site, submit(id), b"case").await.head.status, 200, "{fault}");
+                assert_eq!(ask(&site, stream(id), b"prompt").await.ids(), whole_ids(), "{fault}");
+            }
+            site.store.set_fault(store::Fault::None);
+            site.configure(&configuration(9));
+            site.in_force(9).await;
+        });
+    }
+}
+
+#[test]
+fn a_store_that_forgot_its_history_is_read_anew() {
+    run(async {
+        let mut site = small().await;
+        site.store.forget();
+        site.add(Role::Plain).await.expect("an endpoint");
+        site.configure(&configuration(3));
+        site.in_force(3).await;
+        site.settled().await;
+    });
+}
+
+#[test]
+fn a_customer_over_its_rate_is_told_when_to_come_back() {
+    run(async {
+        let site = small().await;
+        let small = |id: &str| plain("POST", "/submit/x", SMALL_KEY, id);
+        let mut refused = None;
+        for number in 0..30 {
+            let answer = ask(&site, small(&format!("r{number}")), b"case").await;
+            if answer.head.status == 429 {
+                refused = Some(answer);
+                break;
+            }
+            assert_eq!(answer.head.status, 200);
+        }
+        let refused = refused.expect("30 requests of 200 tokens are more than a burst of 4,000");
+        let wait: f64 = refused.field("Retry-After").and_then(|wait| wait.parse().ok()).expect("a number");
+        assert!(wait > 0.0 && wait <= 6.0, "{wait}");
+        assert_eq!(ask(&site, submit("other"), b"case").await.head.status, 200);
+    });
+}
+
+/// A customer spends its burst at one entry and comes to the next.
+#[test]
+fn what_is_spent_at_one_entry_is_spent_at_all() {
+    run(async {
+        let site = Site::start(Shape { gateways: 2, ..Shape::default() }).await.expect("the site starts");
+        let small = |id: String| plain("POST", "/submit/x", SMALL_KEY, &id);
+        let first = site.gateways[0].address();
+        let mut served = 0;
+        while caller::ask(first, small(format!("a{served}")), b"").await.expect("an answer").head.status
+            == 200
+        {
+            served += 1;
+        }
+        eventually("the other entry knows", async || {
+            site.state(1).await["left"]["small"].as_i64().is_some_and(|left| left < 200)
+        })
+        .await;
+        let second = site.gateways[1].address();
+        assert_eq!(caller::ask(second, small("b".into()), b"").await.expect("an answer").head.status, 429);
+    });
+}
+
+/// An operator restarts an entry while a stream runs and a caller keeps its connection: the stream
+/// ends whole, and what comes meanwhile is served and told that the connection ends.
+#[test]
+fn a_graceful_shutdown_cuts_nothing() {
+    run(async {
+        let mut site = small().await;
+        let address = site.address();
+        let mut kept = Caller::open(address).await.expect("a connection");
+        assert_eq!(kept.ask(lookup("r1"), b"").await.expect("an answer").head.status, 200);
+        let streaming = task::spawn(caller::ask(address, stream("r2"), b"prompt"));
+        let engine = site.endpoints(Role::Decode)[0].clone();
+        eventually("the stream runs", async || engine.running() == 1).await;
+        let gateway = site.gateways.remove(0);
+        let admin = gateway.admin();
+        let stopping = task::spawn(gateway.shutdown());
+        eventually("it is not ready", async || {
+            let head = plain("GET", "/v1/readiness", KEY, "q");
+            caller::ask(admin, head, b"").await.is_ok_and(|answer| answer.head.status == 503)
+        })
+        .await;
+        let answer = kept.ask(lookup("r3"), b"").await.expect("an answer");
+        assert_eq!((answer.head.status, answer.field("Connection")), (200, Some("close")));
+        assert!(kept.answer().await.is_err());
+        let answer = streaming.await.expect("an answer");
+        assert_eq!((answer.whole, answer.ids()), (true, whole_ids()));
+        stopping.await;
+        assert!(caller::ask(address, lookup("r4"), b"").await.is_err());
+    });
+}
+
+#[test]
+fn requests_wait_for_memory_and_all_are_served() {
+    run(async {
+        let site = small().await;
+        let address = site.address();
+        let callers: Vec<_> = (0..12)
+            .map(|number| task::spawn(caller::ask(address, stream(&format!("r{number}")), b"prompt")))
+            .collect();
+        for caller in callers {
+            let answer = caller.await.expect("an answer");
+            assert_eq!((answer.whole, answer.ids()), (true, whole_ids()));
+        }
+        assert_eq!(site.endpoints(Role::Decode)[0].holds(), 0);
+    });
+}
--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -169,11 +169,13 @@
         }
     }
 
-    /// A new process takes the level from one that has been there longer.
+    /// A new process takes the level from one that has been there longer, less what it has spent
+    /// itself: the other may not have heard of it.
     fn learn(&mut self, digest: &Digest) {
         for (name, account) in &mut self.accounts {
             if let Some(left) = digest.left.get(name) {
-                account.level = left.saturating_mul(MICRO).clamp(-account.burst, account.burst);
+                let level = left.saturating_mul(MICRO).saturating_sub(signed(account.spent) * MICRO);
+                account.level = level.clamp(-account.burst, account.burst);
                 self.is_told = true;
             }
         }
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -43,6 +43,8 @@
     pub left: BTreeMap<Arc<str>, i64>,
     /// What the sender has taken of each endpoint.
     pub shares: BTreeMap<Arc<str>, Share>,
+    /// Failed part of the sender's newest outcomes by endpoint, thousandths; sound endpoints left out.
+    pub failing: BTreeMap<Arc<str>, u16>,
     /// Requests that were running when an endpoint crashed, and at how many crashes.
     pub suspects: BTreeMap<u64, u32>,
 }
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -14,6 +14,9 @@
 /// in which one of ten running requests ends.
 const FULL: Duration = Duration::from_millis(100);
 
+/// Failed part of the outcomes above which the others are told: one failure in twenty answers.
+const TOLD: f64 = 0.05;
+
 /// What is under way at one endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -21,6 +24,8 @@
     pub own: Share,
     /// By the others, with the time at which each said so.
     others: BTreeMap<Arc<str>, (Time, Share)>,
+    /// Failed part of the others' outcomes, thousandths, with the time at which each said so.
+    others_failing: BTreeMap<Arc<str>, (Time, u16)>,
     /// How its requests have ended of late.
     pub health: Health,
     full_until: Time,
@@ -37,6 +42,13 @@
         })
     }
 
+    /// Failed part of the newest outcomes, as the entry that fared worst saw it: each sees few of an
+    /// endpoint's answers, and together they know four times sooner that it fails.
+    pub fn failing(&self, now: Time) -> f64 {
+        let fresh = self.others_failing.values().filter(|(at, _)| now.since(*at) < STALE);
+        fresh.map(|(_, failing)| f64::from(*failing) / 1_000.0).fold(self.health.failing(now), f64::max)
+    }
+
     /// Whether it refused for want of room a moment ago.
     pub fn is_full(&self, now: Time) -> bool {
         self.full_until > now
@@ -95,10 +107,13 @@
 
     /// Takes another entry's digest.
     pub fn heard(&mut self, now: Time, digest: &Digest) {
-        for (endpoint, load) in &mut self.0 {
-            if !digest.shares.contains_key(endpoint) {
-                load.others.remove(&digest.name);
-            }
+        for load in self.0.values_mut() {
+            load.others.remove(&digest.name);
+            load.others_failing.remove(&digest.name);
+        }
+        for (endpoint, failing) in &digest.failing {
+            let load = self.0.entry(endpoint.clone()).or_default();
+            load.others_failing.insert(digest.name.clone(), (now, *failing));
         }
         for (endpoint, share) in &digest.shares {
             let load = self.0.entry(endpoint.clone()).or_default();
@@ -112,6 +127,13 @@
         busy.map(|(endpoint, load)| (endpoint.clone(), load.own)).collect()
     }
 
+    /// Failed part of this entry's newest outcomes, thousandths, where it is worth telling.
+    pub fn own_failing(&self, now: Time) -> BTreeMap<Arc<str>, u16> {
+        let failing = self.0.iter().map(|(endpoint, load)| (endpoint, load.health.failing(now)));
+        let told = failing.filter(|(_, failing)| *failing >= TOLD);
+        told.map(|(endpoint, failing)| (endpoint.clone(), (failing * 1_000.0) as u16)).collect()
+    }
+
     /// Forgets an endpoint that is gone, unless requests still run there.
     pub fn forget(&mut self, endpoint: &str) {
         if self.0.get(endpoint).is_some_and(|load| load.own == Share::default()) {
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -54,13 +54,19 @@
         self.loads.get(&endpoint.id)
     }
 
-    /// Endpoints that may be tried, without those known to do worse than the rest.
-    fn candidates(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
+    /// Endpoints that may be tried.
+    fn reachable(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
-        let tried: Vec<_> = serving.filter(|endpoint| !avoid.contains(&endpoint.id)).collect();
-        let reachable: Vec<_> = tried.iter().copied().filter(|endpoint| !self.is_shunned(endpoint)).collect();
+        let tried = serving.filter(|endpoint| !avoid.contains(&endpoint.id));
+        tried.filter(|endpoint| !self.is_shunned(endpoint)).collect()
+    }
+
+    /// The same without those known to do worse than the rest.
+    fn candidates(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
+        let mut reachable = self.reachable(service, stage, avoid);
         let best = reachable.iter().map(|endpoint| self.failing(endpoint)).fold(1.0, f64::min);
-        reachable.into_iter().filter(|endpoint| self.failing(endpoint) <= best + OUTLIER).collect()
+        reachable.retain(|endpoint| self.failing(endpoint) <= best + OUTLIER);
+        reachable
     }
 
     fn is_shunned(&self, endpoint: &Endpoint) -> bool {
@@ -68,7 +74,7 @@
     }
 
     fn failing(&self, endpoint: &Endpoint) -> f64 {
-        self.load(endpoint).map_or(0.0, |load| load.health.failing(self.now))
+        self.load(endpoint).map_or(0.0, |load| load.failing(self.now))
     }
 
     /// An endpoint for a whole request: the one that is expected to answer first.
@@ -105,10 +111,14 @@
         avoid: &[Arc<str>],
     ) -> Option<Arc<Endpoint>> {
         let needed = memory + spare;
-        let candidates = self.candidates(service, Stage::Decode, avoid).into_iter();
-        let fitting =
-            candidates.filter_map(|endpoint| Some((self.room(endpoint, engine, needed)?, endpoint)));
-        fitting.max_by_key(|(room, _)| *room).map(|(_, endpoint)| endpoint.clone())
+        let roomiest = |endpoints: Vec<&Arc<Endpoint>>| {
+            let rooms = endpoints.into_iter();
+            let fitting = rooms.filter_map(|endpoint| Some((self.room(endpoint, engine, needed)?, endpoint)));
+            fitting.max_by_key(|(room, _)| *room).map(|(_, endpoint)| endpoint.clone())
+        };
+        // Where the sound ones are full, three runs in five at a failing one are better than none.
+        let sound = roomiest(self.candidates(service, Stage::Decode, avoid));
+        sound.or_else(|| roomiest(self.reachable(service, Stage::Decode, avoid)))
     }
 
     /// Memory left at an endpoint once a run has been placed there, corrected for its zone.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -177,6 +177,7 @@
             spent: self.allowance.spent(),
             left: self.allowance.left(now),
             shares: self.loads.own(),
+            failing: self.loads.own_failing(now),
             suspects: self.suspects.told(now),
         };
         (digest, self.peers.members().collect())
--- a/crates/core/tests/gateway/allowance.rs
+++ b/crates/core/tests/gateway/allowance.rs
@@ -160,3 +160,18 @@
         assert_eq!(allowance.spend(at(10_000 + wait), "faculty", 1_000), Ok(()));
     }
 }
+
+/// Both entries have just started. A customer spends all there is at the first, before either has
+/// heard the other; the first then took the second's word for what is left and gave it out again.
+#[test]
+fn two_new_entries_do_not_forget_what_one_has_spent() {
+    let faculty = Arc::new(customer("faculty", RATE, BURST));
+    let (mut one, mut two) = (allowance(&faculty), allowance(&faculty));
+    assert_eq!(one.spend(at(0), "faculty", BURST / 4), Ok(()));
+    let from_two = digest("two", 1, &mut two, 10);
+    one.heard(at(10), &from_two);
+    let from_one = digest("one", 1, &mut one, 20);
+    two.heard(at(20), &from_one);
+    assert!(one.spend(at(30), "faculty", 200).is_err());
+    assert!(two.spend(at(30), "faculty", 200).is_err());
+}
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -1,6 +1,6 @@
 //! Where requests go.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use tarragonhill_core::gateway::{
     digest::{Digest, Share},
@@ -82,28 +82,53 @@
     assert_eq!(place(&loads), Some("p-2".into()));
 }
 
-/// An endpoint fails two requests in five while its health check is good. It answers failures
-/// faster than its neighbours answer requests, so the least loaded one would be the broken one.
+/// Ends `count` requests at an endpoint, `failed` of them badly.
+fn play(loads: &mut Loads, id: &str, count: u32, failed: u32) {
+    for index in 0..count {
+        let lease = loads.take(at(0), &id.into(), Share { running: 1, ..Share::default() });
+        let good = Outcome::Answered(Duration::from_millis(20));
+        loads.give_back(at(20), &lease, if index < count - failed { good } else { Outcome::Failed });
+    }
+}
+
+/// An endpoint fails requests while its health check is good, and answers failures faster than its
+/// neighbours answer requests: the one that is expected to answer first would be the broken one.
 #[test]
 fn an_endpoint_that_fails_more_than_its_neighbours_is_left_out() {
     let directory = directory(vec![endpoint("w-1", Stage::Whole), endpoint("w-2", Stage::Whole)]);
     let mut loads = Loads::default();
-    for index in 0..20 {
-        for (id, took, fails) in [("w-1", 2, index % 5 < 2), ("w-2", 20, false)] {
-            let lease = loads.take(at(index * 30), &id.into(), Share { running: 1, ..Share::default() });
-            let outcome = Outcome::Answered(Duration::from_millis(took));
-            loads.give_back(at(index * 30 + took), &lease, if fails { Outcome::Failed } else { outcome });
-        }
-        if index > 10 {
-            let found = view(&directory, &loads, index * 30 + 21).whole("drafting", &[]);
-            let failing = loads.get("w-1").map(|load| load.health.failing(at(index * 30 + 21)));
-            if failing > Some(0.3) {
-                assert_eq!(found.map(|found| found.id.clone()), Some(Arc::from("w-2")));
-            }
-        }
-    }
-    let last = loads.get("w-1").map(|load| load.health.failing(at(571)));
-    assert!(last > Some(0.1), "{last:?}");
+    play(&mut loads, "w-1", 8, 3);
+    play(&mut loads, "w-2", 8, 0);
+    loads.take(at(20), &"w-2".into(), Share { running: 9, ..Share::default() });
+    let found = view(&directory, &loads, 30).whole("drafting", &[]);
+    assert_eq!(found.map(|found| found.id.clone()), Some("w-2".into()));
+}
+
+/// Four entries share the traffic, so each sees few of an endpoint's answers; what one has found out
+/// spares the others' requests.
+#[test]
+fn what_another_entry_found_failing_is_left_out_here_too() {
+    let directory = directory(vec![endpoint("p-1", Stage::Prefill), endpoint("p-2", Stage::Prefill)]);
+    let mut other = Loads::default();
+    play(&mut other, "p-1", 8, 3);
+    let mut loads = Loads::default();
+    let told = Digest { name: "b".into(), failing: other.own_failing(at(30)), ..Digest::default() };
+    loads.heard(at(30), &told);
+    let found = view(&directory, &loads, 40).prefill("drafting", "zone-a", &[]);
+    assert_eq!(found.map(|found| found.id.clone()), Some("p-2".into()));
+}
+
+#[test]
+fn a_failing_endpoint_takes_a_run_when_the_sound_ones_are_full() {
+    let directory = directory(vec![endpoint("d-1", Stage::Decode), endpoint("d-2", Stage::Decode)]);
+    let mut loads = Loads::default();
+    play(&mut loads, "d-1", 8, 3);
+    let place = |loads: &Loads| {
+        view(&directory, loads, 30).decode("drafting", &engine(), 5_000, 0, &[]).map(|found| found.id.clone())
+    };
+    assert_eq!(place(&loads), Some("d-2".into()));
+    loads.take(at(25), &"d-2".into(), run(58_000));
+    assert_eq!(place(&loads), Some("d-1".into()));
 }
 
 #[test]
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -1,12 +1,13 @@
 //! The gateway role: passes requests on to the platform's endpoints.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use async_channel::Receiver;
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use prometheus::Registry;
 use tarragonhill_core::{Clock, gateway::digest::Member};
 use tarragonhill_gateway::{Gateway, Settings};
@@ -23,40 +24,73 @@
 /// Updates of the store that may wait for the control thread.
 const UPDATES: usize = 64;
 
+/// A running gateway with its admin address and its view of the store.
+pub struct Role {
+    name: Arc<str>,
+    gateway: Gateway,
+    admin: SocketAddr,
+    answering: JoinHandle<()>,
+}
+
+impl Role {
+    /// Starts a gateway.
+    pub async fn start(settings: GatewaySettings, clock: Clock) -> Result<Self, StartError> {
+        let registry = Registry::new();
+        let common = &settings.common;
+        let (updates, received) = async_channel::bounded(UPDATES);
+        let gateway = Settings {
+            name: common.name.clone(),
+            zone: common.zone.clone(),
+            listen: common.listen,
+            peer: settings.peer,
+            incarnation: unix_millis(),
+            retries: settings.retries,
+            linger: LINGER,
+            grace: settings.grace.saturating_sub(END),
+        };
+        let started = Gateway::start(gateway, clock, Arc::new(Dialect), received, &registry).await;
+        let gateway = started.map_err(StartError::Gateway)?;
+        let own = Member { name: common.name.clone(), address: gateway.peer() };
+        store::follow(common.table, own, updates);
+        let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
+        let server = server.map_err(|error| StartError::Listen {
+            setting: "admin",
+            address: common.admin.to_string(),
+            error,
+        })?;
+        let admin = server.address();
+        let view = gateway.view();
+        let answering =
+            task::spawn(server.serve(move |inbound| answer(inbound, view.clone(), registry.clone())));
+        spdlog::info!("gateway started", kv: {
+            name = &*common.name, zone = &*common.zone, listen = gateway.address().to_string().as_str()
+        });
+        Ok(Self { name: common.name.clone(), gateway, admin, answering })
+    }
+
+    /// Where callers reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.gateway.address()
+    }
+
+    /// Where its metrics, readiness and state are.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Stops gracefully.
+    pub async fn shutdown(self) {
+        spdlog::info!("gateway stopping", kv: { name = &*self.name });
+        self.gateway.shutdown().await;
+        self.answering.cancel().await;
+    }
+}
+
 /// Runs a gateway until `stop` gives the word.
 pub async fn run(settings: GatewaySettings, clock: Clock, stop: Receiver<()>) -> Result<(), StartError> {
-    let registry = Registry::new();
-    let common = &settings.common;
-    let (updates, received) = async_channel::bounded(UPDATES);
-    let gateway = Settings {
-        name: common.name.clone(),
-        zone: common.zone.clone(),
-        listen: common.listen,
-        peer: settings.peer,
-        incarnation: unix_millis(),
-        retries: settings.retries,
-        linger: LINGER,
-        grace: settings.grace.saturating_sub(END),
-    };
-    let started = Gateway::start(gateway, clock, Arc::new(Dialect), received, &registry).await;
-    let gateway = started.map_err(StartError::Gateway)?;
-    let own = Member { name: common.name.clone(), address: gateway.peer() };
-    store::follow(common.table, own, updates);
-    let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
-    let server = server.map_err(|error| StartError::Listen {
-        setting: "admin",
-        address: common.admin.to_string(),
-        error,
-    })?;
-    let view = gateway.view();
-    let admin = task::spawn(server.serve(move |inbound| answer(inbound, view.clone(), registry.clone())));
-    spdlog::info!("gateway started", kv: {
-        name = &*common.name, zone = &*common.zone, listen = gateway.address().to_string().as_str()
-    });
+    let role = Role::start(settings, clock).await?;
     let _ = stop.recv().await;
-    spdlog::info!("gateway stopping", kv: { name = &*common.name });
-    gateway.shutdown().await;
-    admin.cancel().await;
+    role.shutdown().await;
     Ok(())
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use async_channel::{Receiver, Sender};
+use async_channel::{Receiver, Sender, WeakSender};
 use async_std::{future::timeout, task};
 use tarragonhill_core::{
     Clock, Refusal, Time,
@@ -116,8 +116,10 @@
         let (commands, received) = async_channel::unbounded();
         let control = Self { commands, catalog: Arc::default() };
         let state = State::new(identity, retries, clock.now());
-        let back = control.clone();
-        let mut desk = Desk { state, clock, back, digests, told: Time::ZERO };
+        // Held weakly: the thread ends when the traffic has dropped its last handle.
+        let commands = control.commands.downgrade();
+        let catalog = control.catalog.clone();
+        let mut desk = Desk { state, clock, commands, catalog, digests, told: Time::ZERO };
         thread::Builder::new()
             .name("control".into())
             .spawn(move || task::block_on(async move { desk.run(received).await }))?;
@@ -217,7 +219,8 @@
 struct Desk {
     state: State<Reply<Placing>>,
     clock: Clock,
-    back: Control,
+    commands: WeakSender<Command>,
+    catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
     digests: Sender<Outgoing>,
     /// When the last digest was sent.
     told: Time,
@@ -251,7 +254,7 @@
         self.state.retain_line(|reply| !reply.is_closed());
         for (reply, verdict) in self.state.pump(now) {
             let placing = match verdict {
-                Verdict::Placed(place) => Ok(self.ticket(place)),
+                Verdict::Placed(place) => self.ticket(place).ok_or_else(stopping),
                 Verdict::Hopeless => Err(overloaded()),
             };
             // A ticket whose asker is gone is dropped here, which gives it back.
@@ -259,9 +262,11 @@
         }
     }
 
-    fn ticket(&self, place: Place) -> Ticket {
+    /// Nothing once the traffic has ended: then nobody waits for it either.
+    fn ticket(&self, place: Place) -> Option<Ticket> {
         let Place { endpoint, lease } = place;
-        Ticket { endpoint, lease, outcome: Outcome::Abandoned, control: self.back.clone() }
+        let control = Control { commands: self.commands.upgrade()?, catalog: self.catalog.clone() };
+        Some(Ticket { endpoint, lease, outcome: Outcome::Abandoned, control })
     }
 
     fn take(&mut self, command: Command) {
@@ -272,13 +277,13 @@
             Command::Retry(service, reply) => drop(reply.try_send(self.state.retry(now, &service))),
             Command::IsSplit(service, reply) => drop(reply.try_send(self.state.is_split(now, &service))),
             Command::Whole(service, avoid, reply) => {
-                let place = self.state.whole(now, &service, &avoid).map(|place| self.ticket(place));
-                drop(reply.try_send(place));
+                let place = self.state.whole(now, &service, &avoid);
+                drop(reply.try_send(place.and_then(|place| self.ticket(place).ok_or_else(stopping))));
             }
             Command::Prefill(reading, reply) => {
                 let Reading { service, tokens, zone, avoid } = &reading;
                 let place = self.state.prefill(now, service, *tokens, zone, avoid);
-                drop(reply.try_send(place.map(|place| self.ticket(place))));
+                drop(reply.try_send(place.and_then(|place| self.ticket(place))));
             }
             Command::LineUp(waiting) => self.state.line_up(waiting),
             Command::Answered(lease) => self.state.answered(now, &lease),
@@ -312,7 +317,7 @@
             spdlog::info!("older configuration ignored", kv: { version, order });
             return;
         }
-        *self.back.catalog.lock().unwrap_or_else(PoisonError::into_inner) = Some(catalog);
+        *self.catalog.lock().unwrap_or_else(PoisonError::into_inner) = Some(catalog);
         spdlog::info!("configuration in force", kv: { version, order, routes });
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -83,7 +83,7 @@
     peer: SocketAddr,
     context: Arc<Context>,
     settings: Settings,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Tasks,
     /// Dropped to end callers' idle connections.
     closing: Sender<()>,
 }
@@ -122,12 +122,12 @@
             running: AtomicUsize::new(0),
         });
         let (closing, closed) = async_channel::bounded(1);
-        let tasks = vec![
+        let tasks = Tasks(vec![
             task::spawn(front::accept(context.clone(), listener, closed)),
             task::spawn(peers::send(socket.clone(), outgoing)),
             task::spawn(peers::receive(socket, control.clone())),
             task::spawn(learn(updates, control)),
-        ];
+        ]);
         Ok(Self { address, peer, context, settings, tasks, closing })
     }
 
@@ -167,13 +167,23 @@
             clock.sleep(DRAIN_POLL).await;
         }
         let cut = context.running.load(Ordering::Relaxed);
-        for task in tasks {
-            task.cancel().await;
-        }
+        drop(tasks);
         spdlog::info!("gateway stopped", kv: { cut });
     }
 }
 
+/// Tasks that end when this is dropped.
+struct Tasks(Vec<JoinHandle<()>>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        // A dropped handle would only detach its task.
+        for task in self.0.drain(..) {
+            task::spawn(task.cancel());
+        }
+    }
+}
+
 /// What the admin address tells of a gateway.
 #[derive(Clone)]
 pub struct View(Arc<Context>);
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -203,9 +203,9 @@
         ticket.ended(outcome);
         return Attempt::NotRun(reason);
     }
-    let is_success = (200..300).contains(&head.status);
-    if is_success && (!reply.signed || reply.encoded) {
-        let reason = format!("{}: a success that is not the endpoint's own", ticket.endpoint.id);
+    if !reply.signed || reply.encoded {
+        let reason =
+            format!("{}: status {} is not the endpoint's own answer", ticket.endpoint.id, head.status);
         ticket.ended(Outcome::Failed);
         return Attempt::Broken(reason);
     }
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -1,6 +1,9 @@
 //! Digests between entries, as they are sent.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use tarragonhill_core::gateway::digest::{Digest, Member, Share};
 
@@ -13,11 +16,16 @@
             spent: *spent,
             left: digest.left.get(customer).copied().unwrap_or(0),
         });
-        let shares = digest.shares.iter().map(|(endpoint, share)| proto::Share {
-            endpoint: endpoint.to_string(),
-            running: share.running,
-            memory: share.memory,
-            reading: share.reading,
+        let endpoints: BTreeSet<&Arc<str>> = digest.shares.keys().chain(digest.failing.keys()).collect();
+        let shares = endpoints.into_iter().map(|endpoint| {
+            let share = digest.shares.get(endpoint).copied().unwrap_or_default();
+            proto::Share {
+                endpoint: endpoint.to_string(),
+                running: share.running,
+                memory: share.memory,
+                reading: share.reading,
+                failing: digest.failing.get(endpoint).copied().unwrap_or(0).into(),
+            }
         });
         let suspects = digest.suspects.iter();
         Self {
@@ -65,10 +73,18 @@
             spent.insert(customer.clone(), spending.spent);
             left.insert(customer, spending.left);
         }
-        let shares = digest.shares.into_iter().map(|share| {
+        let mut shares = BTreeMap::new();
+        let mut failing = BTreeMap::new();
+        for share in digest.shares {
+            let endpoint: Arc<str> = share.endpoint.into();
             let taken = Share { running: share.running, memory: share.memory, reading: share.reading };
-            (share.endpoint.into(), taken)
-        });
+            if taken != Share::default() {
+                shares.insert(endpoint.clone(), taken);
+            }
+            if share.failing > 0 {
+                failing.insert(endpoint, u16::try_from(share.failing).unwrap_or(u16::MAX));
+            }
+        }
         Ok(Self {
             name: digest.name.into(),
             incarnation: digest.incarnation,
@@ -76,7 +92,8 @@
             members: members?,
             spent,
             left,
-            shares: shares.collect(),
+            shares,
+            failing,
             suspects: digest.suspects.into_iter().map(|told| (told.fingerprint, told.crashes)).collect(),
         })
     }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -367,6 +367,8 @@
     pub memory: u64,
     #[prost(uint64, tag = "4")]
     pub reading: u64,
+    #[prost(uint32, tag = "5")]
+    pub failing: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Suspect {
