--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -205,7 +205,9 @@
             && let Err(wait) = self.allowance.spend(now, &customer.name, admission.tokens)
         {
             let left = self.allowance.left(now).get(&customer.name).copied().unwrap_or(0);
-            let message = format!("{} has {left} tokens left of {} asked", customer.name, admission.tokens);
+            let Customer { name, rate, burst, .. } = &**customer;
+            let asked = admission.tokens;
+            let message = format!("{name} has {left} tokens left, asked {asked}; rate {rate}, burst {burst}");
             return Err(Refusal::not_run(Code::OverRate, message).retry_after(wait));
         }
         self.budget.request(now, &admission.service);
