Give up streams that fall silent; say what decides when no memory becomes free

Cause: a connection that something on the way has lost track of falls silent and is never closed; its run's memory counted as taken until the caller's deadline.

The new test fails without the limit (the memory stays taken for 60 s).

--- a/crates/bench/src/published/endpoint.rs
+++ b/crates/bench/src/published/endpoint.rs
@@ -60,6 +60,8 @@
     Cut,
     /// Ends the answer in the middle of a stream without its last chunk, inside an event.
     CutInEvent,
+    /// Falls silent in the middle of a stream.
+    Silent,
     /// Sends a second answer behind the first.
     Extra,
     /// Answers without a length and closes.
@@ -345,6 +347,9 @@
             if is_middle && fault == Fault::Cut {
                 return (connection, Then::Reset);
             }
+            if is_middle && fault == Fault::Silent {
+                return hang(connection).await;
+            }
             if is_middle && fault == Fault::CutInEvent {
                 let _ = connection.write(&chunk(&event.as_bytes()[..event.len() / 2])).await;
                 return (connection, Then::Close);
--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -250,7 +250,7 @@
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": "a.example", "prefix": format!("/{name}/"), "kind": kind, "service": service,
-            "timeout_ms": 5_000, "target_latency_ms": 900, "priority": 1, "max_attempts": 1,
+            "timeout_ms": 60_000, "target_latency_ms": 900, "priority": 1, "max_attempts": 1,
             "allow_anonymous": false, "allow_resume": false, "target_gap_ms": 300,
         })
     };
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -270,6 +270,29 @@
     }
 }
 
+/// Something between the hosts has lost track of a connection: the stream falls silent, and nobody
+/// is told. The gateway would take the run's memory as taken until the caller's deadline, and refuse
+/// others for want of it.
+#[test]
+fn a_stream_that_falls_silent_gives_its_memory_back() {
+    run(async {
+        let site = small().await;
+        site.endpoints(Role::Decode)[0].fail_next(Fault::Silent, 1);
+        let mut head = stream("r1");
+        head.fields.set("Tarragonhill-Deadline-Ms", "60000");
+        let asking = task::spawn(caller::ask(site.address(), head, b"prompt"));
+        let memory = async || {
+            let state = site.state(0).await;
+            let endpoints = state["endpoints"].as_array().cloned().unwrap_or_default();
+            endpoints.iter().filter_map(|one| one["memory"].as_u64()).sum::<u64>()
+        };
+        eventually("memory is taken", async || memory().await > 0).await;
+        eventually("the memory is free", async || memory().await == 0).await;
+        let answer = asking.await.expect("an answer");
+        assert_eq!((answer.head.status, answer.whole), (200, false));
+    });
+}
+
 #[test]
 fn one_failure_of_a_resumable_stream_is_not_seen() {
     run(async {
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -92,14 +92,14 @@
         &mut self,
         now: Time,
         mut place: impl FnMut(&Waiting<T>) -> Option<P>,
-    ) -> Vec<(T, Verdict<P>)> {
+    ) -> Vec<(Waiting<T>, Verdict<P>)> {
         self.0.sort_by_key(|waiting| waiting.rank(now));
         let mut verdicts = Vec::new();
         let mut blocked: Vec<Arc<str>> = Vec::new();
         let mut left = Vec::new();
         for waiting in std::mem::take(&mut self.0) {
             if waiting.last_start < now {
-                verdicts.push((waiting.tag, Verdict::Hopeless));
+                verdicts.push((waiting, Verdict::Hopeless));
                 continue;
             }
             if blocked.contains(&waiting.service) {
@@ -107,7 +107,7 @@
                 continue;
             }
             match place(&waiting) {
-                Some(found) => verdicts.push((waiting.tag, Verdict::Placed(found))),
+                Some(found) => verdicts.push((waiting, Verdict::Placed(found))),
                 None => {
                     blocked.push(waiting.service.clone());
                     left.push(waiting);
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -136,6 +136,23 @@
         Some(left + (engine.memory as f64 * bonus) as u64)
     }
 
+    /// What a service's endpoints of a stage have room for, in one line for logs.
+    pub fn describe(&self, service: &str, stage: Stage) -> String {
+        let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
+        let (mut all, mut shunned, mut full, mut running, mut memory) = (0, 0, 0, 0, 0);
+        for endpoint in serving {
+            all += 1;
+            let Some(load) = self.load(endpoint) else { continue };
+            shunned += u32::from(load.health.is_shunned(self.now));
+            full += u32::from(load.is_full(self.now));
+            running += load.all(self.now).running;
+            memory += load.all(self.now).memory;
+        }
+        format!(
+            "{all} {stage} endpoints, {shunned} left alone, {full} full, {running} runs, {memory} tokens taken"
+        )
+    }
+
     fn is_near(&self, endpoint: &Endpoint, zone: &str) -> bool {
         &*endpoint.zone == zone
     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -71,7 +71,7 @@
 }
 
 /// Whom to answer, and how.
-pub type Placed<T> = (T, Verdict<Place>);
+pub type Placed<T> = (Waiting<T>, Verdict<Place>);
 
 /// The state of one entry.
 #[derive(Debug)]
@@ -273,6 +273,12 @@
         })
     }
 
+    /// What decides who is placed, in one line for logs.
+    pub fn describe(&self, now: Time, service: &str) -> String {
+        let waiting = self.line.len();
+        format!("{waiting} wait; {}", self.view(now).describe(service, Stage::Decode))
+    }
+
     /// Drops those in the line whose callers are gone.
     pub fn retain_line(&mut self, keep: impl Fn(&T) -> bool) {
         self.line.retain(keep);
--- a/crates/core/tests/gateway/line.rs
+++ b/crates/core/tests/gateway/line.rs
@@ -24,9 +24,9 @@
     }
 }
 
-fn placed(verdicts: Vec<(u32, Verdict<()>)>) -> Vec<u32> {
+fn placed(verdicts: Vec<(Waiting<u32>, Verdict<()>)>) -> Vec<u32> {
     let placed = verdicts.into_iter().filter(|(_, verdict)| matches!(verdict, Verdict::Placed(())));
-    placed.map(|(tag, _)| tag).collect()
+    placed.map(|(waiting, _)| waiting.tag).collect()
 }
 
 #[test]
@@ -65,7 +65,7 @@
     assert!(line.pump(at(2_999), |_| None::<()>).is_empty());
     assert_eq!(line.next_hopeless(), Some(at(3_000)));
     let told = line.pump(at(3_001), |_| None::<()>);
-    assert!(matches!(told[..], [(1, Verdict::Hopeless)]), "{told:?}");
+    assert!(matches!(&told[..], [(Waiting { tag: 1, .. }, Verdict::Hopeless)]), "{told:?}");
 }
 
 /// What callers get of a burst.
@@ -119,7 +119,7 @@
             free -= usize::from(fits);
             fits.then_some(())
         });
-        for (tag, verdict) in verdicts {
+        for (Waiting { tag, .. }, verdict) in verdicts {
             match verdict {
                 Verdict::Placed(()) if now + FIRST <= arrivals[&tag] + AIM => result.on_time += 1,
                 Verdict::Placed(()) => result.late += 1,
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -76,10 +76,12 @@
     state.line_up(waiting(2, 40_000));
     let mut first = state.pump(at(10));
     assert_eq!(first.len(), 1);
-    let Some((1, Verdict::Placed(place))) = first.pop() else { panic!("the first is placed") };
+    let Some((Waiting { tag: 1, .. }, Verdict::Placed(place))) = first.pop() else {
+        panic!("the first is placed")
+    };
     assert!(state.pump(at(20)).is_empty());
     state.ended(at(30), &place.lease, Outcome::Abandoned);
-    assert!(matches!(state.pump(at(40))[..], [(2, Verdict::Placed(_))]));
+    assert!(matches!(&state.pump(at(40))[..], [(Waiting { tag: 2, .. }, Verdict::Placed(_))]));
 }
 
 #[test]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -252,13 +252,13 @@
             let _ = self.digests.try_send(self.state.digest(now));
         }
         self.state.retain_line(|reply| !reply.is_closed());
-        for (reply, verdict) in self.state.pump(now) {
+        for (waiting, verdict) in self.state.pump(now) {
             let placing = match verdict {
                 Verdict::Placed(place) => self.ticket(place).ok_or_else(stopping),
-                Verdict::Hopeless => Err(overloaded()),
+                Verdict::Hopeless => Err(overloaded(self.state.describe(now, &waiting.service))),
             };
             // A ticket whose asker is gone is dropped here, which gives it back.
-            let _ = reply.try_send(placing);
+            let _ = waiting.tag.try_send(placing);
         }
     }
 
@@ -347,8 +347,9 @@
     }
 }
 
-fn overloaded() -> Refusal {
-    Refusal::not_run(Code::Overloaded, "no memory becomes free in time").retry_after(LINE_SHORTER)
+fn overloaded(why: String) -> Refusal {
+    let message = format!("no memory becomes free in time: {why}");
+    Refusal::not_run(Code::Overloaded, message).retry_after(LINE_SHORTER)
 }
 
 /// What a caller is told that waited in vain: about half the time a run takes, after which half of
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -52,6 +52,8 @@
 /// The same where no longest pause is declared.
 const STALLED: Duration = Duration::from_millis(1_500);
 
+/// A stream that cannot go on elsewhere is given up this much later than its caller gives it up.
+const SILENCE_SLACK: Duration = Duration::from_millis(500);
 /// Callers' estimates are right in the middle and off by up to this factor for nine in ten.
 const GUESS: u32 = 2;
 /// What callers are told to wait that another entry can serve at once.
@@ -463,7 +465,8 @@
     let left = inbound.ends.since(context.clock.now());
     let head = context.dialect.pass(&inbound.head, &passage(inbound, endpoint, left, task));
     let had_run = inbound.may_have_run.swap(true, Ordering::Relaxed);
-    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), left).await;
+    let limit = left.min(inbound.route.silence + SILENCE_SLACK);
+    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), limit).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(Failure::Unsent(error)) => {
@@ -540,12 +543,17 @@
     }
 }
 
+/// The next part of a stream. A connection that something on the way has lost track of falls silent
+/// and is never closed; without a limit it would keep its run's memory taken until the deadline.
 async fn next_part(inbound: &Inbound, exchange: &mut Exchange<'_>) -> Result<Option<Bytes>, Failure> {
-    if !inbound.route.resumable {
-        return exchange.part().await;
-    }
-    let stalled = if inbound.route.gap.is_zero() { STALLED } else { inbound.route.gap * STALLED_GAPS };
-    timeout(stalled, exchange.part()).await.unwrap_or(Err(Failure::Late))
+    let limit = if !inbound.route.resumable {
+        inbound.route.silence + SILENCE_SLACK
+    } else if inbound.route.gap.is_zero() {
+        STALLED
+    } else {
+        inbound.route.gap * STALLED_GAPS
+    };
+    timeout(limit, exchange.part()).await.unwrap_or(Err(Failure::Late))
 }
 
 /// Where the last whole event ends.
