Move endpoints between the pools by the ratio of the work; let prompts wait in the line

Cause: the operator's split gives five of twelve endpoints to reading, which keeps them a third busy in a burst, while 66 to 70 runs fill the memory of the other seven.

Change: the ratio of reading to making tokens is worked out from the requests seen; endpoints are ordered from one pool to the other, one at a time, by the entry first in name, under a claim in the store written just before each order, whose version is the fencing token; another entry waits 6 s by the store's clock. A prompt is placed together with its run and waits in the line while 22,000 prompt tokens stand ahead. An entry in its first window takes a quarter of its part of the retry slack.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -14,6 +14,8 @@
 
 /// Part of the budget that is used: entries join and leave within a window, and are counted late.
 const USED: f64 = 0.7;
+/// Entries that an entry counts with before it has heard them.
+const UNKNOWN_SHARERS: u32 = 4;
 /// Events are counted in spans of this length.
 const SPAN: Duration = Duration::from_millis(500);
 
@@ -39,13 +41,15 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     rule: Rule,
+    /// When this entry started.
+    started: Time,
     services: BTreeMap<Arc<str>, VecDeque<Span>>,
 }
 
 impl Budget {
-    /// A budget under a rule.
-    pub fn new(rule: Rule) -> Self {
-        Self { rule, services: BTreeMap::new() }
+    /// A budget under a rule, of an entry that starts now.
+    pub fn new(rule: Rule, now: Time) -> Self {
+        Self { rule, started: now, services: BTreeMap::new() }
     }
 
     /// Counts a request of a caller.
@@ -59,7 +63,7 @@
         let spans = &self.services[service];
         let requests: u32 = spans.iter().map(|span| span.requests).sum();
         let extras: u32 = spans.iter().map(|span| span.extras).sum();
-        let allowed = self.rule.ratio * f64::from(requests) + self.rule.slack / f64::from(sharers.max(1));
+        let allowed = self.rule.ratio * f64::from(requests) + self.slack(now, sharers);
         if f64::from(extras + 1) > allowed * USED {
             return false;
         }
@@ -67,6 +71,15 @@
         true
     }
 
+    /// This entry's part of the slack. In its first window it takes a quarter: the process before it
+    /// may have used its part in the same window, and does not know the others yet.
+    fn slack(&self, now: Time, sharers: u32) -> f64 {
+        if now.since(self.started) < self.rule.window {
+            return self.rule.slack / 4.0 / f64::from(sharers.max(UNKNOWN_SHARERS));
+        }
+        self.rule.slack / f64::from(sharers.max(1))
+    }
+
     /// Further sends of the window, by service.
     pub fn extras(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
         self.services.iter().map(|(service, spans)| (service, spans.iter().map(|span| span.extras).sum()))
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use super::directory::Stage;
 use crate::clock::Time;
 
 /// An entry that was not heard for this long is not counted as sharing anything any more. Long
@@ -26,6 +27,15 @@
     pub reading: u64,
 }
 
+/// A change of stage that an endpoint was ordered to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Its new stage.
+    pub stage: Stage,
+    /// How long it is still left alone at most.
+    pub left: Duration,
+}
+
 /// What an entry says of itself, as of the moment it was sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Digest {
@@ -45,6 +55,8 @@
     pub shares: BTreeMap<Arc<str>, Share>,
     /// Failed part of the sender's newest outcomes by endpoint, thousandths; sound endpoints left out.
     pub failing: BTreeMap<Arc<str>, u16>,
+    /// Endpoints that the sender has ordered to change their stage.
+    pub changing: BTreeMap<Arc<str>, Change>,
     /// Requests that were running when an endpoint crashed, and at how many crashes.
     pub suspects: BTreeMap<u64, u32>,
 }
@@ -134,6 +146,11 @@
         1 + self.peers.len() as u32
     }
 
+    /// How many of the entries heard of late have names before this one's.
+    pub fn rank(&self, now: Time) -> u32 {
+        self.heard_of_late(now).filter(|member| member.name < self.own).count() as u32
+    }
+
     /// For how long each entry has been silent.
     pub fn silence(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, Duration)> {
         self.peers.iter().map(move |(name, peer)| (name, now.since(peer.heard)))
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -16,6 +16,10 @@
     pub tag: T,
     /// The service.
     pub service: Arc<str>,
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Tokens that its answer is expected to have.
+    pub expected: u64,
     /// Memory it needs, tokens.
     pub memory: u64,
     /// When it came.
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -6,6 +6,7 @@
     catalog::Engine,
     directory::{Directory, Endpoint, Stage},
     load::{Load, Loads},
+    pools::Pools,
 };
 use crate::clock::{Time, micros};
 
@@ -19,6 +20,10 @@
 /// A prompt is read in another zone only to save waiting behind this many prompt tokens: moving
 /// its result costs twice there.
 const CROSS_ZONE_READING: u64 = 3_000;
+/// Prompt tokens ahead of a prompt at the endpoint that is to read it: 0.4 s of reading. With more it
+/// would be late, and asked of a second endpoint before the first is done, which makes the line of
+/// both longer still.
+const MOST_AHEAD: u64 = 22_000;
 /// Part of an engine's memory that a decode endpoint in the own zone may be fuller and still be
 /// taken.
 const CROSS_ZONE_MEMORY: f64 = 0.05;
@@ -36,6 +41,17 @@
     (engine.memory as f64 * part) as u64
 }
 
+/// Who reads a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reader {
+    /// This endpoint.
+    Endpoint(Arc<Endpoint>),
+    /// Nobody at the moment: too much is ahead everywhere.
+    Busy,
+    /// Nobody: no endpoint that only reads can be reached.
+    Nobody,
+}
+
 /// What placement looks at.
 #[derive(Clone, Copy)]
 pub struct View<'a> {
@@ -45,6 +61,8 @@
     pub directory: &'a Directory,
     /// What is under way at them.
     pub loads: &'a Loads,
+    /// Endpoints that change their stage take no work.
+    pub pools: &'a Pools,
     /// The availability zone of this entry.
     pub zone: &'a str,
 }
@@ -58,7 +76,8 @@
     fn reachable(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
         let tried = serving.filter(|endpoint| !avoid.contains(&endpoint.id));
-        tried.filter(|endpoint| !self.is_shunned(endpoint)).collect()
+        let standing = tried.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
+        standing.filter(|endpoint| !self.is_shunned(endpoint)).collect()
     }
 
     /// The same without those known to do worse than the rest.
@@ -91,13 +110,16 @@
 
     /// An endpoint that reads a prompt: the one with the fewest prompt tokens ahead, near `zone`
     /// where its result goes.
-    pub fn prefill(&self, service: &str, zone: &str, avoid: &[Arc<str>]) -> Option<Arc<Endpoint>> {
-        let ahead = |endpoint: &Endpoint| {
-            let reading = self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
-            reading + if self.is_near(endpoint, zone) { 0 } else { CROSS_ZONE_READING }
-        };
+    pub fn prefill(&self, service: &str, zone: &str, avoid: &[Arc<str>]) -> Reader {
+        let ahead = |endpoint: &Endpoint| self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
+        let detour = |endpoint: &Endpoint| if self.is_near(endpoint, zone) { 0 } else { CROSS_ZONE_READING };
         let candidates = self.candidates(service, Stage::Prefill, avoid);
-        candidates.into_iter().min_by_key(|endpoint| ahead(endpoint)).cloned()
+        let first = candidates.into_iter().min_by_key(|endpoint| ahead(endpoint) + detour(endpoint));
+        match first {
+            None => Reader::Nobody,
+            Some(endpoint) if ahead(endpoint) > MOST_AHEAD => Reader::Busy,
+            Some(endpoint) => Reader::Endpoint(endpoint.clone()),
+        }
     }
 
     /// An endpoint with room for a run of `memory` tokens that leaves `spare` tokens free: the one
@@ -161,12 +183,6 @@
     pub fn has(&self, service: &str, stage: Stage) -> bool {
         self.directory.serving(service).any(|endpoint| endpoint.stage == stage)
     }
-
-    /// Whether a service has any endpoint of a stage that is not left alone at the moment.
-    pub fn can_reach(&self, service: &str, stage: Stage) -> bool {
-        let mut serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
-        serving.any(|endpoint| !self.is_shunned(endpoint))
-    }
 }
 
 /// How long reading a prompt takes on an idle endpoint.
--- /dev/null
+++ b/crates/core/src/gateway/pools.rs
@@ -0,0 +1,199 @@
+//! How many endpoints of a service read prompts, and how many make tokens.
+//!
+//! Reading keeps a processor busy, making tokens keeps memory taken, and callers' prompts and
+//! answers decide how much of each there is to do. The split that fits them is worked out from the
+//! requests seen, and endpoints are ordered from one pool to the other, one at a time. The load
+//! itself does not matter, only the ratio: a burst changes nothing, and a switch takes longer than
+//! a burst lasts.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{
+    catalog::Engine,
+    digest::Change,
+    directory::{Directory, Endpoint, Stage},
+    line::{FIRST_EVENT, memory, run_time},
+    load::Loads,
+    placement::reading_time,
+};
+use crate::clock::Time;
+
+/// Requests that must have been seen before their mean says something: the sizes of prompts and
+/// answers vary by half to double, so the mean of these is right to a sixth.
+const ENOUGH: f64 = 15.0;
+/// What was seen counts half after this long: longer than a burst, shorter than a shift of the
+/// traffic that is worth a switch.
+const HALF_LIFE: Duration = Duration::from_secs(15);
+/// Reading gets this much more than its part: prompts wait for each other while they are read, and
+/// with a part just enough they would wait for ever.
+const HEADROOM: f64 = 1.3;
+/// Endpoints by which a pool must be off for one to be moved: half would be the nearest fit, and the
+/// rest keeps the noise of the mean from moving the same one to and fro.
+const WORTH_A_SWITCH: f64 = 0.8;
+/// Part of an engine's memory that runs can take: the rest is lost at the edges.
+const USABLE: f64 = 0.9;
+/// A change that is not seen to end is forgotten after this long: the longest run, the switch, and an
+/// order that is carried out late.
+const LONGEST_CHANGE: Duration = Duration::from_secs(25);
+/// Time between two orders, so that the first shows in the list before the next is decided.
+const ORDER_PAUSE: Duration = Duration::from_millis(1_000);
+/// Most changes under way at once in one service.
+const MOST_CHANGES: usize = 2;
+/// An entry leaves orders to those before it for this long each, so that one alone decides.
+const TURN: Duration = Duration::from_secs(4);
+
+/// What the requests of one service asked for, fading with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    requests: f64,
+    /// Seconds of one endpoint that reads.
+    reading: f64,
+    /// Seconds of one endpoint that makes tokens with full memory.
+    making: f64,
+    at: Time,
+}
+
+impl Demand {
+    fn fade(&mut self, now: Time) {
+        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let kept = 0.5_f64.powf(halves);
+        self.requests *= kept;
+        self.reading *= kept;
+        self.making *= kept;
+        self.at = now;
+    }
+}
+
+/// An endpoint that is to change its pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// Its new stage.
+    pub stage: Stage,
+}
+
+/// The split of each service, and the changes under way.
+#[derive(Clone, Debug, Default)]
+pub struct Pools {
+    demand: BTreeMap<Arc<str>, Demand>,
+    /// Until when an endpoint is left alone while it changes, and what it changes to.
+    changing: BTreeMap<Arc<str>, (Time, Stage)>,
+    /// The same as others told it.
+    told: BTreeMap<Arc<str>, (Time, Stage)>,
+    /// Since when the split has not fitted, by service.
+    unfit: BTreeMap<Arc<str>, Time>,
+    ordered: Option<Time>,
+}
+
+impl Pools {
+    /// Counts a request of `prompt` tokens that expects `expected` in its answer.
+    pub fn note(&mut self, now: Time, service: &Arc<str>, engine: &Engine, prompt: u64, expected: u64) {
+        let demand = self.demand.entry(service.clone()).or_default();
+        demand.fade(now);
+        let runs = engine.memory as f64 * USABLE / memory(prompt, expected).max(1) as f64;
+        demand.requests += 1.0;
+        demand.reading += reading_time(prompt).as_secs_f64();
+        demand.making += (FIRST_EVENT + run_time(expected)).as_secs_f64() / runs.max(1.0);
+    }
+
+    /// How many of `count` endpoints should read prompts, as a fraction too; nothing while too little
+    /// was seen.
+    pub fn readers(&mut self, now: Time, service: &str, count: usize) -> Option<f64> {
+        let demand = self.demand.get_mut(service)?;
+        demand.fade(now);
+        if demand.requests < ENOUGH || count < 2 {
+            return None;
+        }
+        let reading = demand.reading * HEADROOM;
+        let part = reading / (reading + demand.making);
+        Some((count as f64 * part).clamp(1.0, count as f64 - 1.0))
+    }
+
+    /// Whether an endpoint is in the middle of a change and takes no work.
+    pub fn is_changing(&self, now: Time, endpoint: &str) -> bool {
+        self.changing.get(endpoint).is_some_and(|(until, _)| *until > now)
+            || self.told.get(endpoint).is_some_and(|(until, _)| *until > now)
+    }
+
+    /// The changes that this entry has ordered.
+    pub fn changes(&self, now: Time) -> BTreeMap<Arc<str>, Change> {
+        let open = self.changing.iter().filter(|(_, (until, _))| *until > now);
+        let told = open.map(|(endpoint, (until, stage))| {
+            (endpoint.clone(), Change { stage: *stage, left: until.since(now) })
+        });
+        told.collect()
+    }
+
+    /// Takes a change that another entry has ordered.
+    pub fn heard(&mut self, now: Time, endpoint: &Arc<str>, change: Change) {
+        let until = now.plus(change.left.min(LONGEST_CHANGE));
+        self.told.insert(endpoint.clone(), (until, change.stage));
+    }
+
+    /// An endpoint shows its stage in the list: a change to it is over.
+    pub fn seen(&mut self, endpoint: &Endpoint) {
+        if self.changing.get(&endpoint.id).is_some_and(|(_, stage)| *stage == endpoint.stage) {
+            self.changing.remove(&endpoint.id);
+        }
+        if self.told.get(&endpoint.id).is_some_and(|(_, stage)| *stage == endpoint.stage) {
+            self.told.remove(&endpoint.id);
+        }
+    }
+
+    /// An order was refused or cannot be given: the endpoint stays as it is.
+    pub fn dropped(&mut self, endpoint: &str) {
+        self.changing.remove(endpoint);
+    }
+
+    /// The next change that the split of a service calls for. `rank` counts the entries that go
+    /// before this one.
+    pub fn next(
+        &mut self,
+        now: Time,
+        service: &Arc<str>,
+        directory: &Directory,
+        loads: &Loads,
+        rank: u32,
+    ) -> Option<Order> {
+        self.changing.retain(|_, (until, _)| *until > now);
+        self.told.retain(|_, (until, _)| *until > now);
+        let engines: Vec<&Arc<Endpoint>> =
+            directory.serving(service).filter(|endpoint| endpoint.stage != Stage::Whole).collect();
+        let wanted = self.readers(now, service, engines.len())?;
+        let readers = engines.iter().filter(|endpoint| self.stage(endpoint) == Stage::Prefill).count();
+        let excess = readers as f64 - wanted;
+        if excess.abs() < WORTH_A_SWITCH {
+            self.unfit.remove(service);
+            return None;
+        }
+        let since = *self.unfit.entry(service.clone()).or_insert(now);
+        let is_due =
+            now.since(since) >= TURN * rank && self.ordered.is_none_or(|at| now.since(at) >= ORDER_PAUSE);
+        if !is_due || self.changing.len() + self.told.len() >= MOST_CHANGES {
+            return None;
+        }
+        let (from, to) =
+            if excess > 0.0 { (Stage::Prefill, Stage::Decode) } else { (Stage::Decode, Stage::Prefill) };
+        let movable = engines.into_iter().filter(|endpoint| endpoint.stage == from);
+        let idle = movable.filter(|endpoint| !self.is_changing(now, &endpoint.id));
+        let endpoint = idle.min_by_key(|endpoint| busy(now, loads, endpoint))?.clone();
+        self.ordered = Some(now);
+        self.changing.insert(endpoint.id.clone(), (now.plus(LONGEST_CHANGE), to));
+        Some(Order { endpoint, stage: to })
+    }
+
+    /// The stage that an endpoint has, or will have.
+    fn stage(&self, endpoint: &Endpoint) -> Stage {
+        let change = self.changing.get(&endpoint.id).or_else(|| self.told.get(&endpoint.id));
+        change.map_or(endpoint.stage, |(_, stage)| *stage)
+    }
+}
+
+/// What an endpoint has to finish before it can change.
+fn busy(now: Time, loads: &Loads, endpoint: &Endpoint) -> u64 {
+    loads.get(&endpoint.id).map_or(0, |load| {
+        let all = load.all(now);
+        all.reading + all.memory
+    })
+}
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -13,7 +13,8 @@
     health::Outcome,
     line::{Line, Verdict, Waiting},
     load::{Lease, Loads},
-    placement::{View, spare},
+    placement::{Reader, View, spare},
+    pools::{Order, Pools},
     suspect::Suspects,
 };
 use crate::{
@@ -70,8 +71,17 @@
     pub fingerprint: u64,
 }
 
+/// Where a completion runs.
+#[derive(Clone, Debug)]
+pub struct Pair {
+    /// Where its tokens are made.
+    pub run: Place,
+    /// Where its prompt is read; without one, where its tokens are made.
+    pub reader: Option<Place>,
+}
+
 /// Whom to answer, and how.
-pub type Placed<T> = (Waiting<T>, Verdict<Place>);
+pub type Placed<T> = (Waiting<T>, Verdict<Pair>);
 
 /// The state of one entry.
 #[derive(Debug)]
@@ -87,6 +97,7 @@
     peers: Peers,
     line: Line<T>,
     suspects: Suspects,
+    pools: Pools,
     serial: u64,
 }
 
@@ -101,9 +112,10 @@
             directory: Directory::default(),
             loads: Loads::default(),
             allowance: Allowance::new(now),
-            budget: Budget::new(retries),
+            budget: Budget::new(retries, now),
             line: Line::default(),
             suspects: Suspects::default(),
+            pools: Pools::default(),
             serial: 0,
         }
     }
@@ -134,12 +146,16 @@
     fn follow(&mut self, now: Time, changes: &[Change]) {
         for change in changes {
             match change {
-                Change::Restarted(endpoint) => self.suspects.crashed(now, &endpoint.id),
+                Change::Restarted(endpoint) => {
+                    self.suspects.crashed(now, &endpoint.id);
+                    self.pools.dropped(&endpoint.id);
+                }
                 Change::Gone(endpoint) => {
                     self.suspects.crashed(now, &endpoint.id);
                     self.loads.forget(&endpoint.id);
                 }
-                Change::Seen(_) | Change::Leaving(_) | Change::Lapsed(_) => {}
+                Change::Seen(endpoint) => self.pools.seen(endpoint),
+                Change::Leaving(_) | Change::Lapsed(_) => {}
             }
         }
     }
@@ -162,6 +178,9 @@
         self.allowance.heard(now, digest);
         self.loads.heard(now, digest);
         self.suspects.heard(digest);
+        for (endpoint, change) in &digest.changing {
+            self.pools.heard(now, endpoint, *change);
+        }
     }
 
     /// What this entry tells the others, and whom.
@@ -178,6 +197,7 @@
             left: self.allowance.left(now),
             shares: self.loads.own(),
             failing: self.loads.own_failing(now),
+            changing: self.pools.changes(now),
             suspects: self.suspects.told(now),
         };
         (digest, self.peers.members().collect())
@@ -239,7 +259,7 @@
         found.map(|endpoint| self.take(now, endpoint, share)).ok_or_else(no_endpoint)
     }
 
-    /// An endpoint that reads a prompt of `tokens` for a run in `zone`; none if none can be reached.
+    /// A further endpoint that reads a prompt of `tokens` for a run in `zone`; none if none can.
     pub fn prefill(
         &mut self,
         now: Time,
@@ -248,28 +268,54 @@
         zone: &str,
         avoid: &[Arc<str>],
     ) -> Option<Place> {
-        let endpoint = self.view(now).prefill(service, zone, avoid)?;
+        let Reader::Endpoint(endpoint) = self.view(now).prefill(service, zone, avoid) else { return None };
         let share = Share { reading: tokens, ..Share::default() };
         Some(self.take(now, endpoint, share))
     }
 
     /// Lines a request up for a decode endpoint; whoever is placed then comes out of [`Self::pump`].
-    pub fn line_up(&mut self, waiting: Waiting<T>) {
+    pub fn line_up(&mut self, now: Time, waiting: Waiting<T>) {
+        if let Some(engine) =
+            self.catalog.as_ref().and_then(|catalog| catalog.service(&waiting.service)?.engine)
+        {
+            self.pools.note(now, &waiting.service, &engine, waiting.prompt, waiting.expected);
+        }
         self.line.push(waiting);
     }
 
+    /// The next endpoint that should change its pool; call it once a tick.
+    pub fn order(&mut self, now: Time) -> Option<Order> {
+        let catalog = self.catalog.clone()?;
+        let rank = self.peers.rank(now);
+        let Self { pools, directory, loads, .. } = self;
+        catalog.services().find_map(|service| pools.next(now, &service.name, directory, loads, rank))
+    }
+
+    /// An order was not carried out.
+    pub fn order_dropped(&mut self, endpoint: &str) {
+        self.pools.dropped(endpoint);
+    }
+
     /// Places those in the line whom there is room for.
     pub fn pump(&mut self, now: Time) -> Vec<Placed<T>> {
         let Some(catalog) = self.catalog.clone() else { return Vec::new() };
-        let Self { line, loads, directory, identity, .. } = self;
+        let Self { line, loads, directory, pools, identity, .. } = self;
         line.pump(now, |waiting| {
             let engine = catalog.service(&waiting.service)?.engine?;
-            let view = View { now, directory, loads, zone: &identity.zone };
+            let view = View { now, directory, loads, pools, zone: &identity.zone };
             let spare = spare(&engine, waiting.is_late(now));
             let endpoint = view.decode(&waiting.service, &engine, waiting.memory, spare, &waiting.avoid)?;
+            let reader = match view.prefill(&waiting.service, &endpoint.zone, &[]) {
+                Reader::Busy => return None,
+                Reader::Nobody => None,
+                Reader::Endpoint(reader) => Some(reader),
+            };
             let share = Share { running: 1, memory: waiting.memory, reading: 0 };
-            let lease = loads.take(now, &endpoint.id, share);
-            Some(Place { endpoint, lease })
+            let run = Place { lease: loads.take(now, &endpoint.id, share), endpoint };
+            let share = Share { reading: waiting.prompt, ..Share::default() };
+            let reader =
+                reader.map(|reader| Place { lease: loads.take(now, &reader.id, share), endpoint: reader });
+            Some(Pair { run, reader })
         })
     }
 
@@ -336,7 +382,13 @@
     }
 
     fn view(&self, now: Time) -> View<'_> {
-        View { now, directory: &self.directory, loads: &self.loads, zone: &self.identity.zone }
+        View {
+            now,
+            directory: &self.directory,
+            loads: &self.loads,
+            pools: &self.pools,
+            zone: &self.identity.zone,
+        }
     }
 
     fn take(&mut self, now: Time, endpoint: Arc<Endpoint>, share: Share) -> Place {
--- a/crates/core/tests/gateway/line.rs
+++ b/crates/core/tests/gateway/line.rs
@@ -15,6 +15,8 @@
     Waiting {
         tag,
         service: "drafting".into(),
+        prompt: 5_000,
+        expected: 0,
         memory: 5_000,
         arrived: at(arrived),
         on_time: at(on_time),
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod health;
 mod line;
 mod placement;
+mod pools;
 mod state;
 mod suspect;
 
--- /dev/null
+++ b/crates/core/tests/gateway/pools.rs
@@ -0,0 +1,145 @@
+//! The split between endpoints that read and endpoints that make tokens.
+
+use std::{sync::Arc, time::Duration};
+
+use tarragonhill_core::gateway::{
+    directory::{Directory, Endpoint, Stage},
+    lease::{Claim, GAP, Reading, TERM, may_claim},
+    load::Loads,
+    pools::{Order, Pools},
+};
+
+use crate::{at, endpoint, engine, row};
+
+fn directory(prefill: usize, decode: usize) -> Directory {
+    let mut directory = Directory::default();
+    let stages =
+        std::iter::repeat_n(Stage::Prefill, prefill).chain(std::iter::repeat_n(Stage::Decode, decode));
+    let rows = stages.enumerate().map(|(index, stage)| {
+        let address = format!("127.0.0.1:{}", index + 1).parse().expect("an address");
+        row(index as u64 + 1, Endpoint { address, ..endpoint(&format!("e-{index:02}"), stage) })
+    });
+    directory.update(at(0), 100, rows.collect());
+    directory
+}
+
+/// Plays 60 s of requests of one size and carries out every order; gives the readers at the end and
+/// the orders given.
+fn play(directory: &mut Directory, prompt: u64, expected: u64) -> (usize, Vec<Order>) {
+    let service: Arc<str> = "drafting".into();
+    let (mut pools, loads) = (Pools::default(), Loads::default());
+    let mut orders = Vec::new();
+    for now in (0..60_000).step_by(100) {
+        pools.note(at(now), &service, &engine(), prompt, expected);
+        let Some(order) = pools.next(at(now), &service, directory, &loads, 0) else { continue };
+        let changed = Endpoint { stage: order.stage, ..Endpoint::clone(&order.endpoint) };
+        directory.update(at(now), 1_000 + now, vec![row(1_000 + now, changed.clone())]);
+        pools.seen(&changed);
+        orders.push(order);
+    }
+    let readers = directory.all().filter(|endpoint| endpoint.stage == Stage::Prefill).count();
+    (readers, orders)
+}
+
+/// Five endpoints of twelve read prompts at a third of their load, while requests wait for memory at
+/// the other seven: the operator's split does not fit what callers send.
+#[test]
+fn endpoints_move_to_where_the_work_is() {
+    let (readers, orders) = play(&mut directory(5, 7), 5_000, 700);
+    assert_eq!((readers, orders.len()), (3, 2));
+    // Long prompts and short answers call for the opposite.
+    let (readers, _) = play(&mut directory(2, 10), 10_000, 50);
+    assert!(readers >= 5, "{readers}");
+}
+
+#[test]
+fn a_split_that_fits_is_left_alone() {
+    let (_, orders) = play(&mut directory(3, 9), 5_000, 700);
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
+#[test]
+fn one_of_each_always_stays() {
+    let (readers, _) = play(&mut directory(2, 1), 100, 5_000);
+    assert_eq!(readers, 1);
+    let (readers, _) = play(&mut directory(1, 2), 50_000, 1);
+    assert_eq!(readers, 2);
+}
+
+#[test]
+fn nothing_moves_before_enough_was_seen() {
+    let service: Arc<str> = "drafting".into();
+    let (mut pools, directory) = (Pools::default(), directory(5, 7));
+    pools.note(at(0), &service, &engine(), 5_000, 700);
+    assert_eq!(pools.next(at(10), &service, &directory, &Loads::default(), 0), None);
+}
+
+#[test]
+fn entries_leave_orders_to_the_first_of_them_for_a_while() {
+    let service: Arc<str> = "drafting".into();
+    let (mut pools, directory) = (Pools::default(), directory(5, 7));
+    let mut first = None;
+    for now in (0..20_000).step_by(100) {
+        pools.note(at(now), &service, &engine(), 5_000, 700);
+        if pools.next(at(now), &service, &directory, &Loads::default(), 2).is_some() {
+            first = Some(now);
+            break;
+        }
+    }
+    assert!(first.is_some_and(|first| (8_000..11_000).contains(&first)), "{first:?}");
+}
+
+#[test]
+fn an_endpoint_under_change_takes_no_work_here_nor_at_the_others() {
+    let service: Arc<str> = "drafting".into();
+    let (mut pools, directory) = (Pools::default(), directory(5, 7));
+    let order = (0..3_000).step_by(100).find_map(|now| {
+        pools.note(at(now), &service, &engine(), 5_000, 700);
+        pools.next(at(now), &service, &directory, &Loads::default(), 0)
+    });
+    let order = order.expect("an order");
+    assert!(pools.is_changing(at(3_000), &order.endpoint.id));
+    let mut other = Pools::default();
+    for (endpoint, change) in pools.changes(at(3_000)) {
+        other.heard(at(3_000), &endpoint, change);
+    }
+    assert!(other.is_changing(at(3_100), &order.endpoint.id));
+    assert!(!other.is_changing(at(60_000), &order.endpoint.id));
+    pools.dropped(&order.endpoint.id);
+    assert!(!pools.is_changing(at(3_200), &order.endpoint.id));
+}
+
+/// An entry that holds the right to order endpoints is suspended, another takes over, and the first
+/// wakes up: for a moment both would give orders, and endpoints cannot tell who is right.
+#[test]
+fn a_claim_passes_on_only_after_the_last_order_under_it() {
+    let claim = |holder: &str, asked_ms| Claim { holder: holder.into(), asked_ms, version: 7 };
+    let reading = |claim, now_ms| Reading { claim, now_ms };
+    assert_eq!(may_claim(&reading(None, 50), "a"), Some(0));
+    assert_eq!(may_claim(&reading(Some(claim("a", 1_000)), 1_001), "a"), Some(7));
+    let passes = 1_000 + (TERM + GAP).as_millis() as u64;
+    assert_eq!(may_claim(&reading(Some(claim("a", 1_000)), passes - 1), "b"), None);
+    assert_eq!(may_claim(&reading(Some(claim("a", 1_000)), passes), "b"), Some(7));
+    assert!(GAP > Duration::from_secs(3));
+}
+
+/// Two entries saw the same excess one after the other, and both moved an endpoint for it: the second
+/// counted the first one's as unmoved until the list showed it.
+#[test]
+fn a_change_that_another_entry_ordered_counts() {
+    let service: Arc<str> = "drafting".into();
+    let directory = directory(4, 8);
+    let (mut first, mut second) = (Pools::default(), Pools::default());
+    let mut moved = 0;
+    for now in (0..20_000).step_by(100) {
+        for pools in [&mut first, &mut second] {
+            pools.note(at(now), &service, &engine(), 5_000, 700);
+        }
+        moved += usize::from(first.next(at(now), &service, &directory, &Loads::default(), 0).is_some());
+        for (endpoint, change) in first.changes(at(now)) {
+            second.heard(at(now), &endpoint, change);
+        }
+        moved += usize::from(second.next(at(now), &service, &directory, &Loads::default(), 0).is_some());
+    }
+    assert_eq!(moved, 1);
+}
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -10,9 +10,9 @@
 use async_std::task::{self, JoinHandle};
 use prometheus::Registry;
 use tarragonhill_core::{Clock, gateway::digest::Member};
-use tarragonhill_gateway::{Gateway, Settings};
+use tarragonhill_gateway::{Gateway, Settings, Store};
 use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
-use tarragonhill_platform::{READINESS, dialect::Dialect, store};
+use tarragonhill_platform::{READINESS, claims::Claims, dialect::Dialect, store};
 
 use crate::{StartError, admin, config::GatewaySettings};
 
@@ -48,7 +48,9 @@
             linger: LINGER,
             grace: settings.grace.saturating_sub(END),
         };
-        let started = Gateway::start(gateway, clock, Arc::new(Dialect), received, &registry).await;
+        let claims = Box::new(Claims::new(common.table));
+        let edge = Store { updates: received, claims };
+        let started = Gateway::start(gateway, clock, Arc::new(Dialect), edge, &registry).await;
         let gateway = started.map_err(StartError::Gateway)?;
         let own = Member { name: common.name.clone(), address: gateway.peer() };
         store::follow(common.table, own, updates);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -20,7 +20,8 @@
         health::Outcome,
         line::{Verdict, Waiting},
         load::Lease,
-        state::{Admission, Identity, Place, State},
+        pools::Order,
+        state::{Admission, Identity, Pair, Place, State},
     },
     refusal::Code,
 };
@@ -37,6 +38,8 @@
 type Reply<T> = Sender<T>;
 /// A place, or why there is none.
 type Placing = Result<Ticket, Refusal>;
+/// The places of a completion, or why there are none.
+type Pairing = Result<Tickets, Refusal>;
 
 enum Command {
     Admit(Admission, Reply<Result<(), Refusal>>),
@@ -45,10 +48,11 @@
     IsSplit(Arc<str>, Reply<bool>),
     Whole(Arc<str>, Vec<Arc<str>>, Reply<Placing>),
     Prefill(Reading, Reply<Option<Ticket>>),
-    LineUp(Waiting<Reply<Placing>>),
+    LineUp(Waiting<Reply<Pairing>>),
     Answered(Lease),
     Ended(Lease, Outcome),
     Broke(Arc<str>, u64),
+    OrderDropped(Arc<str>),
     Update(Update),
     Digest(Box<Digest>, SocketAddr),
     Dump(Reply<serde_json::Value>),
@@ -95,6 +99,14 @@
     }
 }
 
+/// A completion's places.
+pub struct Tickets {
+    /// Where its tokens are made.
+    pub run: Ticket,
+    /// Where its prompt is read; without one, where its tokens are made.
+    pub reader: Option<Ticket>,
+}
+
 /// A handle on the control thread.
 #[derive(Clone)]
 pub struct Control {
@@ -105,21 +117,25 @@
 /// A digest that is to be sent, and to whom.
 pub type Outgoing = (Digest, Vec<Member>);
 
+/// Where the thread's own actions go.
+#[derive(Debug)]
+pub struct Outlets {
+    /// Digests for the other entries.
+    pub digests: Sender<Outgoing>,
+    /// Orders for endpoints.
+    pub orders: Sender<Order>,
+}
+
 impl Control {
-    /// Starts the thread; digests to be sent come out of `digests`.
-    pub fn start(
-        identity: Identity,
-        retries: Rule,
-        clock: Clock,
-        digests: Sender<Outgoing>,
-    ) -> io::Result<Self> {
+    /// Starts the thread; digests to be sent and orders to be given come out of `outgoing`.
+    pub fn start(identity: Identity, retries: Rule, clock: Clock, outgoing: Outlets) -> io::Result<Self> {
         let (commands, received) = async_channel::unbounded();
         let control = Self { commands, catalog: Arc::default() };
         let state = State::new(identity, retries, clock.now());
         // Held weakly: the thread ends when the traffic has dropped its last handle.
         let commands = control.commands.downgrade();
         let catalog = control.catalog.clone();
-        let mut desk = Desk { state, clock, commands, catalog, digests, told: Time::ZERO };
+        let mut desk = Desk { state, clock, commands, catalog, outgoing, told: Time::ZERO };
         thread::Builder::new()
             .name("control".into())
             .spawn(move || task::block_on(async move { desk.run(received).await }))?;
@@ -173,12 +189,14 @@
         self.ask(|reply| Command::Prefill(reading, reply)).await.flatten()
     }
 
-    /// Waits for a place where tokens are made.
-    pub async fn decode(&self, waiting: Waiting<()>) -> Placing {
+    /// Waits for the places of a completion.
+    pub async fn decode(&self, waiting: Waiting<()>) -> Pairing {
         let asked = self.ask(|tag| {
             Command::LineUp(Waiting {
                 tag,
                 service: waiting.service,
+                prompt: waiting.prompt,
+                expected: waiting.expected,
                 memory: waiting.memory,
                 arrived: waiting.arrived,
                 on_time: waiting.on_time,
@@ -195,6 +213,11 @@
         self.tell(Command::Broke(endpoint.clone(), fingerprint));
     }
 
+    /// An order was not carried out.
+    pub fn order_dropped(&self, endpoint: &Arc<str>) {
+        self.tell(Command::OrderDropped(endpoint.clone()));
+    }
+
     /// Takes what the store tells.
     pub fn update(&self, update: Update) {
         self.tell(Command::Update(update));
@@ -217,11 +240,11 @@
 
 /// The control thread's own.
 struct Desk {
-    state: State<Reply<Placing>>,
+    state: State<Reply<Pairing>>,
     clock: Clock,
     commands: WeakSender<Command>,
     catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
-    digests: Sender<Outgoing>,
+    outgoing: Outlets,
     /// When the last digest was sent.
     told: Time,
 }
@@ -249,12 +272,17 @@
                 spdlog::info!("entry forgotten", kv: { peer = &*peer });
             }
             // Full only while the sender is behind; the next digest says the same and more.
-            let _ = self.digests.try_send(self.state.digest(now));
+            let _ = self.outgoing.digests.try_send(self.state.digest(now));
+            if let Some(order) = self.state.order(now)
+                && let Err(error) = self.outgoing.orders.try_send(order)
+            {
+                self.state.order_dropped(&error.into_inner().endpoint.id);
+            }
         }
         self.state.retain_line(|reply| !reply.is_closed());
         for (waiting, verdict) in self.state.pump(now) {
             let placing = match verdict {
-                Verdict::Placed(place) => self.ticket(place).ok_or_else(stopping),
+                Verdict::Placed(pair) => self.tickets(pair).ok_or_else(stopping),
                 Verdict::Hopeless => Err(overloaded(self.state.describe(now, &waiting.service))),
             };
             // A ticket whose asker is gone is dropped here, which gives it back.
@@ -269,6 +297,12 @@
         Some(Ticket { endpoint, lease, outcome: Outcome::Abandoned, control })
     }
 
+    fn tickets(&self, pair: Pair) -> Option<Tickets> {
+        let Pair { run, reader } = pair;
+        let run = self.ticket(run)?;
+        Some(Tickets { run, reader: reader.and_then(|reader| self.ticket(reader)) })
+    }
+
     fn take(&mut self, command: Command) {
         let now = self.clock.now();
         match command {
@@ -285,10 +319,11 @@
                 let place = self.state.prefill(now, service, *tokens, zone, avoid);
                 drop(reply.try_send(place.and_then(|place| self.ticket(place))));
             }
-            Command::LineUp(waiting) => self.state.line_up(waiting),
+            Command::LineUp(waiting) => self.state.line_up(now, waiting),
             Command::Answered(lease) => self.state.answered(now, &lease),
             Command::Ended(lease, outcome) => self.state.ended(now, &lease, outcome),
             Command::Broke(endpoint, fingerprint) => self.state.broke(now, &endpoint, fingerprint),
+            Command::OrderDropped(endpoint) => self.state.order_dropped(&endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Digest(digest, from) => self.state.heard(now, &digest, from),
             Command::Dump(reply) => drop(reply.try_send(self.dump(now))),
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -1,11 +1,17 @@
 //! The edges of the process: how callers and endpoints spell what the gateway works with, and what
 //! the store tells it.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use tarragonhill_core::{
     Refusal,
-    gateway::{catalog::Catalog, digest::Member, directory::Endpoint, state::Listing},
+    gateway::{
+        catalog::Catalog,
+        digest::Member,
+        directory::{Endpoint, Stage},
+        lease::Reading,
+        state::Listing,
+    },
 };
 use tarragonhill_h1::head::{Request, Response};
 
@@ -122,10 +128,61 @@
     /// The name under which a prompt's result is kept.
     fn prefilled(&self, body: &[u8]) -> Option<Arc<str>>;
 
+    /// Asks an endpoint for its report.
+    fn ask_report(&self, endpoint: &Endpoint) -> Message;
+
+    /// Reads an endpoint's report.
+    fn report(&self, body: &[u8]) -> Option<Report>;
+
+    /// Orders an endpoint to change its stage.
+    fn command(&self, endpoint: &Endpoint, command: &Command<'_>) -> Message;
+
     /// Lets an endpoint forget a prompt's result.
     fn release_result(&self, endpoint: &Endpoint, result: &str) -> Message;
 }
 
+/// What an endpoint reports of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// What it does now.
+    pub stage: Stage,
+    /// Whether it is carrying out an order.
+    pub busy: bool,
+    /// Orders that it has taken since its start.
+    pub orders: u64,
+}
+
+/// An order to an endpoint.
+#[derive(Clone, Debug)]
+pub struct Command<'a> {
+    /// The stage it is to have.
+    pub stage: Stage,
+    /// The entry that orders.
+    pub holder: &'a str,
+    /// Grows with every order of anybody.
+    pub token: u64,
+    /// Orders that the endpoint must have taken before: a late one is then refused.
+    pub orders: u64,
+}
+
+/// Something that will be, boxed for use behind a trait object.
+pub type Boxed<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// The claim on orders, in the store.
+pub trait Claims: Send + 'static {
+    /// Reads the claim.
+    fn read(&mut self) -> Boxed<'_, Result<Reading, String>>;
+
+    /// Writes a claim if the row still has a version (0: if there is none); gives the new version,
+    /// or nothing if somebody else was faster.
+    fn write<'a>(
+        &'a mut self,
+        holder: &'a str,
+        asked_ms: u64,
+        version: u64,
+    ) -> Boxed<'a, Result<Option<u64>, String>>;
+}
+
 /// What the store tells.
 #[derive(Clone, Debug)]
 pub enum Update {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,10 +14,11 @@
 mod front;
 mod identify;
 pub mod metrics;
+mod orders;
 mod peers;
 mod pool;
 mod server;
 mod stream;
 mod whole;
 
-pub use server::{Gateway, Settings, StartError, View};
+pub use server::{Gateway, Settings, StartError, Store, View};
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,11 +23,11 @@
 
 use crate::{
     context::Context,
-    control::Control,
-    edge::{Dialect, Update},
+    control::{Control, Outlets},
+    edge::{Claims, Dialect, Update},
     front,
     metrics::Metrics,
-    peers,
+    orders, peers,
     pool::Pool,
 };
 
@@ -36,6 +36,17 @@
 /// Digests that may wait to be sent: the next says the same and more.
 const DIGESTS: usize = 2;
 
+/// Orders that may wait to be given.
+const ORDERS: usize = 4;
+
+/// The gateway's edge to the store.
+pub struct Store {
+    /// What the store tells.
+    pub updates: Receiver<Update>,
+    /// The claim on orders.
+    pub claims: Box<dyn Claims>,
+}
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -89,12 +100,12 @@
 }
 
 impl Gateway {
-    /// Starts a gateway that learns from `updates`.
+    /// Starts a gateway on a store.
     pub async fn start(
         settings: Settings,
         clock: Clock,
         dialect: Arc<dyn Dialect>,
-        updates: Receiver<Update>,
+        store: Store,
         registry: &Registry,
     ) -> Result<Self, StartError> {
         let listener = TcpListener::bind(settings.listen).await;
@@ -109,8 +120,10 @@
             incarnation: settings.incarnation,
             address: peer,
         };
-        let (digests, outgoing) = async_channel::bounded(DIGESTS);
-        let control = Control::start(identity, settings.retries, clock.clone(), digests);
+        let (digests, to_tell) = async_channel::bounded(DIGESTS);
+        let (orders, ordered) = async_channel::bounded(ORDERS);
+        let outgoing = Outlets { digests, orders };
+        let control = Control::start(identity, settings.retries, clock.clone(), outgoing);
         let control = control.map_err(StartError::Thread)?;
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
@@ -124,9 +137,10 @@
         let (closing, closed) = async_channel::bounded(1);
         let tasks = Tasks(vec![
             task::spawn(front::accept(context.clone(), listener, closed)),
-            task::spawn(peers::send(socket.clone(), outgoing)),
+            task::spawn(peers::send(socket.clone(), to_tell)),
             task::spawn(peers::receive(socket, control.clone())),
-            task::spawn(learn(updates, control)),
+            task::spawn(learn(store.updates, control)),
+            task::spawn(orders::carry_out(context.clone(), settings.name.clone(), ordered, store.claims)),
         ]);
         Ok(Self { address, peer, context, settings, tasks, closing })
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -27,7 +27,7 @@
 use crate::{
     answer::Answer,
     context::{Context, Inbound},
-    control::{Reading, Ticket},
+    control::{Reading, Ticket, Tickets},
     edge::{Decode, Passage, Task, Tokens},
     exchange::{Exchange, Failure, MISDIRECTED},
     whole::{is_promise, unrun},
@@ -38,10 +38,11 @@
 /// Most endpoints asked to read one prompt.
 const MOST_READERS: u32 = 3;
 /// A prompt is asked of another endpoint if reading takes longer than this many times what it takes
-/// on an idle one, plus [`READING_SLACK`]. Three prompts may be ahead in a burst.
+/// on an idle one, plus [`READING_SLACK`].
 const READING_PATIENCE: u32 = 4;
-/// See [`READING_PATIENCE`].
-const READING_SLACK: Duration = Duration::from_millis(700);
+/// Reading what placement lets stand ahead of a prompt takes 0.4 s, and twice that while others' word
+/// of what they sent is on its way.
+const READING_SLACK: Duration = Duration::from_millis(1_000);
 /// Longest time to answer a reservation; it needs no computing.
 const HOLD_LIMIT: Duration = Duration::from_millis(500);
 /// Reservations are made for this long at most: a prompt is read within it, or asked elsewhere.
@@ -201,14 +202,14 @@
 enum Placing {
     /// To an endpoint that does all of it.
     Whole(Ticket),
-    /// To one that makes the tokens, with what was reserved there.
-    Decode(Ticket, Option<Release>),
+    /// To one that makes the tokens, with what was reserved there, once the prompt was read.
+    Decode { run: Ticket, reader: Option<Ticket>, held: Option<Release> },
 }
 
 impl Placing {
     fn endpoint(&self) -> &Arc<Endpoint> {
         match self {
-            Self::Whole(ticket) | Self::Decode(ticket, _) => &ticket.endpoint,
+            Self::Whole(ticket) | Self::Decode { run: ticket, .. } => &ticket.endpoint,
         }
     }
 }
@@ -266,23 +267,23 @@
     loop {
         let waiting = waiting(inbound, &engine, &avoid);
         let memory = waiting.memory;
-        let ticket = context.control.decode(waiting).await?;
+        let Tickets { run, reader } = context.control.decode(waiting).await?;
         if engine.longest_hold.is_zero() {
-            return Ok(Placing::Decode(ticket, None));
+            return Ok(Placing::Decode { run, reader, held: None });
         }
-        match hold(context, &ticket.endpoint, &engine, memory).await {
-            Ok(Some(release)) => return Ok(Placing::Decode(ticket, Some(release))),
-            Ok(None) => ticket.ended(Outcome::Full),
+        match hold(context, &run.endpoint, &engine, memory).await {
+            Ok(Some(held)) => return Ok(Placing::Decode { run, reader, held: Some(held) }),
+            Ok(None) => run.ended(Outcome::Full),
             Err(NoHold::Replaced) => {
-                avoid.push(ticket.endpoint.id.clone());
-                ticket.ended(Outcome::Replaced);
+                avoid.push(run.endpoint.id.clone());
+                run.ended(Outcome::Replaced);
             }
             Err(NoHold::Unreachable(reason)) => {
                 spdlog::info!("no reservation", kv: {
-                    request = inbound.id(), endpoint = &*ticket.endpoint.id, reason = reason.as_str()
+                    request = inbound.id(), endpoint = &*run.endpoint.id, reason = reason.as_str()
                 });
-                avoid.push(ticket.endpoint.id.clone());
-                ticket.ended(Outcome::Unreachable);
+                avoid.push(run.endpoint.id.clone());
+                run.ended(Outcome::Unreachable);
             }
         }
     }
@@ -302,6 +303,8 @@
     Waiting {
         tag: (),
         service: inbound.service.clone(),
+        prompt: tokens.prompt,
+        expected,
         memory: memory(tokens.prompt, expected).min(engine.memory),
         arrived: inbound.received,
         on_time: before(inbound.received.plus(inbound.route.aim), first),
@@ -364,14 +367,17 @@
             };
             send(context, inbound, ticket, endpoint, task).await
         }
-        Placing::Decode(ticket, mut held) => {
-            let mut read = read_prompt(context, inbound, &endpoint.zone).await?;
+        Placing::Decode { run, reader, mut held } => {
+            let mut read = match reader {
+                Some(reader) => Some(read_prompt(context, inbound, &endpoint.zone, reader).await?),
+                None => None,
+            };
             let decode = Decode {
                 source: read.as_ref().and_then(|read| Some((read.endpoint.address, read.name()?))),
                 hold: held.as_ref().and_then(Release::name),
                 after: progress.last_event.as_deref(),
             };
-            let started = send(context, inbound, ticket, endpoint, Task::Decode(decode)).await;
+            let started = send(context, inbound, run, endpoint, Task::Decode(decode)).await;
             if !matches!(started, Err(Trouble::NotRun(_))) {
                 held.iter_mut().chain(&mut read).for_each(Release::used);
             }
@@ -380,34 +386,38 @@
     }
 }
 
-/// Has the prompt read; nothing if no endpoint can be reached that only reads.
+/// Has the prompt read, by another endpoint if the first cannot.
 async fn read_prompt(
     context: &Arc<Context>,
     inbound: &Inbound,
     zone: &Arc<str>,
-) -> Result<Option<Release>, Trouble> {
+    first: Ticket,
+) -> Result<Release, Trouble> {
     let prompt = inbound.call.tokens.map_or(0, |tokens| tokens.prompt);
     let mut avoid = Vec::new();
+    let mut reader = first;
     for readers in 1.. {
-        let service = inbound.service.clone();
-        let reading = Reading { service, tokens: prompt, zone: zone.clone(), avoid: avoid.clone() };
-        let Some(ticket) = context.control.prefill(reading).await else { return Ok(None) };
-        avoid.push(ticket.endpoint.id.clone());
-        let endpoint = ticket.endpoint.clone();
-        let (reason, was_sent) = match read_at(context, inbound, ticket, &endpoint, prompt).await {
+        avoid.push(reader.endpoint.id.clone());
+        let endpoint = reader.endpoint.clone();
+        let (reason, was_sent) = match read_at(context, inbound, reader, &endpoint, prompt).await {
             Ok(result) => {
                 let kept = Kept::Result(result);
-                return Ok(Some(Release { context: context.clone(), endpoint, kept }));
+                return Ok(Release { context: context.clone(), endpoint, kept });
             }
             Err(Failure::Unsent(error)) => (format!("{}: {error}", endpoint.id), false),
             Err(failure) => (format!("{}: {failure}", endpoint.id), true),
         };
         spdlog::info!("prompt not read", kv: { request = inbound.id(), reason = reason.as_str() });
-        if readers >= MOST_READERS || was_sent && !context.control.retry(&inbound.service).await {
+        let is_paid = !was_sent || context.control.retry(&inbound.service).await;
+        if readers >= MOST_READERS || !is_paid {
             return Err(Trouble::NotRun(reason));
         }
+        let service = inbound.service.clone();
+        let reading = Reading { service, tokens: prompt, zone: zone.clone(), avoid: avoid.clone() };
+        let Some(next) = context.control.prefill(reading).await else { return Err(Trouble::NotRun(reason)) };
+        reader = next;
     }
-    Ok(None)
+    unreachable!("the loop ends by a return")
 }
 
 async fn read_at(
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -3,9 +3,13 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
-use tarragonhill_core::gateway::digest::{Digest, Member, Share};
+use tarragonhill_core::{
+    clock::micros,
+    gateway::digest::{Change, Digest, Member, Share},
+};
 
 use crate::{DecodeError, proto};
 
@@ -28,6 +32,7 @@
             }
         });
         let suspects = digest.suspects.iter();
+        let changing = digest.changing.iter();
         Self {
             name: digest.name.to_string(),
             incarnation: digest.incarnation,
@@ -38,6 +43,13 @@
             suspects: suspects
                 .map(|(fingerprint, crashes)| proto::Suspect { fingerprint: *fingerprint, crashes: *crashes })
                 .collect(),
+            changing: changing
+                .map(|(endpoint, change)| proto::Changing {
+                    endpoint: endpoint.to_string(),
+                    left_us: micros(change.left),
+                    stage: change.stage.to_string(),
+                })
+                .collect(),
         }
     }
 }
@@ -85,6 +97,8 @@
                 failing.insert(endpoint, u16::try_from(share.failing).unwrap_or(u16::MAX));
             }
         }
+        let changing: Result<BTreeMap<Arc<str>, Change>, _> =
+            digest.changing.into_iter().map(change).collect();
         Ok(Self {
             name: digest.name.into(),
             incarnation: digest.incarnation,
@@ -94,7 +108,13 @@
             left,
             shares,
             failing,
+            changing: changing?,
             suspects: digest.suspects.into_iter().map(|told| (told.fingerprint, told.crashes)).collect(),
         })
     }
 }
+
+fn change(told: proto::Changing) -> Result<(Arc<str>, Change), DecodeError> {
+    let stage = told.stage.parse().map_err(|_| DecodeError::Unknown("stage", told.stage.clone()))?;
+    Ok((told.endpoint.into(), Change { stage, left: Duration::from_micros(told.left_us) }))
+}
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -340,6 +340,8 @@
     pub shares: ::prost::alloc::vec::Vec<Share>,
     #[prost(message, repeated, tag = "7")]
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+    #[prost(message, repeated, tag = "8")]
+    pub changing: ::prost::alloc::vec::Vec<Changing>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -377,6 +379,15 @@
     #[prost(uint32, tag = "2")]
     pub crashes: u32,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Changing {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub left_us: u64,
+    #[prost(string, tag = "3")]
+    pub stage: ::prost::alloc::string::String,
+}
 /// Generated client implementations.
 pub mod agent_client {
     #![allow(unused_variables, dead_code, missing_docs, clippy::wildcard_imports, clippy::let_unit_value)]
