--- a/crates/bench/src/published/endpoint.rs
+++ b/crates/bench/src/published/endpoint.rs
@@ -97,6 +97,10 @@
     running: u32,
     /// Streams whose callers left.
     abandoned: u32,
+    /// The stage that an order gave it, in place of its first.
+    ordered: Option<Role>,
+    /// Orders taken: holder and fencing token.
+    orders: Vec<(String, u64)>,
     next: u64,
 }
 
@@ -152,9 +156,14 @@
         &self.id
     }
 
-    /// What it is.
+    /// What it is now.
     pub fn role(&self) -> Role {
-        self.role
+        lock(&self.state).ordered.unwrap_or(self.role)
+    }
+
+    /// Orders that it took: holder and fencing token.
+    pub fn orders(&self) -> Vec<(String, u64)> {
+        lock(&self.state).orders.clone()
     }
 
     /// Where it listens.
@@ -236,6 +245,15 @@
             ("DELETE", path) if path.starts_with("/v1/hold-drop/") || path.starts_with("/v1/kv-handle/") => {
                 self.release(connection).await
             }
+            ("GET", "/v1/report") => {
+                let report = {
+                    let state = lock(&self.state);
+                    let stage = state.ordered.unwrap_or(self.role).to_string();
+                    json!({"stage": stage, "busy": false, "seq": state.orders.len()})
+                };
+                self.json(connection, 200, &report).await
+            }
+            ("POST", "/v1/order") => self.order(connection).await,
             ("GET", "/health") => self.json(connection, 200, &json!({})).await,
             _ => self.work(connection).await,
         }
@@ -259,6 +277,30 @@
         }
     }
 
+    async fn order(self, connection: Connection) -> (Connection, Then) {
+        let order: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        let stage = match order["stage"].as_str() {
+            Some("prefill") => Some(Role::Prefill),
+            Some("decode") => Some(Role::Decode),
+            _ => None,
+        };
+        let (Some(stage), Some(holder), Some(token)) =
+            (stage, order["holder"].as_str(), order["fencing_token"].as_u64())
+        else {
+            return send(connection, self.head(400, false), b"", Then::Keep).await;
+        };
+        let is_current = {
+            let mut state = lock(&self.state);
+            let is_current = order["expected_revision"].as_u64() == Some(state.orders.len() as u64);
+            if is_current {
+                state.orders.push((holder.into(), token));
+                state.ordered = Some(stage);
+            }
+            is_current
+        };
+        self.json(connection, if is_current { 202 } else { 409 }, &json!({})).await
+    }
+
     async fn release(self, connection: Connection) -> (Connection, Then) {
         let name = self.head.path().rsplit('/').next().unwrap_or_default().to_owned();
         {
@@ -286,7 +328,8 @@
             _ => {}
         }
         let stage = self.head.fields.get("Tarragonhill-Serving-Stage");
-        match (self.role, stage) {
+        let role = lock(&self.state).ordered.unwrap_or(self.role);
+        match (role, stage) {
             (Role::Prefill, Some("prefill")) => self.prefill(connection, fault).await,
             (Role::Decode, None) => self.decode(connection, fault).await,
             (Role::Plain, None) => self.plain(connection, fault).await,
--- a/crates/bench/src/published/store.rs
+++ b/crates/bench/src/published/store.rs
@@ -206,6 +206,15 @@
 struct Transaction {
     #[serde(default)]
     puts: Vec<Put>,
+    #[serde(default)]
+    expected_revision: Vec<Expected>,
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    table: String,
+    key: String,
+    row_version: u64,
 }
 
 #[derive(Deserialize)]
@@ -217,6 +226,13 @@
 
 fn transact(state: &mut State, body: &[u8]) -> (u16, Value) {
     let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else { return (400, json!({})) };
+    let is_met = |expected: &Expected| {
+        let row = state.rows.get(&(expected.table.clone(), expected.key.clone())).filter(|row| !row.removed);
+        row.map_or(0, |row| row.version) == expected.row_version
+    };
+    if !transaction.expected_revision.iter().all(is_met) {
+        return (412, json!({"rows": []}));
+    }
     for put in transaction.puts {
         state.write(&put.table, &put.key, Some(put.value));
     }
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -632,3 +632,31 @@
         assert_eq!(site.endpoints(Role::Decode)[0].holds(), 0);
     });
 }
+
+/// Five engines of seven read prompts, and requests wait for memory at the other two. The gateway
+/// moves engines over, each once, under a fencing token that grows.
+#[test]
+fn engines_move_to_the_pool_that_lacks_them() {
+    run(async {
+        let shape = Shape { gateways: 1, prefill: 5, decode: 2, plain: 0 };
+        let mut site = Site::start(shape).await.expect("the site starts");
+        let engines = site.endpoints(Role::Prefill);
+        let ordered = || engines.iter().filter(|engine| !engine.orders().is_empty()).count();
+        let mut asked = 0;
+        eventually("two engines are moved", async || {
+            asked += 1;
+            let answer = ask(&site, stream(&format!("r{asked}")), b"prompt").await;
+            assert_eq!((answer.whole, answer.ids()), (true, whole_ids()));
+            ordered() >= 2
+        })
+        .await;
+        let mut orders: Vec<(String, u64)> = engines.iter().flat_map(|engine| engine.orders()).collect();
+        orders.sort_by_key(|(_, token)| *token);
+        assert!(orders.iter().all(|(holder, _)| holder == "entry-1"), "{orders:?}");
+        assert!(orders.windows(2).all(|pair| pair[0].1 < pair[1].1), "{orders:?}");
+        for engine in engines.iter().filter(|engine| !engine.orders().is_empty()) {
+            site.list(engine, "ready");
+        }
+        assert_eq!(ask(&site, stream("last"), b"prompt").await.ids(), whole_ids());
+    });
+}
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -14,6 +14,9 @@
 
 /// Part of the budget that is used: entries join and leave within a window, and are counted late.
 const USED: f64 = 0.7;
+/// Part of its slack that an entry takes in its first window: with what the process before it used,
+/// [`USED`] x 1.4 stays below the whole.
+const YOUNG: f64 = 0.4;
 /// Entries that an entry counts with before it has heard them.
 const UNKNOWN_SHARERS: u32 = 4;
 /// Events are counted in spans of this length.
@@ -71,11 +74,11 @@
         true
     }
 
-    /// This entry's part of the slack. In its first window it takes a quarter: the process before it
-    /// may have used its part in the same window, and does not know the others yet.
+    /// This entry's part of the slack. In its first window it takes less: the process before it may
+    /// have used its part in the same window, and it does not know the others yet.
     fn slack(&self, now: Time, sharers: u32) -> f64 {
         if now.since(self.started) < self.rule.window {
-            return self.rule.slack / 4.0 / f64::from(sharers.max(UNKNOWN_SHARERS));
+            return self.rule.slack * YOUNG / f64::from(sharers.max(UNKNOWN_SHARERS));
         }
         self.rule.slack / f64::from(sharers.max(1))
     }
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -34,9 +34,11 @@
     Unreachable,
     /// Another endpoint has its address.
     Replaced,
-    /// The endpoint had no room; the request did not run.
+    /// The endpoint turned a whole request away unrun.
+    Refused,
+    /// The endpoint had no memory for a run; the request did not run.
     Full,
-    /// The entry gave the request up itself; says nothing of the endpoint.
+    /// The entry gave the request up itself; tells at most that the endpoint is slow.
     Abandoned,
 }
 
@@ -67,7 +69,7 @@
 
     /// How the request of a number ended.
     pub fn ended(&mut self, now: Time, number: u64, outcome: Outcome) {
-        self.open.remove(&number);
+        let sent = self.open.remove(&number);
         match outcome {
             Outcome::Answered(time) => {
                 self.unreachable = 0;
@@ -75,7 +77,7 @@
                 self.count(now, 0.0);
                 self.answer_time = mean(self.answer_time, time);
             }
-            Outcome::Failed => self.count(now, 1.0),
+            Outcome::Failed | Outcome::Refused => self.count(now, 1.0),
             Outcome::Unreachable => {
                 self.count(now, 1.0);
                 let pause = FIRST_PAUSE.saturating_mul(1 << self.unreachable.min(8)).min(LONGEST_PAUSE);
@@ -84,7 +86,13 @@
             }
             Outcome::Replaced => self.shunned = now.plus(REPLACED_PAUSE),
             Outcome::Full => self.unreachable = 0,
-            Outcome::Abandoned => {}
+            Outcome::Abandoned => {
+                // It would have taken at least as long as it was waited for.
+                let waited = sent.map_or(Duration::ZERO, |sent| now.since(sent));
+                if waited > self.answer_time {
+                    self.answer_time = mean(self.answer_time, waited);
+                }
+            }
         }
     }
 
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -104,8 +104,9 @@
             let zones = if self.is_near(endpoint, self.zone) { 1.0 } else { CROSS_ZONE };
             micros(load.health.answer_time(self.now).mul_f64(ahead * zones))
         };
-        let candidates = self.candidates(service, Stage::Whole, avoid);
-        candidates.into_iter().min_by_key(|endpoint| expected(endpoint)).cloned()
+        let is_full = |endpoint: &Endpoint| self.load(endpoint).is_some_and(|load| load.is_full(self.now));
+        let candidates = self.candidates(service, Stage::Whole, avoid).into_iter();
+        candidates.min_by_key(|endpoint| (is_full(endpoint), expected(endpoint))).cloned()
     }
 
     /// An endpoint that reads a prompt: the one with the fewest prompt tokens ahead, near `zone`
--- a/crates/core/tests/gateway/health.rs
+++ b/crates/core/tests/gateway/health.rs
@@ -59,3 +59,20 @@
     assert!(health.is_shunned(at(3_900)));
     assert!(!health.is_shunned(at(5_100)));
 }
+
+/// Requests that hang are sent to a second endpoint, whose answer ends the wait at the first. Given up
+/// without a trace, the endpoint that hangs would look as fast as ever to the next request.
+#[test]
+fn a_wait_that_was_given_up_counts_as_slow() {
+    let mut health = Health::default();
+    let number = health.sent(at(0));
+    health.ended(at(10), number, Outcome::Answered(Duration::from_millis(10)));
+    let number = health.sent(at(20));
+    health.ended(at(520), number, Outcome::Abandoned);
+    assert!(health.answer_time(at(521)) > Duration::from_millis(100));
+    // A caller that leaves at once says nothing.
+    let before = health.answer_time(at(521));
+    let number = health.sent(at(530));
+    health.ended(at(531), number, Outcome::Abandoned);
+    assert_eq!(health.answer_time(at(532)), before);
+}
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -165,3 +165,21 @@
     assert_eq!(view(&directory, &loads, 10).prefill("drafting", "zone-a", &[]), Reader::Busy);
     assert_eq!(view(&directory, &loads, 10).prefill("drafting", "zone-a", &["p-1".into()]), Reader::Nobody);
 }
+
+/// An endpoint sheds everything while its health check is good. It refuses faster than the others
+/// answer, and each refusal costs one more send of the little that may be sent again.
+#[test]
+fn an_endpoint_that_sheds_is_asked_less() {
+    let directory = directory(vec![endpoint("w-1", Stage::Whole), endpoint("w-2", Stage::Whole)]);
+    let mut loads = Loads::default();
+    play(&mut loads, "w-2", 3, 0);
+    let lease = loads.take(at(20), &"w-1".into(), Share { running: 1, ..Share::default() });
+    loads.give_back(at(21), &lease, Outcome::Refused);
+    let place = |loads: &Loads, now| {
+        view(&directory, loads, now).whole("drafting", &[]).map(|found| found.id.clone())
+    };
+    assert_eq!(place(&loads, 22), Some("w-2".into()));
+    let lease = loads.take(at(200), &"w-1".into(), Share { running: 1, ..Share::default() });
+    loads.give_back(at(201), &lease, Outcome::Refused);
+    assert_eq!(place(&loads, 400), Some("w-2".into()));
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -446,7 +446,11 @@
         }
         Ok((head, reply, _)) => {
             let is_unrun = reply.not_run || head.status == MISDIRECTED;
-            ticket.ended(if is_unrun { unrun(&head, &reply, endpoint) } else { Outcome::Failed });
+            ticket.ended(if is_unrun {
+                unrun(&head, &reply, endpoint, Outcome::Full)
+            } else {
+                Outcome::Failed
+            });
             Err(Failure::Spoilt(if is_unrun { "not run" } else { "refused" }))
         }
         Err(failure) => {
@@ -493,7 +497,7 @@
     if exchange.reply.not_run || status == MISDIRECTED {
         inbound.may_have_run.store(had_run, Ordering::Relaxed);
         let reason = format!("{} did not run it, status {status}", endpoint.id);
-        ticket.ended(unrun(&exchange.head, &exchange.reply, endpoint));
+        ticket.ended(unrun(&exchange.head, &exchange.reply, endpoint, Outcome::Full));
         // The body is of no use, but reading it keeps the connection.
         let _ = exchange.whole().await;
         return Err(Trouble::NotRun(reason));
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -199,7 +199,7 @@
     };
     if reply.not_run || head.status == MISDIRECTED {
         let reason = format!("{} did not run it, status {}", ticket.endpoint.id, head.status);
-        let outcome = unrun(&head, &reply, &ticket.endpoint);
+        let outcome = unrun(&head, &reply, &ticket.endpoint, Outcome::Refused);
         ticket.ended(outcome);
         return Attempt::NotRun(reason);
     }
@@ -222,9 +222,9 @@
     Attempt::Answered { head, body }
 }
 
-/// What it says of an endpoint that it did not run a request.
-pub(crate) fn unrun(head: &Response, reply: &Reply, endpoint: &Endpoint) -> Outcome {
-    if is_replaced(head, reply, endpoint) { Outcome::Replaced } else { Outcome::Full }
+/// What it says of an endpoint that it did not run a request: `otherwise`, unless it is another one.
+pub(crate) fn unrun(head: &Response, reply: &Reply, endpoint: &Endpoint, otherwise: Outcome) -> Outcome {
+    if is_replaced(head, reply, endpoint) { Outcome::Replaced } else { otherwise }
 }
 
 /// Whether a status promises the caller that its request has not run.
