--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -25,8 +25,9 @@
 /// traffic that is worth a switch.
 const HALF_LIFE: Duration = Duration::from_secs(15);
 /// Reading gets this much more than its part: prompts wait for each other while they are read, and
-/// with a part just enough they would wait for ever.
-const HEADROOM: f64 = 1.3;
+/// with a part just enough they would wait for ever. With 1.3, two of twelve were left to read, and
+/// callers that came back together after a loss of power waited for them for four seconds.
+const HEADROOM: f64 = 1.45;
 /// Endpoints by which a pool must be off for one to be moved: half would be the nearest fit, and the
 /// rest keeps the noise of the mean from moving the same one to and fro.
 const WORTH_A_SWITCH: f64 = 0.8;
@@ -39,8 +40,6 @@
 const ORDER_PAUSE: Duration = Duration::from_millis(1_000);
 /// Most changes under way at once in one service.
 const MOST_CHANGES: usize = 2;
-/// An entry leaves orders to those before it for this long each, so that one alone decides.
-const TURN: Duration = Duration::from_secs(4);
 
 /// What the requests of one service asked for, fading with time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -81,8 +80,6 @@
     changing: BTreeMap<Arc<str>, (Time, Stage)>,
     /// The same as others told it.
     told: BTreeMap<Arc<str>, (Time, Stage)>,
-    /// Since when the split has not fitted, by service.
-    unfit: BTreeMap<Arc<str>, Time>,
     ordered: Option<Time>,
 }
 
@@ -147,7 +144,8 @@
     }
 
     /// The next change that the split of a service calls for. `rank` counts the entries that go
-    /// before this one.
+    /// before this one: only the first decides. Each sees other requests, and if any of them might
+    /// order, the one that is furthest off would.
     pub fn next(
         &mut self,
         now: Time,
@@ -156,6 +154,9 @@
         loads: &Loads,
         rank: u32,
     ) -> Option<Order> {
+        if rank > 0 {
+            return None;
+        }
         self.changing.retain(|_, (until, _)| *until > now);
         self.told.retain(|_, (until, _)| *until > now);
         let engines: Vec<&Arc<Endpoint>> =
@@ -164,12 +165,9 @@
         let readers = engines.iter().filter(|endpoint| self.stage(endpoint) == Stage::Prefill).count();
         let excess = readers as f64 - wanted;
         if excess.abs() < WORTH_A_SWITCH {
-            self.unfit.remove(service);
             return None;
         }
-        let since = *self.unfit.entry(service.clone()).or_insert(now);
-        let is_due =
-            now.since(since) >= TURN * rank && self.ordered.is_none_or(|at| now.since(at) >= ORDER_PAUSE);
+        let is_due = self.ordered.is_none_or(|at| now.since(at) >= ORDER_PAUSE);
         if !is_due || self.changing.len() + self.told.len() >= MOST_CHANGES {
             return None;
         }
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -74,19 +74,25 @@
     assert_eq!(pools.next(at(10), &service, &directory, &Loads::default(), 0), None);
 }
 
+/// Each entry sees other requests and works out another split. If any of them might order, the one
+/// that is furthest off would: two of twelve endpoints were left to read prompts that way.
 #[test]
-fn entries_leave_orders_to_the_first_of_them_for_a_while() {
+fn only_the_first_entry_orders() {
     let service: Arc<str> = "drafting".into();
     let (mut pools, directory) = (Pools::default(), directory(5, 7));
-    let mut first = None;
     for now in (0..20_000).step_by(100) {
         pools.note(at(now), &service, &engine(), 5_000, 700);
-        if pools.next(at(now), &service, &directory, &Loads::default(), 2).is_some() {
-            first = Some(now);
-            break;
-        }
+        assert_eq!(pools.next(at(now), &service, &directory, &Loads::default(), 1), None);
     }
-    assert!(first.is_some_and(|first| (8_000..11_000).contains(&first)), "{first:?}");
+    assert!(pools.next(at(20_000), &service, &directory, &Loads::default(), 0).is_some());
+}
+
+/// Callers expect long answers and get shorter ones; the readers that are left must still keep up with
+/// a burst at twice the usual traffic.
+#[test]
+fn enough_stay_to_read_a_burst() {
+    let (readers, _) = play(&mut directory(4, 8), 5_000, 860);
+    assert_eq!(readers, 3);
 }
 
 #[test]
