--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod digest;
 pub mod directory;
+pub mod forecast;
 pub mod health;
 pub mod lease;
 pub mod line;
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -83,11 +83,6 @@
         self.rule.slack / f64::from(sharers.max(1))
     }
 
-    /// Further sends of the window, by service.
-    pub fn extras(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
-        self.services.iter().map(|(service, spans)| (service, spans.iter().map(|span| span.extras).sum()))
-    }
-
     fn span(&mut self, now: Time, service: &Arc<str>) -> &mut Span {
         let spans = self.services.entry(service.clone()).or_default();
         while spans.front().is_some_and(|span| now.since(span.began) >= self.rule.window) {
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -94,11 +94,6 @@
 }
 
 impl Directory {
-    /// The newest version seen of the list.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
     /// The store cannot be reached; its list goes on as it is.
     pub fn lost(&mut self) {
         self.away = true;
--- /dev/null
+++ b/crates/core/src/gateway/forecast.rs
@@ -0,0 +1,31 @@
+//! How long parts of a request take and what memory they need; only forecasts rest on these.
+
+use std::time::Duration;
+
+/// How long reading a prompt takes on an idle endpoint.
+pub fn reading_time(tokens: u64) -> Duration {
+    Duration::from_micros(tokens * MICROS_PER_PROMPT_TOKEN)
+}
+
+/// Microseconds to read one prompt token: 18 on the engines in use, by their sheet (55.6 tokens a
+/// millisecond); only forecasts rest on it.
+const MICROS_PER_PROMPT_TOKEN: u64 = 18;
+
+/// Memory that a run takes on average over its time, tokens: its answer grows from nothing to
+/// `expected`. Ten runs at different points of their answers take ten such means; promising each its
+/// longest answer instead left a fifth of the memory of a full endpoint empty.
+pub fn memory(prompt: u64, expected: u64) -> u64 {
+    prompt + expected / 2
+}
+
+/// How long a run takes behind its first event on a busy endpoint, for a number of tokens.
+pub fn run_time(tokens: u64) -> Duration {
+    Duration::from_micros(tokens * MICROS_PER_TOKEN)
+}
+
+/// From the start of a run to its first event on an idle endpoint, the reading of the prompt left
+/// out: the first step takes 80 ms by the engines' sheet, the rest is moving the prompt's result.
+pub const FIRST_EVENT: Duration = Duration::from_millis(150);
+/// Microseconds for one token beside ten other runs: a step of 3.3 ms and 0.026 ms for each 1,000
+/// tokens in memory, by the engines' sheet.
+const MICROS_PER_TOKEN: u64 = 5_000;
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -5,7 +5,7 @@
 //! strictly by arrival would instead make everybody late once the line is longer than the
 //! time to the first event. Nobody is passed over for being large.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use crate::clock::Time;
 
@@ -80,11 +80,6 @@
         self.0.is_empty()
     }
 
-    /// Tokens of memory that those waiting for a service need.
-    pub fn memory(&self, service: &str) -> u64 {
-        self.0.iter().filter(|waiting| &*waiting.service == service).map(|waiting| waiting.memory).sum()
-    }
-
     /// Drops those whose callers are gone.
     pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
         self.0.retain(|waiting| keep(&waiting.tag));
@@ -121,28 +116,4 @@
         self.0 = left;
         verdicts
     }
-
-    /// When the next request is to be given up.
-    pub fn next_hopeless(&self) -> Option<Time> {
-        self.0.iter().map(|waiting| waiting.last_start).min()
-    }
 }
-
-/// Memory that a run takes on average over its time, tokens: its answer grows from nothing to
-/// `expected`. Ten runs at different points of their answers take ten such means; promising each its
-/// longest answer instead left a fifth of the memory of a full endpoint empty.
-pub fn memory(prompt: u64, expected: u64) -> u64 {
-    prompt + expected / 2
-}
-
-/// How long a run takes behind its first event on a busy endpoint, for a number of tokens.
-pub fn run_time(tokens: u64) -> Duration {
-    Duration::from_micros(tokens * MICROS_PER_TOKEN)
-}
-
-/// From the start of a run to its first event on an idle endpoint, the reading of the prompt left
-/// out: the first step takes 80 ms by the engines' sheet, the rest is moving the prompt's result.
-pub const FIRST_EVENT: Duration = Duration::from_millis(150);
-/// Microseconds for one token beside ten other runs: a step of 3.3 ms and 0.026 ms for each 1,000
-/// tokens in memory, by the engines' sheet.
-const MICROS_PER_TOKEN: u64 = 5_000;
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -1,6 +1,6 @@
 //! Which endpoint takes a request.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use super::{
     catalog::Engine,
@@ -185,12 +185,3 @@
         self.directory.serving(service).any(|endpoint| endpoint.stage == stage)
     }
 }
-
-/// How long reading a prompt takes on an idle endpoint.
-pub fn reading_time(tokens: u64) -> Duration {
-    Duration::from_micros(tokens * MICROS_PER_PROMPT_TOKEN)
-}
-
-/// Microseconds to read one prompt token: 18 on the engines in use, by their sheet (55.6 tokens a
-/// millisecond); only forecasts rest on it.
-const MICROS_PER_PROMPT_TOKEN: u64 = 18;
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -12,9 +12,8 @@
     catalog::Engine,
     digest::Change,
     directory::{Directory, Endpoint, Stage},
-    line::{FIRST_EVENT, memory, run_time},
+    forecast::{FIRST_EVENT, memory, reading_time, run_time},
     load::Loads,
-    placement::reading_time,
 };
 use crate::clock::Time;
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,8 +1,11 @@
 //! What all requests of the process share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -24,6 +27,9 @@
     pool::Pool,
 };
 
+/// What callers are told to wait where endpoints are expected back soon.
+pub(crate) const COME_BACK: Duration = Duration::from_millis(1_000);
+
 /// Shared by all tasks.
 pub(crate) struct Context {
     pub(crate) clock: Clock,
@@ -68,7 +74,7 @@
 }
 
 /// Longest time for a message beside the traffic; what it releases lapses by itself later.
-const BESIDE_LIMIT: std::time::Duration = std::time::Duration::from_secs(2);
+const BESIDE_LIMIT: Duration = Duration::from_secs(2);
 
 /// One request on its way.
 pub(crate) struct Inbound {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -31,8 +31,6 @@
     whole::{self, unless},
 };
 
-/// What callers are told to wait where endpoints are expected back soon.
-pub(crate) const COME_BACK: Duration = Duration::from_millis(1_000);
 /// Bytes to a caller may stay unacknowledged this long before the connection counts as dead.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time for a body: callers send some kilobytes.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,6 +4,10 @@
 //! prompt is read elsewhere, and the run starts from its result. No prompt is read before its place
 //! is promised, so none is read in vain for want of memory.
 
+mod events;
+mod reading;
+mod release;
+
 use std::{
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -16,18 +20,23 @@
     gateway::{
         catalog::Engine,
         directory::Endpoint,
+        forecast::{FIRST_EVENT, memory, reading_time, run_time},
         health::Outcome,
-        line::{FIRST_EVENT, Waiting, memory, run_time},
-        placement::reading_time,
+        line::Waiting,
     },
     refusal::Code,
 };
 use tarragonhill_h1::head::Response;
 
+use self::{
+    events::{events_end, last_id},
+    reading::read_prompt,
+    release::{Kept, Release},
+};
 use crate::{
     answer::Answer,
-    context::{Context, Inbound},
-    control::{Reading, Ticket, Tickets},
+    context::{COME_BACK, Context, Inbound},
+    control::{Ticket, Tickets},
     edge::{Decode, Passage, Task, Tokens},
     exchange::{Exchange, Failure, MISDIRECTED},
     whole::{is_promise, unrun},
@@ -35,14 +44,6 @@
 
 /// Most times that a request is sent on when endpoints turn it away unrun.
 const MOST_SENDS: u32 = 4;
-/// Most endpoints asked to read one prompt.
-const MOST_READERS: u32 = 3;
-/// A prompt is asked of another endpoint if reading takes longer than this many times what it takes
-/// on an idle one, plus [`READING_SLACK`].
-const READING_PATIENCE: u32 = 4;
-/// Reading what placement lets stand ahead of a prompt takes 0.4 s, and twice that while others' word
-/// of what they sent is on its way.
-const READING_SLACK: Duration = Duration::from_millis(1_000);
 /// Longest time to answer a reservation; it needs no computing.
 const HOLD_LIMIT: Duration = Duration::from_millis(500);
 /// Reservations are made for this long at most: a prompt is read within it, or asked elsewhere.
@@ -185,7 +186,7 @@
 
 fn exhausted(inbound: &Inbound, answer: &Answer, reason: String) -> Result<(), Refusal> {
     if answer.is_open() && !inbound.may_have_run.load(Ordering::Relaxed) {
-        return Err(Refusal::not_run(Code::Overloaded, reason).retry_after(crate::front::COME_BACK));
+        return Err(Refusal::not_run(Code::Overloaded, reason).retry_after(COME_BACK));
     }
     cut(inbound, answer, reason).map(|_| ())
 }
@@ -214,44 +215,6 @@
     }
 }
 
-/// Something kept at an endpoint for a request, given back when dropped.
-struct Release {
-    context: Arc<Context>,
-    endpoint: Arc<Endpoint>,
-    kept: Kept,
-}
-
-enum Kept {
-    Hold(Arc<str>),
-    Result(Arc<str>),
-    /// It was used, or is no longer there.
-    Nothing,
-}
-
-impl Release {
-    fn name(&self) -> Option<&str> {
-        match &self.kept {
-            Kept::Hold(name) | Kept::Result(name) => Some(name),
-            Kept::Nothing => None,
-        }
-    }
-
-    fn used(&mut self) {
-        self.kept = Kept::Nothing;
-    }
-}
-
-impl Drop for Release {
-    fn drop(&mut self) {
-        let message = match &self.kept {
-            Kept::Hold(hold) => self.context.dialect.release_hold(&self.endpoint, hold),
-            Kept::Result(result) => self.context.dialect.release_result(&self.endpoint, result),
-            Kept::Nothing => return,
-        };
-        self.context.send_beside(self.endpoint.clone(), message);
-    }
-}
-
 /// Waits for an endpoint and, on split services, reserves memory there.
 async fn lease_endpoint(
     context: &Arc<Context>,
@@ -386,84 +349,6 @@
     }
 }
 
-/// Has the prompt read, by another endpoint if the first cannot.
-async fn read_prompt(
-    context: &Arc<Context>,
-    inbound: &Inbound,
-    zone: &Arc<str>,
-    first: Ticket,
-) -> Result<Release, Trouble> {
-    let prompt = inbound.call.tokens.map_or(0, |tokens| tokens.prompt);
-    let mut avoid = Vec::new();
-    let mut reader = first;
-    for readers in 1.. {
-        avoid.push(reader.endpoint.id.clone());
-        let endpoint = reader.endpoint.clone();
-        let (reason, was_sent) = match read_at(context, inbound, reader, &endpoint, prompt).await {
-            Ok(result) => {
-                let kept = Kept::Result(result);
-                return Ok(Release { context: context.clone(), endpoint, kept });
-            }
-            Err(Failure::Unsent(error)) => (format!("{}: {error}", endpoint.id), false),
-            Err(failure) => (format!("{}: {failure}", endpoint.id), true),
-        };
-        spdlog::info!("prompt not read", kv: { request = inbound.id(), reason = reason.as_str() });
-        let is_paid = !was_sent || context.control.retry(&inbound.service).await;
-        if readers >= MOST_READERS || !is_paid {
-            return Err(Trouble::NotRun(reason));
-        }
-        let service = inbound.service.clone();
-        let reading = Reading { service, tokens: prompt, zone: zone.clone(), avoid: avoid.clone() };
-        let Some(next) = context.control.prefill(reading).await else { return Err(Trouble::NotRun(reason)) };
-        reader = next;
-    }
-    unreachable!("the loop ends by a return")
-}
-
-async fn read_at(
-    context: &Arc<Context>,
-    inbound: &Inbound,
-    mut ticket: Ticket,
-    endpoint: &Arc<Endpoint>,
-    prompt: u64,
-) -> Result<Arc<str>, Failure> {
-    let left = inbound.ends.since(context.clock.now());
-    let limit = (reading_time(prompt) * READING_PATIENCE + READING_SLACK).min(left);
-    let passage = passage(inbound, endpoint, left, Task::Prefill);
-    let head = context.dialect.pass(&inbound.head, &passage);
-    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), limit).await;
-    let taken = match sent {
-        Ok(exchange) => exchange.whole().await,
-        Err(failure) => Err(failure),
-    };
-    match taken {
-        Ok((head, _, body)) if head.status == 200 => {
-            let result = context.dialect.prefilled(&body);
-            if result.is_some() {
-                ticket.answered();
-            }
-            result.ok_or(Failure::Spoilt("a result without a name"))
-        }
-        Ok((head, reply, _)) => {
-            let is_unrun = reply.not_run || head.status == MISDIRECTED;
-            ticket.ended(if is_unrun {
-                unrun(&head, &reply, endpoint, Outcome::Full)
-            } else {
-                Outcome::Failed
-            });
-            Err(Failure::Spoilt(if is_unrun { "not run" } else { "refused" }))
-        }
-        Err(failure) => {
-            let is_unsent = matches!(failure, Failure::Unsent(_));
-            if !is_unsent {
-                context.control.broke(&endpoint.id, inbound.admission.fingerprint);
-            }
-            ticket.ended(if is_unsent { Outcome::Unreachable } else { Outcome::Failed });
-            Err(failure)
-        }
-    }
-}
-
 fn passage<'a>(inbound: &'a Inbound, endpoint: &'a Endpoint, left: Duration, task: Task<'a>) -> Passage<'a> {
     Passage { endpoint, customer: inbound.customer_name(), left, priority: inbound.priority(), task }
 }
@@ -569,16 +454,3 @@
     };
     timeout(limit, exchange.part()).await.unwrap_or(Err(Failure::Late))
 }
-
-/// Where the last whole event ends.
-fn events_end(bytes: &[u8]) -> Option<usize> {
-    let end = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let carriage = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    end.max(carriage)
-}
-
-/// The id of the last event that has one.
-fn last_id(events: &[u8]) -> Option<&str> {
-    let text = std::str::from_utf8(events).ok()?;
-    text.lines().rev().find_map(|line| line.strip_prefix("id:")).map(str::trim)
-}
--- /dev/null
+++ b/crates/gateway/src/stream/reading.rs
@@ -0,0 +1,104 @@
+//! Has prompts read.
+
+use std::{sync::Arc, time::Duration};
+
+use tarragonhill_core::gateway::{directory::Endpoint, forecast::reading_time, health::Outcome};
+
+use super::{
+    Trouble, passage,
+    release::{Kept, Release},
+};
+use crate::{
+    context::{Context, Inbound},
+    control::{Reading, Ticket},
+    edge::Task,
+    exchange::{Failure, MISDIRECTED},
+    whole::unrun,
+};
+
+/// Most endpoints asked to read one prompt.
+const MOST_READERS: u32 = 3;
+/// A prompt is asked of another endpoint if reading takes longer than this many times what it takes
+/// on an idle one, plus [`READING_SLACK`].
+const READING_PATIENCE: u32 = 4;
+/// Reading what placement lets stand ahead of a prompt takes 0.4 s, and twice that while others' word
+/// of what they sent is on its way.
+const READING_SLACK: Duration = Duration::from_millis(1_000);
+
+/// Has the prompt read, by another endpoint if the first cannot.
+pub(super) async fn read_prompt(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    zone: &Arc<str>,
+    first: Ticket,
+) -> Result<Release, Trouble> {
+    let prompt = inbound.call.tokens.map_or(0, |tokens| tokens.prompt);
+    let mut avoid = Vec::new();
+    let mut reader = first;
+    for readers in 1.. {
+        avoid.push(reader.endpoint.id.clone());
+        let endpoint = reader.endpoint.clone();
+        let (reason, was_sent) = match read_at(context, inbound, reader, &endpoint, prompt).await {
+            Ok(result) => {
+                let kept = Kept::Result(result);
+                return Ok(Release { context: context.clone(), endpoint, kept });
+            }
+            Err(Failure::Unsent(error)) => (format!("{}: {error}", endpoint.id), false),
+            Err(failure) => (format!("{}: {failure}", endpoint.id), true),
+        };
+        spdlog::info!("prompt not read", kv: { request = inbound.id(), reason = reason.as_str() });
+        let is_paid = !was_sent || context.control.retry(&inbound.service).await;
+        if readers >= MOST_READERS || !is_paid {
+            return Err(Trouble::NotRun(reason));
+        }
+        let service = inbound.service.clone();
+        let reading = Reading { service, tokens: prompt, zone: zone.clone(), avoid: avoid.clone() };
+        let Some(next) = context.control.prefill(reading).await else { return Err(Trouble::NotRun(reason)) };
+        reader = next;
+    }
+    unreachable!("the loop ends by a return")
+}
+
+async fn read_at(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    mut ticket: Ticket,
+    endpoint: &Arc<Endpoint>,
+    prompt: u64,
+) -> Result<Arc<str>, Failure> {
+    let left = inbound.ends.since(context.clock.now());
+    let limit = (reading_time(prompt) * READING_PATIENCE + READING_SLACK).min(left);
+    let passage = passage(inbound, endpoint, left, Task::Prefill);
+    let head = context.dialect.pass(&inbound.head, &passage);
+    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), limit).await;
+    let taken = match sent {
+        Ok(exchange) => exchange.whole().await,
+        Err(failure) => Err(failure),
+    };
+    match taken {
+        Ok((head, _, body)) if head.status == 200 => {
+            let result = context.dialect.prefilled(&body);
+            if result.is_some() {
+                ticket.answered();
+            }
+            result.ok_or(Failure::Spoilt("a result without a name"))
+        }
+        Ok((head, reply, _)) => {
+            let is_unrun = reply.not_run || head.status == MISDIRECTED;
+            ticket.ended(if is_unrun {
+                unrun(&head, &reply, endpoint, Outcome::Full)
+            } else {
+                Outcome::Failed
+            });
+            Err(Failure::Spoilt(if is_unrun { "not run" } else { "refused" }))
+        }
+        Err(failure) => {
+            let is_unsent = matches!(failure, Failure::Unsent(_));
+            if !is_unsent {
+                context.control.broke(&endpoint.id, inbound.admission.fingerprint);
+            }
+            ticket.ended(if is_unsent { Outcome::Unreachable } else { Outcome::Failed });
+            Err(failure)
+        }
+    }
+}
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     answer::Answer,
-    context::{Context, Inbound},
+    context::{COME_BACK, Context, Inbound},
     control::Ticket,
     edge::{Passage, Reply, Task},
     exchange::{Failure, MISDIRECTED, is_replaced},
@@ -91,7 +91,7 @@
     if inbound.may_have_run.load(Ordering::Relaxed) {
         return Refusal::run(Code::OutcomeUnknown, reason);
     }
-    Refusal::not_run(Code::Overloaded, reason).retry_after(crate::front::COME_BACK)
+    Refusal::not_run(Code::Overloaded, reason).retry_after(COME_BACK)
 }
 
 /// An endpoint's own failure goes before a refusal of ours: it is what happened.
--- /dev/null
+++ b/crates/h1/tests/messages.rs
@@ -0,0 +1,136 @@
+//! Messages are read exactly, and what two readers could take differently is refused.
+
+use bytes::BytesMut;
+use quickcheck::{Gen, QuickCheck, TestResult};
+use tarragonhill_h1::{
+    Malformed,
+    body::{Decoder, Framing, LAST_CHUNK, Step, chunk},
+    head::{Request, Response},
+};
+
+fn request(text: &str) -> Result<Option<(Request, usize)>, Malformed> {
+    Request::parse(text.as_bytes())
+}
+
+fn framing(fields: &str) -> Result<Framing, Malformed> {
+    let (head, _) = request(&format!("POST /a HTTP/1.1\r\nHost: a\r\n{fields}\r\n"))?.expect("a whole head");
+    head.framing()
+}
+
+/// Reads a body that comes in pieces; nothing if it is not whole at the end.
+fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<Option<Vec<u8>>, Malformed> {
+    let mut decoder = Decoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        while let Step::Data(data) = decoder.step(&mut buffer)? {
+            body.extend_from_slice(&data);
+        }
+    }
+    Ok(decoder.ends_at_close().then_some(body))
+}
+
+#[test]
+fn a_head_is_nothing_until_it_is_whole() {
+    assert_eq!(request("GET / HTTP/1.1\r\nHost: a\r\n"), Ok(None));
+    let (head, length) = request("GET /p?q HTTP/1.1\r\nHost: a\r\n\r\nnext").expect("valid").expect("whole");
+    assert_eq!((head.path(), head.target.as_str(), length), ("/p", "/p?q", 30));
+}
+
+#[test]
+fn framings_that_two_readers_could_take_differently_are_refused() {
+    assert_eq!(framing("Content-Length: 4\r\n"), Ok(Framing::Length(4)));
+    assert_eq!(framing("Content-Length: 4\r\nContent-Length: 4\r\n"), Ok(Framing::Length(4)));
+    assert_eq!(framing("Transfer-Encoding: Chunked\r\n"), Ok(Framing::Chunked));
+    assert_eq!(framing(""), Ok(Framing::Empty));
+    for fields in [
+        "Content-Length: 4\r\nContent-Length: 5\r\n",
+        "Content-Length: 4, 4\r\n",
+        "Content-Length: -1\r\n",
+        "Content-Length: 0x4\r\n",
+        "Content-Length: \r\n",
+        "Content-Length: 99999999999999999999\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+    ] {
+        assert!(framing(fields).is_err(), "{fields}");
+    }
+    assert!(request("POST /a HTTP/1.1\r\nHost : a\r\n\r\n").is_err());
+}
+
+#[test]
+fn a_chunked_body_that_is_not_well_formed_is_refused() {
+    for body in ["4\nbody", "zz\r\n", "\r\n", "4\r\nbodyX\r\n", "+4\r\nbody\r\n", "-1\r\n", " 4\r\nbody\r\n"]
+    {
+        assert!(decode(Framing::Chunked, &[body.as_bytes()]).is_err(), "{body:?}");
+    }
+    assert_eq!(
+        decode(Framing::Chunked, &[b"4 ;x=y\r\nbody\r\n0\r\nA: b\r\n\r\n"]),
+        Ok(Some(b"body".to_vec()))
+    );
+}
+
+/// An endpoint crashes in the middle of an answer and its host closes the connection properly. Taken
+/// for the end of the answer, a caller would get half a summary as a whole one.
+#[test]
+fn a_cut_body_is_not_whole() {
+    assert_eq!(decode(Framing::Length(5), &[b"four"]), Ok(None));
+    assert_eq!(decode(Framing::Chunked, &[b"4\r\nbody\r\n"]), Ok(None));
+    assert_eq!(decode(Framing::Chunked, &[b"4\r\nbody\r\n0\r\n"]), Ok(None));
+    assert_eq!(decode(Framing::UntilClose, &[b"any"]), Ok(Some(b"any".to_vec())));
+}
+
+#[test]
+fn a_body_is_the_same_wherever_it_is_split() {
+    fn property(parts: Vec<Vec<u8>>, cuts: Vec<usize>) -> TestResult {
+        let mut bytes: Vec<u8> =
+            parts.iter().filter(|part| !part.is_empty()).flat_map(|part| chunk(part)).collect();
+        bytes.extend_from_slice(LAST_CHUNK);
+        let mut pieces: Vec<&[u8]> = Vec::new();
+        let mut left: &[u8] = &bytes;
+        for cut in cuts {
+            let (piece, rest) = left.split_at(cut % (left.len() + 1));
+            pieces.push(piece);
+            left = rest;
+        }
+        pieces.push(left);
+        TestResult::from_bool(decode(Framing::Chunked, &pieces) == Ok(Some(parts.concat())))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 5))
+        .tests(300)
+        .quickcheck(property as fn(Vec<Vec<u8>>, Vec<usize>) -> TestResult);
+}
+
+#[test]
+fn bytes_behind_a_body_stay_where_they_are() {
+    let mut buffer = BytesMut::from(&b"bodynext"[..]);
+    let mut decoder = Decoder::new(Framing::Length(4));
+    assert_eq!(decoder.step(&mut buffer), Ok(Step::Data(b"body".as_slice().to_vec().into())));
+    assert_eq!(decoder.step(&mut buffer), Ok(Step::End));
+    assert_eq!(&buffer[..], b"next");
+}
+
+#[test]
+fn an_answers_framing_depends_on_its_status_and_the_method() {
+    let head = |text: &str| Response::parse(text.as_bytes()).expect("valid").expect("whole").0;
+    let until_close = head("HTTP/1.1 200 OK\r\n\r\n");
+    assert_eq!(until_close.framing("GET"), Ok(Framing::UntilClose));
+    assert_eq!(until_close.framing("HEAD"), Ok(Framing::Empty));
+    assert_eq!(head("HTTP/1.1 204 No\r\n\r\n").framing("GET"), Ok(Framing::Empty));
+    assert!(!head("HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\n").keeps_alive());
+    assert!(!head("HTTP/1.0 200 OK\r\n\r\n").keeps_alive());
+}
+
+#[test]
+fn fields_of_one_hop_are_dropped_with_those_that_connection_names() {
+    let text =
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: close, X-Own\r\nX-Own: 1\r\nTE: x\r\nX-Other: 2\r\n\r\n";
+    let (mut head, _) = request(text).expect("valid").expect("whole");
+    head.fields.strip_hop_by_hop();
+    let names: Vec<&str> = head.fields.iter().map(|field| field.name.as_str()).collect();
+    assert_eq!(names, ["Host", "X-Other"]);
+}
