--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -660,3 +660,22 @@
         assert_eq!(ask(&site, stream("last"), b"prompt").await.ids(), whole_ids());
     });
 }
+
+#[test]
+fn the_admin_address_serves_metrics() {
+    run(async {
+        let site = small().await;
+        assert_eq!(ask(&site, submit("r1"), b"case").await.head.status, 200);
+        assert_eq!(ask(&site, plain("GET", "/nowhere/x", KEY, "r2"), b"").await.head.status, 404);
+        let head = plain("GET", "/metrics", KEY, "q");
+        let text = caller::ask(site.gateways[0].admin(), head, b"").await.expect("an answer").text();
+        for line in [
+            "gateway_requests_total{kind=\"non_idempotent\",status=\"200\"} 1",
+            "gateway_refusals_total{code=\"not_found\"} 1",
+            "gateway_sends_total{outcome=\"answered\"} 1",
+            "log_lines_dropped 0",
+        ] {
+            assert!(text.lines().any(|one| one == line), "{line} is not in\n{text}");
+        }
+    });
+}
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,13 +8,13 @@
 
 use async_channel::Receiver;
 use async_std::task::{self, JoinHandle};
-use prometheus::Registry;
+use prometheus::{IntGauge, Registry};
 use tarragonhill_core::{Clock, gateway::digest::Member};
-use tarragonhill_gateway::{Gateway, Settings, Store};
+use tarragonhill_gateway::{Gateway, Settings, Store, View};
 use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
 use tarragonhill_platform::{READINESS, claims::Claims, dialect::Dialect, store};
 
-use crate::{StartError, admin, config::GatewaySettings};
+use crate::{StartError, admin, config::GatewaySettings, logging};
 
 /// New connections still come this long after the process has said that it is leaving: the
 /// balancer asks once a second and believes the second answer.
@@ -61,9 +61,8 @@
             error,
         })?;
         let admin = server.address();
-        let view = gateway.view();
-        let answering =
-            task::spawn(server.serve(move |inbound| answer(inbound, view.clone(), registry.clone())));
+        let desk = Admin { view: gateway.view(), dropped: dropped_lines(&registry), registry };
+        let answering = task::spawn(server.serve(move |inbound| answer(inbound, desk.clone())));
         spdlog::info!("gateway started", kv: {
             name = &*common.name, zone = &*common.zone, listen = gateway.address().to_string().as_str()
         });
@@ -96,15 +95,34 @@
     Ok(())
 }
 
-async fn answer(inbound: Inbound, view: tarragonhill_gateway::View, registry: Registry) -> Outbound {
-    let is_ready = view.is_ready();
+/// What the admin address answers from.
+#[derive(Clone)]
+struct Admin {
+    view: View,
+    registry: Registry,
+    /// Log lines dropped since the start.
+    dropped: IntGauge,
+}
+
+fn dropped_lines(registry: &Registry) -> IntGauge {
+    let gauge = IntGauge::new("log_lines_dropped", "Log lines dropped because the queue was full");
+    let gauge = gauge.expect("the name is constant and valid");
+    if let Err(error) = registry.register(Box::new(gauge.clone())) {
+        spdlog::error!("metric not registered: {error}");
+    }
+    gauge
+}
+
+async fn answer(inbound: Inbound, admin: Admin) -> Outbound {
+    let is_ready = admin.view.is_ready();
     if inbound.path == READINESS {
         return Outbound::text(if is_ready { 200 } else { 503 }, "");
     }
     if inbound.path == "/state" {
-        return Outbound::json(200, &view.dump().await);
+        return Outbound::json(200, &admin.view.dump().await);
     }
-    admin::common(&inbound, &registry, is_ready).unwrap_or_else(|| admin::not_found(&inbound))
+    admin.dropped.set(i64::try_from(logging::dropped()).unwrap_or(i64::MAX));
+    admin::common(&inbound, &admin.registry, is_ready).unwrap_or_else(|| admin::not_found(&inbound))
 }
 
 /// The host's time of day. It may jump, but starts of one process lie seconds apart.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -102,6 +102,14 @@
         self.customer.as_ref().and_then(|customer| customer.priority).unwrap_or(self.route.priority)
     }
 
+    /// Logs where it goes: its endpoint, who reads its prompt, and how long it waited.
+    pub(crate) fn log_place(&self, now: Time, endpoint: &Endpoint, reader: Option<&Endpoint>) {
+        spdlog::info!("request placed", kv: {
+            request = self.id(), endpoint = &*endpoint.id, reader = reader.map_or("", |reader| &*reader.id),
+            waited_ms = now.since(self.received).as_millis() as u64
+        });
+    }
+
     pub(crate) fn customer_name(&self) -> Option<&str> {
         self.customer.as_ref().map(|customer| &*customer.name)
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use tarragonhill_core::{
     Refusal,
-    gateway::catalog::{Kind, Limits},
+    gateway::catalog::{Catalog, Kind, Limits},
     refusal::Code,
 };
 use tarragonhill_h1::{
@@ -195,6 +195,7 @@
     if let Err(refusal) = context.control.admit(inbound.admission.clone()).await {
         return refuse(context, &refusal, id.as_deref(), answer).await;
     }
+    log_admission(&inbound, catalog.as_deref());
     let limit = inbound.ends.since(context.clock.now());
     let served = timeout(limit, carry(context, &inbound, answer)).await;
     let refusal = match served {
@@ -247,6 +248,14 @@
     });
 }
 
+fn log_admission(inbound: &Inbound, catalog: Option<&Catalog>) {
+    spdlog::info!("request admitted", kv: {
+        request = inbound.id(), route = &*inbound.route.name, customer = inbound.customer_name().unwrap_or(""),
+        tokens = inbound.admission.tokens, version = catalog.map_or(0, Catalog::version),
+        left_ms = inbound.ends.since(inbound.received).as_millis() as u64
+    });
+}
+
 fn log_end(context: &Context, inbound: &Inbound, answer: &Answer) {
     let kind = inbound.route.kind.to_string();
     let status = answer.status.to_string();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -231,6 +231,8 @@
         let waiting = waiting(inbound, &engine, &avoid);
         let memory = waiting.memory;
         let Tickets { run, reader } = context.control.decode(waiting).await?;
+        let read_by = reader.as_ref().map(|reader| &*reader.endpoint);
+        inbound.log_place(context.clock.now(), &run.endpoint, read_by);
         if engine.longest_hold.is_zero() {
             return Ok(Placing::Decode { run, reader, held: None });
         }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -53,6 +53,7 @@
             Ok(ticket) => ticket,
             Err(refusal) => return give_up(inbound, answer, failure, refusal).await,
         };
+        inbound.log_place(context.clock.now(), &ticket.endpoint, None);
         avoid.push(ticket.endpoint.id.clone());
         let (attempt, used) = attempt_with_backup(context, inbound, ticket, &mut avoid, runs).await;
         let reason = match attempt {
