Leave an endpoint alone that reserves memory and turns runs away

Ruled out: lapsed results (one endpoint that makes tokens, several that read).

Change: a run turned away twice in a row at one endpoint leaves it alone for 0.25 s to 2 s, as one that cannot be reached.

Tests: on the record of an endpoint, and on the whole path (the latter passes without the change as well).

--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -679,3 +679,20 @@
         }
     });
 }
+
+/// An engine is in the middle of a change of its stage, and the entries that knew it have lost power.
+/// It grants reservations and turns every run away, after the prompt has been read for it.
+#[test]
+fn an_engine_that_reserves_and_turns_away_is_left_alone() {
+    run(async {
+        let site = site().await;
+        let engines = site.endpoints(Role::Decode);
+        engines[0].set_fault(Fault::Refuse);
+        for number in 0..10 {
+            let answer = ask(&site, stream(&format!("r{number}")), b"prompt").await;
+            assert_eq!((answer.whole, answer.ids()), (true, whole_ids()));
+        }
+        assert!(engines[0].arrivals().len() <= 4, "{}", engines[0].arrivals().len());
+        assert_eq!(engines[1].runs().len(), 10);
+    });
+}
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -36,6 +36,8 @@
     Replaced,
     /// The endpoint turned a whole request away unrun.
     Refused,
+    /// The endpoint turned a run away whose memory it had reserved.
+    TurnedAway,
     /// The endpoint had no memory for a run; the request did not run.
     Full,
     /// The entry gave the request up itself; tells at most that the endpoint is slow.
@@ -50,6 +52,8 @@
     at: Time,
     /// Failures to reach it in a row.
     unreachable: u32,
+    /// Runs turned away in a row.
+    turned_away: u32,
     /// It is left alone until then.
     shunned: Time,
     /// Mean time of its answers; zero before the first.
@@ -73,6 +77,7 @@
         match outcome {
             Outcome::Answered(time) => {
                 self.unreachable = 0;
+                self.turned_away = 0;
                 self.shunned = Time::ZERO;
                 self.count(now, 0.0);
                 self.answer_time = mean(self.answer_time, time);
@@ -80,9 +85,16 @@
             Outcome::Failed | Outcome::Refused => self.count(now, 1.0),
             Outcome::Unreachable => {
                 self.count(now, 1.0);
-                let pause = FIRST_PAUSE.saturating_mul(1 << self.unreachable.min(8)).min(LONGEST_PAUSE);
+                self.shunned = now.plus(pause(self.unreachable));
                 self.unreachable += 1;
-                self.shunned = now.plus(pause);
+            }
+            // The first may be the fault of whoever read its prompt. An endpoint that is about to
+            // change its stage grants reservations and turns all runs away, for some seconds.
+            Outcome::TurnedAway => {
+                if self.turned_away > 0 {
+                    self.shunned = now.plus(pause(self.turned_away - 1));
+                }
+                self.turned_away += 1;
             }
             Outcome::Replaced => self.shunned = now.plus(REPLACED_PAUSE),
             Outcome::Full => self.unreachable = 0,
@@ -120,6 +132,11 @@
     }
 }
 
+/// How long an endpoint is left alone after `before` failures of the same kind in a row.
+fn pause(before: u32) -> Duration {
+    FIRST_PAUSE.saturating_mul(1 << before.min(8)).min(LONGEST_PAUSE)
+}
+
 fn mean(before: Duration, time: Duration) -> Duration {
     if before.is_zero() {
         return time;
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -100,7 +100,7 @@
         load.own.memory = load.own.memory.saturating_sub(lease.share.memory);
         load.own.reading = load.own.reading.saturating_sub(lease.share.reading);
         load.health.ended(now, lease.number, outcome);
-        if matches!(outcome, Outcome::Full | Outcome::Refused) {
+        if matches!(outcome, Outcome::Full | Outcome::Refused | Outcome::TurnedAway) {
             load.full_until = now.plus(FULL);
         }
     }
--- a/crates/core/tests/gateway/health.rs
+++ b/crates/core/tests/gateway/health.rs
@@ -76,3 +76,23 @@
     health.ended(at(531), number, Outcome::Abandoned);
     assert_eq!(health.answer_time(at(532)), before);
 }
+
+/// One run turned away may be the fault of whoever read its prompt; two in a row are the endpoint's.
+#[test]
+fn an_endpoint_that_turns_runs_away_in_a_row_is_left_alone() {
+    let mut health = Health::default();
+    let turn_away = |health: &mut Health, now| {
+        let number = health.sent(at(now));
+        health.ended(at(now), number, Outcome::TurnedAway);
+    };
+    turn_away(&mut health, 0);
+    assert!(!health.is_shunned(at(1)));
+    turn_away(&mut health, 10);
+    assert!(health.is_shunned(at(200)) && !health.is_shunned(at(300)));
+    turn_away(&mut health, 300);
+    assert!(health.is_shunned(at(700)) && !health.is_shunned(at(900)));
+    let number = health.sent(at(900));
+    health.ended(at(910), number, Outcome::Answered(Duration::from_millis(10)));
+    turn_away(&mut health, 920);
+    assert!(!health.is_shunned(at(921)));
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -384,7 +384,7 @@
     if exchange.reply.not_run || status == MISDIRECTED {
         inbound.may_have_run.store(had_run, Ordering::Relaxed);
         let reason = format!("{} did not run it, status {status}", endpoint.id);
-        ticket.ended(unrun(&exchange.head, &exchange.reply, endpoint, Outcome::Full));
+        ticket.ended(unrun(&exchange.head, &exchange.reply, endpoint, Outcome::TurnedAway));
         // The body is of no use, but reading it keeps the connection.
         let _ = exchange.whole().await;
         return Err(Trouble::NotRun(reason));
