--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -34,6 +34,11 @@
         Self(self.0.saturating_add(micros(span)))
     }
 
+    /// The point `span` earlier; stops at the origin.
+    pub fn minus(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(micros(span)))
+    }
+
     /// The span from `earlier` to here; zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -35,6 +35,13 @@
 }
 
 impl<T> Waiting<T> {
+    /// The same request with another tag.
+    pub fn tagged<U>(self, tag: U) -> Waiting<U> {
+        let Self { service, prompt, expected, memory, arrived, on_time, last_start, priority, avoid, .. } =
+            self;
+        Waiting { tag, service, prompt, expected, memory, arrived, on_time, last_start, priority, avoid }
+    }
+
     /// Whether its first event cannot be on time any more.
     pub fn is_late(&self, now: Time) -> bool {
         self.on_time < now
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -191,20 +191,7 @@
 
     /// Waits for the places of a completion.
     pub async fn decode(&self, waiting: Waiting<()>) -> Pairing {
-        let asked = self.ask(|tag| {
-            Command::LineUp(Waiting {
-                tag,
-                service: waiting.service,
-                prompt: waiting.prompt,
-                expected: waiting.expected,
-                memory: waiting.memory,
-                arrived: waiting.arrived,
-                on_time: waiting.on_time,
-                last_start: waiting.last_start,
-                priority: waiting.priority,
-                avoid: waiting.avoid,
-            })
-        });
+        let asked = self.ask(|reply| Command::LineUp(waiting.tagged(reply)));
         asked.await.unwrap_or(Err(stopping()))
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -263,8 +263,8 @@
     let expected = expected(&tokens);
     let first = FIRST_EVENT + reading_time(tokens.prompt);
     // The caller leaves at its deadline, and before it if it sees no event for too long.
-    let in_time = before(inbound.ends, first + run_time(expected));
-    let in_patience = before(inbound.received.plus(inbound.route.silence), first);
+    let in_time = inbound.ends.minus(first + run_time(expected));
+    let in_patience = inbound.received.plus(inbound.route.silence).minus(first);
     Waiting {
         tag: (),
         service: inbound.service.clone(),
@@ -272,17 +272,13 @@
         expected,
         memory: memory(tokens.prompt, expected).min(engine.memory),
         arrived: inbound.received,
-        on_time: before(inbound.received.plus(inbound.route.aim), first),
+        on_time: inbound.received.plus(inbound.route.aim).minus(first),
         last_start: in_time.min(in_patience),
         priority: inbound.priority(),
         avoid: avoid.to_vec(),
     }
 }
 
-fn before(time: tarragonhill_core::Time, span: Duration) -> tarragonhill_core::Time {
-    tarragonhill_core::Time::ZERO.plus(time.since(tarragonhill_core::Time::ZERO.plus(span)))
-}
-
 /// Reserves memory at an endpoint; nothing if it has none.
 async fn hold(
     context: &Arc<Context>,
