Count the endpoints that may run a request, so that one cannot speak for another

Cause: a lookup is given to two endpoints at once when the first is silent. When the first then said that it had not run it, the note that the request may have run was set back to what it was before the first, and the second's part was lost: a caller whose second endpoint never answered was told 503, 'not run', which may be false.

The new test (a late refusal beside an endpoint that hangs, both ways round) failed with 503 before, 504 after.

Change: a count in place of the flag that each attempt set and put back; the request no longer keeps customer and service beside the admission that holds them.

--- a/crates/bench/src/published/endpoint.rs
+++ b/crates/bench/src/published/endpoint.rs
@@ -24,6 +24,8 @@
 
 /// Time between two events of a stream: short, so that tests are.
 const STEP: Duration = Duration::from_millis(5);
+/// How long a late refusal takes: longer than a gateway waits before it asks a second endpoint.
+const LATE: Duration = Duration::from_millis(700);
 /// Events of a stream.
 pub const EVENTS: u32 = 20;
 
@@ -48,6 +50,8 @@
     None,
     /// Turns requests away and says that it did not run them.
     Refuse,
+    /// The same, but only after a while.
+    RefuseLate,
     /// Answers 503 and says nothing of whether it ran them.
     Busy,
     /// Answers 500, signed: its own failure.
@@ -317,7 +321,10 @@
     async fn work(self, connection: Connection) -> (Connection, Then) {
         let fault = lock(&self.state).take_fault();
         match fault {
-            Fault::Refuse => {
+            Fault::Refuse | Fault::RefuseLate => {
+                if fault == Fault::RefuseLate {
+                    task::sleep(LATE).await;
+                }
                 self.note(false);
                 return self.refuse(connection).await;
             }
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -696,3 +696,20 @@
         assert_eq!(engines[1].runs().len(), 10);
     });
 }
+
+/// A lookup is with two endpoints at once when the first says that it did not run it. The second may
+/// have run it still; when it never answers, the caller must not be told that nobody did.
+#[test]
+fn a_refusal_by_one_endpoint_says_nothing_of_the_other() {
+    for order in [[Fault::RefuseLate, Fault::Hang], [Fault::Hang, Fault::RefuseLate]] {
+        run(async {
+            let site = site().await;
+            for (endpoint, fault) in site.endpoints(Role::Plain).iter().zip(order) {
+                endpoint.set_fault(fault);
+            }
+            let mut head = lookup("r1");
+            head.fields.set("Tarragonhill-Deadline-Ms", "1500");
+            assert_eq!(ask(&site, head, b"").await.head.status, 504, "{order:?}");
+        });
+    }
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -11,11 +11,7 @@
 use bytes::Bytes;
 use tarragonhill_core::{
     Clock, Time,
-    gateway::{
-        catalog::{Customer, Route},
-        directory::Endpoint,
-        state::Admission,
-    },
+    gateway::{catalog::Route, directory::Endpoint, state::Admission},
 };
 use tarragonhill_h1::head::Request;
 
@@ -82,24 +78,43 @@
     pub(crate) body: Bytes,
     pub(crate) call: Call,
     pub(crate) route: Arc<Route>,
-    pub(crate) customer: Option<Arc<Customer>>,
-    pub(crate) service: Arc<str>,
     pub(crate) admission: Admission,
     /// When it had been read.
     pub(crate) received: Time,
     /// When the caller or the operator gives up.
     pub(crate) ends: Time,
-    /// Whether an endpoint may have run it, or may yet.
-    pub(crate) may_have_run: AtomicBool,
+    /// Endpoints that may have run it, or may yet. A count, since two may have it at once and each
+    /// speaks for itself only.
+    runs: AtomicU32,
 }
 
 impl Inbound {
+    /// A request that no endpoint has been given yet.
+    pub(crate) fn new(
+        head: Request,
+        body: Bytes,
+        call: Call,
+        route: Arc<Route>,
+        admission: Admission,
+        received: Time,
+    ) -> Self {
+        let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+        let ends = received.plus(patience);
+        Self { head, body, call, route, admission, received, ends, runs: AtomicU32::new(0) }
+    }
+
+    /// The service that serves it.
+    pub(crate) fn service(&self) -> &Arc<str> {
+        &self.admission.service
+    }
+
     pub(crate) fn id(&self) -> &str {
         self.call.id.as_deref().unwrap_or("-")
     }
 
     pub(crate) fn priority(&self) -> u8 {
-        self.customer.as_ref().and_then(|customer| customer.priority).unwrap_or(self.route.priority)
+        let customer = self.admission.customer.as_ref();
+        customer.and_then(|customer| customer.priority).unwrap_or(self.route.priority)
     }
 
     /// Logs where it goes: its endpoint, who reads its prompt, and how long it waited.
@@ -110,7 +125,22 @@
         });
     }
 
+    /// An endpoint is given it, and may run it from now on.
+    pub(crate) fn given(&self) {
+        self.runs.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// An endpoint that was given it has not run it and will not.
+    pub(crate) fn not_run(&self) {
+        self.runs.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Whether any endpoint may have run it, or may yet.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.runs.load(Ordering::Relaxed) > 0
+    }
+
     pub(crate) fn customer_name(&self) -> Option<&str> {
-        self.customer.as_ref().map(|customer| &*customer.name)
+        self.admission.customer.as_ref().map(|customer| &*customer.name)
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -230,7 +230,7 @@
 }
 
 fn out_of_time(inbound: &Inbound) -> Refusal {
-    if inbound.may_have_run.load(Ordering::Relaxed) {
+    if inbound.may_have_run() {
         return Refusal::run(Code::Timeout, "no answer in time");
     }
     Refusal::not_run(Code::Overloaded, "no place in time")
--- a/crates/gateway/src/identify.rs
+++ b/crates/gateway/src/identify.rs
@@ -1,9 +1,6 @@
 //! Finds a request's route, customer and service.
 
-use std::{
-    sync::{Arc, atomic::AtomicBool},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use rand::Rng as _;
@@ -40,17 +37,13 @@
         }
     };
     let (route, customer) = found?;
-    let service = route.service(rand::rng().random()).clone();
-    let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let admission = Admission {
-        customer: customer.clone(),
         tokens: customer.as_ref().map_or(0, |customer| counted(customer, &call)),
-        service: service.clone(),
+        service: route.service(rand::rng().random()).clone(),
         fingerprint: fingerprint(customer.as_ref().map_or("", |customer| &*customer.name), &head, &body),
+        customer,
     };
-    let may_have_run = AtomicBool::new(false);
-    let ends = received.plus(patience);
-    Ok(Inbound { head, body, call, route, customer, service, admission, received, ends, may_have_run })
+    Ok(Inbound::new(head, body, call, route, admission, received))
 }
 
 /// What a request takes of its customer's rate.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,10 +8,7 @@
 mod reading;
 mod release;
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use async_std::future::timeout;
 use bytes::{Bytes, BytesMut};
@@ -136,7 +133,7 @@
         };
         // The stream was cut and cannot go on; the connection ends without the stream's end.
         let Some(reason) = reason else { return Ok(()) };
-        if sends >= MOST_SENDS || !context.control.retry(&inbound.service).await {
+        if sends >= MOST_SENDS || !context.control.retry(inbound.service()).await {
             return exhausted(inbound, answer, reason);
         }
         spdlog::info!("sent again", kv: {
@@ -185,7 +182,7 @@
 }
 
 fn exhausted(inbound: &Inbound, answer: &Answer, reason: String) -> Result<(), Refusal> {
-    if answer.is_open() && !inbound.may_have_run.load(Ordering::Relaxed) {
+    if answer.is_open() && !inbound.may_have_run() {
         return Err(Refusal::not_run(Code::Overloaded, reason).retry_after(COME_BACK));
     }
     cut(inbound, answer, reason).map(|_| ())
@@ -221,9 +218,9 @@
     inbound: &Inbound,
     progress: &Progress,
 ) -> Result<Placing, Refusal> {
-    let engine = context.control.catalog().and_then(|catalog| catalog.service(&inbound.service)?.engine);
+    let engine = context.control.catalog().and_then(|catalog| catalog.service(inbound.service())?.engine);
     let Some(engine) = engine else { return whole(context, inbound, progress).await };
-    if !context.control.is_split(&inbound.service).await {
+    if !context.control.is_split(inbound.service()).await {
         return whole(context, inbound, progress).await;
     }
     let mut avoid = progress.avoid.clone();
@@ -255,7 +252,7 @@
 }
 
 async fn whole(context: &Context, inbound: &Inbound, progress: &Progress) -> Result<Placing, Refusal> {
-    context.control.whole(&inbound.service, &progress.avoid).await.map(Placing::Whole)
+    context.control.whole(inbound.service(), &progress.avoid).await.map(Placing::Whole)
 }
 
 fn waiting(inbound: &Inbound, engine: &Engine, avoid: &[Arc<str>]) -> Waiting<()> {
@@ -267,7 +264,7 @@
     let in_patience = inbound.received.plus(inbound.route.silence).minus(first);
     Waiting {
         tag: (),
-        service: inbound.service.clone(),
+        service: inbound.service().clone(),
         prompt: tokens.prompt,
         expected,
         memory: memory(tokens.prompt, expected).min(engine.memory),
@@ -361,13 +358,13 @@
 ) -> Result<Run<'a>, Trouble> {
     let left = inbound.ends.since(context.clock.now());
     let head = context.dialect.pass(&inbound.head, &passage(inbound, endpoint, left, task));
-    let had_run = inbound.may_have_run.swap(true, Ordering::Relaxed);
+    inbound.given();
     let limit = left.min(inbound.route.silence + SILENCE_SLACK);
     let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), limit).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(Failure::Unsent(error)) => {
-            inbound.may_have_run.store(had_run, Ordering::Relaxed);
+            inbound.not_run();
             ticket.ended(Outcome::Unreachable);
             return Err(Trouble::NotRun(format!("{} cannot be reached: {error}", endpoint.id)));
         }
@@ -378,7 +375,7 @@
     };
     let status = exchange.head.status;
     if exchange.reply.not_run || status == MISDIRECTED {
-        inbound.may_have_run.store(had_run, Ordering::Relaxed);
+        inbound.not_run();
         let reason = format!("{} did not run it, status {status}", endpoint.id);
         ticket.ended(unrun(&exchange.head, &exchange.reply, endpoint, Outcome::TurnedAway));
         // The body is of no use, but reading it keeps the connection.
--- a/crates/gateway/src/stream/reading.rs
+++ b/crates/gateway/src/stream/reading.rs
@@ -47,11 +47,11 @@
             Err(failure) => (format!("{}: {failure}", endpoint.id), true),
         };
         spdlog::info!("prompt not read", kv: { request = inbound.id(), reason = reason.as_str() });
-        let is_paid = !was_sent || context.control.retry(&inbound.service).await;
+        let is_paid = !was_sent || context.control.retry(inbound.service()).await;
         if readers >= MOST_READERS || !is_paid {
             return Err(Trouble::NotRun(reason));
         }
-        let service = inbound.service.clone();
+        let service = inbound.service().clone();
         let reading = Reading { service, tokens: prompt, zone: zone.clone(), avoid: avoid.clone() };
         let Some(next) = context.control.prefill(reading).await else { return Err(Trouble::NotRun(reason)) };
         reader = next;
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -3,7 +3,7 @@
 //! Taking the answer whole costs its few kilobytes of memory and lets a cut or spoilt answer of an
 //! idempotent request be replaced by another endpoint's before the caller has seen any of it.
 
-use std::{pin::pin, sync::Arc, sync::atomic::Ordering};
+use std::{pin::pin, sync::Arc};
 
 use async_std::future::timeout;
 use bytes::Bytes;
@@ -49,7 +49,7 @@
     let mut failure: Option<(Response, Bytes)> = None;
     let mut runs = 0;
     for sends in 1.. {
-        let ticket = match context.control.whole(&inbound.service, &avoid).await {
+        let ticket = match context.control.whole(inbound.service(), &avoid).await {
             Ok(ticket) => ticket,
             Err(refusal) => return give_up(inbound, answer, failure, refusal).await,
         };
@@ -75,7 +75,7 @@
                 reason
             }
         };
-        if sends >= MOST_SENDS || !context.control.retry(&inbound.service).await {
+        if sends >= MOST_SENDS || !context.control.retry(inbound.service()).await {
             let refusal = exhausted(inbound, reason);
             return give_up(inbound, answer, failure, refusal).await;
         }
@@ -89,7 +89,7 @@
 }
 
 fn exhausted(inbound: &Inbound, reason: String) -> Refusal {
-    if inbound.may_have_run.load(Ordering::Relaxed) {
+    if inbound.may_have_run() {
         return Refusal::run(Code::OutcomeUnknown, reason);
     }
     Refusal::not_run(Code::Overloaded, reason).retry_after(COME_BACK)
@@ -132,8 +132,8 @@
     if let Ok(attempt) = timeout(patience, first.as_mut()).await {
         return (attempt, 1);
     }
-    let Ok(ticket) = context.control.whole(&inbound.service, avoid).await else { return (first.await, 1) };
-    if !context.control.retry(&inbound.service).await {
+    let Ok(ticket) = context.control.whole(inbound.service(), avoid).await else { return (first.await, 1) };
+    if !context.control.retry(inbound.service()).await {
         drop(ticket);
         return (first.await, 1);
     }
@@ -164,7 +164,7 @@
         task: Task::Whole,
     };
     let head = context.dialect.pass(&inbound.head, &passage);
-    let had_run = inbound.may_have_run.swap(true, Ordering::Relaxed);
+    inbound.given();
     let sent = context.sender().send(&endpoint, &head, &inbound.body, inbound.call.id.as_deref(), left).await;
     let taken = match sent {
         Ok(exchange) => {
@@ -175,7 +175,7 @@
     };
     let attempt = judge(inbound, taken, ticket, context);
     if matches!(attempt, Attempt::NotRun(_)) {
-        inbound.may_have_run.store(had_run, Ordering::Relaxed);
+        inbound.not_run();
     }
     count(context, &attempt);
     attempt
