--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -206,6 +206,11 @@
         self.accounts.iter().map(|(name, account)| (name.clone(), account.spent)).collect()
     }
 
+    /// Tokens left to a customer as of its last request; none if it has no rate.
+    pub fn left_to(&self, customer: &str) -> i64 {
+        self.accounts.get(customer).map_or(0, |account| account.level / MICRO)
+    }
+
     /// Tokens left, by customer, as this entry sees it.
     pub fn left(&mut self, now: Time) -> BTreeMap<Arc<str>, i64> {
         let mut left = BTreeMap::new();
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -88,12 +88,8 @@
     pub slots: u32,
     /// Memory for prompts and answers, tokens.
     pub memory: u64,
-    /// How long a prefill's result is kept.
-    pub result_ttl: Duration,
     /// Longest reservation that an endpoint grants; zero if it grants none.
     pub longest_hold: Duration,
-    /// How long a change of stage takes once an endpoint is idle.
-    pub switch: Duration,
 }
 
 /// Endpoints that serve the same.
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -1,6 +1,11 @@
 //! Which endpoints there are, from the list that they keep of themselves.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use strum::{Display, EnumString, IntoStaticStr};
 
@@ -136,10 +141,11 @@
     /// Takes the whole list as of a version. What is missing from it is gone, unless the list is
     /// older than what is known: a store that reads behind itself must not undo anything.
     pub fn replace(&mut self, now: Time, version: u64, rows: Vec<Row>) -> Vec<Change> {
+        let listed: BTreeSet<&Arc<str>> = rows.iter().map(|row| &row.id).collect();
         let missing: Vec<Row> = self
             .known
             .iter()
-            .filter(|(id, known)| known.version <= version && !rows.iter().any(|row| row.id == **id))
+            .filter(|(id, known)| known.version <= version && !listed.contains(id))
             .map(|(id, _)| Row { id: id.clone(), version, sequence: 0, endpoint: None })
             .collect();
         let is_current = version >= self.version;
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -22,8 +22,8 @@
     refusal::{Code, Refusal},
 };
 
-/// What callers are told to wait when an endpoint is expected back soon, or the line to be shorter.
-const COME_BACK: Duration = Duration::from_millis(1_000);
+/// What callers are told to wait when an endpoint is expected back soon.
+pub const COME_BACK: Duration = Duration::from_millis(1_000);
 
 /// Who this entry is.
 #[derive(Clone, Debug)]
@@ -224,7 +224,7 @@
         if let Some(customer) = &admission.customer
             && let Err(wait) = self.allowance.spend(now, &customer.name, admission.tokens)
         {
-            let left = self.allowance.left(now).get(&customer.name).copied().unwrap_or(0);
+            let left = self.allowance.left_to(&customer.name);
             let Customer { name, rate, burst, .. } = &**customer;
             let asked = admission.tokens;
             let message = format!("{name} has {left} tokens left, asked {asked}; rate {rate}, burst {burst}");
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -49,13 +49,7 @@
 }
 
 fn engine() -> Engine {
-    Engine {
-        slots: 48,
-        memory: 60_000,
-        result_ttl: Duration::from_millis(500),
-        longest_hold: Duration::from_secs(2),
-        switch: Duration::from_secs(6),
-    }
+    Engine { slots: 48, memory: 60_000, longest_hold: Duration::from_secs(2) }
 }
 
 fn customer(name: &str, rate: u64, burst: u64) -> Customer {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -17,15 +17,12 @@
 
 use crate::{
     control::Control,
-    edge::{Call, Dialect, Message},
-    exchange::Sender,
+    edge::{Call, Dialect, Message, Passage, Task},
+    exchange::{Exchange, Failure, Sender},
     metrics::Metrics,
     pool::Pool,
 };
 
-/// What callers are told to wait where endpoints are expected back soon.
-pub(crate) const COME_BACK: Duration = Duration::from_millis(1_000);
-
 /// Shared by all tasks.
 pub(crate) struct Context {
     pub(crate) clock: Clock,
@@ -117,6 +114,27 @@
         customer.and_then(|customer| customer.priority).unwrap_or(self.route.priority)
     }
 
+    /// Whether it may run again when `runs` endpoints may have run it.
+    pub(crate) fn may_repeat(&self, runs: u32) -> bool {
+        self.route.is_repeatable() && runs < self.route.attempts
+    }
+
+    /// Sends it to an endpoint with a task, and waits for the head of the answer, `limit` at most.
+    pub(crate) async fn send<'a>(
+        &self,
+        context: &'a Context,
+        endpoint: &'a Endpoint,
+        task: Task<'_>,
+        limit: Duration,
+    ) -> Result<Exchange<'a>, Failure> {
+        let left = self.ends.since(context.clock.now());
+        let passage =
+            Passage { endpoint, customer: self.customer_name(), left, priority: self.priority(), task };
+        let head = context.dialect.pass(&self.head, &passage);
+        let id = self.call.id.as_deref();
+        context.sender().send(endpoint, &head, &self.body, id, limit.min(left)).await
+    }
+
     /// Logs where it goes: its endpoint, who reads its prompt, and how long it waited.
     pub(crate) fn log_place(&self, now: Time, endpoint: &Endpoint, reader: Option<&Endpoint>) {
         spdlog::info!("request placed", kv: {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 use async_std::{future::timeout, net::TcpStream};
 use bytes::Bytes;
 use futures_lite::{AsyncWriteExt as _, future::poll_fn};
-use tarragonhill_core::gateway::directory::Endpoint;
+use tarragonhill_core::gateway::{directory::Endpoint, health::Outcome};
 use tarragonhill_h1::{
     Connection, Error, Malformed,
     body::Decoder,
@@ -184,13 +184,23 @@
 }
 
 /// Whether an answer comes from another endpoint than the one meant.
-pub(crate) fn is_replaced(head: &Response, reply: &Reply, endpoint: &Endpoint) -> bool {
+fn is_replaced(head: &Response, reply: &Reply, endpoint: &Endpoint) -> bool {
     head.status == MISDIRECTED && reply.instance.as_deref().is_some_and(|instance| instance != &*endpoint.id)
 }
 
 /// An endpoint that is not the one meant, or not of the kind asked, answers so.
 pub(crate) const MISDIRECTED: u16 = 421;
 
+/// What it says of an endpoint that it did not run a request: `otherwise`, unless it is another one.
+pub(crate) fn unrun(head: &Response, reply: &Reply, endpoint: &Endpoint, otherwise: Outcome) -> Outcome {
+    if is_replaced(head, reply, endpoint) { Outcome::Replaced } else { otherwise }
+}
+
+/// Whether a status promises the caller that its request has not run.
+pub(crate) fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 fn spoilt(why: Malformed) -> Failure {
     Failure::Spoilt(why.0)
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -12,6 +12,7 @@
     task,
 };
 use bytes::Bytes;
+use futures_lite::future;
 use tarragonhill_core::{
     Refusal,
     gateway::catalog::{Catalog, Kind, Limits},
@@ -26,9 +27,9 @@
 use crate::{
     answer::Answer,
     context::{Context, Inbound},
+    edge::Call,
     identify::identify,
-    stream,
-    whole::{self, unless},
+    stream, whole,
 };
 
 /// Bytes to a caller may stay unacknowledged this long before the connection counts as dead.
@@ -89,10 +90,12 @@
         let close = !head.keeps_alive() || context.is_leaving();
         let mut answer = Answer::new(connection.stream().clone(), &head.method, head.minor, close);
         context.running.fetch_add(1, Ordering::Relaxed);
-        let served = unless(serve(context, head, body, &mut answer), gone(&mut connection)).await;
+        let call = context.dialect.call(&head);
+        let id = call.id.clone();
+        let served = unless(serve(context, head, body, call, &mut answer), gone(&mut connection)).await;
         context.running.fetch_sub(1, Ordering::Relaxed);
         if served.is_none() {
-            spdlog::info!("caller left");
+            spdlog::info!("caller left", kv: { request = id.as_deref().unwrap_or("-") });
             return;
         }
         if !answer.keeps_alive() {
@@ -183,8 +186,7 @@
     }
 }
 
-async fn serve(context: &Arc<Context>, head: Request, body: Bytes, answer: &mut Answer) {
-    let call = context.dialect.call(&head);
+async fn serve(context: &Arc<Context>, head: Request, body: Bytes, call: Call, answer: &mut Answer) {
     let id = call.id.clone();
     let received = context.clock.now();
     let catalog = context.control.catalog();
@@ -269,3 +271,13 @@
         events = answer.events
     });
 }
+
+/// Runs `work`, or tells that `until` came first.
+async fn unless<T>(work: impl Future<Output = T>, until: impl Future<Output = ()>) -> Option<T> {
+    let work = async { Some(work.await) };
+    let until = async {
+        until.await;
+        None
+    };
+    future::or(work, until).await
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,6 +20,7 @@
         forecast::{FIRST_EVENT, memory, reading_time, run_time},
         health::Outcome,
         line::Waiting,
+        state::COME_BACK,
     },
     refusal::Code,
 };
@@ -32,11 +33,10 @@
 };
 use crate::{
     answer::Answer,
-    context::{COME_BACK, Context, Inbound},
+    context::{Context, Inbound},
     control::{Ticket, Tickets},
-    edge::{Decode, Passage, Task, Tokens},
-    exchange::{Exchange, Failure, MISDIRECTED},
-    whole::{is_promise, unrun},
+    edge::{Decode, Task, Tokens},
+    exchange::{Exchange, Failure, MISDIRECTED, is_promise, unrun},
 };
 
 /// Most times that a request is sent on when endpoints turn it away unrun.
@@ -175,7 +175,7 @@
     progress.runs += 1;
     progress.avoid.push(endpoint.id.clone());
     context.control.broke(&endpoint.id, inbound.admission.fingerprint);
-    if inbound.route.is_repeatable() && progress.runs < inbound.route.attempts {
+    if inbound.may_repeat(progress.runs) {
         return Ok(Some(reason));
     }
     cut(inbound, answer, reason)
@@ -344,10 +344,6 @@
     }
 }
 
-fn passage<'a>(inbound: &'a Inbound, endpoint: &'a Endpoint, left: Duration, task: Task<'a>) -> Passage<'a> {
-    Passage { endpoint, customer: inbound.customer_name(), left, priority: inbound.priority(), task }
-}
-
 /// Sends the run itself.
 async fn send<'a>(
     context: &'a Arc<Context>,
@@ -356,11 +352,8 @@
     endpoint: &'a Arc<Endpoint>,
     task: Task<'_>,
 ) -> Result<Run<'a>, Trouble> {
-    let left = inbound.ends.since(context.clock.now());
-    let head = context.dialect.pass(&inbound.head, &passage(inbound, endpoint, left, task));
     inbound.given();
-    let limit = left.min(inbound.route.silence + SILENCE_SLACK);
-    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), limit).await;
+    let sent = inbound.send(context, endpoint, task, inbound.route.silence + SILENCE_SLACK).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(Failure::Unsent(error)) => {
--- a/crates/gateway/src/stream/reading.rs
+++ b/crates/gateway/src/stream/reading.rs
@@ -5,15 +5,14 @@
 use tarragonhill_core::gateway::{directory::Endpoint, forecast::reading_time, health::Outcome};
 
 use super::{
-    Trouble, passage,
+    Trouble,
     release::{Kept, Release},
 };
 use crate::{
     context::{Context, Inbound},
     control::{Reading, Ticket},
     edge::Task,
-    exchange::{Failure, MISDIRECTED},
-    whole::unrun,
+    exchange::{Failure, MISDIRECTED, unrun},
 };
 
 /// Most endpoints asked to read one prompt.
@@ -66,11 +65,8 @@
     endpoint: &Arc<Endpoint>,
     prompt: u64,
 ) -> Result<Arc<str>, Failure> {
-    let left = inbound.ends.since(context.clock.now());
-    let limit = (reading_time(prompt) * READING_PATIENCE + READING_SLACK).min(left);
-    let passage = passage(inbound, endpoint, left, Task::Prefill);
-    let head = context.dialect.pass(&inbound.head, &passage);
-    let sent = context.sender().send(endpoint, &head, &inbound.body, inbound.call.id.as_deref(), limit).await;
+    let limit = reading_time(prompt) * READING_PATIENCE + READING_SLACK;
+    let sent = inbound.send(context, endpoint, Task::Prefill, limit).await;
     let taken = match sent {
         Ok(exchange) => exchange.whole().await,
         Err(failure) => Err(failure),
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -3,24 +3,24 @@
 //! Taking the answer whole costs its few kilobytes of memory and lets a cut or spoilt answer of an
 //! idempotent request be replaced by another endpoint's before the caller has seen any of it.
 
-use std::{pin::pin, sync::Arc};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use async_std::future::timeout;
 use bytes::Bytes;
-use futures_lite::future::{self, FutureExt as _};
+use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Refusal,
-    gateway::{directory::Endpoint, health::Outcome},
+    gateway::{health::Outcome, state::COME_BACK},
     refusal::Code,
 };
 use tarragonhill_h1::head::Response;
 
 use crate::{
     answer::Answer,
-    context::{COME_BACK, Context, Inbound},
+    context::{Context, Inbound},
     control::Ticket,
-    edge::{Passage, Reply, Task},
-    exchange::{Failure, MISDIRECTED, is_replaced},
+    edge::{Reply, Task},
+    exchange::{Failure, MISDIRECTED, is_promise, unrun},
 };
 
 /// Part of the aim after which an idempotent request is sent to a second endpoint as well: late
@@ -57,7 +57,7 @@
         avoid.push(ticket.endpoint.id.clone());
         let (attempt, used) = attempt_with_backup(context, inbound, ticket, &mut avoid, runs).await;
         let reason = match attempt {
-            Attempt::Answered { head, body } if head.status < 500 || !may_repeat(inbound, runs + used) => {
+            Attempt::Answered { head, body } if head.status < 500 || !inbound.may_repeat(runs + used) => {
                 return pass_on(inbound, answer, head, body).await;
             }
             Attempt::Answered { head, body } => {
@@ -68,7 +68,7 @@
             Attempt::NotRun(reason) => reason,
             Attempt::Broken(reason) => {
                 runs += used;
-                if !may_repeat(inbound, runs) {
+                if !inbound.may_repeat(runs) {
                     let refusal = Refusal::run(Code::OutcomeUnknown, reason);
                     return give_up(inbound, answer, failure, refusal).await;
                 }
@@ -84,10 +84,6 @@
     Ok(())
 }
 
-fn may_repeat(inbound: &Inbound, runs: u32) -> bool {
-    inbound.route.is_repeatable() && runs < inbound.route.attempts
-}
-
 fn exhausted(inbound: &Inbound, reason: String) -> Refusal {
     if inbound.may_have_run() {
         return Refusal::run(Code::OutcomeUnknown, reason);
@@ -125,7 +121,7 @@
     runs: u32,
 ) -> (Attempt, u32) {
     let mut first = pin!(attempt(context, inbound, ticket));
-    if !may_repeat(inbound, runs + 1) {
+    if !inbound.may_repeat(runs + 1) {
         return (first.await, 1);
     }
     let patience = inbound.route.aim.mul_f64(BACKUP_AFTER);
@@ -155,17 +151,8 @@
 
 async fn attempt(context: &Arc<Context>, inbound: &Inbound, mut ticket: Ticket) -> Attempt {
     let endpoint = ticket.endpoint.clone();
-    let left = inbound.ends.since(context.clock.now());
-    let passage = Passage {
-        endpoint: &endpoint,
-        customer: inbound.customer_name(),
-        left,
-        priority: inbound.priority(),
-        task: Task::Whole,
-    };
-    let head = context.dialect.pass(&inbound.head, &passage);
     inbound.given();
-    let sent = context.sender().send(&endpoint, &head, &inbound.body, inbound.call.id.as_deref(), left).await;
+    let sent = inbound.send(context, &endpoint, Task::Whole, Duration::MAX).await;
     let taken = match sent {
         Ok(exchange) => {
             ticket.answered();
@@ -223,16 +210,6 @@
     Attempt::Answered { head, body }
 }
 
-/// What it says of an endpoint that it did not run a request: `otherwise`, unless it is another one.
-pub(crate) fn unrun(head: &Response, reply: &Reply, endpoint: &Endpoint, otherwise: Outcome) -> Outcome {
-    if is_replaced(head, reply, endpoint) { Outcome::Replaced } else { otherwise }
-}
-
-/// Whether a status promises the caller that its request has not run.
-pub(crate) fn is_promise(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
 fn count(context: &Context, attempt: &Attempt) {
     let outcome = match attempt {
         Attempt::Answered { .. } => "answered",
@@ -241,13 +218,3 @@
     };
     context.metrics.sends.with_label_values(&[outcome]).inc();
 }
-
-/// Runs `work`, or tells that `until` came first.
-pub(crate) async fn unless<T>(work: impl Future<Output = T>, until: impl Future<Output = ()>) -> Option<T> {
-    let work = async { Some(work.await) };
-    let until = async {
-        until.await;
-        None
-    };
-    future::or(work, until).await
-}
