Let callers wait for the first reading of the store at a process that has just started

Cause: a process listens some 20 ms before it has read configuration and endpoints. Ruled out: listening later (callers would find no connection); not being ready (the balancer sends callers all the same while nobody is). Change: in its first 300 ms a process lets requests wait until both were read. After that it refuses at once.

--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -129,6 +129,11 @@
 
     /// Starts a further gateway.
     pub async fn add_gateway(&mut self) -> Result<(), SiteError> {
+        self.add_gateway_by(Clock::runtime()).await
+    }
+
+    /// Starts a further gateway that lives by a clock.
+    pub async fn add_gateway_by(&mut self, clock: Clock) -> Result<(), SiteError> {
         let any = SocketAddr::from((self.ip, 0));
         let common = CommonSettings {
             name: format!("entry-{}", self.gateways.len() + 1).into(),
@@ -142,7 +147,7 @@
         };
         let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
         let settings = GatewaySettings { common, peer: any, grace: Duration::from_secs(8), retries };
-        let gateway = Gateway::start(settings, Clock::runtime()).await.map_err(SiteError::Gateway)?;
+        let gateway = Gateway::start(settings, clock).await.map_err(SiteError::Gateway)?;
         self.gateways.push(gateway);
         Ok(())
     }
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -8,6 +8,7 @@
     site::{KEY, SMALL_KEY, Shape, Site, configuration, eventually},
     store,
 };
+use tarragonhill_core::{Clock, clock::Manual};
 use tarragonhill_h1::head::Request;
 
 /// A prompt's size, tokens.
@@ -157,6 +158,21 @@
     });
 }
 
+/// All entries have lost power, and callers come back in the moment in which the first process
+/// listens again and has not read the configuration yet. A refusal would cost them their only repeat,
+/// for an answer of the store that is some milliseconds away.
+#[test]
+fn a_caller_that_comes_before_the_first_configuration_is_served() {
+    run(async {
+        let mut site = Site::empty().await.expect("a store");
+        site.add(Role::Plain).await.expect("an endpoint");
+        site.add_gateway_by(Clock::Manual(Manual::default())).await.expect("a gateway");
+        let asking = task::spawn(caller::ask(site.address(), lookup("r1"), b""));
+        site.configure(&configuration(1));
+        assert_eq!(asking.await.expect("an answer").head.status, 200);
+    });
+}
+
 /// A request hides a second one in its body, by naming two framings. A reader that takes the other
 /// framing would run the hidden request under the first one's name.
 #[test]
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Whether a list was ever read.
+    pub fn is_known(&self) -> bool {
+        self.version > 0
+    }
+
     /// Takes rows that changed.
     pub fn update(&mut self, now: Time, version: u64, rows: Vec<Row>) -> Vec<Change> {
         self.version = self.version.max(version);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -356,6 +356,11 @@
         self.suspects.broke(now, endpoint, fingerprint);
     }
 
+    /// Whether configuration and endpoints have been read, so that requests can be placed.
+    pub fn is_informed(&self) -> bool {
+        self.catalog.is_some() && self.directory.is_known()
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<&Arc<Catalog>> {
         self.catalog.as_ref()
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,6 +10,7 @@
 
 use async_channel::{Receiver, Sender, WeakSender};
 use async_std::{future::timeout, task};
+use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
@@ -34,6 +35,10 @@
 /// The same while requests wait, so that one that waits in vain is told soon.
 const BUSY_TICK: Duration = Duration::from_millis(25);
 
+/// Age at which a process that has read nothing gives callers up at once: ten times what the store
+/// takes when it is there, and short enough for a caller that bears a second to go elsewhere.
+const FIRST_READING: Duration = Duration::from_millis(300);
+
 /// Whom to answer.
 type Reply<T> = Sender<T>;
 /// A place, or why there is none.
@@ -112,6 +117,9 @@
 pub struct Control {
     commands: Sender<Command>,
     catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
+    /// Closed once configuration and endpoints have been read; nothing is ever sent.
+    informed: Receiver<()>,
+    started: Time,
 }
 
 /// A digest that is to be sent, and to whom.
@@ -130,18 +138,34 @@
     /// Starts the thread; digests to be sent and orders to be given come out of `outgoing`.
     pub fn start(identity: Identity, retries: Rule, clock: Clock, outgoing: Outlets) -> io::Result<Self> {
         let (commands, received) = async_channel::unbounded();
-        let control = Self { commands, catalog: Arc::default() };
-        let state = State::new(identity, retries, clock.now());
+        let (uninformed, informed) = async_channel::bounded(1);
+        let started = clock.now();
+        let control = Self { commands, catalog: Arc::default(), informed, started };
+        let state = State::new(identity, retries, started);
         // Held weakly: the thread ends when the traffic has dropped its last handle.
         let commands = control.commands.downgrade();
-        let catalog = control.catalog.clone();
-        let mut desk = Desk { state, clock, commands, catalog, outgoing, told: Time::ZERO };
+        let (catalog, informed) = (control.catalog.clone(), control.informed.clone());
+        let shared = Shared { commands, catalog, informed, started };
+        let uninformed = Some(uninformed);
+        let mut desk = Desk { state, clock, shared, uninformed, outgoing, told: Time::ZERO };
         thread::Builder::new()
             .name("control".into())
             .spawn(move || task::block_on(async move { desk.run(received).await }))?;
         Ok(control)
     }
 
+    /// Waits until configuration and endpoints have been read, or until it is plain that the store
+    /// is away: a process that has just started reads them within some 30 ms, and a caller that came
+    /// before that would lose its only repeat to a refusal.
+    pub async fn informed(&self, clock: &Clock) {
+        let left = FIRST_READING.saturating_sub(clock.now().since(self.started));
+        // Either it is informed, or requests are refused for want of a configuration.
+        let read = async {
+            let _ = self.informed.recv().await;
+        };
+        read.or(clock.sleep(left)).await;
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.catalog.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -225,12 +249,30 @@
     Refusal::not_run(Code::ShuttingDown, "the process is stopping")
 }
 
+/// What a handle is made of, held weakly.
+struct Shared {
+    commands: WeakSender<Command>,
+    catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
+    informed: Receiver<()>,
+    started: Time,
+}
+
+impl Shared {
+    /// Nothing once the traffic has ended.
+    fn control(&self) -> Option<Control> {
+        let Self { commands, catalog, informed, started } = self;
+        let (catalog, informed) = (catalog.clone(), informed.clone());
+        Some(Control { commands: commands.upgrade()?, catalog, informed, started: *started })
+    }
+}
+
 /// The control thread's own.
 struct Desk {
     state: State<Reply<Pairing>>,
     clock: Clock,
-    commands: WeakSender<Command>,
-    catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
+    shared: Shared,
+    /// Dropped once configuration and endpoints have been read.
+    uninformed: Option<Sender<()>>,
     outgoing: Outlets,
     /// When the last digest was sent.
     told: Time,
@@ -280,7 +322,7 @@
     /// Nothing once the traffic has ended: then nobody waits for it either.
     fn ticket(&self, place: Place) -> Option<Ticket> {
         let Place { endpoint, lease } = place;
-        let control = Control { commands: self.commands.upgrade()?, catalog: self.catalog.clone() };
+        let control = self.shared.control()?;
         Some(Ticket { endpoint, lease, outcome: Outcome::Abandoned, control })
     }
 
@@ -331,6 +373,9 @@
             }
             Update::Regained { what } => spdlog::info!("store regained", kv: { what }),
         }
+        if self.state.is_informed() {
+            self.uninformed = None;
+        }
     }
 
     fn adopt(&mut self, now: Time, order: u64, catalog: Arc<Catalog>) {
@@ -339,7 +384,7 @@
             spdlog::info!("older configuration ignored", kv: { version, order });
             return;
         }
-        *self.catalog.lock().unwrap_or_else(PoisonError::into_inner) = Some(catalog);
+        *self.shared.catalog.lock().unwrap_or_else(PoisonError::into_inner) = Some(catalog);
         spdlog::info!("configuration in force", kv: { version, order, routes });
     }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -189,6 +189,7 @@
 async fn serve(context: &Arc<Context>, head: Request, body: Bytes, call: Call, answer: &mut Answer) {
     let id = call.id.clone();
     let received = context.clock.now();
+    context.control.informed(&context.clock).await;
     let catalog = context.control.catalog();
     let inbound = match identify(catalog.as_deref(), head, body, call, received) {
         Ok(inbound) => inbound,
