Take prompts of a silent entry as read after 0.6 s

Ruled out: want of memory (some 7 decode endpoints with room); an order to the pools (none between 10.8 and 31.7 s). Change: another entry's share of prompts counts for 0.6 s; of runs and memory for 3 s as before. Test: what_a_silent_entry_had_read_is_taken_as_read_soon, failed first.

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -10,6 +10,10 @@
 
 /// A digest older than this says nothing of what runs now.
 const STALE: Duration = Duration::from_secs(3);
+/// Prompts that another entry was having read are read by now if its digest is older than this: as
+/// long as reading takes behind the most that is let stand ahead, and three digests. A frozen entry
+/// that had both readers busy otherwise kept all others from reading for [`STALE`].
+const READING_STALE: Duration = Duration::from_millis(600);
 /// After an endpoint refused for want of memory it is taken as full for this long: about the time
 /// in which one of ten running requests ends.
 const FULL: Duration = Duration::from_millis(100);
@@ -35,10 +39,10 @@
     /// By all entries.
     pub fn all(&self, now: Time) -> Share {
         let fresh = self.others.values().filter(|(at, _)| now.since(*at) < STALE);
-        fresh.fold(self.own, |sum, (_, share)| Share {
+        fresh.fold(self.own, |sum, (at, share)| Share {
             running: sum.running + share.running,
             memory: sum.memory + share.memory,
-            reading: sum.reading + share.reading,
+            reading: sum.reading + if now.since(*at) < READING_STALE { share.reading } else { 0 },
         })
     }
 
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -166,6 +166,23 @@
     assert_eq!(view(&directory, &loads, 10).prefill("drafting", "zone-a", &["p-1".into()]), Reader::Nobody);
 }
 
+/// An entry freezes while its prompts are being read. They are read within half a second, but nobody
+/// says so; the others would take the reader as busy, and let their callers wait, for three seconds.
+#[test]
+fn what_a_silent_entry_had_read_is_taken_as_read_soon() {
+    let directory = directory(vec![endpoint("p-1", Stage::Prefill), endpoint("d-1", Stage::Decode)]);
+    let mut loads = Loads::default();
+    let reading = Share { reading: 30_000, ..Share::default() };
+    let shares = [("p-1".into(), reading), ("d-1".into(), run(30_000))].into();
+    loads.heard(at(0), &Digest { name: "frozen".into(), shares, ..Digest::default() });
+    assert_eq!(view(&directory, &loads, 500).prefill("drafting", "zone-a", &[]), Reader::Busy);
+    assert_eq!(reader(view(&directory, &loads, 700).prefill("drafting", "zone-a", &[])), Some("p-1".into()));
+    // Its runs go on for seconds.
+    let place = |now| view(&directory, &loads, now).decode("drafting", &engine(), 40_000, 0, &[]).is_some();
+    assert!(!place(2_900));
+    assert!(place(3_100));
+}
+
 /// An endpoint sheds everything while its health check is good. It refuses faster than the others
 /// answer, and each refusal costs one more send of the little that may be sent again.
 #[test]
