--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -7,6 +7,12 @@
     Duration::from_micros(tokens * MICROS_PER_PROMPT_TOKEN)
 }
 
+/// How long a decode endpoint takes to read a prompt between the tokens of its runs: twice as long as
+/// an endpoint that only reads, by the engines' sheet. All its runs pause for that long altogether.
+pub fn own_reading_time(tokens: u64) -> Duration {
+    reading_time(tokens) * 2
+}
+
 /// Microseconds to read one prompt token: 18 on the engines in use, by their sheet (55.6 tokens a
 /// millisecond); only forecasts rest on it.
 const MICROS_PER_PROMPT_TOKEN: u64 = 18;
@@ -30,6 +36,10 @@
 /// tokens in memory, by the engines' sheet.
 const MICROS_PER_TOKEN: u64 = 5_000;
 
+/// Longest time between two events of a run on a busy endpoint that reads nothing: an event brings up
+/// to a dozen tokens.
+pub const EVENT_GAP: Duration = Duration::from_millis(60);
+
 /// What a stream asks for, tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -5,7 +5,7 @@
 //! strictly by arrival would instead make everybody late once the line is longer than the
 //! time to the first event. Nobody is passed over for being large.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::clock::Time;
 
@@ -30,6 +30,8 @@
     pub last_start: Time,
     /// 0 is the most urgent.
     pub priority: u8,
+    /// Longest pause between its events that is on time; zero if none is declared.
+    pub gap: Duration,
     /// Endpoints that have failed it.
     pub avoid: Vec<Arc<str>>,
 }
@@ -37,9 +39,19 @@
 impl<T> Waiting<T> {
     /// The same request with another tag.
     pub fn tagged<U>(self, tag: U) -> Waiting<U> {
-        let Self { service, prompt, expected, memory, arrived, on_time, last_start, priority, avoid, .. } =
-            self;
-        Waiting { tag, service, prompt, expected, memory, arrived, on_time, last_start, priority, avoid }
+        Waiting {
+            tag,
+            service: self.service,
+            prompt: self.prompt,
+            expected: self.expected,
+            memory: self.memory,
+            arrived: self.arrived,
+            on_time: self.on_time,
+            last_start: self.last_start,
+            priority: self.priority,
+            gap: self.gap,
+            avoid: self.avoid,
+        }
     }
 
     /// Whether its first event cannot be on time any more.
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -70,6 +70,13 @@
     sent: Time,
 }
 
+impl Lease {
+    /// The lease without the prompt, once that has been read.
+    pub fn read(&mut self) {
+        self.share.reading = 0;
+    }
+}
+
 /// The loads of all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Loads(BTreeMap<Arc<str>, Load>);
@@ -90,9 +97,11 @@
         Lease { endpoint: endpoint.clone(), share, number, sent: now }
     }
 
-    /// Notes an answer's beginning: what follows says nothing of how fast the endpoint answers.
+    /// Notes an answer's beginning: what follows says nothing of how fast the endpoint answers. Its
+    /// prompt has been read by then; [`Lease::read`] takes it off the lease.
     pub fn answered(&mut self, now: Time, lease: &Lease) {
         if let Some(load) = self.0.get_mut(&lease.endpoint) {
+            load.own.reading = load.own.reading.saturating_sub(lease.share.reading);
             load.health.ended(now, lease.number, Outcome::Answered(now.since(lease.sent)));
         }
     }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -1,10 +1,11 @@
 //! Which endpoint takes a request.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::{
     catalog::Engine,
     directory::{Directory, Endpoint, Stage},
+    forecast::{EVENT_GAP, own_reading_time},
     load::{Load, Loads},
     pools::Pools,
 };
@@ -159,6 +160,16 @@
         Some(left + (engine.memory as f64 * bonus) as u64)
     }
 
+    /// Whether a decode endpoint should read a prompt itself while all readers are busy. In a burst the
+    /// readers bind before memory does, and runs wait for them beside empty places. Reading holds up
+    /// the endpoint's other runs, so it reads one prompt at a time, and none that would make its
+    /// runs pause longer than `gap`, the longest pause that is on time.
+    pub fn reads_itself(&self, endpoint: &Endpoint, prompt: u64, gap: Duration) -> bool {
+        let reading = self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
+        let pause = own_reading_time(prompt) + EVENT_GAP;
+        reading == 0 && (gap.is_zero() || pause <= gap)
+    }
+
     /// What a service's endpoints of a stage have room for, in one line for logs.
     pub fn describe(&self, service: &str, stage: Stage) -> String {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -306,11 +306,13 @@
             let spare = spare(&engine, waiting.is_late(now));
             let endpoint = view.decode(&waiting.service, &engine, waiting.memory, spare, &waiting.avoid)?;
             let reader = match view.prefill(&waiting.service, &endpoint.zone, &[]) {
+                Reader::Busy if view.reads_itself(&endpoint, waiting.prompt, waiting.gap) => None,
                 Reader::Busy => return None,
                 Reader::Nobody => None,
                 Reader::Endpoint(reader) => Some(reader),
             };
-            let share = Share { running: 1, memory: waiting.memory, reading: 0 };
+            let reading = if reader.is_some() { 0 } else { waiting.prompt };
+            let share = Share { running: 1, memory: waiting.memory, reading };
             let run = Place { lease: loads.take(now, &endpoint.id, share), endpoint };
             let share = Share { reading: waiting.prompt, ..Share::default() };
             let reader =
--- a/crates/core/tests/gateway/line.rs
+++ b/crates/core/tests/gateway/line.rs
@@ -1,6 +1,6 @@
 //! Who is served when memory is short.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -22,6 +22,7 @@
         on_time: at(on_time),
         last_start: at(last_start),
         priority: 1,
+        gap: Duration::from_millis(300),
         avoid: Vec::new(),
     }
 }
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -55,6 +55,7 @@
         on_time: at(600),
         last_start: at(3_000),
         priority: 1,
+        gap: Duration::from_millis(300),
         avoid: Vec::new(),
     }
 }
@@ -89,6 +90,42 @@
     assert!(matches!(&state.pump(at(40))[..], [(Waiting { tag: 2, .. }, Verdict::Placed(_))]));
 }
 
+/// A burst keeps the only reader busy for half a second, and callers wait for it and come out late,
+/// while decode endpoints have places free that could read a prompt between the tokens of their runs.
+#[test]
+fn a_decode_endpoint_reads_one_prompt_itself_while_the_readers_are_busy() {
+    let mut state = serving();
+    for tag in 0..8 {
+        state.line_up(at(0), waiting(tag, 4_000));
+    }
+    let placed = state.pump(at(10));
+    let pairs = placed.iter().filter_map(|(_, verdict)| match verdict {
+        Verdict::Placed(pair) => Some(pair),
+        Verdict::Hopeless => None,
+    });
+    let pairs: Vec<_> = pairs.collect();
+    let own: Vec<_> = pairs.iter().filter(|pair| pair.reader.is_none()).collect();
+    // The reader takes six, the decode endpoint reads one, the last waits for either.
+    assert_eq!((pairs.len(), own.len()), (7, 1));
+    let mut lease = own[0].run.lease.clone();
+    state.answered(at(200), &lease);
+    lease.read();
+    assert_eq!(state.pump(at(210)).len(), 1);
+    state.ended(at(3_000), &lease, Outcome::Abandoned);
+    assert_eq!(state.loads().get("d-1").map(|load| load.own.reading), Some(4_000));
+}
+
+/// A long prompt that a decode endpoint read itself would hold up its ten other runs for longer than
+/// their callers' longest pause.
+#[test]
+fn a_long_prompt_waits_for_a_reader() {
+    let mut state = serving();
+    for tag in 0..4 {
+        state.line_up(at(0), waiting(tag, 11_000));
+    }
+    assert_eq!(state.pump(at(10)).len(), 3);
+}
+
 #[test]
 fn a_request_over_its_rate_is_refused_with_the_time_to_come_back() {
     let mut state = state();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -90,6 +90,7 @@
     pub fn answered(&mut self) {
         self.outcome = Outcome::Abandoned;
         self.control.tell(Command::Answered(self.lease.clone()));
+        self.lease.read();
     }
 
     /// How the request ended here.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -271,6 +271,7 @@
         on_time: inbound.received.plus(inbound.route.aim).minus(first),
         last_start: in_time.min(in_patience),
         priority: inbound.priority(),
+        gap: inbound.route.gap,
         avoid: avoid.to_vec(),
     }
 }
