--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -42,6 +42,30 @@
     (engine.memory as f64 * part) as u64
 }
 
+/// A run that is to be placed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Run<'a> {
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Memory it needs, tokens.
+    pub memory: u64,
+    /// Memory that must stay free beside it, tokens.
+    pub spare: u64,
+    /// Longest pause between events that is on time; zero if none is declared.
+    pub gap: Duration,
+    /// Endpoints that have failed it.
+    pub avoid: &'a [Arc<str>],
+}
+
+/// Where a run goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pairing {
+    /// Where its tokens are made.
+    pub endpoint: Arc<Endpoint>,
+    /// Where its prompt is read; without one, where its tokens are made.
+    pub reader: Option<Arc<Endpoint>>,
+}
+
 /// Who reads a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reader {
@@ -124,25 +148,44 @@
         }
     }
 
-    /// An endpoint with room for a run of `memory` tokens that leaves `spare` tokens free: the one
-    /// with the most room.
-    pub fn decode(
+    /// Where a run goes, and who reads its prompt; nothing if it has to wait.
+    pub fn pair(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Pairing> {
+        let endpoint = self.decode(service, engine, run)?;
+        match self.prefill(service, &endpoint.zone, &[]) {
+            Reader::Endpoint(reader) => Some(Pairing { endpoint, reader: Some(reader) }),
+            Reader::Nobody => Some(Pairing { endpoint, reader: None }),
+            Reader::Busy if self.reads_itself(&endpoint, run) => Some(Pairing { endpoint, reader: None }),
+            Reader::Busy => None,
+        }
+    }
+
+    /// An endpoint with room for a run: the one with the most room.
+    pub fn decode(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Arc<Endpoint>> {
+        // Where the sound ones are full, three runs in five at a failing one are better than none.
+        let sound = self.roomiest(self.candidates(service, Stage::Decode, run.avoid), engine, run);
+        sound.or_else(|| self.roomiest(self.reachable(service, Stage::Decode, run.avoid), engine, run))
+    }
+
+    /// Whether a decode endpoint should read a prompt itself while all readers are busy. In a burst the
+    /// readers bind before memory does, and runs wait for them beside empty places. Reading holds up
+    /// the endpoint's other runs, so it reads one prompt at a time, and none that would make its runs
+    /// pause longer than is on time.
+    fn reads_itself(&self, endpoint: &Endpoint, run: &Run<'_>) -> bool {
+        let reading = self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
+        let pause = own_reading_time(run.prompt) + EVENT_GAP;
+        reading == 0 && (run.gap.is_zero() || pause <= run.gap)
+    }
+
+    fn roomiest(
         &self,
-        service: &str,
+        endpoints: Vec<&Arc<Endpoint>>,
         engine: &Engine,
-        memory: u64,
-        spare: u64,
-        avoid: &[Arc<str>],
+        run: &Run<'_>,
     ) -> Option<Arc<Endpoint>> {
-        let needed = memory + spare;
-        let roomiest = |endpoints: Vec<&Arc<Endpoint>>| {
-            let rooms = endpoints.into_iter();
-            let fitting = rooms.filter_map(|endpoint| Some((self.room(endpoint, engine, needed)?, endpoint)));
-            fitting.max_by_key(|(room, _)| *room).map(|(_, endpoint)| endpoint.clone())
-        };
-        // Where the sound ones are full, three runs in five at a failing one are better than none.
-        let sound = roomiest(self.candidates(service, Stage::Decode, avoid));
-        sound.or_else(|| roomiest(self.reachable(service, Stage::Decode, avoid)))
+        let rooms = endpoints.into_iter();
+        let needed = run.memory + run.spare;
+        let fitting = rooms.filter_map(|endpoint| Some((self.room(endpoint, engine, needed)?, endpoint)));
+        fitting.max_by_key(|(room, _)| *room).map(|(_, endpoint)| endpoint.clone())
     }
 
     /// Memory left at an endpoint once a run has been placed there, corrected for its zone.
@@ -160,16 +203,6 @@
         Some(left + (engine.memory as f64 * bonus) as u64)
     }
 
-    /// Whether a decode endpoint should read a prompt itself while all readers are busy. In a burst the
-    /// readers bind before memory does, and runs wait for them beside empty places. Reading holds up
-    /// the endpoint's other runs, so it reads one prompt at a time, and none that would make its
-    /// runs pause longer than `gap`, the longest pause that is on time.
-    pub fn reads_itself(&self, endpoint: &Endpoint, prompt: u64, gap: Duration) -> bool {
-        let reading = self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
-        let pause = own_reading_time(prompt) + EVENT_GAP;
-        reading == 0 && (gap.is_zero() || pause <= gap)
-    }
-
     /// What a service's endpoints of a stage have room for, in one line for logs.
     pub fn describe(&self, service: &str, stage: Stage) -> String {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -13,7 +13,7 @@
     health::Outcome,
     line::{Line, Verdict, Waiting},
     load::{Lease, Loads},
-    placement::{Reader, View, spare},
+    placement::{Pairing, Reader, Run, View, spare},
     pools::{Order, Pools},
     suspect::Suspects,
 };
@@ -303,20 +303,20 @@
         line.pump(now, |waiting| {
             let engine = catalog.service(&waiting.service)?.engine?;
             let view = View { now, directory, loads, pools, zone: &identity.zone };
-            let spare = spare(&engine, waiting.is_late(now));
-            let endpoint = view.decode(&waiting.service, &engine, waiting.memory, spare, &waiting.avoid)?;
-            let reader = match view.prefill(&waiting.service, &endpoint.zone, &[]) {
-                Reader::Busy if view.reads_itself(&endpoint, waiting.prompt, waiting.gap) => None,
-                Reader::Busy => return None,
-                Reader::Nobody => None,
-                Reader::Endpoint(reader) => Some(reader),
+            let run = Run {
+                prompt: waiting.prompt,
+                memory: waiting.memory,
+                spare: spare(&engine, waiting.is_late(now)),
+                gap: waiting.gap,
+                avoid: &waiting.avoid,
             };
-            let reading = if reader.is_some() { 0 } else { waiting.prompt };
-            let share = Share { running: 1, memory: waiting.memory, reading };
+            let Pairing { endpoint, reader } = view.pair(&waiting.service, &engine, &run)?;
+            let reading = Share { reading: waiting.prompt, ..Share::default() };
+            let own_reading = if reader.is_some() { 0 } else { waiting.prompt };
+            let share = Share { running: 1, memory: waiting.memory, reading: own_reading };
             let run = Place { lease: loads.take(now, &endpoint.id, share), endpoint };
-            let share = Share { reading: waiting.prompt, ..Share::default() };
             let reader =
-                reader.map(|reader| Place { lease: loads.take(now, &reader.id, share), endpoint: reader });
+                reader.map(|reader| Place { lease: loads.take(now, &reader.id, reading), endpoint: reader });
             Some(Pair { run, reader })
         })
     }
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -10,7 +10,7 @@
     directory::{Directory, Endpoint, Stage},
     health::Outcome,
     load::Loads,
-    placement::{Reader, View, spare},
+    placement::{Reader, Run, View, spare},
     pools::Pools,
 };
 
@@ -35,6 +35,10 @@
     }
 }
 
+fn need(memory: u64, spare: u64) -> Run<'static> {
+    Run { prompt: memory, memory, spare, ..Run::default() }
+}
+
 fn run(memory: u64) -> Share {
     Share { running: 1, memory, reading: 0 }
 }
@@ -46,7 +50,7 @@
     loads.take(at(0), &"d-1".into(), run(10_000));
     let place = |loads: &Loads, memory| {
         view(&directory, loads, 100)
-            .decode("drafting", &engine(), memory, 0, &[])
+            .decode("drafting", &engine(), &need(memory, 0))
             .map(|found| found.id.clone())
     };
     assert_eq!(place(&loads, 5_000), Some("d-2".into()));
@@ -63,7 +67,7 @@
     loads.take(at(0), &"d-1".into(), run(45_000));
     let place = |is_late| {
         let spare = spare(&engine(), is_late);
-        view(&directory, &loads, 100).decode("drafting", &engine(), 5_000, spare, &[]).is_some()
+        view(&directory, &loads, 100).decode("drafting", &engine(), &need(5_000, spare)).is_some()
     };
     assert!(place(false));
     assert!(!place(true));
@@ -75,7 +79,7 @@
     let mut loads = Loads::default();
     let lease = loads.take(at(0), &"d-1".into(), run(5_000));
     loads.give_back(at(10), &lease, Outcome::Full);
-    let place = |now| view(&directory, &loads, now).decode("drafting", &engine(), 5_000, 0, &[]);
+    let place = |now| view(&directory, &loads, now).decode("drafting", &engine(), &need(5_000, 0));
     assert!(place(20).is_none());
     assert!(place(200).is_some());
 }
@@ -134,7 +138,9 @@
     let mut loads = Loads::default();
     play(&mut loads, "d-1", 8, 3);
     let place = |loads: &Loads| {
-        view(&directory, loads, 30).decode("drafting", &engine(), 5_000, 0, &[]).map(|found| found.id.clone())
+        view(&directory, loads, 30)
+            .decode("drafting", &engine(), &need(5_000, 0))
+            .map(|found| found.id.clone())
     };
     assert_eq!(place(&loads), Some("d-2".into()));
     loads.take(at(25), &"d-2".into(), run(58_000));
@@ -178,7 +184,7 @@
     assert_eq!(view(&directory, &loads, 500).prefill("drafting", "zone-a", &[]), Reader::Busy);
     assert_eq!(reader(view(&directory, &loads, 700).prefill("drafting", "zone-a", &[])), Some("p-1".into()));
     // Its runs go on for seconds.
-    let place = |now| view(&directory, &loads, now).decode("drafting", &engine(), 40_000, 0, &[]).is_some();
+    let place = |now| view(&directory, &loads, now).decode("drafting", &engine(), &need(40_000, 0)).is_some();
     assert!(!place(2_900));
     assert!(place(3_100));
 }
