Leave readers alone that hang or turn prompts away

Ruled out: readers full (nothing else was under way there); want of budget (it ran out because of the refusals). Change: a refused prompt counts like a run turned away, two in a row let the reader alone; a reader whose oldest prompt is 0.8 s old gets no more while others can; a prompt is asked elsewhere after 0.4 s and twice its expected time, what is ahead counted, instead of 1 s and four times.

--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -713,6 +713,21 @@
     });
 }
 
+/// A reader has been ordered to make tokens, and the entries that knew it are killed. It turns every
+/// prompt away, faster than the other reader reads, so each stream is sent there first, until the
+/// budget for further sends is used up and streams are refused.
+#[test]
+fn a_reader_that_turns_prompts_away_costs_no_stream() {
+    run(async {
+        let site = site().await;
+        site.endpoints(Role::Prefill)[0].set_fault(Fault::Refuse);
+        for number in 0..12 {
+            let answer = ask(&site, stream(&format!("r{number}")), b"prompt").await;
+            assert_eq!((answer.whole, answer.ids()), (true, whole_ids()));
+        }
+    });
+}
+
 /// A lookup is with two endpoints at once when the first says that it did not run it. The second may
 /// have run it still; when it never answers, the caller must not be told that nobody did.
 #[test]
--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -7,6 +7,18 @@
     Duration::from_micros(tokens * MICROS_PER_PROMPT_TOKEN)
 }
 
+/// How long to wait for a prompt to be read behind `ahead` tokens before another endpoint is asked.
+pub fn reading_limit(ahead: u64, prompt: u64) -> Duration {
+    reading_time(ahead + prompt) * READING_PATIENCE + READING_SLACK
+}
+
+/// Reading may take this many times as long as expected: others' word of what they sent comes late,
+/// and some endpoints are slow.
+const READING_PATIENCE: u32 = 2;
+/// What an idle endpoint may take longer than expected. An endpoint that has gone dark shows in nothing
+/// else, and a prompt of 5,000 tokens asked again after 0.6 s can still be on time at 0.9 s.
+const READING_SLACK: Duration = Duration::from_millis(400);
+
 /// How long a decode endpoint takes to read a prompt between the tokens of its runs: twice as long as
 /// an endpoint that only reads, by the engines' sheet. All its runs pause for that long altogether.
 pub fn own_reading_time(tokens: u64) -> Duration {
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -127,8 +127,12 @@
     /// How long an answer takes: the mean, or the longest wait under way if that is more. An
     /// endpoint that hangs answers nothing, so only the wait shows it.
     pub fn answer_time(&self, now: Time) -> Duration {
-        let waiting = self.open.first_key_value().map_or(Duration::ZERO, |(_, sent)| now.since(*sent));
-        self.answer_time.max(waiting)
+        self.answer_time.max(self.longest_wait(now))
+    }
+
+    /// For how long the oldest request has waited for its answer to begin.
+    pub fn longest_wait(&self, now: Time) -> Duration {
+        self.open.first_key_value().map_or(Duration::ZERO, |(_, sent)| now.since(*sent))
     }
 }
 
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -25,6 +25,9 @@
 /// would be late, and asked of a second endpoint before the first is done, which makes the line of
 /// both longer still.
 const MOST_AHEAD: u64 = 22_000;
+/// A prompt is read within this time unless its endpoint hangs: what is let stand ahead of it takes
+/// 0.4 s, and twice that while others' word of what they sent is on its way.
+const STALLED: Duration = Duration::from_millis(800);
 /// Part of an engine's memory that a decode endpoint in the own zone may be fuller and still be
 /// taken.
 const CROSS_ZONE_MEMORY: f64 = 0.05;
@@ -117,6 +120,11 @@
         self.load(endpoint).is_some_and(|load| load.health.is_shunned(self.now))
     }
 
+    /// Whether an endpoint has kept a prompt for so long that it has probably gone dark.
+    fn is_stalled(&self, endpoint: &Endpoint) -> bool {
+        self.load(endpoint).is_some_and(|load| load.health.longest_wait(self.now) > STALLED)
+    }
+
     fn failing(&self, endpoint: &Endpoint) -> f64 {
         self.load(endpoint).map_or(0.0, |load| load.failing(self.now))
     }
@@ -139,7 +147,10 @@
     pub fn prefill(&self, service: &str, zone: &str, avoid: &[Arc<str>]) -> Reader {
         let ahead = |endpoint: &Endpoint| self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
         let detour = |endpoint: &Endpoint| if self.is_near(endpoint, zone) { 0 } else { CROSS_ZONE_READING };
-        let candidates = self.candidates(service, Stage::Prefill, avoid);
+        let mut candidates = self.candidates(service, Stage::Prefill, avoid);
+        if candidates.iter().any(|endpoint| !self.is_stalled(endpoint)) {
+            candidates.retain(|endpoint| !self.is_stalled(endpoint));
+        }
         let first = candidates.into_iter().min_by_key(|endpoint| ahead(endpoint) + detour(endpoint));
         match first {
             None => Reader::Nobody,
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -45,6 +45,8 @@
     pub endpoint: Arc<Endpoint>,
     /// To be given back when the request ends there.
     pub lease: Lease,
+    /// Prompt tokens that were to be read there before it.
+    pub ahead: u64,
 }
 
 /// A list of endpoints, or a part that changed.
@@ -256,7 +258,7 @@
     pub fn whole(&mut self, now: Time, service: &str, avoid: &[Arc<str>]) -> Result<Place, Refusal> {
         let found = self.view(now).whole(service, avoid);
         let share = Share { running: 1, ..Share::default() };
-        found.map(|endpoint| self.take(now, endpoint, share)).ok_or_else(no_endpoint)
+        found.map(|endpoint| take(&mut self.loads, now, endpoint, share)).ok_or_else(no_endpoint)
     }
 
     /// A further endpoint that reads a prompt of `tokens` for a run in `zone`; none if none can.
@@ -270,7 +272,7 @@
     ) -> Option<Place> {
         let Reader::Endpoint(endpoint) = self.view(now).prefill(service, zone, avoid) else { return None };
         let share = Share { reading: tokens, ..Share::default() };
-        Some(self.take(now, endpoint, share))
+        Some(take(&mut self.loads, now, endpoint, share))
     }
 
     /// Lines a request up for a decode endpoint; whoever is placed then comes out of [`Self::pump`].
@@ -314,9 +316,8 @@
             let reading = Share { reading: waiting.prompt, ..Share::default() };
             let own_reading = if reader.is_some() { 0 } else { waiting.prompt };
             let share = Share { running: 1, memory: waiting.memory, reading: own_reading };
-            let run = Place { lease: loads.take(now, &endpoint.id, share), endpoint };
-            let reader =
-                reader.map(|reader| Place { lease: loads.take(now, &reader.id, reading), endpoint: reader });
+            let run = take(loads, now, endpoint, share);
+            let reader = reader.map(|reader| take(loads, now, reader, reading));
             Some(Pair { run, reader })
         })
     }
@@ -397,11 +398,12 @@
             zone: &self.identity.zone,
         }
     }
+}
 
-    fn take(&mut self, now: Time, endpoint: Arc<Endpoint>, share: Share) -> Place {
-        let lease = self.loads.take(now, &endpoint.id, share);
-        Place { endpoint, lease }
-    }
+fn take(loads: &mut Loads, now: Time, endpoint: Arc<Endpoint>, share: Share) -> Place {
+    let ahead = loads.get(&endpoint.id).map_or(0, |load| load.all(now).reading);
+    let lease = loads.take(now, &endpoint.id, share);
+    Place { endpoint, lease, ahead }
 }
 
 fn no_endpoint() -> Refusal {
--- a/crates/core/tests/gateway/forecast.rs
+++ b/crates/core/tests/gateway/forecast.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tarragonhill_core::gateway::forecast::{Size, ends_within};
+use tarragonhill_core::gateway::forecast::{Size, ends_within, reading_limit};
 
 fn summary(expected: u64) -> Size {
     Size { prompt: 5_000, expected, most: 1_870 }
@@ -32,3 +32,11 @@
     let size = Size { prompt: 5_000, expected: 300, most: 300 };
     assert!(ends_within(Duration::from_millis(2_250), size, false));
 }
+
+/// A reader is dark, and a summary waits there for 1.4 s before another is asked: late whatever comes.
+/// Behind a long backlog the same wait is in order, and a second reading would be in vain.
+#[test]
+fn a_prompt_is_asked_elsewhere_in_time_unless_others_are_ahead() {
+    assert!(reading_limit(0, 5_000) <= Duration::from_millis(600));
+    assert!(reading_limit(22_000, 5_000) >= Duration::from_millis(1_300));
+}
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -189,6 +189,38 @@
     assert!(place(3_100));
 }
 
+/// A reader goes dark: connections stay open and nothing comes back. Until the list drops it, seconds
+/// later, each prompt sent there comes out late.
+#[test]
+fn a_reader_that_keeps_a_prompt_for_long_gets_no_more() {
+    let directory = directory(vec![endpoint("p-1", Stage::Prefill), endpoint("p-2", Stage::Prefill)]);
+    let mut loads = Loads::default();
+    let reading = |tokens| Share { reading: tokens, ..Share::default() };
+    loads.take(at(0), &"p-1".into(), reading(2_000));
+    loads.take(at(900), &"p-2".into(), reading(8_000));
+    let place = |loads: &Loads, now| reader(view(&directory, loads, now).prefill("drafting", "zone-a", &[]));
+    assert_eq!(place(&loads, 700), Some("p-1".into()));
+    assert_eq!(place(&loads, 901), Some("p-2".into()));
+    // With nobody else left it is tried all the same.
+    assert_eq!(place(&loads, 1_800), Some("p-1".into()));
+}
+
+/// An endpoint is told to become a decode endpoint, and the entries that knew it are killed. It turns
+/// every prompt away for seconds, and each refusal costs one of the few further sends.
+#[test]
+fn a_reader_that_turns_prompts_away_is_left_alone() {
+    let directory = directory(vec![endpoint("p-1", Stage::Prefill), endpoint("p-2", Stage::Prefill)]);
+    let mut loads = Loads::default();
+    for now in [0, 10] {
+        let lease = loads.take(at(now), &"p-1".into(), Share { reading: 5_000, ..Share::default() });
+        loads.give_back(at(now), &lease, Outcome::TurnedAway);
+    }
+    loads.take(at(20), &"p-2".into(), Share { reading: 8_000, ..Share::default() });
+    let place = |now| reader(view(&directory, &loads, now).prefill("drafting", "zone-a", &[]));
+    assert_eq!(place(30), Some("p-2".into()));
+    assert_eq!(place(300), Some("p-1".into()));
+}
+
 /// An endpoint sheds everything while its health check is good. It refuses faster than the others
 /// answer, and each refusal costs one more send of the little that may be sent again.
 #[test]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -80,6 +80,8 @@
 pub struct Ticket {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
+    /// Prompt tokens that were to be read there before it.
+    pub ahead: u64,
     lease: Lease,
     outcome: Outcome,
     control: Control,
@@ -322,9 +324,9 @@
 
     /// Nothing once the traffic has ended: then nobody waits for it either.
     fn ticket(&self, place: Place) -> Option<Ticket> {
-        let Place { endpoint, lease } = place;
+        let Place { endpoint, lease, ahead } = place;
         let control = self.shared.control()?;
-        Some(Ticket { endpoint, lease, outcome: Outcome::Abandoned, control })
+        Some(Ticket { endpoint, ahead, lease, outcome: Outcome::Abandoned, control })
     }
 
     fn tickets(&self, pair: Pair) -> Option<Tickets> {
--- a/crates/gateway/src/stream/reading.rs
+++ b/crates/gateway/src/stream/reading.rs
@@ -1,8 +1,8 @@
 //! Has prompts read.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use tarragonhill_core::gateway::{directory::Endpoint, forecast::reading_time, health::Outcome};
+use tarragonhill_core::gateway::{directory::Endpoint, forecast::reading_limit, health::Outcome};
 
 use super::{
     Trouble,
@@ -17,13 +17,6 @@
 
 /// Most endpoints asked to read one prompt.
 const MOST_READERS: u32 = 3;
-/// A prompt is asked of another endpoint if reading takes longer than this many times what it takes
-/// on an idle one, plus [`READING_SLACK`].
-const READING_PATIENCE: u32 = 4;
-/// Reading what placement lets stand ahead of a prompt takes 0.4 s, and twice that while others' word
-/// of what they sent is on its way.
-const READING_SLACK: Duration = Duration::from_millis(1_000);
-
 /// Has the prompt read, by another endpoint if the first cannot.
 pub(super) async fn read_prompt(
     context: &Arc<Context>,
@@ -65,7 +58,7 @@
     endpoint: &Arc<Endpoint>,
     prompt: u64,
 ) -> Result<Arc<str>, Failure> {
-    let limit = reading_time(prompt) * READING_PATIENCE + READING_SLACK;
+    let limit = reading_limit(ticket.ahead, prompt);
     let sent = inbound.send(context, endpoint, Task::Prefill, limit).await;
     let taken = match sent {
         Ok(exchange) => exchange.whole().await,
@@ -82,7 +75,7 @@
         Ok((head, reply, _)) => {
             let is_unrun = reply.not_run || head.status == MISDIRECTED;
             ticket.ended(if is_unrun {
-                unrun(&head, &reply, endpoint, Outcome::Full)
+                unrun(&head, &reply, endpoint, Outcome::TurnedAway)
             } else {
                 Outcome::Failed
             });
