Leave tokens for a customer's small requests

Summaries keep the bucket empty, and four entries that admit at the same moment take it below zero. Ruled out: using the tolerance of the rule (a customer's rate is its rate); letting small requests overdraw. Change: what small requests asked for of late (half-life 2 s) is kept back from large ones, a quarter of the burst at most. Test: lookups_are_served_while_summaries_use_up_the_rate, failed first (6 of 166 refused at one entry alone).

--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -28,6 +28,14 @@
 /// Shortest wait told to a caller that is over its rate: below it, callers come back in step.
 const SHORTEST_WAIT: Duration = Duration::from_millis(200);
 
+/// A request counts as small up to this part of a burst: plain calls are some 200 tokens of 47,000, the
+/// shortest summaries some thousand.
+const SMALL: i64 = 50;
+/// What small requests asked for counts half after this long.
+const SMALL_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Most that is kept back for small requests, part of a burst.
+const MOST_KEPT: i64 = 4;
+
 /// What this entry believes of one other entry and one customer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Other {
@@ -51,6 +59,8 @@
     promised: i64,
     /// Tokens spent here since the process started.
     spent: u64,
+    /// Microtokens that small requests asked for here of late, fading.
+    small: i64,
     others: BTreeMap<Arc<str>, Other>,
 }
 
@@ -64,12 +74,16 @@
             at: now,
             promised: 0,
             spent: 0,
+            small: 0,
             others: BTreeMap::new(),
         }
     }
 
     fn refill(&mut self, now: Time) {
-        let inflow = signed(micros(now.since(self.at))) * self.rate;
+        let passed = now.since(self.at);
+        let halves = passed.as_secs_f64() / SMALL_HALF_LIFE.as_secs_f64();
+        self.small = (self.small as f64 * 0.5_f64.powf(halves)) as i64;
+        let inflow = signed(micros(passed)) * self.rate;
         self.level = (self.level + inflow).min(self.burst);
         self.promised = (self.promised - inflow).max(0);
         self.at = self.at.max(now);
@@ -81,6 +95,18 @@
         self.level = self.level.min(self.burst);
     }
 
+    /// What must be there for a request of `needed` microtokens. A customer that sends summaries far
+    /// above its rate keeps its bucket empty, and its lookups, which hardly count, would be refused
+    /// as often as the summaries; so large requests leave what small ones ask for.
+    fn required(&mut self, needed: i64) -> i64 {
+        if needed <= self.burst / SMALL {
+            self.small += needed;
+            return needed;
+        }
+        let kept = self.small.min(self.burst / MOST_KEPT);
+        (needed + kept).min(self.burst)
+    }
+
     /// When a caller should come back that needs `needed` microtokens: behind those that were sent
     /// back before it. Told the same moment, they would meet there, and all but one would be refused
     /// once more.
@@ -143,6 +169,7 @@
         // A request larger than the whole burst could never be paid at once: it may run when the
         // bucket is full, and leaves a debt.
         let needed = (signed(tokens) * MICRO).min(account.burst.max(1));
+        let needed = account.required(needed);
         if account.level < needed {
             return Err(account.send_back(needed));
         }
--- a/crates/core/tests/gateway/allowance.rs
+++ b/crates/core/tests/gateway/allowance.rs
@@ -175,3 +175,27 @@
     assert!(one.spend(at(30), "faculty", 200).is_err());
     assert!(two.spend(at(30), "faculty", 200).is_err());
 }
+
+/// A customer sends summaries at three times its rate, and its officers look records up at the
+/// counter. The bucket is always nearly empty, and a lookup would be refused as often as a summary.
+#[test]
+fn lookups_are_served_while_summaries_use_up_the_rate() {
+    let faculty = Arc::new(customer("faculty", 47_000, 47_000));
+    let mut allowance = allowance(&faculty);
+    let (mut summaries, mut lookups, mut refused) = (0, 0, 0);
+    for now in (5_000..15_000).step_by(20) {
+        if allowance.spend(at(now), "faculty", 5_600).is_ok() {
+            summaries += 1;
+        }
+        if now % 60 == 0 {
+            match allowance.spend(at(now), "faculty", 200) {
+                Ok(()) => lookups += 1,
+                Err(_) => refused += 1,
+            }
+        }
+    }
+    assert!(refused <= 2, "{refused} of {} refused", lookups + refused);
+    // The rate is used up all the same.
+    let used = summaries * 5_600 + lookups * 200;
+    assert!((450_000..=517_000).contains(&used), "{used}");
+}
