Log each stream's time to the first event and its longest pause

A late stream could not be told from one on time by its log line. 'request ended' now tells first_ms and longest_gap_ms; the parts are counted in one place, Pace.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -6,6 +6,8 @@
 use futures_lite::AsyncWriteExt as _;
 use tarragonhill_h1::{body, head::Response};
 
+use crate::pace::Pace;
+
 /// A caller that takes nothing for this long has left; far above any pause of a sound network.
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -32,15 +34,15 @@
     progress: Progress,
     /// The status sent, for logs.
     pub status: u16,
-    /// Events of a stream sent, for logs.
-    pub events: u64,
+    /// How fast a stream's events went out, for logs and metrics.
+    pub pace: Pace,
 }
 
 impl Answer {
     /// An answer to a request of `method` by a caller that speaks HTTP 1.`minor`.
     pub fn new(stream: TcpStream, method: &str, minor: u8, close: bool) -> Self {
         let is_head = method == "HEAD";
-        Self { stream, minor, is_head, close, progress: Progress::Nothing, status: 0, events: 0 }
+        Self { stream, minor, is_head, close, progress: Progress::Nothing, status: 0, pace: Pace::default() }
     }
 
     /// Whether nothing has been written yet.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -269,7 +269,8 @@
         request = inbound.id(), route = &*inbound.route.name, customer = inbound.customer_name().unwrap_or(""),
         status = answer.status, whole = answer.is_whole(), ms = took.as_millis() as u64,
         prompt = tokens.prompt, output = tokens.output, expected = tokens.expected.unwrap_or(0),
-        events = answer.events
+        events = answer.pace.events, first_ms = answer.pace.first_after(inbound.received).as_millis() as u64,
+        longest_gap_ms = answer.pace.longest_gap.as_millis() as u64
     });
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod identify;
 pub mod metrics;
 mod orders;
+mod pace;
 mod peers;
 mod pool;
 mod server;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -27,7 +27,7 @@
 use tarragonhill_h1::head::Response;
 
 use self::{
-    events::{events_end, last_id},
+    events::{count_events, events_end, last_id},
     reading::read_prompt,
     release::{Kept, Release},
 };
@@ -425,7 +425,7 @@
         if let Some(id) = last_id(&events) {
             progress.last_event = Some(id.into());
         }
-        answer.events += events.windows(2).filter(|pair| pair == b"\n\n").count() as u64;
+        answer.pace.note(context.clock.now(), count_events(&events));
         answer.part(&events).await.map_err(Stop::CallerGone)?;
     }
 }
