Have prompts read beside runs at endpoints of each entry's own, with a rest between

Two entries gave one endpoint a prompt each before they heard of each other, or the second followed right behind the first. Change: endpoints are dealt out to the entries by rank for this; 120 ms of rest behind a prompt; any own endpoint, not only the roomiest of all.

--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -146,6 +146,11 @@
         1 + self.peers.len() as u32
     }
 
+    /// How many of the entries known have names before this one's.
+    pub fn place(&self) -> u32 {
+        self.peers.keys().filter(|name| **name < self.own).count() as u32
+    }
+
     /// How many of the entries heard of late have names before this one's.
     pub fn rank(&self, now: Time) -> u32 {
         self.heard_of_late(now).filter(|member| member.name < self.own).count() as u32
--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -48,9 +48,9 @@
 /// tokens in memory, by the engines' sheet.
 const MICROS_PER_TOKEN: u64 = 5_000;
 
-/// Longest time between two events of a run on a busy endpoint that reads nothing: an event brings up
-/// to a dozen tokens.
-pub const EVENT_GAP: Duration = Duration::from_millis(60);
+/// Longest time between two events of a run on a busy endpoint that reads nothing: events of eleven
+/// tokens came 50 to 70 ms apart.
+pub const EVENT_GAP: Duration = Duration::from_millis(80);
 
 /// What a stream asks for, tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -18,6 +18,11 @@
 /// in which one of ten running requests ends.
 const FULL: Duration = Duration::from_millis(100);
 
+/// Pause between two prompts that a decode endpoint reads beside its runs: with the second right behind
+/// the first, an event of a run that falls between both waits for parts of both. Twice the time of an
+/// event, in which the runs catch up.
+const REST: Duration = Duration::from_millis(120);
+
 /// Failed part of the outcomes above which the others are told: one failure in twenty answers.
 const TOLD: f64 = 0.05;
 
@@ -33,6 +38,8 @@
     /// How its requests have ended of late.
     pub health: Health,
     full_until: Time,
+    /// When its runs have had a rest from the last prompt that it read beside them.
+    rested: Time,
 }
 
 impl Load {
@@ -53,6 +60,11 @@
         fresh.map(|(_, failing)| f64::from(*failing) / 1_000.0).fold(self.health.failing(now), f64::max)
     }
 
+    /// Whether it reads no prompt beside its runs, and its runs have had a rest from the last.
+    pub fn is_rested(&self, now: Time) -> bool {
+        self.rested <= now && self.all(now).reading == 0
+    }
+
     /// Whether it refused for want of room a moment ago.
     pub fn is_full(&self, now: Time) -> bool {
         self.full_until > now
@@ -102,6 +114,9 @@
     pub fn answered(&mut self, now: Time, lease: &Lease) {
         if let Some(load) = self.0.get_mut(&lease.endpoint) {
             load.own.reading = load.own.reading.saturating_sub(lease.share.reading);
+            if lease.share.reading > 0 {
+                load.rested = now.plus(REST);
+            }
             load.health.ended(now, lease.number, Outcome::Answered(now.since(lease.sent)));
         }
     }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -93,6 +93,24 @@
     pub pools: &'a Pools,
     /// The availability zone of this entry.
     pub zone: &'a str,
+    /// Which endpoints are this entry's own to have prompts read.
+    pub turn: Turn,
+}
+
+/// An entry's part of what only one entry should do with an endpoint at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// Entries that go before it.
+    pub rank: u32,
+    /// All entries.
+    pub count: u32,
+}
+
+impl Turn {
+    /// Whether the endpoint at an index of a list that all entries share is this entry's own.
+    fn is_own(self, index: usize) -> bool {
+        index as u32 % self.count.max(1) == self.rank
+    }
 }
 
 impl<'a> View<'a> {
@@ -165,8 +183,10 @@
         match self.prefill(service, &endpoint.zone, &[]) {
             Reader::Endpoint(reader) => Some(Pairing { endpoint, reader: Some(reader) }),
             Reader::Nobody => Some(Pairing { endpoint, reader: None }),
-            Reader::Busy if self.reads_itself(&endpoint, run) => Some(Pairing { endpoint, reader: None }),
-            Reader::Busy => None,
+            Reader::Busy => {
+                let endpoint = self.decode_and_read(service, engine, run)?;
+                Some(Pairing { endpoint, reader: None })
+            }
         }
     }
 
@@ -177,14 +197,22 @@
         sound.or_else(|| self.roomiest(self.reachable(service, Stage::Decode, run.avoid), engine, run))
     }
 
-    /// Whether a decode endpoint should read a prompt itself while all readers are busy. In a burst the
-    /// readers bind before memory does, and runs wait for them beside empty places. Reading holds up
-    /// the endpoint's other runs, so it reads one prompt at a time, and none that would make its runs
-    /// pause longer than is on time.
-    fn reads_itself(&self, endpoint: &Endpoint, run: &Run<'_>) -> bool {
-        let reading = self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
+    /// A decode endpoint that reads a prompt itself while all readers are busy. In a burst the readers
+    /// bind before memory does, and runs wait for them beside empty places.
+    ///
+    /// Reading holds up the endpoint's other runs: it reads one prompt at a time, with a rest behind it,
+    /// and none that would make its runs pause longer than is on time. Two entries that did not know of
+    /// each other's prompts would make them pause twice as long, so each has endpoints of its own.
+    fn decode_and_read(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Arc<Endpoint>> {
         let pause = own_reading_time(run.prompt) + EVENT_GAP;
-        reading == 0 && (run.gap.is_zero() || pause <= run.gap)
+        if !run.gap.is_zero() && pause > run.gap {
+            return None;
+        }
+        let candidates = self.candidates(service, Stage::Decode, run.avoid).into_iter();
+        let own = candidates.enumerate().filter(|(index, _)| self.turn.is_own(*index));
+        let mut idle: Vec<&Arc<Endpoint>> = own.map(|(_, endpoint)| endpoint).collect();
+        idle.retain(|endpoint| self.load(endpoint).is_none_or(|load| load.is_rested(self.now)));
+        self.roomiest(idle, engine, run)
     }
 
     fn roomiest(
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -13,7 +13,7 @@
     health::Outcome,
     line::{Line, Verdict, Waiting},
     load::{Lease, Loads},
-    placement::{Pairing, Reader, Run, View, spare},
+    placement::{Pairing, Reader, Run, Turn, View, spare},
     pools::{Order, Pools},
     suspect::Suspects,
 };
@@ -301,10 +301,11 @@
     /// Places those in the line whom there is room for.
     pub fn pump(&mut self, now: Time) -> Vec<Placed<T>> {
         let Some(catalog) = self.catalog.clone() else { return Vec::new() };
+        let turn = self.turn();
         let Self { line, loads, directory, pools, identity, .. } = self;
         line.pump(now, |waiting| {
             let engine = catalog.service(&waiting.service)?.engine?;
-            let view = View { now, directory, loads, pools, zone: &identity.zone };
+            let view = View { now, directory, loads, pools, zone: &identity.zone, turn };
             let run = Run {
                 prompt: waiting.prompt,
                 memory: waiting.memory,
@@ -396,8 +397,13 @@
             loads: &self.loads,
             pools: &self.pools,
             zone: &self.identity.zone,
+            turn: self.turn(),
         }
     }
+
+    fn turn(&self) -> Turn {
+        Turn { rank: self.peers.place(), count: self.peers.count() }
+    }
 }
 
 fn take(loads: &mut Loads, now: Time, endpoint: Arc<Endpoint>, share: Share) -> Place {
