Let the other entries tell one that starts while the store is away

Ruled out: a copy on the host (none has a disk, and nothing outlives the process); starting with an old version (the others hold the newest that the store gave, under the store's own versions, so none goes back). Tests: an_entry_that_starts_while_the_store_is_away_is_told_by_another (failed first), knowledge_of_the_store_survives.

--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -134,9 +134,16 @@
 
     /// Starts a further gateway that lives by a clock.
     pub async fn add_gateway_by(&mut self, clock: Clock) -> Result<(), SiteError> {
+        let settings = self.settings(self.gateways.len() + 1, SocketAddr::from((self.ip, 0)));
+        let gateway = Gateway::start(settings, clock).await.map_err(SiteError::Gateway)?;
+        self.gateways.push(gateway);
+        Ok(())
+    }
+
+    fn settings(&self, number: usize, peer: SocketAddr) -> GatewaySettings {
         let any = SocketAddr::from((self.ip, 0));
         let common = CommonSettings {
-            name: format!("entry-{}", self.gateways.len() + 1).into(),
+            name: format!("entry-{number}").into(),
             zone: "zone-a".into(),
             listen: any,
             admin: any,
@@ -146,9 +153,17 @@
             log: logging::off(),
         };
         let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-        let settings = GatewaySettings { common, peer: any, grace: Duration::from_secs(8), retries };
-        let gateway = Gateway::start(settings, clock).await.map_err(SiteError::Gateway)?;
-        self.gateways.push(gateway);
+        GatewaySettings { common, peer, grace: Duration::from_secs(8), retries }
+    }
+
+    /// Ends a gateway and starts it again under its name, where the others know it.
+    pub async fn restart(&mut self, gateway: usize) -> Result<(), SiteError> {
+        let old = self.gateways.remove(gateway);
+        let peer = old.peer();
+        old.kill().await;
+        let settings = self.settings(gateway + 1, peer);
+        let started = Gateway::start(settings, Clock::runtime()).await.map_err(SiteError::Gateway)?;
+        self.gateways.insert(gateway, started);
         Ok(())
     }
 
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -175,6 +175,25 @@
     });
 }
 
+/// One of two entries is killed while the store is away, and starts again at its address. It has no
+/// configuration, and would refuse every caller until the store is back; the other entry still knows all.
+#[test]
+fn an_entry_that_starts_while_the_store_is_away_is_told_by_another() {
+    run(async {
+        let mut site = Site::start(Shape { gateways: 2, ..Shape::default() }).await.expect("the site starts");
+        site.store.set_fault(store::Fault::Busy);
+        site.restart(0).await.expect("a gateway");
+        eventually("it knows the configuration", async || site.state(0).await["version"].as_u64() == Some(1))
+            .await;
+        assert_eq!(ask(&site, lookup("r1"), b"").await.head.status, 200);
+        assert_eq!(ask(&site, stream("r2"), b"prompt").await.ids(), whole_ids());
+        // The store's own word goes on from there.
+        site.store.set_fault(store::Fault::None);
+        site.configure(&configuration(2));
+        site.in_force(2).await;
+    });
+}
+
 /// A request hides a second one in its body, by naming two framings. A reader that takes the other
 /// framing would run the hidden request under the first one's name.
 #[test]
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod forecast;
 pub mod health;
+pub mod knowledge;
 pub mod lease;
 pub mod line;
 pub mod load;
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -228,6 +228,17 @@
         self.all().filter(move |endpoint| &*endpoint.service == service && !endpoint.leaving)
     }
 
+    /// The list as it stands, for an entry that cannot read it; lapsed endpoints are left out, since they
+    /// may be gone.
+    pub fn listed(&self) -> (u64, Vec<Row>) {
+        let standing = self.known.iter().filter(|(_, known)| known.lapses.is_none());
+        let rows = standing.filter_map(|(id, known)| {
+            let endpoint = Some(known.endpoint.clone()?);
+            Some(Row { id: id.clone(), version: known.version, sequence: known.newest.1, endpoint })
+        });
+        (self.version, rows.collect())
+    }
+
     /// An endpoint by name.
     pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.known.get(id).and_then(|known| known.endpoint.as_ref())
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -50,7 +50,7 @@
 }
 
 /// A list of endpoints, or a part that changed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
     /// Version of the list.
     pub version: u64,
@@ -133,9 +133,14 @@
         true
     }
 
-    /// Takes a list of endpoints.
+    /// Takes a list of endpoints that the store gave.
     pub fn list(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         self.directory.heard(now);
+        self.told(now, listing)
+    }
+
+    /// Takes a list of endpoints, whoever gave it.
+    pub fn told(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         let changes = if listing.whole {
             self.directory.replace(now, listing.version, listing.rows)
         } else {
@@ -370,6 +375,17 @@
         self.catalog.as_ref()
     }
 
+    /// The other entries known.
+    pub fn members(&self) -> Vec<Member> {
+        self.peers.members().collect()
+    }
+
+    /// The list of endpoints, for an entry that cannot read it.
+    pub fn listing(&self) -> Listing {
+        let (version, rows) = self.directory.listed();
+        Listing { version, whole: true, rows }
+    }
+
     /// The endpoints known.
     pub fn directory(&self) -> &Directory {
         &self.directory
--- a/crates/daemon/src/agent/server.rs
+++ b/crates/daemon/src/agent/server.rs
@@ -54,11 +54,7 @@
     address: SocketAddr,
 ) -> Result<(TcpIncoming, SocketAddr), StartError> {
     let failed = |error| StartError::Listen { setting, address: address.to_string(), error };
-    let listener = std::net::TcpListener::bind(address).map_err(failed)?;
-    listener.set_nonblocking(true).map_err(failed)?;
-    let bound = listener.local_addr().map_err(failed)?;
-    let listener = tokio::net::TcpListener::from_std(listener).map_err(failed)?;
-    Ok((TcpIncoming::from(listener).with_nodelay(Some(true)), bound))
+    tarragonhill_wire::listen(address).map_err(failed)
 }
 
 struct Links {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -79,6 +79,17 @@
         self.admin
     }
 
+    /// Where other entries reach it.
+    pub fn peer(&self) -> SocketAddr {
+        self.gateway.peer()
+    }
+
+    /// Ends at once, as a crash would.
+    pub async fn kill(self) {
+        self.gateway.kill().await;
+        self.answering.cancel().await;
+    }
+
     /// Stops gracefully.
     pub async fn shutdown(self) {
         spdlog::info!("gateway stopping", kv: { name = &*self.name });
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -19,6 +19,7 @@
         digest::{Digest, Member},
         directory::{Change, Endpoint},
         health::Outcome,
+        knowledge::Knowledge,
         line::{Verdict, Waiting},
         load::Lease,
         pools::Order,
@@ -62,6 +63,8 @@
     OrderDropped(Arc<str>),
     Update(Update),
     Digest(Box<Digest>, SocketAddr),
+    Knowledge(Reply<Option<Knowledge>>),
+    Members(Reply<Vec<Member>>),
     Dump(Reply<serde_json::Value>),
 }
 
@@ -152,7 +155,7 @@
         let (catalog, informed) = (control.catalog.clone(), control.informed.clone());
         let shared = Shared { commands, catalog, informed, started };
         let uninformed = Some(uninformed);
-        let mut desk = Desk { state, clock, shared, uninformed, outgoing, told: Time::ZERO };
+        let mut desk = Desk { state, clock, shared, source: None, uninformed, outgoing, told: Time::ZERO };
         thread::Builder::new()
             .name("control".into())
             .spawn(move || task::block_on(async move { desk.run(received).await }))?;
@@ -244,6 +247,21 @@
         self.tell(Command::Digest(Box::new(digest), from));
     }
 
+    /// What has been read from the store; nothing before the first configuration.
+    pub async fn knowledge(&self) -> Option<Knowledge> {
+        self.ask(Command::Knowledge).await.flatten()
+    }
+
+    /// The other entries.
+    pub async fn members(&self) -> Vec<Member> {
+        self.ask(Command::Members).await.unwrap_or_default()
+    }
+
+    /// Whether configuration and endpoints have been read.
+    pub fn is_informed(&self) -> bool {
+        self.informed.is_closed()
+    }
+
     /// What the process believes, for people.
     pub async fn dump(&self) -> serde_json::Value {
         self.ask(Command::Dump).await.unwrap_or_default()
@@ -276,6 +294,8 @@
     state: State<Reply<Pairing>>,
     clock: Clock,
     shared: Shared,
+    /// The configuration in force as the store holds it, and its order.
+    source: Option<(u64, Arc<[u8]>)>,
     /// Dropped once configuration and endpoints have been read.
     uninformed: Option<Sender<()>>,
     outgoing: Outlets,
@@ -360,14 +380,17 @@
             Command::OrderDropped(endpoint) => self.state.order_dropped(&endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Digest(digest, from) => self.state.heard(now, &digest, from),
+            Command::Knowledge(reply) => drop(reply.try_send(self.knowledge())),
+            Command::Members(reply) => drop(reply.try_send(self.state.members())),
             Command::Dump(reply) => drop(reply.try_send(self.dump(now))),
         }
     }
 
     fn update(&mut self, now: Time, update: Update) {
         match update {
-            Update::Catalog { order, catalog } => self.adopt(now, order, catalog),
+            Update::Catalog { order, catalog, source } => self.adopt(now, order, catalog, source),
             Update::Listing(listing) => log_changes(&self.state.list(now, listing)),
+            Update::ToldListing(listing) => log_changes(&self.state.told(now, listing)),
             Update::Member(member) => {
                 spdlog::info!("entry named", kv: { peer = &*member.name, address = member.address.to_string().as_str() });
                 self.state.member(now, member);
@@ -383,12 +406,18 @@
         }
     }
 
-    fn adopt(&mut self, now: Time, order: u64, catalog: Arc<Catalog>) {
+    fn knowledge(&self) -> Option<Knowledge> {
+        let (order, configuration) = self.source.clone()?;
+        Some(Knowledge { order, configuration, listing: self.state.listing() })
+    }
+
+    fn adopt(&mut self, now: Time, order: u64, catalog: Arc<Catalog>, source: Arc<[u8]>) {
         let (version, routes) = (catalog.version(), catalog.route_count());
         if !self.state.adopt(now, order, catalog.clone()) {
             spdlog::info!("older configuration ignored", kv: { version, order });
             return;
         }
+        self.source = Some((order, source));
         *self.shared.catalog.lock().unwrap_or_else(PoisonError::into_inner) = Some(catalog);
         spdlog::info!("configuration in force", kv: { version, order, routes });
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -104,6 +104,9 @@
 
 /// How heads and the gateway's own messages are spelled.
 pub trait Dialect: Send + Sync + 'static {
+    /// Reads a configuration as the store holds it; an error says what is wrong with it.
+    fn catalog(&self, source: &[u8]) -> Result<Catalog, String>;
+
     /// Reads what a caller says of its request.
     fn call(&self, request: &Request) -> Call;
 
@@ -192,9 +195,13 @@
         order: u64,
         /// The configuration.
         catalog: Arc<Catalog>,
+        /// The same as the store holds it, for entries that cannot read it.
+        source: Arc<[u8]>,
     },
     /// Endpoints.
     Listing(Listing),
+    /// Endpoints, as another entry has them: says nothing of whether the store can be reached.
+    ToldListing(Listing),
     /// An entry, and where it hears digests.
     Member(Member),
     /// The store cannot be reached.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod edge;
 pub mod exchange;
 mod front;
+mod handover;
 mod identify;
 pub mod metrics;
 mod orders;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,7 +25,7 @@
     context::{Context, Stop},
     control::{Control, Outlets},
     edge::{Claims, Dialect, Update},
-    front,
+    front, handover,
     metrics::Metrics,
     orders, peers,
     pool::Pool,
@@ -114,6 +114,7 @@
         let failed = |error| StartError::Listen(settings.peer, error);
         let socket = peers::bind(settings.peer).await.map_err(failed)?;
         let peer = socket.local_addr().map_err(failed)?;
+        let (incoming, _) = tarragonhill_wire::listen(peer).map_err(failed)?;
         let identity = Identity {
             name: settings.name.clone(),
             zone: settings.zone.clone(),
@@ -139,7 +140,9 @@
             task::spawn(front::accept(context.clone(), listener, closed)),
             task::spawn(peers::send(socket.clone(), to_tell)),
             task::spawn(peers::receive(socket, control.clone())),
-            task::spawn(learn(store.updates, control)),
+            task::spawn(learn(store.updates, control.clone())),
+            handover::serve(incoming, control),
+            task::spawn(handover::learn(context.clone())),
             task::spawn(orders::carry_out(context.clone(), settings.name.clone(), ordered, store.claims)),
         ]);
         Ok(Self { address, peer, context, settings, tasks, closing })
@@ -160,6 +163,14 @@
         View(self.context.clone())
     }
 
+    /// Ends at once, as a crash would: nobody is told, and nothing is finished.
+    pub async fn kill(self) {
+        let Self { mut tasks, .. } = self;
+        for task in tasks.0.drain(..) {
+            task.cancel().await;
+        }
+    }
+
     /// Stops: says that it is leaving, serves what still comes for a while, ends idle connections,
     /// lets running requests end, and gives up at the end of the grace.
     pub async fn shutdown(self) {
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -388,6 +388,47 @@
     #[prost(string, tag = "3")]
     pub stage: ::prost::alloc::string::String,
 }
+/// What an entry that cannot reach the store asks of another one.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Question {}
+/// What an entry has read from the store.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Knowledge {
+    /// Orders configurations.
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    /// The configuration as the store holds it.
+    #[prost(bytes = "vec", tag = "2")]
+    pub configuration: ::prost::alloc::vec::Vec<u8>,
+    /// Version of the list of endpoints.
+    #[prost(uint64, tag = "3")]
+    pub list: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub endpoints: ::prost::alloc::vec::Vec<Listed>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Listed {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    #[prost(uint64, tag = "4")]
+    pub born: u64,
+    #[prost(string, tag = "5")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "6")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "7")]
+    pub zone: ::prost::alloc::string::String,
+    #[prost(string, tag = "8")]
+    pub stage: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "9")]
+    pub slots: u32,
+    #[prost(bool, tag = "10")]
+    pub leaving: bool,
+}
 /// Generated client implementations.
 pub mod agent_client {
     #![allow(unused_variables, dead_code, missing_docs, clippy::wildcard_imports, clippy::let_unit_value)]
@@ -883,3 +924,246 @@
         const NAME: &'static str = SERVICE_NAME;
     }
 }
+/// Generated client implementations.
+pub mod entry_client {
+    #![allow(unused_variables, dead_code, missing_docs, clippy::wildcard_imports, clippy::let_unit_value)]
+    use tonic::codegen::http::Uri;
+    use tonic::codegen::*;
+    /// Served by gateways to one another.
+    #[derive(Debug, Clone)]
+    pub struct EntryClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl EntryClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> EntryClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> EntryClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                    http::Request<tonic::body::Body>,
+                    Response = http::Response<
+                        <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    >,
+                >,
+            <T as tonic::codegen::Service<http::Request<tonic::body::Body>>>::Error:
+                Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            EntryClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        pub async fn tell(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Question>,
+        ) -> std::result::Result<tonic::Response<super::Knowledge>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| tonic::Status::unknown(format!("Service was not ready: {}", e.into())))?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/tarragonhill.v1.Entry/Tell");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("tarragonhill.v1.Entry", "Tell"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod entry_server {
+    #![allow(unused_variables, dead_code, missing_docs, clippy::wildcard_imports, clippy::let_unit_value)]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with EntryServer.
+    #[async_trait]
+    pub trait Entry: std::marker::Send + std::marker::Sync + 'static {
+        async fn tell(
+            &self,
+            request: tonic::Request<super::Question>,
+        ) -> std::result::Result<tonic::Response<super::Knowledge>, tonic::Status>;
+    }
+    /// Served by gateways to one another.
+    #[derive(Debug)]
+    pub struct EntryServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> EntryServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for EntryServer<T>
+    where
+        T: Entry,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/tarragonhill.v1.Entry/Tell" => {
+                    #[allow(non_camel_case_types)]
+                    struct TellSvc<T: Entry>(pub Arc<T>);
+                    impl<T: Entry> tonic::server::UnaryService<super::Question> for TellSvc<T> {
+                        type Response = super::Knowledge;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(&mut self, request: tonic::Request<super::Question>) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Entry>::tell(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = TellSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => Box::pin(async move {
+                    let mut response = http::Response::new(tonic::body::Body::default());
+                    let headers = response.headers_mut();
+                    headers.insert(tonic::Status::GRPC_STATUS, (tonic::Code::Unimplemented as i32).into());
+                    headers.insert(http::header::CONTENT_TYPE, tonic::metadata::GRPC_CONTENT_TYPE);
+                    Ok(response)
+                }),
+            }
+        }
+    }
+    impl<T> Clone for EntryServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "tarragonhill.v1.Entry";
+    impl<T> tonic::server::NamedService for EntryServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -4,6 +4,11 @@
 
 use tarragonhill_core::{
     Attempt, Code, Request,
+    gateway::{
+        directory::{Endpoint, Row, Stage},
+        knowledge::Knowledge,
+        state::Listing,
+    },
     message::{Answer, Ask, Beat, Breakage, Event, Load, Order, Work},
     quarantine::Strike,
     quota::{Grant, Loan},
@@ -118,3 +123,28 @@
     let event = proto::Event { body: Some(proto::event::Body::Broken(broken)) };
     assert_eq!(Event::try_from(event), Err(DecodeError::Unknown("breakage", "melted".into())));
 }
+
+fn listed(id: &str) -> Row {
+    let endpoint = Endpoint {
+        id: name(id),
+        born: 1_700_000_000_123,
+        service: name("drafting"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: name("zone-a"),
+        stage: Stage::Prefill,
+        slots: 48,
+        leaving: true,
+    };
+    Row { id: name(id), version: 7, sequence: 9, endpoint: Some(Arc::new(endpoint)) }
+}
+
+#[test]
+fn knowledge_of_the_store_survives() {
+    let listing = Listing { version: 12, whole: true, rows: vec![listed("i-1"), listed("i-2")] };
+    let knowledge = Knowledge { order: 11, configuration: b"{\xff}".to_vec().into(), listing };
+    let back = Knowledge::try_from(proto::Knowledge::from(&knowledge)).expect("it makes sense");
+    assert_eq!(back, knowledge);
+    let mut spoilt = proto::Knowledge::from(&knowledge);
+    spoilt.endpoints[1].stage = "resting".into();
+    assert_eq!(Knowledge::try_from(spoilt), Err(DecodeError::Unknown("stage", "resting".into())));
+}
