Tell an entry's starts apart by random numbers, not by the time of day

Cause, found by reading: incarnations were Unix milliseconds and had to grow. A host whose time of day steps back by two seconds, with its entry killed and started within them, is not heard by the others until they forget it after 12 s: its load and spending do not count, and its silence is charged. Ruled out: that datagrams of an older start come much later (they take milliseconds; a start takes half a second). Change: incarnations are drawn at random; the newest start and the one before are known. Test: an_entry_whose_clock_stepped_back_between_two_starts_is_heard, failed first.

--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -41,7 +41,7 @@
 pub struct Digest {
     /// The sender's name.
     pub name: Arc<str>,
-    /// Tells starts of one name apart; a later start has a larger one.
+    /// Tells starts of one name apart; drawn at random, so it orders nothing.
     pub incarnation: u64,
     /// Grows with each digest of one start.
     pub serial: u64,
@@ -73,8 +73,12 @@
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
-    /// Incarnation and serial of the newest digest.
-    newest: (u64, u64),
+    /// Of the newest digest.
+    incarnation: u64,
+    /// Of the newest digest; zero while it was only named by somebody.
+    serial: u64,
+    /// The start before, whose late datagrams must not count.
+    before: Option<u64>,
     /// When it was heard, or first named by somebody.
     heard: Time,
 }
@@ -97,20 +101,33 @@
         if member.name == self.own {
             return;
         }
-        let peer = Peer { address: member.address, newest: (0, 0), heard: now };
+        let peer = Peer { address: member.address, incarnation: 0, serial: 0, before: None, heard: now };
         self.peers.entry(member.name).or_insert(peer);
     }
 
-    /// Takes a digest; false if it is older than one that came before.
+    /// Takes a digest; false if it is older than one that came before. Starts are not ordered by the time
+    /// of day: a host's clock steps back by seconds, and an entry that starts again right then would
+    /// not be heard until it is forgotten. Datagrams come late by less than a start takes, so only the
+    /// start before the newest has to be told apart.
     pub fn heard(&mut self, now: Time, digest: &Digest, from: SocketAddr) -> bool {
         if digest.name == self.own {
             return false;
         }
-        let newest = (digest.incarnation, digest.serial);
-        if self.peers.get(&digest.name).is_some_and(|peer| peer.newest >= newest) {
-            return false;
-        }
-        self.peers.insert(digest.name.clone(), Peer { address: from, newest, heard: now });
+        let known = self.peers.get(&digest.name).filter(|peer| peer.serial > 0);
+        let before = match known {
+            Some(peer) if peer.incarnation == digest.incarnation => {
+                if peer.serial >= digest.serial {
+                    return false;
+                }
+                peer.before
+            }
+            Some(peer) if peer.before == Some(digest.incarnation) => return false,
+            Some(peer) => Some(peer.incarnation),
+            None => None,
+        };
+        let Digest { incarnation, serial, .. } = *digest;
+        let peer = Peer { address: from, incarnation, serial, before, heard: now };
+        self.peers.insert(digest.name.clone(), peer);
         for member in &digest.members {
             self.named(now, member.clone());
         }
@@ -134,7 +151,7 @@
     /// The entries that were heard themselves of late: the only ones to name to others. Passing on
     /// hearsay would keep an entry that is gone in every memory for ever.
     pub fn heard_of_late(&self, now: Time) -> impl Iterator<Item = Member> {
-        let is_fresh = move |peer: &Peer| peer.newest != (0, 0) && now.since(peer.heard) < HEARSAY;
+        let is_fresh = move |peer: &Peer| peer.serial > 0 && now.since(peer.heard) < HEARSAY;
         self.peers
             .iter()
             .filter(move |(_, peer)| is_fresh(peer))
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -32,7 +32,7 @@
     pub name: Arc<str>,
     /// Its availability zone.
     pub zone: Arc<str>,
-    /// Tells starts of one name apart; a later start has a larger one.
+    /// Tells starts of one name apart; drawn at random.
     pub incarnation: u64,
     /// Where it hears digests.
     pub address: SocketAddr,
--- a/crates/core/tests/gateway/digest.rs
+++ b/crates/core/tests/gateway/digest.rs
@@ -23,6 +23,20 @@
     assert!(!peers.heard(at(3), &digest("b", 1, 9), from));
 }
 
+/// The time of day of a host steps back by two seconds, and its entry is killed and starts again a
+/// second later. By that time it started before the start that the others know, and they dropped what it
+/// said for twelve seconds: its customers spent their rate twice.
+#[test]
+fn an_entry_whose_clock_stepped_back_between_two_starts_is_heard() {
+    let mut peers = Peers::new("own".into());
+    let from = member("b").address;
+    assert!(peers.heard(at(0), &digest("b", 1_700_000_002_000, 5), from));
+    assert!(peers.heard(at(1_000), &digest("b", 1_700_000_001_000, 1), from));
+    // A datagram of the start before that comes late changes nothing.
+    assert!(!peers.heard(at(1_001), &digest("b", 1_700_000_002_000, 6), from));
+    assert!(peers.heard(at(1_100), &digest("b", 1_700_000_001_000, 2), from));
+}
+
 #[test]
 fn an_entry_is_learnt_from_another() {
     let mut peers = Peers::new("own".into());
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -1,10 +1,6 @@
 //! The gateway role: passes requests on to the platform's endpoints.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
 use async_std::task::{self, JoinHandle};
@@ -43,7 +39,7 @@
             zone: common.zone.clone(),
             listen: common.listen,
             peer: settings.peer,
-            incarnation: unix_millis(),
+            incarnation: rand::random(),
             retries: settings.retries,
             linger: LINGER,
             grace: settings.grace.saturating_sub(END),
@@ -135,9 +131,3 @@
     admin.dropped.set(i64::try_from(logging::dropped()).unwrap_or(i64::MAX));
     admin::common(&inbound, &admin.registry, is_ready).unwrap_or_else(|| admin::not_found(&inbound))
 }
-
-/// The host's time of day. It may jump, but starts of one process lie seconds apart.
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -58,7 +58,7 @@
     pub listen: SocketAddr,
     /// Where other entries send digests.
     pub peer: SocketAddr,
-    /// When it started, Unix milliseconds; tells starts of one name apart.
+    /// Tells starts of one name apart; drawn at random.
     pub incarnation: u64,
     /// How often requests may be sent to a further endpoint.
     pub retries: Rule,
