Tell a request's story and failures by cause from the daemons' logs

tarragonhill story ID LOG... prints a request's lines, those of the endpoints that it was given to and those of the processes that had it, by time, over all logs named; tarragonhill failures LOG... counts failed requests by cause, with one id each.

--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -13,6 +13,8 @@
 //! # }
 //! ```
 
+pub mod log;
+
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/operator/tests/log.rs
@@ -0,0 +1,68 @@
+//! Stories of requests and causes of failures, from lines as the daemons write them.
+
+use std::sync::Arc;
+
+use tarragonhill_operator::log::{Line, failures, story};
+
+const FIRST: &str = r#"
+{"level":"info","timestamp":1000,"payload":"request admitted","kv":{"request":"r1","customer":"faculty"},"tid":1}
+{"level":"info","timestamp":1001,"payload":"request placed","kv":{"request":"r1","endpoint":"i-1","reader":"i-2"},"tid":1}
+{"level":"info","timestamp":1001,"payload":"request placed","kv":{"request":"r2","endpoint":"i-3","reader":"i-2"},"tid":1}
+not a line of ours
+{"level":"warn","timestamp":3000,"payload":"stream cut","kv":{"request":"r1","reason":"i-1: connection broke"},"tid":1}
+{"level":"warn","timestamp":3001,"payload":"stream cut","kv":{"request":"r2","reason":"i-3: connection broke"},"tid":1}
+{"level":"info","timestamp":3002,"payload":"request ended","kv":{"request":"r1","status":200,"whole":false},"tid":1}
+{"level":"info","timestamp":3100,"payload":"request ended","kv":{"request":"r3","status":500,"whole":true},"tid":1}
+{"level":"info","timestamp":9000,"payload":"configuration in force","kv":{"version":7},"tid":1}
+"#;
+
+const SECOND: &str = r#"
+{"level":"info","timestamp":2900,"payload":"endpoint","kv":{"change":"gone","endpoint":"i-1"},"tid":9}
+{"level":"info","timestamp":2901,"payload":"endpoint","kv":{"change":"gone","endpoint":"i-9"},"tid":9}
+{"level":"info","timestamp":2902,"payload":"store lost","kv":{"what":"endpoints"},"tid":9}
+{"level":"info","timestamp":50,"payload":"endpoint","kv":{"change":"seen","endpoint":"i-1"},"tid":9}
+"#;
+
+fn read(source: &str, text: &str) -> Vec<Line> {
+    let source: Arc<str> = source.into();
+    text.lines().filter_map(|line| Line::parse(&source, line)).collect()
+}
+
+fn lines() -> Vec<Line> {
+    [read("entry-1", FIRST), read("entry-2", SECOND)].concat()
+}
+
+#[test]
+fn a_story_holds_the_request_and_what_happened_to_its_endpoints() {
+    let lines = lines();
+    let told: Vec<(u64, &str)> =
+        story(&lines, "r1").iter().map(|line| (line.at, line.event.as_str())).collect();
+    let expected = [
+        (50, "endpoint"),
+        (1_000, "request admitted"),
+        (1_001, "request placed"),
+        (2_900, "endpoint"),
+        (3_000, "stream cut"),
+        (3_002, "request ended"),
+    ];
+    assert_eq!(told, expected);
+    assert!(story(&lines, "nobody").is_empty());
+}
+
+#[test]
+fn failures_of_one_kind_are_counted_together() {
+    let failures = failures(&lines());
+    let counts: Vec<(&str, usize, &str)> = failures
+        .iter()
+        .map(|(cause, failures)| (cause.as_str(), failures.count, failures.example.as_str()))
+        .collect();
+    assert_eq!(counts, [("cut: # connection broke", 2, "r1"), ("the endpoint's own failure", 1, "r3")]);
+}
+
+#[test]
+fn what_a_collector_writes_before_a_line_is_its_source() {
+    let text = r#"   3.0 front-a-1 {"timestamp":1,"payload":"gateway started","kv":{}}"#;
+    let line = Line::parse(&"file".into(), text).expect("a line");
+    assert_eq!((&*line.source, line.event.as_str()), ("front-a-1", "gateway started"));
+    assert_eq!(Line::parse(&"file".into(), "{torn"), None);
+}
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -2,15 +2,17 @@
 
 pub(crate) mod confirm;
 pub(crate) mod dump;
+pub(crate) mod failures;
 pub(crate) mod plan;
 pub(crate) mod resolve;
 pub(crate) mod show;
+pub(crate) mod story;
 
-use std::{fmt, io, net::SocketAddr, path::PathBuf};
+use std::{fmt, fs, io, net::SocketAddr, path::PathBuf, sync::Arc};
 
 use bpaf::{Parser, construct, long};
 use serde_json::Value;
-use tarragonhill_operator::{Client, OperatorError};
+use tarragonhill_operator::{Client, OperatorError, log::Line};
 
 /// One invocation.
 #[derive(Clone, Debug)]
@@ -20,6 +22,8 @@
     Resolve(resolve::Options),
     Show(show::Options),
     Dump(dump::Options),
+    Story(story::Options),
+    Failures(failures::Options),
 }
 
 impl Command {
@@ -31,6 +35,8 @@
             Self::Resolve(options) => resolve::execute(options).await,
             Self::Show(options) => show::execute(options).await,
             Self::Dump(options) => dump::execute(options).await,
+            Self::Story(options) => story::execute(&options),
+            Self::Failures(options) => failures::execute(&options),
         }
     }
 }
@@ -41,6 +47,7 @@
     Operator(OperatorError),
     File(PathBuf, io::Error),
     NotAPlan(PathBuf, serde_json::Error),
+    NoStory(String),
 }
 
 impl fmt::Display for CommandError {
@@ -49,6 +56,7 @@
             Self::Operator(error) => write!(f, "{error}"),
             Self::File(path, error) => write!(f, "{}: {error}", path.display()),
             Self::NotAPlan(path, error) => write!(f, "{} is not a plan: {error}", path.display()),
+            Self::NoStory(request) => write!(f, "no line names the request {request}"),
         }
     }
 }
@@ -96,3 +104,15 @@
 pub(crate) fn print(value: &Value) {
     println!("{value:#}");
 }
+
+/// Reads the lines of logs; what is no line of a daemon is passed over.
+pub(crate) fn read_logs(files: &[PathBuf]) -> Result<Vec<Line>, CommandError> {
+    let mut lines = Vec::new();
+    for file in files {
+        let bytes = fs::read(file).map_err(|error| CommandError::File(file.clone(), error))?;
+        let text = String::from_utf8_lossy(&bytes);
+        let source: Arc<str> = file.to_string_lossy().into();
+        lines.extend(text.lines().filter_map(|line| Line::parse(&source, line)));
+    }
+    Ok(lines)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,10 +14,14 @@
     let resolve = cmd::resolve::command();
     let show = cmd::show::command();
     let dump = cmd::dump::command();
-    construct!([plan, confirm, resolve, show, dump])
+    let story = cmd::story::command();
+    let failures = cmd::failures::command();
+    construct!([plan, confirm, resolve, show, dump, story, failures])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
-        .descr("Operates tarragonhill: plan a change, look at the plan, confirm it")
+        .descr(
+            "Operates tarragonhill: plan a change, look at the plan, confirm it; explain failures from logs",
+        )
 }
 
 fn main() -> ExitCode {
