--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -8,7 +8,10 @@
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
+        mpsc,
     },
+    thread,
+    time::Duration,
 };
 
 use spdlog::{
@@ -20,6 +23,10 @@
 /// Lines that may wait to be written: a second of a busy entry, half a megabyte.
 const QUEUE: usize = 2_048;
 
+/// Longest wait for lines to be written at the end: a full queue takes some milliseconds where somebody
+/// reads, and a stopping process keeps 0.3 s for its end.
+const CLOSE_LIMIT: Duration = Duration::from_millis(200);
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// How many lines were dropped since the start.
@@ -41,24 +48,39 @@
         .sink(Arc::new(out))
         .overflow_policy(OverflowPolicy::DropIncoming)
         .thread_pool(pool.clone())
+        .build()?;
+    // A line that finds the queue full is an error of the logger, not of the sink.
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(level)
         .error_handler(|_| {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         })
         .build()?;
-    let logger = Logger::builder().sink(Arc::new(sink)).level_filter(level).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(Queue(pool))
 }
 
 impl Queue {
-    /// Writes the lines that wait, and stops logging.
+    /// Writes the lines that wait, and stops logging. Gives the rest up after a while: where nobody
+    /// reads standard output, the thread that writes hangs for ever, and the process would with it.
     pub fn close(self) {
-        match Logger::builder().build() {
-            Ok(silent) => drop(spdlog::swap_default_logger(Arc::new(silent))),
-            Err(error) => eprintln!("logs not closed: {error}"),
+        let (done, closed) = mpsc::channel();
+        let closing = thread::Builder::new().name("logs".into()).spawn(move || {
+            match Logger::builder().build() {
+                Ok(silent) => drop(spdlog::swap_default_logger(Arc::new(silent))),
+                Err(error) => eprintln!("logs not closed: {error}"),
+            }
+            // The last handle on the pool waits for its thread.
+            drop(self.0);
+            // Fails only when nobody waits any more.
+            let _ = done.send(());
+        });
+        if let Err(error) = closing {
+            eprintln!("logs not closed: {error}");
         }
-        // The last handle on the pool waits for its thread.
-        drop(self.0);
+        // Ends early when the thread could not start, and late when it hangs.
+        let _ = closed.recv_timeout(CLOSE_LIMIT);
     }
 }
 
