Name every metric in the guide; test that each refusal leaves its line

New metrics: wait for a place, longest pause, losses of the store, version in force. A test compares the metrics served with the guide's table; another draws ten kinds of refusal and looks for the line of each with its code, status, reason and whether the request ran.

--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! The whole path of a gateway, through the platform's protocols, against stand-ins that fail.
 
+use std::collections::BTreeSet;
+
 use async_std::task;
 use serde_json::json;
 use tarragonhill_bench::published::{
@@ -717,6 +719,36 @@
     });
 }
 
+/// Whoever is on call looks metrics up in the guide; one that is missing there, or gone from the code,
+/// costs the time that they do not have.
+#[test]
+fn the_guide_names_every_metric() {
+    run(async {
+        let site = small().await;
+        assert_eq!(ask(&site, submit("r1"), b"case").await.head.status, 200);
+        assert_eq!(ask(&site, stream("r2"), b"prompt").await.ids(), whole_ids());
+        assert_eq!(ask(&site, plain("GET", "/nowhere/x", KEY, "r3"), b"").await.head.status, 404);
+        site.store.set_fault(store::Fault::Busy);
+        site.configure(&configuration(2));
+        let metrics = async || {
+            let head = plain("GET", "/metrics", KEY, "q");
+            caller::ask(site.gateways[0].admin(), head, b"").await.expect("an answer").text()
+        };
+        eventually("the store is lost", async || metrics().await.contains("gateway_store_losses_total{"))
+            .await;
+        let text = metrics().await;
+        let served: BTreeSet<&str> =
+            text.lines().filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next()).collect();
+        let guide = include_str!("../../../docs/OPERATIONS.md");
+        let rows = guide.lines().filter_map(|line| line.strip_prefix("| `"));
+        let named: BTreeSet<&str> = rows
+            .filter(|row| row.starts_with("gateway_") || row.starts_with("log_"))
+            .filter_map(|row| row.split(['`', '{']).next())
+            .collect();
+        assert_eq!(served, named);
+    });
+}
+
 /// An engine is in the middle of a change of its stage, and the entries that knew it have lost power.
 /// It grants reservations and turns every run away, after the prompt has been read for it.
 #[test]
--- /dev/null
+++ b/crates/bench/tests/refusals.rs
@@ -0,0 +1,149 @@
+//! Every way in which a request is refused leaves a line that tells its id and why.
+//!
+//! One test in a process of its own: the logger is the process's.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use async_std::task;
+use serde_json::Value;
+use spdlog::{Logger, formatter::JsonFormatter, sink::WriteSink};
+use tarragonhill_bench::published::{
+    caller::{self, completion, plain},
+    endpoint::{Fault, Role},
+    site::{KEY, SMALL_KEY, Shape, Site, eventually},
+};
+use tarragonhill_h1::head::Request;
+
+/// What was logged.
+#[derive(Clone, Default)]
+struct Log(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Log {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Log {
+    fn start() -> Self {
+        let log = Self::default();
+        let sink = WriteSink::builder().target(log.clone()).formatter(JsonFormatter::new()).build();
+        let sink = Arc::new(sink.expect("a sink"));
+        let logger = Logger::builder().sink(sink).build().expect("a logger");
+        spdlog::set_default_logger(Arc::new(logger));
+        log
+    }
+
+    /// The refusals logged, by request: code, status and whether the request has not run.
+    fn refusals(&self) -> BTreeMap<String, (String, u64, bool)> {
+        let bytes = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let text = String::from_utf8_lossy(&bytes);
+        let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let refused = lines.filter(|line| line["payload"] == "request refused");
+        refused
+            .map(|line| {
+                let kv = &line["kv"];
+                assert!(kv["reason"].as_str().is_some_and(|reason| !reason.is_empty()), "{line}");
+                let text = |name: &str| kv[name].as_str().unwrap_or_default().to_string();
+                let status = kv["status"].as_u64().unwrap_or(0);
+                (text("request"), (text("code"), status, kv["not_run"] == true))
+            })
+            .collect()
+    }
+}
+
+/// A request that is to be refused.
+struct Case {
+    head: Request,
+    /// The code and status expected, and whether the caller is told that it has not run.
+    expected: (&'static str, u16, bool),
+}
+
+fn case(head: Request, code: &'static str, status: u16, not_run: bool) -> Case {
+    Case { head, expected: (code, status, not_run) }
+}
+
+async fn check(site: &Site, log: &Log, cases: Vec<Case>) {
+    for Case { head, expected: (code, status, not_run) } in cases {
+        let id = head.fields.get("Tarragonhill-Request-Id").expect("an id").to_string();
+        let answer = caller::ask(site.address(), head, b"x").await.expect("an answer");
+        assert_eq!(answer.head.status, status, "{code}");
+        eventually("the refusal is logged", async || log.refusals().contains_key(&id)).await;
+        assert_eq!(log.refusals()[&id], (code.to_string(), u64::from(status), not_run), "{id}");
+    }
+}
+
+fn hurried(mut head: Request) -> Request {
+    head.fields.set("Tarragonhill-Deadline-Ms", "300");
+    head
+}
+
+#[test]
+fn every_refusal_has_its_line() {
+    let log = Log::start();
+    task::block_on(async {
+        let mut empty = Site::empty().await.expect("a store");
+        empty.add_gateway().await.expect("a gateway");
+        let early = plain("GET", "/lookup/x", KEY, "early");
+        check(&empty, &log, vec![case(early, "settings_unconfirmed", 503, true)]).await;
+
+        let shape = Shape { gateways: 1, prefill: 1, decode: 1, plain: 1 };
+        let site = Site::start(shape).await.expect("the site starts");
+        let desk = site.endpoints(Role::Plain)[0].clone();
+        let submit = |id: &str| plain("POST", "/submit/x", KEY, id);
+        let stream = |id: &str, prompt| completion("/stream/x", KEY, id, prompt);
+        let mut large = plain("POST", "/submit/x", SMALL_KEY, "spends");
+        large.fields.set("Tarragonhill-Token-Counts", "800,0");
+        let spent = caller::ask(site.address(), large, b"x").await.expect("an answer");
+        assert_eq!(spent.head.status, 200);
+        let mut over = plain("POST", "/submit/x", SMALL_KEY, "over");
+        over.fields.set("Tarragonhill-Token-Counts", "3900,0");
+        let cases = vec![
+            case(plain("GET", "/nowhere/x", KEY, "nowhere"), "not_found", 404, true),
+            case(plain("GET", "/lookup/x", "key-nobody", "nobody"), "bad_key", 401, true),
+            case(over, "over_rate", 429, true),
+        ];
+        check(&site, &log, cases).await;
+
+        desk.set_fault(Fault::Refuse);
+        check(&site, &log, vec![case(submit("full"), "no_endpoint", 503, true)]).await;
+        desk.set_fault(Fault::ResetAfterRun);
+        check(&site, &log, vec![case(submit("lost"), "outcome_unknown", 502, false)]).await;
+        desk.set_fault(Fault::Hang);
+        check(&site, &log, vec![case(hurried(submit("late")), "timeout", 504, false)]).await;
+        let hopeless = hurried(stream("hopeless", 30_000));
+        check(&site, &log, vec![case(hopeless, "overloaded", 503, true)]).await;
+        site.endpoints(Role::Decode)[0].set_fault(Fault::ResetAfterRun);
+        check(&site, &log, vec![case(stream("broken", 5_000), "broken", 502, false)]).await;
+
+        let away = Site::start(Shape { plain: 0, ..shape }).await.expect("the site starts");
+        check(&away, &log, vec![case(plain("GET", "/lookup/x", KEY, "gone"), "no_endpoint", 503, true)])
+            .await;
+        // Told to stop, it sends streams elsewhere that could last longer than itself.
+        let mut stopping = Site::start(shape).await.expect("the site starts");
+        let (address, gateway) = (stopping.address(), stopping.gateways.remove(0));
+        let admin = gateway.admin();
+        let stopped = task::spawn(gateway.shutdown());
+        eventually("it is not ready", async || {
+            let head = plain("GET", "/v1/readiness", KEY, "q");
+            caller::ask(admin, head, b"").await.is_ok_and(|answer| answer.head.status == 503)
+        })
+        .await;
+        let mut long = stream("long", 5_000);
+        long.fields.set("Tarragonhill-Token-Counts", "5000,100000");
+        let answer = caller::ask(address, long, b"x").await.expect("an answer");
+        assert_eq!(answer.head.status, 503);
+        eventually("the refusal is logged", async || log.refusals().contains_key("long")).await;
+        assert_eq!(log.refusals()["long"], ("shutting_down".to_string(), 503, true));
+        stopped.await;
+    });
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -265,6 +265,9 @@
     context.metrics.requests.with_label_values(&[kind.as_str(), status.as_str()]).inc();
     let took = context.clock.now().since(inbound.received);
     let tokens = inbound.call.tokens.unwrap_or_default();
+    if answer.pace.events > 0 {
+        context.metrics.gaps.observe(answer.pace.longest_gap.as_secs_f64());
+    }
     spdlog::info!("request ended", kv: {
         request = inbound.id(), route = &*inbound.route.name, customer = inbound.customer_name().unwrap_or(""),
         status = answer.status, whole = answer.is_whole(), ms = took.as_millis() as u64,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and latency histograms of the gateway.
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, core::Collector};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, core::Collector,
+};
 
 /// Bounds of latency buckets, seconds: from a plain call within a host to the longest deadline.
 const LATENCY: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 0.9, 1.5, 3.0, 6.0, 14.0];
@@ -16,6 +18,14 @@
     pub sends: IntCounterVec,
     /// Seconds from a request's arrival to the head of its answer, by kind of route.
     pub first: HistogramVec,
+    /// Seconds that streams waited for a place.
+    pub waits: Histogram,
+    /// Seconds of each stream's longest pause between two events.
+    pub gaps: Histogram,
+    /// Times that a part of the store's state could not be read any more.
+    pub store_losses: IntCounterVec,
+    /// Version of the configuration in force; 0 before the first.
+    pub version: IntGauge,
 }
 
 impl Metrics {
@@ -26,12 +36,20 @@
             refusals: counter("gateway_refusals_total", "Refusals by the gateway", &["code"]),
             sends: counter("gateway_sends_total", "Requests sent to endpoints", &["outcome"]),
             first: histogram("gateway_first_byte_seconds", "Time to the head of an answer", &["kind"]),
+            waits: plain_histogram("gateway_wait_seconds", "Time that streams waited for a place"),
+            gaps: plain_histogram("gateway_longest_gap_seconds", "Longest pause between a stream's events"),
+            store_losses: counter("gateway_store_losses_total", "Losses of the store", &["what"]),
+            version: gauge("gateway_configuration_version", "Version of the configuration in force"),
         };
-        let collectors: [Box<dyn Collector>; 4] = [
+        let collectors: [Box<dyn Collector>; 8] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.first.clone()),
+            Box::new(metrics.waits.clone()),
+            Box::new(metrics.gaps.clone()),
+            Box::new(metrics.store_losses.clone()),
+            Box::new(metrics.version.clone()),
         ];
         for collector in collectors {
             if let Err(error) = registry.register(collector) {
@@ -50,3 +68,12 @@
     let options = HistogramOpts::new(name, help).buckets(LATENCY.to_vec());
     HistogramVec::new(options, labels).expect("name and labels are constant and valid")
 }
+
+fn plain_histogram(name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY.to_vec());
+    Histogram::with_opts(options).expect("the name is constant and valid")
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("the name is constant and valid")
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -140,7 +140,7 @@
             task::spawn(front::accept(context.clone(), listener, closed)),
             task::spawn(peers::send(socket.clone(), to_tell)),
             task::spawn(peers::receive(socket, control.clone())),
-            task::spawn(learn(store.updates, control.clone())),
+            task::spawn(learn(store.updates, context.clone())),
             handover::serve(incoming, control),
             task::spawn(handover::learn(context.clone())),
             task::spawn(orders::carry_out(context.clone(), settings.name.clone(), ordered, store.claims)),
@@ -221,14 +221,23 @@
         self.0.control.catalog().is_some() && !self.0.is_stopping()
     }
 
+    /// Brings those metrics up to date that are read off the state.
+    pub fn observe(&self) {
+        let version = self.0.control.catalog().map_or(0, |catalog| catalog.version());
+        self.0.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
     /// What the process believes.
     pub async fn dump(&self) -> serde_json::Value {
         self.0.control.dump().await
     }
 }
 
-async fn learn(updates: Receiver<Update>, control: Control) {
+async fn learn(updates: Receiver<Update>, context: Arc<Context>) {
     while let Ok(update) = updates.recv().await {
-        control.update(update);
+        if let Update::Lost { what, .. } = &update {
+            context.metrics.store_losses.with_label_values(&[what]).inc();
+        }
+        context.control.update(update);
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -227,6 +227,8 @@
         let waiting = waiting(inbound, &engine, &avoid);
         let memory = waiting.memory;
         let Tickets { run, reader } = context.control.decode(waiting).await?;
+        let waited = context.clock.now().since(inbound.received);
+        context.metrics.waits.observe(waited.as_secs_f64());
         let read_by = reader.as_ref().map(|reader| &*reader.endpoint);
         inbound.log_place(context.clock.now(), &run.endpoint, read_by);
         if engine.longest_hold.is_zero() {
