--- a/crates/bench/tests/refusals.rs
+++ b/crates/bench/tests/refusals.rs
@@ -140,6 +140,7 @@
         .await;
         let mut long = stream("long", 5_000);
         long.fields.set("Tarragonhill-Token-Counts", "5000,100000");
+        long.fields.set("Tarragonhill-Length-Hint", "100000");
         let answer = caller::ask(address, long, b"x").await.expect("an answer");
         assert_eq!(answer.head.status, 503);
         eventually("the refusal is logged", async || log.refusals().contains_key("long")).await;
