--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -57,8 +57,8 @@
             error,
         })?;
         let admin = server.address();
-        let desk = Admin { view: gateway.view(), dropped: dropped_lines(&registry), registry };
-        let answering = task::spawn(server.serve(move |inbound| answer(inbound, desk.clone())));
+        let admin_state = Admin { view: gateway.view(), dropped: dropped_lines(&registry), registry };
+        let answering = task::spawn(server.serve(move |inbound| answer(inbound, admin_state.clone())));
         spdlog::info!("gateway started", kv: {
             name = &*common.name, zone = &*common.zone, listen = gateway.address().to_string().as_str()
         });
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 use tarragonhill_core::gateway::digest::Digest;
 use tarragonhill_wire::proto;
 
-use crate::control::{Control, Outgoing};
+use crate::control::{Control, worker::Outgoing};
 
 /// Largest datagram, bytes: what UDP carries.
 const LARGEST: usize = 65_507;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     context::{Context, Stop},
-    control::{Control, Outlets},
+    control::worker::{self, Outlets},
     edge::{Claims, Dialect, Update},
     front, handover,
     metrics::Metrics,
@@ -124,7 +124,7 @@
         let (digests, to_tell) = async_channel::bounded(DIGESTS);
         let (orders, ordered) = async_channel::bounded(ORDERS);
         let outgoing = Outlets { digests, orders };
-        let control = Control::start(identity, settings.retries, clock.clone(), outgoing);
+        let control = worker::start(identity, settings.retries, clock.clone(), outgoing);
         let control = control.map_err(StartError::Thread)?;
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
