Undo the three circles of files in the daemon

What callers send (request.rs), the handles on the control threads (control.rs, agent/handle.rs), the threads themselves (owner.rs, agent/control.rs) and the exchange with other entries (exchange.rs) stand apart now; the thread's start takes one Setup instead of six parts twice.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent role: one small process beside endpoints, the only one that drives them.
 
 mod control;
+mod handle;
 mod metrics;
 mod server;
 mod work;
@@ -17,7 +18,7 @@
 
 use crate::{
     StartError, admin,
-    agent::{control::Control, metrics::Metrics},
+    agent::{handle::Control, metrics::Metrics},
     config::AgentSettings,
     settings::Current,
 };
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -12,76 +12,25 @@
 use async_std::task;
 use serde_json::{Value, json};
 use tarragonhill_core::{
-    Attempt, Clock,
+    Clock,
     agent::{Action, Input, Link, State},
     message::{Event, Load},
 };
 
 use crate::{
-    agent::{metrics::Metrics, work::Workers},
+    agent::{
+        handle::{Command, Control, LINK_BACKLOG},
+        metrics::Metrics,
+        work::Workers,
+    },
     settings::Current,
 };
 
-/// Events that may wait for a slow link. The channel itself has no bound, since a bounded one
-/// takes the memory for all of them at once, for each link.
-pub(crate) const LINK_BACKLOG: usize = 65_536;
-
 /// How often time passes for the decisions while there is work.
 const TICK: Duration = Duration::from_millis(5);
 /// How often it passes while there is none: only tombstones age.
 const IDLE_TICK: Duration = Duration::from_millis(250);
 
-enum Command {
-    Input(Input),
-    Opened(Link, Sender<Event>),
-    Loads(Sender<Vec<Load>>),
-    Idle(Sender<bool>),
-    Dump(Sender<Value>),
-    Stop,
-}
-
-/// Talks to the control thread.
-#[derive(Clone)]
-pub(crate) struct Control(Sender<Command>);
-
-impl Control {
-    /// Hands an input to the decisions.
-    pub(crate) fn input(&self, input: Input) {
-        let _ = self.0.try_send(Command::Input(input));
-    }
-
-    /// Announces a link, and where its events go.
-    pub(crate) fn opened(&self, link: Link, events: Sender<Event>) {
-        let _ = self.0.try_send(Command::Opened(link, events));
-    }
-
-    /// Load of all endpoints, fresh; none once the thread has ended.
-    pub(crate) async fn loads(&self) -> Option<Vec<Load>> {
-        self.ask(Command::Loads).await
-    }
-
-    /// Whether nothing runs or waits.
-    pub(crate) async fn is_idle(&self) -> bool {
-        self.ask(Command::Idle).await.unwrap_or(true)
-    }
-
-    /// The state, for people.
-    pub(crate) async fn dump(&self) -> Value {
-        self.ask(Command::Dump).await.unwrap_or_default()
-    }
-
-    /// Ends the thread.
-    pub(crate) fn stop(&self) {
-        let _ = self.0.try_send(Command::Stop);
-    }
-
-    async fn ask<T>(&self, command: impl FnOnce(Sender<T>) -> Command) -> Option<T> {
-        let (sender, receiver) = async_channel::bounded(1);
-        self.0.try_send(command(sender)).ok()?;
-        receiver.recv().await.ok()
-    }
-}
-
 /// Starts the thread.
 pub(crate) fn start(
     fronts: BTreeSet<Arc<str>>,
@@ -90,7 +39,7 @@
     metrics: Arc<Metrics>,
 ) -> io::Result<Control> {
     let (sender, receiver) = async_channel::unbounded();
-    let control = Control(sender);
+    let control = Control::new(sender);
     let workers = Workers::new(control.clone());
     let owner = Owner { state: State::new(fronts), clock, current, metrics, workers, links: BTreeMap::new() };
     thread::Builder::new().name("control".into()).spawn(move || task::block_on(owner.run(receiver)))?;
@@ -199,8 +148,3 @@
         "leaving": load.leaving,
     })
 }
-
-/// Names work towards an engine.
-pub(crate) fn work_id(attempt: Attempt) -> String {
-    attempt.to_string()
-}
--- a/crates/daemon/src/agent/server.rs
+++ b/crates/daemon/src/agent/server.rs
@@ -23,7 +23,7 @@
     transport::{Server, server::TcpIncoming},
 };
 
-use crate::{StartError, agent::control::Control, settings::Current};
+use crate::{StartError, agent::handle::Control, settings::Current};
 
 /// How often heartbeats with fresh load go out on a link whose entry has not asked for a pace.
 const BEAT: Duration = Duration::from_millis(250);
--- a/crates/daemon/src/agent/work.rs
+++ b/crates/daemon/src/agent/work.rs
@@ -17,7 +17,7 @@
 };
 use tarragonhill_engine::{Engine, EngineError, HttpEngine, Sink};
 
-use crate::agent::control::{Control, LINK_BACKLOG, work_id};
+use crate::agent::handle::{Control, LINK_BACKLOG, work_id};
 
 type Key = (Attempt, Arc<str>);
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -3,12 +3,15 @@
 mod caller;
 mod context;
 mod control;
+mod exchange;
 mod homes;
 mod links;
 mod metrics;
 mod once;
 mod operators;
+mod owner;
 mod peers;
+mod request;
 mod stages;
 
 use std::{
@@ -26,7 +29,7 @@
     StartError,
     agent::bind,
     config::EntrySettings,
-    entry::{context::Context, control::Control, links::Links, metrics::Metrics, peers::Peers},
+    entry::{context::Context, links::Links, metrics::Metrics, owner::Setup, peers::Peers},
     settings::Current,
 };
 
@@ -64,9 +67,15 @@
         let peers = Peers::default();
         let identity = control::Identity::new(common.name.clone(), peer, common.zone.clone());
         let (look, looks) = async_channel::bounded(1);
-        let control =
-            Control::start(identity, settings.policy, clock.clone(), current.clone(), peers.clone(), look)
-                .map_err(StartError::Thread)?;
+        let setup = Setup {
+            identity,
+            policy: settings.policy,
+            clock: clock.clone(),
+            current: current.clone(),
+            peers: peers.clone(),
+            look,
+        };
+        let control = owner::start(setup).map_err(StartError::Thread)?;
         let links = Links::new(common.name.clone(), control.clone(), current.clone());
         let context = Arc::new(Context {
             name: common.name,
@@ -90,8 +99,8 @@
         let mut tasks = vec![
             task::spawn(follow(context.clone(), common.poll)),
             task::spawn(homes::keep(context.clone(), settings.hosts, looks)),
-            task::spawn(peers::beat(context.clone())),
-            peers::serve(incoming, context.clone()),
+            task::spawn(exchange::beat(context.clone())),
+            exchange::serve(incoming, context.clone()),
         ];
         let operators = context.clone();
         tasks.push(task::spawn(
--- a/crates/daemon/src/entry/control.rs
+++ b/crates/daemon/src/entry/control.rs
@@ -1,34 +1,24 @@
-//! The entry's control thread: the only owner of quota, placement, homes, budgets and quarantine.
-
-mod owner;
+//! The handle by which everything else talks to the entry's control thread.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    io,
     net::SocketAddr,
     sync::Arc,
-    thread,
     time::Duration,
 };
 
 use async_channel::Sender;
-use async_std::task;
 use serde_json::Value;
 use tarragonhill_core::{
-    Attempt, Clock, Request, Time, home,
+    Attempt, Request, Time, home,
     message::{Answer, Ask, Breakage, Load},
-    placement::{Need, Policy},
+    placement::Need,
     quarantine::Strike,
     quota::{Grant, Verdict, Waiter},
     settings::{Role, Snapshot},
 };
 use tarragonhill_table::Row;
 
-use crate::{
-    entry::{control::owner::Owner, peers::Peers},
-    settings::Current,
-};
-
 /// Who this process is.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
@@ -72,7 +62,8 @@
     pub(crate) cause: Breakage,
 }
 
-enum Command {
+/// What the thread is asked.
+pub(crate) enum Command {
     Settings(Arc<Snapshot>),
     Admit(Arc<str>, Waiter, Sender<Verdict>),
     Refund(Arc<str>, u64),
@@ -110,20 +101,9 @@
 }
 
 impl Control {
-    /// Starts the thread.
-    pub(crate) fn start(
-        identity: Identity,
-        policy: Policy,
-        clock: Clock,
-        current: Arc<Current>,
-        peers: Peers,
-        look: Sender<()>,
-    ) -> io::Result<Self> {
-        let (commands, receiver) = async_channel::unbounded();
-        let control = Self { commands, incarnation: identity.incarnation };
-        let owner = Owner::new(identity, policy, clock, current, peers, look, control.clone());
-        thread::Builder::new().name("control".into()).spawn(move || task::block_on(owner.run(receiver)))?;
-        Ok(control)
+    /// A handle on the thread that reads the other end of `commands`.
+    pub(crate) fn new(commands: Sender<Command>, incarnation: u64) -> Self {
+        Self { commands, incarnation }
     }
 
     /// Random number of this process.
--- a/crates/daemon/src/entry/once.rs
+++ b/crates/daemon/src/entry/once.rs
@@ -12,8 +12,8 @@
 use tarragonhill_table::{Row, TableError, Transaction, Write};
 
 use crate::entry::{
-    caller::Call,
     context::Context,
+    request::Call,
     stages::{self, Ticket},
 };
 
--- a/crates/daemon/src/entry/control/owner.rs
+++ b/crates/daemon/src/entry/owner.rs
@@ -1,12 +1,16 @@
-//! The thread itself: owns the decisions and carries commands out one after another.
+//! The entry's control thread: the only owner of quota, placement, homes, budgets and quarantine. It
+//! carries commands out one after another.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io,
     sync::Arc,
+    thread,
     time::Duration,
 };
 
 use async_channel::{Receiver, Sender};
+use async_std::task;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -21,16 +25,41 @@
 };
 use tarragonhill_table::Row;
 
-use super::{Command, Control, Failure, Identity, Placed, Placement};
-use crate::{entry::peers::Peers, settings::Current};
+use crate::{
+    entry::{
+        control::{Command, Control, Failure, Identity, Placed, Placement},
+        peers::Peers,
+    },
+    settings::Current,
+};
 
 /// Longest sleep of the thread while nothing is due.
 const IDLE: Duration = Duration::from_secs(1);
 /// Weight of the newest measurement of prefill speed.
 const NEWEST: f64 = 0.1;
 
+/// What the thread works with.
+pub(crate) struct Setup {
+    pub(crate) identity: Identity,
+    pub(crate) policy: Policy,
+    pub(crate) clock: Clock,
+    pub(crate) current: Arc<Current>,
+    pub(crate) peers: Peers,
+    /// Tells that the table should be looked at at once.
+    pub(crate) look: Sender<()>,
+}
+
+/// Starts the thread and gives a handle on it.
+pub(crate) fn start(setup: Setup) -> io::Result<Control> {
+    let (commands, receiver) = async_channel::unbounded();
+    let control = Control::new(commands, setup.identity.incarnation);
+    let owner = Owner::new(setup, control.clone());
+    thread::Builder::new().name("control".into()).spawn(move || task::block_on(owner.run(receiver)))?;
+    Ok(control)
+}
+
 /// State of the thread.
-pub(super) struct Owner {
+struct Owner {
     me: Arc<str>,
     /// Name under which homes lend to this process; a restarted process is another borrower.
     borrower: Arc<str>,
@@ -59,15 +88,8 @@
 }
 
 impl Owner {
-    pub(super) fn new(
-        identity: Identity,
-        policy: Policy,
-        clock: Clock,
-        current: Arc<Current>,
-        peers: Peers,
-        look: Sender<()>,
-        control: Control,
-    ) -> Self {
+    fn new(setup: Setup, control: Control) -> Self {
+        let Setup { identity, policy, clock, current, peers, look } = setup;
         let Identity { name, peer, zone, incarnation } = identity;
         let address: Arc<str> = peer.to_string().into();
         Self {
--- /dev/null
+++ b/crates/daemon/src/entry/request.rs
@@ -0,0 +1,107 @@
+//! What callers send, read and checked, and how they are refused.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde_json::json;
+use tarragonhill_core::{Code, Refusal, Request};
+use tarragonhill_http::server::Inbound;
+
+/// Prompt bytes counted as one token. The engines' tokenisers are not known here; this errs on
+/// the side of counting too many for ordinary text.
+pub(crate) const BYTES_PER_TOKEN: usize = 4;
+/// Answer length when the caller names none, tokens.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Longest idempotency key, bytes.
+const LONGEST_KEY: usize = 256;
+
+/// Body of a completion request.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Completion {
+    /// Name of the model.
+    pub(crate) model: Arc<str>,
+    /// The prompt.
+    pub(crate) prompt: Arc<str>,
+    /// Most tokens wanted.
+    #[serde(default = "default_max_tokens")]
+    pub(crate) max_tokens: u32,
+    /// Whether tokens are wanted as they come.
+    #[serde(default)]
+    pub(crate) stream: bool,
+}
+
+fn default_max_tokens() -> u32 {
+    DEFAULT_MAX_TOKENS
+}
+
+impl Completion {
+    /// Length of the prompt, tokens.
+    pub(crate) fn prompt_tokens(&self) -> u32 {
+        u32::try_from(self.prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+    }
+
+    /// Reads and checks a body.
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, Refusal> {
+        let bad = |message: String| Refusal::not_run(Code::BadRequest, message);
+        let completion: Self = serde_json::from_slice(body).map_err(|error| bad(error.to_string()))?;
+        if completion.prompt.is_empty() {
+            return Err(bad("prompt is empty".into()));
+        }
+        if completion.max_tokens == 0 {
+            return Err(bad("max_tokens must be at least 1".into()));
+        }
+        Ok(completion)
+    }
+}
+
+/// A call of a plain service, as read.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) service: Arc<str>,
+    pub(crate) method: Arc<str>,
+    pub(crate) path: Arc<str>,
+    pub(crate) body: Vec<u8>,
+    /// Present on calls that may not be repeated.
+    pub(crate) idempotency_key: Option<Arc<str>>,
+}
+
+impl Call {
+    /// Reads and checks a call of the path `rest` behind the services' prefix.
+    pub(crate) fn parse(inbound: &Inbound, rest: &str, body: Vec<u8>) -> Result<Self, Refusal> {
+        let bad = |message: &str| Refusal::not_run(Code::BadRequest, message);
+        let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+        let idempotency_key = inbound.header("idempotency-key").map(Arc::<str>::from);
+        if idempotency_key.as_ref().is_some_and(|key| key.is_empty() || key.len() > LONGEST_KEY) {
+            return Err(bad("idempotency-key must have 1 to 256 bytes"));
+        }
+        let reads = matches!(inbound.method.as_str(), "GET" | "HEAD");
+        if !reads && idempotency_key.is_none() {
+            return Err(bad("calls that change something need an idempotency-key"));
+        }
+        let query = if inbound.query.is_empty() { String::new() } else { format!("?{}", inbound.query) };
+        Ok(Self {
+            service: service.into(),
+            method: inbound.method.as_str().into(),
+            path: format!("/{path}{query}").into(),
+            body,
+            idempotency_key: idempotency_key.filter(|_| !reads),
+        })
+    }
+}
+
+/// The JSON body of a refusal.
+pub(crate) fn refusal_body(request: Request, refusal: &Refusal) -> serde_json::Value {
+    let mut error = json!({
+        "code": refusal.code.to_string(),
+        "message": refusal.message,
+        "request_id": request.to_string(),
+    });
+    if refusal.not_run {
+        error["not_run"] = true.into();
+    }
+    if let Some(span) = refusal.retry_after {
+        error["retry_after_ms"] = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).into();
+    }
+    json!({ "error": error })
+}
--- a/crates/daemon/src/entry/stages.rs
+++ b/crates/daemon/src/entry/stages.rs
@@ -25,6 +25,9 @@
 pub(crate) use complete::complete;
 pub(crate) use plain::{Reply, call, check_service, dispatch};
 
+/// Tokens that a call of a plain service is charged.
+const CALL_COST: u64 = 1;
+
 /// One request and who sent it.
 #[derive(Clone, Debug)]
 pub(crate) struct Ticket {
@@ -142,7 +145,7 @@
 
 /// Charges a call of a plain service that may not be repeated.
 pub(crate) async fn charge_call<'a>(context: &'a Context, ticket: &Ticket) -> Result<Charge<'a>, Refusal> {
-    let mut charge = admit(context, ticket, plain::COST).await?;
+    let mut charge = admit(context, ticket, CALL_COST).await?;
     charge.begin();
     Ok(charge)
 }
--- a/crates/daemon/src/entry/stages/answer.rs
+++ b/crates/daemon/src/entry/stages/answer.rs
@@ -7,7 +7,7 @@
 use tarragonhill_core::{Refusal, Request, Time};
 use tarragonhill_http::server::Outbound;
 
-use crate::entry::{caller::refusal_body, context::Context};
+use crate::entry::{context::Context, request::refusal_body};
 
 /// Tokens arrived with a gap before them, so the answer cannot be whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/entry/stages/complete.rs
+++ b/crates/daemon/src/entry/stages/complete.rs
@@ -14,7 +14,7 @@
     plan::plan,
     prefill::prefill,
 };
-use crate::entry::{caller::Completion, context::Context, control};
+use crate::entry::{context::Context, control, request::Completion};
 
 /// Other endpoints tried when one has no room. Not a retry: nothing has run.
 const ALTERNATIVES: usize = 2;
--- a/crates/daemon/src/entry/stages/decode.rs
+++ b/crates/daemon/src/entry/stages/decode.rs
@@ -15,7 +15,7 @@
     plan::{Planned, work},
     prefill::Prefilled,
 };
-use crate::entry::{caller::Completion, context::Context};
+use crate::entry::{context::Context, request::Completion};
 
 /// Longest silence before the first token and between tokens. The agent gives up earlier; this
 /// covers the agent itself.
--- a/crates/daemon/src/entry/stages/plain.rs
+++ b/crates/daemon/src/entry/stages/plain.rs
@@ -11,17 +11,15 @@
 use tarragonhill_http::server::Outbound;
 
 use super::{
-    Ticket, admit,
+    CALL_COST, Ticket, admit,
     attempt::{Dispatch, Failure},
 };
 use crate::entry::{
-    caller,
     context::Context,
     control::{self, Placement},
+    request,
 };
 
-/// Tokens that a call is charged.
-pub(super) const COST: u64 = 1;
 /// Longest time for a call, its queueing included.
 const LONGEST: Duration = Duration::from_secs(30);
 
@@ -43,10 +41,10 @@
 pub(crate) async fn call(
     context: &Context,
     ticket: &Ticket,
-    call: caller::Call,
+    call: request::Call,
 ) -> Result<Outbound, Refusal> {
     check_service(context, &call.service)?;
-    let mut charge = admit(context, ticket, COST).await?;
+    let mut charge = admit(context, ticket, CALL_COST).await?;
     charge.begin();
     let mut tried = BTreeSet::new();
     let mut number = 1;
@@ -89,7 +87,7 @@
 pub(crate) async fn dispatch(
     context: &Context,
     ticket: &Ticket,
-    call: &caller::Call,
+    call: &request::Call,
     number: u32,
     tried: &BTreeSet<Arc<str>>,
 ) -> Result<(Arc<str>, Reply), Failure> {
--- a/crates/daemon/src/entry/stages/plan.rs
+++ b/crates/daemon/src/entry/stages/plan.rs
@@ -14,9 +14,9 @@
     attempt::{Dispatch, Failure},
 };
 use crate::entry::{
-    caller::Completion,
     context::Context,
     control::{Placed, Placement},
+    request::Completion,
 };
 
 /// An agent answers a hold by its deadline; this much later it is taken for stalled.
--- a/crates/daemon/src/entry/stages/prefill.rs
+++ b/crates/daemon/src/entry/stages/prefill.rs
@@ -15,9 +15,9 @@
     plan::{Planned, no_endpoint, patience, work},
 };
 use crate::entry::{
-    caller::Completion,
     context::Context,
     control::{Placed, Placement},
+    request::Completion,
 };
 
 /// Longest prefill once its turn has come.
