Deal endpoints out over the whole list; listen to three entries at most; drop what the line no longer needs

Found in reading: each entry left other endpoints out before it counted its own, so that two could take one endpoint for their own all the same (the new assertion of entries_have_prompts_read_at_endpoints_of_their_own fails without the change); a process that starts without the store asked every entry there is, one after the other; the arrival of a request decided nothing any more.

--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -24,8 +24,6 @@
     pub expected: u64,
     /// Memory it needs, tokens.
     pub memory: u64,
-    /// When it came.
-    pub arrived: Time,
     /// A start later than this is late.
     pub on_time: Time,
     /// A start later than this cannot end before the caller has left.
@@ -47,7 +45,6 @@
             prompt: self.prompt,
             expected: self.expected,
             memory: self.memory,
-            arrived: self.arrived,
             on_time: self.on_time,
             last_start: self.last_start,
             priority: self.priority,
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -208,13 +208,19 @@
         if !run.gap.is_zero() && pause > run.gap {
             return None;
         }
-        let candidates = self.candidates(service, Stage::Decode, run.avoid).into_iter();
-        let own = candidates.enumerate().filter(|(index, _)| self.turn.is_own(*index));
-        let mut idle: Vec<&Arc<Endpoint>> = own.map(|(_, endpoint)| endpoint).collect();
-        idle.retain(|endpoint| self.load(endpoint).is_none_or(|load| load.is_rested(self.now)));
+        // Counted over all endpoints listed: what each entry leaves out differs, and would shift them.
+        let listed = self.directory.serving(service).filter(|endpoint| endpoint.stage == Stage::Decode);
+        let own = listed.enumerate().filter(|(index, _)| self.turn.is_own(*index));
+        let own: Vec<&Arc<str>> = own.map(|(_, endpoint)| &endpoint.id).collect();
+        let mut idle = self.candidates(service, Stage::Decode, run.avoid);
+        idle.retain(|endpoint| own.contains(&&endpoint.id) && self.is_rested(endpoint));
         self.roomiest(idle, engine, run)
     }
 
+    fn is_rested(&self, endpoint: &Endpoint) -> bool {
+        self.load(endpoint).is_none_or(|load| load.is_rested(self.now))
+    }
+
     fn roomiest(
         &self,
         endpoints: Vec<&Arc<Endpoint>>,
--- a/crates/core/tests/gateway/line.rs
+++ b/crates/core/tests/gateway/line.rs
@@ -11,14 +11,13 @@
 
 use crate::at;
 
-fn waiting(tag: u32, arrived: u64, on_time: u64, last_start: u64) -> Waiting<u32> {
+fn waiting(tag: u32, on_time: u64, last_start: u64) -> Waiting<u32> {
     Waiting {
         tag,
         service: "drafting".into(),
         prompt: 5_000,
         expected: 0,
         memory: 5_000,
-        arrived: at(arrived),
         on_time: at(on_time),
         last_start: at(last_start),
         priority: 1,
@@ -35,9 +34,9 @@
 #[test]
 fn whoever_can_still_be_on_time_goes_before_those_that_cannot() {
     let mut line = Line::default();
-    line.push(waiting(1, 0, 500, 9_000));
-    line.push(waiting(2, 600, 1_100, 9_600));
-    line.push(waiting(3, 700, 1_200, 9_700));
+    line.push(waiting(1, 500, 9_000));
+    line.push(waiting(2, 1_100, 9_600));
+    line.push(waiting(3, 1_200, 9_700));
     assert_eq!(placed(line.pump(at(800), |_| Some(()))), [2, 3, 1]);
 }
 
@@ -46,16 +45,16 @@
 #[test]
 fn whoever_has_least_time_left_goes_first() {
     let mut line = Line::default();
-    line.push(waiting(1, 0, 700, 9_000));
-    line.push(waiting(2, 10, 550, 9_010));
+    line.push(waiting(1, 700, 9_000));
+    line.push(waiting(2, 550, 9_010));
     assert_eq!(placed(line.pump(at(20), |_| Some(()))), [2, 1]);
 }
 
 #[test]
 fn a_large_request_is_not_passed_over() {
     let mut line = Line::default();
-    line.push(Waiting { memory: 50_000, ..waiting(1, 0, 500, 9_000) });
-    line.push(waiting(2, 1, 501, 9_001));
+    line.push(Waiting { memory: 50_000, ..waiting(1, 500, 9_000) });
+    line.push(waiting(2, 501, 9_001));
     let fits_small = |waiting: &Waiting<u32>| (waiting.memory < 10_000).then_some(());
     assert!(placed(line.pump(at(10), fits_small)).is_empty());
     assert_eq!(placed(line.pump(at(20), |_| Some(()))), [1, 2]);
@@ -64,8 +63,8 @@
 #[test]
 fn one_service_does_not_hold_up_another() {
     let mut line = Line::default();
-    line.push(waiting(1, 0, 500, 9_000));
-    line.push(Waiting { service: "other".into(), ..waiting(2, 1, 501, 9_001) });
+    line.push(waiting(1, 500, 9_000));
+    line.push(Waiting { service: "other".into(), ..waiting(2, 501, 9_001) });
     assert_eq!(placed(line.pump(at(10), |waiting| (&*waiting.service == "other").then_some(()))), [2]);
 }
 
@@ -74,7 +73,7 @@
 #[test]
 fn a_request_that_waits_in_vain_is_told() {
     let mut line = Line::default();
-    line.push(waiting(1, 0, 500, 3_000));
+    line.push(waiting(1, 500, 3_000));
     assert!(line.pump(at(2_999), |_| None::<()>).is_empty());
     let told = line.pump(at(3_001), |_| None::<()>);
     assert!(matches!(&told[..], [(Waiting { tag: 1, .. }, Verdict::Hopeless)]), "{told:?}");
@@ -117,7 +116,7 @@
             let tag = arrivals.len() as u32;
             arrivals.insert(tag, now);
             let on_time = if order == Order::Arrival { now + SILENCE } else { now + AIM - FIRST };
-            line.push(waiting(tag, now, on_time, now + SILENCE - FIRST));
+            line.push(waiting(tag, on_time, now + SILENCE - FIRST));
         }
         ends.retain(|end| *end > now);
         let mut free = PLACES - ends.len();
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -242,6 +242,12 @@
     };
     assert_eq!(chosen(1), Some(("d-2".into(), true)));
     assert_eq!(chosen(2), Some(("d-3".into(), true)));
+    // Another entry does not know that one of them cannot be reached, and counts it.
+    let lease = loads.take(at(0), &"d-1".into(), run(5_000));
+    loads.give_back(at(0), &lease, Outcome::Unreachable);
+    let turn = Turn { rank: 1, count: 3 };
+    let found = View { turn, ..view(&directory, &loads, 10) }.pair("drafting", &engine(), &need);
+    assert_eq!(found.map(|found| found.endpoint.id.clone()), Some("d-2".into()));
 }
 
 /// A decode endpoint has read one prompt beside its runs and starts on the next at once. A run's event
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -51,7 +51,6 @@
         prompt: memory,
         expected: 0,
         memory,
-        arrived: at(0),
         on_time: at(600),
         last_start: at(3_000),
         priority: 1,
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -23,6 +23,9 @@
 const LIMIT: Duration = Duration::from_millis(400);
 /// Pause before all entries are asked again: digests come ten times a second and name new ones.
 const PAUSE: Duration = Duration::from_millis(150);
+/// Entries that are listened to: one may itself have been cut off from the store for long, and the newest
+/// of what they tell is taken.
+const MOST_TOLD: usize = 3;
 
 /// Serves other entries.
 pub(crate) fn serve(incoming: TcpIncoming, control: Control) -> JoinHandle<()> {
@@ -49,15 +52,26 @@
 pub(crate) async fn learn(context: Arc<Context>) {
     context.control.informed(&context.clock).await;
     while !context.control.is_informed() {
-        for member in context.control.members().await {
-            match ask(&member).await {
-                Ok(knowledge) => take(&context, &member, knowledge),
-                Err(reason) => {
-                    spdlog::debug!("not told", kv: { peer = &*member.name, reason = reason.as_str() });
-                }
+        ask_around(&context).await;
+        context.clock.sleep(PAUSE).await;
+    }
+}
+
+async fn ask_around(context: &Context) {
+    let mut told = 0;
+    for member in context.control.members().await {
+        match ask(&member).await {
+            Ok(knowledge) => {
+                take(context, &member, knowledge);
+                told += 1;
+            }
+            Err(reason) => {
+                spdlog::debug!("not told", kv: { peer = &*member.name, reason = reason.as_str() });
             }
         }
-        context.clock.sleep(PAUSE).await;
+        if told >= MOST_TOLD {
+            return;
+        }
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -269,7 +269,6 @@
         prompt: tokens.prompt,
         expected,
         memory: memory(tokens.prompt, expected).min(engine.memory),
-        arrived: inbound.received,
         on_time: inbound.received.plus(inbound.route.aim).minus(first),
         last_start: in_time.min(in_patience),
         priority: inbound.priority(),
