--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -39,6 +39,13 @@
     pub expected: Option<u64>,
 }
 
+impl Tokens {
+    /// Tokens that the answer is expected to have.
+    pub fn expected_output(&self) -> u64 {
+        self.expected.unwrap_or(self.output).min(self.output)
+    }
+}
+
 /// How a request is sent to an endpoint.
 #[derive(Clone, Debug)]
 pub struct Passage<'a> {
--- /dev/null
+++ b/crates/gateway/src/stream/passing.rs
@@ -0,0 +1,81 @@
+//! Passes a run's events on to its caller.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use bytes::{Bytes, BytesMut};
+use tarragonhill_core::gateway::health::Outcome;
+
+use super::{
+    Progress, Run, Stop,
+    events::{count_events, events_end, last_id},
+};
+use crate::{
+    answer::Answer,
+    context::{Context, Inbound},
+    exchange::{Exchange, Failure},
+};
+
+/// A resumable stream goes on elsewhere after this many of its longest allowed pauses without an
+/// event; callers leave a silent stream after eight.
+const STALLED_GAPS: u32 = 5;
+/// The same where no longest pause is declared.
+const STALLED: Duration = Duration::from_millis(1_500);
+
+/// A stream that cannot go on elsewhere is given up this much later than its caller gives it up.
+pub(super) const SILENCE_SLACK: Duration = Duration::from_millis(500);
+
+/// Passes a run's events on, whole events only: what comes of an event that is cut in the middle
+/// must not reach the caller if the stream goes on elsewhere.
+pub(super) async fn pass_on(
+    context: &Context,
+    inbound: &Inbound,
+    run: Run<'_>,
+    answer: &mut Answer,
+    progress: &mut Progress,
+) -> Result<(), Stop> {
+    let Run { mut exchange, ticket } = run;
+    let mut held = BytesMut::new();
+    loop {
+        let part = match next_part(inbound, &mut exchange).await {
+            Ok(part) => part,
+            Err(failure) => {
+                let reason = format!("{}: {failure}", ticket.endpoint.id);
+                ticket.ended(Outcome::Failed);
+                return Err(Stop::Broken(reason));
+            }
+        };
+        if answer.is_open() {
+            let seconds = context.clock.now().since(inbound.received).as_secs_f64();
+            context.metrics.first.with_label_values(&["streaming"]).observe(seconds);
+            answer.begin(exchange.head.clone()).await.map_err(Stop::CallerGone)?;
+        }
+        let Some(part) = part else {
+            answer.part(&held).await.map_err(Stop::CallerGone)?;
+            answer.end().await.map_err(Stop::CallerGone)?;
+            exchange.keep();
+            return Ok(());
+        };
+        held.extend_from_slice(&part);
+        let Some(end) = events_end(&held) else { continue };
+        let events = held.split_to(end);
+        if let Some(id) = last_id(&events) {
+            progress.last_event = Some(id.into());
+        }
+        answer.pace.note(context.clock.now(), count_events(&events));
+        answer.part(&events).await.map_err(Stop::CallerGone)?;
+    }
+}
+
+/// The next part of a stream. A connection that something on the way has lost track of falls silent
+/// and is never closed; without a limit it would keep its run's memory taken until the deadline.
+async fn next_part(inbound: &Inbound, exchange: &mut Exchange<'_>) -> Result<Option<Bytes>, Failure> {
+    let limit = if !inbound.route.resumable {
+        inbound.route.silence + SILENCE_SLACK
+    } else if inbound.route.gap.is_zero() {
+        STALLED
+    } else {
+        inbound.route.gap * STALLED_GAPS
+    };
+    timeout(limit, exchange.part()).await.unwrap_or(Err(Failure::Late))
+}
