One way to fade with a half-life, one to wait for a gateway that is not ready

Peers::place and Peers::rank count different sets under like names; the first is position now. A stream's wait is taken from the clock once. No change of behaviour.

--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -265,6 +265,16 @@
     }
 }
 
+/// Waits until the gateway at an admin address says that it is not ready.
+pub async fn not_ready(admin: SocketAddr) {
+    eventually("it is not ready", async || {
+        let mut head = tarragonhill_h1::head::Request::new("GET", "/v1/readiness");
+        head.fields.push("Host", "admin");
+        super::caller::ask(admin, head, b"").await.is_ok_and(|answer| answer.head.status == 503)
+    })
+    .await;
+}
+
 /// A configuration with a route of each kind.
 pub fn configuration(version: u64) -> Value {
     let route = |name: &str, kind: &str, service: &str| {
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -7,7 +7,7 @@
 use tarragonhill_bench::published::{
     caller::{self, Answer, Caller, completion, plain},
     endpoint::{EVENTS, Endpoint, Fault, Role},
-    site::{KEY, SMALL_KEY, Shape, Site, configuration, eventually},
+    site::{KEY, SMALL_KEY, Shape, Site, configuration, eventually, not_ready},
     store,
 };
 use tarragonhill_core::{Clock, clock::Manual};
@@ -641,11 +641,7 @@
         let gateway = site.gateways.remove(0);
         let admin = gateway.admin();
         let stopping = task::spawn(gateway.shutdown());
-        eventually("it is not ready", async || {
-            let head = plain("GET", "/v1/readiness", KEY, "q");
-            caller::ask(admin, head, b"").await.is_ok_and(|answer| answer.head.status == 503)
-        })
-        .await;
+        not_ready(admin).await;
         let answer = kept.ask(lookup("r3"), b"").await.expect("an answer");
         assert_eq!((answer.head.status, answer.field("Connection")), (200, Some("close")));
         assert!(kept.answer().await.is_err());
--- a/crates/bench/tests/refusals.rs
+++ b/crates/bench/tests/refusals.rs
@@ -14,7 +14,7 @@
 use tarragonhill_bench::published::{
     caller::{self, completion, plain},
     endpoint::{Fault, Role},
-    site::{KEY, SMALL_KEY, Shape, Site, eventually},
+    site::{KEY, SMALL_KEY, Shape, Site, eventually, not_ready},
 };
 use tarragonhill_h1::head::Request;
 
@@ -133,11 +133,7 @@
         let (address, gateway) = (stopping.address(), stopping.gateways.remove(0));
         let admin = gateway.admin();
         let stopped = task::spawn(gateway.shutdown());
-        eventually("it is not ready", async || {
-            let head = plain("GET", "/v1/readiness", KEY, "q");
-            caller::ask(admin, head, b"").await.is_ok_and(|answer| answer.head.status == 503)
-        })
-        .await;
+        not_ready(admin).await;
         let mut long = stream("long", 5_000);
         long.fields.set("Tarragonhill-Token-Counts", "5000,100000");
         long.fields.set("Tarragonhill-Length-Hint", "100000");
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -45,6 +45,11 @@
     }
 }
 
+/// Part that is left, after `passed`, of something that halves in every `half_life`.
+pub fn fading(passed: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(passed.as_secs_f64() / half_life.as_secs_f64())
+}
+
 /// Whole microseconds of `span`; saturates.
 pub fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -11,7 +11,7 @@
     catalog::Customer,
     digest::{Digest, Peers},
 };
-use crate::clock::{Time, micros};
+use crate::clock::{Time, fading, micros};
 
 const MICRO: i64 = 1_000_000;
 
@@ -81,8 +81,7 @@
 
     fn refill(&mut self, now: Time) {
         let passed = now.since(self.at);
-        let halves = passed.as_secs_f64() / SMALL_HALF_LIFE.as_secs_f64();
-        self.small = (self.small as f64 * 0.5_f64.powf(halves)) as i64;
+        self.small = (self.small as f64 * fading(passed, SMALL_HALF_LIFE)) as i64;
         let inflow = signed(micros(passed)) * self.rate;
         self.level = (self.level + inflow).min(self.burst);
         self.promised = (self.promised - inflow).max(0);
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -164,7 +164,7 @@
     }
 
     /// How many of the entries known have names before this one's.
-    pub fn place(&self) -> u32 {
+    pub fn position(&self) -> u32 {
         self.peers.keys().filter(|name| **name < self.own).count() as u32
     }
 
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::clock::Time;
+use crate::clock::{Time, fading};
 
 /// First pause after an endpoint could not be reached; doubles with each failure in a row. The
 /// shortest outages seen last some seconds, so a second failure should come soon.
@@ -115,8 +115,7 @@
 
     /// Failed part of the newest outcomes; fades without outcomes.
     pub fn failing(&self, now: Time) -> f64 {
-        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.failing * 0.5_f64.powf(halves)
+        self.failing * fading(now.since(self.at), HALF_LIFE)
     }
 
     /// Whether it is to be left alone for now.
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -15,7 +15,7 @@
     forecast::{FIRST_EVENT, memory, reading_time, run_time},
     load::Loads,
 };
-use crate::clock::Time;
+use crate::clock::{Time, fading};
 
 /// Requests that must have been seen before their mean says something: the sizes of prompts and
 /// answers vary by half to double, so the mean of these is right to a sixth.
@@ -53,8 +53,7 @@
 
 impl Demand {
     fn fade(&mut self, now: Time) {
-        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let kept = 0.5_f64.powf(halves);
+        let kept = fading(now.since(self.at), HALF_LIFE);
         self.requests *= kept;
         self.reading *= kept;
         self.making *= kept;
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -418,7 +418,7 @@
     }
 
     fn turn(&self) -> Turn {
-        Turn { rank: self.peers.place(), count: self.peers.count() }
+        Turn { rank: self.peers.position(), count: self.peers.count() }
     }
 }
 
--- a/crates/gateway/src/stream/placing.rs
+++ b/crates/gateway/src/stream/placing.rs
@@ -60,10 +60,10 @@
         let waiting = waiting(inbound, &engine, &avoid);
         let memory = waiting.memory;
         let Tickets { run, reader } = context.control.decode(waiting).await?;
-        let waited = context.clock.now().since(inbound.received);
-        context.metrics.waits.observe(waited.as_secs_f64());
+        let now = context.clock.now();
+        context.metrics.waits.observe(now.since(inbound.received).as_secs_f64());
         let read_by = reader.as_ref().map(|reader| &*reader.endpoint);
-        inbound.log_place(context.clock.now(), &run.endpoint, read_by);
+        inbound.log_place(now, &run.endpoint, read_by);
         if engine.longest_hold.is_zero() {
             return Ok(Placing::Decode { run, reader, held: None });
         }
