Never call a request not run that an endpoint before or beside may have run

By its log: one endpoint says it did not run the lookup, the second hangs until the deadline; that wait ended a moment before ours, the lookup was to be sent again, nobody was left, and the refusal of that try (no_endpoint, not run) was told of the whole. Without any race the same comes of a lost answer when nobody else can be asked. Ruled out: load itself, which only decides which of two waits at one moment ends first. Change: where refusals are told, in one place, one that says 'not run' becomes 502 if any endpoint may have run the request. Test: a_lookup_that_may_have_run_is_never_called_not_run needs no race and failed first (503).

--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -777,6 +777,17 @@
     });
 }
 
+/// A lookup's endpoint runs it and loses the answer, and there is nobody else to ask. That nobody could
+/// be asked once more says nothing of the first, so the caller must not be told that nobody ran it.
+#[test]
+fn a_lookup_that_may_have_run_is_never_called_not_run() {
+    run(async {
+        let site = small().await;
+        site.endpoints(Role::Plain)[0].set_fault(Fault::ResetAfterRun);
+        assert_eq!(ask(&site, lookup("r1"), b"").await.head.status, 502);
+    });
+}
+
 /// A lookup is with two endpoints at once when the first says that it did not run it. The second may
 /// have run it still; when it never answers, the caller must not be told that nobody did.
 #[test]
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -201,6 +201,7 @@
     log_admission(&inbound, catalog.as_deref());
     let limit = inbound.ends.since(context.clock.now());
     let served = timeout(limit, carry(context, &inbound, answer)).await;
+    let served = served.map(|served| served.map_err(|refusal| truthful(&inbound, refusal)));
     let refusal = match served {
         Ok(Ok(())) => None,
         // A wait at an endpoint ends at the same moment as ours; whichever is seen first.
@@ -232,6 +233,15 @@
     }
 }
 
+/// A refusal says "not run" of the whole request. Whoever refuses a further try knows only of that one:
+/// an endpoint before it, or beside it, may have run the request and lost the answer.
+fn truthful(inbound: &Inbound, refusal: Refusal) -> Refusal {
+    if refusal.not_run && inbound.may_have_run() {
+        return Refusal::run(Code::OutcomeUnknown, refusal.message);
+    }
+    refusal
+}
+
 fn out_of_time(inbound: &Inbound) -> Refusal {
     if inbound.may_have_run() {
         return Refusal::run(Code::Timeout, "no answer in time");
