--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use super::directory::Stage;
+use super::{directory::Stage, forecast::Forecast};
 use crate::clock::Time;
 
 /// An entry that was not heard for this long is not counted as sharing anything any more. Long
@@ -37,7 +37,7 @@
 }
 
 /// What an entry says of itself, as of the moment it was sent.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Digest {
     /// The sender's name.
     pub name: Arc<str>,
@@ -59,6 +59,8 @@
     pub changing: BTreeMap<Arc<str>, Change>,
     /// Requests that were running when an endpoint crashed, and at how many crashes.
     pub suspects: BTreeMap<u64, u32>,
+    /// What the sender finds typical of services; only in one digest of ten, for entries that start.
+    pub forecasts: BTreeMap<Arc<str>, Forecast>,
 }
 
 /// Where an entry hears digests.
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -32,6 +32,8 @@
     pub priority: u8,
     /// Longest pause between its events that is on time; zero if none is declared.
     pub gap: Duration,
+    /// Time to its first event that is on time.
+    pub aim: Duration,
     /// Endpoints that have failed it.
     pub avoid: Vec<Arc<str>>,
 }
@@ -49,6 +51,7 @@
             last_start: self.last_start,
             priority: self.priority,
             gap: self.gap,
+            aim: self.aim,
             avoid: self.avoid,
         }
     }
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -10,19 +10,14 @@
 
 /// A digest older than this says nothing of what runs now.
 const STALE: Duration = Duration::from_secs(3);
-/// Prompts that another entry was having read are read by now if its digest is older than this: as
-/// long as reading takes behind the most that is let stand ahead, and three digests. A frozen entry
-/// that had both readers busy otherwise kept all others from reading for [`STALE`].
+/// Prompts that another entry was having read count as read if its digest is older than this, six
+/// digests. A frozen entry that had both readers busy otherwise kept all others from reading for
+/// [`STALE`].
 const READING_STALE: Duration = Duration::from_millis(600);
 /// After an endpoint refused for want of memory it is taken as full for this long: about the time
 /// in which one of ten running requests ends.
 const FULL: Duration = Duration::from_millis(100);
 
-/// Pause between two prompts that a decode endpoint reads beside its runs: with the second right behind
-/// the first, an event of a run that falls between both waits for parts of both. Twice the time of an
-/// event, in which the runs catch up.
-const REST: Duration = Duration::from_millis(120);
-
 /// Failed part of the outcomes above which the others are told: one failure in twenty answers.
 const TOLD: f64 = 0.05;
 
@@ -110,12 +105,13 @@
     }
 
     /// Notes an answer's beginning: what follows says nothing of how fast the endpoint answers. Its
-    /// prompt has been read by then; [`Lease::read`] takes it off the lease.
-    pub fn answered(&mut self, now: Time, lease: &Lease) {
+    /// prompt has been read by then; [`Lease::read`] takes it off the lease. A decode endpoint that read
+    /// it beside its runs reads the next one after `rest`.
+    pub fn answered(&mut self, now: Time, lease: &Lease, rest: Duration) {
         if let Some(load) = self.0.get_mut(&lease.endpoint) {
             load.own.reading = load.own.reading.saturating_sub(lease.share.reading);
             if lease.share.reading > 0 {
-                load.rested = now.plus(REST);
+                load.rested = now.plus(rest);
             }
             load.health.ended(now, lease.number, Outcome::Answered(now.since(lease.sent)));
         }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -5,7 +5,7 @@
 use super::{
     catalog::Engine,
     directory::{Directory, Endpoint, Stage},
-    forecast::{EVENT_GAP, own_reading_time},
+    forecast::Forecasts,
     load::{Load, Loads},
     pools::Pools,
 };
@@ -18,16 +18,15 @@
 /// An answer from another availability zone counts this much slower, so that the own zone is taken
 /// where both are alike: bytes between zones cost.
 const CROSS_ZONE: f64 = 1.2;
-/// A prompt is read in another zone only to save waiting behind this many prompt tokens: moving
-/// its result costs twice there.
-const CROSS_ZONE_READING: u64 = 3_000;
-/// Prompt tokens ahead of a prompt at the endpoint that is to read it: 0.4 s of reading. With more it
-/// would be late, and asked of a second endpoint before the first is done, which makes the line of
-/// both longer still.
-const MOST_AHEAD: u64 = 22_000;
-/// A prompt is read within this time unless its endpoint hangs: what is let stand ahead of it takes
-/// 0.4 s, and twice that while others' word of what they sent is on its way.
-const STALLED: Duration = Duration::from_millis(800);
+/// A prompt is read in another zone only to save waiting for this part of its aim: moving its result
+/// costs twice there.
+const CROSS_ZONE_READING: f64 = 0.06;
+/// Part of a prompt's aim that reading what is ahead of it may take. With more it would be late, and
+/// asked of a second endpoint before the first is done, which makes the queues of both longer still.
+const MOST_AHEAD: f64 = 0.45;
+/// Part of its aim within which a prompt is read unless its endpoint hangs: twice what is let stand ahead
+/// of it, since others' word of what they sent is on its way.
+const STALLED: f64 = 0.9;
 /// Part of an engine's memory that a decode endpoint in the own zone may be fuller and still be
 /// taken.
 const CROSS_ZONE_MEMORY: f64 = 0.05;
@@ -56,6 +55,8 @@
     pub spare: u64,
     /// Longest pause between events that is on time; zero if none is declared.
     pub gap: Duration,
+    /// Time to the first event that is on time.
+    pub aim: Duration,
     /// Endpoints that have failed it.
     pub avoid: &'a [Arc<str>],
 }
@@ -91,6 +92,8 @@
     pub loads: &'a Loads,
     /// Endpoints that change their stage take no work.
     pub pools: &'a Pools,
+    /// How long things take at them.
+    pub forecasts: &'a Forecasts,
     /// The availability zone of this entry.
     pub zone: &'a str,
     /// Which endpoints are this entry's own to have prompts read.
@@ -139,8 +142,9 @@
     }
 
     /// Whether an endpoint has kept a prompt for so long that it has probably gone dark.
-    fn is_stalled(&self, endpoint: &Endpoint) -> bool {
-        self.load(endpoint).is_some_and(|load| load.health.longest_wait(self.now) > STALLED)
+    fn is_stalled(&self, endpoint: &Endpoint, aim: Duration) -> bool {
+        let longest = aim.mul_f64(STALLED);
+        self.load(endpoint).is_some_and(|load| load.health.longest_wait(self.now) > longest)
     }
 
     fn failing(&self, endpoint: &Endpoint) -> f64 {
@@ -160,27 +164,46 @@
         candidates.min_by_key(|endpoint| (is_full(endpoint), expected(endpoint))).cloned()
     }
 
-    /// An endpoint that reads a prompt: the one with the fewest prompt tokens ahead, near `zone`
-    /// where its result goes.
-    pub fn prefill(&self, service: &str, zone: &str, avoid: &[Arc<str>]) -> Reader {
-        let ahead = |endpoint: &Endpoint| self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
-        let detour = |endpoint: &Endpoint| if self.is_near(endpoint, zone) { 0 } else { CROSS_ZONE_READING };
+    /// How long an endpoint is busy with the prompts that it has, and how long with `prompt` tokens more.
+    fn reading_times(&self, endpoint: &Endpoint, prompt: u64) -> (Duration, Duration) {
+        let ahead = self.load(endpoint).map_or(0, |load| load.all(self.now).reading);
+        let forecast = self.forecasts.endpoint(self.now, &endpoint.service, &endpoint.id);
+        let busy = if ahead == 0 { Duration::ZERO } else { forecast.reading_time(ahead) };
+        (busy, forecast.reading_time(ahead + prompt))
+    }
+
+    /// An endpoint that reads a prompt: the one that has read it first, near `zone` where its result
+    /// goes.
+    pub fn prefill(
+        &self,
+        service: &str,
+        prompt: u64,
+        aim: Duration,
+        zone: &str,
+        avoid: &[Arc<str>],
+    ) -> Reader {
+        let detour = aim.mul_f64(CROSS_ZONE_READING);
         let mut candidates = self.candidates(service, Stage::Prefill, avoid);
-        if candidates.iter().any(|endpoint| !self.is_stalled(endpoint)) {
-            candidates.retain(|endpoint| !self.is_stalled(endpoint));
+        if candidates.iter().any(|endpoint| !self.is_stalled(endpoint, aim)) {
+            candidates.retain(|endpoint| !self.is_stalled(endpoint, aim));
         }
-        let first = candidates.into_iter().min_by_key(|endpoint| ahead(endpoint) + detour(endpoint));
+        let timed = candidates.into_iter().map(|endpoint| (self.reading_times(endpoint, prompt), endpoint));
+        let first = timed.min_by_key(
+            |((_, read), endpoint)| {
+                if self.is_near(endpoint, zone) { *read } else { *read + detour }
+            },
+        );
         match first {
             None => Reader::Nobody,
-            Some(endpoint) if ahead(endpoint) > MOST_AHEAD => Reader::Busy,
-            Some(endpoint) => Reader::Endpoint(endpoint.clone()),
+            Some(((busy, _), _)) if busy > aim.mul_f64(MOST_AHEAD) => Reader::Busy,
+            Some((_, endpoint)) => Reader::Endpoint(endpoint.clone()),
         }
     }
 
     /// Where a run goes, and who reads its prompt; nothing if it has to wait.
     pub fn pair(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Pairing> {
         let endpoint = self.decode(service, engine, run)?;
-        match self.prefill(service, &endpoint.zone, &[]) {
+        match self.prefill(service, run.prompt, run.aim, &endpoint.zone, &[]) {
             Reader::Endpoint(reader) => Some(Pairing { endpoint, reader: Some(reader) }),
             Reader::Nobody => Some(Pairing { endpoint, reader: None }),
             Reader::Busy => {
@@ -204,7 +227,8 @@
     /// and none that would make its runs pause longer than is on time. Two entries that did not know of
     /// each other's prompts would make them pause twice as long, so each has endpoints of its own.
     fn decode_and_read(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Arc<Endpoint>> {
-        let pause = own_reading_time(run.prompt) + EVENT_GAP;
+        let forecast = self.forecasts.service(service);
+        let pause = forecast.own_reading_time(run.prompt) + forecast.event_gap();
         if !run.gap.is_zero() && pause > run.gap {
             return None;
         }
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -12,7 +12,7 @@
     catalog::Engine,
     digest::Change,
     directory::{Directory, Endpoint, Stage},
-    forecast::{FIRST_EVENT, memory, reading_time, run_time},
+    forecast::{Forecast, Size, memory},
     load::Loads,
 };
 use crate::clock::{Time, fading};
@@ -82,14 +82,18 @@
 }
 
 impl Pools {
-    /// Counts a request of `prompt` tokens that expects `expected` in its answer.
-    pub fn note(&mut self, now: Time, service: &Arc<str>, engine: &Engine, prompt: u64, expected: u64) {
+    /// Counts a request; while nothing is known of what it takes, it says nothing of the split.
+    pub fn note(&mut self, now: Time, service: &Arc<str>, engine: &Engine, forecast: &Forecast, size: Size) {
+        let Some(reading) = forecast.reading.filter(|_| forecast.knows_runs()) else { return };
+        let Size { prompt, expected, .. } = size;
         let demand = self.demand.entry(service.clone()).or_default();
         demand.fade(now);
         let runs = engine.memory as f64 * USABLE / memory(prompt, expected).max(1) as f64;
         demand.requests += 1.0;
-        demand.reading += reading_time(prompt).as_secs_f64();
-        demand.making += (FIRST_EVENT + run_time(expected)).as_secs_f64() / runs.max(1.0);
+        demand.reading += reading.at(prompt).as_secs_f64();
+        let full = (engine.memory as f64 * USABLE) as u64;
+        let run = forecast.first_event(prompt) + forecast.run_time_beside(expected, full);
+        demand.making += run.as_secs_f64() / runs.clamp(1.0, f64::from(engine.slots.max(1)));
     }
 
     /// How many of `count` endpoints should read prompts, as a fraction too; nothing while too little
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -7,9 +7,10 @@
 use super::{
     allowance::Allowance,
     budget::{Budget, Rule},
-    catalog::{Catalog, Customer},
+    catalog::{Catalog, Customer, Engine},
     digest::{Digest, Member, Peers, Share},
     directory::{Change, Directory, Endpoint, Row, Stage},
+    forecast::{Forecast, Forecasts, Observation, Size, memory},
     health::Outcome,
     line::{Line, Verdict, Waiting},
     load::{Lease, Loads},
@@ -24,6 +25,17 @@
 
 /// What callers are told to wait when an endpoint is expected back soon.
 pub const COME_BACK: Duration = Duration::from_millis(1_000);
+/// Soonest and latest that a caller is told to come back that waited in vain for memory: sooner it would
+/// meet the same runs, later it has often left.
+const SOONEST_BACK: Duration = Duration::from_millis(300);
+const LATEST_BACK: Duration = Duration::from_millis(3_000);
+/// Time to the first event that is taken for on time where the operator declares none.
+const UNDECLARED_AIM: Duration = Duration::from_secs(1);
+/// Times of an event that the runs of a decode endpoint get between two prompts that it reads beside
+/// them: with the second right behind the first, an event that falls between both waits for both.
+const REST_EVENTS: u32 = 2;
+/// Digests of which one carries forecasts; one that starts has them within a second.
+const FORECASTS_EVERY: u64 = 10;
 
 /// Who this entry is.
 #[derive(Clone, Debug)]
@@ -45,8 +57,48 @@
     pub endpoint: Arc<Endpoint>,
     /// To be given back when the request ends there.
     pub lease: Lease,
-    /// Prompt tokens that were to be read there before it.
-    pub ahead: u64,
+    /// Prompt tokens to be read there, those before it included.
+    pub tokens: u64,
+    /// How long to wait for its prompt to be read before another endpoint is asked.
+    pub limit: Duration,
+}
+
+/// A prompt that is to be read.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its tokens.
+    pub tokens: u64,
+    /// Time to the first event that is on time.
+    pub aim: Duration,
+    /// The availability zone where the result goes.
+    pub zone: Arc<str>,
+    /// Endpoints that have failed it.
+    pub avoid: Vec<Arc<str>>,
+}
+
+/// A completion that asks for its places.
+#[derive(Clone, Debug)]
+pub struct Completion {
+    /// The service.
+    pub service: Arc<str>,
+    /// What it asks for.
+    pub size: Size,
+    /// When it had been read.
+    pub received: Time,
+    /// When the caller or the operator gives up.
+    pub ends: Time,
+    /// Time to the first event that is on time.
+    pub aim: Duration,
+    /// Longest pause between events that is on time; zero if none is declared.
+    pub gap: Duration,
+    /// How long the caller bears to see no event.
+    pub silence: Duration,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Endpoints that have failed it.
+    pub avoid: Vec<Arc<str>>,
 }
 
 /// A list of endpoints, or a part that changed.
@@ -100,6 +152,7 @@
     line: Line<T>,
     suspects: Suspects,
     pools: Pools,
+    forecasts: Forecasts,
     serial: u64,
 }
 
@@ -118,6 +171,7 @@
             line: Line::default(),
             suspects: Suspects::default(),
             pools: Pools::default(),
+            forecasts: Forecasts::default(),
             serial: 0,
         }
     }
@@ -160,6 +214,7 @@
                 Change::Gone(endpoint) => {
                     self.suspects.crashed(now, &endpoint.id);
                     self.loads.forget(&endpoint.id);
+                    self.forecasts.forget(&endpoint.service, &endpoint.id);
                 }
                 Change::Seen(endpoint) => self.pools.seen(endpoint),
                 Change::Leaving(_) | Change::Lapsed(_) => {}
@@ -185,6 +240,7 @@
         self.allowance.heard(now, digest);
         self.loads.heard(now, digest);
         self.suspects.heard(digest);
+        self.forecasts.heard(&digest.forecasts);
         for (endpoint, change) in &digest.changing {
             self.pools.heard(now, endpoint, *change);
         }
@@ -206,6 +262,11 @@
             failing: self.loads.own_failing(now),
             changing: self.pools.changes(now),
             suspects: self.suspects.told(now),
+            forecasts: if self.serial.is_multiple_of(FORECASTS_EVERY) {
+                self.forecasts.typical()
+            } else {
+                BTreeMap::new()
+            },
         };
         (digest, self.peers.members().collect())
     }
@@ -218,6 +279,7 @@
             self.suspects.forget(peer);
         }
         self.allowance.settle(now, &self.peers);
+        self.forecasts.settle();
         let changes = self.directory.settle(now);
         self.follow(now, &changes);
         (changes, gone)
@@ -263,33 +325,59 @@
     pub fn whole(&mut self, now: Time, service: &str, avoid: &[Arc<str>]) -> Result<Place, Refusal> {
         let found = self.view(now).whole(service, avoid);
         let share = Share { running: 1, ..Share::default() };
-        found.map(|endpoint| take(&mut self.loads, now, endpoint, share)).ok_or_else(no_endpoint)
-    }
-
-    /// A further endpoint that reads a prompt of `tokens` for a run in `zone`; none if none can.
-    pub fn prefill(
-        &mut self,
-        now: Time,
-        service: &str,
-        tokens: u64,
-        zone: &str,
-        avoid: &[Arc<str>],
-    ) -> Option<Place> {
-        let Reader::Endpoint(endpoint) = self.view(now).prefill(service, zone, avoid) else { return None };
-        let share = Share { reading: tokens, ..Share::default() };
-        Some(take(&mut self.loads, now, endpoint, share))
-    }
-
-    /// Lines a request up for a decode endpoint; whoever is placed then comes out of [`Self::pump`].
-    pub fn line_up(&mut self, now: Time, waiting: Waiting<T>) {
-        if let Some(engine) =
-            self.catalog.as_ref().and_then(|catalog| catalog.service(&waiting.service)?.engine)
-        {
-            self.pools.note(now, &waiting.service, &engine, waiting.prompt, waiting.expected);
+        found.map(|endpoint| self.take(now, endpoint, share, Duration::ZERO)).ok_or_else(no_endpoint)
+    }
+
+    /// A further endpoint that reads a prompt; none if none can.
+    pub fn prefill(&mut self, now: Time, prompt: &Prompt) -> Option<Place> {
+        let Prompt { service, tokens, aim, zone, avoid } = prompt;
+        let aim = declared(*aim);
+        let Reader::Endpoint(endpoint) = self.view(now).prefill(service, *tokens, aim, zone, avoid) else {
+            return None;
+        };
+        let share = Share { reading: *tokens, ..Share::default() };
+        Some(self.take(now, endpoint, share, aim))
+    }
+
+    /// Lines a completion up for a decode endpoint; whoever is placed then comes out of [`Self::pump`].
+    pub fn line_up(&mut self, now: Time, completion: Completion, tag: T) {
+        let forecast = self.forecasts.service(&completion.service);
+        let engine = self.engine(&completion.service);
+        if let Some(engine) = &engine {
+            self.pools.note(now, &completion.service, engine, &forecast, completion.size);
         }
+        let mut waiting = waiting(completion, &forecast, tag);
+        // What is larger than an endpoint's memory runs alone, as far as its answer fits.
+        waiting.memory = waiting.memory.min(engine.map_or(u64::MAX, |engine| engine.memory));
         self.line.push(waiting);
     }
 
+    fn engine(&self, service: &str) -> Option<Engine> {
+        self.catalog.as_ref()?.service(service)?.engine
+    }
+
+    /// Takes what a request showed of an endpoint.
+    pub fn observed(&mut self, now: Time, endpoint: &Endpoint, observation: Observation) {
+        let memory = self.loads.get(&endpoint.id).map_or(0, |load| load.all(now).memory);
+        self.forecasts.note(now, &endpoint.service, &endpoint.id, memory, observation);
+    }
+
+    /// What is known of a service's endpoints together.
+    pub fn forecast(&self, service: &str) -> Forecast {
+        self.forecasts.service(service)
+    }
+
+    /// What is known of all services.
+    pub fn forecasts(&self) -> BTreeMap<Arc<str>, Forecast> {
+        self.forecasts.typical()
+    }
+
+    /// When a caller should come back that waited in vain for memory of a service.
+    pub fn memory_free_after(&self, service: &str) -> Duration {
+        let half = self.forecasts.service(service).half_run();
+        half.map_or(COME_BACK, |half| half.clamp(SOONEST_BACK, LATEST_BACK))
+    }
+
     /// The next endpoint that should change its pool; call it once a tick.
     pub fn order(&mut self, now: Time) -> Option<Order> {
         let catalog = self.catalog.clone()?;
@@ -307,23 +395,24 @@
     pub fn pump(&mut self, now: Time) -> Vec<Placed<T>> {
         let Some(catalog) = self.catalog.clone() else { return Vec::new() };
         let turn = self.turn();
-        let Self { line, loads, directory, pools, identity, .. } = self;
+        let Self { line, loads, directory, pools, forecasts, identity, .. } = self;
         line.pump(now, |waiting| {
             let engine = catalog.service(&waiting.service)?.engine?;
-            let view = View { now, directory, loads, pools, zone: &identity.zone, turn };
+            let view = View { now, directory, loads, pools, forecasts, zone: &identity.zone, turn };
             let run = Run {
                 prompt: waiting.prompt,
                 memory: waiting.memory,
                 spare: spare(&engine, waiting.is_late(now)),
                 gap: waiting.gap,
+                aim: waiting.aim,
                 avoid: &waiting.avoid,
             };
             let Pairing { endpoint, reader } = view.pair(&waiting.service, &engine, &run)?;
             let reading = Share { reading: waiting.prompt, ..Share::default() };
             let own_reading = if reader.is_some() { 0 } else { waiting.prompt };
             let share = Share { running: 1, memory: waiting.memory, reading: own_reading };
-            let run = take(loads, now, endpoint, share);
-            let reader = reader.map(|reader| take(loads, now, reader, reading));
+            let run = take(loads, forecasts, now, endpoint, share, waiting.aim);
+            let reader = reader.map(|reader| take(loads, forecasts, now, reader, reading, waiting.aim));
             Some(Pair { run, reader })
         })
     }
@@ -346,7 +435,10 @@
 
     /// A request's answer has begun.
     pub fn answered(&mut self, now: Time, lease: &Lease) {
-        self.loads.answered(now, lease);
+        let endpoint = self.directory.get(&lease.endpoint);
+        let forecast = endpoint.map(|endpoint| self.forecasts.endpoint(now, &endpoint.service, &endpoint.id));
+        let rest = forecast.unwrap_or_default().event_gap() * REST_EVENTS;
+        self.loads.answered(now, lease, rest);
     }
 
     /// A request has ended at its endpoint.
@@ -412,6 +504,7 @@
             directory: &self.directory,
             loads: &self.loads,
             pools: &self.pools,
+            forecasts: &self.forecasts,
             zone: &self.identity.zone,
             turn: self.turn(),
         }
@@ -420,12 +513,50 @@
     fn turn(&self) -> Turn {
         Turn { rank: self.peers.position(), count: self.peers.count() }
     }
+
+    fn take(&mut self, now: Time, endpoint: Arc<Endpoint>, share: Share, aim: Duration) -> Place {
+        take(&mut self.loads, &self.forecasts, now, endpoint, share, aim)
+    }
 }
 
-fn take(loads: &mut Loads, now: Time, endpoint: Arc<Endpoint>, share: Share) -> Place {
+fn take(
+    loads: &mut Loads,
+    forecasts: &Forecasts,
+    now: Time,
+    endpoint: Arc<Endpoint>,
+    share: Share,
+    aim: Duration,
+) -> Place {
     let ahead = loads.get(&endpoint.id).map_or(0, |load| load.all(now).reading);
+    let tokens = ahead + share.reading;
+    let limit = forecasts.endpoint(now, &endpoint.service, &endpoint.id).reading_limit(tokens, aim);
     let lease = loads.take(now, &endpoint.id, share);
-    Place { endpoint, lease, ahead }
+    Place { endpoint, lease, tokens, limit }
+}
+
+fn waiting<T>(completion: Completion, forecast: &Forecast, tag: T) -> Waiting<T> {
+    let Completion { service, size, received, ends, aim, gap, silence, priority, avoid } = completion;
+    let aim = declared(aim);
+    // The caller leaves at its deadline, and before it if it sees no event for too long.
+    let in_time = ends.minus(forecast.certain_time(size));
+    let in_patience = received.plus(silence).minus(forecast.certain_first(size.prompt));
+    Waiting {
+        tag,
+        service,
+        prompt: size.prompt,
+        expected: size.expected,
+        memory: memory(size.prompt, size.expected),
+        on_time: received.plus(aim).minus(forecast.certain_first(size.prompt)),
+        last_start: in_time.min(in_patience),
+        priority,
+        gap,
+        aim,
+        avoid,
+    }
+}
+
+fn declared(aim: Duration) -> Duration {
+    if aim.is_zero() { UNDECLARED_AIM } else { aim }
 }
 
 fn no_endpoint() -> Refusal {
--- a/crates/core/tests/gateway/line.rs
+++ b/crates/core/tests/gateway/line.rs
@@ -22,6 +22,7 @@
         last_start: at(last_start),
         priority: 1,
         gap: Duration::from_millis(300),
+        aim: Duration::from_millis(900),
         avoid: Vec::new(),
     }
 }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -20,6 +20,7 @@
     gateway::{
         catalog::{Customer, Engine, Kind, Route, Target},
         directory::{Endpoint, Row, Stage},
+        forecast::{Forecasts, Observation},
     },
 };
 
@@ -74,3 +75,50 @@
         resumable: false,
     }
 }
+
+/// How fast an engine is.
+#[derive(Clone, Copy, Debug)]
+struct Sheet {
+    /// Microseconds to read a token of a prompt.
+    prompt_us: u64,
+    /// Milliseconds to the first event.
+    first_ms: u64,
+    /// Microseconds to make a token.
+    token_us: u64,
+    /// Tokens in an event.
+    event_tokens: u64,
+}
+
+/// An engine whose answers of some hundred tokens take seconds.
+const SMALL: Sheet = Sheet { prompt_us: 18, first_ms: 150, token_us: 5_000, event_tokens: 11 };
+
+/// Has `forecasts` see what some requests at an endpoint of such an engine show; estimates are off by e to
+/// the half, up and down.
+fn teach(forecasts: &mut Forecasts, now: Time, endpoint: &str, sheet: Sheet) {
+    let (service, endpoint): (Arc<str>, Arc<str>) = ("drafting".into(), endpoint.into());
+    for round in 0..20_u64 {
+        let prompt = 3_000 + round % 4 * 1_000;
+        let read = Duration::from_micros(prompt * sheet.prompt_us);
+        let first = Duration::from_millis(sheet.first_ms);
+        let gap = Duration::from_micros(sheet.token_us * sheet.event_tokens);
+        let off = if round % 2 == 0 { 0.5_f64.exp() } else { (-0.5_f64).exp() };
+        let expected = (100.0 * sheet.event_tokens as f64 * off) as u64;
+        for observation in [
+            Observation::Read { tokens: prompt, took: read },
+            Observation::Started { prompt, took: first },
+            Observation::ReadAndStarted { prompt, took: first + read * 2 },
+            Observation::Paced { events: 5, span: gap * 5 },
+            Observation::Ended { expected, events: 100 },
+        ] {
+            forecasts.note(now, &service, &endpoint, 20_000, observation);
+            forecasts.settle();
+        }
+    }
+}
+
+/// What is known of a service after some requests to one engine.
+fn learned(sheet: Sheet) -> Forecasts {
+    let mut forecasts = Forecasts::default();
+    teach(&mut forecasts, at(0), "e-1", sheet);
+    forecasts
+}
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -8,13 +8,17 @@
 use tarragonhill_core::gateway::{
     digest::{Digest, Share},
     directory::{Directory, Endpoint, Stage},
+    forecast::Forecasts,
     health::Outcome,
     load::Loads,
     placement::{Reader, Run, Turn, View, spare},
     pools::Pools,
 };
 
-use crate::{at, endpoint, engine, row};
+use crate::{SMALL, at, endpoint, engine, learned, row};
+
+/// Time to a first event that is on time.
+const AIM: Duration = Duration::from_millis(900);
 
 fn directory(endpoints: Vec<Endpoint>) -> Directory {
     let mut directory = Directory::default();
@@ -25,7 +29,9 @@
 
 fn view<'a>(directory: &'a Directory, loads: &'a Loads, now: u64) -> View<'a> {
     static POOLS: LazyLock<Pools> = LazyLock::new(Pools::default);
-    View { now: at(now), directory, loads, pools: &POOLS, zone: "zone-a", turn: Turn { rank: 0, count: 1 } }
+    static FORECASTS: LazyLock<Forecasts> = LazyLock::new(|| learned(SMALL));
+    let turn = Turn { rank: 0, count: 1 };
+    View { now: at(now), directory, loads, pools: &POOLS, forecasts: &FORECASTS, zone: "zone-a", turn }
 }
 
 fn reader(found: Reader) -> Option<Arc<str>> {
@@ -36,7 +42,7 @@
 }
 
 fn need(memory: u64, spare: u64) -> Run<'static> {
-    Run { prompt: memory, memory, spare, ..Run::default() }
+    Run { prompt: memory, memory, spare, aim: AIM, ..Run::default() }
 }
 
 fn run(memory: u64) -> Share {
@@ -89,7 +95,8 @@
     let far = Endpoint { zone: "zone-b".into(), ..endpoint("p-2", Stage::Prefill) };
     let directory = directory(vec![endpoint("p-1", Stage::Prefill), far]);
     let mut loads = Loads::default();
-    let place = |loads: &Loads| reader(view(&directory, loads, 10).prefill("drafting", "zone-a", &[]));
+    let place =
+        |loads: &Loads| reader(view(&directory, loads, 10).prefill("drafting", 5_000, AIM, "zone-a", &[]));
     assert_eq!(place(&loads), Some("p-1".into()));
     let reading = Share { reading: 8_000, ..Share::default() };
     loads.take(at(0), &"p-1".into(), reading);
@@ -128,7 +135,7 @@
     let mut loads = Loads::default();
     let told = Digest { name: "b".into(), failing: other.own_failing(at(30)), ..Digest::default() };
     loads.heard(at(30), &told);
-    let found = view(&directory, &loads, 40).prefill("drafting", "zone-a", &[]);
+    let found = view(&directory, &loads, 40).prefill("drafting", 5_000, AIM, "zone-a", &[]);
     assert_eq!(reader(found), Some("p-2".into()));
 }
 
@@ -163,13 +170,18 @@
     let directory = directory(vec![endpoint("p-1", Stage::Prefill)]);
     let mut loads = Loads::default();
     let mut placed = 0;
-    while let Reader::Endpoint(found) = view(&directory, &loads, 10).prefill("drafting", "zone-a", &[]) {
+    while let Reader::Endpoint(found) =
+        view(&directory, &loads, 10).prefill("drafting", 5_000, AIM, "zone-a", &[])
+    {
         loads.take(at(0), &found.id, Share { reading: 5_000, ..Share::default() });
         placed += 1;
     }
     assert_eq!(placed, 5);
-    assert_eq!(view(&directory, &loads, 10).prefill("drafting", "zone-a", &[]), Reader::Busy);
-    assert_eq!(view(&directory, &loads, 10).prefill("drafting", "zone-a", &["p-1".into()]), Reader::Nobody);
+    assert_eq!(view(&directory, &loads, 10).prefill("drafting", 5_000, AIM, "zone-a", &[]), Reader::Busy);
+    assert_eq!(
+        view(&directory, &loads, 10).prefill("drafting", 5_000, AIM, "zone-a", &["p-1".into()]),
+        Reader::Nobody
+    );
 }
 
 /// An entry freezes while its prompts are being read. They are read within half a second, but nobody
@@ -181,8 +193,11 @@
     let reading = Share { reading: 30_000, ..Share::default() };
     let shares = [("p-1".into(), reading), ("d-1".into(), run(30_000))].into();
     loads.heard(at(0), &Digest { name: "frozen".into(), shares, ..Digest::default() });
-    assert_eq!(view(&directory, &loads, 500).prefill("drafting", "zone-a", &[]), Reader::Busy);
-    assert_eq!(reader(view(&directory, &loads, 700).prefill("drafting", "zone-a", &[])), Some("p-1".into()));
+    assert_eq!(view(&directory, &loads, 500).prefill("drafting", 5_000, AIM, "zone-a", &[]), Reader::Busy);
+    assert_eq!(
+        reader(view(&directory, &loads, 700).prefill("drafting", 5_000, AIM, "zone-a", &[])),
+        Some("p-1".into())
+    );
     // Its runs go on for seconds.
     let place = |now| view(&directory, &loads, now).decode("drafting", &engine(), &need(40_000, 0)).is_some();
     assert!(!place(2_900));
@@ -198,7 +213,9 @@
     let reading = |tokens| Share { reading: tokens, ..Share::default() };
     loads.take(at(0), &"p-1".into(), reading(2_000));
     loads.take(at(900), &"p-2".into(), reading(8_000));
-    let place = |loads: &Loads, now| reader(view(&directory, loads, now).prefill("drafting", "zone-a", &[]));
+    let place = |loads: &Loads, now| {
+        reader(view(&directory, loads, now).prefill("drafting", 5_000, AIM, "zone-a", &[]))
+    };
     assert_eq!(place(&loads, 700), Some("p-1".into()));
     assert_eq!(place(&loads, 901), Some("p-2".into()));
     // With nobody else left it is tried all the same.
@@ -216,7 +233,7 @@
         loads.give_back(at(now), &lease, Outcome::TurnedAway);
     }
     loads.take(at(20), &"p-2".into(), Share { reading: 8_000, ..Share::default() });
-    let place = |now| reader(view(&directory, &loads, now).prefill("drafting", "zone-a", &[]));
+    let place = |now| reader(view(&directory, &loads, now).prefill("drafting", 5_000, AIM, "zone-a", &[]));
     assert_eq!(place(30), Some("p-2".into()));
     assert_eq!(place(300), Some("p-1".into()));
 }
@@ -262,7 +279,7 @@
     let is_placed =
         |loads: &Loads, now| view(&directory, loads, now).pair("drafting", &engine(), &need).is_some();
     assert!(!is_placed(&loads, 10));
-    loads.answered(at(200), &lease);
+    loads.answered(at(200), &lease, Duration::from_millis(120));
     assert!(!is_placed(&loads, 250));
     assert!(is_placed(&loads, 350));
 }
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -1,15 +1,19 @@
 //! The split between endpoints that read and endpoints that make tokens.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, LazyLock},
+    time::Duration,
+};
 
 use tarragonhill_core::gateway::{
     directory::{Directory, Endpoint, Stage},
+    forecast::{Forecasts, Size},
     lease::{Claim, GAP, Reading, TERM, may_claim},
     load::Loads,
     pools::{Order, Pools},
 };
 
-use crate::{at, endpoint, engine, row};
+use crate::{SMALL, at, endpoint, engine, learned, row};
 
 fn directory(prefill: usize, decode: usize) -> Directory {
     let mut directory = Directory::default();
@@ -23,6 +27,14 @@
     directory
 }
 
+/// Has pools see a request.
+fn note(pools: &mut Pools, now: u64, prompt: u64, expected: u64) {
+    static FORECASTS: LazyLock<Forecasts> = LazyLock::new(|| learned(SMALL));
+    let size = Size { prompt, expected, most: expected };
+    let forecast = FORECASTS.service("drafting");
+    pools.note(at(now), &"drafting".into(), &engine(), &forecast, size);
+}
+
 /// Plays 60 s of requests of one size and carries out every order; gives the readers at the end and
 /// the orders given.
 fn play(directory: &mut Directory, prompt: u64, expected: u64) -> (usize, Vec<Order>) {
@@ -30,7 +42,7 @@
     let (mut pools, loads) = (Pools::default(), Loads::default());
     let mut orders = Vec::new();
     for now in (0..60_000).step_by(100) {
-        pools.note(at(now), &service, &engine(), prompt, expected);
+        note(&mut pools, now, prompt, expected);
         let Some(order) = pools.next(at(now), &service, directory, &loads, 0) else { continue };
         let changed = Endpoint { stage: order.stage, ..Endpoint::clone(&order.endpoint) };
         directory.update(at(now), 1_000 + now, vec![row(1_000 + now, changed.clone())]);
@@ -70,7 +82,7 @@
 fn nothing_moves_before_enough_was_seen() {
     let service: Arc<str> = "drafting".into();
     let (mut pools, directory) = (Pools::default(), directory(5, 7));
-    pools.note(at(0), &service, &engine(), 5_000, 700);
+    note(&mut pools, 0, 5_000, 700);
     assert_eq!(pools.next(at(10), &service, &directory, &Loads::default(), 0), None);
 }
 
@@ -81,7 +93,7 @@
     let service: Arc<str> = "drafting".into();
     let (mut pools, directory) = (Pools::default(), directory(5, 7));
     for now in (0..20_000).step_by(100) {
-        pools.note(at(now), &service, &engine(), 5_000, 700);
+        note(&mut pools, now, 5_000, 700);
         assert_eq!(pools.next(at(now), &service, &directory, &Loads::default(), 1), None);
     }
     assert!(pools.next(at(20_000), &service, &directory, &Loads::default(), 0).is_some());
@@ -100,7 +112,7 @@
     let service: Arc<str> = "drafting".into();
     let (mut pools, directory) = (Pools::default(), directory(5, 7));
     let order = (0..3_000).step_by(100).find_map(|now| {
-        pools.note(at(now), &service, &engine(), 5_000, 700);
+        note(&mut pools, now, 5_000, 700);
         pools.next(at(now), &service, &directory, &Loads::default(), 0)
     });
     let order = order.expect("an order");
@@ -139,7 +151,7 @@
     let mut moved = 0;
     for now in (0..20_000).step_by(100) {
         for pools in [&mut first, &mut second] {
-            pools.note(at(now), &service, &engine(), 5_000, 700);
+            note(pools, now, 5_000, 700);
         }
         moved += usize::from(first.next(at(now), &service, &directory, &Loads::default(), 0).is_some());
         for (endpoint, change) in first.changes(at(now)) {
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -8,14 +8,15 @@
         catalog::{Catalog, Kind, Limits, Service},
         digest::Digest,
         directory::Stage,
+        forecast::{Observation, Size},
         health::Outcome,
         line::{Verdict, Waiting},
-        state::{Admission, Identity, Listing, State},
+        state::{Admission, Completion, Identity, Listing, State},
     },
     refusal::Code,
 };
 
-use crate::{at, customer, endpoint, engine, gone, route, row};
+use crate::{SMALL, Sheet, at, customer, endpoint, engine, gone, route, row};
 
 fn state() -> State<u32> {
     let identity = Identity {
@@ -44,17 +45,17 @@
     state
 }
 
-fn waiting(tag: u32, memory: u64) -> Waiting<u32> {
-    Waiting {
-        tag,
+/// A completion whose run takes `memory` tokens.
+fn completion(memory: u64) -> Completion {
+    Completion {
         service: "drafting".into(),
-        prompt: memory,
-        expected: 0,
-        memory,
-        on_time: at(600),
-        last_start: at(3_000),
-        priority: 1,
+        size: Size { prompt: memory, expected: 0, most: 0 },
+        received: at(0),
+        ends: at(14_000),
+        aim: Duration::from_millis(900),
         gap: Duration::from_millis(300),
+        silence: Duration::from_millis(3_600),
+        priority: 1,
         avoid: Vec::new(),
     }
 }
@@ -74,8 +75,8 @@
 #[test]
 fn a_run_waits_for_memory_and_gets_it_when_another_ends() {
     let mut state = serving();
-    state.line_up(at(0), waiting(1, 40_000));
-    state.line_up(at(0), waiting(2, 40_000));
+    state.line_up(at(0), completion(40_000), 1);
+    state.line_up(at(0), completion(40_000), 2);
     let mut first = state.pump(at(10));
     assert_eq!(first.len(), 1);
     let Some((Waiting { tag: 1, .. }, Verdict::Placed(place))) = first.pop() else {
@@ -95,7 +96,7 @@
 fn a_decode_endpoint_reads_one_prompt_itself_while_the_readers_are_busy() {
     let mut state = serving();
     for tag in 0..8 {
-        state.line_up(at(0), waiting(tag, 4_000));
+        state.line_up(at(0), completion(4_000), tag);
     }
     let placed = state.pump(at(10));
     let pairs = placed.iter().filter_map(|(_, verdict)| match verdict {
@@ -119,8 +120,9 @@
 #[test]
 fn a_long_prompt_waits_for_a_reader() {
     let mut state = serving();
+    show(&mut state, 0, SMALL);
     for tag in 0..4 {
-        state.line_up(at(0), waiting(tag, 11_000));
+        state.line_up(at(0), completion(11_000), tag);
     }
     assert_eq!(state.pump(at(10)).len(), 3);
 }
@@ -143,7 +145,7 @@
 #[test]
 fn an_entry_tells_what_it_has_taken_and_hears_what_others_have() {
     let mut state = serving();
-    state.line_up(at(0), waiting(1, 40_000));
+    state.line_up(at(0), completion(40_000), 1);
     assert_eq!(state.pump(at(10)).len(), 1);
     let (digest, _) = state.digest(at(20));
     assert_eq!(digest.shares.get("d-1").map(|share| share.memory), Some(40_000));
@@ -151,7 +153,7 @@
     let mut other = serving();
     let from = "127.0.0.1:8".parse().expect("an address");
     other.heard(at(30), &Digest { name: "first".into(), ..digest }, from);
-    other.line_up(at(0), waiting(2, 40_000));
+    other.line_up(at(0), completion(40_000), 2);
     assert!(other.pump(at(40)).is_empty());
 }
 
@@ -168,3 +170,70 @@
     let refusal = state.admit(at(2_000), &admission).expect_err("refused");
     assert_eq!(refusal.code, Code::Quarantined);
 }
+
+/// A further customer's engines make a token in an eighth of the time, and their answers are as long as their
+/// prompts. Forecasts of an engine that is known already lay past every deadline: idle endpoints turned four
+/// callers in five away.
+#[test]
+fn idle_endpoints_refuse_nobody_whatever_the_engine() {
+    let sheets = [
+        SMALL,
+        Sheet { prompt_us: 2, first_ms: 15, token_us: 500, event_tokens: 1 },
+        Sheet { prompt_us: 18, first_ms: 30, token_us: 640, event_tokens: 72 },
+        Sheet { prompt_us: 180, first_ms: 400, token_us: 20_000, event_tokens: 4 },
+    ];
+    for sheet in sheets {
+        let mut state = serving();
+        let answer = 10_000_000 / sheet.token_us;
+        let size = Size { prompt: 5_000, expected: answer, most: answer * 2 };
+        for now in [0, 1_000] {
+            let completion = Completion { size, received: at(now), ends: at(now + 14_000), ..completion(0) };
+            state.line_up(at(now), completion, 1);
+            let placed = state.pump(at(now));
+            let [(_, Verdict::Placed(pair))] = &placed[..] else { panic!("refused: {sheet:?}") };
+            state.ended(at(now), &pair.run.lease, Outcome::Abandoned);
+            let reader = pair.reader.as_ref().expect("a reader");
+            state.ended(at(now), &reader.lease, Outcome::Abandoned);
+            show(&mut state, now, sheet);
+        }
+    }
+}
+
+/// Has an entry see some requests at its endpoints.
+fn show(state: &mut State<u32>, now: u64, sheet: Sheet) {
+    let (reader, run) = (endpoint("p-1", Stage::Prefill), endpoint("d-1", Stage::Decode));
+    let gap = Duration::from_micros(sheet.token_us * sheet.event_tokens);
+    for _ in 0..20 {
+        let took = Duration::from_micros(5_000 * sheet.prompt_us);
+        state.observed(at(now), &reader, Observation::Read { tokens: 5_000, took });
+        let took = Duration::from_millis(sheet.first_ms);
+        state.observed(at(now), &run, Observation::Started { prompt: 5_000, took });
+        state.observed(at(now), &run, Observation::Paced { events: 10, span: gap * 10 });
+        state.observed(at(now), &run, Observation::Ended { expected: 100 * sheet.event_tokens, events: 100 });
+    }
+    state.settle(at(now));
+}
+
+/// An answer is expected to take a minute at an engine that was seen, and its caller waits for fourteen
+/// seconds. Placed, it would keep memory and be cut; told at once, the caller can ask for less.
+#[test]
+fn what_cannot_end_in_time_is_refused_at_once() {
+    let mut state = serving();
+    show(&mut state, 0, SMALL);
+    let size = Size { prompt: 5_000, expected: 12_000, most: 12_000 };
+    state.line_up(at(10), Completion { size, ..completion(0) }, 1);
+    assert!(matches!(&state.pump(at(10))[..], [(_, Verdict::Hopeless)]));
+    assert!(state.memory_free_after("drafting") > Duration::from_millis(1_000));
+}
+
+/// An entry that has just started has seen no request; what the others have seen comes with their digests.
+#[test]
+fn an_entry_that_starts_is_told_how_long_things_take() {
+    let mut first = serving();
+    show(&mut first, 0, SMALL);
+    let told = (0..10).map(|turn| first.digest(at(turn * 100)).0).find(|digest| !digest.forecasts.is_empty());
+    let told = Digest { name: "first".into(), ..told.expect("one digest in ten tells") };
+    let mut other = serving();
+    other.heard(at(1_000), &told, "127.0.0.1:8".parse().expect("an address"));
+    assert_eq!(other.forecast("drafting"), first.forecast("drafting"));
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use tarragonhill_core::{
     Clock, Time,
-    gateway::{catalog::Route, directory::Endpoint, state::Admission},
+    gateway::{catalog::Route, directory::Endpoint, forecast::Size, state::Admission},
 };
 use tarragonhill_h1::head::Request;
 
@@ -113,6 +113,12 @@
         self.call.id.as_deref().unwrap_or("-")
     }
 
+    /// The size of a completion; zero for a plain call.
+    pub(crate) fn size(&self) -> Size {
+        let tokens = self.call.tokens.unwrap_or_default();
+        Size { prompt: tokens.prompt, expected: tokens.expected_output(), most: tokens.output }
+    }
+
     pub(crate) fn priority(&self) -> u8 {
         let customer = self.admission.customer.as_ref();
         customer.and_then(|customer| customer.priority).unwrap_or(self.route.priority)
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,11 +18,11 @@
         catalog::Catalog,
         digest::{Digest, Member},
         directory::Endpoint,
+        forecast::{Forecast, Observation},
         health::Outcome,
         knowledge::Knowledge,
-        line::Waiting,
         load::Lease,
-        state::Admission,
+        state::{Admission, Completion, Prompt},
     },
     refusal::Code,
 };
@@ -46,8 +46,10 @@
     Retry(Arc<str>, Reply<bool>),
     IsSplit(Arc<str>, Reply<bool>),
     Whole(Arc<str>, Vec<Arc<str>>, Reply<Placing>),
-    Prefill(Reading, Reply<Option<Ticket>>),
-    LineUp(Waiting<Reply<Pairing>>),
+    Prefill(Prompt, Reply<Option<Ticket>>),
+    LineUp(Completion, Reply<Pairing>),
+    Forecast(Arc<str>, Reply<Forecast>),
+    Observed(Arc<Endpoint>, Observation),
     Answered(Lease),
     Ended(Lease, Outcome),
     Broke(Arc<str>, u64),
@@ -59,25 +61,14 @@
     Dump(Reply<serde_json::Value>),
 }
 
-/// A prompt that is to be read.
-#[derive(Clone, Debug)]
-pub struct Reading {
-    /// The service.
-    pub service: Arc<str>,
-    /// Prompt tokens.
-    pub tokens: u64,
-    /// The availability zone where the result goes.
-    pub zone: Arc<str>,
-    /// Endpoints that have failed it.
-    pub avoid: Vec<Arc<str>>,
-}
-
 /// A request's place at an endpoint; given back when dropped.
 pub struct Ticket {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    /// Prompt tokens that were to be read there before it.
-    pub ahead: u64,
+    /// Prompt tokens to be read there, those before it included.
+    pub tokens: u64,
+    /// How long to wait for its prompt to be read before another endpoint is asked.
+    pub limit: Duration,
     lease: Lease,
     outcome: Outcome,
     control: Control,
@@ -91,6 +82,11 @@
         self.lease.read();
     }
 
+    /// What the request showed of the endpoint.
+    pub fn observed(&self, observation: Observation) {
+        self.control.tell(Command::Observed(self.endpoint.clone(), observation));
+    }
+
     /// How the request ended here.
     pub fn ended(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -177,16 +173,21 @@
     }
 
     /// A place for reading a prompt.
-    pub async fn prefill(&self, reading: Reading) -> Option<Ticket> {
-        self.ask(|reply| Command::Prefill(reading, reply)).await.flatten()
+    pub async fn prefill(&self, prompt: Prompt) -> Option<Ticket> {
+        self.ask(|reply| Command::Prefill(prompt, reply)).await.flatten()
     }
 
     /// Waits for the places of a completion.
-    pub async fn decode(&self, waiting: Waiting<()>) -> Pairing {
-        let asked = self.ask(|reply| Command::LineUp(waiting.tagged(reply)));
+    pub async fn decode(&self, completion: Completion) -> Pairing {
+        let asked = self.ask(|reply| Command::LineUp(completion, reply));
         asked.await.unwrap_or(Err(stopping()))
     }
 
+    /// What is known of a service's endpoints together.
+    pub async fn forecast(&self, service: &Arc<str>) -> Forecast {
+        self.ask(|reply| Command::Forecast(service.clone(), reply)).await.unwrap_or_default()
+    }
+
     /// A request broke off at an endpoint.
     pub fn broke(&self, endpoint: &Arc<str>, fingerprint: u64) {
         self.tell(Command::Broke(endpoint.clone(), fingerprint));
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns the state, carries out what traffic asks, and lets time pass.
 
 use std::{
+    collections::BTreeMap,
     io,
     sync::{Arc, Mutex, PoisonError},
     thread,
@@ -16,6 +17,7 @@
         catalog::Catalog,
         digest::{Digest, Member},
         directory::Change,
+        forecast::Forecast,
         health::Outcome,
         knowledge::Knowledge,
         line::Verdict,
@@ -25,7 +27,7 @@
     refusal::Code,
 };
 
-use super::{Command, Control, Pairing, Reading, Reply, Ticket, Tickets, stopping};
+use super::{Command, Control, Pairing, Reply, Ticket, Tickets, stopping};
 use crate::edge::Update;
 
 /// How often time alone is looked at: digests are sent and lapsed things settled. What others have
@@ -35,10 +37,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// The same while requests wait, so that one that waits in vain is told soon.
 const BUSY_TICK: Duration = Duration::from_millis(25);
-
-/// What a caller is told that waited in vain: about half the time a run takes, after which half of
-/// what is in memory has ended.
-const LINE_SHORTER: Duration = Duration::from_millis(1_500);
+/// How often forecasts are logged, so that a refusal can be traced to what was believed.
+const LOG_FORECASTS: Duration = Duration::from_secs(2);
 
 /// A digest that is to be sent, and to whom.
 pub type Outgoing = (Digest, Vec<Member>);
@@ -65,7 +65,16 @@
     let (catalog, informed) = (control.catalog.clone(), control.informed.clone());
     let shared = Shared { commands, catalog, informed, started };
     let uninformed = Some(uninformed);
-    let mut worker = Worker { state, clock, shared, source: None, uninformed, outgoing, told: Time::ZERO };
+    let mut worker = Worker {
+        state,
+        clock,
+        shared,
+        source: None,
+        uninformed,
+        outgoing,
+        told: Time::ZERO,
+        logged: Time::ZERO,
+    };
     thread::Builder::new()
         .name("control".into())
         .spawn(move || task::block_on(async move { worker.run(received).await }))?;
@@ -101,6 +110,8 @@
     outgoing: Outlets,
     /// When the last digest was sent.
     told: Time,
+    /// When forecasts were last logged.
+    logged: Time,
 }
 
 impl Worker {
@@ -133,11 +144,15 @@
                 self.state.order_dropped(&error.into_inner().endpoint.id);
             }
         }
+        if now.since(self.logged) >= LOG_FORECASTS {
+            self.logged = now;
+            log_forecasts(&self.state.forecasts());
+        }
         self.state.retain_line(|reply| !reply.is_closed());
         for (waiting, verdict) in self.state.pump(now) {
             let placing = match verdict {
                 Verdict::Placed(pair) => self.tickets(pair).ok_or_else(stopping),
-                Verdict::Hopeless => Err(overloaded(self.state.describe(now, &waiting.service))),
+                Verdict::Hopeless => Err(self.overloaded(now, &waiting.service)),
             };
             // A ticket whose asker is gone is dropped here, which gives it back.
             let _ = waiting.tag.try_send(placing);
@@ -146,9 +161,9 @@
 
     /// Nothing once the traffic has ended: then nobody waits for it either.
     fn ticket(&self, place: Place) -> Option<Ticket> {
-        let Place { endpoint, lease, ahead } = place;
+        let Place { endpoint, lease, tokens, limit } = place;
         let control = self.shared.control()?;
-        Some(Ticket { endpoint, ahead, lease, outcome: Outcome::Abandoned, control })
+        Some(Ticket { endpoint, tokens, limit, lease, outcome: Outcome::Abandoned, control })
     }
 
     fn tickets(&self, pair: Pair) -> Option<Tickets> {
@@ -168,12 +183,13 @@
                 let place = self.state.whole(now, &service, &avoid);
                 drop(reply.try_send(place.and_then(|place| self.ticket(place).ok_or_else(stopping))));
             }
-            Command::Prefill(reading, reply) => {
-                let Reading { service, tokens, zone, avoid } = &reading;
-                let place = self.state.prefill(now, service, *tokens, zone, avoid);
+            Command::Prefill(prompt, reply) => {
+                let place = self.state.prefill(now, &prompt);
                 drop(reply.try_send(place.and_then(|place| self.ticket(place))));
             }
-            Command::LineUp(waiting) => self.state.line_up(now, waiting),
+            Command::LineUp(completion, reply) => self.state.line_up(now, completion, reply),
+            Command::Forecast(service, reply) => drop(reply.try_send(self.state.forecast(&service))),
+            Command::Observed(endpoint, observation) => self.state.observed(now, &endpoint, observation),
             Command::Answered(lease) => self.state.answered(now, &lease),
             Command::Ended(lease, outcome) => self.state.ended(now, &lease, outcome),
             Command::Broke(endpoint, fingerprint) => self.state.broke(now, &endpoint, fingerprint),
@@ -186,6 +202,12 @@
         }
     }
 
+    fn overloaded(&self, now: Time, service: &str) -> Refusal {
+        let why = self.state.describe(now, service);
+        let message = format!("no memory becomes free in time: {why}");
+        Refusal::not_run(Code::Overloaded, message).retry_after(self.state.memory_free_after(service))
+    }
+
     fn update(&mut self, now: Time, update: Update) {
         match update {
             Update::Catalog { order, catalog, source } => self.adopt(now, order, catalog, source),
@@ -238,19 +260,40 @@
                 })
             })
             .collect();
+        let forecasts: serde_json::Map<String, serde_json::Value> = self
+            .state
+            .forecasts()
+            .iter()
+            .map(|(service, forecast)| (service.to_string(), forecast_json(forecast)))
+            .collect();
         serde_json::json!({
             "version": self.state.catalog().map(|catalog| catalog.version()),
             "endpoints": endpoints,
             "left": self.state.left(now),
             "sharers": self.state.sharers(),
             "waiting": self.state.line_length(),
+            "forecasts": forecasts,
         })
     }
 }
 
-fn overloaded(why: String) -> Refusal {
-    let message = format!("no memory becomes free in time: {why}");
-    Refusal::not_run(Code::Overloaded, message).retry_after(LINE_SHORTER)
+fn log_forecasts(forecasts: &BTreeMap<Arc<str>, Forecast>) {
+    for (service, forecast) in forecasts {
+        let known = forecast_json(forecast).to_string();
+        spdlog::info!("forecast", kv: { service = &**service, known = known.as_str() });
+    }
+}
+
+fn forecast_json(forecast: &Forecast) -> serde_json::Value {
+    let answer = forecast.answer.unwrap_or_default();
+    serde_json::json!({
+        "reading_us_per_token": forecast.reading.map(|trend| trend.slope * 1e6),
+        "own_reading_us_per_token": forecast.own_reading.map(|trend| trend.slope * 1e6),
+        "first_event_ms": forecast.first.map(|trend| trend.at(5_000).as_secs_f64() * 1e3),
+        "event_us": forecast.event.map(|_| forecast.event_gap().as_micros() as u64),
+        "tokens_per_event": forecast.answer.map(|_| answer.event_tokens),
+        "estimate_spread": answer.spread,
+    })
 }
 
 fn log_changes(changes: &[Change]) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,13 +14,8 @@
 
 use bytes::Bytes;
 use tarragonhill_core::{
-    Refusal,
-    gateway::{
-        directory::Endpoint,
-        forecast::{Size, ends_within},
-        health::Outcome,
-        state::COME_BACK,
-    },
+    Refusal, Time,
+    gateway::{directory::Endpoint, forecast::Observation, health::Outcome, state::COME_BACK},
     refusal::Code,
 };
 use tarragonhill_h1::head::Response;
@@ -58,6 +53,39 @@
 struct Run<'a> {
     exchange: Exchange<'a>,
     ticket: Ticket,
+    /// When it was sent.
+    sent: Time,
+    /// What its first event tells of its endpoint.
+    start: Start,
+}
+
+/// How a run starts, as far as its first event tells how fast its endpoint is.
+#[derive(Clone, Copy)]
+enum Start {
+    /// From a prompt read elsewhere.
+    FromResult,
+    /// With reading the prompt.
+    FromPrompt,
+    /// Behind some event, or as a whole request: its time compares with no other's.
+    Other,
+}
+
+impl Start {
+    fn of(task: &Task<'_>) -> Self {
+        match task {
+            Task::Decode(Decode { after: Some(_), .. }) | Task::Prefill | Task::Whole => Self::Other,
+            Task::Decode(Decode { source: Some(_), .. }) => Self::FromResult,
+            Task::Decode(_) => Self::FromPrompt,
+        }
+    }
+
+    fn observation(self, prompt: u64, took: Duration) -> Option<Observation> {
+        match self {
+            Self::FromResult => Some(Observation::Started { prompt, took }),
+            Self::FromPrompt => Some(Observation::ReadAndStarted { prompt, took }),
+            Self::Other => None,
+        }
+    }
 }
 
 /// Why a run has not begun.
@@ -84,7 +112,7 @@
     inbound: &Inbound,
     answer: &mut Answer,
 ) -> Result<(), Refusal> {
-    fits_before_end(context, inbound)?;
+    fits_before_end(context, inbound).await?;
     let mut progress = Progress { last_event: None, avoid: Vec::new(), runs: 0 };
     for sends in 1.. {
         let place = lease_endpoint(context, inbound, &progress).await?;
@@ -132,12 +160,11 @@
 
 /// Refuses a stream that this process would cut: it is told to stop, and the stream is expected to
 /// last longer. The caller comes again at once, by another entry.
-fn fits_before_end(context: &Context, inbound: &Inbound) -> Result<(), Refusal> {
+async fn fits_before_end(context: &Context, inbound: &Inbound) -> Result<(), Refusal> {
     let Some(stop) = context.stop.get() else { return Ok(()) };
-    let tokens = inbound.call.tokens.unwrap_or_default();
-    let size = Size { prompt: tokens.prompt, expected: tokens.expected_output(), most: tokens.output };
+    let forecast = context.control.forecast(inbound.service()).await;
     let now = context.clock.now();
-    if ends_within(stop.ends.since(now), size, now < stop.noticed) {
+    if forecast.ends_within(stop.ends.since(now), inbound.size(), now < stop.noticed) {
         return Ok(());
     }
     Err(Refusal::not_run(Code::ShuttingDown, "the process stops before the stream would end")
@@ -223,6 +250,7 @@
     task: Task<'_>,
 ) -> Result<Run<'a>, Trouble> {
     inbound.given();
+    let (began, start) = (context.clock.now(), Start::of(&task));
     let sent = inbound.send(context, endpoint, task, inbound.route.silence + SILENCE_SLACK).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
@@ -247,7 +275,7 @@
     }
     if status == 200 && exchange.reply.signed && !exchange.reply.encoded {
         ticket.answered();
-        return Ok(Run { exchange, ticket });
+        return Ok(Run { exchange, ticket, sent: began, start });
     }
     ticket.ended(Outcome::Failed);
     let is_own = exchange.reply.signed && status >= 400 && !is_promise(status);
--- a/crates/gateway/src/stream/passing.rs
+++ b/crates/gateway/src/stream/passing.rs
@@ -4,7 +4,10 @@
 
 use async_std::future::timeout;
 use bytes::{Bytes, BytesMut};
-use tarragonhill_core::gateway::health::Outcome;
+use tarragonhill_core::{
+    Time,
+    gateway::{forecast::Observation, health::Outcome},
+};
 
 use super::{
     Progress, Run, Stop,
@@ -13,6 +16,7 @@
 use crate::{
     answer::Answer,
     context::{Context, Inbound},
+    control::Ticket,
     exchange::{Exchange, Failure},
 };
 
@@ -25,6 +29,33 @@
 /// A stream that cannot go on elsewhere is given up this much later than its caller gives it up.
 pub(super) const SILENCE_SLACK: Duration = Duration::from_millis(500);
 
+/// A run's pace is told this often at most: often enough that a change of speed in its middle is followed,
+/// and far less often than events come.
+const TELL_PACE: Duration = Duration::from_millis(250);
+
+/// Events of a run that came since its pace was told.
+struct Untold {
+    since: Option<Time>,
+    events: u64,
+}
+
+impl Untold {
+    /// Counts events; the first ones of a run only start the clock.
+    fn note(&mut self, now: Time, events: u64, ticket: &Ticket) {
+        let Some(since) = self.since else {
+            self.since = Some(now);
+            return;
+        };
+        self.events += events;
+        let span = now.since(since);
+        if self.events == 0 || span < TELL_PACE {
+            return;
+        }
+        ticket.observed(Observation::Paced { events: self.events, span });
+        *self = Self { since: Some(now), events: 0 };
+    }
+}
+
 /// Passes a run's events on, whole events only: what comes of an event that is cut in the middle
 /// must not reach the caller if the stream goes on elsewhere.
 pub(super) async fn pass_on(
@@ -34,8 +65,9 @@
     answer: &mut Answer,
     progress: &mut Progress,
 ) -> Result<(), Stop> {
-    let Run { mut exchange, ticket } = run;
+    let Run { mut exchange, ticket, sent, start } = run;
     let mut held = BytesMut::new();
+    let mut untold = Untold { since: None, events: 0 };
     loop {
         let part = match next_part(inbound, &mut exchange).await {
             Ok(part) => part,
@@ -54,6 +86,8 @@
             answer.part(&held).await.map_err(Stop::CallerGone)?;
             answer.end().await.map_err(Stop::CallerGone)?;
             exchange.keep();
+            let size = inbound.size();
+            ticket.observed(Observation::Ended { expected: size.expected, events: answer.pace.events });
             return Ok(());
         };
         held.extend_from_slice(&part);
@@ -62,7 +96,14 @@
         if let Some(id) = last_id(&events) {
             progress.last_event = Some(id.into());
         }
-        answer.pace.note(context.clock.now(), count_events(&events));
+        let (now, count) = (context.clock.now(), count_events(&events));
+        answer.pace.note(now, count);
+        if untold.since.is_none()
+            && let Some(observation) = start.observation(inbound.size().prompt, now.since(sent))
+        {
+            ticket.observed(observation);
+        }
+        untold.note(now, count, &ticket);
         answer.part(&events).await.map_err(Stop::CallerGone)?;
     }
 }
--- a/crates/gateway/src/stream/placing.rs
+++ b/crates/gateway/src/stream/placing.rs
@@ -4,13 +4,7 @@
 
 use tarragonhill_core::{
     Refusal,
-    gateway::{
-        catalog::Engine,
-        directory::Endpoint,
-        forecast::{FIRST_EVENT, memory, reading_time, run_time},
-        health::Outcome,
-        line::Waiting,
-    },
+    gateway::{catalog::Engine, directory::Endpoint, forecast::memory, health::Outcome, state::Completion},
 };
 
 use super::{
@@ -57,9 +51,10 @@
     }
     let mut avoid = progress.avoid.clone();
     loop {
-        let waiting = waiting(inbound, &engine, &avoid);
-        let memory = waiting.memory;
-        let Tickets { run, reader } = context.control.decode(waiting).await?;
+        let completion = completion(inbound, &avoid);
+        let size = completion.size;
+        let memory = memory(size.prompt, size.expected).min(engine.memory);
+        let Tickets { run, reader } = context.control.decode(completion).await?;
         let now = context.clock.now();
         context.metrics.waits.observe(now.since(inbound.received).as_secs_f64());
         let read_by = reader.as_ref().map(|reader| &*reader.endpoint);
@@ -89,23 +84,16 @@
     context.control.whole(inbound.service(), &progress.avoid).await.map(Placing::Whole)
 }
 
-fn waiting(inbound: &Inbound, engine: &Engine, avoid: &[Arc<str>]) -> Waiting<()> {
-    let tokens = inbound.call.tokens.unwrap_or_default();
-    let expected = tokens.expected_output();
-    let first = FIRST_EVENT + reading_time(tokens.prompt);
-    // The caller leaves at its deadline, and before it if it sees no event for too long.
-    let in_time = inbound.ends.minus(first + run_time(expected));
-    let in_patience = inbound.received.plus(inbound.route.silence).minus(first);
-    Waiting {
-        tag: (),
+fn completion(inbound: &Inbound, avoid: &[Arc<str>]) -> Completion {
+    Completion {
         service: inbound.service().clone(),
-        prompt: tokens.prompt,
-        expected,
-        memory: memory(tokens.prompt, expected).min(engine.memory),
-        on_time: inbound.received.plus(inbound.route.aim).minus(first),
-        last_start: in_time.min(in_patience),
-        priority: inbound.priority(),
+        size: inbound.size(),
+        received: inbound.received,
+        ends: inbound.ends,
+        aim: inbound.route.aim,
         gap: inbound.route.gap,
+        silence: inbound.route.silence,
+        priority: inbound.priority(),
         avoid: avoid.to_vec(),
     }
 }
--- a/crates/gateway/src/stream/reading.rs
+++ b/crates/gateway/src/stream/reading.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use tarragonhill_core::gateway::{directory::Endpoint, forecast::reading_limit, health::Outcome};
+use tarragonhill_core::gateway::{
+    directory::Endpoint, forecast::Observation, health::Outcome, state::Prompt,
+};
 
 use super::{
     Trouble,
@@ -10,7 +12,7 @@
 };
 use crate::{
     context::{Context, Inbound},
-    control::{Reading, Ticket},
+    control::Ticket,
     edge::Task,
     exchange::{Failure, MISDIRECTED, unrun},
 };
@@ -24,13 +26,12 @@
     zone: &Arc<str>,
     first: Ticket,
 ) -> Result<Release, Trouble> {
-    let prompt = inbound.call.tokens.map_or(0, |tokens| tokens.prompt);
     let mut avoid = Vec::new();
     let mut reader = first;
     for readers in 1.. {
         avoid.push(reader.endpoint.id.clone());
         let endpoint = reader.endpoint.clone();
-        let (reason, was_sent) = match read_at(context, inbound, reader, &endpoint, prompt).await {
+        let (reason, was_sent) = match read_at(context, inbound, reader, &endpoint).await {
             Ok(result) => {
                 let kept = Kept::Result(result);
                 return Ok(Release { context: context.clone(), endpoint, kept });
@@ -43,9 +44,14 @@
         if readers >= MOST_READERS || !is_paid {
             return Err(Trouble::NotRun(reason));
         }
-        let service = inbound.service().clone();
-        let reading = Reading { service, tokens: prompt, zone: zone.clone(), avoid: avoid.clone() };
-        let Some(next) = context.control.prefill(reading).await else { return Err(Trouble::NotRun(reason)) };
+        let prompt = Prompt {
+            service: inbound.service().clone(),
+            tokens: inbound.size().prompt,
+            aim: inbound.route.aim,
+            zone: zone.clone(),
+            avoid: avoid.clone(),
+        };
+        let Some(next) = context.control.prefill(prompt).await else { return Err(Trouble::NotRun(reason)) };
         reader = next;
     }
     unreachable!("the loop ends by a return")
@@ -56,10 +62,9 @@
     inbound: &Inbound,
     mut ticket: Ticket,
     endpoint: &Arc<Endpoint>,
-    prompt: u64,
 ) -> Result<Arc<str>, Failure> {
-    let limit = reading_limit(ticket.ahead, prompt);
-    let sent = inbound.send(context, endpoint, Task::Prefill, limit).await;
+    let began = context.clock.now();
+    let sent = inbound.send(context, endpoint, Task::Prefill, ticket.limit).await;
     let taken = match sent {
         Ok(exchange) => exchange.whole().await,
         Err(failure) => Err(failure),
@@ -68,6 +73,8 @@
         Ok((head, _, body)) if head.status == 200 => {
             let result = context.dialect.prefilled(&body);
             if result.is_some() {
+                let took = context.clock.now().since(began);
+                ticket.observed(Observation::Read { tokens: ticket.tokens, took });
                 ticket.answered();
             }
             result.ok_or(Failure::Spoilt("a result without a name"))
@@ -83,6 +90,10 @@
         }
         Err(failure) => {
             let is_unsent = matches!(failure, Failure::Unsent(_));
+            if matches!(failure, Failure::Late) {
+                let waited = context.clock.now().since(began);
+                ticket.observed(Observation::Unread { tokens: ticket.tokens, waited });
+            }
             if !is_unsent {
                 context.control.broke(&endpoint.id, inbound.admission.fingerprint);
             }
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -8,7 +8,10 @@
 
 use tarragonhill_core::{
     clock::micros,
-    gateway::digest::{Change, Digest, Member, Share},
+    gateway::{
+        digest::{Change, Digest, Member, Share},
+        forecast::{Answer, Forecast, Trend},
+    },
 };
 
 use crate::{DecodeError, proto};
@@ -50,10 +53,25 @@
                     stage: change.stage.to_string(),
                 })
                 .collect(),
+            forecasts: digest.forecasts.iter().map(forecast).collect(),
         }
     }
 }
 
+fn forecast((service, forecast): (&Arc<str>, &Forecast)) -> proto::Forecast {
+    let trend = |trend: Option<Trend>| trend.map(|Trend { base, slope }| proto::Trend { base, slope });
+    let answers = |Answer { event_tokens, spread, events }| proto::Answers { event_tokens, spread, events };
+    proto::Forecast {
+        service: service.to_string(),
+        reading: trend(forecast.reading),
+        first: trend(forecast.first),
+        own_reading: trend(forecast.own_reading),
+        event: trend(forecast.event),
+        memory: forecast.memory,
+        answers: forecast.answer.map(answers),
+    }
+}
+
 impl From<&Member> for proto::Member {
     fn from(member: &Member) -> Self {
         Self { name: member.name.to_string(), address: member.address.to_string() }
@@ -110,10 +128,36 @@
             failing,
             changing: changing?,
             suspects: digest.suspects.into_iter().map(|told| (told.fingerprint, told.crashes)).collect(),
+            forecasts: digest.forecasts.into_iter().map(forecast_of).collect(),
         })
     }
 }
 
+fn forecast_of(told: proto::Forecast) -> (Arc<str>, Forecast) {
+    let trend = |told: Option<proto::Trend>| {
+        told.map(|proto::Trend { base, slope }| Trend { base: sound(base), slope: sound(slope) })
+    };
+    let answer = |proto::Answers { event_tokens, spread, events }| Answer {
+        event_tokens: sound(event_tokens),
+        spread: sound(spread),
+        events: sound(events),
+    };
+    let forecast = Forecast {
+        reading: trend(told.reading),
+        first: trend(told.first),
+        own_reading: trend(told.own_reading),
+        event: trend(told.event),
+        memory: told.memory,
+        answer: told.answers.map(answer),
+    };
+    (told.service.into(), forecast)
+}
+
+/// A number that is no time at all counts as none.
+fn sound(value: f64) -> f64 {
+    if value.is_finite() { value.max(0.0) } else { 0.0 }
+}
+
 fn change(told: proto::Changing) -> Result<(Arc<str>, Change), DecodeError> {
     let stage = told.stage.parse().map_err(|_| DecodeError::Unknown("stage", told.stage.clone()))?;
     Ok((told.endpoint.into(), Change { stage, left: Duration::from_micros(told.left_us) }))
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -342,6 +342,9 @@
     pub suspects: ::prost::alloc::vec::Vec<Suspect>,
     #[prost(message, repeated, tag = "8")]
     pub changing: ::prost::alloc::vec::Vec<Changing>,
+    /// In one digest of ten.
+    #[prost(message, repeated, tag = "9")]
+    pub forecasts: ::prost::alloc::vec::Vec<Forecast>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -388,6 +391,41 @@
     #[prost(string, tag = "3")]
     pub stage: ::prost::alloc::string::String,
 }
+/// What the sender finds typical of a service's endpoints; what it has not seen is missing.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Forecast {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub reading: ::core::option::Option<Trend>,
+    #[prost(message, optional, tag = "3")]
+    pub first: ::core::option::Option<Trend>,
+    #[prost(message, optional, tag = "4")]
+    pub own_reading: ::core::option::Option<Trend>,
+    #[prost(message, optional, tag = "5")]
+    pub event: ::core::option::Option<Trend>,
+    #[prost(uint64, tag = "6")]
+    pub memory: u64,
+    #[prost(message, optional, tag = "7")]
+    pub answers: ::core::option::Option<Answers>,
+}
+/// Seconds, and seconds for each token.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct Trend {
+    #[prost(double, tag = "1")]
+    pub base: f64,
+    #[prost(double, tag = "2")]
+    pub slope: f64,
+}
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct Answers {
+    #[prost(double, tag = "1")]
+    pub event_tokens: f64,
+    #[prost(double, tag = "2")]
+    pub spread: f64,
+    #[prost(double, tag = "3")]
+    pub events: f64,
+}
 /// What an entry that cannot reach the store asks of another one.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Question {}
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -5,7 +5,9 @@
 use tarragonhill_core::{
     Attempt, Code, Request,
     gateway::{
+        digest::{Digest, Share},
         directory::{Endpoint, Row, Stage},
+        forecast::{Answer as Length, Forecast, Trend},
         knowledge::Knowledge,
         state::Listing,
     },
@@ -148,3 +150,45 @@
     spoilt.endpoints[1].stage = "resting".into();
     assert_eq!(Knowledge::try_from(spoilt), Err(DecodeError::Unknown("stage", "resting".into())));
 }
+
+/// A digest as an entry of a busy site sends it.
+fn digest() -> Digest {
+    let trend = |slope| Some(Trend { base: 0.012, slope });
+    let answer = Some(Length { event_tokens: 72.0, spread: 0.48, events: 70.5 });
+    let forecast = Forecast {
+        reading: trend(18e-6),
+        first: trend(0.0),
+        own_reading: None,
+        event: trend(1e-9),
+        memory: 61_000,
+        answer,
+    };
+    Digest {
+        name: name("entry-1"),
+        incarnation: u64::MAX,
+        serial: 20,
+        spent: [(name("faculty"), 15_000)].into(),
+        left: [(name("faculty"), -300)].into(),
+        shares: [(name("d-1"), Share { running: 2, memory: 16_000, reading: 0 })].into(),
+        failing: [(name("d-2"), 400)].into(),
+        suspects: [(7, 2)].into(),
+        forecasts: [(name("drafting"), forecast)].into(),
+        ..Digest::default()
+    }
+}
+
+#[test]
+fn digests_survive() {
+    let digest = digest();
+    assert_eq!(Digest::try_from(proto::Digest::from(&digest)), Ok(digest));
+}
+
+/// Another version of the program, or a fault, sends times that are no numbers. Taken as they are, every
+/// comparison with them would be false, and no request be placed.
+#[test]
+fn forecasts_that_are_no_numbers_count_as_none() {
+    let mut spoilt = proto::Digest::from(&digest());
+    spoilt.forecasts[0].reading = Some(proto::Trend { base: f64::NAN, slope: f64::NEG_INFINITY });
+    let digest = Digest::try_from(spoilt).expect("the rest makes sense");
+    assert_eq!(digest.forecasts["drafting"].reading, Some(Trend { base: 0.0, slope: 0.0 }));
+}
