Calmer pools: sizes kept, times asked when deciding, a switch only for what lasts

Cause: with learned forecasts pools swung. Readers that had gone dark made reading look slow, and the first answers, of which an entry sees one in five, made the time of a run swing by a third.

Change: demand is kept as sizes and turned into times when it is decided; a pool must be off for two seconds; dark readers do not count for what is typical while others answer; entries put what they saw of answers together.

--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -15,7 +15,7 @@
 
 use self::fit::middle;
 pub use self::{
-    answer::{Answer, Answers},
+    answer::{Answer, Answers, together},
     fit::{Fit, Trend},
     rate::Rate,
 };
@@ -242,13 +242,19 @@
     typical: Forecast,
     /// The same by another entry; stands in while this one has seen nothing.
     told: Forecast,
+    /// What each other entry saw of answers. Each sees few, and together they know several times sooner how
+    /// long answers are.
+    told_answers: BTreeMap<Arc<str>, Answer>,
 }
 
 impl Service {
     fn settle(&mut self) {
+        // Endpoints that have gone dark say nothing of how fast the others are, unless no other is left.
         let rate = |of: fn(&Speed) -> &Rate| {
-            let rates = self.endpoints.values().filter_map(|speed| Some((of(speed).trend()?, PROMPT)));
-            middle(rates).map(|(trend, _)| trend)
+            let rates = || self.endpoints.values().map(of);
+            let known = |rate: &Rate| Some((rate.trend()?, PROMPT));
+            let answering = middle(rates().filter(|rate| rate.answers()).filter_map(known));
+            answering.or_else(|| middle(rates().filter_map(known))).map(|(trend, _)| trend)
         };
         let fit = |of: fn(&Speed) -> &Fit| {
             let fits = self.endpoints.values().map(of);
@@ -263,7 +269,7 @@
             own_reading: own_reading.or(self.told.own_reading),
             event: event.map(|(trend, _)| trend).or(self.told.event),
             memory: event.map_or(self.told.memory, |(_, memory)| memory),
-            answer: self.answers.answer().or(self.told.answer),
+            answer: together(self.answers.answer().iter().chain(self.told_answers.values())),
         };
     }
 }
@@ -332,23 +338,42 @@
         }
     }
 
-    /// What is typical, by service, for an entry that starts.
+    /// What is typical, by service.
     pub fn typical(&self) -> BTreeMap<Arc<str>, Forecast> {
         let known = self.0.iter().filter(|(_, service)| service.typical != Forecast::default());
         known.map(|(name, service)| (name.clone(), service.typical)).collect()
     }
 
+    /// The same for the other entries: of answers only those seen here, so that none counts twice.
+    pub fn own(&self) -> BTreeMap<Arc<str>, Forecast> {
+        let mut own = self.typical();
+        for (name, forecast) in &mut own {
+            forecast.answer = self.0[name].answers.answer();
+        }
+        own
+    }
+
     /// Takes what another entry finds typical.
-    pub fn heard(&mut self, told: &BTreeMap<Arc<str>, Forecast>) {
+    pub fn heard(&mut self, peer: &Arc<str>, told: &BTreeMap<Arc<str>, Forecast>) {
         for (name, forecast) in told {
             let service = self.0.entry(name.clone()).or_default();
             service.told = *forecast;
+            if let Some(answer) = forecast.answer {
+                service.told_answers.insert(peer.clone(), answer);
+            }
             if service.typical == Forecast::default() {
                 service.settle();
             }
         }
     }
 
+    /// Forgets what an entry told that is gone.
+    pub fn forget_peer(&mut self, peer: &str) {
+        for service in self.0.values_mut() {
+            service.told_answers.remove(peer);
+        }
+    }
+
     /// Forgets an endpoint that is gone.
     pub fn forget(&mut self, service: &str, endpoint: &str) {
         if let Some(service) = self.0.get_mut(service) {
--- a/crates/core/src/gateway/forecast/answer.rs
+++ b/crates/core/src/gateway/forecast/answer.rs
@@ -31,6 +31,8 @@
     pub spread: f64,
     /// Events of an answer, on average.
     pub events: f64,
+    /// Answers that this rests on; the oldest count less.
+    pub weight: f64,
 }
 
 impl Answers {
@@ -54,12 +56,33 @@
         }
         let assumed = START_SPREAD.powi(2) * START_WEIGHT;
         let variance = (self.squares + assumed) / (self.weight + START_WEIGHT);
-        Some(Answer { event_tokens: self.mean.exp(), spread: variance.sqrt(), events: self.events })
+        Some(Answer {
+            event_tokens: self.mean.exp(),
+            spread: variance.sqrt(),
+            events: self.events,
+            weight: self.weight,
+        })
     }
 }
 
+/// What several entries saw, each as much as it rests on; none if nobody saw any.
+pub fn together<'a>(seen: impl Iterator<Item = &'a Answer>) -> Option<Answer> {
+    let seen: Vec<&Answer> = seen.filter(|answer| answer.weight > 0.0).collect();
+    let weight: f64 = seen.iter().map(|answer| answer.weight).sum();
+    let mean = |of: fn(&Answer) -> f64| {
+        let sum: f64 = seen.iter().map(|answer| of(answer) * answer.weight).sum();
+        sum / weight
+    };
+    (weight > 0.0).then(|| Answer {
+        event_tokens: mean(|answer| answer.event_tokens.max(f64::MIN_POSITIVE).ln()).exp(),
+        spread: mean(|answer| answer.spread),
+        events: mean(|answer| answer.events),
+        weight,
+    })
+}
+
 impl Default for Answer {
     fn default() -> Self {
-        Self { event_tokens: 10.0, spread: START_SPREAD, events: 50.0 }
+        Self { event_tokens: 10.0, spread: START_SPREAD, events: 50.0, weight: 0.0 }
     }
 }
--- a/crates/core/src/gateway/forecast/rate.rs
+++ b/crates/core/src/gateway/forecast/rate.rs
@@ -20,6 +20,8 @@
     newest: [f64; KEPT],
     /// How many were ever taken.
     count: usize,
+    /// Whether the newest was not waited for to its end.
+    stuck: bool,
     at: Time,
 }
 
@@ -31,6 +33,7 @@
         }
         self.newest[self.count % KEPT] = time.as_secs_f64() / tokens as f64;
         self.count += 1;
+        self.stuck = false;
         self.at = now;
     }
 
@@ -39,6 +42,12 @@
         if self.trend().is_none_or(|trend| trend.at(tokens) < time) {
             self.note(now, tokens, time);
         }
+        self.stuck = true;
+    }
+
+    /// Whether the endpoint answered last time.
+    pub fn answers(&self) -> bool {
+        !self.stuck
     }
 
     /// The time in proportion to tokens; none while too little was seen.
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -20,6 +20,9 @@
 /// Requests that must have been seen before their mean says something: the sizes of prompts and
 /// answers vary by half to double, so the mean of these is right to a sixth.
 const ENOUGH: f64 = 15.0;
+/// Answers that must have been seen before it is known how long they take: estimates are off by half to
+/// double, so the middle of these is right to a fifth.
+const ENOUGH_ANSWERS: f64 = 8.0;
 /// What was seen counts half after this long: longer than a burst, shorter than a shift of the
 /// traffic that is worth a switch.
 const HALF_LIFE: Duration = Duration::from_secs(15);
@@ -30,6 +33,8 @@
 /// Endpoints by which a pool must be off for one to be moved: half would be the nearest fit, and the
 /// rest keeps the noise of the mean from moving the same one to and fro.
 const WORTH_A_SWITCH: f64 = 0.8;
+/// An answer long enough for the time of one token.
+const TOKENS: u64 = 1_000;
 /// Part of an engine's memory that runs can take: the rest is lost at the edges.
 const USABLE: f64 = 0.9;
 /// A change that is not seen to end is forgotten after this long: the longest run, the switch, and an
@@ -37,17 +42,23 @@
 const LONGEST_CHANGE: Duration = Duration::from_secs(25);
 /// Time between two orders, so that the first shows in the list before the next is decided.
 const ORDER_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long a pool must be off for one to be moved. While a burst begins or endpoints go dark, what was
+/// seen swings for a moment, and a switch made for it is undone by the next.
+const LASTING: Duration = Duration::from_secs(2);
 /// Most changes under way at once in one service.
 const MOST_CHANGES: usize = 2;
 
-/// What the requests of one service asked for, fading with time.
+/// What the requests of one service asked for, fading with time. Kept as sizes: how long they take is
+/// asked when it is decided, so that what is learned later counts for what was seen before.
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
     requests: f64,
-    /// Seconds of one endpoint that reads.
-    reading: f64,
-    /// Seconds of one endpoint that makes tokens with full memory.
-    making: f64,
+    /// Tokens of prompts.
+    prompt: f64,
+    /// Parts of an endpoint that makes tokens with full memory, or with all places taken.
+    parts: f64,
+    /// The same, each times the tokens of its answer.
+    part_tokens: f64,
     at: Time,
 }
 
@@ -55,10 +66,23 @@
     fn fade(&mut self, now: Time) {
         let kept = fading(now.since(self.at), HALF_LIFE);
         self.requests *= kept;
-        self.reading *= kept;
-        self.making *= kept;
+        self.prompt *= kept;
+        self.parts *= kept;
+        self.part_tokens *= kept;
         self.at = now;
     }
+
+    /// Part of the endpoints that should read prompts; nothing while it is not known how long things take.
+    fn reading_part(&self, engine: &Engine, forecast: &Forecast) -> Option<f64> {
+        forecast.answer.filter(|answer| answer.weight >= ENOUGH_ANSWERS && forecast.knows_runs())?;
+        let mean_prompt = (self.prompt / self.requests) as u64;
+        let reading = forecast.reading?.at(mean_prompt).as_secs_f64() * self.requests * HEADROOM;
+        let full = (engine.memory as f64 * USABLE) as u64;
+        let token = forecast.run_time_beside(TOKENS, full).as_secs_f64() / TOKENS as f64;
+        let first = forecast.first_event(mean_prompt).as_secs_f64();
+        let making = first * self.parts + token * self.part_tokens;
+        Some(reading / (reading + making).max(f64::MIN_POSITIVE))
+    }
 }
 
 /// An endpoint that is to change its pool.
@@ -70,6 +94,17 @@
     pub stage: Stage,
 }
 
+/// A service as it is known when its split is decided.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'a> {
+    /// Its name.
+    pub name: &'a Arc<str>,
+    /// The size of its engines.
+    pub engine: &'a Engine,
+    /// How long things take there.
+    pub forecast: &'a Forecast,
+}
+
 /// The split of each service, and the changes under way.
 #[derive(Clone, Debug, Default)]
 pub struct Pools {
@@ -79,33 +114,34 @@
     /// The same as others told it.
     told: BTreeMap<Arc<str>, (Time, Stage)>,
     ordered: Option<Time>,
+    /// Since when a service has too many readers, or too few.
+    off: BTreeMap<Arc<str>, (Time, Stage)>,
 }
 
 impl Pools {
-    /// Counts a request; while nothing is known of what it takes, it says nothing of the split.
-    pub fn note(&mut self, now: Time, service: &Arc<str>, engine: &Engine, forecast: &Forecast, size: Size) {
-        let Some(reading) = forecast.reading.filter(|_| forecast.knows_runs()) else { return };
+    /// Counts a request.
+    pub fn note(&mut self, now: Time, service: &Arc<str>, engine: &Engine, size: Size) {
         let Size { prompt, expected, .. } = size;
         let demand = self.demand.entry(service.clone()).or_default();
         demand.fade(now);
         let runs = engine.memory as f64 * USABLE / memory(prompt, expected).max(1) as f64;
+        let part = 1.0 / runs.clamp(1.0, f64::from(engine.slots.max(1)));
         demand.requests += 1.0;
-        demand.reading += reading.at(prompt).as_secs_f64();
-        let full = (engine.memory as f64 * USABLE) as u64;
-        let run = forecast.first_event(prompt) + forecast.run_time_beside(expected, full);
-        demand.making += run.as_secs_f64() / runs.clamp(1.0, f64::from(engine.slots.max(1)));
+        demand.prompt += prompt as f64;
+        demand.parts += part;
+        demand.part_tokens += part * expected as f64;
     }
 
     /// How many of `count` endpoints should read prompts, as a fraction too; nothing while too little
     /// was seen.
-    pub fn readers(&mut self, now: Time, service: &str, count: usize) -> Option<f64> {
-        let demand = self.demand.get_mut(service)?;
+    pub fn readers(&mut self, now: Time, service: &Known<'_>, count: usize) -> Option<f64> {
+        let Known { name, engine, forecast } = service;
+        let demand = self.demand.get_mut(*name)?;
         demand.fade(now);
         if demand.requests < ENOUGH || count < 2 {
             return None;
         }
-        let reading = demand.reading * HEADROOM;
-        let part = reading / (reading + demand.making);
+        let part = demand.reading_part(engine, forecast)?;
         Some((count as f64 * part).clamp(1.0, count as f64 - 1.0))
     }
 
@@ -151,30 +187,36 @@
     pub fn next(
         &mut self,
         now: Time,
-        service: &Arc<str>,
+        service: &Known<'_>,
         directory: &Directory,
         loads: &Loads,
         rank: u32,
     ) -> Option<Order> {
-        if rank > 0 {
-            return None;
-        }
+        let name = service.name;
         self.changing.retain(|_, (until, _)| *until > now);
         self.told.retain(|_, (until, _)| *until > now);
         let engines: Vec<&Arc<Endpoint>> =
-            directory.serving(service).filter(|endpoint| endpoint.stage != Stage::Whole).collect();
+            directory.serving(name).filter(|endpoint| endpoint.stage != Stage::Whole).collect();
         let wanted = self.readers(now, service, engines.len())?;
         let readers = engines.iter().filter(|endpoint| self.stage(endpoint) == Stage::Prefill).count();
         let excess = readers as f64 - wanted;
         if excess.abs() < WORTH_A_SWITCH {
+            self.off.remove(name);
+            return None;
+        }
+        let (from, to) =
+            if excess > 0.0 { (Stage::Prefill, Stage::Decode) } else { (Stage::Decode, Stage::Prefill) };
+        let off = self.off.entry(name.clone()).or_insert((now, from));
+        if off.1 != from {
+            *off = (now, from);
+        }
+        if rank > 0 || now.since(off.0) < LASTING {
             return None;
         }
         let is_due = self.ordered.is_none_or(|at| now.since(at) >= ORDER_PAUSE);
         if !is_due || self.changing.len() + self.told.len() >= MOST_CHANGES {
             return None;
         }
-        let (from, to) =
-            if excess > 0.0 { (Stage::Prefill, Stage::Decode) } else { (Stage::Decode, Stage::Prefill) };
         let movable = engines.into_iter().filter(|endpoint| endpoint.stage == from);
         let idle = movable.filter(|endpoint| !self.is_changing(now, &endpoint.id));
         let endpoint = idle.min_by_key(|endpoint| busy(now, loads, endpoint))?.clone();
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -15,7 +15,7 @@
     line::{Line, Verdict, Waiting},
     load::{Lease, Loads},
     placement::{Pairing, Reader, Run, Turn, View, spare},
-    pools::{Order, Pools},
+    pools::{Known, Order, Pools},
     suspect::Suspects,
 };
 use crate::{
@@ -240,7 +240,7 @@
         self.allowance.heard(now, digest);
         self.loads.heard(now, digest);
         self.suspects.heard(digest);
-        self.forecasts.heard(&digest.forecasts);
+        self.forecasts.heard(&digest.name, &digest.forecasts);
         for (endpoint, change) in &digest.changing {
             self.pools.heard(now, endpoint, *change);
         }
@@ -263,7 +263,7 @@
             changing: self.pools.changes(now),
             suspects: self.suspects.told(now),
             forecasts: if self.serial.is_multiple_of(FORECASTS_EVERY) {
-                self.forecasts.typical()
+                self.forecasts.own()
             } else {
                 BTreeMap::new()
             },
@@ -277,6 +277,7 @@
         for peer in &gone {
             self.allowance.forget(peer);
             self.suspects.forget(peer);
+            self.forecasts.forget_peer(peer);
         }
         self.allowance.settle(now, &self.peers);
         self.forecasts.settle();
@@ -344,7 +345,7 @@
         let forecast = self.forecasts.service(&completion.service);
         let engine = self.engine(&completion.service);
         if let Some(engine) = &engine {
-            self.pools.note(now, &completion.service, engine, &forecast, completion.size);
+            self.pools.note(now, &completion.service, engine, completion.size);
         }
         let mut waiting = waiting(completion, &forecast, tag);
         // What is larger than an endpoint's memory runs alone, as far as its answer fits.
@@ -382,8 +383,13 @@
     pub fn order(&mut self, now: Time) -> Option<Order> {
         let catalog = self.catalog.clone()?;
         let rank = self.peers.rank(now);
-        let Self { pools, directory, loads, .. } = self;
-        catalog.services().find_map(|service| pools.next(now, &service.name, directory, loads, rank))
+        let Self { pools, directory, loads, forecasts, .. } = self;
+        catalog.services().find_map(|service| {
+            let forecast = forecasts.service(&service.name);
+            let engine = service.engine.as_ref()?;
+            let known = Known { name: &service.name, engine, forecast: &forecast };
+            pools.next(now, &known, directory, loads, rank)
+        })
     }
 
     /// An order was not carried out.
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -60,7 +60,12 @@
 
 fn forecast((service, forecast): (&Arc<str>, &Forecast)) -> proto::Forecast {
     let trend = |trend: Option<Trend>| trend.map(|Trend { base, slope }| proto::Trend { base, slope });
-    let answers = |Answer { event_tokens, spread, events }| proto::Answers { event_tokens, spread, events };
+    let answers = |Answer { event_tokens, spread, events, weight }| proto::Answers {
+        event_tokens,
+        spread,
+        events,
+        weight,
+    };
     proto::Forecast {
         service: service.to_string(),
         reading: trend(forecast.reading),
@@ -137,10 +142,11 @@
     let trend = |told: Option<proto::Trend>| {
         told.map(|proto::Trend { base, slope }| Trend { base: sound(base), slope: sound(slope) })
     };
-    let answer = |proto::Answers { event_tokens, spread, events }| Answer {
+    let answer = |proto::Answers { event_tokens, spread, events, weight }| Answer {
         event_tokens: sound(event_tokens),
         spread: sound(spread),
         events: sound(events),
+        weight: sound(weight),
     };
     let forecast = Forecast {
         reading: trend(told.reading),
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -425,6 +425,8 @@
     pub spread: f64,
     #[prost(double, tag = "3")]
     pub events: f64,
+    #[prost(double, tag = "4")]
+    pub weight: f64,
 }
 /// What an entry that cannot reach the store asks of another one.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
