Place runs by their memory over time

Cause: a run was promised its mean memory whenever it began.

Change: core::gateway::growth forecasts what each run takes at eight numbers of tokens ahead, by its estimate, how far estimates are off and what it has made so far; entries tell each other the sums, and a run is placed where the peak fits. 12 in 100 stay free for what is off.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod digest;
 pub mod directory;
 pub mod forecast;
+pub mod growth;
 pub mod health;
 pub mod knowledge;
 pub mod lease;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{directory::Stage, forecast::Forecast};
+use super::{directory::Stage, forecast::Forecast, growth::Growth};
 use crate::clock::Time;
 
 /// An entry that was not heard for this long is not counted as sharing anything any more. Long
@@ -25,6 +25,8 @@
     pub memory: u64,
     /// Prompt tokens sent to be read and not answered yet.
     pub reading: u64,
+    /// Memory that its runs are expected to take over time.
+    pub growth: Growth,
 }
 
 /// A change of stage that an endpoint was ordered to make.
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -22,7 +22,9 @@
     pub prompt: u64,
     /// Tokens that its answer is expected to have.
     pub expected: u64,
-    /// Memory it needs, tokens.
+    /// Tokens of its longest answer.
+    pub most: u64,
+    /// Memory that it takes on average, tokens.
     pub memory: u64,
     /// A start later than this is late.
     pub on_time: Time,
@@ -46,6 +48,7 @@
             service: self.service,
             prompt: self.prompt,
             expected: self.expected,
+            most: self.most,
             memory: self.memory,
             on_time: self.on_time,
             last_start: self.last_start,
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -4,6 +4,8 @@
 
 use super::{
     digest::{Digest, Share},
+    forecast::Size,
+    growth::Growth,
     health::{Health, Outcome},
 };
 use crate::clock::Time;
@@ -21,11 +23,42 @@
 /// Failed part of the outcomes above which the others are told: one failure in twenty answers.
 const TOLD: f64 = 0.05;
 
+/// A request that takes memory.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    /// Tokens promised to it.
+    memory: u64,
+    /// How long its answer gets, if that is known.
+    answer: Option<Length>,
+    /// Tokens of its answer so far.
+    made: u64,
+}
+
+impl Run {
+    fn growth(&self) -> Growth {
+        match self.answer {
+            Some(Length { size, spread }) => Growth::of(size, self.made, spread),
+            None => Growth::flat(self.memory),
+        }
+    }
+}
+
+/// How long an answer is expected to get.
+#[derive(Clone, Copy, Debug)]
+pub struct Length {
+    /// What the request asks for.
+    pub size: Size,
+    /// How far answers are off from their estimates, of the logarithm.
+    pub spread: f64,
+}
+
 /// What is under way at one endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
     /// By this entry.
     pub own: Share,
+    /// This entry's requests that take memory, by number.
+    runs: BTreeMap<u64, Run>,
     /// By the others, with the time at which each said so.
     others: BTreeMap<Arc<str>, (Time, Share)>,
     /// Failed part of the others' outcomes, thousandths, with the time at which each said so.
@@ -45,9 +78,17 @@
             running: sum.running + share.running,
             memory: sum.memory + share.memory,
             reading: sum.reading + if now.since(*at) < READING_STALE { share.reading } else { 0 },
+            growth: sum.growth + share.growth,
         })
     }
 
+    /// Works out what this entry's runs take over time; call it whenever one comes, goes or makes tokens.
+    fn grow(&mut self) {
+        self.own.growth = self.runs.values().fold(Growth::default(), |sum, run| {
+            sum + run.growth()
+        });
+    }
+
     /// Failed part of the newest outcomes, as the entry that fared worst saw it: each sees few of an
     /// endpoint's answers, and together they know four times sooner that it fails.
     pub fn failing(&self, now: Time) -> f64 {
@@ -96,11 +137,20 @@
 
     /// Notes a request that is sent now.
     pub fn take(&mut self, now: Time, endpoint: &Arc<str>, share: Share) -> Lease {
+        self.take_run(now, endpoint, share, None)
+    }
+
+    /// Notes a run that is sent now, whose memory grows with its answer if that is known.
+    pub fn take_run(&mut self, now: Time, endpoint: &Arc<str>, share: Share, answer: Option<Length>) -> Lease {
         let load = self.0.entry(endpoint.clone()).or_default();
         load.own.running += share.running;
         load.own.memory += share.memory;
         load.own.reading += share.reading;
         let number = load.health.sent(now);
+        if share.memory > 0 {
+            load.runs.insert(number, Run { memory: share.memory, answer, made: 0 });
+            load.grow();
+        }
         Lease { endpoint: endpoint.clone(), share, number, sent: now }
     }
 
@@ -117,6 +167,15 @@
         }
     }
 
+    /// Notes tokens that a run has made.
+    pub fn made(&mut self, lease: &Lease, tokens: u64) {
+        let Some(load) = self.0.get_mut(&lease.endpoint) else { return };
+        if let Some(run) = load.runs.get_mut(&lease.number) {
+            run.made += tokens;
+            load.grow();
+        }
+    }
+
     /// Takes a lease back.
     pub fn give_back(&mut self, now: Time, lease: &Lease, outcome: Outcome) {
         let Some(load) = self.0.get_mut(&lease.endpoint) else { return };
@@ -124,6 +183,9 @@
         load.own.memory = load.own.memory.saturating_sub(lease.share.memory);
         load.own.reading = load.own.reading.saturating_sub(lease.share.reading);
         load.health.ended(now, lease.number, outcome);
+        if load.runs.remove(&lease.number).is_some() {
+            load.grow();
+        }
         if matches!(outcome, Outcome::Full | Outcome::Refused | Outcome::TurnedAway) {
             load.full_until = now.plus(FULL);
         }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -6,6 +6,7 @@
     catalog::Engine,
     directory::{Directory, Endpoint, Stage},
     forecast::Forecasts,
+    growth::Growth,
     load::{Load, Loads},
     pools::Pools,
 };
@@ -33,7 +34,7 @@
 
 /// Part of an engine's memory that stays free for the growth of the answers under way: ten runs add
 /// 2,000 tokens a second, and one of them ends every third of a second.
-const GROWTH: f64 = 0.03;
+const GROWTH: f64 = 0.12;
 /// Part of an engine's memory that stays free when a late request is placed. A late answer is worth
 /// a fifth of one on time and takes memory as long: under a burst it would make the next one late.
 const FOR_ON_TIME: f64 = 0.2;
@@ -49,8 +50,8 @@
 pub struct Run<'a> {
     /// Tokens of its prompt.
     pub prompt: u64,
-    /// Memory it needs, tokens.
-    pub memory: u64,
+    /// Memory it is expected to take over time.
+    pub growth: Growth,
     /// Memory that must stay free beside it, tokens.
     pub spare: u64,
     /// Longest pause between events that is on time; zero if none is declared.
@@ -252,13 +253,13 @@
         run: &Run<'_>,
     ) -> Option<Arc<Endpoint>> {
         let rooms = endpoints.into_iter();
-        let needed = run.memory + run.spare;
-        let fitting = rooms.filter_map(|endpoint| Some((self.room(endpoint, engine, needed)?, endpoint)));
+        let fitting = rooms.filter_map(|endpoint| Some((self.room(endpoint, engine, run)?, endpoint)));
         fitting.max_by_key(|(room, _)| *room).map(|(_, endpoint)| endpoint.clone())
     }
 
-    /// Memory left at an endpoint once a run has been placed there, corrected for its zone.
-    fn room(&self, endpoint: &Endpoint, engine: &Engine, memory: u64) -> Option<u64> {
+    /// Memory left at an endpoint, at the time when most is taken, once a run has been placed there;
+    /// corrected for its zone.
+    fn room(&self, endpoint: &Endpoint, engine: &Engine, run: &Run<'_>) -> Option<u64> {
         let load = self.load(endpoint);
         if load.is_some_and(|load| load.is_full(self.now)) {
             return None;
@@ -267,7 +268,14 @@
         if taken.running >= engine.slots {
             return None;
         }
-        let left = engine.memory.checked_sub(taken.memory + memory)?;
+        let peak = (taken.growth + run.growth).peak();
+        // One that is larger than what may be taken at all runs alone, as far as its answer fits.
+        let is_alone = taken.running == 0 && run.growth.0[0] as u64 <= engine.memory;
+        let left = if is_alone {
+            engine.memory.saturating_sub(peak)
+        } else {
+            engine.memory.checked_sub(peak + run.spare)?
+        };
         let bonus = if self.is_near(endpoint, self.zone) { CROSS_ZONE_MEMORY } else { 0.0 };
         Some(left + (engine.memory as f64 * bonus) as u64)
     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -12,8 +12,9 @@
     directory::{Change, Directory, Endpoint, Row, Stage},
     forecast::{Forecast, Forecasts, Observation, Size, memory},
     health::Outcome,
+    growth::Growth,
     line::{Line, Verdict, Waiting},
-    load::{Lease, Loads},
+    load::{Lease, Length, Loads},
     placement::{Pairing, Reader, Run, Turn, View, spare},
     pools::{Known, Order, Pools},
     suspect::Suspects,
@@ -363,6 +364,12 @@
         self.forecasts.note(now, &endpoint.service, &endpoint.id, memory, observation);
     }
 
+    /// Takes events that a run has made.
+    pub fn made(&mut self, lease: &Lease, service: &str, events: u64) {
+        let event_tokens = self.forecasts.service(service).answer.unwrap_or_default().event_tokens;
+        self.loads.made(lease, (events as f64 * event_tokens) as u64);
+    }
+
     /// What is known of a service's endpoints together.
     pub fn forecast(&self, service: &str) -> Forecast {
         self.forecasts.service(service)
@@ -405,9 +412,11 @@
         line.pump(now, |waiting| {
             let engine = catalog.service(&waiting.service)?.engine?;
             let view = View { now, directory, loads, pools, forecasts, zone: &identity.zone, turn };
+            let size = Size { prompt: waiting.prompt, expected: waiting.expected, most: waiting.most };
+            let spread = forecasts.service(&waiting.service).answer.unwrap_or_default().spread;
             let run = Run {
                 prompt: waiting.prompt,
-                memory: waiting.memory,
+                growth: Growth::of(size, 0, spread),
                 spare: spare(&engine, waiting.is_late(now)),
                 gap: waiting.gap,
                 aim: waiting.aim,
@@ -416,9 +425,10 @@
             let Pairing { endpoint, reader } = view.pair(&waiting.service, &engine, &run)?;
             let reading = Share { reading: waiting.prompt, ..Share::default() };
             let own_reading = if reader.is_some() { 0 } else { waiting.prompt };
-            let share = Share { running: 1, memory: waiting.memory, reading: own_reading };
-            let run = take(loads, forecasts, now, endpoint, share, waiting.aim);
-            let reader = reader.map(|reader| take(loads, forecasts, now, reader, reading, waiting.aim));
+            let share = Share { running: 1, memory: waiting.memory, reading: own_reading, ..Share::default() };
+            let answer = Some(Length { size, spread });
+            let run = take(loads, forecasts, now, endpoint, share, waiting.aim, answer);
+            let reader = reader.map(|reader| take(loads, forecasts, now, reader, reading, waiting.aim, None));
             Some(Pair { run, reader })
         })
     }
@@ -521,7 +531,7 @@
     }
 
     fn take(&mut self, now: Time, endpoint: Arc<Endpoint>, share: Share, aim: Duration) -> Place {
-        take(&mut self.loads, &self.forecasts, now, endpoint, share, aim)
+        take(&mut self.loads, &self.forecasts, now, endpoint, share, aim, None)
     }
 }
 
@@ -532,11 +542,12 @@
     endpoint: Arc<Endpoint>,
     share: Share,
     aim: Duration,
+    answer: Option<Length>,
 ) -> Place {
     let ahead = loads.get(&endpoint.id).map_or(0, |load| load.all(now).reading);
     let tokens = ahead + share.reading;
     let limit = forecasts.endpoint(now, &endpoint.service, &endpoint.id).reading_limit(tokens, aim);
-    let lease = loads.take(now, &endpoint.id, share);
+    let lease = loads.take_run(now, &endpoint.id, share, answer);
     Place { endpoint, lease, tokens, limit }
 }
 
@@ -551,6 +562,7 @@
         service,
         prompt: size.prompt,
         expected: size.expected,
+        most: size.most,
         memory: memory(size.prompt, size.expected),
         on_time: received.plus(aim).minus(forecast.certain_first(size.prompt)),
         last_start: in_time.min(in_patience),
--- a/crates/core/tests/gateway/line.rs
+++ b/crates/core/tests/gateway/line.rs
@@ -17,6 +17,7 @@
         service: "drafting".into(),
         prompt: 5_000,
         expected: 0,
+        most: 0,
         memory: 5_000,
         on_time: at(on_time),
         last_start: at(last_start),
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod digest;
 mod directory;
 mod forecast;
+mod growth;
 mod health;
 mod line;
 mod placement;
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -9,6 +9,7 @@
     digest::{Digest, Share},
     directory::{Directory, Endpoint, Stage},
     forecast::Forecasts,
+    growth::Growth,
     health::Outcome,
     load::Loads,
     placement::{Reader, Run, Turn, View, spare},
@@ -42,11 +43,11 @@
 }
 
 fn need(memory: u64, spare: u64) -> Run<'static> {
-    Run { prompt: memory, memory, spare, aim: AIM, ..Run::default() }
+    Run { prompt: memory, growth: Growth::flat(memory), spare, aim: AIM, ..Run::default() }
 }
 
 fn run(memory: u64) -> Share {
-    Share { running: 1, memory, reading: 0 }
+    Share { running: 1, memory, reading: 0, growth: Growth::flat(memory) }
 }
 
 #[test]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -50,6 +50,7 @@
     LineUp(Completion, Reply<Pairing>),
     Forecast(Arc<str>, Reply<Forecast>),
     Observed(Arc<Endpoint>, Observation),
+    Made(Lease, Arc<str>, u64),
     Answered(Lease),
     Ended(Lease, Outcome),
     Broke(Arc<str>, u64),
@@ -87,6 +88,12 @@
         self.control.tell(Command::Observed(self.endpoint.clone(), observation));
     }
 
+    /// Events that the run has made, and the time since those before.
+    pub fn paced(&self, events: u64, span: Duration) {
+        self.observed(Observation::Paced { events, span });
+        self.control.tell(Command::Made(self.lease.clone(), self.endpoint.service.clone(), events));
+    }
+
     /// How the request ended here.
     pub fn ended(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/gateway/src/stream/passing.rs
+++ b/crates/gateway/src/stream/passing.rs
@@ -51,7 +51,7 @@
         if self.events == 0 || span < TELL_PACE {
             return;
         }
-        ticket.observed(Observation::Paced { events: self.events, span });
+        ticket.paced(self.events, span);
         *self = Self { since: Some(now), events: 0 };
     }
 }
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -11,6 +11,7 @@
     gateway::{
         digest::{Change, Digest, Member, Share},
         forecast::{Answer, Forecast, Trend},
+        growth::Growth,
     },
 };
 
@@ -32,6 +33,7 @@
                 memory: share.memory,
                 reading: share.reading,
                 failing: digest.failing.get(endpoint).copied().unwrap_or(0).into(),
+                growth: share.growth.0.to_vec(),
             }
         });
         let suspects = digest.suspects.iter();
@@ -111,8 +113,13 @@
         let mut shares = BTreeMap::new();
         let mut failing = BTreeMap::new();
         for share in digest.shares {
-            let endpoint: Arc<str> = share.endpoint.into();
-            let taken = Share { running: share.running, memory: share.memory, reading: share.reading };
+            let endpoint: Arc<str> = share.endpoint.as_str().into();
+            let taken = Share {
+                running: share.running,
+                memory: share.memory,
+                reading: share.reading,
+                growth: growth(&share),
+            };
             if taken != Share::default() {
                 shares.insert(endpoint.clone(), taken);
             }
@@ -138,6 +145,11 @@
     }
 }
 
+/// An entry that says nothing of it takes as much as it says now.
+fn growth(share: &proto::Share) -> Growth {
+    share.growth.as_slice().try_into().map_or_else(|_| Growth::flat(share.memory), Growth)
+}
+
 fn forecast_of(told: proto::Forecast) -> (Arc<str>, Forecast) {
     let trend = |told: Option<proto::Trend>| {
         told.map(|proto::Trend { base, slope }| Trend { base: sound(base), slope: sound(slope) })
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -8,6 +8,7 @@
         digest::{Digest, Share},
         directory::{Endpoint, Row, Stage},
         forecast::{Answer as Length, Forecast, Trend},
+        growth::Growth,
         knowledge::Knowledge,
         state::Listing,
     },
@@ -154,6 +155,7 @@
 /// A digest as an entry of a busy site sends it.
 fn digest() -> Digest {
     let trend = |slope| Some(Trend { base: 0.012, slope });
+    let growth = Growth([16_000, 16_500, 17_000, 18_000, 14_000, 6_000, 100, 0]);
     let answer = Some(Length { event_tokens: 72.0, spread: 0.48, events: 70.5, weight: 44.0 });
     let forecast = Forecast {
         reading: trend(18e-6),
@@ -169,7 +171,7 @@
         serial: 20,
         spent: [(name("faculty"), 15_000)].into(),
         left: [(name("faculty"), -300)].into(),
-        shares: [(name("d-1"), Share { running: 2, memory: 16_000, reading: 0 })].into(),
+        shares: [(name("d-1"), Share { running: 2, memory: 16_000, growth, ..Share::default() })].into(),
         failing: [(name("d-2"), 400)].into(),
         suspects: [(7, 2)].into(),
         forecasts: [(name("drafting"), forecast)].into(),
