--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -340,13 +340,13 @@
 
     /// What is typical, by service.
     pub fn typical(&self) -> BTreeMap<Arc<str>, Forecast> {
-        let known = self.0.iter().filter(|(_, service)| service.typical != Forecast::default());
-        known.map(|(name, service)| (name.clone(), service.typical)).collect()
+        self.0.iter().map(|(name, service)| (name.clone(), service.typical)).collect()
     }
 
     /// The same for the other entries: of answers only those seen here, so that none counts twice.
     pub fn own(&self) -> BTreeMap<Arc<str>, Forecast> {
         let mut own = self.typical();
+        own.retain(|_, forecast| *forecast != Forecast::default());
         for (name, forecast) in &mut own {
             forecast.answer = self.0[name].answers.answer();
         }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -128,7 +128,7 @@
     if inbound.path == "/state" {
         return Outbound::json(200, &admin.view.dump().await);
     }
-    admin.view.observe();
+    admin.view.observe().await;
     admin.dropped.set(i64::try_from(logging::dropped()).unwrap_or(i64::MAX));
     admin::common(&inbound, &admin.registry, is_ready).unwrap_or_else(|| admin::not_found(&inbound))
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,6 +5,7 @@
 pub mod worker;
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -49,6 +50,7 @@
     Prefill(Prompt, Reply<Option<Ticket>>),
     LineUp(Completion, Reply<Pairing>),
     Forecast(Arc<str>, Reply<Forecast>),
+    Forecasts(Reply<BTreeMap<Arc<str>, Forecast>>),
     Observed(Arc<Endpoint>, Observation),
     Made(Lease, Arc<str>, u64),
     Answered(Lease),
@@ -195,6 +197,11 @@
         self.ask(|reply| Command::Forecast(service.clone(), reply)).await.unwrap_or_default()
     }
 
+    /// The same for all services.
+    pub async fn forecasts(&self) -> BTreeMap<Arc<str>, Forecast> {
+        self.ask(Command::Forecasts).await.unwrap_or_default()
+    }
+
     /// A request broke off at an endpoint.
     pub fn broke(&self, endpoint: &Arc<str>, fingerprint: u64) {
         self.tell(Command::Broke(endpoint.clone(), fingerprint));
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -189,6 +189,7 @@
             }
             Command::LineUp(completion, reply) => self.state.line_up(now, completion, reply),
             Command::Forecast(service, reply) => drop(reply.try_send(self.state.forecast(&service))),
+            Command::Forecasts(reply) => drop(reply.try_send(self.state.forecasts())),
             Command::Observed(endpoint, observation) => self.state.observed(now, &endpoint, observation),
             Command::Made(lease, service, events) => self.state.made(&lease, &service, events),
             Command::Answered(lease) => self.state.answered(now, &lease),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and latency histograms of the gateway.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, core::Collector,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    core::Collector,
 };
 
 /// Bounds of latency buckets, seconds: from a plain call within a host to the longest deadline.
@@ -26,6 +27,8 @@
     pub store_losses: IntCounterVec,
     /// Version of the configuration in force; 0 before the first.
     pub version: IntGauge,
+    /// Seconds that parts of a completion are forecast to take, by service and part.
+    pub forecasts: GaugeVec,
 }
 
 impl Metrics {
@@ -40,8 +43,9 @@
             gaps: plain_histogram("gateway_longest_gap_seconds", "Longest pause between a stream's events"),
             store_losses: counter("gateway_store_losses_total", "Losses of the store", &["what"]),
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
+            forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 8] = [
+        let collectors: [Box<dyn Collector>; 9] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -50,6 +54,7 @@
             Box::new(metrics.gaps.clone()),
             Box::new(metrics.store_losses.clone()),
             Box::new(metrics.version.clone()),
+            Box::new(metrics.forecasts.clone()),
         ];
         for collector in collectors {
             if let Err(error) = registry.register(collector) {
@@ -77,3 +82,7 @@
 fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(name, help).expect("the name is constant and valid")
 }
+
+fn gauges(name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    GaugeVec::new(Opts::new(name, help), labels).expect("name and labels are constant and valid")
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -211,6 +211,9 @@
     }
 }
 
+/// Prompt tokens for which forecasts are shown.
+const PROMPT_SHOWN: u64 = 1_000;
+
 /// What the admin address tells of a gateway.
 #[derive(Clone)]
 pub struct View(Arc<Context>);
@@ -222,9 +225,20 @@
     }
 
     /// Brings those metrics up to date that are read off the state.
-    pub fn observe(&self) {
+    pub async fn observe(&self) {
         let version = self.0.control.catalog().map_or(0, |catalog| catalog.version());
         self.0.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        for (service, forecast) in self.0.control.forecasts().await {
+            let times = [
+                ("reading", forecast.reading_time(PROMPT_SHOWN)),
+                ("first_event", forecast.first_event(PROMPT_SHOWN)),
+                ("event", forecast.event_gap()),
+            ];
+            for (part, time) in times {
+                let gauge = self.0.metrics.forecasts.with_label_values(&[&*service, part]);
+                gauge.set(time.as_secs_f64());
+            }
+        }
     }
 
     /// What the process believes.
