--- a/crates/gateway/src/stream/passing.rs
+++ b/crates/gateway/src/stream/passing.rs
@@ -47,11 +47,16 @@
             return;
         };
         self.events += events;
-        let span = now.since(since);
-        if self.events == 0 || span < TELL_PACE {
-            return;
+        if now.since(since) >= TELL_PACE {
+            self.tell(now, ticket);
         }
-        ticket.paced(self.events, span);
+    }
+
+    /// Tells what has come. The end of a run does so too: one that is shorter than the time between two
+    /// tellings would show nothing at all.
+    fn tell(&mut self, now: Time, ticket: &Ticket) {
+        let Some(since) = self.since.filter(|_| self.events > 0) else { return };
+        ticket.paced(self.events, now.since(since));
         *self = Self { since: Some(now), events: 0 };
     }
 }
@@ -87,6 +92,7 @@
             answer.end().await.map_err(Stop::CallerGone)?;
             exchange.keep();
             let size = inbound.size();
+            untold.tell(context.clock.now(), &ticket);
             ticket.observed(Observation::Ended { expected: size.expected, events: answer.pace.events });
             return Ok(());
         };
