Wait longer before an endpoint is taken from making tokens

Change: a pool must lack readers for four seconds before one is taken from those that make tokens; the other way two stay enough. The test of a reader that is away for three seconds failed first.

--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -45,6 +45,9 @@
 /// How long a pool must be off for one to be moved. While a burst begins or endpoints go dark, what was
 /// seen swings for a moment, and a switch made for it is undone by the next.
 const LASTING: Duration = Duration::from_secs(2);
+/// The same for one to be taken from those that make tokens: it turns away runs whose prompts have been read,
+/// and readers that went dark in a burst are back by the time it would read.
+const LASTING_TO_READ: Duration = Duration::from_secs(4);
 /// Most changes under way at once in one service.
 const MOST_CHANGES: usize = 2;
 
@@ -210,7 +213,8 @@
         if off.1 != from {
             *off = (now, from);
         }
-        if rank > 0 || now.since(off.0) < LASTING {
+        let lasting = if to == Stage::Prefill { LASTING_TO_READ } else { LASTING };
+        if rank > 0 || now.since(off.0) < lasting {
             return None;
         }
         let is_due = self.ordered.is_none_or(|at| now.since(at) >= ORDER_PAUSE);
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -10,7 +10,7 @@
     pools::{Known, Order, Pools},
 };
 
-use crate::{SMALL, Sheet, at, endpoint, engine, learned, row};
+use crate::{SMALL, Sheet, at, endpoint, engine, gone, learned, row};
 
 fn directory(prefill: usize, decode: usize) -> Directory {
     let mut directory = Directory::default();
@@ -150,6 +150,24 @@
     }
 }
 
+/// A reader goes dark in a burst, its entry lapses, and three seconds later it is back. An endpoint that was
+/// taken from making tokens meanwhile turned thirty runs away whose prompts had been read.
+#[test]
+fn a_reader_that_is_away_for_seconds_is_not_replaced() {
+    let (mut pools, mut directory) = (Pools::default(), directory(3, 9));
+    let reader = directory.all().next().expect("a reader").clone();
+    for now in (0..20_000).step_by(100) {
+        note(&mut pools, now, 5_000, 700);
+        match now {
+            10_000 => drop(directory.update(at(now), 200, vec![gone(200, &reader.id)])),
+            13_000 => drop(directory.update(at(now), 300, vec![row(300, Endpoint::clone(&reader))])),
+            _ => {}
+        }
+        directory.settle(at(now));
+        assert_eq!(next(&mut pools, now, &directory, 0), None, "{now}");
+    }
+}
+
 /// An entry that holds the right to order endpoints is suspended, another takes over, and the first
 /// wakes up: for a moment both would give orders, and endpoints cannot tell who is right.
 #[test]
