Work out once what a completion asks for and what its places are

A completion that waits keeps its size as it came, instead of three numbers that were put together again when it was placed; the view of the endpoints and the share of a reader each have one place where they are made; what is reserved for a run is what its lease says, not worked out a second time. Plain calls and runs no longer work out a time limit for reading that nobody asks for. Gone: a way to tag a waiting request anew and one to count tokens read within a time, called by nobody. The first event in /state is shown for 1,000 prompt tokens, as in the metrics (5,000 before, by a bare number).

--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -60,9 +60,7 @@
         Waiting {
             tag,
             service,
-            prompt: size.prompt,
-            expected: size.expected,
-            most: size.most,
+            size,
             memory: memory(size.prompt, size.expected),
             on_time: received.plus(aim).minus(forecast.certain_first(size.prompt)),
             last_start: in_time.min(in_patience),
--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -13,10 +13,10 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use self::fit::middle;
-pub use self::{
-    answer::{Answer, Answers, together},
-    fit::{Fit, Trend},
+pub use self::{answer::Answer, fit::Trend};
+use self::{
+    answer::{Answers, together},
+    fit::{Fit, middle},
     rate::Rate,
 };
 use crate::clock::Time;
@@ -39,6 +39,10 @@
 /// Seconds between two events, before any was seen.
 const START_EVENT: f64 = 0.05;
 
+/// Longest time of a run that is told, seconds: far above every deadline, and far below what a duration
+/// holds.
+const LONGEST_RUN: f64 = 1e8;
+
 /// A size at which rates are compared; any does, since they grow in proportion.
 const PROMPT: u64 = 1_000;
 
@@ -143,12 +147,6 @@
         self.reading.unwrap_or(Trend { base: 0.0, slope: START_READING }).at(tokens)
     }
 
-    /// How many prompt tokens are read in a time.
-    pub fn read_within(&self, time: Duration) -> u64 {
-        let slope = self.reading.map_or(START_READING, |trend| trend.slope).max(f64::MIN_POSITIVE);
-        (time.as_secs_f64() / slope) as u64
-    }
-
     /// How long to wait for a prompt to be read, with `tokens` in all to be read until then, before
     /// another endpoint is asked.
     pub fn reading_limit(&self, tokens: u64, aim: Duration) -> Duration {
@@ -169,9 +167,18 @@
         self.first.unwrap_or(Trend { base: START_FIRST, slope: 0.0 }).at(prompt)
     }
 
-    /// Time between two events of a run.
+    /// Time between two events of a run at an endpoint with as much in memory as was mostly seen.
     pub fn event_gap(&self) -> Duration {
-        self.event.unwrap_or(Trend { base: START_EVENT, slope: 0.0 }).at(self.memory)
+        self.event_gap_beside(self.memory)
+    }
+
+    fn event_gap_beside(&self, memory: u64) -> Duration {
+        self.event.unwrap_or(Trend { base: START_EVENT, slope: 0.0 }).at(memory)
+    }
+
+    /// How answers compare to estimates, as far as it is known.
+    pub fn lengths(&self) -> Answer {
+        self.answer.unwrap_or_default()
     }
 
     /// How long a run takes behind its first event, for a number of tokens, at an endpoint with as much in
@@ -182,10 +189,9 @@
 
     /// The same at an endpoint with `memory` tokens in memory.
     pub fn run_time_beside(&self, tokens: u64, memory: u64) -> Duration {
-        let gap = self.event.unwrap_or(Trend { base: START_EVENT, slope: 0.0 }).at(memory);
-        let events = tokens as f64 / self.answer.unwrap_or_default().event_tokens.max(f64::MIN_POSITIVE);
-        // A thousand days: far above every deadline, and far below what a duration holds.
-        Duration::from_secs_f64((gap.as_secs_f64() * events).min(1e8))
+        let gap = self.event_gap_beside(memory).as_secs_f64();
+        let events = tokens as f64 / self.lengths().event_tokens.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64((gap * events).min(LONGEST_RUN))
     }
 
     /// Whether times of runs rest on observations.
@@ -211,15 +217,14 @@
 
     /// Half the time of a run, after which half of what is in memory has ended; none if it is unknown.
     pub fn half_run(&self) -> Option<Duration> {
-        let events = self.answer?.events;
-        Some(self.event?.at(self.memory).mul_f64(events / 2.0))
+        self.knows_runs().then(|| self.event_gap().mul_f64(self.lengths().events / 2.0))
     }
 
     /// Whether a stream that begins now at a process that stops ends within `left`. `is_sent_here` tells
     /// that the balancer may not have noticed the stop yet.
     pub fn ends_within(&self, left: Duration, size: Size, is_sent_here: bool) -> bool {
         let spreads = if is_sent_here { GUESS } else { CAREFUL_GUESS };
-        let factor = (self.answer.unwrap_or_default().spread * spreads).exp();
+        let factor = (self.lengths().spread * spreads).exp();
         let answer = ((size.expected as f64 * factor) as u64).min(size.most);
         self.first_event(size.prompt) + self.reading_time(size.prompt) + self.run_time(answer) < left
     }
@@ -248,6 +253,10 @@
 }
 
 impl Service {
+    fn speed(&mut self, endpoint: &Arc<str>) -> &mut Speed {
+        self.endpoints.entry(endpoint.clone()).or_default()
+    }
+
     fn settle(&mut self) {
         // Endpoints that have gone dark say nothing of how fast the others are, unless no other is left.
         let rate = |of: fn(&Speed) -> &Rate| {
@@ -289,23 +298,20 @@
         observation: Observation,
     ) {
         let service = self.0.entry(service.clone()).or_default();
-        if let Observation::Ended { expected, events } = observation {
-            service.answers.note(expected, events);
-            return;
-        }
-        let speed = service.endpoints.entry(endpoint.clone()).or_default();
         match observation {
-            Observation::Read { tokens, took } => speed.reading.note(now, tokens, took),
-            Observation::Unread { tokens, waited } => speed.reading.note_at_least(now, tokens, waited),
-            Observation::Started { prompt, took } => speed.first.note(now, prompt, took),
+            Observation::Read { tokens, took } => service.speed(endpoint).reading.note(now, tokens, took),
+            Observation::Unread { tokens, waited } => {
+                service.speed(endpoint).reading.note_at_least(now, tokens, waited)
+            }
+            Observation::Started { prompt, took } => service.speed(endpoint).first.note(now, prompt, took),
             Observation::ReadAndStarted { prompt, took } => {
-                let first = service.typical.first_event(prompt);
-                speed.own_reading.note(now, prompt, took.saturating_sub(first));
+                let reading = took.saturating_sub(service.typical.first_event(prompt));
+                service.speed(endpoint).own_reading.note(now, prompt, reading);
             }
             Observation::Paced { events, span } => {
-                speed.event.note(now, memory, span.div_f64(events.max(1) as f64));
+                service.speed(endpoint).event.note(now, memory, span.div_f64(events.max(1) as f64));
             }
-            Observation::Ended { .. } => {}
+            Observation::Ended { expected, events } => service.answers.note(expected, events),
         }
     }
 
--- a/crates/core/src/gateway/line.rs
+++ b/crates/core/src/gateway/line.rs
@@ -8,6 +8,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use super::forecast::Size;
 use crate::clock::Time;
 
 /// A request in the line.
@@ -17,12 +18,8 @@
     pub tag: T,
     /// The service.
     pub service: Arc<str>,
-    /// Tokens of its prompt.
-    pub prompt: u64,
-    /// Tokens that its answer is expected to have.
-    pub expected: u64,
-    /// Tokens of its longest answer.
-    pub most: u64,
+    /// What it asks for.
+    pub size: Size,
     /// Memory that it takes on average, tokens.
     pub memory: u64,
     /// A start later than this is late.
@@ -40,24 +37,6 @@
 }
 
 impl<T> Waiting<T> {
-    /// The same request with another tag.
-    pub fn tagged<U>(self, tag: U) -> Waiting<U> {
-        Waiting {
-            tag,
-            service: self.service,
-            prompt: self.prompt,
-            expected: self.expected,
-            most: self.most,
-            memory: self.memory,
-            on_time: self.on_time,
-            last_start: self.last_start,
-            priority: self.priority,
-            gap: self.gap,
-            aim: self.aim,
-            avoid: self.avoid,
-        }
-    }
-
     /// Whether its first event cannot be on time any more.
     pub fn is_late(&self, now: Time) -> bool {
         self.on_time < now
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -29,7 +29,7 @@
 const MOST_AHEAD: f64 = 0.45;
 /// Part of its aim within which a prompt is read unless its endpoint hangs: twice what is let stand ahead
 /// of it, since others' word of what they sent is on its way.
-const STALLED: f64 = 0.9;
+const STALLED: f64 = 2.0 * MOST_AHEAD;
 /// Part of an engine's memory that a decode endpoint in the own zone may be fuller and still be
 /// taken.
 const CROSS_ZONE_MEMORY: f64 = 0.05;
@@ -278,7 +278,7 @@
         }
         let peak = (taken.growth + run.growth).peak();
         // One that is larger than what may be taken at all runs alone, as far as its answer fits.
-        let is_alone = taken.running == 0 && run.growth.0[0] as u64 <= engine.memory;
+        let is_alone = taken.running == 0 && u64::from(run.growth.0[0]) <= engine.memory;
         let left = if is_alone {
             engine.memory.saturating_sub(peak)
         } else {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -11,7 +11,7 @@
     completion::{Completion, Prompt, declared},
     digest::{Digest, Member, Peers, Share},
     directory::{Change, Directory, Endpoint, Row, Stage},
-    forecast::{Forecast, Forecasts, Observation, Size},
+    forecast::{Forecast, Forecasts, Observation},
     growth::Growth,
     health::Outcome,
     line::{Line, Verdict, Waiting},
@@ -57,9 +57,9 @@
     pub endpoint: Arc<Endpoint>,
     /// To be given back when the request ends there.
     pub lease: Lease,
-    /// Prompt tokens to be read there, those before it included.
+    /// Prompt tokens to be read there, those before it included; zero if it is no reader's place.
     pub tokens: u64,
-    /// How long to wait for its prompt to be read before another endpoint is asked.
+    /// How long to wait for its prompt to be read before another endpoint is asked; zero likewise.
     pub limit: Duration,
 }
 
@@ -294,7 +294,7 @@
     pub fn whole(&mut self, now: Time, service: &str, avoid: &[Arc<str>]) -> Result<Place, Refusal> {
         let found = self.view(now).whole(service, avoid);
         let share = Share { running: 1, ..Share::default() };
-        found.map(|endpoint| self.take(now, endpoint, share, Duration::ZERO)).ok_or_else(no_endpoint)
+        found.map(|endpoint| self.take(now, endpoint, share, None)).ok_or_else(no_endpoint)
     }
 
     /// A further endpoint that reads a prompt; none if none can.
@@ -304,8 +304,7 @@
         let Reader::Endpoint(endpoint) = self.view(now).prefill(service, *tokens, aim, zone, avoid) else {
             return None;
         };
-        let share = Share { reading: *tokens, ..Share::default() };
-        Some(self.take(now, endpoint, share, aim))
+        Some(self.take_reader(now, endpoint, *tokens, aim))
     }
 
     /// Lines a completion up for a decode endpoint; whoever is placed then comes out of [`Self::pump`].
@@ -333,7 +332,7 @@
 
     /// Takes events that a run has made.
     pub fn made(&mut self, lease: &Lease, service: &str, events: u64) {
-        let event_tokens = self.forecasts.service(service).answer.unwrap_or_default().event_tokens;
+        let event_tokens = self.forecasts.service(service).lengths().event_tokens;
         self.loads.made(lease, (events as f64 * event_tokens) as u64);
     }
 
@@ -373,41 +372,34 @@
 
     /// Places those in the line whom there is room for.
     pub fn pump(&mut self, now: Time) -> Vec<Placed<T>> {
-        let Some(catalog) = self.catalog.clone() else { return Vec::new() };
-        let turn = self.turn();
-        let Self { line, loads, directory, pools, forecasts, identity, .. } = self;
-        line.pump(now, |waiting| {
-            let engine = catalog.service(&waiting.service)?.engine?;
-            let view = View {
-                now,
-                directory,
-                loads,
-                pools,
-                forecasts,
-                zone: &identity.zone,
-                entry: &identity.name,
-                turn,
-            };
-            let size = Size { prompt: waiting.prompt, expected: waiting.expected, most: waiting.most };
-            let spread = forecasts.service(&waiting.service).answer.unwrap_or_default().spread;
-            let run = Run {
-                prompt: waiting.prompt,
-                growth: Growth::of(size, 0, spread),
-                spare: spare(&engine, waiting.is_late(now)),
-                gap: waiting.gap,
-                aim: waiting.aim,
-                avoid: &waiting.avoid,
-            };
-            let Pairing { endpoint, reader } = view.pair(&waiting.service, &engine, &run)?;
-            let reading = Share { reading: waiting.prompt, ..Share::default() };
-            let own_reading = if reader.is_some() { 0 } else { waiting.prompt };
-            let share =
-                Share { running: 1, memory: waiting.memory, reading: own_reading, ..Share::default() };
-            let answer = Some(Length { size, spread });
-            let run = take(loads, forecasts, now, endpoint, share, waiting.aim, answer);
-            let reader = reader.map(|reader| take(loads, forecasts, now, reader, reading, waiting.aim, None));
-            Some(Pair { run, reader })
-        })
+        if self.catalog.is_none() {
+            return Vec::new();
+        }
+        let mut line = std::mem::take(&mut self.line);
+        let placed = line.pump(now, |waiting| self.place(now, waiting));
+        self.line = line;
+        placed
+    }
+
+    /// Takes the places of a completion; none if it has to wait.
+    fn place(&mut self, now: Time, waiting: &Waiting<T>) -> Option<Pair> {
+        let Waiting { service, size, memory, gap, aim, avoid, .. } = waiting;
+        let engine = self.engine(service)?;
+        let spread = self.forecasts.service(service).lengths().spread;
+        let run = Run {
+            prompt: size.prompt,
+            growth: Growth::of(*size, 0, spread),
+            spare: spare(&engine, waiting.is_late(now)),
+            gap: *gap,
+            aim: *aim,
+            avoid,
+        };
+        let Pairing { endpoint, reader } = self.view(now).pair(service, &engine, &run)?;
+        let reading = if reader.is_some() { 0 } else { size.prompt };
+        let share = Share { running: 1, memory: *memory, reading, ..Share::default() };
+        let run = self.take(now, endpoint, share, Some(Length { size: *size, spread }));
+        let reader = reader.map(|reader| self.take_reader(now, reader, size.prompt, *aim));
+        Some(Pair { run, reader })
     }
 
     /// What decides who is placed, in one line for logs.
@@ -508,25 +500,19 @@
         Turn { rank: self.peers.position(), count: self.peers.count() }
     }
 
-    fn take(&mut self, now: Time, endpoint: Arc<Endpoint>, share: Share, aim: Duration) -> Place {
-        take(&mut self.loads, &self.forecasts, now, endpoint, share, aim, None)
+    fn take(&mut self, now: Time, endpoint: Arc<Endpoint>, share: Share, answer: Option<Length>) -> Place {
+        let lease = self.loads.take_run(now, &endpoint.id, share, answer);
+        Place { endpoint, lease, tokens: 0, limit: Duration::ZERO }
     }
-}
 
-fn take(
-    loads: &mut Loads,
-    forecasts: &Forecasts,
-    now: Time,
-    endpoint: Arc<Endpoint>,
-    share: Share,
-    aim: Duration,
-    answer: Option<Length>,
-) -> Place {
-    let ahead = loads.get(&endpoint.id).map_or(0, |load| load.all(now).reading);
-    let tokens = ahead + share.reading;
-    let limit = forecasts.endpoint(now, &endpoint.service, &endpoint.id).reading_limit(tokens, aim);
-    let lease = loads.take_run(now, &endpoint.id, share, answer);
-    Place { endpoint, lease, tokens, limit }
+    fn take_reader(&mut self, now: Time, endpoint: Arc<Endpoint>, prompt: u64, aim: Duration) -> Place {
+        let ahead = self.loads.get(&endpoint.id).map_or(0, |load| load.all(now).reading);
+        let forecast = self.forecasts.endpoint(now, &endpoint.service, &endpoint.id);
+        let tokens = ahead + prompt;
+        let limit = forecast.reading_limit(tokens, aim);
+        let share = Share { reading: prompt, ..Share::default() };
+        Place { tokens, limit, ..self.take(now, endpoint, share, None) }
+    }
 }
 
 fn no_endpoint() -> Refusal {
--- a/crates/core/tests/gateway/line.rs
+++ b/crates/core/tests/gateway/line.rs
@@ -6,7 +6,10 @@
 use rand_chacha::ChaCha8Rng;
 use tarragonhill_core::{
     Time,
-    gateway::line::{Line, Verdict, Waiting},
+    gateway::{
+        forecast::Size,
+        line::{Line, Verdict, Waiting},
+    },
 };
 
 use crate::at;
@@ -15,9 +18,7 @@
     Waiting {
         tag,
         service: "drafting".into(),
-        prompt: 5_000,
-        expected: 0,
-        most: 0,
+        size: Size { prompt: 5_000, expected: 0, most: 0 },
         memory: 5_000,
         on_time: at(on_time),
         last_start: at(last_start),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -35,6 +35,9 @@
 /// takes when it is there, and short enough for a caller that bears a second to go elsewhere.
 const FIRST_READING: Duration = Duration::from_millis(300);
 
+/// Prompt tokens for which forecasts are shown.
+pub(crate) const PROMPT_SHOWN: u64 = 1_000;
+
 /// Whom to answer.
 pub(crate) type Reply<T> = Sender<T>;
 /// A place, or why there is none.
@@ -69,9 +72,9 @@
 pub struct Ticket {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    /// Prompt tokens to be read there, those before it included.
+    /// Prompt tokens to be read there, those before it included; zero if it is no reader's place.
     pub tokens: u64,
-    /// How long to wait for its prompt to be read before another endpoint is asked.
+    /// How long to wait for its prompt to be read before another endpoint is asked; zero likewise.
     pub limit: Duration,
     lease: Lease,
     outcome: Outcome,
@@ -86,6 +89,11 @@
         self.lease.read();
     }
 
+    /// Tokens of memory that are promised to the request.
+    pub fn memory(&self) -> u64 {
+        self.lease.share.memory
+    }
+
     /// What the request showed of the endpoint.
     pub fn observed(&self, observation: Observation) {
         self.control.tell(Command::Observed(self.endpoint.clone(), observation));
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -27,7 +27,7 @@
     refusal::Code,
 };
 
-use super::{Command, Control, Pairing, Reply, Ticket, Tickets, stopping};
+use super::{Command, Control, PROMPT_SHOWN, Pairing, Reply, Ticket, Tickets, stopping};
 use crate::edge::Update;
 
 /// How often time alone is looked at: digests are sent and lapsed things settled. What others have
@@ -289,11 +289,11 @@
 }
 
 fn forecast_json(forecast: &Forecast) -> serde_json::Value {
-    let answer = forecast.answer.unwrap_or_default();
+    let answer = forecast.lengths();
     serde_json::json!({
         "reading_us_per_token": forecast.reading.map(|trend| trend.slope * 1e6),
         "own_reading_us_per_token": forecast.own_reading.map(|trend| trend.slope * 1e6),
-        "first_event_ms": forecast.first.map(|trend| trend.at(5_000).as_secs_f64() * 1e3),
+        "first_event_ms": forecast.first.map(|trend| trend.at(PROMPT_SHOWN).as_secs_f64() * 1e3),
         "event_us": forecast.event.map(|_| forecast.event_gap().as_micros() as u64),
         "tokens_per_event": forecast.answer.map(|_| answer.event_tokens),
         "estimate_spread": answer.spread,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,7 +23,10 @@
 
 use crate::{
     context::{Context, Stop},
-    control::worker::{self, Outlets},
+    control::{
+        PROMPT_SHOWN,
+        worker::{self, Outlets},
+    },
     edge::{Claims, Dialect, Update},
     front, handover,
     metrics::Metrics,
@@ -211,9 +214,6 @@
     }
 }
 
-/// Prompt tokens for which forecasts are shown.
-const PROMPT_SHOWN: u64 = 1_000;
-
 /// What the admin address tells of a gateway.
 #[derive(Clone)]
 pub struct View(Arc<Context>);
--- a/crates/gateway/src/stream/placing.rs
+++ b/crates/gateway/src/stream/placing.rs
@@ -4,9 +4,7 @@
 
 use tarragonhill_core::{
     Refusal,
-    gateway::{
-        catalog::Engine, completion::Completion, directory::Endpoint, forecast::memory, health::Outcome,
-    },
+    gateway::{catalog::Engine, completion::Completion, directory::Endpoint, health::Outcome},
 };
 
 use super::{
@@ -53,10 +51,7 @@
     }
     let mut avoid = progress.avoid.clone();
     loop {
-        let completion = completion(inbound, &avoid);
-        let size = completion.size;
-        let memory = memory(size.prompt, size.expected).min(engine.memory);
-        let Tickets { run, reader } = context.control.decode(completion).await?;
+        let Tickets { run, reader } = context.control.decode(completion(inbound, &avoid)).await?;
         let now = context.clock.now();
         context.metrics.waits.observe(now.since(inbound.received).as_secs_f64());
         let read_by = reader.as_ref().map(|reader| &*reader.endpoint);
@@ -64,7 +59,7 @@
         if engine.longest_hold.is_zero() {
             return Ok(Placing::Decode { run, reader, held: None });
         }
-        match hold(context, &run.endpoint, &engine, memory).await {
+        match hold(context, &run.endpoint, &engine, run.memory()).await {
             Ok(Some(held)) => return Ok(Placing::Decode { run, reader, held: Some(held) }),
             Ok(None) => run.ended(Outcome::Full),
             Err(NoHold::Replaced) => {
