Keep nothing of what runs show of an endpoint that is gone

Ruled out: forgetting it at the lease's end as loads do, which would have to be done after each observation.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -324,8 +324,11 @@
         self.catalog.as_ref()?.service(service)?.engine
     }
 
-    /// Takes what a request showed of an endpoint.
+    /// Takes what a request showed of an endpoint, unless that is gone: nobody would forget it again.
     pub fn observed(&mut self, now: Time, endpoint: &Endpoint, observation: Observation) {
+        if self.directory.get(&endpoint.id).is_none() {
+            return;
+        }
         let memory = self.loads.get(&endpoint.id).map_or(0, |load| load.all(now).memory);
         self.forecasts.note(now, &endpoint.service, &endpoint.id, memory, observation);
     }
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -238,3 +238,19 @@
     other.heard(at(1_000), &told, "127.0.0.1:8".parse().expect("an address"));
     assert_eq!(other.forecast("drafting"), first.forecast("drafting"));
 }
+
+/// A run ends a moment after its endpoint was dropped from the list. What it shows then would bring the
+/// endpoint's record back, and nobody would ever drop it again: with endpoints that come and go all day, a
+/// process grows until it is killed.
+#[test]
+fn what_runs_show_of_an_endpoint_that_is_gone_is_not_kept() {
+    let mut state = serving();
+    show(&mut state, 0, SMALL);
+    let before = state.forecast("drafting");
+    let listing = Listing { version: 10, whole: false, rows: vec![gone(10, "d-1")] };
+    state.list(at(1_000), listing);
+    show(&mut state, 1_000, Sheet { token_us: 40_000, ..SMALL });
+    state.settle(at(1_100));
+    let after = state.forecast("drafting");
+    assert_eq!(after.event, None, "{before:?}");
+}
