--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -32,8 +32,8 @@
 /// Shortest wait told to a caller that is over its rate: below it, callers come back in step.
 const SHORTEST_WAIT: Duration = Duration::from_millis(200);
 
-/// A request counts as small up to this part of a burst: plain calls are some 200 tokens of 47,000, the
-/// shortest summaries some thousand.
+/// A request counts as small up to this part of a burst: plain calls are far below it, the shortest
+/// summaries above.
 const SMALL: i64 = 50;
 /// A customer's tokens are scarce with less than this part of its burst left.
 const SCARCE: i64 = 2;
