Failing test: a configuration that takes longer to arrive than a call may last

Callers are answered by a replaced configuration, or 404 on routes that were added, at entries whose links need longer for the configuration's row than a call to the store may take. On the code as it stands the version is never in force (20 s, then the test gives up): each call drops what came and asks for the row from its start.

The store's stand-in writes at a rate that a test sets.

--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -308,3 +308,17 @@
         ],
     })
 }
+
+/// The same with further routes `/added-N/` of the plain service, N below `added`.
+pub fn grown(version: u64, added: usize) -> Value {
+    let mut configuration = configuration(version);
+    let template = configuration["routes"][3].clone();
+    let routes = configuration["routes"].as_array_mut().expect("a list of routes");
+    for number in 0..added {
+        let mut route = template.clone();
+        route["name"] = format!("added-{number}").into();
+        route["prefix"] = format!("/added-{number}/").into();
+        routes.push(route);
+    }
+    configuration
+}
--- a/crates/bench/src/published/store.rs
+++ b/crates/bench/src/published/store.rs
@@ -23,6 +23,8 @@
 
 /// How often a waiting feed looks for changes.
 const POLL: Duration = Duration::from_millis(5);
+/// Pieces a second in which an answer is written at a limited rate.
+const PIECES_PER_S: u64 = 20;
 
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
@@ -54,6 +56,8 @@
     /// Changes before this version are forgotten.
     oldest: u64,
     fault: Fault,
+    /// Bytes a second at which answers are written; as fast as the peer reads without it.
+    rate: Option<u64>,
     calls: u64,
 }
 
@@ -129,6 +133,11 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Writes answers at a rate from now on, bytes a second, as a slow link would carry them.
+    pub fn set_rate(&self, rate: Option<u64>) {
+        lock(&self.state).rate = rate;
+    }
+
     /// Forgets its history: feeds that go on from before are told so.
     pub fn forget(&self) {
         let mut state = lock(&self.state);
@@ -152,7 +161,7 @@
     let fault = lock(&state).fault;
     match fault {
         Fault::None => {}
-        Fault::Busy => return reply(connection, 503, &json!({})).await,
+        Fault::Busy => return reply(&state, connection, 503, &json!({})).await,
         Fault::Reset => return (connection, Then::Reset),
         Fault::Silent => {
             // Until the peer gives up.
@@ -178,7 +187,7 @@
     if lock(&state).fault == Fault::Reset {
         return (connection, Then::Reset);
     }
-    reply(connection, status, &value).await
+    reply(&state, connection, status, &value).await
 }
 
 fn get(state: &State, table: &str, from: &str) -> Value {
@@ -239,13 +248,31 @@
     (200, json!({"row_version": state.version, "now_ms": 0}))
 }
 
-async fn reply(mut connection: Connection, status: u16, value: &Value) -> (Connection, Then) {
+async fn reply(
+    state: &Mutex<State>,
+    mut connection: Connection,
+    status: u16,
+    value: &Value,
+) -> (Connection, Then) {
     let body = value.to_string();
     let mut head = Response::new(status);
     head.fields.push("Content-Type", "application/json");
     head.fields.push("Content-Length", body.len().to_string());
     let mut bytes = head.encode();
     bytes.extend_from_slice(body.as_bytes());
-    let written = connection.write(&bytes).await;
+    let rate = lock(state).rate;
+    let written = match rate {
+        None => connection.write(&bytes).await,
+        Some(rate) => write_at(&mut connection, &bytes, rate).await,
+    };
     (connection, if written.is_ok() { Then::Keep } else { Then::Close })
 }
+
+async fn write_at(connection: &mut Connection, bytes: &[u8], rate: u64) -> io::Result<()> {
+    let size = usize::try_from(rate / PIECES_PER_S).unwrap_or(usize::MAX).max(1);
+    for piece in bytes.chunks(size) {
+        connection.write(piece).await?;
+        task::sleep(Duration::from_secs(1) / PIECES_PER_S as u32).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/tests/configuration.rs
@@ -0,0 +1,33 @@
+//! How a change of the configuration reaches the entries.
+
+use async_std::task;
+use tarragonhill_bench::published::{
+    caller::{self, plain},
+    site::{KEY, Shape, Site, grown},
+};
+
+/// Routes of a configuration that takes far longer than a call's wait to arrive at [`SLOW_LINK`].
+const MANY: usize = 1_000;
+/// What the links of slow entries carry, bytes a second.
+const SLOW_LINK: u64 = 75_000;
+
+async fn one_gateway() -> Site {
+    let shape = Shape { gateways: 1, prefill: 1, decode: 1, plain: 1 };
+    Site::start(shape).await.expect("the site starts")
+}
+
+async fn status(site: &Site, path: &str) -> u16 {
+    let answer = caller::ask(site.address(), plain("GET", path, KEY, "r1"), b"").await;
+    answer.expect("an answer").head.status
+}
+
+#[test]
+fn a_configuration_larger_than_a_slow_link_carries_in_one_call_comes_into_force() {
+    task::block_on(async {
+        let site = one_gateway().await;
+        site.store.set_rate(Some(SLOW_LINK));
+        site.configure(&grown(2, MANY));
+        site.in_force(2).await;
+        assert_eq!(status(&site, "/added-999/x").await, 200);
+    });
+}
