--- a/crates/bench/src/published/store.rs
+++ b/crates/bench/src/published/store.rs
@@ -39,6 +39,8 @@
     Reset,
     /// It takes calls and does not answer.
     Silent,
+    /// It stops in the middle of its answers.
+    Stalled,
 }
 
 #[derive(Clone, Debug)]
@@ -160,12 +162,11 @@
     lock(&state).calls += 1;
     let fault = lock(&state).fault;
     match fault {
-        Fault::None => {}
+        Fault::None | Fault::Stalled => {}
         Fault::Busy => return reply(&state, connection, 503, &json!({})).await,
         Fault::Reset => return (connection, Then::Reset),
         Fault::Silent => {
-            // Until the peer gives up.
-            while matches!(connection.fill().await, Ok(read) if read > 0) {}
+            given_up(&mut connection).await;
             return (connection, Then::Close);
         }
     }
@@ -203,7 +204,8 @@
                 return (410, json!({}));
             }
             let rows = state.select(table, |_, row| row.version > after);
-            if !rows.is_empty() || began.elapsed() >= wait || state.fault != Fault::None {
+            let is_failing = !matches!(state.fault, Fault::None | Fault::Stalled);
+            if !rows.is_empty() || began.elapsed() >= wait || is_failing {
                 return (200, state.answer(rows));
             }
         }
@@ -260,7 +262,13 @@
     head.fields.push("Content-Length", body.len().to_string());
     let mut bytes = head.encode();
     bytes.extend_from_slice(body.as_bytes());
-    let rate = lock(state).rate;
+    let State { rate, fault, .. } = *lock(state);
+    if fault == Fault::Stalled {
+        // Fails only if the peer has given up already.
+        let _ = connection.write(&bytes[..bytes.len() / 2]).await;
+        given_up(&mut connection).await;
+        return (connection, Then::Close);
+    }
     let written = match rate {
         None => connection.write(&bytes).await,
         Some(rate) => write_at(&mut connection, &bytes, rate).await,
@@ -268,6 +276,11 @@
     (connection, if written.is_ok() { Then::Keep } else { Then::Close })
 }
 
+/// Completes once the peer has closed the connection.
+async fn given_up(connection: &mut Connection) {
+    while matches!(connection.fill().await, Ok(read) if read > 0) {}
+}
+
 async fn write_at(connection: &mut Connection, bytes: &[u8], rate: u64) -> io::Result<()> {
     let size = usize::try_from(rate / PIECES_PER_S).unwrap_or(usize::MAX).max(1);
     for piece in bytes.chunks(size) {
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -3,7 +3,8 @@
 use async_std::task;
 use tarragonhill_bench::published::{
     caller::{self, plain},
-    site::{KEY, Shape, Site, grown},
+    site::{KEY, Shape, Site, eventually, grown},
+    store::Fault,
 };
 
 /// Routes of a configuration that takes far longer than a call's wait to arrive at [`SLOW_LINK`].
@@ -31,3 +32,16 @@
         assert_eq!(status(&site, "/added-999/x").await, 200);
     });
 }
+
+#[test]
+fn an_answer_that_stalls_midway_is_given_up_and_asked_for_again() {
+    task::block_on(async {
+        let site = one_gateway().await;
+        site.store.set_fault(Fault::Stalled);
+        site.configure(&grown(2, MANY));
+        let calls = site.store.calls();
+        eventually("the configuration is asked for again", async || site.store.calls() > calls + 3).await;
+        site.store.set_fault(Fault::None);
+        site.in_force(2).await;
+    });
+}
