--- a/crates/bench/src/published/store.rs
+++ b/crates/bench/src/published/store.rs
@@ -21,6 +21,8 @@
 use super::server::{Server, Then};
 use crate::standin::lock;
 
+/// Most rows in an answer that lists a table.
+const PAGE: usize = 500;
 /// How often a waiting feed looks for changes.
 const POLL: Duration = Duration::from_millis(5);
 /// Pieces a second in which an answer is written at a limited rate.
@@ -192,7 +194,16 @@
 }
 
 fn get(state: &State, table: &str, from: &str) -> Value {
-    state.answer(state.select(table, |key, row| !row.removed && key >= from))
+    // The smallest key behind another one is spelled with a zero byte.
+    let from = from.replace("%00", "\0");
+    let rows = state.rows.iter().filter(|((of, key), row)| of == table && !row.removed && *key >= from);
+    let mut rows: Vec<Value> =
+        rows.take(PAGE + 1).map(|((table, key), row)| encode(table, key, row)).collect();
+    let truncated = rows.len() > PAGE;
+    rows.truncate(PAGE);
+    let mut answer = state.answer(rows);
+    answer["truncated"] = truncated.into();
+    answer
 }
 
 async fn feed(state: &Mutex<State>, table: &str, after: u64, wait: Duration) -> (u16, Value) {
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -1,6 +1,7 @@
 //! How a change of the configuration reaches the entries.
 
 use async_std::task;
+use serde_json::json;
 use tarragonhill_bench::published::{
     caller::{self, plain},
     site::{KEY, Shape, Site, eventually, grown},
@@ -9,6 +10,10 @@
 
 /// Routes of a configuration that takes far longer than a call's wait to arrive at [`SLOW_LINK`].
 const MANY: usize = 1_000;
+/// Entries whose rows need two pages.
+const ENTRIES: u64 = 700;
+/// An address at which nobody listens.
+const NOBODY: &str = "127.255.0.1:9";
 /// What the links of slow entries carry, bytes a second.
 const SLOW_LINK: u64 = 75_000;
 
@@ -45,3 +50,19 @@
         site.in_force(2).await;
     });
 }
+
+#[test]
+fn entries_beyond_the_first_page_of_their_table_are_known() {
+    task::block_on(async {
+        let mut site = Site::empty().await.expect("the site starts");
+        site.configure(&grown(1, 0));
+        for number in 0..ENTRIES {
+            site.store.put("entries", &format!("other-{number:04}"), &json!({"address": NOBODY}));
+        }
+        site.add_gateway().await.expect("a gateway");
+        eventually("all entries are known", async || {
+            site.state(0).await["sharers"].as_u64() == Some(ENTRIES + 1)
+        })
+        .await;
+    });
+}
