Read configurations of several megabytes

A configuration whose row passes 4 MB was refused by every entry, at every reading, for ever: callers would be served by the version before. 21,000 customers and their keys need that much. The new test (20,000 routes, 6.6 MB) failed before.

--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -10,6 +10,8 @@
 
 /// Routes of a configuration that takes far longer than a call's wait to arrive at [`SLOW_LINK`].
 const MANY: usize = 1_000;
+/// Routes of a configuration of several megabytes.
+const VERY_MANY: usize = 20_000;
 /// Entries whose rows need two pages.
 const ENTRIES: u64 = 700;
 /// An address at which nobody listens.
@@ -51,6 +53,15 @@
     });
 }
 
+#[test]
+fn a_configuration_of_several_megabytes_comes_into_force() {
+    task::block_on(async {
+        let site = one_gateway().await;
+        site.configure(&grown(2, VERY_MANY));
+        site.in_force(2).await;
+    });
+}
+
 #[test]
 fn entries_beyond_the_first_page_of_their_table_are_known() {
     task::block_on(async {
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -173,8 +173,9 @@
     /// Adds a route.
     pub fn add_route(&mut self, route: Route) {
         let routes = self.routes.entry(route.host.clone()).or_default();
-        routes.push(Arc::new(route));
-        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        let length = route.prefix.len();
+        let place = routes.partition_point(|other| other.prefix.len() >= length);
+        routes.insert(place, Arc::new(route));
     }
 
     /// Adds a service.
