Entries get from one another what the store has not given them

An entry whose path to the store was gone, while others had theirs, served callers by replaced routes, withdrawn keys and leaving endpoints for as long as that lasted: what others had read was asked for only by processes that had just started, and then whole within 0.4 s, which a configuration of a megabyte on a slow link passes as the store's answers did.

Digests now carry how new their sender's copy of the store is. An entry that lacks something for a second asks one that has it. The answer is a stream of pieces, each with its own wait, and the configuration in it is deflated; it is left out if the asker has it. A list that is told to an informed entry takes nothing away, since what it leaves out may only have lapsed.

--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -134,7 +134,14 @@
 
     /// Starts a further gateway that lives by a clock.
     pub async fn add_gateway_by(&mut self, clock: Clock) -> Result<(), SiteError> {
-        let settings = self.settings(self.gateways.len() + 1, SocketAddr::from((self.ip, 0)));
+        let table = self.store.address();
+        self.add_gateway_on(table, clock).await
+    }
+
+    /// Starts a further gateway that reads a store of its own.
+    pub async fn add_gateway_on(&mut self, table: SocketAddr, clock: Clock) -> Result<(), SiteError> {
+        let mut settings = self.settings(self.gateways.len() + 1, SocketAddr::from((self.ip, 0)));
+        settings.common.table = table;
         let gateway = Gateway::start(settings, clock).await.map_err(SiteError::Gateway)?;
         self.gateways.push(gateway);
         Ok(())
--- a/crates/bench/src/published/store.rs
+++ b/crates/bench/src/published/store.rs
@@ -117,6 +117,17 @@
         self.server.address()
     }
 
+    /// Starts a further store with the same rows, which goes its own way from there.
+    pub async fn copy(&self) -> io::Result<Self> {
+        let copy = Self::start(SocketAddr::from((self.address().ip(), 0))).await?;
+        {
+            let (own, mut other) = (lock(&self.state), lock(&copy.state));
+            other.version = own.version;
+            other.rows = own.rows.clone();
+        }
+        Ok(copy)
+    }
+
     /// Writes a row, as the operator or an endpoint would.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         lock(&self.state).write(table, key, Some(STANDARD.encode(value.to_string())));
@@ -149,6 +160,12 @@
         state.oldest = state.version;
     }
 
+    /// Whether it holds a row.
+    pub fn has(&self, table: &str, key: &str) -> bool {
+        let state = lock(&self.state);
+        state.rows.get(&(table.into(), key.into())).is_some_and(|row| !row.removed)
+    }
+
     /// Calls taken.
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -4,9 +4,11 @@
 use serde_json::json;
 use tarragonhill_bench::published::{
     caller::{self, plain},
+    endpoint::Role,
     site::{KEY, Shape, Site, eventually, grown},
-    store::Fault,
+    store::{Fault, Store},
 };
+use tarragonhill_core::Clock;
 
 /// Routes of a configuration that takes far longer than a call's wait to arrive at [`SLOW_LINK`].
 const MANY: usize = 1_000;
@@ -29,6 +31,16 @@
     answer.expect("an answer").head.status
 }
 
+/// Two gateways; the store of the second goes its own way from now on.
+async fn parted() -> (Site, Store) {
+    let mut site = one_gateway().await;
+    eventually("the entry is listed", async || site.store.has("entries", "entry-1")).await;
+    let copy = site.store.copy().await.expect("a store");
+    site.add_gateway_on(copy.address(), Clock::runtime()).await.expect("a gateway");
+    site.settled().await;
+    (site, copy)
+}
+
 #[test]
 fn a_configuration_larger_than_a_slow_link_carries_in_one_call_comes_into_force() {
     task::block_on(async {
@@ -77,3 +89,32 @@
         .await;
     });
 }
+
+#[test]
+fn an_entry_that_the_store_does_not_reach_gets_a_new_configuration_from_another() {
+    task::block_on(async {
+        let (site, cut) = parted().await;
+        cut.set_fault(Fault::Silent);
+        site.configure(&grown(2, MANY));
+        eventually("the version is in force at both", async || {
+            site.state(1).await["version"].as_u64() == Some(2)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn an_entry_that_the_store_does_not_reach_hears_of_a_leaving_endpoint() {
+    task::block_on(async {
+        let (mut site, cut) = parted().await;
+        cut.set_fault(Fault::Silent);
+        let endpoint = site.endpoints(Role::Plain).remove(0);
+        site.list(&endpoint, "draining");
+        eventually("both know that it leaves", async || {
+            let state = site.state(1).await;
+            let endpoints = state["endpoints"].as_array().cloned().unwrap_or_default();
+            endpoints.iter().any(|known| known["id"] == **endpoint.id() && known["leaving"] == true)
+        })
+        .await;
+    });
+}
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -19,5 +19,6 @@
 pub mod load;
 pub mod placement;
 pub mod pools;
+pub mod staleness;
 pub mod state;
 pub mod suspect;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{directory::Stage, forecast::Forecast, growth::Growth};
+use super::{directory::Stage, forecast::Forecast, growth::Growth, staleness::Versions};
 use crate::clock::Time;
 
 /// An entry that was not heard for this long is not counted as sharing anything any more. Long
@@ -61,6 +61,8 @@
     pub changing: BTreeMap<Arc<str>, Change>,
     /// Requests that were running when an endpoint crashed, and at how many crashes.
     pub suspects: BTreeMap<u64, u32>,
+    /// How new the sender's copy of the store is.
+    pub versions: Versions,
     /// What the sender finds typical of services; only in one digest of ten, for entries that start.
     pub forecasts: BTreeMap<Arc<str>, Forecast>,
 }
@@ -85,6 +87,8 @@
     before: Option<u64>,
     /// When it was heard, or first named by somebody.
     heard: Time,
+    /// How new its copy of the store was then.
+    versions: Versions,
 }
 
 /// The other entries.
@@ -105,7 +109,14 @@
         if member.name == self.own {
             return;
         }
-        let peer = Peer { address: member.address, incarnation: 0, serial: 0, before: None, heard: now };
+        let peer = Peer {
+            address: member.address,
+            incarnation: 0,
+            serial: 0,
+            before: None,
+            heard: now,
+            versions: Versions::default(),
+        };
         self.peers.entry(member.name).or_insert(peer);
     }
 
@@ -129,8 +140,8 @@
             Some(peer) => Some(peer.incarnation),
             None => None,
         };
-        let Digest { incarnation, serial, .. } = *digest;
-        let peer = Peer { address: from, incarnation, serial, before, heard: now };
+        let Digest { incarnation, serial, versions, .. } = *digest;
+        let peer = Peer { address: from, incarnation, serial, before, heard: now, versions };
         self.peers.insert(digest.name.clone(), peer);
         for member in &digest.members {
             self.named(now, member.clone());
@@ -162,6 +173,13 @@
             .map(|(name, peer)| Member { name: name.clone(), address: peer.address })
     }
 
+    /// The entries heard of late whose copies of the store have something that `own` lacks.
+    pub fn ahead_of(&self, now: Time, own: Versions) -> impl Iterator<Item = Member> {
+        self.heard_of_late(now).filter(move |member| {
+            self.peers.get(&member.name).is_some_and(|peer| peer.versions.is_ahead_of(own))
+        })
+    }
+
     /// How many entries share the traffic, this one among them.
     pub fn count(&self) -> u32 {
         1 + self.peers.len() as u32
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -93,6 +93,8 @@
     known: BTreeMap<Arc<str>, Known>,
     /// The newest version seen of the list.
     version: u64,
+    /// Version of the newest row that the list had.
+    newest_row: u64,
     /// When the store was last heard of after an absence.
     returned: Option<Time>,
     away: bool,
@@ -119,6 +121,8 @@
     /// Takes rows that changed.
     pub fn update(&mut self, now: Time, version: u64, rows: Vec<Row>) -> Vec<Change> {
         self.version = self.version.max(version);
+        let newest_row = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        self.newest_row = self.newest_row.max(newest_row);
         let mut changes: Vec<Change> = rows.into_iter().filter_map(|row| self.take(now, row)).collect();
         changes.extend(self.drop_replaced());
         changes
@@ -239,6 +243,11 @@
         (self.version, rows.collect())
     }
 
+    /// Version of the newest row that the list had; zero before the first.
+    pub fn newest_row(&self) -> u64 {
+        self.newest_row
+    }
+
     /// An endpoint by name.
     pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.known.get(id).and_then(|known| known.endpoint.as_ref())
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -18,6 +18,7 @@
     load::{Lease, Length, Loads},
     placement::{Pairing, Reader, Run, Turn, View, spare},
     pools::{Known, Order, Pools},
+    staleness::{Staleness, Versions},
     suspect::Suspects,
 };
 use crate::{
@@ -104,8 +105,8 @@
 pub struct State<T> {
     identity: Identity,
     catalog: Option<Arc<Catalog>>,
-    /// Orders versions of the catalog; larger is newer.
-    catalog_order: u64,
+    /// What was read of the store; orders versions of the catalog, larger is newer.
+    staleness: Staleness,
     directory: Directory,
     loads: Loads,
     allowance: Allowance,
@@ -125,7 +126,7 @@
             peers: Peers::new(identity.name.clone()),
             identity,
             catalog: None,
-            catalog_order: 0,
+            staleness: Staleness::default(),
             directory: Directory::default(),
             loads: Loads::default(),
             allowance: Allowance::new(now),
@@ -140,11 +141,11 @@
 
     /// Puts a configuration in force, unless it is older than the one that is; says whether it did.
     pub fn adopt(&mut self, now: Time, order: u64, catalog: Arc<Catalog>) -> bool {
-        if self.catalog.is_some() && order <= self.catalog_order {
+        if self.catalog.is_some() && order <= self.staleness.own().configuration {
             return false;
         }
         self.allowance.adjust(now, catalog.customers());
-        self.catalog_order = order;
+        self.staleness.read_configuration(now, order);
         self.catalog = Some(catalog);
         true
     }
@@ -152,16 +153,25 @@
     /// Takes a list of endpoints that the store gave.
     pub fn list(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         self.directory.heard(now);
-        self.told(now, listing)
+        self.take_listing(now, listing)
     }
 
-    /// Takes a list of endpoints, whoever gave it.
-    pub fn told(&mut self, now: Time, listing: Listing) -> Vec<Change> {
+    /// Takes the list of another entry, whose newest row is `newest`.
+    pub fn told(&mut self, now: Time, mut listing: Listing, newest: u64) -> Vec<Change> {
+        // What the other one leaves out may only have lapsed while the store was away.
+        listing.whole &= !self.directory.is_known();
+        let changes = self.take_listing(now, listing);
+        self.staleness.read_endpoints(now, newest);
+        changes
+    }
+
+    fn take_listing(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         let changes = if listing.whole {
             self.directory.replace(now, listing.version, listing.rows)
         } else {
             self.directory.update(now, listing.version, listing.rows)
         };
+        self.staleness.read_endpoints(now, self.directory.newest_row());
         self.follow(now, &changes);
         changes
     }
@@ -199,6 +209,7 @@
         if !self.peers.heard(now, digest, from) {
             return;
         }
+        self.staleness.heard(now, digest.versions);
         self.allowance.heard(now, digest);
         self.loads.heard(now, digest);
         self.suspects.heard(digest);
@@ -230,6 +241,7 @@
             failing: self.loads.own_failing(now),
             changing: self.pools.changes(now),
             suspects: self.suspects.told(now),
+            versions: self.staleness.own(),
             forecasts: if self.serial.is_multiple_of(FORECASTS_EVERY) {
                 self.forecasts.own()
             } else {
@@ -450,6 +462,25 @@
         self.catalog.is_some() && self.directory.is_known()
     }
 
+    /// How new this entry's copy of the store is.
+    pub fn versions(&self) -> Versions {
+        self.staleness.own()
+    }
+
+    /// Whether another entry has a newer configuration than the one in force here.
+    pub fn is_behind(&self, now: Time) -> bool {
+        let own = Versions { endpoints: u64::MAX, ..self.staleness.own() };
+        self.peers.ahead_of(now, own).next().is_some()
+    }
+
+    /// The entries to ask for what the store should have given by now; none while nothing is overdue.
+    pub fn ahead(&self, now: Time) -> Vec<Member> {
+        if !self.staleness.is_overdue(now) {
+            return Vec::new();
+        }
+        self.peers.ahead_of(now, self.staleness.own()).collect()
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<&Arc<Catalog>> {
         self.catalog.as_ref()
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod line;
 mod placement;
 mod pools;
+mod staleness;
 mod state;
 mod suspect;
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -7,7 +7,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -24,6 +24,7 @@
         health::Outcome,
         knowledge::Knowledge,
         load::Lease,
+        staleness::Versions,
         state::Admission,
     },
     refusal::Code,
@@ -64,6 +65,8 @@
     Update(Update),
     Digest(Box<Digest>, SocketAddr),
     Knowledge(Reply<Option<Knowledge>>),
+    Ahead(Reply<Vec<Member>>),
+    Versions(Reply<Versions>),
     Members(Reply<Vec<Member>>),
     Dump(Reply<serde_json::Value>),
 }
@@ -125,11 +128,24 @@
     pub reader: Option<Ticket>,
 }
 
+/// The configuration that requests are served by.
+#[derive(Default)]
+struct InForce {
+    /// None before the first.
+    catalog: Option<Arc<Catalog>>,
+    /// Whether another entry has a newer one.
+    is_behind: bool,
+}
+
+fn lock(in_force: &Mutex<InForce>) -> MutexGuard<'_, InForce> {
+    in_force.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A handle on the control thread.
 #[derive(Clone)]
 pub struct Control {
     commands: Sender<Command>,
-    catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
+    in_force: Arc<Mutex<InForce>>,
     /// Closed once configuration and endpoints have been read; nothing is ever sent.
     informed: Receiver<()>,
     started: Time,
@@ -150,7 +166,12 @@
 
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
-        self.catalog.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.in_force).catalog.clone()
+    }
+
+    /// Whether another entry has a newer one.
+    pub fn is_behind(&self) -> bool {
+        lock(&self.in_force).is_behind
     }
 
     fn tell(&self, command: Command) {
@@ -236,6 +257,16 @@
         self.ask(Command::Knowledge).await.flatten()
     }
 
+    /// The entries to ask for what the store should have given by now; none while nothing is overdue.
+    pub async fn ahead(&self) -> Vec<Member> {
+        self.ask(Command::Ahead).await.unwrap_or_default()
+    }
+
+    /// How new this entry's copy of the store is.
+    pub async fn versions(&self) -> Versions {
+        self.ask(Command::Versions).await.unwrap_or_default()
+    }
+
     /// The other entries.
     pub async fn members(&self) -> Vec<Member> {
         self.ask(Command::Members).await.unwrap_or_default()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     io,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
@@ -27,7 +27,7 @@
     refusal::Code,
 };
 
-use super::{Command, Control, PROMPT_SHOWN, Pairing, Reply, Ticket, Tickets, stopping};
+use super::{Command, Control, InForce, PROMPT_SHOWN, Pairing, Reply, Ticket, Tickets, lock, stopping};
 use crate::edge::Update;
 
 /// How often time alone is looked at: digests are sent and lapsed things settled. What others have
@@ -59,12 +59,12 @@
     let (commands, received) = async_channel::unbounded();
     let (uninformed, informed) = async_channel::bounded(1);
     let started = clock.now();
-    let control = Control { commands, catalog: Arc::default(), informed, started };
+    let control = Control { commands, in_force: Arc::default(), informed, started };
     let state = State::new(identity, retries, started);
     // Held weakly: the thread ends when the traffic has dropped its last handle.
     let commands = control.commands.downgrade();
-    let (catalog, informed) = (control.catalog.clone(), control.informed.clone());
-    let shared = Shared { commands, catalog, informed, started };
+    let (in_force, informed) = (control.in_force.clone(), control.informed.clone());
+    let shared = Shared { commands, in_force, informed, started };
     let uninformed = Some(uninformed);
     let mut worker = Worker {
         state,
@@ -85,7 +85,7 @@
 /// What a handle is made of, held weakly.
 struct Shared {
     commands: WeakSender<Command>,
-    catalog: Arc<Mutex<Option<Arc<Catalog>>>>,
+    in_force: Arc<Mutex<InForce>>,
     informed: Receiver<()>,
     started: Time,
 }
@@ -93,9 +93,9 @@
 impl Shared {
     /// Nothing once the traffic has ended.
     fn control(&self) -> Option<Control> {
-        let Self { commands, catalog, informed, started } = self;
-        let (catalog, informed) = (catalog.clone(), informed.clone());
-        Some(Control { commands: commands.upgrade()?, catalog, informed, started: *started })
+        let Self { commands, in_force, informed, started } = self;
+        let (in_force, informed) = (in_force.clone(), informed.clone());
+        Some(Control { commands: commands.upgrade()?, in_force, informed, started: *started })
     }
 }
 
@@ -104,8 +104,8 @@
     state: State<Reply<Pairing>>,
     clock: Clock,
     shared: Shared,
-    /// The configuration in force as the store holds it, and its order.
-    source: Option<(u64, Arc<[u8]>)>,
+    /// The configuration in force as the store holds it.
+    source: Option<Arc<[u8]>>,
     /// Dropped once configuration and endpoints have been read.
     uninformed: Option<Sender<()>>,
     outgoing: Outlets,
@@ -133,6 +133,7 @@
         let since = now.since(self.told);
         if since >= TICK || (since >= URGENT_TICK && self.state.is_urgent()) {
             self.told = now;
+            lock(&self.shared.in_force).is_behind = self.state.is_behind(now);
             let (changes, gone) = self.state.settle(now);
             log_changes(&changes);
             for peer in gone {
@@ -201,6 +202,8 @@
             Command::Update(update) => self.update(now, update),
             Command::Digest(digest, from) => self.state.heard(now, &digest, from),
             Command::Knowledge(reply) => drop(reply.try_send(self.knowledge())),
+            Command::Ahead(reply) => drop(reply.try_send(self.state.ahead(now))),
+            Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
             Command::Members(reply) => drop(reply.try_send(self.state.members())),
             Command::Dump(reply) => drop(reply.try_send(self.dump(now))),
         }
@@ -216,7 +219,9 @@
         match update {
             Update::Catalog { order, catalog, source } => self.adopt(now, order, catalog, source),
             Update::Listing(listing) => log_changes(&self.state.list(now, listing)),
-            Update::ToldListing(listing) => log_changes(&self.state.told(now, listing)),
+            Update::ToldListing { listing, newest } => {
+                log_changes(&self.state.told(now, listing, newest));
+            }
             Update::Member(member) => {
                 spdlog::info!("entry named", kv: { peer = &*member.name, address = member.address.to_string().as_str() });
                 self.state.member(now, member);
@@ -233,8 +238,9 @@
     }
 
     fn knowledge(&self) -> Option<Knowledge> {
-        let (order, configuration) = self.source.clone()?;
-        Some(Knowledge { order, configuration, listing: self.state.listing() })
+        let configuration = self.source.clone()?;
+        let versions = self.state.versions();
+        Some(Knowledge { versions, configuration, listing: self.state.listing() })
     }
 
     fn adopt(&mut self, now: Time, order: u64, catalog: Arc<Catalog>, source: Arc<[u8]>) {
@@ -243,8 +249,8 @@
             spdlog::info!("older configuration ignored", kv: { version, order });
             return;
         }
-        self.source = Some((order, source));
-        *self.shared.catalog.lock().unwrap_or_else(PoisonError::into_inner) = Some(catalog);
+        self.source = Some(source);
+        lock(&self.shared.in_force).catalog = Some(catalog);
         spdlog::info!("configuration in force", kv: { version, order, routes });
     }
 
@@ -272,6 +278,7 @@
             .collect();
         serde_json::json!({
             "version": self.state.catalog().map(|catalog| catalog.version()),
+            "behind": lock(&self.shared.in_force).is_behind,
             "endpoints": endpoints,
             "left": self.state.left(now),
             "sharers": self.state.sharers(),
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -208,7 +208,12 @@
     /// Endpoints.
     Listing(Listing),
     /// Endpoints, as another entry has them: says nothing of whether the store can be reached.
-    ToldListing(Listing),
+    ToldListing {
+        /// What it has.
+        listing: Listing,
+        /// Version of the newest row that it has read.
+        newest: u64,
+    },
     /// An entry, and where it hears digests.
     Member(Member),
     /// The store cannot be reached.
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -1,15 +1,18 @@
 //! Knowledge of the store, handed from entry to entry.
 //!
-//! An entry that starts while the store is away, or turns its host away, has no configuration and would
-//! refuse every caller until the store is back. The other entries still have what they read; digests tell
-//! it who they are, and it asks them.
+//! An entry that the store does not reach would refuse every caller if it has just started, and serve them
+//! by replaced routes and withdrawn keys if it has not. The other entries have what it lacks; digests tell
+//! it who they are and how new their copies are, and it asks them.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::Pin, sync::Arc, time::Duration};
 
 use async_std::{
     future::timeout,
     task::{self, JoinHandle},
 };
+use futures_lite::stream::{self, Stream};
+use prost::Message as _;
+use rand::seq::IndexedRandom as _;
 use tarragonhill_core::gateway::{digest::Member, knowledge::Knowledge};
 use tarragonhill_wire::proto::{self, entry_client::EntryClient, entry_server};
 use tonic::{
@@ -19,10 +22,17 @@
 
 use crate::{context::Context, control::Control, edge::Update};
 
-/// Longest wait for an entry's answer; it has it in memory.
-const LIMIT: Duration = Duration::from_millis(400);
+/// Longest wait for an entry's answer to begin, and for each further piece of it: it has it in memory.
+/// The whole has no deadline, since its size is the operator's to choose.
+const LIMIT: Duration = Duration::from_millis(800);
+/// Bytes in a piece of an answer: some hundredths of a second on a slow link.
+const PIECE: usize = 32 << 10;
+/// Largest answer that is read, bytes.
+const LARGEST: usize = 32 << 20;
 /// Pause before all entries are asked again: digests come ten times a second and name new ones.
 const PAUSE: Duration = Duration::from_millis(150);
+/// How often an entry that has read the store looks whether it lacks what others have.
+const LOOK: Duration = Duration::from_millis(250);
 /// Entries that are listened to: one may itself have been cut off from the store for long, and the newest
 /// of what they tell is taken.
 const MOST_TOLD: usize = 3;
@@ -39,67 +49,108 @@
 
 struct Service(Control);
 
+type Pieces = Pin<Box<dyn Stream<Item = Result<proto::Piece, Status>> + Send>>;
+
 #[tonic::async_trait]
 impl entry_server::Entry for Service {
-    async fn tell(&self, _: Request<proto::Question>) -> Result<Response<proto::Knowledge>, Status> {
+    type TellStream = Pieces;
+
+    async fn tell(&self, question: Request<proto::Question>) -> Result<Response<Pieces>, Status> {
         let knowledge = self.0.knowledge().await;
-        let knowledge = knowledge.ok_or_else(|| Status::unavailable("nothing has been read yet"))?;
-        Ok(Response::new(proto::Knowledge::from(&knowledge)))
+        let mut knowledge = knowledge.ok_or_else(|| Status::unavailable("nothing has been read yet"))?;
+        if knowledge.versions.configuration <= question.into_inner().configuration {
+            knowledge.configuration = Arc::default();
+        }
+        let bytes = proto::Knowledge::from(&knowledge).encode_to_vec();
+        let pieces: Vec<proto::Piece> =
+            bytes.chunks(PIECE).map(|piece| proto::Piece { data: piece.to_vec() }).collect();
+        Ok(Response::new(Box::pin(stream::iter(pieces.into_iter().map(Ok)))))
     }
 }
 
-/// Asks the other entries until this one is informed, if the store does not answer at once.
+/// Asks the other entries until this one is informed, if the store does not answer at once; then for
+/// what they have read and the store has not given to this one.
 pub(crate) async fn learn(context: Arc<Context>) {
     context.control.informed(&context.clock).await;
-    while !context.control.is_informed() {
-        ask_around(&context).await;
-        context.clock.sleep(PAUSE).await;
+    loop {
+        if context.control.is_informed() {
+            let ahead = context.control.ahead().await;
+            let member = ahead.choose(&mut rand::rng()).cloned();
+            if let Some(member) = member {
+                ask_and_take(&context, &member).await;
+            }
+            context.clock.sleep(LOOK).await;
+        } else {
+            ask_around(&context).await;
+            context.clock.sleep(PAUSE).await;
+        }
     }
 }
 
 async fn ask_around(context: &Context) {
     let mut told = 0;
     for member in context.control.members().await {
-        match ask(&member).await {
-            Ok(knowledge) => {
-                take(context, &member, knowledge);
-                told += 1;
-            }
-            Err(reason) => {
-                spdlog::debug!("not told", kv: { peer = &*member.name, reason = reason.as_str() });
-            }
-        }
+        told += usize::from(ask_and_take(context, &member).await);
         if told >= MOST_TOLD {
             return;
         }
     }
 }
 
-async fn ask(member: &Member) -> Result<Knowledge, String> {
+/// Whether the entry told anything.
+async fn ask_and_take(context: &Context, member: &Member) -> bool {
+    let question = proto::Question { configuration: context.control.versions().await.configuration };
+    match ask(member, question).await {
+        Ok(knowledge) => {
+            take(context, member, knowledge);
+            true
+        }
+        Err(reason) => {
+            spdlog::debug!("not told", kv: { peer = &*member.name, reason = reason.as_str() });
+            false
+        }
+    }
+}
+
+async fn ask(member: &Member, question: proto::Question) -> Result<Knowledge, String> {
     let endpoint = Endpoint::from_shared(format!("http://{}", member.address));
     let endpoint = endpoint.map_err(|error| error.to_string())?;
-    let told = async {
-        let channel = endpoint.connect().await.map_err(|error| error.to_string())?;
-        let told = EntryClient::new(channel).tell(proto::Question {}).await;
-        told.map_err(|status| status.to_string())
-    };
-    let told = timeout(LIMIT, told).await.map_err(|_| "no answer in time".to_string())??;
-    Knowledge::try_from(told.into_inner()).map_err(|error| error.to_string())
+    let channel = in_time(endpoint.connect()).await?.map_err(|error| error.to_string())?;
+    let mut client = EntryClient::new(channel);
+    let told = in_time(client.tell(question)).await?;
+    let mut pieces = told.map_err(|status| status.to_string())?.into_inner();
+    let mut bytes = Vec::new();
+    while let Some(piece) = in_time(pieces.message()).await?.map_err(|status| status.to_string())? {
+        if bytes.len() + piece.data.len() > LARGEST {
+            return Err("answer too large".into());
+        }
+        bytes.extend_from_slice(&piece.data);
+    }
+    let knowledge = proto::Knowledge::decode(bytes.as_slice()).map_err(|error| error.to_string())?;
+    Knowledge::try_from(knowledge).map_err(|error| error.to_string())
+}
+
+async fn in_time<T>(step: impl Future<Output = T>) -> Result<T, String> {
+    timeout(LIMIT, step).await.map_err(|_| "no answer in time".to_string())
 }
 
 fn take(context: &Context, member: &Member, knowledge: Knowledge) {
-    let Knowledge { order, configuration, listing } = knowledge;
-    match context.dialect.catalog(&configuration) {
-        Ok(catalog) => {
-            spdlog::info!("told by another entry", kv: {
-                peer = &*member.name, order, version = catalog.version(), endpoints = listing.rows.len()
-            });
-            let update = Update::Catalog { order, catalog: Arc::new(catalog), source: configuration };
-            context.control.update(update);
-            context.control.update(Update::ToldListing(listing));
-        }
-        Err(reason) => {
-            spdlog::warn!("configuration ignored", kv: { peer = &*member.name, reason = reason.as_str() });
+    let Knowledge { versions, configuration, listing } = knowledge;
+    let order = versions.configuration;
+    spdlog::info!("told by another entry", kv: {
+        peer = &*member.name, order, configuration = configuration.len(), endpoints = listing.rows.len()
+    });
+    if !configuration.is_empty() {
+        match context.dialect.catalog(&configuration) {
+            Ok(catalog) => {
+                let catalog = Arc::new(catalog);
+                context.control.update(Update::Catalog { order, catalog, source: configuration });
+            }
+            Err(reason) => {
+                spdlog::warn!("configuration ignored", kv: { peer = &*member.name, reason = reason.as_str() });
+                return;
+            }
         }
     }
+    context.control.update(Update::ToldListing { listing, newest: versions.endpoints });
 }
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -12,6 +12,7 @@
         digest::{Change, Digest, Member, Share},
         forecast::{Answer, Forecast, Trend},
         growth::Growth,
+        staleness::Versions,
     },
 };
 
@@ -56,6 +57,8 @@
                 })
                 .collect(),
             forecasts: digest.forecasts.iter().map(forecast).collect(),
+            configuration: digest.versions.configuration,
+            endpoints: digest.versions.endpoints,
         }
     }
 }
@@ -141,6 +144,7 @@
             changing: changing?,
             suspects: digest.suspects.into_iter().map(|told| (told.fingerprint, told.crashes)).collect(),
             forecasts: digest.forecasts.into_iter().map(forecast_of).collect(),
+            versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
         })
     }
 }
--- a/crates/wire/src/knowledge.rs
+++ b/crates/wire/src/knowledge.rs
@@ -1,15 +1,46 @@
-//! What entries hand to one that cannot reach the store.
+//! What entries hand to one that lacks something of the store.
 
-use std::sync::Arc;
+use std::{
+    io::{self, Read as _, Write as _},
+    sync::Arc,
+};
 
+use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use tarragonhill_core::gateway::{
     directory::{Endpoint, Row},
     knowledge::Knowledge,
+    staleness::Versions,
     state::Listing,
 };
 
 use crate::{DecodeError, proto};
 
+/// Largest configuration that is taken from another entry, bytes: as large as the store's answers may be.
+const LARGEST_CONFIGURATION: u64 = 16 << 20;
+
+/// Deflates fast: the text of routes that are much alike shrinks to a tenth at any level.
+fn deflate(bytes: &[u8]) -> Vec<u8> {
+    if bytes.is_empty() {
+        return Vec::new();
+    }
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    let written = encoder.write_all(bytes);
+    written.and_then(|()| encoder.finish()).expect("writing to memory does not fail")
+}
+
+fn inflate(bytes: &[u8]) -> io::Result<Vec<u8>> {
+    let mut inflated = Vec::new();
+    if bytes.is_empty() {
+        return Ok(inflated);
+    }
+    let mut decoder = ZlibDecoder::new(bytes).take(LARGEST_CONFIGURATION + 1);
+    decoder.read_to_end(&mut inflated)?;
+    if inflated.len() as u64 > LARGEST_CONFIGURATION {
+        return Err(io::ErrorKind::FileTooLarge.into());
+    }
+    Ok(inflated)
+}
+
 impl From<&Knowledge> for proto::Knowledge {
     fn from(knowledge: &Knowledge) -> Self {
         let endpoints = knowledge.listing.rows.iter().filter_map(|row| {
@@ -28,10 +59,11 @@
             })
         });
         Self {
-            order: knowledge.order,
-            configuration: knowledge.configuration.to_vec(),
+            order: knowledge.versions.configuration,
+            configuration: deflate(&knowledge.configuration),
             list: knowledge.listing.version,
             endpoints: endpoints.collect(),
+            newest: knowledge.versions.endpoints,
         }
     }
 }
@@ -42,9 +74,12 @@
     fn try_from(knowledge: proto::Knowledge) -> Result<Self, DecodeError> {
         let rows: Result<Vec<Row>, DecodeError> =
             knowledge.endpoints.into_iter().map(Row::try_from).collect();
+        let configuration = inflate(&knowledge.configuration);
+        let configuration =
+            configuration.map_err(|error| DecodeError::Unknown("configuration", error.to_string()))?;
         Ok(Self {
-            order: knowledge.order,
-            configuration: knowledge.configuration.into(),
+            versions: Versions { configuration: knowledge.order, endpoints: knowledge.newest },
+            configuration: configuration.into(),
             listing: Listing { version: knowledge.list, whole: true, rows: rows? },
         })
     }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -345,6 +345,11 @@
     /// In one digest of ten.
     #[prost(message, repeated, tag = "9")]
     pub forecasts: ::prost::alloc::vec::Vec<Forecast>,
+    /// How new the sender's copy of the store is.
+    #[prost(uint64, tag = "10")]
+    pub configuration: u64,
+    #[prost(uint64, tag = "11")]
+    pub endpoints: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -431,16 +436,25 @@
     #[prost(double, tag = "4")]
     pub weight: f64,
 }
-/// What an entry that cannot reach the store asks of another one.
+/// What an entry that lacks something of the store asks of another one.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Question {}
+pub struct Question {
+    /// Order of the configuration that it has; a newer one is told.
+    #[prost(uint64, tag = "1")]
+    pub configuration: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Piece {
+    #[prost(bytes = "vec", tag = "1")]
+    pub data: ::prost::alloc::vec::Vec<u8>,
+}
 /// What an entry has read from the store.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Knowledge {
     /// Orders configurations.
     #[prost(uint64, tag = "1")]
     pub order: u64,
-    /// The configuration as the store holds it.
+    /// The configuration as the store holds it, deflated; empty if the asker has it.
     #[prost(bytes = "vec", tag = "2")]
     pub configuration: ::prost::alloc::vec::Vec<u8>,
     /// Version of the list of endpoints.
@@ -448,6 +462,9 @@
     pub list: u64,
     #[prost(message, repeated, tag = "4")]
     pub endpoints: ::prost::alloc::vec::Vec<Listed>,
+    /// Version of the newest row of an endpoint.
+    #[prost(uint64, tag = "5")]
+    pub newest: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Listed {
@@ -1049,10 +1066,12 @@
             self.inner = self.inner.max_encoding_message_size(limit);
             self
         }
+        /// The pieces make up a Knowledge.
         pub async fn tell(
             &mut self,
             request: impl tonic::IntoRequest<super::Question>,
-        ) -> std::result::Result<tonic::Response<super::Knowledge>, tonic::Status> {
+        ) -> std::result::Result<tonic::Response<tonic::codec::Streaming<super::Piece>>, tonic::Status>
+        {
             self.inner
                 .ready()
                 .await
@@ -1061,7 +1080,7 @@
             let path = http::uri::PathAndQuery::from_static("/tarragonhill.v1.Entry/Tell");
             let mut req = request.into_request();
             req.extensions_mut().insert(GrpcMethod::new("tarragonhill.v1.Entry", "Tell"));
-            self.inner.unary(req, path, codec).await
+            self.inner.server_streaming(req, path, codec).await
         }
     }
 }
@@ -1072,10 +1091,15 @@
     /// Generated trait containing gRPC methods that should be implemented for use with EntryServer.
     #[async_trait]
     pub trait Entry: std::marker::Send + std::marker::Sync + 'static {
+        /// Server streaming response type for the Tell method.
+        type TellStream: tonic::codegen::tokio_stream::Stream<Item = std::result::Result<super::Piece, tonic::Status>>
+            + std::marker::Send
+            + 'static;
+        /// The pieces make up a Knowledge.
         async fn tell(
             &self,
             request: tonic::Request<super::Question>,
-        ) -> std::result::Result<tonic::Response<super::Knowledge>, tonic::Status>;
+        ) -> std::result::Result<tonic::Response<Self::TellStream>, tonic::Status>;
     }
     /// Served by gateways to one another.
     #[derive(Debug)]
@@ -1151,9 +1175,10 @@
                 "/tarragonhill.v1.Entry/Tell" => {
                     #[allow(non_camel_case_types)]
                     struct TellSvc<T: Entry>(pub Arc<T>);
-                    impl<T: Entry> tonic::server::UnaryService<super::Question> for TellSvc<T> {
-                        type Response = super::Knowledge;
-                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                    impl<T: Entry> tonic::server::ServerStreamingService<super::Question> for TellSvc<T> {
+                        type Response = super::Piece;
+                        type ResponseStream = T::TellStream;
+                        type Future = BoxFuture<tonic::Response<Self::ResponseStream>, tonic::Status>;
                         fn call(&mut self, request: tonic::Request<super::Question>) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move { <T as Entry>::tell(&inner, request).await };
@@ -1177,7 +1202,7 @@
                                 max_decoding_message_size,
                                 max_encoding_message_size,
                             );
-                        let res = grpc.unary(method, req).await;
+                        let res = grpc.server_streaming(method, req).await;
                         Ok(res)
                     };
                     Box::pin(fut)
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -10,6 +10,7 @@
         forecast::{Answer as Length, Forecast, Trend},
         growth::Growth,
         knowledge::Knowledge,
+        staleness::Versions,
         state::Listing,
     },
     message::{Answer, Ask, Beat, Breakage, Event, Load, Order, Work},
@@ -144,7 +145,11 @@
 #[test]
 fn knowledge_of_the_store_survives() {
     let listing = Listing { version: 12, whole: true, rows: vec![listed("i-1"), listed("i-2")] };
-    let knowledge = Knowledge { order: 11, configuration: b"{\xff}".to_vec().into(), listing };
+    let knowledge = Knowledge {
+        versions: Versions { configuration: 11, endpoints: 9 },
+        configuration: b"{\xff}".to_vec().into(),
+        listing,
+    };
     let back = Knowledge::try_from(proto::Knowledge::from(&knowledge)).expect("it makes sense");
     assert_eq!(back, knowledge);
     let mut spoilt = proto::Knowledge::from(&knowledge);
@@ -174,6 +179,7 @@
         shares: [(name("d-1"), Share { running: 2, memory: 16_000, growth, ..Share::default() })].into(),
         failing: [(name("d-2"), 400)].into(),
         suspects: [(7, 2)].into(),
+        versions: Versions { configuration: 11, endpoints: 9 },
         forecasts: [(name("drafting"), forecast)].into(),
         ..Digest::default()
     }
