Tell callers of unknown routes to come back while another entry has a newer configuration

An entry that was behind answered 404 or 401, which callers take as final, for routes and keys that had just been added. While it knows from digests that another entry has a newer configuration it now answers 503, not run, with Retry-After; known routes are served on. The new test failed before (404).

--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -1,6 +1,7 @@
 //! How a change of the configuration reaches the entries.
 
-use async_std::task;
+use async_std::{net::UdpSocket, task};
+use prost::Message as _;
 use serde_json::json;
 use tarragonhill_bench::published::{
     caller::{self, plain},
@@ -9,6 +10,7 @@
     store::{Fault, Store},
 };
 use tarragonhill_core::Clock;
+use tarragonhill_wire::proto;
 
 /// Routes of a configuration that takes far longer than a call's wait to arrive at [`SLOW_LINK`].
 const MANY: usize = 1_000;
@@ -118,3 +120,27 @@
         .await;
     });
 }
+
+#[test]
+fn a_route_that_a_newer_configuration_may_have_is_not_refused_for_good() {
+    task::block_on(async {
+        let site = one_gateway().await;
+        assert_eq!(status(&site, "/added-1/x").await, 404);
+        // An entry that has read a newer configuration and cannot be asked for it.
+        let newer = proto::Digest {
+            name: "other".into(),
+            incarnation: 1,
+            serial: 1,
+            configuration: u64::MAX,
+            ..proto::Digest::default()
+        };
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+        socket.send_to(&newer.encode_to_vec(), site.gateways[0].peer()).await.expect("sent");
+        eventually("a newer one is known", async || site.state(0).await["behind"] == true).await;
+        let head = plain("GET", "/added-1/x", KEY, "r2");
+        let answer = caller::ask(site.address(), head, b"").await.expect("an answer");
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.field("Retry-After").is_some());
+        assert_eq!(status(&site, "/lookup/x").await, 200);
+    });
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -191,7 +191,8 @@
     let received = context.clock.now();
     context.control.informed(&context.clock).await;
     let catalog = context.control.catalog();
-    let inbound = match identify(catalog.as_deref(), head, body, call, received) {
+    let is_behind = context.control.is_behind();
+    let inbound = match identify(catalog.as_deref(), is_behind, head, body, call, received) {
         Ok(inbound) => inbound,
         Err(refusal) => return refuse(context, &refusal, id.as_deref(), answer).await,
     };
--- a/crates/gateway/src/identify.rs
+++ b/crates/gateway/src/identify.rs
@@ -21,17 +21,20 @@
 /// one within some 30 ms, or the store is away, for some seconds: callers told 0.5 s came back into the
 /// same outage and were lost, while one that bears no more than a second comes back sooner anyhow.
 const NO_CATALOG: Duration = Duration::from_secs(2);
+/// What callers of unknown routes are told while another entry has a newer configuration.
+const BEHIND: Duration = Duration::from_millis(500);
 
 /// Finds out what a request is.
 pub(crate) fn identify(
     catalog: Option<&Catalog>,
+    is_behind: bool,
     head: Request,
     body: Bytes,
     call: Call,
     received: Time,
 ) -> Result<Inbound, Refusal> {
     let found = match catalog {
-        Some(catalog) => look_up(catalog, &head, &call),
+        Some(catalog) => look_up(catalog, &head, &call).map_err(|unknown| refusal(unknown, is_behind)),
         None => {
             let refusal = Refusal::not_run(Code::SettingsUnconfirmed, "no configuration is known yet");
             Err(refusal.retry_after(NO_CATALOG))
@@ -55,15 +58,20 @@
 
 type Found = (Arc<Route>, Option<Arc<Customer>>);
 
-fn look_up(catalog: &Catalog, head: &Request, call: &Call) -> Result<Found, Refusal> {
+fn look_up(catalog: &Catalog, head: &Request, call: &Call) -> Result<Found, Unknown> {
     let host = head.fields.get("host").unwrap_or_default();
-    let route = catalog.route(host, head.path()).map_err(unknown)?;
-    let customer = catalog.caller(route, call.key.as_deref()).map_err(unknown)?;
+    let route = catalog.route(host, head.path())?;
+    let customer = catalog.caller(route, call.key.as_deref())?;
     Ok((route.clone(), customer.cloned()))
 }
 
-fn unknown(what: Unknown) -> Refusal {
-    match what {
+fn refusal(unknown: Unknown, is_behind: bool) -> Refusal {
+    match unknown {
+        // A final answer would be wrong if the route or key is one that has just been added.
+        _ if is_behind => {
+            let message = "a newer configuration may know the route and the key";
+            Refusal::not_run(Code::SettingsUnconfirmed, message).retry_after(BEHIND)
+        }
         Unknown::Route => Refusal::not_run(Code::NotFound, "no route leads there"),
         Unknown::Key => Refusal::not_run(Code::BadKey, "the key is unknown"),
     }
