Tell the totals of many customers in turn, so that digests fit a datagram

With some thousands of customers that have a rate no digest was sent at all: each named every customer, passed what a datagram carries, and failed at the socket with a line at debug level. Entries forgot one another, and each gave every customer its whole rate; failing endpoints and crashing requests were not shared either.

A digest now tells as many customers as fit 24 KB, first those of whom something was spent since they were last told and then the others in turn. Who is left out of a digest has no news there; it had counted as having spent nothing. A digest that is still too large is an error in the log. The new test of the path (21,000 customers) heard no digest before. Up to some 700 customers each digest says what it said.

--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -316,6 +316,20 @@
     })
 }
 
+/// The same with further customers that have a rate, `added` of them.
+pub fn crowded(version: u64, added: usize) -> Value {
+    let mut configuration = configuration(version);
+    let template = configuration["tenants"][1].clone();
+    let customers = configuration["tenants"].as_array_mut().expect("a list of customers");
+    for number in 0..added {
+        let mut customer = template.clone();
+        customer["name"] = format!("customer-{number:05}").into();
+        customer["api_keys"] = json!([format!("key-{number:05}")]);
+        customers.push(customer);
+    }
+    configuration
+}
+
 /// The same with further routes `/added-N/` of the plain service, N below `added`.
 pub fn grown(version: u64, added: usize) -> Value {
     let mut configuration = configuration(version);
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -1,12 +1,14 @@
 //! How a change of the configuration reaches the entries.
 
-use async_std::{net::UdpSocket, task};
+use std::time::Duration;
+
+use async_std::{future::timeout, net::UdpSocket, task};
 use prost::Message as _;
 use serde_json::json;
 use tarragonhill_bench::published::{
     caller::{self, plain},
     endpoint::Role,
-    site::{KEY, Shape, Site, eventually, grown},
+    site::{KEY, SMALL_KEY, Shape, Site, crowded, eventually, grown},
     store::{Fault, Store},
 };
 use tarragonhill_core::Clock;
@@ -16,6 +18,10 @@
 const MANY: usize = 1_000;
 /// Routes of a configuration of several megabytes.
 const VERY_MANY: usize = 20_000;
+/// Customers that the design is for.
+const CUSTOMERS: usize = 21_000;
+/// Longest wait for a digest; they come several times a second.
+const DIGEST_LIMIT: Duration = Duration::from_secs(10);
 /// Entries whose rows need two pages.
 const ENTRIES: u64 = 700;
 /// An address at which nobody listens.
@@ -144,3 +150,28 @@
         assert_eq!(status(&site, "/lookup/x").await, 200);
     });
 }
+
+#[test]
+fn entries_of_a_site_with_many_customers_hear_what_each_spends() {
+    task::block_on(async {
+        let mut site = Site::empty().await.expect("the site starts");
+        let other = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+        let address = other.local_addr().expect("an address");
+        site.store.put("entries", "other", &json!({"address": address.to_string()}));
+        site.configure(&crowded(1, CUSTOMERS));
+        site.add(Role::Plain).await.expect("an endpoint");
+        site.add_gateway().await.expect("a gateway");
+        site.in_force(1).await;
+        let answer = caller::ask(site.address(), plain("GET", "/lookup/x", SMALL_KEY, "r1"), b"").await;
+        assert_eq!(answer.expect("an answer").head.status, 200);
+        let mut bytes = vec![0; 65_536];
+        loop {
+            let heard = timeout(DIGEST_LIMIT, other.recv_from(&mut bytes)).await.expect("digests come");
+            let (length, _) = heard.expect("a datagram");
+            let digest = proto::Digest::decode(&bytes[..length]).expect("a digest");
+            if digest.spending.iter().any(|told| told.customer == "small" && told.spent == 200) {
+                return;
+            }
+        }
+    });
+}
--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ops::Bound,
     sync::Arc,
     time::Duration,
 };
@@ -27,6 +28,10 @@
 const UNHEARD: i64 = 4;
 /// How long a new process waits to hear what is left before it takes its own view for good.
 const LEARNING: Duration = Duration::from_secs(3);
+/// Bytes of customers and their totals in one digest: with the rest of it, less than a datagram carries.
+const TOLD_BYTES: usize = 24 << 10;
+/// Bytes of a customer's totals beside its name.
+const TOTALS_BYTES: usize = 24;
 /// Longest wait told: callers that wait longer have often left.
 const LONGEST_WAIT: Duration = Duration::from_secs(6);
 /// Shortest wait told to a caller that is over its rate: below it, callers come back in step.
@@ -70,6 +75,8 @@
     /// Microtokens that small requests asked for here of late, fading.
     small: i64,
     others: BTreeMap<Arc<str>, Other>,
+    /// Whether some entry has told what is left; until then the level is a guess.
+    is_told: bool,
 }
 
 impl Account {
@@ -85,6 +92,7 @@
             told: 0,
             small: 0,
             others: BTreeMap::new(),
+            is_told: false,
         }
     }
 
@@ -142,6 +150,14 @@
         self.level = (self.level - fresh + settled).clamp(-self.burst, self.burst);
     }
 
+    /// A new process takes the level from one that has been there longer, less what it has spent
+    /// itself: the other may not have heard of it.
+    fn learn(&mut self, left: i64) {
+        let level = left.saturating_mul(MICRO).saturating_sub(signed(self.spent) * MICRO);
+        self.level = level.clamp(-self.burst, self.burst);
+        self.is_told = true;
+    }
+
     fn charge_silence(&mut self, peer: &Arc<str>, passed: Duration, sharers: u32) {
         let share = signed(micros(passed)) * self.rate / i64::from(sharers.max(1));
         self.others.entry(peer.clone()).or_default().charged += share;
@@ -149,15 +165,24 @@
     }
 }
 
+/// What an entry tells of its customers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Tokens spent since its start.
+    pub spent: BTreeMap<Arc<str>, u64>,
+    /// Whole tokens left; of the same customers.
+    pub left: BTreeMap<Arc<str>, i64>,
+}
+
 /// The accounts of all customers that have a rate.
 #[derive(Clone, Debug)]
 pub struct Allowance {
     accounts: BTreeMap<Arc<str>, Account>,
     /// Customers of whom something was spent here since the last digest.
     untold: BTreeSet<Arc<str>>,
+    /// The last customer whose turn it was to be told.
+    turn: Arc<str>,
     started: Time,
-    /// Whether some entry has told what is left; until then the accounts are guesses.
-    is_told: bool,
     charged_at: Time,
 }
 
@@ -167,8 +192,8 @@
         Self {
             accounts: BTreeMap::new(),
             untold: BTreeSet::new(),
+            turn: Arc::default(),
             started: now,
-            is_told: false,
             charged_at: now,
         }
     }
@@ -213,23 +238,13 @@
 
     /// Takes what another entry has spent.
     pub fn heard(&mut self, now: Time, digest: &Digest) {
-        for (name, account) in &mut self.accounts {
+        let is_learning = now.since(self.started) < LEARNING;
+        for (name, spent) in &digest.spent {
+            let Some(account) = self.accounts.get_mut(name) else { continue };
             account.refill(now);
-            account.heard(&digest.name, digest.incarnation, digest.spent.get(name).copied().unwrap_or(0));
-        }
-        if !self.is_told && now.since(self.started) < LEARNING {
-            self.learn(digest);
-        }
-    }
-
-    /// A new process takes the level from one that has been there longer, less what it has spent
-    /// itself: the other may not have heard of it.
-    fn learn(&mut self, digest: &Digest) {
-        for (name, account) in &mut self.accounts {
-            if let Some(left) = digest.left.get(name) {
-                let level = left.saturating_mul(MICRO).saturating_sub(signed(account.spent) * MICRO);
-                account.level = level.clamp(-account.burst, account.burst);
-                self.is_told = true;
+            account.heard(&digest.name, digest.incarnation, *spent);
+            if let Some(left) = digest.left.get(name).filter(|_| is_learning && !account.is_told) {
+                account.learn(*left);
             }
         }
     }
@@ -260,18 +275,43 @@
         self.untold.iter().filter_map(|name| self.accounts.get(name)).any(Account::is_urgent)
     }
 
-    /// A digest has told what was spent here.
-    pub fn told(&mut self) {
-        for name in std::mem::take(&mut self.untold) {
-            if let Some(account) = self.accounts.get_mut(&name) {
-                account.told = account.spent;
-            }
+    /// What a digest tells: tokens spent here since the start and tokens left, by customer. As many customers as
+    /// fit, first those of whom something was spent since they were last told, then all in turn.
+    pub fn tell(&mut self, now: Time) -> Told {
+        let names = self.next_told();
+        let mut told = Told::default();
+        for name in names {
+            self.untold.remove(&name);
+            let Some(account) = self.accounts.get_mut(&name) else { continue };
+            account.refill(now);
+            account.told = account.spent;
+            told.left.insert(name.clone(), account.level / MICRO);
+            told.spent.insert(name, account.spent);
         }
+        told
     }
 
-    /// Tokens spent here, by customer.
-    pub fn spent(&self) -> BTreeMap<Arc<str>, u64> {
-        self.accounts.iter().map(|(name, account)| (name.clone(), account.spent)).collect()
+    fn next_told(&mut self) -> BTreeSet<Arc<str>> {
+        let turn = self.turn.clone();
+        let behind = self.accounts.range::<str, _>((Bound::Excluded(&*turn), Bound::Unbounded));
+        let before = self.accounts.range::<str, _>((Bound::Unbounded, Bound::Included(&*turn)));
+        let in_turn = behind.chain(before).map(|(name, _)| (name, true));
+        let urgent = self.untold.iter().map(|name| (name, false));
+        let (mut names, mut room) = (BTreeSet::new(), TOLD_BYTES);
+        let mut last = turn.clone();
+        for (name, is_turn) in urgent.chain(in_turn) {
+            if names.contains(name) {
+                continue;
+            }
+            let Some(left) = room.checked_sub(name.len() + TOTALS_BYTES) else { break };
+            room = left;
+            names.insert(name.clone());
+            if is_turn {
+                last = name.clone();
+            }
+        }
+        self.turn = last;
+        names
     }
 
     /// Tokens left to a customer as of its last request; none if it has no rate.
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -49,9 +49,10 @@
     pub serial: u64,
     /// Where the sender hears, and every entry that it knows.
     pub members: Vec<Member>,
-    /// Tokens that each customer has spent there since the sender's start.
+    /// Tokens that customers have spent there since the sender's start; as many customers as fit, the others in
+    /// later digests.
     pub spent: BTreeMap<Arc<str>, u64>,
-    /// Whole tokens left to each customer, as the sender sees it.
+    /// Whole tokens left to the same customers, as the sender sees it.
     pub left: BTreeMap<Arc<str>, i64>,
     /// What the sender has taken of each endpoint.
     pub shares: BTreeMap<Arc<str>, Share>,
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    allowance::Allowance,
+    allowance::{Allowance, Told},
     budget::{Budget, Rule},
     catalog::{Catalog, Customer, Engine},
     completion::{Completion, Prompt, declared},
@@ -227,7 +227,7 @@
     /// What this entry tells the others, and whom.
     pub fn digest(&mut self, now: Time) -> (Digest, Vec<Member>) {
         self.serial += 1;
-        self.allowance.told();
+        let Told { spent, left } = self.allowance.tell(now);
         let own = Member { name: self.identity.name.clone(), address: self.identity.address };
         let members = self.peers.heard_of_late(now).chain([own]).collect();
         let digest = Digest {
@@ -235,8 +235,8 @@
             incarnation: self.identity.incarnation,
             serial: self.serial,
             members,
-            spent: self.allowance.spent(),
-            left: self.allowance.left(now),
+            spent,
+            left,
             shares: self.loads.own(),
             failing: self.loads.own_failing(now),
             changing: self.pools.changes(now),
--- a/crates/core/tests/gateway/allowance.rs
+++ b/crates/core/tests/gateway/allowance.rs
@@ -1,10 +1,14 @@
 //! Rate and burst over all entries.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use quickcheck::{Gen, QuickCheck, TestResult};
 use tarragonhill_core::gateway::{
-    allowance::Allowance,
+    allowance::{Allowance, Told},
     catalog::Customer,
     digest::{Digest, Member, Peers},
 };
@@ -21,14 +25,8 @@
 }
 
 fn digest(name: &str, serial: u64, allowance: &mut Allowance, now: u64) -> Digest {
-    Digest {
-        name: name.into(),
-        incarnation: 1,
-        serial,
-        spent: allowance.spent(),
-        left: allowance.left(at(now)),
-        ..Digest::default()
-    }
+    let Told { spent, left } = allowance.tell(at(now));
+    Digest { name: name.into(), incarnation: 1, serial, spent, left, ..Digest::default() }
 }
 
 #[test]
@@ -211,9 +209,43 @@
     assert!(!allowance.is_urgent(), "most of the burst is left");
     assert!(allowance.spend(at(10_000), "faculty", 3_000).is_ok());
     assert!(allowance.is_urgent());
-    allowance.told();
+    allowance.tell(at(10_000));
     assert!(!allowance.is_urgent());
     // Lookups hardly count: each would cost a digest to every other entry.
     assert!(allowance.spend(at(10_000), "faculty", 100).is_ok());
     assert!(!allowance.is_urgent());
 }
+
+#[test]
+fn totals_of_many_customers_fit_a_datagram_and_are_all_told_in_turn() {
+    let customers: Vec<_> =
+        (0..21_000).map(|number| Arc::new(customer(&format!("customer-{number:05}"), RATE, BURST))).collect();
+    let mut allowance = Allowance::new(at(0));
+    allowance.adjust(at(0), customers.iter());
+    let mut told = BTreeSet::new();
+    for round in 0..60 {
+        let spender = &customers[round * 349].name;
+        allowance.spend(at(10_000), spender, 7).expect("the burst is there");
+        let totals = allowance.tell(at(10_000));
+        let bytes: usize = totals.spent.keys().map(|name| name.len() + 20).sum();
+        assert!(bytes < 30_000, "{bytes} bytes");
+        assert!(totals.spent.contains_key(spender), "what was just spent is told first");
+        told.extend(totals.spent.into_keys());
+    }
+    assert_eq!(told.len(), customers.len());
+}
+
+#[test]
+fn a_customer_that_a_digest_leaves_out_has_spent_no_less_than_before() {
+    let faculty = Arc::new(customer("faculty", RATE, BURST));
+    let (mut one, mut two) = (allowance(&faculty), allowance(&faculty));
+    two.heard(at(0), &digest("one", 1, &mut one, 0));
+    one.spend(at(10_000), "faculty", 3_000).expect("the burst is there");
+    two.heard(at(10_000), &digest("one", 2, &mut one, 10_000));
+    let left = two.left(at(10_000))["faculty"];
+    for serial in 3..6 {
+        two.heard(at(10_000), &Digest { spent: BTreeMap::new(), ..digest("one", serial, &mut one, 10_000) });
+    }
+    two.heard(at(10_000), &digest("one", 6, &mut one, 10_000));
+    assert_eq!(two.left(at(10_000))["faculty"], left);
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,8 +23,15 @@
 
 /// Sends what the control thread gives, for ever.
 pub(crate) async fn send(socket: Arc<UdpSocket>, outgoing: Receiver<Outgoing>) {
+    let mut was_too_large = false;
     while let Ok((digest, members)) = outgoing.recv().await {
         let bytes = proto::Digest::from(&digest).encode_to_vec();
+        let is_too_large = bytes.len() > LARGEST;
+        if is_too_large && !was_too_large {
+            // Nobody hears this entry, which shares rates and endpoints with all.
+            spdlog::error!("digest too large to be sent", kv: { bytes = bytes.len(), most = LARGEST });
+        }
+        was_too_large = is_too_large;
         for member in members {
             if let Err(error) = socket.send_to(&bytes, member.address).await {
                 spdlog::debug!("digest not sent", kv: { peer = &*member.name, reason = error.to_string().as_str() });
