Bound the pauses of a response body that is read whole

An answer of the table or an engine that stalled midway held its reader for ever: the client's limit ends with the head, and the body had none. An entry of the product's own interface whose table went silent in the middle of a list heard of no further settings. The body now may take as long as it goes on, and is given up after a pause of 2 s.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use async_std::net::TcpStream;
+use async_std::{future::timeout, net::TcpStream};
 use futures_lite::{AsyncBufReadExt as _, AsyncReadExt as _, future};
 use http_types::{Body, Method, Request, Response, Url};
 
@@ -18,6 +18,10 @@
 const IDLE: usize = 64;
 /// Largest response body that is read whole, bytes.
 const LARGEST: u64 = 64 << 20;
+/// Longest pause in a response body that is read whole.
+const STALL_LIMIT: Duration = Duration::from_secs(2);
+/// Bytes asked for in one read of such a body.
+const READ: usize = 16 << 10;
 
 /// A request to be sent.
 #[derive(Clone, Debug)]
@@ -150,8 +154,15 @@
     /// Reads the whole body and keeps the connection.
     pub async fn bytes(mut self) -> Result<Vec<u8>, Error> {
         let mut bytes = Vec::new();
+        let mut piece = vec![0; READ];
         let mut body = self.response.take_body().take(LARGEST);
-        body.read_to_end(&mut bytes).await.map_err(|error| Error::Broken(error.to_string()))?;
+        loop {
+            let read = timeout(STALL_LIMIT, body.read(&mut piece)).await.map_err(|_| Error::Timeout)?;
+            match read.map_err(|error| Error::Broken(error.to_string()))? {
+                0 => break,
+                read => bytes.extend_from_slice(&piece[..read]),
+            }
+        }
         self.keep();
         Ok(bytes)
     }
@@ -181,14 +192,9 @@
 }
 
 impl Pool {
-    /// Sends a request and waits for the answer's head, `timeout` at most.
-    pub async fn send(
-        &self,
-        address: SocketAddr,
-        call: Call,
-        timeout: Duration,
-    ) -> Result<Answer<'_>, Error> {
-        let sent = async_std::future::timeout(timeout, self.exchange(address, &call));
+    /// Sends a request and waits for the answer's head, `limit` at most.
+    pub async fn send(&self, address: SocketAddr, call: Call, limit: Duration) -> Result<Answer<'_>, Error> {
+        let sent = timeout(limit, self.exchange(address, &call));
         sent.await.unwrap_or(Err(Error::Timeout))
     }
 
