--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -317,7 +317,7 @@
 }
 
 /// The same with further customers that have a rate, `added` of them.
-pub fn crowded(version: u64, added: usize) -> Value {
+pub fn with_customers(version: u64, added: usize) -> Value {
     let mut configuration = configuration(version);
     let template = configuration["tenants"][1].clone();
     let customers = configuration["tenants"].as_array_mut().expect("a list of customers");
@@ -331,7 +331,7 @@
 }
 
 /// The same with further routes `/added-N/` of the plain service, N below `added`.
-pub fn grown(version: u64, added: usize) -> Value {
+pub fn with_routes(version: u64, added: usize) -> Value {
     let mut configuration = configuration(version);
     let template = configuration["routes"][3].clone();
     let routes = configuration["routes"].as_array_mut().expect("a list of routes");
--- a/crates/bench/src/published/store.rs
+++ b/crates/bench/src/published/store.rs
@@ -25,8 +25,8 @@
 const PAGE: usize = 500;
 /// How often a waiting feed looks for changes.
 const POLL: Duration = Duration::from_millis(5);
-/// Pieces a second in which an answer is written at a limited rate.
-const PIECES_PER_S: u64 = 20;
+/// Chunks a second in which an answer is written at a limited rate.
+const CHUNKS_PER_S: u64 = 20;
 
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
@@ -118,14 +118,14 @@
     }
 
     /// Starts a further store with the same rows, which goes its own way from there.
-    pub async fn copy(&self) -> io::Result<Self> {
-        let copy = Self::start(SocketAddr::from((self.address().ip(), 0))).await?;
+    pub async fn fork(&self) -> io::Result<Self> {
+        let fork = Self::start(SocketAddr::from((self.address().ip(), 0))).await?;
         {
-            let (own, mut other) = (lock(&self.state), lock(&copy.state));
+            let (own, mut other) = (lock(&self.state), lock(&fork.state));
             other.version = own.version;
             other.rows = own.rows.clone();
         }
-        Ok(copy)
+        Ok(fork)
     }
 
     /// Writes a row, as the operator or an endpoint would.
@@ -185,7 +185,7 @@
         Fault::Busy => return reply(&state, connection, 503, &json!({})).await,
         Fault::Reset => return (connection, Then::Reset),
         Fault::Silent => {
-            given_up(&mut connection).await;
+            wait_for_close(&mut connection).await;
             return (connection, Then::Close);
         }
     }
@@ -294,7 +294,7 @@
     if fault == Fault::Stalled {
         // Fails only if the peer has given up already.
         let _ = connection.write(&bytes[..bytes.len() / 2]).await;
-        given_up(&mut connection).await;
+        wait_for_close(&mut connection).await;
         return (connection, Then::Close);
     }
     let written = match rate {
@@ -305,15 +305,15 @@
 }
 
 /// Completes once the peer has closed the connection.
-async fn given_up(connection: &mut Connection) {
+async fn wait_for_close(connection: &mut Connection) {
     while matches!(connection.fill().await, Ok(read) if read > 0) {}
 }
 
 async fn write_at(connection: &mut Connection, bytes: &[u8], rate: u64) -> io::Result<()> {
-    let size = usize::try_from(rate / PIECES_PER_S).unwrap_or(usize::MAX).max(1);
-    for piece in bytes.chunks(size) {
-        connection.write(piece).await?;
-        task::sleep(Duration::from_secs(1) / PIECES_PER_S as u32).await;
+    let size = usize::try_from(rate / CHUNKS_PER_S).unwrap_or(usize::MAX).max(1);
+    for chunk in bytes.chunks(size) {
+        connection.write(chunk).await?;
+        task::sleep(Duration::from_secs(1) / CHUNKS_PER_S as u32).await;
     }
     Ok(())
 }
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -8,7 +8,7 @@
 use tarragonhill_bench::published::{
     caller::{self, plain},
     endpoint::Role,
-    site::{KEY, SMALL_KEY, Shape, Site, crowded, eventually, grown},
+    site::{KEY, SMALL_KEY, Shape, Site, eventually, with_customers, with_routes},
     store::{Fault, Store},
 };
 use tarragonhill_core::Clock;
@@ -40,13 +40,13 @@
 }
 
 /// Two gateways; the store of the second goes its own way from now on.
-async fn parted() -> (Site, Store) {
+async fn partitioned() -> (Site, Store) {
     let mut site = one_gateway().await;
     eventually("the entry is listed", async || site.store.has("entries", "entry-1")).await;
-    let copy = site.store.copy().await.expect("a store");
-    site.add_gateway_on(copy.address(), Clock::runtime()).await.expect("a gateway");
+    let fork = site.store.fork().await.expect("a store");
+    site.add_gateway_on(fork.address(), Clock::runtime()).await.expect("a gateway");
     site.settled().await;
-    (site, copy)
+    (site, fork)
 }
 
 #[test]
@@ -54,7 +54,7 @@
     task::block_on(async {
         let site = one_gateway().await;
         site.store.set_rate(Some(SLOW_LINK));
-        site.configure(&grown(2, MANY));
+        site.configure(&with_routes(2, MANY));
         site.in_force(2).await;
         assert_eq!(status(&site, "/added-999/x").await, 200);
     });
@@ -65,7 +65,7 @@
     task::block_on(async {
         let site = one_gateway().await;
         site.store.set_fault(Fault::Stalled);
-        site.configure(&grown(2, MANY));
+        site.configure(&with_routes(2, MANY));
         let calls = site.store.calls();
         eventually("the configuration is asked for again", async || site.store.calls() > calls + 3).await;
         site.store.set_fault(Fault::None);
@@ -77,7 +77,7 @@
 fn a_configuration_of_several_megabytes_comes_into_force() {
     task::block_on(async {
         let site = one_gateway().await;
-        site.configure(&grown(2, VERY_MANY));
+        site.configure(&with_routes(2, VERY_MANY));
         site.in_force(2).await;
     });
 }
@@ -86,7 +86,7 @@
 fn entries_beyond_the_first_page_of_their_table_are_known() {
     task::block_on(async {
         let mut site = Site::empty().await.expect("the site starts");
-        site.configure(&grown(1, 0));
+        site.configure(&with_routes(1, 0));
         for number in 0..ENTRIES {
             site.store.put("entries", &format!("other-{number:04}"), &json!({"address": NOBODY}));
         }
@@ -101,9 +101,9 @@
 #[test]
 fn an_entry_that_the_store_does_not_reach_gets_a_new_configuration_from_another() {
     task::block_on(async {
-        let (site, cut) = parted().await;
+        let (site, cut) = partitioned().await;
         cut.set_fault(Fault::Silent);
-        site.configure(&grown(2, MANY));
+        site.configure(&with_routes(2, MANY));
         eventually("the version is in force at both", async || {
             site.state(1).await["version"].as_u64() == Some(2)
         })
@@ -114,7 +114,7 @@
 #[test]
 fn an_entry_that_the_store_does_not_reach_hears_of_a_leaving_endpoint() {
     task::block_on(async {
-        let (mut site, cut) = parted().await;
+        let (mut site, cut) = partitioned().await;
         cut.set_fault(Fault::Silent);
         let endpoint = site.endpoints(Role::Plain).remove(0);
         site.list(&endpoint, "draining");
@@ -158,7 +158,7 @@
         let other = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
         let address = other.local_addr().expect("an address");
         site.store.put("entries", "other", &json!({"address": address.to_string()}));
-        site.configure(&crowded(1, CUSTOMERS));
+        site.configure(&with_customers(1, CUSTOMERS));
         site.add(Role::Plain).await.expect("an endpoint");
         site.add_gateway().await.expect("a gateway");
         site.in_force(1).await;
--- a/crates/core/src/gateway/allowance.rs
+++ b/crates/core/src/gateway/allowance.rs
@@ -29,9 +29,9 @@
 /// How long a new process waits to hear what is left before it takes its own view for good.
 const LEARNING: Duration = Duration::from_secs(3);
 /// Bytes of customers and their totals in one digest: with the rest of it, less than a datagram carries.
-const TOLD_BYTES: usize = 24 << 10;
+const TOTALS_BYTES: usize = 24 << 10;
 /// Bytes of a customer's totals beside its name.
-const TOTALS_BYTES: usize = 24;
+const CUSTOMER_BYTES: usize = 24;
 /// Longest wait told: callers that wait longer have often left.
 const LONGEST_WAIT: Duration = Duration::from_secs(6);
 /// Shortest wait told to a caller that is over its rate: below it, callers come back in step.
@@ -75,8 +75,8 @@
     /// Microtokens that small requests asked for here of late, fading.
     small: i64,
     others: BTreeMap<Arc<str>, Other>,
-    /// Whether some entry has told what is left; until then the level is a guess.
-    is_told: bool,
+    /// Whether the level was taken from another entry; until then it is a guess.
+    is_initialized: bool,
 }
 
 impl Account {
@@ -92,7 +92,7 @@
             told: 0,
             small: 0,
             others: BTreeMap::new(),
-            is_told: false,
+            is_initialized: false,
         }
     }
 
@@ -131,7 +131,7 @@
     }
 
     /// When a caller should come back that needs `needed` microtokens: behind those that were sent
-    /// back before it. Told the same moment, they would meet there, and all but one would be refused
+    /// back before it. Totals the same moment, they would meet there, and all but one would be refused
     /// once more.
     fn send_back(&mut self, needed: i64) -> Duration {
         let missing = (needed - self.level).max(self.promised + needed - self.level.max(0));
@@ -155,7 +155,7 @@
     fn learn(&mut self, left: i64) {
         let level = left.saturating_mul(MICRO).saturating_sub(signed(self.spent) * MICRO);
         self.level = level.clamp(-self.burst, self.burst);
-        self.is_told = true;
+        self.is_initialized = true;
     }
 
     fn charge_silence(&mut self, peer: &Arc<str>, passed: Duration, sharers: u32) {
@@ -165,9 +165,9 @@
     }
 }
 
-/// What an entry tells of its customers.
+/// Totals of customers at one entry.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Told {
+pub struct Totals {
     /// Tokens spent since its start.
     pub spent: BTreeMap<Arc<str>, u64>,
     /// Whole tokens left; of the same customers.
@@ -180,8 +180,8 @@
     accounts: BTreeMap<Arc<str>, Account>,
     /// Customers of whom something was spent here since the last digest.
     untold: BTreeSet<Arc<str>>,
-    /// The last customer whose turn it was to be told.
-    turn: Arc<str>,
+    /// The last customer in the order of names whose totals were taken; the next digest goes on behind it.
+    cursor: Arc<str>,
     started: Time,
     charged_at: Time,
 }
@@ -192,7 +192,7 @@
         Self {
             accounts: BTreeMap::new(),
             untold: BTreeSet::new(),
-            turn: Arc::default(),
+            cursor: Arc::default(),
             started: now,
             charged_at: now,
         }
@@ -243,7 +243,7 @@
             let Some(account) = self.accounts.get_mut(name) else { continue };
             account.refill(now);
             account.heard(&digest.name, digest.incarnation, *spent);
-            if let Some(left) = digest.left.get(name).filter(|_| is_learning && !account.is_told) {
+            if let Some(left) = digest.left.get(name).filter(|_| is_learning && !account.is_initialized) {
                 account.learn(*left);
             }
         }
@@ -275,42 +275,42 @@
         self.untold.iter().filter_map(|name| self.accounts.get(name)).any(Account::is_urgent)
     }
 
-    /// What a digest tells: tokens spent here since the start and tokens left, by customer. As many customers as
-    /// fit, first those of whom something was spent since they were last told, then all in turn.
-    pub fn tell(&mut self, now: Time) -> Told {
-        let names = self.next_told();
-        let mut told = Told::default();
+    /// Totals for the next digest, of as many customers as fit: first those of whom something was spent since the
+    /// digest that had them last, then the others in the order of their names, from where the last digest ended.
+    pub fn take_totals(&mut self, now: Time) -> Totals {
+        let names = self.next_customers();
+        let mut totals = Totals::default();
         for name in names {
             self.untold.remove(&name);
             let Some(account) = self.accounts.get_mut(&name) else { continue };
             account.refill(now);
             account.told = account.spent;
-            told.left.insert(name.clone(), account.level / MICRO);
-            told.spent.insert(name, account.spent);
+            totals.left.insert(name.clone(), account.level / MICRO);
+            totals.spent.insert(name, account.spent);
         }
-        told
+        totals
     }
 
-    fn next_told(&mut self) -> BTreeSet<Arc<str>> {
-        let turn = self.turn.clone();
-        let behind = self.accounts.range::<str, _>((Bound::Excluded(&*turn), Bound::Unbounded));
-        let before = self.accounts.range::<str, _>((Bound::Unbounded, Bound::Included(&*turn)));
-        let in_turn = behind.chain(before).map(|(name, _)| (name, true));
+    fn next_customers(&mut self) -> BTreeSet<Arc<str>> {
+        let cursor = self.cursor.clone();
+        let behind = self.accounts.range::<str, _>((Bound::Excluded(&*cursor), Bound::Unbounded));
+        let before = self.accounts.range::<str, _>((Bound::Unbounded, Bound::Included(&*cursor)));
+        let in_order = behind.chain(before).map(|(name, _)| (name, true));
         let urgent = self.untold.iter().map(|name| (name, false));
-        let (mut names, mut room) = (BTreeSet::new(), TOLD_BYTES);
-        let mut last = turn.clone();
-        for (name, is_turn) in urgent.chain(in_turn) {
+        let (mut names, mut room) = (BTreeSet::new(), TOTALS_BYTES);
+        let mut last = cursor.clone();
+        for (name, is_in_order) in urgent.chain(in_order) {
             if names.contains(name) {
                 continue;
             }
-            let Some(left) = room.checked_sub(name.len() + TOTALS_BYTES) else { break };
+            let Some(left) = room.checked_sub(name.len() + CUSTOMER_BYTES) else { break };
             room = left;
             names.insert(name.clone());
-            if is_turn {
+            if is_in_order {
                 last = name.clone();
             }
         }
-        self.turn = last;
+        self.cursor = last;
         names
     }
 
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    allowance::{Allowance, Told},
+    allowance::{Allowance, Totals},
     budget::{Budget, Rule},
     catalog::{Catalog, Customer, Engine},
     completion::{Completion, Prompt, declared},
@@ -227,7 +227,7 @@
     /// What this entry tells the others, and whom.
     pub fn digest(&mut self, now: Time) -> (Digest, Vec<Member>) {
         self.serial += 1;
-        let Told { spent, left } = self.allowance.tell(now);
+        let Totals { spent, left } = self.allowance.take_totals(now);
         let own = Member { name: self.identity.name.clone(), address: self.identity.address };
         let members = self.peers.heard_of_late(now).chain([own]).collect();
         let digest = Digest {
--- a/crates/core/tests/gateway/allowance.rs
+++ b/crates/core/tests/gateway/allowance.rs
@@ -8,7 +8,7 @@
 
 use quickcheck::{Gen, QuickCheck, TestResult};
 use tarragonhill_core::gateway::{
-    allowance::{Allowance, Told},
+    allowance::{Allowance, Totals},
     catalog::Customer,
     digest::{Digest, Member, Peers},
 };
@@ -25,7 +25,7 @@
 }
 
 fn digest(name: &str, serial: u64, allowance: &mut Allowance, now: u64) -> Digest {
-    let Told { spent, left } = allowance.tell(at(now));
+    let Totals { spent, left } = allowance.take_totals(at(now));
     Digest { name: name.into(), incarnation: 1, serial, spent, left, ..Digest::default() }
 }
 
@@ -209,7 +209,7 @@
     assert!(!allowance.is_urgent(), "most of the burst is left");
     assert!(allowance.spend(at(10_000), "faculty", 3_000).is_ok());
     assert!(allowance.is_urgent());
-    allowance.tell(at(10_000));
+    allowance.take_totals(at(10_000));
     assert!(!allowance.is_urgent());
     // Lookups hardly count: each would cost a digest to every other entry.
     assert!(allowance.spend(at(10_000), "faculty", 100).is_ok());
@@ -217,22 +217,22 @@
 }
 
 #[test]
-fn totals_of_many_customers_fit_a_datagram_and_are_all_told_in_turn() {
+fn totals_of_many_customers_fit_a_datagram_and_all_get_their_turn() {
     let customers: Vec<_> =
         (0..21_000).map(|number| Arc::new(customer(&format!("customer-{number:05}"), RATE, BURST))).collect();
     let mut allowance = Allowance::new(at(0));
     allowance.adjust(at(0), customers.iter());
-    let mut told = BTreeSet::new();
+    let mut seen = BTreeSet::new();
     for round in 0..60 {
         let spender = &customers[round * 349].name;
         allowance.spend(at(10_000), spender, 7).expect("the burst is there");
-        let totals = allowance.tell(at(10_000));
+        let totals = allowance.take_totals(at(10_000));
         let bytes: usize = totals.spent.keys().map(|name| name.len() + 20).sum();
         assert!(bytes < 30_000, "{bytes} bytes");
-        assert!(totals.spent.contains_key(spender), "what was just spent is told first");
-        told.extend(totals.spent.into_keys());
+        assert!(totals.spent.contains_key(spender), "what was just spent comes first");
+        seen.extend(totals.spent.into_keys());
     }
-    assert_eq!(told.len(), customers.len());
+    assert_eq!(seen.len(), customers.len());
 }
 
 #[test]
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -22,17 +22,17 @@
 
 use crate::{context::Context, control::Control, edge::Update};
 
-/// Longest wait for an entry's answer to begin, and for each further piece of it: it has it in memory.
+/// Longest wait for an entry's answer to begin, and for each further chunk of it: it has it in memory.
 /// The whole has no deadline, since its size is the operator's to choose.
 const LIMIT: Duration = Duration::from_millis(800);
-/// Bytes in a piece of an answer: some hundredths of a second on a slow link.
-const PIECE: usize = 32 << 10;
+/// Bytes in a chunk of an answer: some hundredths of a second on a slow link.
+const CHUNK: usize = 32 << 10;
 /// Largest answer that is read, bytes.
 const LARGEST: usize = 32 << 20;
 /// Pause before all entries are asked again: digests come ten times a second and name new ones.
 const PAUSE: Duration = Duration::from_millis(150);
-/// How often an entry that has read the store looks whether it lacks what others have.
-const LOOK: Duration = Duration::from_millis(250);
+/// How often an entry that has read the store checks whether it lacks what others have.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Entries that are listened to: one may itself have been cut off from the store for long, and the newest
 /// of what they tell is taken.
 const MOST_TOLD: usize = 3;
@@ -49,22 +49,22 @@
 
 struct Service(Control);
 
-type Pieces = Pin<Box<dyn Stream<Item = Result<proto::Piece, Status>> + Send>>;
+type Chunks = Pin<Box<dyn Stream<Item = Result<proto::Chunk, Status>> + Send>>;
 
 #[tonic::async_trait]
 impl entry_server::Entry for Service {
-    type TellStream = Pieces;
+    type TellStream = Chunks;
 
-    async fn tell(&self, question: Request<proto::Question>) -> Result<Response<Pieces>, Status> {
+    async fn tell(&self, question: Request<proto::Question>) -> Result<Response<Chunks>, Status> {
         let knowledge = self.0.knowledge().await;
         let mut knowledge = knowledge.ok_or_else(|| Status::unavailable("nothing has been read yet"))?;
         if knowledge.versions.configuration <= question.into_inner().configuration {
             knowledge.configuration = Arc::default();
         }
         let bytes = proto::Knowledge::from(&knowledge).encode_to_vec();
-        let pieces: Vec<proto::Piece> =
-            bytes.chunks(PIECE).map(|piece| proto::Piece { data: piece.to_vec() }).collect();
-        Ok(Response::new(Box::pin(stream::iter(pieces.into_iter().map(Ok)))))
+        let chunks: Vec<proto::Chunk> =
+            bytes.chunks(CHUNK).map(|data| proto::Chunk { data: data.to_vec() }).collect();
+        Ok(Response::new(Box::pin(stream::iter(chunks.into_iter().map(Ok)))))
     }
 }
 
@@ -77,9 +77,9 @@
             let ahead = context.control.ahead().await;
             let member = ahead.choose(&mut rand::rng()).cloned();
             if let Some(member) = member {
-                ask_and_take(&context, &member).await;
+                fetch(&context, &member).await;
             }
-            context.clock.sleep(LOOK).await;
+            context.clock.sleep(CHECK_INTERVAL).await;
         } else {
             ask_around(&context).await;
             context.clock.sleep(PAUSE).await;
@@ -90,15 +90,15 @@
 async fn ask_around(context: &Context) {
     let mut told = 0;
     for member in context.control.members().await {
-        told += usize::from(ask_and_take(context, &member).await);
+        told += usize::from(fetch(context, &member).await);
         if told >= MOST_TOLD {
             return;
         }
     }
 }
 
-/// Whether the entry told anything.
-async fn ask_and_take(context: &Context, member: &Member) -> bool {
+/// Fetches what another entry has; false if it does not answer.
+async fn fetch(context: &Context, member: &Member) -> bool {
     let question = proto::Question { configuration: context.control.versions().await.configuration };
     match ask(member, question).await {
         Ok(knowledge) => {
@@ -118,13 +118,13 @@
     let channel = in_time(endpoint.connect()).await?.map_err(|error| error.to_string())?;
     let mut client = EntryClient::new(channel);
     let told = in_time(client.tell(question)).await?;
-    let mut pieces = told.map_err(|status| status.to_string())?.into_inner();
+    let mut chunks = told.map_err(|status| status.to_string())?.into_inner();
     let mut bytes = Vec::new();
-    while let Some(piece) = in_time(pieces.message()).await?.map_err(|status| status.to_string())? {
-        if bytes.len() + piece.data.len() > LARGEST {
+    while let Some(chunk) = in_time(chunks.message()).await?.map_err(|status| status.to_string())? {
+        if bytes.len() + chunk.data.len() > LARGEST {
             return Err("answer too large".into());
         }
-        bytes.extend_from_slice(&piece.data);
+        bytes.extend_from_slice(&chunk.data);
     }
     let knowledge = proto::Knowledge::decode(bytes.as_slice()).map_err(|error| error.to_string())?;
     Knowledge::try_from(knowledge).map_err(|error| error.to_string())
--- a/crates/gateway/src/identify.rs
+++ b/crates/gateway/src/identify.rs
@@ -22,7 +22,7 @@
 /// same outage and were lost, while one that bears no more than a second comes back sooner anyhow.
 const NO_CATALOG: Duration = Duration::from_secs(2);
 /// What callers of unknown routes are told while another entry has a newer configuration.
-const BEHIND: Duration = Duration::from_millis(500);
+const RETRY_BEHIND: Duration = Duration::from_millis(500);
 
 /// Finds out what a request is.
 pub(crate) fn identify(
@@ -70,7 +70,7 @@
         // A final answer would be wrong if the route or key is one that has just been added.
         _ if is_behind => {
             let message = "a newer configuration may know the route and the key";
-            Refusal::not_run(Code::SettingsUnconfirmed, message).retry_after(BEHIND)
+            Refusal::not_run(Code::SettingsUnconfirmed, message).retry_after(RETRY_BEHIND)
         }
         Unknown::Route => Refusal::not_run(Code::NotFound, "no route leads there"),
         Unknown::Key => Refusal::not_run(Code::BadKey, "the key is unknown"),
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -444,7 +444,7 @@
     pub configuration: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Piece {
+pub struct Chunk {
     #[prost(bytes = "vec", tag = "1")]
     pub data: ::prost::alloc::vec::Vec<u8>,
 }
@@ -1066,11 +1066,11 @@
             self.inner = self.inner.max_encoding_message_size(limit);
             self
         }
-        /// The pieces make up a Knowledge.
+        /// The chunks make up a Knowledge.
         pub async fn tell(
             &mut self,
             request: impl tonic::IntoRequest<super::Question>,
-        ) -> std::result::Result<tonic::Response<tonic::codec::Streaming<super::Piece>>, tonic::Status>
+        ) -> std::result::Result<tonic::Response<tonic::codec::Streaming<super::Chunk>>, tonic::Status>
         {
             self.inner
                 .ready()
@@ -1092,10 +1092,10 @@
     #[async_trait]
     pub trait Entry: std::marker::Send + std::marker::Sync + 'static {
         /// Server streaming response type for the Tell method.
-        type TellStream: tonic::codegen::tokio_stream::Stream<Item = std::result::Result<super::Piece, tonic::Status>>
+        type TellStream: tonic::codegen::tokio_stream::Stream<Item = std::result::Result<super::Chunk, tonic::Status>>
             + std::marker::Send
             + 'static;
-        /// The pieces make up a Knowledge.
+        /// The chunks make up a Knowledge.
         async fn tell(
             &self,
             request: tonic::Request<super::Question>,
@@ -1176,7 +1176,7 @@
                     #[allow(non_camel_case_types)]
                     struct TellSvc<T: Entry>(pub Arc<T>);
                     impl<T: Entry> tonic::server::ServerStreamingService<super::Question> for TellSvc<T> {
-                        type Response = super::Piece;
+                        type Response = super::Chunk;
                         type ResponseStream = T::TellStream;
                         type Future = BoxFuture<tonic::Response<Self::ResponseStream>, tonic::Status>;
                         fn call(&mut self, request: tonic::Request<super::Question>) -> Self::Future {
