Test sites: entries hear one another at an address of their own

An entry takes the port that the system gives its datagrams for its connections too, and on the site's address that port may belong to a stand-in's listener. Ruled out: the programs themselves, which are given their ports by settings.

On an address of their own the entries' pairs of ports meet only one another: a datagram port that is taken is not given out twice. No test or bound is changed.

--- a/crates/bench/src/published/site.rs
+++ b/crates/bench/src/published/site.rs
@@ -96,6 +96,9 @@
     /// The loopback address of this site alone: a port that comes free here is not taken by another
     /// site of the same process, whose processes would be taken for ours.
     ip: Ipv4Addr,
+    /// Where the entries hear one another. They take the same port for datagrams and connections, so nothing
+    /// else may take ports there.
+    peer_ip: Ipv4Addr,
     /// Numbers endpoints, configurations and heartbeats.
     counter: u64,
 }
@@ -124,7 +127,15 @@
         let ip = own_ip();
         let store = Store::start(SocketAddr::from((ip, 0))).await?;
         let results = Results::default();
-        Ok(Self { store, gateways: Vec::new(), endpoints: Vec::new(), results, ip, counter: 0 })
+        Ok(Self {
+            store,
+            gateways: Vec::new(),
+            endpoints: Vec::new(),
+            results,
+            ip,
+            peer_ip: own_ip(),
+            counter: 0,
+        })
     }
 
     /// Starts a further gateway.
@@ -140,7 +151,8 @@
 
     /// Starts a further gateway that reads a store of its own.
     pub async fn add_gateway_on(&mut self, table: SocketAddr, clock: Clock) -> Result<(), SiteError> {
-        let mut settings = self.settings(self.gateways.len() + 1, SocketAddr::from((self.ip, 0)));
+        let peer = SocketAddr::from((self.peer_ip, 0));
+        let mut settings = self.settings(self.gateways.len() + 1, peer);
         settings.common.table = table;
         let gateway = Gateway::start(settings, clock).await.map_err(SiteError::Gateway)?;
         self.gateways.push(gateway);
