Relay digests between availability zones in large fleets

Cause: each gateway sent its whole digest to every other one ten times a second.

Ruled out: slower digests in a mesh (bytes still grow with the square, load gets old); sums by zone (120 endpoints with their growth are as large as the digests of 14 gateways, and need rules against counting twice).

Change: above eight gateways, each sends its digest to the two relays of its zone: the live ones with the most processor time (new setting cpu-share), then by hash. Relays pass digests on unchanged to their half of the zone, to one relay of each other zone and to the other relay. Origin, incarnation and serial stay, so nothing counts twice. The digest interval grows with the fleet above 68; timeouts follow it. Digests name only their sender, and totals of a few customers in rotation beside those with news. Invalid digests are logged once a second at most.

Found by the new simulation before it passed: zones that lose all relays at once no longer found each other; a restarted gateway that knew one relay only stayed deaf.

--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod demo;
+pub mod gossip;
 pub mod measure;
 pub mod overhead;
 pub mod site;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod check;
 pub mod cmd;
 pub mod fleet;
+pub mod gossip;
 pub mod platform;
 pub mod score;
 pub mod sim;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,7 +5,7 @@
 
 use async_std::task;
 use bpaf::Bpaf;
-use tarragonhill_bench::cmd::{check, demo, measure, overhead, site, slopes};
+use tarragonhill_bench::cmd::{check, demo, gossip, measure, overhead, site, slopes};
 use tarragonhill_daemon::logging;
 
 /// Simulated servers, load generation and experiments for the tarragonhill router
@@ -30,6 +30,9 @@
     /// Measure how the cost of each role grows with the fleet size
     #[bpaf(command)]
     Slopes,
+    /// Measure the digests that gateways exchange, by fleet size, in a simulated network
+    #[bpaf(command)]
+    Gossip(#[bpaf(external(gossip::options))] gossip::Options),
 }
 
 fn main() -> ExitCode {
@@ -43,6 +46,7 @@
         Options::Check(options) => task::block_on(check::execute(options)),
         Options::Site => task::block_on(site::execute()),
         Options::Slopes => task::block_on(slopes::execute()),
+        Options::Gossip(options) => gossip::execute(options),
         Options::Measure(options) => task::block_on(measure::execute(options)),
         Options::Overhead(options) => task::block_on(overhead::execute(options)),
     };
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -168,7 +168,7 @@
             log: logging::off(),
         };
         let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-        GatewaySettings { common, peer, grace: Duration::from_secs(8), retries }
+        GatewaySettings { common, peer, millicores: 1_000, grace: Duration::from_secs(8), retries }
     }
 
     /// Kills a replica and starts it again with the same name and gossip address.
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -141,7 +141,8 @@
             ..proto::Digest::default()
         };
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-        socket.send_to(&newer.encode_to_vec(), site.gateways[0].peer()).await.expect("sent");
+        let bundle = proto::Bundle { sender: "other".into(), digests: vec![newer.encode_to_vec()] };
+        socket.send_to(&bundle.encode_to_vec(), site.gateways[0].peer()).await.expect("sent");
         wait_until("the replica knows of a newer version", async || site.state(0).await["behind"] == true)
             .await;
         let head = plain_request("GET", "/added-1/x", KEY, "r2");
@@ -171,7 +172,8 @@
             let received =
                 timeout(DIGEST_TIMEOUT, peer_socket.recv_from(&mut bytes)).await.expect("a digest in time");
             let (length, _) = received.expect("a datagram");
-            let digest = proto::Digest::decode(&bytes[..length]).expect("a digest");
+            let bundle = proto::Bundle::decode(&bytes[..length]).expect("a bundle");
+            let digest = proto::Digest::decode(bundle.digests[0].as_slice()).expect("a digest");
             if digest.spending.iter().any(|spending| spending.customer == "small" && spending.spent == 200) {
                 return;
             }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod pools;
 pub mod queue;
 pub mod rate_limit;
+pub mod relay;
 pub mod snapshot;
 pub mod staleness;
 pub mod state;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -5,7 +5,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{directory::Stage, forecast::Forecast, growth::Growth, staleness::Versions};
+use super::{
+    directory::Stage, forecast::Forecast, growth::Growth, relay::digest_interval, staleness::Versions,
+};
 use crate::clock::Time;
 
 /// Time without a digest after which a peer is removed. A host that is frozen or partitioned for a
@@ -16,6 +18,18 @@
 /// datagrams.
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time without a datagram after which a peer that used to send some is no longer used as a relay, in
+/// digest intervals. Replicas notice the loss of a relay before they charge the peers behind it for
+/// their silence.
+const RELAY_TIMEOUT_INTERVALS: f64 = 4.5;
+
+/// Time without a datagram after which a peer no longer counts as a direct sender, in digest intervals.
+const SENDER_TIMEOUT_INTERVALS: f64 = 30.0;
+
+/// Time without a digest after which a peer that sends no datagrams here is not used as a relay, in
+/// digest intervals.
+const MEMBER_TIMEOUT_INTERVALS: f64 = 15.0;
+
 /// Load that one replica has placed on one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Share {
@@ -47,7 +61,9 @@
     pub incarnation: u64,
     /// Increases with each digest of an incarnation.
     pub serial: u64,
-    /// The sender and the peers that it considers live.
+    /// Whether relays should pass the digest on without delay.
+    pub is_urgent: bool,
+    /// The sender. Without relays, also the peers that it considers live.
     pub members: Vec<Member>,
     /// Tokens spent by customers at the sender since its start. Customers that do not fit into this
     /// digest follow in later ones.
@@ -69,18 +85,22 @@
     pub forecasts: BTreeMap<Arc<str>, Forecast>,
 }
 
-/// Name and digest address of a replica.
+/// Identity of a replica among its peers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Member {
     /// Unique name.
     pub name: Arc<str>,
     /// Address that receives digests.
     pub address: SocketAddr,
+    /// Availability zone; empty if unknown.
+    pub zone: Arc<str>,
+    /// Processor time that the replica may use, in thousandths of a core; zero if unknown.
+    pub millicores: u32,
 }
 
 #[derive(Clone, Debug)]
 struct Peer {
-    address: SocketAddr,
+    member: Member,
     incarnation: u64,
     /// Serial of the newest digest; zero while the peer is known only from others.
     serial: u64,
@@ -88,6 +108,8 @@
     previous_incarnation: Option<u64>,
     /// Time of the newest digest, or of the first mention by another peer.
     last_contact: Time,
+    /// Time of the newest datagram that the peer itself sent here.
+    last_datagram: Option<Time>,
     /// Versions in the newest digest.
     versions: Versions,
 }
@@ -111,18 +133,28 @@
         if member.name == self.own {
             return;
         }
+        let name = member.name.clone();
         let peer = Peer {
-            address: member.address,
+            member,
             incarnation: 0,
             serial: 0,
             previous_incarnation: None,
             last_contact: now,
+            last_datagram: None,
             versions: Versions::default(),
         };
-        self.peers.entry(member.name).or_insert(peer);
+        self.peers.entry(name).or_insert(peer);
+    }
+
+    /// Records that a datagram came from a peer itself and not through a relay.
+    pub fn record_datagram(&mut self, now: Time, sender: &str) {
+        if let Some(peer) = self.peers.get_mut(sender) {
+            peer.last_datagram = Some(now);
+        }
     }
 
-    /// Records a digest; returns false if it is outdated. Incarnations are random, not ordered by
+    /// Records a digest; returns false if it is outdated. `from` is the sender's address, unless the
+    /// digest itself names it. Incarnations are random, not ordered by
     /// the clock, since clocks can step back between two starts. A late datagram is at most one
     /// incarnation old, so only the previous incarnation has to be remembered.
     pub fn record_digest(&mut self, now: Time, digest: &Digest, from: SocketAddr) -> bool {
@@ -142,8 +174,18 @@
             None => None,
         };
         let Digest { incarnation, serial, versions, .. } = *digest;
-        let peer =
-            Peer { address: from, incarnation, serial, previous_incarnation, last_contact: now, versions };
+        let unnamed =
+            || Member { name: digest.name.clone(), address: from, zone: Arc::default(), millicores: 0 };
+        let member = digest.members.iter().find(|member| member.name == digest.name);
+        let peer = Peer {
+            member: member.cloned().unwrap_or_else(unnamed),
+            incarnation,
+            serial,
+            previous_incarnation,
+            last_contact: now,
+            last_datagram: self.peers.get(&digest.name).and_then(|peer| peer.last_datagram),
+            versions,
+        };
         self.peers.insert(digest.name.clone(), peer);
         for member in &digest.members {
             self.add(now, member.clone());
@@ -162,17 +204,29 @@
 
     /// Returns all known peers.
     pub fn members(&self) -> impl Iterator<Item = Member> {
-        self.peers.iter().map(|(name, peer)| Member { name: name.clone(), address: peer.address })
+        self.peers.values().map(|peer| peer.member.clone())
     }
 
     /// Returns the peers with a recent digest. Only these are passed on to others: otherwise,
     /// replicas would keep adding a stopped peer to each other's lists.
     pub fn live_members(&self, now: Time) -> impl Iterator<Item = Member> {
         let is_live = move |peer: &Peer| peer.serial > 0 && now.since(peer.last_contact) < LIVENESS_TIMEOUT;
-        self.peers
-            .iter()
-            .filter(move |(_, peer)| is_live(peer))
-            .map(|(name, peer)| Member { name: name.clone(), address: peer.address })
+        self.peers.values().filter(move |peer| is_live(peer)).map(|peer| peer.member.clone())
+    }
+
+    /// Returns the peers that may serve as relays, with whether each is considered alive. A peer that
+    /// sends datagrams here must keep doing so; of others only digests through relays can tell.
+    pub(super) fn relay_candidates(&self, now: Time) -> impl Iterator<Item = (&Member, bool)> {
+        let interval = digest_interval(self.count());
+        self.peers.values().map(move |peer| {
+            let silence = peer.last_datagram.map(|at| now.since(at));
+            let is_sender = |silence: &Duration| *silence < interval.mul_f64(SENDER_TIMEOUT_INTERVALS);
+            let is_alive = match silence.filter(is_sender) {
+                Some(silence) => silence < interval.mul_f64(RELAY_TIMEOUT_INTERVALS),
+                None => now.since(peer.last_contact) < interval.mul_f64(MEMBER_TIMEOUT_INTERVALS),
+            };
+            (&peer.member, is_alive)
+        })
     }
 
     /// Returns the live peers whose copy of the store is newer than `own` in any part.
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -128,12 +128,16 @@
 
 /// Loads of all endpoints.
 #[derive(Clone, Debug, Default)]
-pub struct Loads(BTreeMap<Arc<str>, Load>);
+pub struct Loads {
+    endpoints: BTreeMap<Arc<str>, Load>,
+    /// The endpoints in the newest digest of each peer.
+    reported: BTreeMap<Arc<str>, Vec<Arc<str>>>,
+}
 
 impl Loads {
     /// Returns the load of an endpoint; `None` if none was recorded or reported.
     pub fn get(&self, endpoint: &str) -> Option<&Load> {
-        self.0.get(endpoint)
+        self.endpoints.get(endpoint)
     }
 
     /// Records a request that is sent now.
@@ -149,7 +153,7 @@
         share: Share,
         output: Option<Estimate>,
     ) -> Lease {
-        let load = self.0.entry(endpoint.clone()).or_default();
+        let load = self.endpoints.entry(endpoint.clone()).or_default();
         load.local.running += share.running;
         load.local.memory += share.memory;
         load.local.prefill_tokens += share.prefill_tokens;
@@ -165,7 +169,7 @@
     /// caller must then call [`Lease::clear_prefill`]. After a local prefill, the endpoint gets no
     /// other for `pause`.
     pub fn record_first_event(&mut self, now: Time, lease: &Lease, pause: Duration) {
-        if let Some(load) = self.0.get_mut(&lease.endpoint) {
+        if let Some(load) = self.endpoints.get_mut(&lease.endpoint) {
             load.local.prefill_tokens = load.local.prefill_tokens.saturating_sub(lease.share.prefill_tokens);
             if lease.share.prefill_tokens > 0 {
                 load.prefill_ready_at = now.plus(pause);
@@ -176,7 +180,7 @@
 
     /// Records output tokens of a run.
     pub fn record_tokens(&mut self, lease: &Lease, tokens: u64) {
-        let Some(load) = self.0.get_mut(&lease.endpoint) else { return };
+        let Some(load) = self.endpoints.get_mut(&lease.endpoint) else { return };
         if let Some(run) = load.runs.get_mut(&lease.number) {
             run.generated += tokens;
             load.update_growth();
@@ -185,7 +189,7 @@
 
     /// Releases a lease when its request ends.
     pub fn release(&mut self, now: Time, lease: &Lease, outcome: Outcome) {
-        let Some(load) = self.0.get_mut(&lease.endpoint) else { return };
+        let Some(load) = self.endpoints.get_mut(&lease.endpoint) else { return };
         load.local.running = load.local.running.saturating_sub(lease.share.running);
         load.local.memory = load.local.memory.saturating_sub(lease.share.memory);
         load.local.prefill_tokens = load.local.prefill_tokens.saturating_sub(lease.share.prefill_tokens);
@@ -200,38 +204,52 @@
 
     /// Replaces the load that a peer reported before.
     pub fn apply_digest(&mut self, now: Time, digest: &Digest) {
-        for load in self.0.values_mut() {
-            load.peers.remove(&digest.name);
-            load.peer_failure_permille.remove(&digest.name);
+        for endpoint in self.reported.remove(&digest.name).unwrap_or_default() {
+            if let Some(load) = self.endpoints.get_mut(&endpoint) {
+                load.peers.remove(&digest.name);
+                load.peer_failure_permille.remove(&digest.name);
+            }
         }
+        let reported = digest.failure_permille.keys().chain(digest.shares.keys());
+        self.reported.insert(digest.name.clone(), reported.cloned().collect());
         for (endpoint, permille) in &digest.failure_permille {
-            let load = self.0.entry(endpoint.clone()).or_default();
+            let load = self.endpoints.entry(endpoint.clone()).or_default();
             load.peer_failure_permille.insert(digest.name.clone(), (now, *permille));
         }
         for (endpoint, share) in &digest.shares {
-            let load = self.0.entry(endpoint.clone()).or_default();
+            let load = self.endpoints.entry(endpoint.clone()).or_default();
             load.peers.insert(digest.name.clone(), (now, *share));
         }
     }
 
+    /// Removes the list of endpoints that an expired peer reported; its loads no longer count.
+    pub fn remove_peer(&mut self, peer: &str) {
+        for endpoint in self.reported.remove(peer).unwrap_or_default() {
+            if let Some(load) = self.endpoints.get_mut(&endpoint) {
+                load.peers.remove(peer);
+                load.peer_failure_permille.remove(peer);
+            }
+        }
+    }
+
     /// Returns this replica's shares by endpoint, without idle endpoints.
     pub fn local(&self) -> BTreeMap<Arc<str>, Share> {
-        let busy = self.0.iter().filter(|(_, load)| load.local != Share::default());
+        let busy = self.endpoints.iter().filter(|(_, load)| load.local != Share::default());
         busy.map(|(endpoint, load)| (endpoint.clone(), load.local)).collect()
     }
 
     /// Returns this replica's failure ratios by endpoint, in thousandths, where high enough to
     /// report.
     pub fn local_failure_permille(&self, now: Time) -> BTreeMap<Arc<str>, u16> {
-        let ratios = self.0.iter().map(|(endpoint, load)| (endpoint, load.health.failure_ratio(now)));
+        let ratios = self.endpoints.iter().map(|(endpoint, load)| (endpoint, load.health.failure_ratio(now)));
         let reported = ratios.filter(|(_, ratio)| *ratio >= MIN_REPORTED_FAILURE_RATIO);
         reported.map(|(endpoint, ratio)| (endpoint.clone(), (ratio * 1_000.0) as u16)).collect()
     }
 
     /// Removes the record of an endpoint, unless requests are still in flight there.
     pub fn remove_if_idle(&mut self, endpoint: &str) {
-        if self.0.get(endpoint).is_some_and(|load| load.local == Share::default()) {
-            self.0.remove(endpoint);
+        if self.endpoints.get(endpoint).is_some_and(|load| load.local == Share::default()) {
+            self.endpoints.remove(endpoint);
         }
     }
 }
--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -15,14 +15,15 @@
 use super::{
     catalog::Customer,
     digest::{Digest, Peers},
+    relay::digest_interval,
 };
 use crate::clock::{Time, decay_factor, micros};
 
 const MICROTOKENS_PER_TOKEN: i64 = 1_000_000;
 
-/// Time without a digest after which a peer is charged its share of the rate; tolerates a few lost
-/// digests.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without a digest after which a peer is charged its share of the rate, in digest intervals;
+/// tolerates a few lost digests and the loss of a relay.
+const SILENCE_TIMEOUT_INTERVALS: u32 = 10;
 /// Divisor of the burst that gives the initial level of a new process, until a peer reports the
 /// actual level: the process may replace one that had already spent the bucket.
 const INITIAL_LEVEL_DIVISOR: i64 = 4;
@@ -30,6 +31,12 @@
 const LEARNING_PERIOD: Duration = Duration::from_secs(3);
 /// Largest size of the totals in one digest, so that the digest fits into a datagram.
 const MAX_TOTALS_BYTES: usize = 24 << 10;
+/// Number of digests in which new spending is reported, since a datagram may be lost.
+const REPORTS_PER_SPENDING: u8 = 2;
+/// Number of consecutive digests that together report all customers, if they fit.
+const DIGESTS_PER_ROTATION: usize = 7;
+/// Smallest number of customers without new spending in a digest.
+const MIN_ROTATION: usize = 3;
 /// Encoded size of one customer's totals, without its name.
 const TOTALS_OVERHEAD_BYTES: usize = 24;
 /// Longest retry delay; with a longer one, many callers give up.
@@ -179,8 +186,8 @@
 #[derive(Clone, Debug)]
 pub struct RateLimiter {
     accounts: BTreeMap<Arc<str>, Account>,
-    /// Customers with spending since the last digest that included them.
-    unreported: BTreeSet<Arc<str>>,
+    /// Customers with recent spending, and the number of digests that still have to report it.
+    unreported: BTreeMap<Arc<str>, u8>,
     /// Last customer that the rotation by name has included in a digest; the next digest continues
     /// after it.
     cursor: Arc<str>,
@@ -193,7 +200,7 @@
     pub fn new(now: Time) -> Self {
         Self {
             accounts: BTreeMap::new(),
-            unreported: BTreeSet::new(),
+            unreported: BTreeMap::new(),
             cursor: Arc::default(),
             started: now,
             charged_at: now,
@@ -224,8 +231,9 @@
         }
         account.level -= signed(tokens) * MICROTOKENS_PER_TOKEN;
         account.spent += tokens;
-        if !self.unreported.contains(customer) {
-            self.unreported.insert(customer.into());
+        match self.unreported.get_mut(customer) {
+            Some(reports) => *reports = REPORTS_PER_SPENDING,
+            None => drop(self.unreported.insert(customer.into(), REPORTS_PER_SPENDING)),
         }
         Ok(())
     }
@@ -254,7 +262,8 @@
     pub fn charge_silent_peers(&mut self, now: Time, peers: &Peers) {
         let passed = now.since(self.charged_at);
         self.charged_at = now;
-        let silent = peers.silence(now).filter(|(_, silence)| *silence >= SILENCE_TIMEOUT);
+        let timeout = digest_interval(peers.count()) * SILENCE_TIMEOUT_INTERVALS;
+        let silent = peers.silence(now).filter(|(_, silence)| *silence >= timeout);
         for (peer, _) in silent {
             for account in self.accounts.values_mut() {
                 account.refill(now);
@@ -273,7 +282,7 @@
     /// Returns whether spending should be reported before the next digest is due. Called at every
     /// step of the control thread, so it checks only customers with unreported spending.
     pub fn is_digest_urgent(&self) -> bool {
-        self.unreported.iter().filter_map(|name| self.accounts.get(name)).any(Account::is_digest_urgent)
+        self.unreported.keys().filter_map(|name| self.accounts.get(name)).any(Account::is_digest_urgent)
     }
 
     /// Returns totals for the next digest, for as many customers as fit: first those with
@@ -282,7 +291,7 @@
         let names = self.next_customers();
         let mut totals = Totals::default();
         for name in names {
-            self.unreported.remove(&name);
+            self.count_report(&name);
             let Some(account) = self.accounts.get_mut(&name) else { continue };
             account.refill(now);
             account.reported = account.spent;
@@ -292,12 +301,21 @@
         totals
     }
 
+    fn count_report(&mut self, customer: &str) {
+        let Some(reports) = self.unreported.get_mut(customer) else { return };
+        *reports -= 1;
+        if *reports == 0 {
+            self.unreported.remove(customer);
+        }
+    }
+
     fn next_customers(&mut self) -> BTreeSet<Arc<str>> {
+        let rotation_length = MIN_ROTATION.max(self.accounts.len().div_ceil(DIGESTS_PER_ROTATION));
         let cursor = self.cursor.clone();
         let after_cursor = self.accounts.range::<str, _>((Bound::Excluded(&*cursor), Bound::Unbounded));
         let up_to_cursor = self.accounts.range::<str, _>((Bound::Unbounded, Bound::Included(&*cursor)));
-        let rotation = after_cursor.chain(up_to_cursor).map(|(name, _)| (name, true));
-        let unreported = self.unreported.iter().map(|name| (name, false));
+        let rotation = after_cursor.chain(up_to_cursor).map(|(name, _)| (name, true)).take(rotation_length);
+        let unreported = self.unreported.keys().map(|name| (name, false));
         let (mut names, mut remaining_bytes) = (BTreeSet::new(), MAX_TOTALS_BYTES);
         let mut last = cursor.clone();
         for (name, is_rotation) in unreported.chain(rotation) {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -19,6 +19,7 @@
     pools::{Order, Pools, ServiceInfo},
     queue::{Entry, Queue, Verdict},
     rate_limit::{RateLimiter, Totals},
+    relay::{Bundle, Delivery, Outbox, Topology, digest_interval, forward_interval, urgent_interval},
     staleness::{Staleness, Versions},
     suspect::Suspects,
 };
@@ -50,6 +51,15 @@
     pub incarnation: u64,
     /// Address that receives digests.
     pub address: SocketAddr,
+    /// Processor time that the process may use, in thousandths of a core.
+    pub millicores: u32,
+}
+
+impl Identity {
+    fn member(&self) -> Member {
+        let Self { name, zone, address, millicores, .. } = self.clone();
+        Member { name, address, zone, millicores }
+    }
 }
 
 /// An endpoint for a request, with the request's lease there.
@@ -120,6 +130,9 @@
     pools: Pools,
     forecasts: Forecasts,
     serial: u64,
+    /// Recipients of digests; `None` in a small fleet, where all replicas are.
+    topology: Option<Topology>,
+    outbox: Outbox,
 }
 
 impl<T> State<T> {
@@ -139,6 +152,8 @@
             pools: Pools::default(),
             forecasts: Forecasts::default(),
             serial: 0,
+            topology: None,
+            outbox: Outbox::default(),
         }
     }
 
@@ -208,10 +223,22 @@
         self.peers.add(now, member);
     }
 
-    /// Applies the digest of a peer.
-    pub fn apply_digest(&mut self, now: Time, digest: &Digest, from: SocketAddr) {
+    /// Applies the digests of a datagram, and keeps those that this replica has to pass on.
+    pub fn apply_bundle(&mut self, now: Time, bundle: &Bundle) {
+        for parcel in &bundle.parcels {
+            if self.apply_digest(now, &parcel.digest, bundle.from)
+                && let Some(topology) = &self.topology
+            {
+                self.outbox.add(&self.identity.member(), topology, &bundle.sender, parcel);
+            }
+        }
+        self.peers.record_datagram(now, &bundle.sender);
+    }
+
+    /// Applies the digest of a peer; returns false if it is outdated.
+    pub fn apply_digest(&mut self, now: Time, digest: &Digest, from: SocketAddr) -> bool {
         if !self.peers.record_digest(now, digest, from) {
-            return;
+            return false;
         }
         self.staleness.record_peer(now, digest.versions);
         self.rate_limiter.apply_digest(now, digest);
@@ -221,23 +248,50 @@
         for (endpoint, change) in &digest.changing {
             self.pools.record_peer_change(now, endpoint, *change);
         }
+        true
     }
 
-    /// Returns whether a digest should be sent before the next one is due.
-    pub fn is_digest_urgent(&self) -> bool {
+    /// Returns whether peers should learn of this replica's spending soon.
+    fn is_digest_urgent(&self) -> bool {
         self.rate_limiter.is_digest_urgent()
     }
 
+    /// Returns the time from one digest to the next.
+    pub fn digest_interval(&self) -> Duration {
+        let replicas = self.peers.count();
+        if self.is_digest_urgent() { urgent_interval(replicas) } else { digest_interval(replicas) }
+    }
+
+    /// Returns the interval at which digests of other replicas are passed on; `None` if there are
+    /// none to pass on.
+    pub fn forward_interval(&self) -> Option<Duration> {
+        let is_urgent = self.outbox.is_urgent();
+        (!self.outbox.is_empty()).then(|| forward_interval(self.peers.count(), is_urgent))
+    }
+
+    /// Returns the digests of other replicas that this one passes on, with their recipients.
+    pub fn take_forwards(&mut self) -> Vec<Delivery> {
+        self.topology.as_ref().map_or_else(Vec::new, |topology| self.outbox.take(topology))
+    }
+
     /// Returns the next digest and its recipients.
     pub fn next_digest(&mut self, now: Time) -> (Digest, Vec<Member>) {
         self.serial += 1;
+        let is_urgent = self.is_digest_urgent();
         let Totals { spent, left } = self.rate_limiter.take_totals(now);
-        let own = Member { name: self.identity.name.clone(), address: self.identity.address };
-        let members = self.peers.live_members(now).chain([own]).collect();
+        let own = self.identity.member();
+        self.topology = Topology::new(now, &own, &self.peers);
+        let (members, recipients) = match &self.topology {
+            None => (self.peers.live_members(now).chain([own]).collect(), self.peers.members().collect()),
+            Some(Topology { siblings, members, remotes, .. }) => {
+                (vec![own], [siblings, members, remotes].into_iter().flatten().cloned().collect())
+            }
+        };
         let digest = Digest {
             name: self.identity.name.clone(),
             incarnation: self.identity.incarnation,
             serial: self.serial,
+            is_urgent,
             members,
             spent,
             left,
@@ -252,7 +306,7 @@
                 BTreeMap::new()
             },
         };
-        (digest, self.peers.members().collect())
+        (digest, recipients)
     }
 
     /// Applies timeouts and recomputes the forecasts; must be called several times a second.
@@ -261,6 +315,7 @@
         let expired = self.peers.remove_expired(now);
         for peer in &expired {
             self.rate_limiter.remove_peer(peer);
+            self.loads.remove_peer(peer);
             self.suspects.remove_peer(peer);
             self.forecasts.remove_peer(peer);
         }
@@ -530,6 +585,11 @@
         self.rate_limiter.tokens_left(now)
     }
 
+    /// Returns whether this replica is a relay of its zone.
+    pub fn is_relay(&self) -> bool {
+        self.topology.as_ref().is_some_and(|topology| topology.is_relay)
+    }
+
     /// Returns the number of replicas that share the traffic, including this one.
     pub fn replica_count(&self) -> u32 {
         self.peers.count()
--- a/crates/core/tests/gateway/digest.rs
+++ b/crates/core/tests/gateway/digest.rs
@@ -5,7 +5,12 @@
 use crate::at;
 
 fn member(name: &str) -> Member {
-    Member { name: name.into(), address: "127.0.0.1:7".parse().expect("an address") }
+    Member {
+        name: name.into(),
+        address: "127.0.0.1:7".parse().expect("an address"),
+        zone: "zone-a".into(),
+        millicores: 1_000,
+    }
 }
 
 fn digest(name: &str, incarnation: u64, serial: u64) -> Digest {
--- a/crates/core/tests/gateway/rate_limit.rs
+++ b/crates/core/tests/gateway/rate_limit.rs
@@ -87,7 +87,10 @@
             let mut peers = Peers::new((*name).into());
             for other in names.iter().filter(|other| *other != name) {
                 let address = "127.0.0.1:1".parse().expect("an address");
-                peers.add(at(0), Member { name: (*other).into(), address });
+                peers.add(
+                    at(0),
+                    Member { name: (*other).into(), address, zone: "zone-a".into(), millicores: 0 },
+                );
             }
             (rate_limiter(&faculty), peers)
         })
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -25,6 +25,7 @@
         zone: "zone-a".into(),
         incarnation: 1,
         address: "127.0.0.1:7".parse().expect("an address"),
+        millicores: 1_000,
     };
     let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
     State::new(identity, retries, at(0))
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -147,6 +147,9 @@
     /// Listen address for digests from other gateways
     #[bpaf(long, env("TARRAGONHILL_PEER"), argument("IP:PORT"))]
     pub peer: String,
+    /// Processor time that the gateway may use, cores; gateways with more of it relay digests for others
+    #[bpaf(long, env("TARRAGONHILL_CPU_SHARE"), argument("CORES"), fallback(1.0), display_fallback)]
+    pub cpu_share: f64,
     /// Maximum duration of a shutdown, seconds
     #[bpaf(long, env("TARRAGONHILL_GRACE_S"), argument("S"), fallback(8.0), display_fallback)]
     pub grace_s: f64,
@@ -242,6 +245,8 @@
     pub common: CommonSettings,
     /// Listen address for peers.
     pub peer: SocketAddr,
+    /// Processor time that the process may use, in thousandths of a core.
+    pub millicores: u32,
     /// Maximum duration of a shutdown.
     pub grace: Duration,
     /// Retry budget.
@@ -353,6 +358,7 @@
         Ok(Self {
             common: common.try_into()?,
             peer: address("peer", &gateway.peer)?,
+            millicores: (number("cpu-share", gateway.cpu_share, 0.001, 1e3)? * 1e3) as u32,
             grace: Duration::from_secs_f64(number("grace-s", gateway.grace_s, 0.0, 3_600.0)?),
             retries,
         })
@@ -397,7 +403,7 @@
 }
 
 /// Names of all settings: flags without the leading dashes.
-pub const SETTING_NAMES: [&str; 24] = [
+pub const SETTING_NAMES: [&str; 25] = [
     "name",
     "zone",
     "listen",
@@ -418,6 +424,7 @@
     "policy",
     "operator-token",
     "fronts",
+    "cpu-share",
     "grace-s",
     "retry-ratio",
     "retry-slack",
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -39,6 +39,7 @@
             zone: common.zone.clone(),
             listen: common.listen,
             peer: settings.peer,
+            millicores: settings.millicores,
             incarnation: rand::random(),
             retries: settings.retries,
             drain_delay: DEREGISTRATION_DELAY,
@@ -48,7 +49,12 @@
         let store = Store { updates: received, claims };
         let result = Gateway::start(gateway, clock, Arc::new(Dialect), store, &registry).await;
         let gateway = result.map_err(StartError::Gateway)?;
-        let own = Member { name: common.name.clone(), address: gateway.peer_address() };
+        let own = Member {
+            name: common.name.clone(),
+            address: gateway.peer_address(),
+            zone: common.zone.clone(),
+            millicores: settings.millicores,
+        };
         store::follow(common.table, own, updates);
         let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
         let server = server.map_err(|error| StartError::Listen {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,7 +6,6 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -18,11 +17,12 @@
     gateway::{
         catalog::Catalog,
         completion::{Completion, Prompt},
-        digest::{Digest, Member},
+        digest::Member,
         directory::Endpoint,
         forecast::{Forecast, Observation},
         health::Outcome,
         load::Lease,
+        relay::Bundle,
         snapshot::Snapshot,
         staleness::Versions,
         state::Admission,
@@ -60,7 +60,7 @@
     RecordInterrupted(Arc<str>, u64),
     CancelOrder(Arc<str>),
     Update(Update),
-    Digest(Box<Digest>, SocketAddr),
+    Bundle(Box<Bundle>),
     Snapshot(ReplySender<Option<Snapshot>>),
     NewerPeers(ReplySender<Vec<Member>>),
     Versions(ReplySender<Versions>),
@@ -241,9 +241,9 @@
         self.send(Command::Update(update));
     }
 
-    /// Applies a digest received from a peer.
-    pub fn receive_digest(&self, digest: Digest, from: SocketAddr) {
-        self.send(Command::Digest(Box::new(digest), from));
+    /// Applies the digests of a datagram received from a peer.
+    pub fn receive_bundle(&self, bundle: Bundle) {
+        self.send(Command::Bundle(Box::new(bundle)));
     }
 
     /// Returns a snapshot of the local copy of the store; `None` before the first configuration.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -21,6 +21,7 @@
         health::Outcome,
         pools::Order,
         queue::Verdict,
+        relay::Delivery,
         snapshot::Snapshot,
         state::{Assignment, Identity, Pair, State},
     },
@@ -33,18 +34,21 @@
 };
 use crate::edge::Update;
 
-/// Interval of digests and of expiring state. Peers learn of this replica's load with this delay; a shorter
-/// interval causes more traffic between availability zones.
+/// Interval of expiring state.
 const TICK: Duration = Duration::from_millis(100);
-/// Minimum interval of digests while an urgent change is pending.
-const URGENT_DIGEST_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval at which the queue is checked while requests wait, so that expired requests are refused soon.
 const QUEUE_TICK: Duration = Duration::from_millis(25);
 /// Interval at which forecasts are logged; they explain refusals.
 const FORECAST_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Digest and the peers to send it to.
-pub type Outgoing = (Digest, Vec<Member>);
+/// Digests to send to peers.
+#[derive(Debug)]
+pub enum Outgoing {
+    /// A digest of this replica and its recipients.
+    Digest(Box<Digest>, Vec<Member>),
+    /// Digests of other replicas that this one passes on.
+    Forwards(Vec<Delivery>),
+}
 
 /// Channels for the thread's output.
 #[derive(Debug)]
@@ -74,7 +78,9 @@
         source: None,
         initializing,
         outputs,
+        last_tick: Time::ZERO,
         last_digest: Time::ZERO,
+        last_forward: Time::ZERO,
         last_forecast_log: Time::ZERO,
     };
     thread::Builder::new()
@@ -109,8 +115,12 @@
     /// Dropped once configuration and endpoints have been read.
     initializing: Option<Sender<()>>,
     outputs: Outputs,
+    /// When state was last expired.
+    last_tick: Time,
     /// When the last digest was sent.
     last_digest: Time,
+    /// When digests of other replicas were last passed on.
+    last_forward: Time,
     /// When forecasts were last logged.
     last_forecast_log: Time,
 }
@@ -119,6 +129,7 @@
     async fn run(&mut self, commands: Receiver<Command>) {
         loop {
             let tick = if self.state.queue_length() > 0 { QUEUE_TICK } else { TICK };
+            let tick = self.state.forward_interval().map_or(tick, |interval| tick.min(interval));
             match timeout(tick, commands.recv()).await {
                 Ok(Ok(command)) => self.execute(command),
                 Ok(Err(_)) => return,
@@ -131,23 +142,32 @@
     /// Runs the periodic work that is due and places queued requests.
     fn tick(&mut self) {
         let now = self.clock.now();
-        let since = now.since(self.last_digest);
-        if since >= TICK || (since >= URGENT_DIGEST_INTERVAL && self.state.is_digest_urgent()) {
-            self.last_digest = now;
+        if now.since(self.last_tick) >= TICK {
+            self.last_tick = now;
             lock(&self.weak_control.active).is_stale = self.state.is_configuration_stale(now);
             let (changes, expired) = self.state.tick(now);
             log_changes(&changes);
             for peer in expired {
                 spdlog::info!("peer expired", kv: { peer = &*peer });
             }
-            // If the channel is full, the digest is dropped; the next one supersedes it.
-            let _ = self.outputs.digests.try_send(self.state.next_digest(now));
             if let Some(order) = self.state.next_order(now)
                 && let Err(error) = self.outputs.orders.try_send(order)
             {
                 self.state.cancel_order(&error.into_inner().endpoint.id);
             }
         }
+        // If the channel is full, digests are dropped; later ones supersede them.
+        if now.since(self.last_digest) >= self.state.digest_interval() {
+            self.last_digest = now;
+            let (digest, recipients) = self.state.next_digest(now);
+            let _ = self.outputs.digests.try_send(Outgoing::Digest(Box::new(digest), recipients));
+        }
+        if let Some(interval) = self.state.forward_interval()
+            && now.since(self.last_forward) >= interval
+        {
+            self.last_forward = now;
+            let _ = self.outputs.digests.try_send(Outgoing::Forwards(self.state.take_forwards()));
+        }
         if now.since(self.last_forecast_log) >= FORECAST_LOG_INTERVAL {
             self.last_forecast_log = now;
             log_forecasts(&self.state.forecasts());
@@ -216,7 +236,7 @@
             }
             Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
             Command::Update(update) => self.update(now, update),
-            Command::Digest(digest, from) => self.state.apply_digest(now, &digest, from),
+            Command::Bundle(bundle) => self.state.apply_bundle(now, &bundle),
             Command::Snapshot(reply) => drop(reply.try_send(self.snapshot())),
             Command::NewerPeers(reply) => drop(reply.try_send(self.state.catch_up_peers(now))),
             Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -37,8 +37,8 @@
 
 /// Interval at which a shutdown checks for requests in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// Capacity of the digest channel. Small, because each digest supersedes the previous one.
-const DIGEST_CAPACITY: usize = 2;
+/// Capacity of the digest channel. Small, because later digests supersede earlier ones.
+const DIGEST_CAPACITY: usize = 4;
 /// Capacity of the order channel.
 const ORDER_CAPACITY: usize = 4;
 
@@ -61,6 +61,8 @@
     pub listen: SocketAddr,
     /// Listen address for digests (UDP) and snapshots (TCP).
     pub peer: SocketAddr,
+    /// Processor time that the process may use, in thousandths of a core.
+    pub millicores: u32,
     /// Random number that distinguishes restarts under the same name.
     pub incarnation: u64,
     /// Retry budget.
@@ -123,6 +125,7 @@
             zone: settings.zone.clone(),
             incarnation: settings.incarnation,
             address: peer,
+            millicores: settings.millicores,
         };
         let (digests, outgoing_digests) = async_channel::bounded(DIGEST_CAPACITY);
         let (orders, outgoing_orders) = async_channel::bounded(ORDER_CAPACITY);
@@ -141,8 +144,8 @@
         let (closing, closed) = async_channel::bounded(1);
         let tasks = Tasks(vec![
             task::spawn(frontend::accept(context.clone(), listener, closed)),
-            task::spawn(gossip::send(socket.clone(), outgoing_digests)),
-            task::spawn(gossip::receive(socket, control.clone())),
+            task::spawn(gossip::send(socket.clone(), settings.name.clone(), outgoing_digests)),
+            task::spawn(gossip::receive(socket, context.clock.clone(), control.clone())),
             task::spawn(apply_updates(store.updates, context.clone())),
             sync::serve(incoming, control),
             task::spawn(sync::run(context.clone())),
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -12,10 +12,13 @@
         digest::{Digest, Member, Share, StageChange},
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
+        relay::Parcel,
         staleness::Versions,
     },
 };
 
+use prost::Message as _;
+
 use crate::{DecodeError, proto};
 
 impl From<&Digest> for proto::Digest {
@@ -44,7 +47,8 @@
             name: digest.name.to_string(),
             incarnation: digest.incarnation,
             serial: digest.serial,
-            members: digest.members.iter().map(proto::Member::from).collect(),
+            urgent: digest.is_urgent,
+            members: digest.members.iter().map(|member| encode_member(digest, member)).collect(),
             spending: spending.collect(),
             shares: shares.collect(),
             suspects: suspects
@@ -64,6 +68,15 @@
     }
 }
 
+/// Encodes a member; the sender's name is left out, since the digest has it.
+fn encode_member(digest: &Digest, member: &Member) -> proto::Member {
+    let mut encoded = proto::Member::from(member);
+    if member.name == digest.name {
+        encoded.name.clear();
+    }
+    encoded
+}
+
 fn encode_forecast((service, forecast): (&Arc<str>, &Forecast)) -> proto::Forecast {
     let trend = |trend: Option<Trend>| trend.map(|Trend { base, slope }| proto::Trend { base, slope });
     let output_length = |OutputLength { event_tokens, spread, events, weight }| proto::Answers {
@@ -85,7 +98,12 @@
 
 impl From<&Member> for proto::Member {
     fn from(member: &Member) -> Self {
-        Self { name: member.name.to_string(), address: member.address.to_string() }
+        Self {
+            name: member.name.to_string(),
+            address: member.address.to_string(),
+            zone: member.zone.to_string(),
+            millicores: member.millicores,
+        }
     }
 }
 
@@ -95,7 +113,22 @@
     fn try_from(member: proto::Member) -> Result<Self, DecodeError> {
         let address =
             member.address.parse().map_err(|_| DecodeError::Invalid("address", member.address.clone()))?;
-        Ok(Self { name: member.name.into(), address })
+        let (name, zone) = (member.name.into(), member.zone.into());
+        Ok(Self { name, address, zone, millicores: member.millicores })
+    }
+}
+
+/// An encoded digest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedDigest(pub Vec<u8>);
+
+impl TryFrom<EncodedDigest> for Parcel {
+    type Error = DecodeError;
+
+    fn try_from(EncodedDigest(encoded): EncodedDigest) -> Result<Self, DecodeError> {
+        let digest = proto::Digest::decode(encoded.as_slice());
+        let digest = digest.map_err(|error| DecodeError::Invalid("digest", error.to_string()))?;
+        Ok(Self { digest: digest.try_into()?, encoded: encoded.into() })
     }
 }
 
@@ -106,7 +139,13 @@
         if digest.name.is_empty() {
             return Err(DecodeError::Missing("name"));
         }
-        let members: Result<Vec<Member>, _> = digest.members.into_iter().map(Member::try_from).collect();
+        let members = digest.members.into_iter().map(|mut member| {
+            if member.name.is_empty() {
+                member.name = digest.name.clone();
+            }
+            Member::try_from(member)
+        });
+        let members: Result<Vec<Member>, _> = members.collect();
         let mut spent = BTreeMap::new();
         let mut left = BTreeMap::new();
         for spending in digest.spending {
@@ -137,6 +176,7 @@
             name: digest.name.into(),
             incarnation: digest.incarnation,
             serial: digest.serial,
+            is_urgent: digest.urgent,
             members: members?,
             spent,
             left,
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -359,8 +359,17 @@
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
 }
-/// State of a gateway replica, gossiped to its peers in datagrams. It holds running totals, so lost
-/// and reordered datagrams do no harm.
+/// A datagram between gateway replicas.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Bundle {
+    /// Name of the replica that sends the datagram.
+    #[prost(string, tag = "1")]
+    pub sender: ::prost::alloc::string::String,
+    /// Encoded Digests: the sender's own, or those that it passes on.
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub digests: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+}
+/// State of a gateway replica. It holds running totals, so lost and reordered digests do no harm.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Digest {
     #[prost(string, tag = "1")]
@@ -389,6 +398,9 @@
     pub configuration: u64,
     #[prost(uint64, tag = "11")]
     pub endpoints: u64,
+    /// Whether relays should pass the digest on without delay.
+    #[prost(bool, tag = "12")]
+    pub urgent: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -396,6 +408,11 @@
     pub name: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub zone: ::prost::alloc::string::String,
+    /// Processor time that the replica may use, in thousandths of a core; zero if unknown.
+    #[prost(uint32, tag = "4")]
+    pub millicores: u32,
 }
 /// Tokens that a customer spent since the sender's start, and tokens left.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
