Admit large requests of a customer above its rate like smaller ones

Cause: a customer above its rate keeps its bucket near zero, and a request needs its whole size in it.

Ruled out: letting a bucket go below zero by a large request (several gateways would do so at once, beyond rate and burst); a level for every request that is as high as the largest one (a customer within its rate would lose its burst).

Change: a refused request raises the level that others need to its own size for four seconds; digests tell its size.

--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -70,6 +70,8 @@
     pub spent: BTreeMap<Arc<str>, u64>,
     /// Tokens left to the same customers according to the sender, rounded towards zero.
     pub left: BTreeMap<Arc<str>, i64>,
+    /// Size in tokens of the largest request of these customers that the sender refused lately.
+    pub refused: BTreeMap<Arc<str>, u64>,
     /// Load of the sender by endpoint.
     pub shares: BTreeMap<Arc<str>, Share>,
     /// Recent failure ratio of each endpoint at the sender, in thousandths; healthy endpoints are
--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -4,6 +4,10 @@
 //! spending that peers report in digests. A peer that sends no digests is charged its even share of
 //! the rate, so that partitioned replicas, which charge each other, stay within the rate together.
 //! The charge is corrected when the peer's next digest arrives.
+//!
+//! A customer above its rate keeps its bucket low. So that this does not exclude its large requests,
+//! a refused request raises the level that all requests but small ones need for a while. They are
+//! then admitted in proportion to how many there are of each size.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -50,6 +54,15 @@
 const LOW_LEVEL_DIVISOR: i64 = 2;
 /// Half-life of the recorded demand of small requests.
 const SMALL_DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
+/// How long a refused request raises the level that others need; longer than most callers wait
+/// before they retry.
+const REFUSED_TTL: Duration = Duration::from_secs(4);
+/// How long the refusals that a peer reports count after its digest.
+const PEER_REFUSED_TTL: Duration = Duration::from_millis(1_500);
+/// Part of a refused request's size by which others may stay below it.
+const REFUSED_TOLERANCE_DIVISOR: i64 = 64;
+/// Divisor of the burst that gives the highest level required because of refused requests.
+const MAX_REFUSED_DIVISOR: i64 = 2;
 /// Divisor of the burst that gives the largest reserve for small requests.
 const MAX_RESERVE_DIVISOR: i64 = 4;
 
@@ -63,6 +76,26 @@
     charged: i64,
 }
 
+/// The largest request that was refused lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Refused {
+    /// Its size in microtokens.
+    size: i64,
+    expires: Time,
+}
+
+impl Refused {
+    fn add(&mut self, now: Time, size: i64, ttl: Duration) {
+        if size >= self.size(now) {
+            *self = Self { size, expires: now.plus(ttl) };
+        }
+    }
+
+    fn size(&self, now: Time) -> i64 {
+        if self.expires > now { self.size } else { 0 }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Account {
     /// Tokens per second; equally, microtokens per microsecond.
@@ -80,6 +113,10 @@
     reported: u64,
     /// Decaying sum of the microtokens that small requests asked for here.
     small_demand: i64,
+    /// The largest request refused here.
+    refused: Refused,
+    /// The largest request refused by peers, as they report.
+    peer_refused: Refused,
     peers: BTreeMap<Arc<str>, PeerUsage>,
     /// Whether the level was taken over from a peer.
     is_initialized: bool,
@@ -97,6 +134,8 @@
             spent: 0,
             reported: 0,
             small_demand: 0,
+            refused: Refused::default(),
+            peer_refused: Refused::default(),
             peers: BTreeMap::new(),
             is_initialized: false,
         }
@@ -133,7 +172,9 @@
             return needed;
         }
         let reserve = self.small_demand.min(self.burst / MAX_RESERVE_DIVISOR);
-        (needed + reserve).min(self.burst)
+        let refused = self.refused.size(self.refilled_at).max(self.peer_refused.size(self.refilled_at));
+        let refused = (refused - refused / REFUSED_TOLERANCE_DIVISOR).min(self.burst / MAX_REFUSED_DIVISOR);
+        (needed.max(refused) + reserve).min(self.burst)
     }
 
     /// Returns the retry delay for a request of `needed` microtokens. Each delay adds to those
@@ -180,6 +221,9 @@
     pub spent: BTreeMap<Arc<str>, u64>,
     /// Tokens left to the same customers, rounded towards zero.
     pub left: BTreeMap<Arc<str>, i64>,
+    /// Size in tokens of the largest request that the replica refused lately, for those of the
+    /// customers that had any refused.
+    pub refused: BTreeMap<Arc<str>, u64>,
 }
 
 /// Token buckets of all customers that have a rate.
@@ -225,9 +269,11 @@
         account.refill(now);
         // A request larger than the burst is admitted when the bucket is full, and leaves a debt.
         let needed = (signed(tokens) * MICROTOKENS_PER_TOKEN).min(account.burst.max(1));
-        let needed = account.required(needed);
-        if account.level < needed {
-            return Err(account.schedule_retry(needed));
+        let required = account.required(needed);
+        if account.level < required {
+            account.refused.add(now, needed, REFUSED_TTL);
+            self.unreported.insert(customer.into(), REPORTS_PER_SPENDING);
+            return Err(account.schedule_retry(required));
         }
         account.level -= signed(tokens) * MICROTOKENS_PER_TOKEN;
         account.spent += tokens;
@@ -255,6 +301,10 @@
             if let Some(left) = digest.left.get(name).filter(|_| is_learning && !account.is_initialized) {
                 account.initialize(*left);
             }
+            if let Some(refused) = digest.refused.get(name) {
+                let refused = signed(*refused) * MICROTOKENS_PER_TOKEN;
+                account.peer_refused.add(now, refused, PEER_REFUSED_TTL);
+            }
         }
     }
 
@@ -296,6 +346,9 @@
             account.refill(now);
             account.reported = account.spent;
             totals.left.insert(name.clone(), account.level / MICROTOKENS_PER_TOKEN);
+            if let Ok(refused @ 1..) = u64::try_from(account.refused.size(now) / MICROTOKENS_PER_TOKEN) {
+                totals.refused.insert(name.clone(), refused);
+            }
             totals.spent.insert(name, account.spent);
         }
         totals
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -278,7 +278,7 @@
     pub fn next_digest(&mut self, now: Time) -> (Digest, Vec<Member>) {
         self.serial += 1;
         let is_urgent = self.is_digest_urgent();
-        let Totals { spent, left } = self.rate_limiter.take_totals(now);
+        let Totals { spent, left, refused } = self.rate_limiter.take_totals(now);
         let own = self.identity.member();
         self.topology = Topology::new(now, &own, &self.peers);
         let (members, recipients) = match &self.topology {
@@ -295,6 +295,7 @@
             members,
             spent,
             left,
+            refused,
             shares: self.loads.local(),
             failure_permille: self.loads.local_failure_permille(now),
             changing: self.pools.changes(now),
--- a/crates/core/tests/gateway/rate_limit.rs
+++ b/crates/core/tests/gateway/rate_limit.rs
@@ -7,6 +7,8 @@
 };
 
 use quickcheck::{Gen, QuickCheck, TestResult};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 use tarragonhill_core::gateway::{
     catalog::Customer,
     digest::{Digest, Member, Peers},
@@ -25,8 +27,8 @@
 }
 
 fn digest(name: &str, serial: u64, rate_limiter: &mut RateLimiter, now: u64) -> Digest {
-    let Totals { spent, left } = rate_limiter.take_totals(at(now));
-    Digest { name: name.into(), incarnation: 1, serial, spent, left, ..Digest::default() }
+    let Totals { spent, left, refused } = rate_limiter.take_totals(at(now));
+    Digest { name: name.into(), incarnation: 1, serial, spent, left, refused, ..Digest::default() }
 }
 
 #[test]
@@ -249,3 +251,61 @@
     two.apply_digest(at(10_000), &digest("one", 6, &mut one, 10_000));
     assert_eq!(two.tokens_left(at(10_000))["faculty"], left);
 }
+
+/// Guards against large requests that are refused as long as small ones keep the bucket low.
+#[test]
+fn large_requests_of_a_customer_above_its_rate_are_served_like_others() {
+    const SMALLER: u64 = 5_000;
+    const LARGER: u64 = 40_000;
+    let (rate, burst) = (34_000, 120_000);
+    let faculty = Arc::new(customer("faculty", rate, burst));
+    let mut replicas: Vec<RateLimiter> = (0..4).map(|_| rate_limiter(&faculty)).collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    // Requests to come: time, size and whether they were refused before.
+    let mut arrivals: BTreeMap<(u64, u32), (u64, bool)> = BTreeMap::new();
+    for number in 0..360 {
+        let size = if number % 10 == 0 { LARGER } else { SMALLER };
+        arrivals.insert((10_000 + u64::from(number) * 80, number), (size, false));
+    }
+    let (mut served, mut offered, mut spent) =
+        (BTreeMap::from([(SMALLER, 0), (LARGER, 0)]), BTreeMap::new(), 0);
+    let mut next_digest = 10_000;
+    let mut serial = 0;
+    while let Some(((now, number), (size, is_retry))) = arrivals.pop_first() {
+        while next_digest <= now {
+            serial += 1;
+            let names = ["a", "b", "c", "d"];
+            let digests: Vec<Digest> = names
+                .iter()
+                .zip(&mut replicas)
+                .map(|(name, replica)| digest(name, serial, replica, next_digest))
+                .collect();
+            for (index, replica) in replicas.iter_mut().enumerate() {
+                let others = digests.iter().enumerate().filter(|(other, _)| *other != index);
+                others.for_each(|(_, digest)| replica.apply_digest(at(next_digest), digest));
+            }
+            next_digest += 100;
+        }
+        if !is_retry {
+            *offered.entry(size).or_insert(0) += 1;
+        }
+        match replicas[rng.random_range(0..4)].spend(at(now), "faculty", size) {
+            Ok(()) => {
+                *served.entry(size).or_insert(0) += 1;
+                spent += size;
+            }
+            Err(delay) if !is_retry => {
+                let back = now + delay.as_millis() as u64;
+                arrivals.insert((back, number), (size, true));
+            }
+            Err(_) => {}
+        }
+    }
+    let share = |size: u64| f64::from(served[&size]) / f64::from(offered[&size]);
+    let all = f64::from(served.values().sum::<i32>()) / f64::from(offered.values().sum::<i32>());
+    assert!(share(LARGER) >= all / 2.0, "{} of the large ones, {all} of all", share(LARGER));
+    assert!(share(SMALLER) >= all / 2.0, "{} of the small ones, {all} of all", share(SMALLER));
+    let seconds = 36;
+    assert!(spent <= burst + rate * seconds, "{spent}");
+    assert!(spent >= rate * 28 * 9 / 10, "{spent}");
+}
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -27,6 +27,7 @@
             customer: customer.to_string(),
             spent: *spent,
             left: digest.left.get(customer).copied().unwrap_or(0),
+            refused: digest.refused.get(customer).copied().unwrap_or(0),
         });
         let endpoints: BTreeSet<&Arc<str>> =
             digest.shares.keys().chain(digest.failure_permille.keys()).collect();
@@ -147,10 +148,13 @@
         });
         let members: Result<Vec<Member>, _> = members.collect();
         let mut spent = BTreeMap::new();
-        let mut left = BTreeMap::new();
+        let (mut left, mut refused) = (BTreeMap::new(), BTreeMap::new());
         for spending in digest.spending {
             let customer: Arc<str> = spending.customer.into();
             spent.insert(customer.clone(), spending.spent);
+            if spending.refused > 0 {
+                refused.insert(customer.clone(), spending.refused);
+            }
             left.insert(customer, spending.left);
         }
         let mut shares = BTreeMap::new();
@@ -180,6 +184,7 @@
             members: members?,
             spent,
             left,
+            refused,
             shares,
             failure_permille,
             changing: changing?,
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -414,7 +414,8 @@
     #[prost(uint32, tag = "4")]
     pub millicores: u32,
 }
-/// Tokens that a customer spent since the sender's start, and tokens left.
+/// Tokens that a customer spent since the sender's start, tokens left, and the size of its largest
+/// request that the sender refused lately.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Spending {
     #[prost(string, tag = "1")]
@@ -423,6 +424,8 @@
     pub spent: u64,
     #[prost(sint64, tag = "3")]
     pub left: i64,
+    #[prost(uint64, tag = "4")]
+    pub refused: u64,
 }
 /// The sender's requests on one endpoint.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
