Follow the endpoint table through relays

Ruled out: longer waits alone (changes of endpoints make most of the calls); sharing the configuration as well (it is large on slow links, and withdrawn keys depend on it).

Change: the first relay of a zone follows the table in the store, the second follows the first, other gateways follow a relay, with rows, removals and versions as the store gave them. A relay that does not answer, or has lost the store, is left alone for 2 s and the store is read. Followers wait 10 s in a call for the configuration; a change that such a call misses becomes known from the peers' digests. Tests: calls grow with the zones, relays are killed, removed rows are forgotten.

--- a/crates/bench/src/platform/store.rs
+++ b/crates/bench/src/platform/store.rs
@@ -63,6 +63,8 @@
     /// Rate at which responses are written, in bytes per second; `None` is unlimited.
     rate: Option<u64>,
     calls: u64,
+    /// Feed calls by table.
+    feed_calls: BTreeMap<String, u64>,
 }
 
 impl State {
@@ -171,6 +173,11 @@
     pub fn calls(&self) -> u64 {
         lock(&self.state).calls
     }
+
+    /// Returns the number of feed calls received for a table.
+    pub fn feed_calls(&self, table: &str) -> u64 {
+        lock(&self.state).feed_calls.get(table).copied().unwrap_or(0)
+    }
 }
 
 async fn handle(
@@ -196,6 +203,9 @@
         .map(|(_, query)| query.split('&').filter_map(|pair| pair.split_once('=')).collect())
         .unwrap_or_default();
     let table = query.get("table").copied().unwrap_or_default();
+    if head.path() == "/v1/rows-feed" {
+        *lock(&state).feed_calls.entry(table.to_owned()).or_default() += 1;
+    }
     let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let (status, value) = match head.path() {
         "/v1/rows-get" => (200, get(&lock(&state), table, query.get("from").copied().unwrap_or_default())),
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod lease;
 pub mod load;
+pub mod mirror;
 pub mod placement;
 pub mod pools;
 pub mod queue;
--- a/crates/core/src/gateway/relay.rs
+++ b/crates/core/src/gateway/relay.rs
@@ -61,6 +61,8 @@
 pub struct Topology {
     /// Whether this replica is a relay of its zone.
     pub is_relay: bool,
+    /// The relay whose copy of the endpoint table this replica follows; `None` if it reads the store.
+    pub followed: Option<Member>,
     /// The other relays of the zone.
     pub siblings: Vec<Member>,
     /// The other replicas of the zone; empty unless this replica is a relay.
@@ -87,8 +89,13 @@
         let relays = rank_relays(&mut local);
         let index = relays.iter().position(|relay| relay.name == own.name);
         let siblings = relays.iter().filter(|relay| relay.name != own.name);
+        let followed = match index {
+            Some(_) => relays.first().filter(|first| first.name != own.name),
+            None => relays.get(peers.position() as usize % relays.len().max(1)),
+        };
         let mut topology = Self {
             is_relay: index.is_some(),
+            followed: followed.copied().cloned(),
             siblings: siblings.copied().cloned().collect(),
             ..Self::default()
         };
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -591,6 +591,12 @@
         self.topology.as_ref().is_some_and(|topology| topology.is_relay)
     }
 
+    /// Returns the relay whose copy of the endpoint table this replica follows; `None` if it reads
+    /// the store.
+    pub fn relay(&self) -> Option<Member> {
+        self.topology.as_ref()?.followed.clone()
+    }
+
     /// Returns the number of replicas that share the traffic, including this one.
     pub fn replica_count(&self) -> u32 {
         self.peers.count()
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod forecast;
 mod growth;
 mod health;
+mod mirror;
 mod placement;
 mod pools;
 mod queue;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -55,7 +55,7 @@
             zone: common.zone.clone(),
             millicores: settings.millicores,
         };
-        store::follow(common.table, own, updates);
+        store::follow(common.table, own, gateway.mirror(), updates);
         let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
         let server = server.map_err(|error| StartError::Listen {
             setting: "admin",
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -65,6 +65,7 @@
     NewerPeers(ReplySender<Vec<Member>>),
     Versions(ReplySender<Versions>),
     Members(ReplySender<Vec<Member>>),
+    Relay(ReplySender<Option<Member>>),
     Dump(ReplySender<serde_json::Value>),
 }
 
@@ -266,6 +267,11 @@
         self.request(Command::Members).await.unwrap_or_default()
     }
 
+    /// Returns the relay whose copy of the endpoints this replica follows; `None` if it reads the store.
+    pub async fn relay(&self) -> Option<Member> {
+        self.request(Command::Relay).await.flatten()
+    }
+
     /// Returns whether configuration and endpoints have been read.
     pub fn is_initialized(&self) -> bool {
         self.initialized.is_closed()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -241,6 +241,7 @@
             Command::NewerPeers(reply) => drop(reply.try_send(self.state.catch_up_peers(now))),
             Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
             Command::Members(reply) => drop(reply.try_send(self.state.members())),
+            Command::Relay(reply) => drop(reply.try_send(self.state.relay())),
             Command::Dump(reply) => drop(reply.try_send(self.dump(now))),
         }
     }
@@ -317,6 +318,8 @@
             "version": self.state.catalog().map(|catalog| catalog.version()),
             "behind": lock(&self.weak_control.active).is_stale,
             "endpoints": endpoints,
+            "is_relay": self.state.is_relay(),
+            "follows": self.state.relay().map(|relay| relay.name),
             "left": self.state.tokens_left(now),
             "sharers": self.state.replica_count(),
             "waiting": self.state.queue_length(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gossip;
 mod identify;
 pub mod metrics;
+pub mod mirror;
 mod orders;
 mod pool;
 mod server;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -30,6 +30,7 @@
     edge::{Claims, Dialect, Update},
     frontend, gossip,
     metrics::Metrics,
+    mirror::Mirror,
     orders,
     pool::Pool,
     sync,
@@ -99,6 +100,7 @@
     peer: SocketAddr,
     context: Arc<Context>,
     settings: Settings,
+    mirror: Mirror,
     tasks: Tasks,
     /// Dropped to close callers' idle connections.
     closing: Sender<()>,
@@ -132,6 +134,7 @@
         let outputs = Outputs { digests, orders };
         let control = worker::start(identity, settings.retries, clock.clone(), outputs);
         let control = control.map_err(StartError::Thread)?;
+        let mirror = Mirror::new(clock.clone(), control.clone());
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
             clock,
@@ -147,11 +150,11 @@
             task::spawn(gossip::send(socket.clone(), settings.name.clone(), outgoing_digests)),
             task::spawn(gossip::receive(socket, context.clock.clone(), control.clone())),
             task::spawn(apply_updates(store.updates, context.clone())),
-            sync::serve(incoming, control),
+            sync::serve(incoming, control, mirror.clone()),
             task::spawn(sync::run(context.clone())),
             task::spawn(orders::run(context.clone(), settings.name.clone(), outgoing_orders, store.claims)),
         ]);
-        Ok(Self { address, peer, context, settings, tasks, closing })
+        Ok(Self { address, peer, context, settings, mirror, tasks, closing })
     }
 
     /// Returns the bound address for callers.
@@ -164,6 +167,11 @@
         self.peer
     }
 
+    /// Returns the copy of the endpoint table.
+    pub fn mirror(&self) -> Mirror {
+        self.mirror.clone()
+    }
+
     /// Returns the status for the admin address.
     pub fn status(&self) -> Status {
         Status(self.context.clone())
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -15,18 +15,18 @@
 use tarragonhill_core::gateway::{digest::Member, snapshot::Snapshot};
 use tarragonhill_wire::proto::{self, entry_client::EntryClient, entry_server};
 use tonic::{
-    Request, Response, Status,
+    Request, Response, Status, Streaming,
     transport::{Endpoint, Server, server::TcpIncoming},
 };
 
-use crate::{context::Context, control::Control, edge::Update};
+use crate::{context::Context, control::Control, edge::Update, mirror::Mirror};
 
 /// Timeout for connecting, for the response to begin and for each chunk. The whole transfer has no timeout,
 /// because its duration depends on the size of the configuration.
-const STEP_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const STEP_TIMEOUT: Duration = Duration::from_millis(800);
 /// Size of a chunk; small enough for a slow link to carry within [`STEP_TIMEOUT`].
 const CHUNK_BYTES: usize = 32 << 10;
-const MAX_SNAPSHOT_BYTES: usize = 32 << 20;
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
 /// Delay before peers are asked again during startup.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Interval at which an initialized replica checks whether a peer has newer data.
@@ -34,9 +34,9 @@
 /// Number of snapshots fetched at startup. A single peer may itself have an outdated copy.
 const MAX_SNAPSHOTS: usize = 3;
 
-/// Serves snapshots to peers.
-pub(crate) fn serve(incoming: TcpIncoming, control: Control) -> JoinHandle<()> {
-    let service = entry_server::EntryServer::new(Service(control));
+/// Serves snapshots, and this replica's copy of the endpoint table, to peers.
+pub(crate) fn serve(incoming: TcpIncoming, control: Control, mirror: Mirror) -> JoinHandle<()> {
+    let service = entry_server::EntryServer::new(Service { control, mirror });
     task::spawn(async move {
         if let Err(error) = Server::builder().add_service(service).serve_with_incoming(incoming).await {
             spdlog::error!("snapshot server failed", kv: { reason = error.to_string().as_str() });
@@ -44,28 +44,42 @@
     })
 }
 
-struct Service(Control);
+struct Service {
+    control: Control,
+    mirror: Mirror,
+}
 
 type Chunks = Pin<Box<dyn Stream<Item = Result<proto::Chunk, Status>> + Send>>;
 
 #[tonic::async_trait]
 impl entry_server::Entry for Service {
     type TellStream = Chunks;
+    type FollowStream = Chunks;
 
     async fn tell(&self, question: Request<proto::Question>) -> Result<Response<Chunks>, Status> {
-        let snapshot = self.0.snapshot().await;
+        let snapshot = self.control.snapshot().await;
         let mut snapshot = snapshot.ok_or_else(|| Status::unavailable("nothing has been read yet"))?;
         // The peer already has this configuration, so it is left out.
         if snapshot.versions.configuration <= question.into_inner().configuration {
             snapshot.configuration = Arc::default();
         }
-        let bytes = proto::Knowledge::from(&snapshot).encode_to_vec();
-        let chunks: Vec<proto::Chunk> =
-            bytes.chunks(CHUNK_BYTES).map(|data| proto::Chunk { data: data.to_vec() }).collect();
-        Ok(Response::new(Box::pin(stream::iter(chunks.into_iter().map(Ok)))))
+        Ok(chunked(&proto::Knowledge::from(&snapshot).encode_to_vec()))
+    }
+
+    async fn follow(&self, position: Request<proto::Position>) -> Result<Response<Chunks>, Status> {
+        let proto::Position { has_table, after, wait_ms } = position.into_inner();
+        let batch = self.mirror.serve(has_table.then_some(after), Duration::from_millis(wait_ms)).await;
+        let batch = batch.ok_or_else(|| Status::unavailable("the store cannot be read"))?;
+        Ok(chunked(&proto::Batch::from(&batch).encode_to_vec()))
     }
 }
 
+fn chunked(bytes: &[u8]) -> Response<Chunks> {
+    let chunks: Vec<proto::Chunk> =
+        bytes.chunks(CHUNK_BYTES).map(|data| proto::Chunk { data: data.to_vec() }).collect();
+    Response::new(Box::pin(stream::iter(chunks.into_iter().map(Ok))))
+}
+
 /// Fetches snapshots from peers until this replica is initialized, unless the store responds soon after
 /// startup. Afterwards, fetches a snapshot whenever a peer has data that the store should have delivered.
 pub(crate) async fn run(context: Arc<Context>) {
@@ -116,16 +130,21 @@
     let channel = with_timeout(endpoint.connect()).await?.map_err(|error| error.to_string())?;
     let mut client = EntryClient::new(channel);
     let response = with_timeout(client.tell(question)).await?;
-    let mut chunks = response.map_err(|status| status.to_string())?.into_inner();
+    let bytes = collect(response.map_err(|status| status.to_string())?.into_inner()).await?;
+    let snapshot = proto::Knowledge::decode(bytes.as_slice()).map_err(|error| error.to_string())?;
+    Snapshot::try_from(snapshot).map_err(|error| error.to_string())
+}
+
+/// Reads the chunks of a response, with a timeout for each.
+pub(crate) async fn collect(mut chunks: Streaming<proto::Chunk>) -> Result<Vec<u8>, String> {
     let mut bytes = Vec::new();
     while let Some(chunk) = with_timeout(chunks.message()).await?.map_err(|status| status.to_string())? {
-        if bytes.len() + chunk.data.len() > MAX_SNAPSHOT_BYTES {
-            return Err("snapshot too large".into());
+        if bytes.len() + chunk.data.len() > MAX_RESPONSE_BYTES {
+            return Err("response too large".into());
         }
         bytes.extend_from_slice(&chunk.data);
     }
-    let snapshot = proto::Knowledge::decode(bytes.as_slice()).map_err(|error| error.to_string())?;
-    Snapshot::try_from(snapshot).map_err(|error| error.to_string())
+    Ok(bytes)
 }
 
 async fn with_timeout<T>(step: impl Future<Output = T>) -> Result<T, String> {
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -520,6 +520,41 @@
     #[prost(bytes = "vec", tag = "1")]
     pub data: ::prost::alloc::vec::Vec<u8>,
 }
+/// Where a reader of a table stands.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Position {
+    /// Whether the reader has the table as of `after`; otherwise it gets all rows.
+    #[prost(bool, tag = "1")]
+    pub has_table: bool,
+    #[prost(uint64, tag = "2")]
+    pub after: u64,
+    /// How long the relay waits for a change.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+}
+/// Rows of a table.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Batch {
+    #[prost(message, repeated, tag = "1")]
+    pub rows: ::prost::alloc::vec::Vec<Stored>,
+    /// Store version as of which the rows were read.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Whether the rows are the whole table.
+    #[prost(bool, tag = "3")]
+    pub complete: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Stored {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub value: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    #[prost(bool, tag = "4")]
+    pub removed: bool,
+}
 /// Snapshot of the store's contents.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Knowledge {
@@ -1158,6 +1193,22 @@
             req.extensions_mut().insert(GrpcMethod::new("tarragonhill.v1.Entry", "Tell"));
             self.inner.server_streaming(req, path, codec).await
         }
+        /// Reads the relay's copy of the endpoint table. The chunks concatenated are an encoded Batch.
+        pub async fn follow(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Position>,
+        ) -> std::result::Result<tonic::Response<tonic::codec::Streaming<super::Chunk>>, tonic::Status>
+        {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| tonic::Status::unknown(format!("Service was not ready: {}", e.into())))?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/tarragonhill.v1.Entry/Follow");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("tarragonhill.v1.Entry", "Follow"));
+            self.inner.server_streaming(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1176,6 +1227,15 @@
             &self,
             request: tonic::Request<super::Question>,
         ) -> std::result::Result<tonic::Response<Self::TellStream>, tonic::Status>;
+        /// Server streaming response type for the Follow method.
+        type FollowStream: tonic::codegen::tokio_stream::Stream<Item = std::result::Result<super::Chunk, tonic::Status>>
+            + std::marker::Send
+            + 'static;
+        /// Reads the relay's copy of the endpoint table. The chunks concatenated are an encoded Batch.
+        async fn follow(
+            &self,
+            request: tonic::Request<super::Position>,
+        ) -> std::result::Result<tonic::Response<Self::FollowStream>, tonic::Status>;
     }
     /// Served by gateway replicas for their peers.
     #[derive(Debug)]
@@ -1283,6 +1343,41 @@
                     };
                     Box::pin(fut)
                 }
+                "/tarragonhill.v1.Entry/Follow" => {
+                    #[allow(non_camel_case_types)]
+                    struct FollowSvc<T: Entry>(pub Arc<T>);
+                    impl<T: Entry> tonic::server::ServerStreamingService<super::Position> for FollowSvc<T> {
+                        type Response = super::Chunk;
+                        type ResponseStream = T::FollowStream;
+                        type Future = BoxFuture<tonic::Response<Self::ResponseStream>, tonic::Status>;
+                        fn call(&mut self, request: tonic::Request<super::Position>) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Entry>::follow(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FollowSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.server_streaming(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
