Spread prompts of replicas over idle prefill endpoints

Cause: among idle prefill endpoints the first of the list won, so all gateways of a zone sent their prompts to the same one until digests told of it. The new test failed first: 30 of 30 replicas picked one of six idle endpoints.

Change: each replica prefers endpoints in an order of its own, by at most a twentieth of the target; an idle endpoint still comes before a preferred one with a prompt, and no preference leaves the zone.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -22,6 +22,11 @@
 /// Prefill time that an endpoint in another availability zone must save, as a fraction of the
 /// time-to-first-token target. Accounts for the transfer of the KV cache between zones.
 const CROSS_ZONE_PREFILL_SAVING: f64 = 0.06;
+/// Largest head start that a replica gives to the prefill endpoints it prefers, as a fraction of the
+/// time-to-first-token target. Replicas that do not know each other's newest prompts would otherwise
+/// all pick the same idle endpoint. Below [`CROSS_ZONE_PREFILL_SAVING`], so that no preference leaves
+/// the zone.
+const PREFILL_PREFERENCE: f64 = 0.05;
 /// Largest backlog at a prefill endpoint, as a fraction of the time-to-first-token target. With a
 /// larger one, the prompt would time out and be sent to a second endpoint, which adds to the load.
 const MAX_PREFILL_BACKLOG: f64 = 0.45;
@@ -195,11 +200,11 @@
             candidates.retain(|endpoint| !self.is_stalled(endpoint, ttft_target));
         }
         let timed = candidates.into_iter().map(|endpoint| (self.prefill_times(endpoint, prompt), endpoint));
-        let best = timed.min_by_key(
-            |((_, end), endpoint)| {
-                if self.is_in_zone(endpoint, zone) { *end } else { *end + penalty }
-            },
-        );
+        let best = timed.min_by_key(|((_, end), endpoint)| {
+            let zone_penalty = if self.is_in_zone(endpoint, zone) { Duration::ZERO } else { penalty };
+            let aversion = PREFILL_PREFERENCE * (1.0 - self.preference(endpoint));
+            *end + zone_penalty + ttft_target.mul_f64(aversion)
+        });
         match best {
             None => Prefill::Unavailable,
             Some(((backlog, _), _)) if backlog > ttft_target.mul_f64(MAX_PREFILL_BACKLOG) => Prefill::Busy,
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -358,3 +358,36 @@
         assert_eq!(&*found.id, "d-2");
     }
 }
+
+/// Guards against prompts of several replicas that queue at one idle endpoint while others stay idle.
+#[test]
+fn replicas_unaware_of_each_other_spread_their_prompts() {
+    let names = ["p-1", "p-2", "p-3", "p-4", "p-5", "p-6"];
+    let directory = directory(names.iter().map(|name| endpoint(name, Stage::Prefill)).collect());
+    let mut counts: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+    for number in 0..30 {
+        let replica = format!("replica-{number}");
+        let loads = Loads::default();
+        let view = View { replica: &replica, ..view(&directory, &loads, 10) };
+        let found = id(view.pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]));
+        *counts.entry(found.expect("an endpoint")).or_default() += 1;
+    }
+    let most = counts.values().max().copied().unwrap_or_default();
+    assert!(most <= 10, "{counts:?}");
+}
+
+/// Guards against a preference for which a prompt waits behind another one.
+#[test]
+fn an_idle_prefill_endpoint_comes_before_a_preferred_busy_one() {
+    let directory = directory(vec![endpoint("p-1", Stage::Prefill), endpoint("p-2", Stage::Prefill)]);
+    for number in 0..10 {
+        let replica = format!("replica-{number}");
+        for (busy, idle) in [("p-1", "p-2"), ("p-2", "p-1")] {
+            let mut loads = Loads::default();
+            loads.acquire(at(0), &busy.into(), Share { prefill_tokens: 5_000, ..Share::default() });
+            let view = View { replica: &replica, ..view(&directory, &loads, 10) };
+            let found = id(view.pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]));
+            assert_eq!(found.as_deref(), Some(idle));
+        }
+    }
+}
