--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -60,6 +60,8 @@
     ResetAfterRun,
     /// Executes the request and never responds.
     Hang,
+    /// Executes the request and resets the connection after this many bytes of the response.
+    ResetAt(usize),
     /// Ends the connection in the middle of the response.
     Cut,
     /// Closes the connection in the middle of an event, without the last chunk.
@@ -393,8 +395,12 @@
         let mut head = self.new_head(200, fault != Fault::Unsigned);
         head.fields.push("Content-Type", "text/event-stream");
         head.fields.push("Transfer-Encoding", "chunked");
-        if connection.write(&head.encode()).await.is_err() {
-            return (connection, Action::Close);
+        let mut budget = match fault {
+            Fault::ResetAt(bytes) => Some(bytes),
+            _ => None,
+        };
+        if !write_within(&mut connection, &head.encode(), &mut budget).await {
+            return (connection, if budget.is_some() { Action::Reset } else { Action::Close });
         }
         let last_id = self.head.fields.get("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for id in last_id + 1..=EVENT_COUNT {
@@ -411,14 +417,17 @@
                 return (connection, Action::Close);
             }
             let mut is_disconnected = self.wait_for_disconnect(&mut connection).await;
-            is_disconnected |= connection.write(&chunk(event.as_bytes())).await.is_err();
+            is_disconnected |= !write_within(&mut connection, &chunk(event.as_bytes()), &mut budget).await;
+            if budget == Some(0) {
+                return (connection, Action::Reset);
+            }
             if is_disconnected {
                 lock(&self.state).abandoned += 1;
                 return (connection, Action::Close);
             }
         }
-        let _ = connection.write(LAST_CHUNK).await;
-        (connection, Action::Keep)
+        let is_written = write_within(&mut connection, LAST_CHUNK, &mut budget).await;
+        (connection, if is_written || budget.is_none() { Action::Keep } else { Action::Reset })
     }
 
     /// Waits for one event interval; returns whether the caller disconnects meanwhile.
@@ -438,6 +447,13 @@
         let success_head = self.new_head(200, fault != Fault::Unsigned);
         match fault {
             Fault::ResetAfterRun => (connection, Action::Reset),
+            Fault::ResetAt(bytes) => {
+                let (mut connection, mut head) = (connection, success_head);
+                head.fields.push("Content-Length", body.len().to_string());
+                let response = [&head.encode(), body.as_bytes()].concat();
+                let is_written = write_within(&mut connection, &response, &mut Some(bytes)).await;
+                (connection, if is_written { Action::Keep } else { Action::Reset })
+            }
             Fault::Hang => wait_for_close(connection).await,
             Fault::Error => send(connection, self.new_head(500, true), b"failed", Action::Keep).await,
             Fault::Cut | Fault::CutInEvent => {
@@ -501,6 +517,15 @@
     }
 }
 
+/// Writes as many bytes as `budget` still allows; returns whether all were written.
+async fn write_within(connection: &mut Connection, bytes: &[u8], budget: &mut Option<usize>) -> bool {
+    let allowed = budget.map_or(bytes.len(), |budget| budget.min(bytes.len()));
+    if let Some(budget) = budget {
+        *budget -= allowed;
+    }
+    connection.write(&bytes[..allowed]).await.is_ok() && allowed == bytes.len()
+}
+
 async fn wait_for_close(mut connection: Connection) -> (Connection, Action) {
     while matches!(connection.fill().await, Ok(read) if read > 0) {}
     (connection, Action::Close)
