Bound the numbers in digests of peers

Cause: loads of peers are summed without a check, so a digest with the largest numbers stopped the control thread in a debug build (found by the new test, which failed first: attempt to add with overflow) and wrapped around in a release build, where an endpoint seemed empty. Ruled out: saturating sums at every place, of which one would be forgotten.

Change: numbers are bounded when a digest is decoded. Tests play digests that are truncated, damaged, repeated, late or of the format before bundles; a replica goes on and still hears the others.

--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -21,6 +21,10 @@
 
 use crate::{DecodeError, proto};
 
+/// Largest tokens and counts that are accepted from a peer, so that sums over all peers do not overflow.
+const MAX_TOKENS: u64 = 1 << 40;
+const MAX_COUNT: u32 = 1 << 20;
+
 impl From<&Digest> for proto::Digest {
     fn from(digest: &Digest) -> Self {
         let spending = digest.spent.iter().map(|(customer, spent)| proto::Spending {
@@ -162,9 +166,9 @@
         for share in digest.shares {
             let endpoint: Arc<str> = share.endpoint.as_str().into();
             let decoded = Share {
-                running: share.running,
-                memory: share.memory,
-                prefill_tokens: share.reading,
+                running: share.running.min(MAX_COUNT),
+                memory: share.memory.min(MAX_TOKENS),
+                prefill_tokens: share.reading.min(MAX_TOKENS),
                 growth: decode_growth(&share),
             };
             if decoded != Share::default() {
@@ -191,7 +195,7 @@
             suspects: digest
                 .suspects
                 .into_iter()
-                .map(|suspect| (suspect.fingerprint, suspect.crashes))
+                .map(|suspect| (suspect.fingerprint, suspect.crashes.min(MAX_COUNT)))
                 .collect(),
             forecasts: digest.forecasts.into_iter().map(decode_forecast).collect(),
             versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
@@ -219,7 +223,7 @@
         first_event: trend(message.first),
         local_prefill: trend(message.own_reading),
         event_interval: trend(message.event),
-        memory: message.memory,
+        memory: message.memory.min(MAX_TOKENS),
         output_length: message.answers.map(output_length),
     };
     (message.service.into(), forecast)
--- /dev/null
+++ b/crates/wire/tests/digest.rs
@@ -0,0 +1,221 @@
+//! Tests of digests that are truncated, damaged, oversized, repeated or from an unknown version.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use prost::Message as _;
+use quickcheck::{Gen, QuickCheck, TestResult};
+use tarragonhill_core::{
+    Time,
+    gateway::{
+        budget::Rule,
+        catalog::{Catalog, Customer, Engine, Limits, Service},
+        completion::Completion,
+        digest::{Digest, Member, Share, StageChange},
+        directory::{Endpoint, Row, Stage},
+        forecast::{Forecast, Size, Trend},
+        growth::Growth,
+        relay::{Bundle, Parcel},
+        staleness::Versions,
+        state::{Identity, Listing, State},
+    },
+};
+use tarragonhill_wire::{digest::EncodedDigest, proto};
+
+fn at(millis: u64) -> Time {
+    Time::ZERO.plus(Duration::from_millis(millis))
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7))
+}
+
+fn member(name: &str) -> Member {
+    Member { name: name.into(), address: address(), zone: "zone-a".into(), millicores: 90 }
+}
+
+fn digest(name: &str, serial: u64) -> Digest {
+    let share = Share { running: 2, memory: 16_000, growth: Growth([16_000; 8]), ..Share::default() };
+    let trend = Some(Trend { base: 0.01, slope: 1e-5 });
+    Digest {
+        name: name.into(),
+        incarnation: 9,
+        serial,
+        is_urgent: true,
+        members: vec![member(name), member("other")],
+        spent: [("faculty".into(), 15_000)].into(),
+        left: [("faculty".into(), 300)].into(),
+        refused: [("faculty".into(), 4_000)].into(),
+        shares: [("d-1".into(), share)].into(),
+        failure_permille: [("d-1".into(), 40)].into(),
+        changing: [("d-9".into(), StageChange { stage: Stage::Prefill, remaining: Duration::from_secs(1) })]
+            .into(),
+        suspects: [(7, 2)].into(),
+        versions: Versions { configuration: 11, endpoints: 9 },
+        forecasts: [("drafting".into(), Forecast { prefill: trend, ..Forecast::default() })].into(),
+    }
+}
+
+fn encode(digest: &Digest) -> Vec<u8> {
+    proto::Digest::from(digest).encode_to_vec()
+}
+
+/// Returns a replica with a customer, a decode endpoint and a prefill endpoint.
+fn state() -> State<()> {
+    let identity = Identity {
+        name: "own".into(),
+        zone: "zone-a".into(),
+        incarnation: 1,
+        address: address(),
+        millicores: 90,
+    };
+    let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
+    let mut catalog = Catalog::new(1, Limits::default());
+    let engine = Engine { slots: 48, memory: 45_000, max_reservation: Duration::from_secs(2) };
+    catalog.add_service(Service { name: "drafting".into(), engine: Some(engine) });
+    let customer = Customer {
+        name: "faculty".into(),
+        priority: None,
+        rate: 47_000,
+        burst: 47_000,
+        plain_tokens: 200,
+        counts_tokens: true,
+    };
+    catalog.add_customer(customer, ["key".into()]);
+    let endpoint = |id: &str, stage| Endpoint {
+        id: id.into(),
+        started_ms: 1,
+        service: "drafting".into(),
+        address: address(),
+        zone: "zone-a".into(),
+        stage,
+        slots: 48,
+        is_draining: false,
+    };
+    let rows = [endpoint("d-1", Stage::Decode), endpoint("p-1", Stage::Prefill)].map(|endpoint| Row {
+        id: endpoint.id.clone(),
+        version: 1,
+        sequence: 1,
+        endpoint: Some(Arc::new(endpoint)),
+    });
+    let mut state = State::new(identity, retries, at(0));
+    state.apply_catalog(at(0), 1, Arc::new(catalog));
+    state.apply_listing(at(0), Listing { version: 1, is_complete: true, rows: rows.into() });
+    state
+}
+
+/// Applies a digest and makes every decision that depends on it.
+fn exercise(state: &mut State<()>, parcel: Parcel) {
+    let bundle = Bundle { sender: parcel.digest.name.clone(), from: address(), parcels: vec![parcel] };
+    state.apply_bundle(at(10), &bundle);
+    state.enqueue(
+        at(10),
+        Completion {
+            service: "drafting".into(),
+            size: Size { prompt: 5_000, expected_output: 500, max_output: 1_000 },
+            received: at(10),
+            deadline: at(5_000),
+            ttft_target: Duration::from_millis(900),
+            target_gap: Duration::from_millis(300),
+            stall_timeout: Duration::from_millis(3_600),
+            priority: 1,
+            avoid: Vec::new(),
+        },
+        (),
+    );
+    state.dispatch(at(20));
+    state.tokens_left(at(20));
+    state.tick(at(110));
+    state.next_order(at(110));
+    state.next_digest(at(120));
+    state.take_forwards();
+}
+
+#[test]
+fn digests_with_all_fields_round_trip() {
+    let digest = digest("a", 1);
+    let encoded = encode(&digest);
+    let parcel = Parcel::try_from(EncodedDigest(encoded.clone())).expect("a digest");
+    assert_eq!(parcel, Parcel { digest, encoded: encoded.into() });
+}
+
+/// Guards against a replica that stops because a peer sends nonsense.
+#[test]
+fn damaged_digests_neither_stop_a_replica_nor_hide_valid_ones() {
+    fn property(cut: usize, damage: Vec<(usize, u8)>) -> TestResult {
+        let mut encoded = encode(&digest("a", 1));
+        for (position, value) in damage {
+            let position = position % encoded.len();
+            encoded[position] = value;
+        }
+        if cut % 3 == 0 {
+            encoded.truncate(cut % encoded.len());
+        }
+        let mut state = state();
+        if let Ok(parcel) = Parcel::try_from(EncodedDigest(encoded)) {
+            exercise(&mut state, parcel);
+        }
+        let valid = Parcel::try_from(EncodedDigest(encode(&digest("b", 1)))).expect("a digest");
+        exercise(&mut state, valid);
+        TestResult::from_bool(state.members().iter().any(|member| &*member.name == "b"))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 5))
+        .tests(3_000)
+        .quickcheck(property as fn(usize, Vec<(usize, u8)>) -> TestResult);
+}
+
+/// Guards against sums that overflow.
+#[test]
+fn digests_with_the_largest_numbers_are_survived() {
+    let mut message = proto::Digest::from(&digest("a", u64::MAX));
+    for share in &mut message.shares {
+        (share.running, share.memory, share.reading, share.failing) =
+            (u32::MAX, u64::MAX, u64::MAX, u32::MAX);
+        share.growth = vec![u32::MAX; 8];
+    }
+    for spending in &mut message.spending {
+        (spending.spent, spending.left, spending.refused) = (u64::MAX, i64::MIN, u64::MAX);
+    }
+    for changing in &mut message.changing {
+        changing.left_us = u64::MAX;
+    }
+    for suspect in &mut message.suspects {
+        suspect.crashes = u32::MAX;
+    }
+    for forecast in &mut message.forecasts {
+        forecast.memory = u64::MAX;
+        forecast.reading = Some(proto::Trend { base: f64::MAX, slope: f64::MAX });
+        forecast.answers =
+            Some(proto::Answers { event_tokens: f64::MAX, spread: f64::MAX, events: f64::MAX, weight: 1.0 });
+    }
+    let mut state = state();
+    for name in ["a", "b", "c"] {
+        message.name = name.into();
+        let parcel = Parcel::try_from(EncodedDigest(message.encode_to_vec())).expect("a digest");
+        exercise(&mut state, parcel);
+    }
+}
+
+/// Guards against counting twice what arrives twice, late, or from a replica that is gone.
+#[test]
+fn repeated_and_late_digests_change_nothing() {
+    let mut state = state();
+    let parcel = |serial| Parcel::try_from(EncodedDigest(encode(&digest("a", serial)))).expect("a digest");
+    let apply = |state: &mut State<()>, now, serial| {
+        let bundle = Bundle { sender: "a".into(), from: address(), parcels: vec![parcel(serial)] };
+        state.apply_bundle(at(now), &bundle);
+        state.loads().get("d-1").map(|load| load.total(at(now)).running)
+    };
+    assert_eq!(apply(&mut state, 10, 5), Some(2));
+    assert_eq!(apply(&mut state, 20, 5), Some(2));
+    assert_eq!(apply(&mut state, 30, 4), Some(2));
+    // The replica is gone, and a relay passes on an old digest of it.
+    state.tick(at(13_000));
+    assert_eq!(state.loads().get("d-1").map(|load| load.total(at(13_000)).running), Some(0));
+}
+
+/// Guards against an encoding without bundles that is taken for one.
+#[test]
+fn a_datagram_of_an_older_version_is_rejected() {
+    assert!(proto::Bundle::decode(encode(&digest("a", 1)).as_slice()).is_err());
+}
