--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -82,6 +82,7 @@
         last_digest: Time::ZERO,
         last_forward: Time::ZERO,
         last_forecast_log: Time::ZERO,
+        role: (false, None),
     };
     thread::Builder::new()
         .name("control".into())
@@ -123,6 +124,8 @@
     last_forward: Time,
     /// When forecasts were last logged.
     last_forecast_log: Time,
+    /// Whether this replica is a relay, and the relay that it follows.
+    role: (bool, Option<Arc<str>>),
 }
 
 impl Worker {
@@ -160,6 +163,7 @@
         if now.since(self.last_digest) >= self.state.digest_interval() {
             self.last_digest = now;
             let (digest, recipients) = self.state.next_digest(now);
+            self.log_role();
             let _ = self.outputs.digests.try_send(Outgoing::Digest(Box::new(digest), recipients));
         }
         if let Some(interval) = self.state.forward_interval()
@@ -183,6 +187,17 @@
         }
     }
 
+    /// Logs a change of this replica's part in the exchange of digests and endpoints.
+    fn log_role(&mut self) {
+        let role = (self.state.is_relay(), self.state.relay().map(|relay| relay.name));
+        if role == self.role {
+            return;
+        }
+        let follows = role.1.as_deref().unwrap_or("");
+        spdlog::info!("relay role", kv: { relay = role.0, follows, replicas = self.state.replica_count() });
+        self.role = role;
+    }
+
     /// Returns `None` once all handles have been dropped; then no request waits for the permit.
     fn permit(&self, assignment: Assignment) -> Option<Permit> {
         let Assignment { endpoint, lease, prefill_tokens, prefill_timeout } = assignment;
