Try endpoints that refuse reservations without apparent reason less often

The new test failed first: 20 tries in 2 s.

Ruled out: treating every refusal so (a full endpoint is to be tried again as soon as a run has ended; a second test).

Change: a refusal by an endpoint that by all reports uses at most half of its memory doubles the time for which it counts as full, up to 1.6 s.

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -17,6 +17,9 @@
 const PREFILL_STALE_AFTER: Duration = Duration::from_millis(600);
 /// How long an endpoint counts as full after it refused a request or run.
 const FULL_DURATION: Duration = Duration::from_millis(100);
+/// Largest number of times that the duration doubles while an endpoint refuses reservations although
+/// it seems to have free memory. It may be draining, or serve callers that no replica knows of.
+const MAX_FULL_DOUBLINGS: u32 = 4;
 
 /// Lowest failure ratio that is reported to peers.
 const MIN_REPORTED_FAILURE_RATIO: f64 = 0.05;
@@ -64,6 +67,8 @@
     /// Health by the outcomes of this replica's requests.
     pub health: Health,
     full_until: Time,
+    /// Consecutive refusals of reservations for which there seemed to be memory.
+    unexpected_refusals: u32,
     /// When the endpoint may start its next local prefill.
     prefill_ready_at: Time,
 }
@@ -171,6 +176,7 @@
     pub fn record_first_event(&mut self, now: Time, lease: &Lease, pause: Duration) {
         if let Some(load) = self.endpoints.get_mut(&lease.endpoint) {
             load.local.prefill_tokens = load.local.prefill_tokens.saturating_sub(lease.share.prefill_tokens);
+            load.unexpected_refusals = 0;
             if lease.share.prefill_tokens > 0 {
                 load.prefill_ready_at = now.plus(pause);
             }
@@ -200,6 +206,18 @@
         if matches!(outcome, Outcome::Full | Outcome::Refused | Outcome::ReservationRejected) {
             load.full_until = now.plus(FULL_DURATION);
         }
+        if matches!(outcome, Outcome::Responded(_) | Outcome::Abandoned) {
+            load.unexpected_refusals = 0;
+        }
+    }
+
+    /// Records that an endpoint refused a reservation although it seemed to have memory. It counts as
+    /// full for longer with each such refusal.
+    pub fn record_unexpected_refusal(&mut self, now: Time, endpoint: &str) {
+        let Some(load) = self.endpoints.get_mut(endpoint) else { return };
+        let doublings = load.unexpected_refusals.min(MAX_FULL_DOUBLINGS);
+        load.full_until = now.plus(FULL_DURATION * 2_u32.pow(doublings));
+        load.unexpected_refusals += 1;
     }
 
     /// Replaces the load that a peer reported before.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -37,6 +37,9 @@
 /// Pause between two prefills on a decode endpoint, in event intervals of its runs, so that no
 /// event is delayed by both.
 const PREFILL_PAUSE_EVENTS: u32 = 2;
+/// Largest known load of an endpoint, as a fraction of its memory, at which a refused reservation is
+/// unexpected. Reports of other replicas' newest runs are delayed.
+const MAX_UNEXPECTED_LOAD: f64 = 0.5;
 /// One in this many digests carries forecasts.
 const DIGESTS_PER_FORECAST: u64 = 10;
 
@@ -515,7 +518,11 @@
 
     /// Records the end of a request at its endpoint.
     pub fn record_end(&mut self, now: Time, lease: &Lease, outcome: Outcome) {
+        let is_unexpected = outcome == Outcome::Full && self.seems_free(now, lease);
         self.loads.release(now, lease, outcome);
+        if is_unexpected {
+            self.loads.record_unexpected_refusal(now, &lease.endpoint);
+        }
         if outcome == Outcome::Unreachable {
             self.suspects.record_crash(now, &lease.endpoint);
         }
@@ -524,6 +531,14 @@
         }
     }
 
+    /// Returns whether an endpoint seems to have much free memory, with the memory of the lease in use.
+    fn seems_free(&self, now: Time, lease: &Lease) -> bool {
+        let endpoint = self.directory.get(&lease.endpoint);
+        let engine = endpoint.and_then(|endpoint| self.engine(&endpoint.service));
+        let used = self.loads.get(&lease.endpoint).map_or(0, |load| load.total(now).memory);
+        engine.is_some_and(|engine| used as f64 <= engine.memory as f64 * MAX_UNEXPECTED_LOAD)
+    }
+
     /// Records that a request was interrupted on an endpoint.
     pub fn record_interrupted(&mut self, now: Time, endpoint: &Arc<str>, fingerprint: u64) {
         self.suspects.record_interrupted(now, endpoint, fingerprint);
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -11,6 +11,7 @@
         directory::Stage,
         forecast::{Observation, Size},
         health::Outcome,
+        load::Lease,
         queue::{Entry, Verdict},
         state::{Admission, Identity, Listing, State},
     },
@@ -256,3 +257,62 @@
     let after = state.forecast("drafting");
     assert_eq!(after.event_interval, None, "{before:?}");
 }
+
+/// Guards against an endpoint that drains unnoticed and is tried again and again, since it seems to be idle.
+#[test]
+fn an_idle_endpoint_that_refuses_reservations_is_tried_less_and_less() {
+    let mut state = ready_state();
+    let rows = vec![row(3, endpoint("d-2", Stage::Decode))];
+    state.apply_listing(at(0), Listing { version: 3, is_complete: false, rows });
+    // The other endpoint has less free memory.
+    state.enqueue(at(0), completion(20_000), 0);
+    let busy = place(&mut state, 0).expect("a placement");
+    let (mut tries, mut served) = (0, 0);
+    for number in 1..=100 {
+        let now = u64::from(number) * 20;
+        state.enqueue(at(now), Completion { received: at(now), ..completion(5_000) }, number);
+        while let Some(lease) = place(&mut state, now) {
+            if lease.endpoint == busy.endpoint {
+                served += 1;
+                state.record_end(at(now), &lease, Outcome::Responded(Duration::from_millis(1)));
+                break;
+            }
+            tries += 1;
+            state.record_end(at(now), &lease, Outcome::Full);
+            state.enqueue(at(now), Completion { received: at(now), ..completion(5_000) }, number);
+        }
+    }
+    assert_eq!(served, 100);
+    assert!(tries <= 7, "{tries} tries in 2 s");
+}
+
+/// Guards against a full endpoint that gets no run for long after its memory has become free.
+#[test]
+fn a_full_endpoint_is_tried_again_soon() {
+    let mut state = ready_state();
+    state.enqueue(at(0), completion(50_000), 0);
+    let first = place(&mut state, 0).expect("a placement");
+    for number in 1..=5 {
+        let now = u64::from(number) * 200;
+        state.enqueue(at(now), Completion { received: at(now), ..completion(5_000) }, number);
+        let lease = place(&mut state, now).expect("a placement");
+        state.record_end(at(now), &lease, Outcome::Full);
+    }
+    state.record_end(at(1_050), &first, Outcome::Responded(Duration::from_millis(1)));
+    state.enqueue(at(1_101), Completion { received: at(1_101), ..completion(5_000) }, 6);
+    assert!(place(&mut state, 1_101).is_some());
+}
+
+/// Dispatches the only queued completion, and returns its lease at the decode endpoint.
+fn place(state: &mut State<u32>, now: u64) -> Option<Lease> {
+    let mut dispatched = state.dispatch(at(now));
+    match dispatched.pop() {
+        Some((_, Verdict::Placed(pair))) => {
+            if let Some(prefill) = pair.prefill {
+                state.record_end(at(now), &prefill.lease, Outcome::Abandoned);
+            }
+            Some(pair.decode.lease)
+        }
+        _ => None,
+    }
+}
