--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -6,8 +6,8 @@
 //! The charge is corrected when the peer's next digest arrives.
 //!
 //! A customer above its rate keeps its bucket low. So that this does not exclude its large requests,
-//! a refused request raises the level that all requests but small ones need for a while. They are
-//! then admitted in proportion to how many there are of each size.
+//! a refused request raises the level that much smaller requests need for a while, except those so
+//! small that they hardly matter. The others are then admitted in proportion to their numbers.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -59,8 +59,9 @@
 const REFUSED_TTL: Duration = Duration::from_secs(4);
 /// How long the refusals that a peer reports count after its digest.
 const PEER_REFUSED_TTL: Duration = Duration::from_millis(1_500);
-/// Part of a refused request's size by which others may stay below it.
-const REFUSED_TOLERANCE_DIVISOR: i64 = 64;
+/// Requests smaller than this part of a refused one need the level that it needs. Among requests of
+/// similar size, none is excluded for long, and raising the level would only leave tokens unused.
+const YIELD_DIVISOR: i64 = 4;
 /// Divisor of the burst that gives the highest level required because of refused requests.
 const MAX_REFUSED_DIVISOR: i64 = 2;
 /// Divisor of the burst that gives the largest reserve for small requests.
@@ -173,8 +174,9 @@
         }
         let reserve = self.small_demand.min(self.burst / MAX_RESERVE_DIVISOR);
         let refused = self.refused.size(self.refilled_at).max(self.peer_refused.size(self.refilled_at));
-        let refused = (refused - refused / REFUSED_TOLERANCE_DIVISOR).min(self.burst / MAX_REFUSED_DIVISOR);
-        (needed.max(refused) + reserve).min(self.burst)
+        let yielded = if needed < refused / YIELD_DIVISOR { refused } else { 0 };
+        let yielded = yielded.min(self.burst / MAX_REFUSED_DIVISOR);
+        (needed.max(yielded) + reserve).min(self.burst)
     }
 
     /// Returns the retry delay for a request of `needed` microtokens. Each delay adds to those
