--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -147,7 +147,7 @@
             let position = position % encoded.len();
             encoded[position] = value;
         }
-        if cut % 3 == 0 {
+        if cut.is_multiple_of(3) {
             encoded.truncate(cut % encoded.len());
         }
         let mut state = state();
