--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -22,7 +22,7 @@
         forecast::Size,
         health::Outcome,
         queue::Verdict,
-        relay::{Bundle, Parcel},
+        relay::{Bundle, Parcel, Role},
         state::{Admission, Identity, Listing, Pair, State},
     },
 };
@@ -213,6 +213,12 @@
             .collect()
     }
 
+    /// Returns the number of gateways of a zone that read the endpoint table from the store.
+    pub fn readers(&self, zone: usize) -> usize {
+        let running = self.replicas.iter().filter(|replica| replica.zone == zone && replica.is_running);
+        running.filter(|replica| !matches!(replica.state.role(), Role::Follower(_))).count()
+    }
+
     /// Cuts a zone off from the others, or ends the cut.
     pub fn set_partitioned(&mut self, zone: usize, is_partitioned: bool) {
         if is_partitioned {
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -156,9 +156,9 @@
     }
 
     /// Records a digest; returns false if it is outdated. `from` is the sender's address, unless the
-    /// digest itself names it. Incarnations are random, not ordered by
-    /// the clock, since clocks can step back between two starts. A late datagram is at most one
-    /// incarnation old, so only the previous incarnation has to be remembered.
+    /// digest itself names it. Incarnations are random, not ordered by the clock, since clocks can step
+    /// back between two starts. A late datagram is at most one incarnation old, so only the previous
+    /// incarnation has to be remembered.
     pub fn record_digest(&mut self, now: Time, digest: &Digest, from: SocketAddr) -> bool {
         if digest.name == self.own {
             return false;
--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -232,7 +232,8 @@
 #[derive(Clone, Debug)]
 pub struct RateLimiter {
     accounts: BTreeMap<Arc<str>, Account>,
-    /// Customers with recent spending, and the number of digests that still have to report it.
+    /// Customers with recent spending or refusals, and the number of digests that still have to report
+    /// these.
     unreported: BTreeMap<Arc<str>, u8>,
     /// Last customer that the rotation by name has included in a digest; the next digest continues
     /// after it.
--- a/crates/core/src/gateway/relay.rs
+++ b/crates/core/src/gateway/relay.rs
@@ -56,6 +56,17 @@
     pub recipients: Vec<Member>,
 }
 
+/// Where a replica reads the endpoint table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// From the store, in a small fleet.
+    Independent,
+    /// From the store, for its zone.
+    Reader,
+    /// From a relay.
+    Follower(Member),
+}
+
 /// The replicas that this one sends digests to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Topology {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -19,7 +19,7 @@
     pools::{Order, Pools, ServiceInfo},
     queue::{Entry, Queue, Verdict},
     rate_limit::{RateLimiter, Totals},
-    relay::{Bundle, Delivery, Outbox, Topology, digest_interval, forward_interval, urgent_interval},
+    relay::{Bundle, Delivery, Outbox, Role, Topology, digest_interval, forward_interval, urgent_interval},
     staleness::{Staleness, Versions},
     suspect::Suspects,
 };
@@ -274,7 +274,8 @@
 
     /// Returns the digests of other replicas that this one passes on, with their recipients.
     pub fn take_forwards(&mut self) -> Vec<Delivery> {
-        self.topology.as_ref().map_or_else(Vec::new, |topology| self.outbox.take(topology))
+        // In a fleet that has become small, all replicas send their digests directly.
+        self.outbox.take(self.topology.as_ref().unwrap_or(&Topology::default()))
     }
 
     /// Returns the next digest and its recipients.
@@ -606,10 +607,13 @@
         self.topology.as_ref().is_some_and(|topology| topology.is_relay)
     }
 
-    /// Returns the relay whose copy of the endpoint table this replica follows; `None` if it reads
-    /// the store.
-    pub fn relay(&self) -> Option<Member> {
-        self.topology.as_ref()?.followed.clone()
+    /// Returns where this replica reads the endpoint table.
+    pub fn role(&self) -> Role {
+        match &self.topology {
+            None => Role::Independent,
+            Some(Topology { followed: None, .. }) => Role::Reader,
+            Some(Topology { followed: Some(relay), .. }) => Role::Follower(relay.clone()),
+        }
     }
 
     /// Returns the number of replicas that share the traffic, including this one.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -22,7 +22,7 @@
         forecast::{Forecast, Observation},
         health::Outcome,
         load::Lease,
-        relay::Bundle,
+        relay::{Bundle, Role},
         snapshot::Snapshot,
         staleness::Versions,
         state::Admission,
@@ -65,7 +65,7 @@
     NewerPeers(ReplySender<Vec<Member>>),
     Versions(ReplySender<Versions>),
     Members(ReplySender<Vec<Member>>),
-    Relay(ReplySender<Option<Member>>),
+    Role(ReplySender<Role>),
     Dump(ReplySender<serde_json::Value>),
 }
 
@@ -267,9 +267,9 @@
         self.request(Command::Members).await.unwrap_or_default()
     }
 
-    /// Returns the relay whose copy of the endpoints this replica follows; `None` if it reads the store.
-    pub async fn relay(&self) -> Option<Member> {
-        self.request(Command::Relay).await.flatten()
+    /// Returns where this replica reads the endpoint table.
+    pub async fn role(&self) -> Role {
+        self.request(Command::Role).await.unwrap_or(Role::Independent)
     }
 
     /// Returns whether configuration and endpoints have been read.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -21,7 +21,7 @@
         health::Outcome,
         pools::Order,
         queue::Verdict,
-        relay::Delivery,
+        relay::{Delivery, Role},
         snapshot::Snapshot,
         state::{Assignment, Identity, Pair, State},
     },
@@ -189,7 +189,7 @@
 
     /// Logs a change of this replica's part in the exchange of digests and endpoints.
     fn log_role(&mut self) {
-        let role = (self.state.is_relay(), self.state.relay().map(|relay| relay.name));
+        let role = (self.state.is_relay(), followed(&self.state.role()).cloned());
         if role == self.role {
             return;
         }
@@ -256,7 +256,7 @@
             Command::NewerPeers(reply) => drop(reply.try_send(self.state.catch_up_peers(now))),
             Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
             Command::Members(reply) => drop(reply.try_send(self.state.members())),
-            Command::Relay(reply) => drop(reply.try_send(self.state.relay())),
+            Command::Role(reply) => drop(reply.try_send(self.state.role())),
             Command::Dump(reply) => drop(reply.try_send(self.dump(now))),
         }
     }
@@ -334,7 +334,7 @@
             "behind": lock(&self.weak_control.active).is_stale,
             "endpoints": endpoints,
             "is_relay": self.state.is_relay(),
-            "follows": self.state.relay().map(|relay| relay.name),
+            "follows": followed(&self.state.role()),
             "left": self.state.tokens_left(now),
             "sharers": self.state.replica_count(),
             "waiting": self.state.queue_length(),
@@ -343,6 +343,14 @@
     }
 }
 
+/// Returns the relay whose endpoint table a replica with this role follows.
+fn followed(role: &Role) -> Option<&Arc<str>> {
+    match role {
+        Role::Independent | Role::Reader => None,
+        Role::Follower(relay) => Some(&relay.name),
+    }
+}
+
 fn log_forecasts(forecasts: &BTreeMap<Arc<str>, Forecast>) {
     for (service, forecast) in forecasts {
         let known = forecast_json(forecast).to_string();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -20,9 +20,9 @@
 
 /// Maximum UDP payload over IPv4.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
-/// Size of a datagram from which no further digest is added to it. The loss of one then concerns only
-/// some of the replicas.
-const FULL_DATAGRAM_BYTES: usize = 8 << 10;
+/// Size up to which digests are bundled in a datagram. The loss of one then concerns only some of the
+/// replicas.
+const BUNDLE_BYTES: usize = 8 << 10;
 /// Largest size of a datagram's fields other than the digests' bytes.
 const BUNDLE_OVERHEAD_BYTES: usize = 128;
 /// Minimum interval of log lines about invalid datagrams.
@@ -72,12 +72,12 @@
     async fn forward(&self, delivery: Delivery) {
         let (mut digests, mut size) = (Vec::new(), 0);
         for encoded in delivery.encoded {
-            size += encoded.len();
-            digests.push(encoded.to_vec());
-            if size >= FULL_DATAGRAM_BYTES {
+            if size + encoded.len() > BUNDLE_BYTES && !digests.is_empty() {
                 self.send_bundle(std::mem::take(&mut digests), &delivery.recipients).await;
                 size = 0;
             }
+            size += encoded.len();
+            digests.push(encoded.to_vec());
         }
         if !digests.is_empty() {
             self.send_bundle(digests, &delivery.recipients).await;
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -14,7 +14,10 @@
 use prost::Message as _;
 use tarragonhill_core::{
     Clock, Time,
-    gateway::mirror::{Batch, Table},
+    gateway::{
+        mirror::{Batch, Table},
+        relay::Role,
+    },
 };
 use tarragonhill_wire::proto::{self, entry_client::EntryClient};
 use tonic::transport::{Channel, Endpoint};
@@ -100,15 +103,15 @@
         }
     }
 
-    /// Returns whether this replica follows a relay.
-    pub async fn is_follower(&self) -> bool {
-        self.0.control.relay().await.is_some()
+    /// Returns where this replica reads the endpoint table.
+    pub async fn role(&self) -> Role {
+        self.0.control.role().await
     }
 
     /// Reads from the relay that this replica follows. `None` if it follows none, or the relay did not answer;
     /// then the store is to be read.
     pub async fn follow(&self, after: Option<u64>) -> Option<Batch> {
-        let relay = self.0.control.relay().await?;
+        let Role::Follower(relay) = self.role().await else { return None };
         let now = self.0.clock.now();
         if lock(&self.0.relay).failed.is_some_and(|at| now.since(at) < RELAY_BACKOFF) {
             return None;
