Log when and why a gateway stops and which requests it cuts

A request cut by the end of the process left no line: its task ended with the process, and `gateway stopped` had only a count. The line now has the reason, idle or deadline, and the time since the shutdown began; each request in flight writes `request cut` with its id and age. This tells apart requests that are cut at the deadline, requests that are cut by an early exit, and a process that is killed, which writes none of them.

To this end the gateway owns its callers' connections: they end with it, as they do when the process exits. `Gateway::kill` also ends them now, like a crash.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_std::{
     future::timeout,
     net::{TcpListener, TcpStream},
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use futures_lite::future;
 use tarragonhill_core::{
-    Refusal,
+    Refusal, Time,
     gateway::catalog::{Catalog, Kind, Limits},
     refusal::Code,
 };
@@ -46,9 +46,17 @@
 /// Maximum caller connections; leaves file descriptors for connections to endpoints.
 const MAX_CONNECTIONS: usize = 3_000;
 
-/// Accepts callers' connections. Idle connections are closed once the sender of `closing` is dropped.
-pub(crate) async fn accept(context: Arc<Context>, listener: TcpListener, closing: Receiver<()>) {
-    let open = Arc::new(());
+/// Signals that end callers' connections. No message is ever sent; a signal is given by closing its channel.
+#[derive(Clone)]
+pub(crate) struct Signals {
+    /// Closes idle connections.
+    pub(crate) closing: Receiver<()>,
+    /// Closes all connections at once.
+    pub(crate) ended: Receiver<()>,
+}
+
+/// Accepts callers' connections. `open` is dropped once this future and all connections have ended.
+pub(crate) async fn accept(context: Arc<Context>, listener: TcpListener, signals: Signals, open: Sender<()>) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -58,14 +66,16 @@
                 continue;
             }
         };
-        if Arc::strong_count(&open) > MAX_CONNECTIONS {
+        if open.sender_count() > MAX_CONNECTIONS {
             spdlog::warn!("connection limit reached; closing the new connection");
             continue;
         }
-        let (context, closing, counted) = (context.clone(), closing.clone(), open.clone());
+        let (context, signals, open) = (context.clone(), signals.clone(), open.clone());
         task::spawn(async move {
-            serve_connection(&context, stream, &closing).await;
-            drop(counted);
+            // Boxed because the future is too large to be moved into the combinators on the stack.
+            let served = Box::pin(serve_connection(&context, stream, &signals.closing));
+            run_until(served, closed(&signals.ended)).await;
+            drop(open);
         });
     }
 }
@@ -89,13 +99,13 @@
         };
         let close = !head.keeps_alive() || context.is_shutting_down();
         let mut writer = ResponseWriter::new(connection.stream().clone(), &head.method, head.minor, close);
-        context.in_flight.fetch_add(1, Ordering::Relaxed);
         let metadata = context.dialect.decode_metadata(&head);
         let id = metadata.id.clone();
+        let flight = Flight::new(context, id.clone());
         let served =
             run_until(serve(context, head, body, metadata, &mut writer), wait_for_close(&mut connection))
                 .await;
-        context.in_flight.fetch_sub(1, Ordering::Relaxed);
+        flight.finish();
         if served.is_none() {
             spdlog::info!("caller closed its connection", kv: { request = id.as_deref().unwrap_or("-") });
             return;
@@ -109,16 +119,49 @@
     }
 }
 
+/// A request in flight. Dropping it unfinished logs that the request was cut, which happens when the process
+/// ends.
+struct Flight<'a> {
+    context: &'a Context,
+    id: Option<Arc<str>>,
+    began: Time,
+    is_finished: bool,
+}
+
+impl<'a> Flight<'a> {
+    fn new(context: &'a Context, id: Option<Arc<str>>) -> Self {
+        context.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { context, id, began: context.clock.now(), is_finished: false }
+    }
+
+    fn finish(mut self) {
+        self.is_finished = true;
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.context.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if !self.is_finished {
+            let age = self.context.clock.now().since(self.began);
+            spdlog::warn!("request cut", kv: {
+                request = self.id.as_deref().unwrap_or("-"), age_ms = age.as_millis() as u64
+            });
+        }
+    }
+}
+
+/// Completes once the channel is closed.
+async fn closed(signal: &Receiver<()>) {
+    let _ = signal.recv().await;
+}
+
 /// Waits for the first bytes of a request. Returns false if the connection should be closed.
 async fn wait_for_bytes(connection: &mut Connection, limits: Limits, closing: &Receiver<()>) -> bool {
     if connection.buffered() > 0 {
         return true;
     }
-    let closed = async {
-        // No message is ever sent; this waits for the channel to close.
-        let _ = closing.recv().await;
-    };
-    let filled = timeout(limits.idle_timeout, run_until(connection.fill(), closed)).await;
+    let filled = timeout(limits.idle_timeout, run_until(connection.fill(), closed(closing))).await;
     matches!(filled, Ok(Some(Ok(read))) if read > 0)
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -28,7 +28,8 @@
         worker::{self, Outputs},
     },
     edge::{Claims, Dialect, Update},
-    frontend, gossip,
+    frontend::{self, Signals},
+    gossip,
     metrics::Metrics,
     mirror::Mirror,
     orders,
@@ -104,6 +105,10 @@
     tasks: Tasks,
     /// Dropped to close callers' idle connections.
     closing: Sender<()>,
+    /// Dropped to close all callers' connections.
+    ending: Sender<()>,
+    /// Closed once all callers' connections have ended.
+    open: Receiver<()>,
 }
 
 impl Gateway {
@@ -145,8 +150,11 @@
             in_flight: AtomicUsize::new(0),
         });
         let (closing, closed) = async_channel::bounded(1);
+        let (ending, ended) = async_channel::bounded(1);
+        let (open_sender, open) = async_channel::bounded(1);
+        let signals = Signals { closing: closed, ended };
         let tasks = Tasks(vec![
-            task::spawn(frontend::accept(context.clone(), listener, closed)),
+            task::spawn(frontend::accept(context.clone(), listener, signals, open_sender)),
             task::spawn(gossip::send(socket.clone(), settings.name.clone(), outgoing_digests)),
             task::spawn(gossip::receive(socket, context.clock.clone(), control.clone())),
             task::spawn(apply_updates(store.updates, context.clone())),
@@ -154,7 +162,7 @@
             task::spawn(sync::run(context.clone())),
             task::spawn(orders::run(context.clone(), settings.name.clone(), outgoing_orders, store.claims)),
         ]);
-        Ok(Self { address, peer, context, settings, mirror, tasks, closing })
+        Ok(Self { address, peer, context, settings, mirror, tasks, closing, ending, open })
     }
 
     /// Returns the bound address for callers.
@@ -179,16 +187,16 @@
 
     /// Cancels all tasks at once, as in a crash: without notice to peers and without a drain.
     pub async fn kill(self) {
-        let Self { mut tasks, .. } = self;
-        for task in tasks.0.drain(..) {
-            task.cancel().await;
-        }
+        let Self { tasks, ending, open, .. } = self;
+        tasks.cancel().await;
+        drop(ending);
+        let _ = open.recv().await;
     }
 
     /// Shuts down: reports that the gateway is not ready, accepts connections until the drain delay is over,
     /// closes idle connections and waits for requests in flight until the grace period ends.
     pub async fn shutdown(self) {
-        let Self { context, settings, tasks, closing, .. } = self;
+        let Self { context, settings, tasks, closing, ending, open, .. } = self;
         let clock = context.clock.clone();
         let began = clock.now();
         let shutdown = Shutdown {
@@ -200,25 +208,38 @@
         // The load balancer sends callers here until it has noticed that the gateway is not ready.
         clock.sleep(settings.drain_delay.min(settings.grace)).await;
         drop(closing);
+        let mut reason = "deadline";
         while clock.now().since(began) < settings.grace {
             if context.in_flight.load(Ordering::Relaxed) == 0 {
                 // A request that has just arrived may not be counted yet, so the count is checked twice.
                 clock.sleep(DRAIN_POLL).await;
                 if context.in_flight.load(Ordering::Relaxed) == 0 {
+                    reason = "idle";
                     break;
                 }
             }
             clock.sleep(DRAIN_POLL).await;
         }
         let cut = context.in_flight.load(Ordering::Relaxed);
-        drop(tasks);
-        spdlog::info!("gateway stopped", kv: { cut });
+        let took_ms = clock.now().since(began).as_millis() as u64;
+        spdlog::info!("gateway stopped", kv: { reason, took_ms, cut });
+        tasks.cancel().await;
+        drop(ending);
+        let _ = open.recv().await;
     }
 }
 
 /// Tasks that are cancelled on drop.
 struct Tasks(Vec<JoinHandle<()>>);
 
+impl Tasks {
+    async fn cancel(mut self) {
+        for task in self.0.drain(..) {
+            task.cancel().await;
+        }
+    }
+}
+
 impl Drop for Tasks {
     fn drop(&mut self) {
         // Dropping a handle would only detach its task.
