--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -92,6 +92,8 @@
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
+    /// Whether responses of a plain service are held back.
+    is_paused: bool,
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
     received: Vec<ReceivedRequest>,
@@ -195,6 +197,16 @@
         (state.fault, state.remaining_faults) = (fault, Some(count));
     }
 
+    /// Holds back the responses of a plain service, or lets them continue.
+    pub fn set_paused(&self, is_paused: bool) {
+        lock(&self.state).is_paused = is_paused;
+    }
+
+    /// Takes all free memory, so that further reservations are refused.
+    pub fn fill_memory(&self) {
+        lock(&self.state).free_tokens = 0;
+    }
+
     /// Stops at once and closes all connections.
     pub async fn kill(&self) {
         self.server.kill().await;
@@ -442,6 +454,9 @@
 
     async fn plain(self, connection: Connection, fault: Fault) -> (Connection, Action) {
         self.record(true);
+        while lock(&self.state).is_paused {
+            task::sleep(EVENT_INTERVAL).await;
+        }
         let body =
             format!("{} {} {}", self.head.method, self.head.target, String::from_utf8_lossy(&self.body));
         let success_head = self.new_head(200, fault != Fault::Unsigned);
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -233,11 +233,7 @@
 
     /// Returns the `/state` dump of a replica; null if it does not respond.
     pub async fn state(&self, gateway: usize) -> Value {
-        let admin = self.gateways[gateway].admin();
-        let mut head = tarragonhill_h1::head::Request::new("GET", "/state");
-        head.fields.push("Host", "admin");
-        let response = super::caller::request(admin, head, b"").await;
-        response.ok().and_then(|response| serde_json::from_slice(&response.body).ok()).unwrap_or_default()
+        state(self.gateways[gateway].admin()).await
     }
 
     /// Waits until every replica knows every endpoint and every peer.
@@ -276,6 +272,14 @@
     endpoint.id().rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or(0)
 }
 
+/// Returns the `/state` dump of the replica at an admin address; null if it does not respond.
+pub async fn state(admin: SocketAddr) -> Value {
+    let mut head = tarragonhill_h1::head::Request::new("GET", "/state");
+    head.fields.push("Host", "admin");
+    let response = super::caller::request(admin, head, b"").await;
+    response.ok().and_then(|response| serde_json::from_slice(&response.body).ok()).unwrap_or_default()
+}
+
 /// Waits until a condition is met. Panics if that takes too long.
 pub async fn wait_until(condition: &str, mut is_met: impl AsyncFnMut() -> bool) {
     let started_at = std::time::Instant::now();
--- /dev/null
+++ b/crates/bench/tests/shutdown.rs
@@ -0,0 +1,167 @@
+//! Tests of the end of a gateway's shutdown over real connections, on a manual clock.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_std::{
+    future::timeout,
+    task::{self, JoinHandle},
+};
+use tarragonhill_bench::platform::{
+    caller::{Caller, completion_request, plain_request},
+    endpoint::{Endpoint, Fault, Role},
+    site::{KEY, Shape, Site, state, wait_until, wait_until_not_ready},
+};
+use tarragonhill_core::{Clock, clock::Manual};
+use tarragonhill_h1::head::Request;
+
+/// Step by which the clock advances until a shutdown is over.
+const STEP: Duration = Duration::from_millis(20);
+/// Less than the grace period of the site by more than the gateway reserves for its exit, but too short for a
+/// request to start.
+const NEAR_THE_END: Duration = Duration::from_millis(7_000);
+/// After the drain delay, and long before the end of the grace period.
+const AFTER_DRAIN_DELAY: Duration = Duration::from_millis(3_500);
+
+/// After the drain delay, and early enough for a short stream to end before the gateway does.
+const STREAM_ADMITTED: Duration = Duration::from_millis(5_500);
+/// Time limit for a response that the gateway should send at once.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A site with one gateway and one endpoint of each role.
+struct Fixture {
+    site: Site,
+    clock: Manual,
+    /// Address of the gateway for callers.
+    address: SocketAddr,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let shape = Shape { gateways: 0, prefill: 1, decode: 1, plain: 1 };
+        let mut site = Site::start(shape).await.expect("the site starts");
+        let clock = Manual::default();
+        site.add_gateway_with_clock(Clock::Manual(clock.clone())).await.expect("a gateway");
+        site.wait_until_synced().await;
+        let address = site.address();
+        Self { site, clock, address }
+    }
+
+    fn endpoint(&self, role: Role) -> Arc<Endpoint> {
+        self.site.endpoints(role)[0].clone()
+    }
+
+    /// Begins the shutdown and advances the clock by `span`.
+    async fn begin_shutdown(&mut self, span: Duration) -> JoinHandle<()> {
+        let gateway = self.site.gateways.remove(0);
+        let admin = gateway.admin();
+        let stopping = task::spawn(gateway.shutdown());
+        wait_until_not_ready(admin).await;
+        self.clock.advance(span);
+        stopping
+    }
+
+    /// Advances the clock until the gateway has stopped.
+    async fn finish(&self, stopping: JoinHandle<()>) {
+        let mut stopping = stopping;
+        wait_until("the gateway has stopped", async || {
+            self.clock.advance(STEP);
+            futures_lite::future::poll_once(&mut stopping).await.is_some()
+        })
+        .await;
+    }
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    task::block_on(test)
+}
+
+fn with_long_deadline(mut head: Request) -> Request {
+    head.fields.set("Tarragonhill-Deadline-Ms", "60000");
+    head
+}
+
+fn submit(id: &str) -> Request {
+    with_long_deadline(plain_request("POST", "/submit/x", KEY, id))
+}
+
+fn lookup(id: &str) -> Request {
+    with_long_deadline(plain_request("GET", "/lookup/x", KEY, id))
+}
+
+async fn wait_until_received(endpoint: &Endpoint) {
+    wait_until("the endpoint has received the request", async || !endpoint.received().is_empty()).await;
+}
+
+/// The caller of a request that was cut could not tell whether it had run.
+#[test]
+fn a_request_in_flight_when_the_gateway_ends_gets_a_response() {
+    for head in [submit("r1"), lookup("r1")] {
+        run(async {
+            let mut fixture = Fixture::start().await;
+            let endpoint = fixture.endpoint(Role::Plain);
+            endpoint.set_fault(Fault::Hang);
+            let mut caller = Caller::open(fixture.address).await.expect("a connection");
+            caller.send(head, b"").await.expect("sent");
+            wait_until_received(&endpoint).await;
+            let stopping = fixture.begin_shutdown(AFTER_DRAIN_DELAY).await;
+            fixture.finish(stopping).await;
+            let response = caller.read_response().await.expect("a response");
+            assert_eq!((response.head.status, response.is_complete), (502, true));
+            assert_eq!(response.header("Connection"), Some("close"));
+        });
+    }
+}
+
+/// The caller can retry at once at another replica; here the request would be cut.
+#[test]
+fn a_request_that_would_outlive_the_gateway_reaches_no_endpoint() {
+    for head in [submit("r2"), lookup("r2")] {
+        run(async {
+            let mut fixture = Fixture::start().await;
+            let endpoint = fixture.endpoint(Role::Plain);
+            endpoint.set_paused(true);
+            let mut caller = Caller::open(fixture.address).await.expect("a connection");
+            caller.send(submit("r1"), b"").await.expect("sent");
+            caller.send(head, b"").await.expect("sent");
+            wait_until_received(&endpoint).await;
+            let stopping = fixture.begin_shutdown(NEAR_THE_END).await;
+            endpoint.set_paused(false);
+            assert_eq!(caller.read_response().await.expect("a response").head.status, 200);
+            let response = caller.read_response().await.expect("a response");
+            assert_eq!(response.head.status, 503);
+            assert!(response.header("Retry-After").is_some());
+            assert_eq!(response.header("Connection"), Some("close"));
+            assert_eq!(endpoint.received().len(), 1);
+            fixture.finish(stopping).await;
+        });
+    }
+}
+
+/// The stream would be cut midway, and its prefill wasted.
+#[test]
+fn a_queued_stream_that_would_outlive_the_gateway_is_refused() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        let (plain, engine) = (fixture.endpoint(Role::Plain), fixture.endpoint(Role::Decode));
+        plain.set_paused(true);
+        engine.fill_memory();
+        let mut head = with_long_deadline(completion_request("/stream/x", KEY, "r2", 5_000));
+        head.fields.set("Tarragonhill-Token-Counts", "5000,20");
+        let mut caller = Caller::open(fixture.address).await.expect("a connection");
+        caller.send(submit("r1"), b"").await.expect("sent");
+        caller.send(head, b"prompt").await.expect("sent");
+        wait_until_received(&plain).await;
+        let admin = fixture.site.gateways[0].admin();
+        let stopping = fixture.begin_shutdown(STREAM_ADMITTED).await;
+        plain.set_paused(false);
+        assert_eq!(caller.read_response().await.expect("a response").head.status, 200);
+        wait_until("the stream is queued", async || state(admin).await["waiting"] == 1).await;
+        fixture.clock.advance(NEAR_THE_END - STREAM_ADMITTED);
+        let response = timeout(RESPONSE_TIMEOUT, caller.read_response()).await.expect("a response in time");
+        let response = response.expect("a response");
+        assert_eq!((response.head.status, response.is_complete), (503, true));
+        assert!(response.header("Retry-After").is_some());
+        assert!(engine.received().is_empty());
+        fixture.finish(stopping).await;
+    });
+}
