Admit requests during a shutdown only if they should end in time

Callers saw connections closed without an answer, for requests that an endpoint was running. A booking cut this way cannot be repeated, since it may have been made.

Cause: a stopping gateway took requests until its last moment and dropped those in flight when the grace period ended. Only streams were checked against that end, and only before they were queued.

Now, core::gateway::shutdown decides whether a request is expected to end in time: by its own deadline, or else by a multiple of its latency target; a stream by its forecast. It is asked before every attempt, and again and again while a stream is queued. A refused caller learns that nothing has run and can retry at once elsewhere. 150 ms before the grace period ends, requests that are still in flight get a final response: not run, or outcome unknown. Streams that have begun are cut, as before. The listener closes then. Requests count as in flight from their first byte, so an early exit does not drop one that is being read. The phases of a shutdown are one type, on which accept, connections and requests wait.

--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -18,7 +18,7 @@
 const STEP: Duration = Duration::from_millis(20);
 /// Less than the grace period of the site by more than the gateway reserves for its exit, but too short for a
 /// request to start.
-const NEAR_THE_END: Duration = Duration::from_millis(7_000);
+const NEAR_THE_END: Duration = Duration::from_millis(7_400);
 /// After the drain delay, and long before the end of the grace period.
 const AFTER_DRAIN_DELAY: Duration = Duration::from_millis(3_500);
 
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod relay;
+pub mod shutdown;
 pub mod snapshot;
 pub mod staleness;
 pub mod state;
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod pools;
 mod queue;
 mod rate_limit;
+mod shutdown;
 mod staleness;
 mod state;
 mod suspect;
--- /dev/null
+++ b/crates/core/tests/gateway/shutdown.rs
@@ -0,0 +1,44 @@
+use std::time::Duration;
+
+use tarragonhill_core::gateway::{
+    forecast::{Forecast, Size},
+    shutdown::Shutdown,
+};
+
+use super::at;
+
+const TARGET: Duration = Duration::from_millis(300);
+
+fn shutdown() -> Shutdown {
+    Shutdown { drain_delay_ends: at(2_600), deadline: at(7_500) }
+}
+
+/// Otherwise the caller gets an error although another replica could have served the request.
+#[test]
+fn a_request_whose_own_deadline_is_after_the_end_is_refused() {
+    assert!(shutdown().admits_unary(at(6_700), TARGET, at(7_500)));
+    assert!(!shutdown().admits_unary(at(6_700), TARGET, at(7_501)));
+}
+
+/// Otherwise every request of a route with a long timeout is refused as soon as the shutdown begins.
+#[test]
+fn a_request_with_a_long_deadline_is_admitted_while_its_target_leaves_time() {
+    assert!(shutdown().admits_unary(at(0), TARGET, at(60_000)));
+    assert!(shutdown().admits_unary(at(6_300), TARGET, at(66_000)));
+    assert!(!shutdown().admits_unary(at(6_301), TARGET, at(66_000)));
+}
+
+/// While most replicas shut down, the load balancer still routes callers here.
+#[test]
+fn a_slow_route_is_admitted_during_the_drain_delay() {
+    let target = Duration::from_millis(2_000);
+    assert!(shutdown().admits_unary(at(2_599), target, at(60_000)));
+    assert!(!shutdown().admits_unary(at(2_600), target, at(60_000)));
+}
+
+#[test]
+fn nothing_is_admitted_after_the_deadline() {
+    assert!(!shutdown().admits_unary(at(7_500), Duration::ZERO, at(7_500)));
+    let size = Size { prompt: 1, expected_output: 0, max_output: 0 };
+    assert!(!shutdown().admits_stream(at(7_500), &Forecast::default(), size));
+}
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Closes the connection after this response. Has no effect once the head has been written.
+    pub fn close(&mut self) {
+        self.close |= self.is_unsent();
+    }
+
     /// Returns whether nothing has been written yet.
     pub fn is_unsent(&self) -> bool {
         self.progress == Progress::NotStarted
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,8 +10,9 @@
 
 use bytes::Bytes;
 use tarragonhill_core::{
-    Clock, Time,
-    gateway::{catalog::Route, directory::Endpoint, forecast::Size, state::Admission},
+    Clock, Refusal, Time,
+    gateway::{catalog::Route, directory::Endpoint, forecast::Size, shutdown::Shutdown, state::Admission},
+    refusal::Code,
 };
 use tarragonhill_h1::head::Request;
 
@@ -21,16 +22,11 @@
     exchange::{Client, Exchange, Failure},
     metrics::Metrics,
     pool::Pool,
+    shutdown::Monitor,
 };
 
-/// Schedule of a shutdown in progress.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Shutdown {
-    /// Until this time, the load balancer may still send callers here.
-    pub(crate) drain_delay_ends: Time,
-    /// Latest time at which the process ends.
-    pub(crate) deadline: Time,
-}
+/// Retry delay for callers that another replica can serve at once.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
 /// State shared by all tasks.
 pub(crate) struct Context {
@@ -41,7 +37,9 @@
     pub(crate) metrics: Metrics,
     /// Set when the shutdown begins.
     pub(crate) shutdown: OnceLock<Shutdown>,
-    /// Number of requests in flight.
+    /// Phases of the shutdown.
+    pub(crate) phases: Monitor,
+    /// Number of requests that are being read or served.
     pub(crate) in_flight: AtomicUsize,
 }
 
@@ -69,6 +67,12 @@
     }
 }
 
+/// Returns the refusal of a request that is not expected to end before the gateway does.
+pub(crate) fn ends_too_late() -> Refusal {
+    Refusal::not_run(Code::ShuttingDown, "the request would not end before the gateway shuts down")
+        .with_retry_after(RETRY_ELSEWHERE)
+}
+
 /// Timeout of background messages, which only release resources; endpoints also release those after a while.
 const DETACHED_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_std::{
     future::timeout,
     net::{TcpListener, TcpStream},
@@ -26,9 +26,10 @@
 
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound},
+    context::{Context, Inbound, ends_too_late},
     edge::Metadata,
     identify::identify,
+    shutdown::Phase,
     stream, unary,
 };
 
@@ -46,17 +47,13 @@
 /// Maximum caller connections; leaves file descriptors for connections to endpoints.
 const MAX_CONNECTIONS: usize = 3_000;
 
-/// Signals that end callers' connections. No message is ever sent; a signal is given by closing its channel.
-#[derive(Clone)]
-pub(crate) struct Signals {
-    /// Closes idle connections.
-    pub(crate) closing: Receiver<()>,
-    /// Closes all connections at once.
-    pub(crate) ended: Receiver<()>,
+/// Accepts callers' connections. `open` is dropped once this future and all connections have ended.
+pub(crate) async fn accept(context: Arc<Context>, listener: TcpListener, open: Sender<()>) {
+    let accepting = accept_until_cancelled(&context, &listener, &open);
+    run_until(accepting, context.phases.reached(Phase::Expired)).await;
 }
 
-/// Accepts callers' connections. `open` is dropped once this future and all connections have ended.
-pub(crate) async fn accept(context: Arc<Context>, listener: TcpListener, signals: Signals, open: Sender<()>) {
+async fn accept_until_cancelled(context: &Arc<Context>, listener: &TcpListener, open: &Sender<()>) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -70,23 +67,24 @@
             spdlog::warn!("connection limit reached; closing the new connection");
             continue;
         }
-        let (context, signals, open) = (context.clone(), signals.clone(), open.clone());
+        let (context, open) = (context.clone(), open.clone());
         task::spawn(async move {
             // Boxed because the future is too large to be moved into the combinators on the stack.
-            let served = Box::pin(serve_connection(&context, stream, &signals.closing));
-            run_until(served, closed(&signals.ended)).await;
+            let served = Box::pin(serve_connection(&context, stream));
+            run_until(served, context.phases.reached(Phase::Ended)).await;
             drop(open);
         });
     }
 }
 
-async fn serve_connection(context: &Arc<Context>, stream: TcpStream, closing: &Receiver<()>) {
+async fn serve_connection(context: &Arc<Context>, stream: TcpStream) {
     let mut connection = Connection::new(stream, TCP_USER_TIMEOUT);
     loop {
         let limits = context.control.catalog().map_or_else(Limits::default, |catalog| catalog.limits());
-        if !wait_for_bytes(&mut connection, limits, closing).await {
+        if !wait_for_bytes(context, &mut connection, limits).await {
             return;
         }
+        let _in_flight = InFlight::new(context);
         let head = match read_head(&mut connection, limits).await {
             Ok(head) => head,
             Err(Some(status)) => return reject(&mut connection, status).await,
@@ -101,7 +99,7 @@
         let mut writer = ResponseWriter::new(connection.stream().clone(), &head.method, head.minor, close);
         let metadata = context.dialect.decode_metadata(&head);
         let id = metadata.id.clone();
-        let flight = Flight::new(context, id.clone());
+        let flight = Flight { context, id: id.clone(), began: context.clock.now(), is_finished: false };
         let served =
             run_until(serve(context, head, body, metadata, &mut writer), wait_for_close(&mut connection))
                 .await;
@@ -119,8 +117,24 @@
     }
 }
 
-/// A request in flight. Dropping it unfinished logs that the request was cut, which happens when the process
-/// ends.
+/// Counts a request in [`Context::in_flight`] until it is dropped.
+struct InFlight<'a>(&'a Context);
+
+impl<'a> InFlight<'a> {
+    fn new(context: &'a Context) -> Self {
+        context.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(context)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A request that is being served. Dropping it unfinished logs that the request was cut, which happens when the
+/// process ends.
 struct Flight<'a> {
     context: &'a Context,
     id: Option<Arc<str>>,
@@ -128,12 +142,7 @@
     is_finished: bool,
 }
 
-impl<'a> Flight<'a> {
-    fn new(context: &'a Context, id: Option<Arc<str>>) -> Self {
-        context.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { context, id, began: context.clock.now(), is_finished: false }
-    }
-
+impl Flight<'_> {
     fn finish(mut self) {
         self.is_finished = true;
     }
@@ -141,7 +150,6 @@
 
 impl Drop for Flight<'_> {
     fn drop(&mut self) {
-        self.context.in_flight.fetch_sub(1, Ordering::Relaxed);
         if !self.is_finished {
             let age = self.context.clock.now().since(self.began);
             spdlog::warn!("request cut", kv: {
@@ -151,17 +159,13 @@
     }
 }
 
-/// Completes once the channel is closed.
-async fn closed(signal: &Receiver<()>) {
-    let _ = signal.recv().await;
-}
-
 /// Waits for the first bytes of a request. Returns false if the connection should be closed.
-async fn wait_for_bytes(connection: &mut Connection, limits: Limits, closing: &Receiver<()>) -> bool {
+async fn wait_for_bytes(context: &Context, connection: &mut Connection, limits: Limits) -> bool {
     if connection.buffered() > 0 {
         return true;
     }
-    let filled = timeout(limits.idle_timeout, run_until(connection.fill(), closed(closing))).await;
+    let closing = context.phases.reached(Phase::Closing);
+    let filled = timeout(limits.idle_timeout, run_until(connection.fill(), closing)).await;
     matches!(filled, Ok(Some(Ok(read))) if read > 0)
 }
 
@@ -256,15 +260,17 @@
     }
     log_admission(&inbound, catalog.as_deref());
     let limit = inbound.deadline.since(context.clock.now());
-    let served = timeout(limit, handle(context, &inbound, writer)).await;
-    let served = served.map(|served| served.map_err(|refusal| correct_not_run(&inbound, refusal)));
+    let handled = run_until(handle(context, &inbound, writer), context.phases.reached(Phase::Expired));
+    let served = timeout(limit, handled).await;
     let refusal = match served {
-        Ok(Ok(())) => None,
-        // Sending to an endpoint has the same deadline, and either timeout may fire first.
-        Ok(Err(refusal)) if !refusal.not_run && context.clock.now() >= inbound.deadline => {
-            Some(deadline_exceeded(&inbound))
+        Ok(Some(Ok(()))) => None,
+        Ok(Some(Err(refusal))) => {
+            let refusal = correct_not_run(&inbound, refusal);
+            // Sending to an endpoint has the same deadline, and either timeout may fire first.
+            let is_timeout = !refusal.not_run && context.clock.now() >= inbound.deadline;
+            Some(if is_timeout { deadline_exceeded(&inbound) } else { refusal })
         }
-        Ok(Err(refusal)) => Some(refusal),
+        Ok(None) => Some(correct_not_run(&inbound, ends_too_late())),
         Err(_) => Some(deadline_exceeded(&inbound)),
     };
     match refusal {
@@ -272,6 +278,9 @@
             if refusal.not_run {
                 context.control.refund(inbound.admission.clone());
             }
+            if context.is_shutting_down() {
+                writer.close();
+            }
             refuse(context, &refusal, id.as_deref(), writer).await;
         }
         Some(refusal) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod orders;
 mod pool;
 mod server;
+mod shutdown;
 mod stream;
 mod sync;
 mod timing;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,35 +10,38 @@
     time::Duration,
 };
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_std::{
     net::TcpListener,
     task::{self, JoinHandle},
 };
+use futures_lite::FutureExt as _;
 use prometheus::Registry;
 use tarragonhill_core::{
-    Clock,
-    gateway::{budget::Rule, state::Identity},
+    Clock, Time,
+    gateway::{budget::Rule, shutdown::Shutdown, state::Identity},
 };
 
 use crate::{
-    context::{Context, Shutdown},
+    context::Context,
     control::{
         FORECAST_PROMPT_TOKENS,
         worker::{self, Outputs},
     },
     edge::{Claims, Dialect, Update},
-    frontend::{self, Signals},
-    gossip,
+    frontend, gossip,
     metrics::Metrics,
     mirror::Mirror,
     orders,
     pool::Pool,
+    shutdown::{Driver, Phase, phases},
     sync,
 };
 
 /// Interval at which a shutdown checks for requests in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Part of the grace period in which requests that are still in flight get their error responses.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(150);
 /// Capacity of the digest channel. Small, because later digests supersede earlier ones.
 const DIGEST_CAPACITY: usize = 4;
 /// Capacity of the order channel.
@@ -103,10 +106,7 @@
     settings: Settings,
     mirror: Mirror,
     tasks: Tasks,
-    /// Dropped to close callers' idle connections.
-    closing: Sender<()>,
-    /// Dropped to close all callers' connections.
-    ending: Sender<()>,
+    phases: Driver,
     /// Closed once all callers' connections have ended.
     open: Receiver<()>,
 }
@@ -140,6 +140,7 @@
         let control = worker::start(identity, settings.retries, clock.clone(), outputs);
         let control = control.map_err(StartError::Thread)?;
         let mirror = Mirror::new(clock.clone(), control.clone());
+        let (phases, monitor) = phases();
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
             clock,
@@ -147,14 +148,12 @@
             dialect,
             metrics: Metrics::new(registry),
             shutdown: OnceLock::new(),
+            phases: monitor,
             in_flight: AtomicUsize::new(0),
         });
-        let (closing, closed) = async_channel::bounded(1);
-        let (ending, ended) = async_channel::bounded(1);
         let (open_sender, open) = async_channel::bounded(1);
-        let signals = Signals { closing: closed, ended };
         let tasks = Tasks(vec![
-            task::spawn(frontend::accept(context.clone(), listener, signals, open_sender)),
+            task::spawn(frontend::accept(context.clone(), listener, open_sender)),
             task::spawn(gossip::send(socket.clone(), settings.name.clone(), outgoing_digests)),
             task::spawn(gossip::receive(socket, context.clock.clone(), control.clone())),
             task::spawn(apply_updates(store.updates, context.clone())),
@@ -162,7 +161,7 @@
             task::spawn(sync::run(context.clone())),
             task::spawn(orders::run(context.clone(), settings.name.clone(), outgoing_orders, store.claims)),
         ]);
-        Ok(Self { address, peer, context, settings, mirror, tasks, closing, ending, open })
+        Ok(Self { address, peer, context, settings, mirror, tasks, phases, open })
     }
 
     /// Returns the bound address for callers.
@@ -187,48 +186,60 @@
 
     /// Cancels all tasks at once, as in a crash: without notice to peers and without a drain.
     pub async fn kill(self) {
-        let Self { tasks, ending, open, .. } = self;
+        let Self { tasks, phases, open, .. } = self;
         tasks.cancel().await;
-        drop(ending);
+        drop(phases);
         let _ = open.recv().await;
     }
 
     /// Shuts down: reports that the gateway is not ready, accepts connections until the drain delay is over,
-    /// closes idle connections and waits for requests in flight until the grace period ends.
+    /// closes idle connections and waits for requests in flight. Shortly before the grace period ends, those
+    /// that remain fail.
     pub async fn shutdown(self) {
-        let Self { context, settings, tasks, closing, ending, open, .. } = self;
+        let Self { context, settings, tasks, mut phases, open, .. } = self;
         let clock = context.clock.clone();
         let began = clock.now();
-        let shutdown = Shutdown {
-            drain_delay_ends: began.plus(settings.drain_delay),
-            deadline: began.plus(settings.grace),
-        };
+        let ends = began.plus(settings.grace);
+        let deadline = ends.minus(RESPONSE_RESERVE);
+        let drain_delay_ends = began.plus(settings.drain_delay).min(deadline);
         // Cannot be set already, because this method consumes the gateway.
-        let _ = context.shutdown.set(shutdown);
+        let _ = context.shutdown.set(Shutdown { drain_delay_ends, deadline });
+        phases.enter(Phase::Draining);
         // The load balancer sends callers here until it has noticed that the gateway is not ready.
-        clock.sleep(settings.drain_delay.min(settings.grace)).await;
-        drop(closing);
-        let mut reason = "deadline";
-        while clock.now().since(began) < settings.grace {
-            if context.in_flight.load(Ordering::Relaxed) == 0 {
-                // A request that has just arrived may not be counted yet, so the count is checked twice.
-                clock.sleep(DRAIN_POLL).await;
-                if context.in_flight.load(Ordering::Relaxed) == 0 {
-                    reason = "idle";
-                    break;
-                }
-            }
-            clock.sleep(DRAIN_POLL).await;
-        }
+        clock.sleep(drain_delay_ends.since(began)).await;
+        phases.enter(Phase::Closing);
+        let is_idle = wait_until_idle(&context, deadline).await;
+        let failed = context.in_flight.load(Ordering::Relaxed);
+        phases.enter(Phase::Expired);
+        let closed = async {
+            let _ = open.recv().await;
+        };
+        closed.or(clock.sleep(ends.since(clock.now()))).await;
         let cut = context.in_flight.load(Ordering::Relaxed);
+        let reason = if is_idle { "idle" } else { "deadline" };
         let took_ms = clock.now().since(began).as_millis() as u64;
-        spdlog::info!("gateway stopped", kv: { reason, took_ms, cut });
+        spdlog::info!("gateway stopped", kv: { reason, took_ms, failed, cut });
         tasks.cancel().await;
-        drop(ending);
+        phases.enter(Phase::Ended);
         let _ = open.recv().await;
     }
 }
 
+/// Waits until no request is in flight. Returns false if the deadline passes first.
+async fn wait_until_idle(context: &Context, deadline: Time) -> bool {
+    while context.clock.now() < deadline {
+        if context.in_flight.load(Ordering::Relaxed) == 0 {
+            // A request that has just arrived may not be counted yet, so the count is checked twice.
+            context.clock.sleep(DRAIN_POLL).await;
+            if context.in_flight.load(Ordering::Relaxed) == 0 {
+                return true;
+            }
+        }
+        context.clock.sleep(DRAIN_POLL).await;
+    }
+    false
+}
+
 /// Tasks that are cancelled on drop.
 struct Tasks(Vec<JoinHandle<()>>);
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,6 +13,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Refusal, Time,
     gateway::{directory::Endpoint, forecast::Observation, health::Outcome, state::ENDPOINT_RETRY_AFTER},
@@ -28,16 +29,17 @@
 };
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound},
+    context::{Context, Inbound, ends_too_late},
     control::Permit,
     edge::{Decode, Task},
     exchange::{Exchange, Failure, MISDIRECTED, is_not_run_status, not_run_outcome},
+    shutdown::Phase,
 };
 
 /// Maximum times that a request is sent, including retries.
 const MAX_SENDS: u32 = 4;
-/// Retry delay for callers that another replica can serve at once.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+/// Interval at which a queued stream checks whether it can still end before the gateway does.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Progress of a request over its attempts.
 struct Progress {
@@ -112,10 +114,9 @@
     inbound: &Inbound,
     writer: &mut ResponseWriter,
 ) -> Result<(), Refusal> {
-    check_shutdown(context, inbound).await?;
     let mut progress = Progress { last_event: None, avoid: Vec::new(), runs: 0 };
     for sends in 1.. {
-        let placement = place(context, inbound, &progress).await?;
+        let placement = place_in_time(context, inbound, &progress).await?;
         let endpoint = placement.endpoint().clone();
         let reason = match start(context, inbound, &progress, placement, &endpoint).await {
             Ok(upstream) => match relay(context, inbound, upstream, writer, &mut progress).await {
@@ -158,18 +159,34 @@
     Ok(())
 }
 
-/// Refuses a stream that is not expected to end before shutdown does. The caller can retry at once at another
-/// replica.
-async fn check_shutdown(context: &Context, inbound: &Inbound) -> Result<(), Refusal> {
-    let Some(shutdown) = context.shutdown.get() else { return Ok(()) };
-    let forecast = context.control.forecast(inbound.service()).await;
-    let now = context.clock.now();
-    if forecast.finishes_within(shutdown.deadline.since(now), inbound.size(), now < shutdown.drain_delay_ends)
-    {
-        return Ok(());
+/// Waits for a placement. Refuses a new stream as soon as it is not expected to end before the gateway does:
+/// the caller can retry at once at another replica.
+async fn place_in_time(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    progress: &Progress,
+) -> Result<Placement, Refusal> {
+    if progress.last_event.is_some() {
+        return place(context, inbound, progress).await;
+    }
+    if !ends_in_time(context, inbound).await {
+        return Err(ends_too_late());
     }
-    Err(Refusal::not_run(Code::ShuttingDown, "the stream would not end before the gateway shuts down")
-        .with_retry_after(RETRY_ELSEWHERE))
+    let too_late = async {
+        context.phases.reached(Phase::Draining).await;
+        while ends_in_time(context, inbound).await {
+            context.clock.sleep(SHUTDOWN_CHECK_INTERVAL).await;
+        }
+        Err(ends_too_late())
+    };
+    place(context, inbound, progress).or(too_late).await
+}
+
+/// Returns whether a stream that starts now is expected to end before the gateway does.
+async fn ends_in_time(context: &Context, inbound: &Inbound) -> bool {
+    let Some(shutdown) = context.shutdown.get() else { return true };
+    let forecast = context.control.forecast(inbound.service()).await;
+    shutdown.admits_stream(context.clock.now(), &forecast, inbound.size())
 }
 
 /// Handles an attempt that failed after it may have run. Returns the reason if the request may be retried,
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound},
+    context::{Context, Inbound, ends_too_late},
     control::Permit,
     edge::{Reply, Task},
     exchange::{Failure, MISDIRECTED, is_not_run_status, not_run_outcome},
@@ -49,6 +49,9 @@
     let mut error_response: Option<(Response, Bytes)> = None;
     let mut runs = 0;
     for sends in 1.. {
+        if !ends_in_time(context, inbound) {
+            return give_up(inbound, writer, error_response, ends_too_late()).await;
+        }
         let permit = match context.control.place(inbound.service(), &avoid).await {
             Ok(permit) => permit,
             Err(refusal) => return give_up(inbound, writer, error_response, refusal).await,
@@ -84,6 +87,13 @@
     Ok(())
 }
 
+/// Returns whether a request that is sent now is expected to end before the gateway does.
+fn ends_in_time(context: &Context, inbound: &Inbound) -> bool {
+    let now = context.clock.now();
+    let shutdown = context.shutdown.get();
+    shutdown.is_none_or(|shutdown| shutdown.admits_unary(now, inbound.route.target_latency, inbound.deadline))
+}
+
 fn retries_exhausted(inbound: &Inbound, reason: String) -> Refusal {
     if inbound.may_have_run() {
         return Refusal::may_have_run(Code::OutcomeUnknown, reason);
