Keep new connections open for their first request during a shutdown

While fewer than half of a zone's gateways are ready, the load balancer routes new connections to all of them, also to those that are stopping. After the drain delay such a connection was closed unless its request had already arrived when it was accepted; the caller saw a closed connection and spent its retry.

A new connection now stays open for 500 ms and counts as in flight meanwhile, so that the process does not exit between the two. Kept connections are closed after the drain delay as before. The new test failed before: the connection was closed without a response.

--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -21,9 +21,10 @@
 const NEAR_THE_END: Duration = Duration::from_millis(7_400);
 /// After the drain delay, and long before the end of the grace period.
 const AFTER_DRAIN_DELAY: Duration = Duration::from_millis(3_500);
-
 /// After the drain delay, and early enough for a short stream to end before the gateway does.
 const STREAM_ADMITTED: Duration = Duration::from_millis(5_500);
+/// How long a caller is connected before it sends its request.
+const REQUEST_DELAY: Duration = Duration::from_millis(50);
 /// Time limit for a response that the gateway should send at once.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -165,3 +166,23 @@
         fixture.finish(stopping).await;
     });
 }
+
+/// While most replicas of a zone shut down, the load balancer routes new connections to all of them.
+#[test]
+fn a_new_connection_after_the_drain_delay_is_not_closed_before_its_request_arrives() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        let endpoint = fixture.endpoint(Role::Plain);
+        endpoint.set_paused(true);
+        let mut running = Caller::open(fixture.address).await.expect("a connection");
+        running.send(submit("r1"), b"").await.expect("sent");
+        wait_until_received(&endpoint).await;
+        let stopping = fixture.begin_shutdown(AFTER_DRAIN_DELAY).await;
+        let mut caller = Caller::open(fixture.address).await.expect("a connection");
+        task::sleep(REQUEST_DELAY).await;
+        endpoint.set_paused(false);
+        let response = caller.request(submit("r2"), b"").await.expect("a response");
+        assert_eq!((response.head.status, response.header("Connection")), (200, Some("close")));
+        fixture.finish(stopping).await;
+    });
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -39,7 +39,7 @@
     pub(crate) shutdown: OnceLock<Shutdown>,
     /// Phases of the shutdown.
     pub(crate) phases: Monitor,
-    /// Number of requests that are being read or served.
+    /// Number of requests that are expected, being read or being served.
     pub(crate) in_flight: AtomicUsize,
 }
 
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -12,7 +12,7 @@
     task,
 };
 use bytes::Bytes;
-use futures_lite::future;
+use futures_lite::{FutureExt as _, future};
 use tarragonhill_core::{
     Refusal, Time,
     gateway::catalog::{Catalog, Kind, Limits},
@@ -42,6 +42,8 @@
 /// How long incoming bytes are discarded after the last response. Closing a connection with unread bytes
 /// resets it, and the caller may lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a new connection stays open without a request while the gateway shuts down.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum caller connections; leaves file descriptors for connections to endpoints.
@@ -79,12 +81,15 @@
 
 async fn serve_connection(context: &Arc<Context>, stream: TcpStream) {
     let mut connection = Connection::new(stream, TCP_USER_TIMEOUT);
+    // A new connection counts as well, because its caller is about to send a request.
+    let mut in_flight = Some(InFlight::new(context));
     loop {
         let limits = context.control.catalog().map_or_else(Limits::default, |catalog| catalog.limits());
-        if !wait_for_bytes(context, &mut connection, limits).await {
+        let is_new = in_flight.is_some();
+        if !wait_for_bytes(context, &mut connection, limits, is_new).await {
             return;
         }
-        let _in_flight = InFlight::new(context);
+        in_flight.get_or_insert_with(|| InFlight::new(context));
         let head = match read_head(&mut connection, limits).await {
             Ok(head) => head,
             Err(Some(status)) => return reject(&mut connection, status).await,
@@ -104,6 +109,7 @@
             run_until(serve(context, head, body, metadata, &mut writer), wait_for_close(&mut connection))
                 .await;
         flight.finish();
+        in_flight = None;
         if served.is_none() {
             spdlog::info!("caller closed its connection", kv: { request = id.as_deref().unwrap_or("-") });
             return;
@@ -159,12 +165,24 @@
     }
 }
 
-/// Waits for the first bytes of a request. Returns false if the connection should be closed.
-async fn wait_for_bytes(context: &Context, connection: &mut Connection, limits: Limits) -> bool {
+/// Waits for the first bytes of a request. Returns false if the connection should be closed. A new connection
+/// stays open for longer once idle ones are closed.
+async fn wait_for_bytes(
+    context: &Context,
+    connection: &mut Connection,
+    limits: Limits,
+    is_new: bool,
+) -> bool {
     if connection.buffered() > 0 {
         return true;
     }
-    let closing = context.phases.reached(Phase::Closing);
+    let closing = async {
+        context.phases.reached(Phase::Closing).await;
+        if is_new {
+            let expired = context.phases.reached(Phase::Expired);
+            expired.or(context.clock.sleep(FIRST_REQUEST_TIMEOUT)).await;
+        }
+    };
     let filled = timeout(limits.idle_timeout, run_until(connection.fill(), closing)).await;
     matches!(filled, Ok(Some(Ok(read))) if read > 0)
 }
