Test rolling restarts of gateways under load

Callers use open connections until these close, and connect to gateways that are shutting down until they refuse. A relay in front of each gateway closes its connections when it ends, as the end of a process does.

--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -5,5 +5,6 @@
 pub mod gossip;
 pub mod measure;
 pub mod overhead;
+pub mod restarts;
 pub mod site;
 pub mod slopes;
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -23,12 +23,15 @@
     server::Limits,
 };
 
-use crate::sim::{
-    decode,
-    hosts::Hosts,
-    plain::Service,
-    prefill,
-    table::{Rates, Table},
+use crate::{
+    platform::site::SiteError,
+    sim::{
+        decode,
+        hosts::Hosts,
+        plain::Service,
+        prefill,
+        table::{Rates, Table},
+    },
 };
 
 /// Maximum wait until a started fleet is ready.
@@ -136,6 +139,15 @@
     }
 }
 
+impl From<SiteError> for FleetError {
+    fn from(error: SiteError) -> Self {
+        match error {
+            SiteError::Io(error) => Self::Io(error),
+            SiteError::Gateway(error) => Self::Start(error),
+        }
+    }
+}
+
 impl From<StartError> for FleetError {
     fn from(error: StartError) -> Self {
         Self::Start(error)
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,7 +5,10 @@
 
 use async_std::task;
 use bpaf::Bpaf;
-use tarragonhill_bench::cmd::{check, demo, gossip, measure, overhead, site, slopes};
+use tarragonhill_bench::{
+    cmd::{check, demo, gossip, measure, overhead, restarts, site, slopes},
+    fleet::FleetError,
+};
 use tarragonhill_daemon::logging;
 
 /// Simulated servers, load generation and experiments for the tarragonhill router
@@ -33,6 +36,9 @@
     /// Measure the digests that gateways exchange, by fleet size, in a simulated network
     #[bpaf(command)]
     Gossip(#[bpaf(external(gossip::options))] gossip::Options),
+    /// Restart gateways under load and check what callers and endpoints saw
+    #[bpaf(command)]
+    Restarts(#[bpaf(external(restarts::options))] restarts::Options),
 }
 
 fn main() -> ExitCode {
@@ -47,6 +53,7 @@
         Options::Site => task::block_on(site::execute()),
         Options::Slopes => task::block_on(slopes::execute()),
         Options::Gossip(options) => gossip::execute(options),
+        Options::Restarts(options) => restarts::execute(options).map_err(FleetError::from),
         Options::Measure(options) => task::block_on(measure::execute(options)),
         Options::Overhead(options) => task::block_on(overhead::execute(options)),
     };
--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -6,6 +6,8 @@
 
 pub mod caller;
 pub mod endpoint;
+mod relay;
+pub mod restarts;
 mod server;
 pub mod site;
 pub mod store;
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -95,6 +95,7 @@
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
     received: Vec<ReceivedRequest>,
+    service_time: Duration,
     /// Memory that is not reserved, in tokens.
     free_tokens: u64,
     /// Tokens by reservation id.
@@ -195,6 +196,12 @@
         (state.fault, state.remaining_faults) = (fault, Some(count));
     }
 
+    /// Sets how long a request takes: a plain one or a prefill before its response, a stream in addition to its
+    /// usual duration.
+    pub fn set_service_time(&self, service_time: Duration) {
+        lock(&self.state).service_time = service_time;
+    }
+
     /// Stops at once and closes all connections.
     pub async fn kill(&self) {
         self.server.kill().await;
@@ -362,7 +369,7 @@
         }
         let handle = format!("{}-{}", self.id, lock(&self.state).next_id("r"));
         lock(&self.kv_handles).insert(handle.clone());
-        task::sleep(EVENT_INTERVAL).await;
+        task::sleep(EVENT_INTERVAL + self.service_time()).await;
         self.send_json(connection, 200, &json!({"kv_handle": handle, "tokens": 1, "version": 1})).await
     }
 
@@ -433,7 +440,7 @@
     /// Waits for one event interval; returns whether the caller disconnects meanwhile.
     async fn wait_for_disconnect(&self, connection: &mut Connection) -> bool {
         let interval = async {
-            task::sleep(EVENT_INTERVAL).await;
+            task::sleep(EVENT_INTERVAL + self.service_time() / EVENT_COUNT).await;
             false
         };
         let closed = async { !matches!(connection.fill().await, Ok(read) if read > 0) };
@@ -442,6 +449,7 @@
 
     async fn plain(self, connection: Connection, fault: Fault) -> (Connection, Action) {
         self.record(true);
+        task::sleep(self.service_time()).await;
         let body =
             format!("{} {} {}", self.head.method, self.head.target, String::from_utf8_lossy(&self.body));
         let success_head = self.new_head(200, fault != Fault::Unsigned);
@@ -486,6 +494,10 @@
         }
     }
 
+    fn service_time(&self) -> Duration {
+        lock(&self.state).service_time
+    }
+
     fn record(&self, was_executed: bool) {
         let request = ReceivedRequest { head: self.head.clone(), body: self.body.clone(), was_executed };
         lock(&self.state).received.push(request);
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -33,6 +33,7 @@
 pub const KV_CACHE_TOKENS: u64 = 20_000;
 const MODEL_SERVICE: &str = "models";
 const PLAIN_SERVICE: &str = "filing";
+const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -95,6 +96,8 @@
     /// Loopback address for gossip. Each replica binds one port for both UDP and TCP, so no other sockets may
     /// use this address.
     peer_ip: Ipv4Addr,
+    /// Grace period of gateways that are started.
+    grace: Duration,
     /// Source of endpoint numbers and of `seq` values.
     counter: u64,
 }
@@ -130,10 +133,22 @@
             kv_handles,
             ip,
             peer_ip: unique_loopback_ip(),
+            grace: DEFAULT_GRACE,
             counter: 0,
         })
     }
 
+    /// Sets the grace period of gateways that are started later.
+    pub fn set_grace(&mut self, grace: Duration) {
+        self.grace = grace;
+    }
+
+    /// Starts a replica without adding it to `gateways`.
+    pub async fn start_gateway(&self, number: usize) -> Result<Gateway, SiteError> {
+        let settings = self.settings(number, SocketAddr::from((self.peer_ip, 0)));
+        Gateway::start(settings, Clock::runtime()).await.map_err(SiteError::Gateway)
+    }
+
     /// Starts another replica.
     pub async fn add_gateway(&mut self) -> Result<(), SiteError> {
         self.add_gateway_with_clock(Clock::runtime()).await
@@ -168,7 +183,7 @@
             log: logging::off(),
         };
         let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-        GatewaySettings { common, peer, millicores: 1_000, grace: Duration::from_secs(8), retries }
+        GatewaySettings { common, peer, millicores: 1_000, grace: self.grace, retries }
     }
 
     /// Kills a replica and starts it again with the same name and gossip address.
