Leave streams more time to end before a gateway does

They were admitted by the forecast of the service, which is a median; on a slower endpoint they took longer.

After the drain delay a stream is now admitted only if twice the forecast time is left.

--- a/crates/core/src/gateway/shutdown.rs
+++ b/crates/core/src/gateway/shutdown.rs
@@ -17,6 +17,9 @@
 /// The same once the load balancer routes callers elsewhere, so that a refused caller finds another
 /// replica.
 const STRICT_EXPECTED_TARGETS: u32 = 4;
+/// Factor on the forecast time of a stream once the load balancer routes callers elsewhere. The
+/// forecast is a median, and endpoints differ in speed.
+const STRICT_TIME_FACTOR: u32 = 2;
 
 /// Schedule of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +41,9 @@
 
     /// Returns whether a stream that starts now is expected to end in time.
     pub fn admits_stream(&self, now: Time, forecast: &Forecast, size: Size) -> bool {
-        forecast.finishes_within(self.deadline.since(now), size, self.is_in_rotation(now))
+        let (left, is_in_rotation) = (self.deadline.since(now), self.is_in_rotation(now));
+        let allowed = if is_in_rotation { left } else { left / STRICT_TIME_FACTOR };
+        forecast.finishes_within(allowed, size, is_in_rotation)
     }
 
     fn is_in_rotation(&self, now: Time) -> bool {
--- a/crates/core/tests/gateway/shutdown.rs
+++ b/crates/core/tests/gateway/shutdown.rs
@@ -42,3 +42,14 @@
     let size = Size { prompt: 1, expected_output: 0, max_output: 0 };
     assert!(!shutdown().admits_stream(at(7_500), &Forecast::default(), size));
 }
+
+/// The forecast is that of a typical endpoint; on a slower one the stream would be cut.
+#[test]
+fn a_stream_that_ends_in_time_only_on_a_typical_endpoint_is_refused_after_the_drain_delay() {
+    let size = Size { prompt: 5_000, expected_output: 10, max_output: 10 };
+    let forecast = Forecast::default();
+    let needed = forecast.first_event_time(5_000) + forecast.prefill_time(5_000) + forecast.decode_time(10);
+    let left = |factor: f64| shutdown().deadline.minus(needed.mul_f64(factor));
+    assert!(!shutdown().admits_stream(left(1.9), &forecast, size));
+    assert!(shutdown().admits_stream(left(2.1), &forecast, size));
+}
