Check streams against the end of a shutdown until their decode starts

A gateway that has just started has observed no streams, and its default forecast is too short; and after a slow prefill, the decode was started although no time was left.

After the drain delay, the first event is now expected no sooner than by its target, and a stream is checked again before its decode, when it can still be refused as not run. An attempt is sent with the shutdown's deadline, so that an endpoint that cannot respond in time refuses it. Before the end of the drain delay a plain request is admitted if its target leaves time, so that slow routes are not refused as soon as a shutdown begins.

--- a/crates/core/src/gateway/shutdown.rs
+++ b/crates/core/src/gateway/shutdown.rs
@@ -13,7 +13,7 @@
 
 /// Time within which a whole response is expected, in latency targets, while the load balancer may
 /// still route callers here.
-const EXPECTED_TARGETS: u32 = 2;
+const EXPECTED_TARGETS: u32 = 1;
 /// The same once the load balancer routes callers elsewhere, so that a refused caller finds another
 /// replica.
 const STRICT_EXPECTED_TARGETS: u32 = 4;
@@ -39,11 +39,23 @@
         now < self.deadline && now.plus(expected) <= self.deadline
     }
 
-    /// Returns whether a stream that starts now is expected to end in time.
-    pub fn admits_stream(&self, now: Time, forecast: &Forecast, size: Size) -> bool {
-        let (left, is_in_rotation) = (self.deadline.since(now), self.is_in_rotation(now));
-        let allowed = if is_in_rotation { left } else { left / STRICT_TIME_FACTOR };
-        forecast.finishes_within(allowed, size, is_in_rotation)
+    /// Returns whether a stream that is placed now is expected to end in time.
+    pub fn admits_stream(&self, now: Time, forecast: &Forecast, size: Size, ttft_target: Duration) -> bool {
+        let left = self.deadline.since(now);
+        if self.is_in_rotation(now) {
+            return forecast.finishes_within(left, size, true);
+        }
+        // A forecast without observations is too short.
+        let first_event = forecast.prefill_time(size.prompt) + forecast.first_event_time(size.prompt);
+        let missing = target_or_default(ttft_target).saturating_sub(first_event);
+        let allowed = (left / STRICT_TIME_FACTOR).saturating_sub(missing);
+        forecast.finishes_within(allowed, size, false)
+    }
+
+    /// Returns whether a stream whose prompt has been prefilled is expected to end in time.
+    pub fn admits_decode(&self, now: Time, forecast: &Forecast, size: Size) -> bool {
+        let decode = Size { prompt: 0, ..size };
+        forecast.finishes_within(self.deadline.since(now), decode, self.is_in_rotation(now))
     }
 
     fn is_in_rotation(&self, now: Time) -> bool {
--- a/crates/core/tests/gateway/shutdown.rs
+++ b/crates/core/tests/gateway/shutdown.rs
@@ -40,7 +40,8 @@
 fn nothing_is_admitted_after_the_deadline() {
     assert!(!shutdown().admits_unary(at(7_500), Duration::ZERO, at(7_500)));
     let size = Size { prompt: 1, expected_output: 0, max_output: 0 };
-    assert!(!shutdown().admits_stream(at(7_500), &Forecast::default(), size));
+    assert!(!shutdown().admits_stream(at(7_500), &Forecast::default(), size, TARGET));
+    assert!(!shutdown().admits_decode(at(7_500), &Forecast::default(), size));
 }
 
 /// The forecast is that of a typical endpoint; on a slower one the stream would be cut.
@@ -50,6 +51,16 @@
     let forecast = Forecast::default();
     let needed = forecast.first_event_time(5_000) + forecast.prefill_time(5_000) + forecast.decode_time(10);
     let left = |factor: f64| shutdown().deadline.minus(needed.mul_f64(factor));
-    assert!(!shutdown().admits_stream(left(1.9), &forecast, size));
-    assert!(shutdown().admits_stream(left(2.1), &forecast, size));
+    let target = Duration::from_millis(1);
+    assert!(!shutdown().admits_stream(left(1.9), &forecast, size, target));
+    assert!(shutdown().admits_stream(left(2.1), &forecast, size, target));
+}
+
+/// A gateway that has just started has observed no stream, and its forecast is too short.
+#[test]
+fn a_stream_without_observations_is_expected_to_begin_by_its_target() {
+    let size = Size { prompt: 1, expected_output: 1, max_output: 1 };
+    let admits = |now| shutdown().admits_stream(now, &Forecast::default(), size, TARGET * 3);
+    assert!(!admits(at(7_500 - 1_750)));
+    assert!(admits(at(7_500 - 2_000)));
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -139,7 +139,10 @@
         task: Task<'_>,
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
-        let left = self.deadline.since(context.clock.now());
+        // An endpoint that cannot respond before the gateway ends refuses the request instead of running it.
+        let shutdown = context.shutdown.get();
+        let deadline = shutdown.map_or(self.deadline, |shutdown| self.deadline.min(shutdown.deadline));
+        let left = deadline.since(context.clock.now());
         let dispatch =
             Dispatch { endpoint, customer: self.customer_name(), left, priority: self.priority(), task };
         let head = context.dialect.encode_request(&self.head, &dispatch);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -94,6 +94,8 @@
 enum Abort {
     /// The request has not run.
     NotRun(String),
+    /// The request has not run and would not end before the gateway does.
+    EndsTooLate,
     /// The request may have run.
     MayHaveRun(String),
     /// The endpoint ran the request and responded with an error.
@@ -138,6 +140,7 @@
                 let reason = format!("resuming failed with status {}", head.status);
                 fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
             }
+            Err(Abort::EndsTooLate) => return Err(ends_too_late()),
             Err(Abort::MayHaveRun(reason)) => {
                 fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
             }
@@ -186,7 +189,15 @@
 async fn ends_in_time(context: &Context, inbound: &Inbound) -> bool {
     let Some(shutdown) = context.shutdown.get() else { return true };
     let forecast = context.control.forecast(inbound.service()).await;
-    shutdown.admits_stream(context.clock.now(), &forecast, inbound.size())
+    let target = inbound.route.target_latency;
+    shutdown.admits_stream(context.clock.now(), &forecast, inbound.size(), target)
+}
+
+/// Returns whether the stream of a prefilled prompt is expected to end before the gateway does.
+async fn decode_ends_in_time(context: &Context, inbound: &Inbound) -> bool {
+    let Some(shutdown) = context.shutdown.get() else { return true };
+    let forecast = context.control.forecast(inbound.service()).await;
+    shutdown.admits_decode(context.clock.now(), &forecast, inbound.size())
 }
 
 /// Handles an attempt that failed after it may have run. Returns the reason if the request may be retried,
@@ -247,6 +258,9 @@
                 Some(permit) => Some(run_prefill(context, inbound, &endpoint.zone, permit).await?),
                 None => None,
             };
+            if prefilled.is_some() && !decode_ends_in_time(context, inbound).await {
+                return Err(Abort::EndsTooLate);
+            }
             let inputs = Decode {
                 source: prefilled
                     .as_ref()
