Let responses that have begun end after requests in flight fail

A failed request can only get an error response if its own has not begun, so one that has begun now goes on until the process ends.

A response to a request that was read before the shutdown says `Connection: close` if it is written during it. Before, the connection was closed without notice, and a caller's next request on it was lost.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,12 +1,25 @@
 //! Responses on callers' connections.
 
-use std::{io, time::Duration};
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use async_std::{future::timeout, net::TcpStream};
 use futures_lite::AsyncWriteExt as _;
-use tarragonhill_h1::{body, head::Response};
+use tarragonhill_h1::{
+    body,
+    head::{Request, Response},
+};
 
-use crate::timing::Timing;
+use crate::{
+    shutdown::{Monitor, Phase},
+    timing::Timing,
+};
 
 /// A caller that accepts no bytes for this long counts as disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -30,6 +43,10 @@
     is_head: bool,
     /// Whether the connection closes after this response.
     close: bool,
+    /// Phases of the shutdown, during which connections close.
+    phases: Option<Monitor>,
+    /// Whether the head has been written, at least in part.
+    begun: Arc<AtomicBool>,
     progress: Progress,
     /// Status that was sent; 0 before the head is written.
     pub status: u16,
@@ -38,23 +55,36 @@
 }
 
 impl ResponseWriter {
-    /// Creates a writer for the response to a request with `method` from a caller that speaks HTTP/1.`minor`.
-    pub fn new(stream: TcpStream, method: &str, minor: u8, close: bool) -> Self {
-        let is_head = method == "HEAD";
+    /// Creates a writer for the response to a request. The connection closes after it if the caller asks for
+    /// that, or if the gateway is shutting down by then.
+    pub(crate) fn new(stream: TcpStream, request: &Request, phases: Monitor) -> Self {
+        Self {
+            minor: request.minor,
+            is_head: request.method == "HEAD",
+            close: !request.keeps_alive(),
+            phases: Some(phases),
+            ..Self::closing(stream)
+        }
+    }
+
+    /// Creates a writer for a response after which the connection closes.
+    pub(crate) fn closing(stream: TcpStream) -> Self {
         Self {
             stream,
-            minor,
-            is_head,
-            close,
+            minor: 1,
+            is_head: false,
+            close: true,
+            phases: None,
+            begun: Arc::default(),
             progress: Progress::NotStarted,
             status: 0,
             timing: Timing::default(),
         }
     }
 
-    /// Closes the connection after this response. Has no effect once the head has been written.
-    pub fn close(&mut self) {
-        self.close |= self.is_unsent();
+    /// Returns a flag that tells whether the response has begun.
+    pub(crate) fn begun(&self) -> Arc<AtomicBool> {
+        self.begun.clone()
     }
 
     /// Returns whether nothing has been written yet.
@@ -121,6 +151,8 @@
     /// Replaces the framing and connection fields of the endpoint's response with the gateway's own.
     fn set_framing(&mut self, head: &mut Response) {
         self.status = head.status;
+        self.begun.store(true, Ordering::Relaxed);
+        self.close |= self.phases.as_ref().is_some_and(|phases| phases.has_reached(Phase::Draining));
         head.fields.strip_hop_by_hop();
         head.fields.remove("content-length");
         if self.close {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -100,8 +100,8 @@
             Err(Some(status)) => return reject(&mut connection, status).await,
             Err(None) => return,
         };
-        let close = !head.keeps_alive() || context.is_shutting_down();
-        let mut writer = ResponseWriter::new(connection.stream().clone(), &head.method, head.minor, close);
+        let phases = context.phases.clone();
+        let mut writer = ResponseWriter::new(connection.stream().clone(), &head, phases);
         let metadata = context.dialect.decode_metadata(&head);
         let id = metadata.id.clone();
         let flight = Flight { context, id: id.clone(), began: context.clock.now(), is_finished: false };
@@ -226,7 +226,7 @@
 async fn reject(connection: &mut Connection, status: u16) {
     spdlog::info!("request rejected", kv: { status });
     let head = tarragonhill_h1::head::Response::new(status);
-    let mut writer = ResponseWriter::new(connection.stream().clone(), "", 1, true);
+    let mut writer = ResponseWriter::closing(connection.stream().clone());
     if writer.write_whole(head, b"").await.is_ok() {
         linger(connection).await;
     }
@@ -273,12 +273,22 @@
         Ok(inbound) => inbound,
         Err(refusal) => return refuse(context, &refusal, id.as_deref(), writer).await,
     };
-    if let Err(refusal) = context.control.admit(inbound.admission.clone()).await {
+    let expired = || context.phases.reached(Phase::Expired);
+    let admitted = run_until(context.control.admit(inbound.admission.clone()), expired()).await;
+    if let Err(refusal) = admitted.unwrap_or_else(|| Err(ends_too_late())) {
         return refuse(context, &refusal, id.as_deref(), writer).await;
     }
     log_admission(&inbound, catalog.as_deref());
     let limit = inbound.deadline.since(context.clock.now());
-    let handled = run_until(handle(context, &inbound, writer), context.phases.reached(Phase::Expired));
+    let begun = writer.begun();
+    let failing = async {
+        expired().await;
+        // A response that has begun may still end before the process does.
+        if begun.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    };
+    let handled = run_until(handle(context, &inbound, writer), failing);
     let served = timeout(limit, handled).await;
     let refusal = match served {
         Ok(Some(Ok(()))) => None,
@@ -296,9 +306,6 @@
             if refusal.not_run {
                 context.control.refund(inbound.admission.clone());
             }
-            if context.is_shutting_down() {
-                writer.close();
-            }
             refuse(context, &refusal, id.as_deref(), writer).await;
         }
         Some(refusal) => {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -35,6 +35,11 @@
 pub(crate) struct Monitor(Arc<BTreeMap<Phase, Receiver<()>>>);
 
 impl Monitor {
+    /// Returns whether a phase has begun.
+    pub(crate) fn has_reached(&self, phase: Phase) -> bool {
+        self.0.get(&phase).is_some_and(Receiver::is_closed)
+    }
+
     /// Completes once a phase has begun.
     pub(crate) async fn reached(&self, phase: Phase) {
         if let Some(channel) = self.0.get(&phase) {
