Send no orders to endpoints during a shutdown

A gateway that ended between acquiring the lease and sending its order kept other replicas from sending any until the lease expired.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -38,7 +38,11 @@
     mut claims: Box<dyn Claims>,
 ) {
     while let Ok(order) = orders.recv().await {
-        let delivery = deliver(&context, &holder, &order, &mut *claims).await;
+        let delivery = if context.is_shutting_down() {
+            Delivery::Dropped("the gateway is shutting down".into())
+        } else {
+            deliver(&context, &holder, &order, &mut *claims).await
+        };
         let (outcome, reason) = match &delivery {
             Delivery::Accepted => ("taken", ""),
             Delivery::Unknown(reason) => ("unknown", reason.as_str()),
