Log what endpoints say about themselves in responses

The contract now lets an endpoint say in every response that it is leaving, and with a 503 for how long it wants no requests. Without the line, logs cannot tell a notice that is not read from one that is read and later forgotten. Nothing is decided by the notices yet.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -99,6 +99,10 @@
     pub is_encoded: bool,
     /// How long the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// Whether the endpoint is leaving and must soon get no requests.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no requests from this gateway, if it refused the request for that reason.
+    pub retry_after: Option<Duration>,
 }
 
 /// Request that the gateway itself sends to an endpoint.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -150,6 +150,12 @@
             let framing = response.framing(&head.method);
             let mut decoder = Decoder::new(framing.map_err(invalid)?);
             let reply = self.dialect.decode_reply(&response);
+            if reply.is_leaving || reply.retry_after.is_some() {
+                spdlog::info!("endpoint notice", kv: {
+                    endpoint = &*endpoint.id, request = id.unwrap_or("-"), leaving = reply.is_leaving,
+                    retry_after_ms = reply.retry_after.map_or(0, |span| span.as_millis() as u64)
+                });
+            }
             // Informational, or a late response to an earlier request on this connection.
             let is_unrelated = response.status < 200 || id.is_some() && reply.id.as_deref() != id;
             if is_unrelated && (response.status < 200 || reply.id.is_some()) {
