Teach simulated endpoints to say that they are leaving and to refuse for a time

Endpoints can mark all responses with Server-Leaving, refuse requests and reservations with Retry-After, and list every call that reached them. A site can register a new incarnation of an endpoint.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -52,6 +52,8 @@
     Refuse,
     /// Same as `Refuse`, after a delay.
     RefuseLate,
+    /// Same as `Refuse`, also for reservations, and asks for no requests during this time.
+    RefuseFor(Duration),
     /// Responds with status 503 and does not report whether the request was executed.
     Busy,
     /// Responds with status 500 and a valid signature.
@@ -94,7 +96,10 @@
     fault: Fault,
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
+    is_leaving: bool,
     received: Vec<ReceivedRequest>,
+    /// All received requests, including control calls.
+    calls: Vec<Request>,
     /// Memory that is not reserved, in tokens.
     free_tokens: u64,
     /// Tokens by reservation id.
@@ -120,6 +125,17 @@
         self.fault
     }
 
+    /// Returns the retry delay with which a reservation must be refused.
+    fn take_reservation_refusal(&mut self) -> Option<Duration> {
+        if !matches!(self.fault, Fault::RefuseFor(_)) {
+            return None;
+        }
+        match self.take_fault() {
+            Fault::RefuseFor(retry_after) => Some(retry_after),
+            _ => None,
+        }
+    }
+
     fn next_id(&mut self, prefix: &str) -> String {
         self.last_id += 1;
         format!("{prefix}{}", self.last_id)
@@ -195,6 +211,11 @@
         (state.fault, state.remaining_faults) = (fault, Some(count));
     }
 
+    /// Sets whether all further responses say that the endpoint is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        lock(&self.state).is_leaving = is_leaving;
+    }
+
     /// Stops at once and closes all connections.
     pub async fn kill(&self) {
         self.server.kill().await;
@@ -205,6 +226,11 @@
         lock(&self.state).received.clone()
     }
 
+    /// Returns the heads of all received requests, including control calls.
+    pub fn received_calls(&self) -> Vec<Request> {
+        lock(&self.state).calls.clone()
+    }
+
     /// Returns the requests that were executed.
     pub fn executed(&self) -> Vec<ReceivedRequest> {
         self.received().into_iter().filter(|request| request.was_executed).collect()
@@ -243,6 +269,7 @@
 
 impl Exchange {
     async fn handle(self, connection: Connection) -> (Connection, Action) {
+        lock(&self.state).calls.push(self.head.clone());
         let expected = self.head.fields.get("Tarragonhill-Expected-Instance");
         let is_replaced = lock(&self.state).fault == Fault::Replaced;
         if is_replaced || expected.is_some_and(|expected| expected != &*self.id) {
@@ -272,6 +299,10 @@
     }
 
     async fn reserve(self, connection: Connection) -> (Connection, Action) {
+        let refusal = lock(&self.state).take_reservation_refusal();
+        if refusal.is_some() {
+            return self.refuse(connection, refusal).await;
+        }
         let reservation: Value = serde_json::from_slice(&self.body).unwrap_or_default();
         let tokens = reservation["tokens"].as_u64().unwrap_or(u64::MAX);
         let granted = {
@@ -285,7 +316,7 @@
         };
         match granted {
             Some(id) => self.send_json(connection, 200, &json!({"hold": id})).await,
-            None => self.refuse(connection).await,
+            None => self.refuse(connection, None).await,
         }
     }
 
@@ -334,7 +365,11 @@
                     task::sleep(LATE_REFUSAL_DELAY).await;
                 }
                 self.record(false);
-                return self.refuse(connection).await;
+                return self.refuse(connection, None).await;
+            }
+            Fault::RefuseFor(retry_after) => {
+                self.record(false);
+                return self.refuse(connection, Some(retry_after)).await;
             }
             Fault::Busy => {
                 self.record(false);
@@ -371,7 +406,7 @@
             let handle = source.rsplit('/').next().unwrap_or_default();
             if !lock(&self.kv_handles).remove(handle) {
                 self.record(false);
-                return self.refuse(connection).await;
+                return self.refuse(connection, None).await;
             }
         }
         let reservation = self.head.fields.get("Tarragonhill-Kv-Hold").map(str::to_owned);
@@ -500,13 +535,19 @@
         if is_signed {
             head.fields.push("Tarragonhill-Server-Signature", format!("{}.1", self.id));
         }
+        if lock(&self.state).is_leaving {
+            head.fields.push("Server-Leaving", "1");
+        }
         head
     }
 
-    /// Responds that the request was not executed.
-    async fn refuse(&self, connection: Connection) -> (Connection, Action) {
+    /// Responds that the request was not executed, with a retry delay if there is one.
+    async fn refuse(&self, connection: Connection, retry_after: Option<Duration>) -> (Connection, Action) {
         let mut head = self.new_head(503, false);
         head.fields.push("Tarragonhill-Not-Executed", "1");
+        if let Some(retry_after) = retry_after {
+            head.fields.push("Retry-After", retry_after.as_secs_f64().to_string());
+        }
         send(connection, head, b"", Action::Keep).await
     }
 
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -204,11 +204,16 @@
 
     /// Writes the row of an endpoint, with this `state`.
     pub fn register(&mut self, endpoint: &Endpoint, state: &str) {
+        self.register_incarnation(endpoint, state, endpoint_number(endpoint));
+    }
+
+    /// Writes the row of an endpoint that started at `born`, with this `state`.
+    pub fn register_incarnation(&mut self, endpoint: &Endpoint, state: &str, born: u64) {
         self.counter += 1;
         let mut row = json!({
             "service": if endpoint.role() == Role::Plain { PLAIN_SERVICE } else { MODEL_SERVICE },
             "address": endpoint.address().to_string(), "zone": "zone-a", "version": "v1", "slots": 48,
-            "state": state, "cold_remaining_ms": 0, "seq": self.counter, "born": endpoint_number(endpoint),
+            "state": state, "cold_remaining_ms": 0, "seq": self.counter, "born": born,
         });
         if endpoint.role() != Role::Plain {
             row["stage"] = endpoint.role().to_string().into();
