Stop using an endpoint that says in a response that it is leaving

Requests kept reaching an endpoint after it had said that it was leaving, while the store was away: its calls would have been cut when it ended.

Cause: a gateway learned only from the store's list that an endpoint leaves. No gateway logged the endpoint as leaving before the store accepted its report 13 s later, and all four placed first attempts there until then.

The gateway now reads the header in every response of an endpoint, to any request, and marks the incarnation in its directory, where placement, hedges, retries, prefill and orders look. Rows that still say `ready`, a full list or a peer's copy do not undo the mark; a new incarnation does. Responses of another endpoint at the address are ignored.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -83,10 +83,22 @@
     /// Start time and sequence of the endpoint's newest write.
     last_write: (u64, u64),
     endpoint: Option<Arc<Endpoint>>,
+    /// Start time of the incarnation that said itself that it is leaving; its rows may not say so yet.
+    leaving_incarnation: Option<u64>,
     /// End of the grace period, if the row has lapsed.
     expires: Option<Time>,
 }
 
+impl Record {
+    /// Returns the endpoint of a row, as leaving if it said so itself.
+    fn with_notice(leaving_incarnation: Option<u64>, endpoint: Arc<Endpoint>) -> Arc<Endpoint> {
+        if endpoint.is_draining || leaving_incarnation != Some(endpoint.started_ms) {
+            return endpoint;
+        }
+        Arc::new(Endpoint { is_draining: true, ..(*endpoint).clone() })
+    }
+}
+
 /// The endpoints in use.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -165,6 +177,19 @@
         changes
     }
 
+    /// Records that an incarnation of an endpoint said that it is leaving, whatever its row says.
+    pub fn mark_leaving(&mut self, id: &str, started_ms: u64) -> Option<Change> {
+        let record = self.records.get_mut(id)?;
+        let endpoint = record.endpoint.clone().filter(|endpoint| endpoint.started_ms == started_ms)?;
+        record.leaving_incarnation = Some(started_ms);
+        let leaving = Record::with_notice(record.leaving_incarnation, endpoint.clone());
+        if leaving == endpoint {
+            return None;
+        }
+        record.endpoint = Some(leaving.clone());
+        Some(Change::Draining(leaving))
+    }
+
     fn apply_row(&mut self, now: Time, row: Row) -> Option<Change> {
         let record = self.records.get(&row.id);
         if record.is_some_and(|record| record.version >= row.version) {
@@ -172,9 +197,11 @@
         }
         let previous = record.and_then(|record| record.endpoint.clone());
         let last_write = record.map_or((0, 0), |record| record.last_write);
+        let leaving_incarnation = record.and_then(|record| record.leaving_incarnation);
         let Some(endpoint) = row.endpoint else {
             return self.remove_row(now, row.id, row.version, last_write, previous);
         };
+        let endpoint = Record::with_notice(leaving_incarnation, endpoint);
         let write = (endpoint.started_ms, row.sequence);
         // The store may apply writes out of order, so an older write must not replace a newer one.
         if write < last_write {
@@ -184,6 +211,7 @@
             version: row.version,
             last_write: write,
             endpoint: Some(endpoint.clone()),
+            leaving_incarnation,
             expires: None,
         };
         self.records.insert(row.id, record);
@@ -208,8 +236,10 @@
         let may_return = previous.as_ref().is_some_and(|endpoint| !endpoint.is_draining);
         let expires = grace.filter(|_| may_return);
         let kept = previous.clone().filter(|_| expires.is_some());
-        let is_change = self.records.get(&id).is_none_or(|record| record.expires.is_none());
-        self.records.insert(id, Record { version, last_write, endpoint: kept, expires });
+        let record = self.records.get(&id);
+        let is_change = record.is_none_or(|record| record.expires.is_none());
+        let leaving_incarnation = record.and_then(|record| record.leaving_incarnation);
+        self.records.insert(id, Record { version, last_write, endpoint: kept, leaving_incarnation, expires });
         let previous = previous.filter(|_| is_change)?;
         Some(if expires.is_some() { Change::Lapsed(previous) } else { Change::Removed(previous) })
     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Records that an incarnation of an endpoint said that it is leaving. Returns the change if it was not
+    /// known.
+    pub fn record_leaving(&mut self, endpoint: &str, started_ms: u64) -> Option<Change> {
+        self.directory.mark_leaving(endpoint, started_ms)
+    }
+
     /// Records that the store is unreachable.
     pub fn mark_store_unreachable(&mut self) {
         self.directory.mark_store_unreachable();
--- a/crates/core/tests/gateway/directory.rs
+++ b/crates/core/tests/gateway/directory.rs
@@ -114,3 +114,32 @@
     directory.update(at(2), 3, vec![row(3, endpoint("old", Stage::Decode))]);
     assert_eq!(serving_ids(&directory), ["new".into()]);
 }
+
+/// Until the store accepts the endpoint's report, its rows still say that it is ready.
+#[test]
+fn a_ready_row_does_not_undo_what_a_leaving_endpoint_said() {
+    let mut directory = Directory::default();
+    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    assert!(matches!(directory.mark_leaving("e-1", 1), Some(Change::Draining(_))));
+    assert!(directory.mark_leaving("e-1", 1).is_none());
+    directory.update(at(1), 2, vec![row(2, endpoint("e-1", Stage::Whole))]);
+    directory.replace(at(2), 3, vec![row(3, endpoint("e-1", Stage::Whole))]);
+    assert!(serving_ids(&directory).is_empty());
+    // The row returns after it has lapsed.
+    directory.update(at(3), 4, vec![removed_row(4, "e-1")]);
+    directory.update(at(4), 5, vec![row(5, endpoint("e-1", Stage::Whole))]);
+    assert!(serving_ids(&directory).is_empty());
+}
+
+#[test]
+fn a_new_incarnation_of_a_leaving_endpoint_gets_requests() {
+    let mut directory = Directory::default();
+    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.mark_leaving("e-1", 1);
+    let restarted = Endpoint { started_ms: 2, ..endpoint("e-1", Stage::Whole) };
+    directory.update(at(1), 2, vec![row(2, restarted)]);
+    assert_eq!(serving_ids(&directory), ["e-1".into()]);
+    // A late response of the previous incarnation.
+    assert!(directory.mark_leaving("e-1", 1).is_none());
+    assert_eq!(serving_ids(&directory), ["e-1".into()]);
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -45,7 +45,7 @@
 
 impl Context {
     pub(crate) fn client(&self) -> Client<'_> {
-        Client { pool: &self.pool, dialect: &*self.dialect }
+        Client { pool: &self.pool, dialect: &*self.dialect, control: &self.control }
     }
 
     pub(crate) fn is_shutting_down(&self) -> bool {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -58,6 +58,7 @@
     RecordResponse(Lease),
     Release(Lease, Outcome),
     RecordInterrupted(Arc<str>, u64),
+    RecordLeaving(Arc<str>, u64),
     CancelOrder(Arc<str>),
     Update(Update),
     Bundle(Box<Bundle>),
@@ -232,6 +233,11 @@
         self.send(Command::RecordInterrupted(endpoint.clone(), fingerprint));
     }
 
+    /// Records that an endpoint said that it is leaving.
+    pub fn record_leaving(&self, endpoint: &Endpoint) {
+        self.send(Command::RecordLeaving(endpoint.id.clone(), endpoint.started_ms));
+    }
+
     /// Records that an order was not carried out.
     pub fn cancel_order(&self, endpoint: &Arc<str>) {
         self.send(Command::CancelOrder(endpoint.clone()));
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -249,6 +249,12 @@
             Command::RecordInterrupted(endpoint, fingerprint) => {
                 self.state.record_interrupted(now, &endpoint, fingerprint)
             }
+            Command::RecordLeaving(endpoint, started_ms) => {
+                if let Some(change) = self.state.record_leaving(&endpoint, started_ms) {
+                    spdlog::info!("endpoint notice", kv: { endpoint = &*endpoint, leaving = true });
+                    log_changes(&[change]);
+                }
+            }
             Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Bundle(bundle) => self.state.apply_bundle(now, &bundle),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    control::Control,
     edge::{Dialect, Reply},
     pool::Pool,
 };
@@ -108,6 +109,7 @@
 pub(crate) struct Client<'a> {
     pub(crate) pool: &'a Pool,
     pub(crate) dialect: &'a dyn Dialect,
+    pub(crate) control: &'a Control,
 }
 
 impl<'a> Client<'a> {
@@ -150,11 +152,8 @@
             let framing = response.framing(&head.method);
             let mut decoder = Decoder::new(framing.map_err(invalid)?);
             let reply = self.dialect.decode_reply(&response);
-            if reply.is_leaving || reply.retry_after.is_some() {
-                spdlog::info!("endpoint notice", kv: {
-                    endpoint = &*endpoint.id, request = id.unwrap_or("-"), leaving = reply.is_leaving,
-                    retry_after_ms = reply.retry_after.map_or(0, |span| span.as_millis() as u64)
-                });
+            if !is_replaced(&response, &reply, endpoint) {
+                self.record_notice(endpoint, &reply);
             }
             // Informational, or a late response to an earlier request on this connection.
             let is_unrelated = response.status < 200 || id.is_some() && reply.id.as_deref() != id;
@@ -178,6 +177,13 @@
         }
         Err(Failure::InvalidResponse("too many responses to other requests"))
     }
+
+    /// Records what an endpoint says about itself in a response.
+    fn record_notice(self, endpoint: &Endpoint, reply: &Reply) {
+        if reply.is_leaving {
+            self.control.record_leaving(endpoint);
+        }
+    }
 }
 
 /// Encodes head and body. The body is sent with `Content-Length`, even if it was received in chunks.
