Send nothing to an endpoint until its retry delay is over

An endpoint that refuses a request with 503 and Retry-After wants nothing from that gateway for so long. The gateway ignored the delay and sent further requests 100 ms later: 20 more in the tests of plain endpoints.

Placement now leaves such an endpoint out until its time is over, for the incarnation that asked. Requests placed before are stopped where they are sent, with all other calls: reservations, releases, reports and orders. Callers get the endpoints' delay when no endpoint of a service wants requests, and a completion that would expire before is refused at once.

--- a/crates/bench/tests/leaving.rs
+++ b/crates/bench/tests/leaving.rs
@@ -18,6 +18,8 @@
 const LONG_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Too few for the gateway to move an engine to another stage.
 const STREAM_COUNT: u32 = 8;
+/// Long enough for the fault of the decode engine to change meanwhile.
+const PREFILL_TIME: Duration = Duration::from_millis(300);
 const PLAIN_COUNT: u32 = 20;
 
 fn run<T>(test: impl Future<Output = T>) -> T {
@@ -266,6 +268,28 @@
     });
 }
 
+/// The release of its reservation would be a call that the engine does not want.
+#[test]
+fn a_decode_engine_that_refuses_a_run_with_a_retry_delay_gets_no_release_of_the_reservation() {
+    run(async {
+        let site = start_site().await;
+        for engine in site.endpoints(Role::Prefill) {
+            engine.set_service_time(PREFILL_TIME);
+        }
+        let head = completion_request("/stream/x", KEY, "r1", PROMPT_TOKENS);
+        let response = task::spawn(caller::request(site.address(), head, b""));
+        let engines = site.endpoints(Role::Decode);
+        let reserved = || engines.iter().find(|engine| engine.reservations() == 1);
+        wait_until("memory is reserved", async || reserved().is_some()).await;
+        let engine = reserved().expect("an engine with a reservation");
+        engine.set_fault(Fault::RefuseFor(LONG_RETRY_AFTER));
+        let response = response.await.expect("a response");
+        assert_eq!((response.head.status, response.is_complete), (200, true));
+        let calls: Vec<String> = engine.received_calls().iter().map(|call| call.method.clone()).collect();
+        assert_eq!(calls, ["POST", "POST"]);
+    });
+}
+
 #[test]
 fn a_prefill_engine_that_refuses_with_a_retry_delay_gets_no_calls_before_its_end() {
     run(async {
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -132,12 +132,13 @@
         self.loads.get(&endpoint.id)
     }
 
-    /// Returns the endpoints that are not in `avoid`, changing their stage or ejected.
+    /// Returns the endpoints that are not in `avoid`, changing their stage, ejected or backing off.
     fn reachable(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
         let untried = serving.filter(|endpoint| !avoid.contains(&endpoint.id));
         let stable = untried.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
-        stable.filter(|endpoint| !self.is_ejected(endpoint)).collect()
+        let wanting = stable.filter(|endpoint| self.backoff(endpoint).is_zero());
+        wanting.filter(|endpoint| !self.is_ejected(endpoint)).collect()
     }
 
     /// Returns the reachable endpoints, without those that fail more often than the others.
@@ -152,6 +153,18 @@
         self.load(endpoint).is_some_and(|load| load.health.is_ejected(self.now))
     }
 
+    /// Returns how long an endpoint still wants no requests from this replica.
+    fn backoff(&self, endpoint: &Endpoint) -> Duration {
+        self.load(endpoint).map_or(Duration::ZERO, |load| load.backoff(self.now))
+    }
+
+    /// Returns the time until the first of a stage's endpoints wants requests again; `None` if there is no
+    /// endpoint, or one that wants them now.
+    pub fn shortest_backoff(&self, service: &str, stage: Stage) -> Option<Duration> {
+        let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
+        serving.map(|endpoint| self.backoff(endpoint)).min().filter(|backoff| !backoff.is_zero())
+    }
+
     /// Returns whether a prompt has been in flight for so long that the endpoint probably hangs.
     fn is_stalled(&self, endpoint: &Endpoint, ttft_target: Duration) -> bool {
         let longest = ttft_target.mul_f64(STALLED_PREFILL);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -202,6 +202,7 @@
         for change in changes {
             match change {
                 Change::Restarted(endpoint) => {
+                    self.loads.clear_backoff(&endpoint.id);
                     self.suspects.record_crash(now, &endpoint.id);
                     self.pools.cancel(&endpoint.id);
                 }
@@ -222,6 +223,16 @@
         self.directory.mark_leaving(endpoint, started_ms)
     }
 
+    /// Records that an incarnation of an endpoint wants no requests from this replica for `span`. Returns
+    /// false if it is not the current one.
+    pub fn record_backoff(&mut self, now: Time, id: &Arc<str>, started_ms: u64, span: Duration) -> bool {
+        let is_current = self.directory.get(id).is_some_and(|endpoint| endpoint.started_ms == started_ms);
+        if is_current {
+            self.loads.record_backoff(id, now.plus(span));
+        }
+        is_current
+    }
+
     /// Records that the store is unreachable.
     pub fn mark_store_unreachable(&mut self) {
         self.directory.mark_store_unreachable();
@@ -384,7 +395,11 @@
     ) -> Result<Assignment, Refusal> {
         let found = self.view(now).pick_whole(service, avoid);
         let share = Share { running: 1, ..Share::default() };
-        found.map(|endpoint| self.assign(now, endpoint, share, None)).ok_or_else(no_endpoint)
+        let Some(endpoint) = found else {
+            let backoff = self.view(now).shortest_backoff(service, Stage::Whole);
+            return Err(no_endpoint(backoff.unwrap_or(ENDPOINT_RETRY_AFTER)));
+        };
+        Ok(self.assign(now, endpoint, share, None))
     }
 
     /// Assigns another prefill endpoint to a prompt; `None` if none is available.
@@ -409,6 +424,11 @@
         let mut entry = completion.into_entry(&forecast, tag);
         // A request that needs more than an endpoint's memory reserves all of it and runs alone.
         entry.memory = entry.memory.min(engine.map_or(u64::MAX, |engine| engine.memory));
+        let backoff = self.view(now).shortest_backoff(&entry.service, Stage::Decode);
+        if backoff.is_some_and(|backoff| now.plus(backoff) > entry.hard_deadline) {
+            // No endpoint takes the request before it expires.
+            entry.hard_deadline = Time::ZERO;
+        }
         self.queue.push(entry);
     }
 
@@ -443,7 +463,10 @@
     }
 
     /// Returns the retry delay for callers that found no free memory for a service.
-    pub fn memory_retry_after(&self, service: &str) -> Duration {
+    pub fn memory_retry_after(&self, now: Time, service: &str) -> Duration {
+        if let Some(backoff) = self.view(now).shortest_backoff(service, Stage::Decode) {
+            return backoff;
+        }
         let half = self.forecasts.service(service).half_decode_time();
         half.map_or(ENDPOINT_RETRY_AFTER, |half| half.clamp(MIN_MEMORY_RETRY_AFTER, MAX_MEMORY_RETRY_AFTER))
     }
@@ -671,6 +694,6 @@
     }
 }
 
-fn no_endpoint() -> Refusal {
-    Refusal::not_run(Code::NoEndpoint, "no endpoint is available").with_retry_after(ENDPOINT_RETRY_AFTER)
+fn no_endpoint(retry_after: Duration) -> Refusal {
+    Refusal::not_run(Code::NoEndpoint, "no endpoint is available").with_retry_after(retry_after)
 }
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -8,7 +8,7 @@
         catalog::{Catalog, Kind, Limits, Service},
         completion::Completion,
         digest::Digest,
-        directory::Stage,
+        directory::{Endpoint, Stage},
         forecast::{Observation, Size},
         health::Outcome,
         load::Lease,
@@ -227,7 +227,7 @@
     let size = Size { prompt: 5_000, expected_output: 12_000, max_output: 12_000 };
     state.enqueue(at(10), Completion { size, ..completion(0) }, 1);
     assert!(matches!(&state.dispatch(at(10))[..], [(_, Verdict::Expired)]));
-    assert!(state.memory_retry_after("drafting") > Duration::from_millis(1_000));
+    assert!(state.memory_retry_after(at(0), "drafting") > Duration::from_millis(1_000));
 }
 
 /// Guards against a new replica that has no forecasts until it has served requests itself.
@@ -316,3 +316,34 @@
         _ => None,
     }
 }
+
+/// The endpoint wants no requests, and the caller would wait in vain.
+#[test]
+fn a_request_that_no_endpoint_wants_before_it_expires_is_refused_at_once() {
+    let mut state = ready_state();
+    assert!(state.record_backoff(at(10), &"d-1".into(), 1, Duration::from_secs(60)));
+    state.enqueue(at(10), completion(5_000), 1);
+    assert!(matches!(&state.dispatch(at(10))[..], [(_, Verdict::Expired)]));
+    assert_eq!(state.memory_retry_after(at(10), "drafting"), Duration::from_secs(60));
+}
+
+#[test]
+fn a_request_waits_until_an_endpoint_wants_requests_again() {
+    let mut state = ready_state();
+    state.record_backoff(at(10), &"d-1".into(), 1, Duration::from_secs(1));
+    state.enqueue(at(10), completion(5_000), 1);
+    assert!(state.dispatch(at(1_009)).is_empty());
+    assert!(matches!(&state.dispatch(at(1_010))[..], [(_, Verdict::Placed(_))]));
+}
+
+#[test]
+fn a_backoff_ends_with_the_incarnation_that_asked_for_it() {
+    let mut state = ready_state();
+    state.record_backoff(at(10), &"d-1".into(), 1, Duration::from_secs(60));
+    let restarted = Endpoint { started_ms: 2, ..endpoint("d-1", Stage::Decode) };
+    let listing = Listing { version: 3, is_complete: false, rows: vec![row(3, restarted)] };
+    state.apply_listing(at(20), listing);
+    assert!(!state.record_backoff(at(30), &"d-1".into(), 1, Duration::from_secs(60)));
+    state.enqueue(at(30), completion(5_000), 1);
+    assert!(matches!(&state.dispatch(at(30))[..], [(_, Verdict::Placed(_))]));
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -45,7 +45,8 @@
 
 impl Context {
     pub(crate) fn client(&self) -> Client<'_> {
-        Client { pool: &self.pool, dialect: &*self.dialect, control: &self.control }
+        let Self { pool, dialect, control, clock, .. } = self;
+        Client { pool, dialect: &**dialect, control, clock }
     }
 
     pub(crate) fn is_shutting_down(&self) -> bool {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -59,6 +59,7 @@
     Release(Lease, Outcome),
     RecordInterrupted(Arc<str>, u64),
     RecordLeaving(Arc<str>, u64),
+    RecordBackoff(Arc<str>, u64, Duration),
     CancelOrder(Arc<str>),
     Update(Update),
     Bundle(Box<Bundle>),
@@ -127,23 +128,27 @@
     pub prefill: Option<Permit>,
 }
 
+/// State that other threads read directly.
 #[derive(Default)]
-struct ActiveConfig {
+struct Shared {
     /// `None` before the first configuration.
     catalog: Option<Arc<Catalog>>,
     /// Whether a peer has a newer configuration.
     is_stale: bool,
+    /// Start times of the endpoints that want no requests, and until when. Placement knows them as well, but an
+    /// endpoint may ask for a pause after a request has been placed.
+    backoffs: BTreeMap<Arc<str>, (u64, Time)>,
 }
 
-fn lock(active: &Mutex<ActiveConfig>) -> MutexGuard<'_, ActiveConfig> {
-    active.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Handle to the control thread.
 #[derive(Clone)]
 pub struct Control {
     commands: Sender<Command>,
-    active: Arc<Mutex<ActiveConfig>>,
+    shared: Arc<Mutex<Shared>>,
     /// Closed once configuration and endpoints have been read; no message is ever sent.
     initialized: Receiver<()>,
     started: Time,
@@ -162,12 +167,12 @@
 
     /// Returns the active configuration.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
-        lock(&self.active).catalog.clone()
+        lock(&self.shared).catalog.clone()
     }
 
     /// Returns whether a peer has a newer configuration.
     pub fn is_stale(&self) -> bool {
-        lock(&self.active).is_stale
+        lock(&self.shared).is_stale
     }
 
     fn send(&self, command: Command) {
@@ -238,6 +243,23 @@
         self.send(Command::RecordLeaving(endpoint.id.clone(), endpoint.started_ms));
     }
 
+    /// Records that an endpoint wants no requests from this gateway for `span`.
+    pub fn record_backoff(&self, now: Time, endpoint: &Endpoint, span: Duration) {
+        let Endpoint { id, started_ms, .. } = endpoint;
+        let mut shared = lock(&self.shared);
+        shared.backoffs.retain(|_, (_, until)| *until > now);
+        shared.backoffs.insert(id.clone(), (*started_ms, now.plus(span)));
+        drop(shared);
+        self.send(Command::RecordBackoff(id.clone(), *started_ms, span));
+    }
+
+    /// Returns whether an endpoint wants no requests from this gateway now.
+    pub fn is_backing_off(&self, now: Time, endpoint: &Endpoint) -> bool {
+        let shared = lock(&self.shared);
+        let backoff = shared.backoffs.get(&endpoint.id);
+        backoff.is_some_and(|(started_ms, until)| *started_ms == endpoint.started_ms && *until > now)
+    }
+
     /// Records that an order was not carried out.
     pub fn cancel_order(&self, endpoint: &Arc<str>) {
         self.send(Command::CancelOrder(endpoint.clone()));
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -29,8 +29,8 @@
 };
 
 use super::{
-    ActiveConfig, Command, Control, FORECAST_PROMPT_TOKENS, Permit, Permits, PermitsResult, ReplySender,
-    lock, shutting_down,
+    Command, Control, FORECAST_PROMPT_TOKENS, Permit, Permits, PermitsResult, ReplySender, Shared, lock,
+    shutting_down,
 };
 use crate::edge::Update;
 
@@ -64,12 +64,12 @@
     let (commands, received) = async_channel::unbounded();
     let (initializing, initialized) = async_channel::bounded(1);
     let started = clock.now();
-    let control = Control { commands, active: Arc::default(), initialized, started };
+    let control = Control { commands, shared: Arc::default(), initialized, started };
     let state = State::new(identity, retries, started);
     // A weak handle, so that the thread ends once all other handles have been dropped.
     let commands = control.commands.downgrade();
-    let (active, initialized) = (control.active.clone(), control.initialized.clone());
-    let weak_control = WeakControl { commands, active, initialized, started };
+    let (shared, initialized) = (control.shared.clone(), control.initialized.clone());
+    let weak_control = WeakControl { commands, shared, initialized, started };
     let initializing = Some(initializing);
     let mut worker = Worker {
         state,
@@ -93,7 +93,7 @@
 /// Weak form of [`Control`].
 struct WeakControl {
     commands: WeakSender<Command>,
-    active: Arc<Mutex<ActiveConfig>>,
+    shared: Arc<Mutex<Shared>>,
     initialized: Receiver<()>,
     started: Time,
 }
@@ -101,9 +101,9 @@
 impl WeakControl {
     /// Returns a handle, or `None` once all other handles have been dropped.
     fn upgrade(&self) -> Option<Control> {
-        let Self { commands, active, initialized, started } = self;
-        let (active, initialized) = (active.clone(), initialized.clone());
-        Some(Control { commands: commands.upgrade()?, active, initialized, started: *started })
+        let Self { commands, shared, initialized, started } = self;
+        let (shared, initialized) = (shared.clone(), initialized.clone());
+        Some(Control { commands: commands.upgrade()?, shared, initialized, started: *started })
     }
 }
 
@@ -147,7 +147,7 @@
         let now = self.clock.now();
         if now.since(self.last_tick) >= TICK {
             self.last_tick = now;
-            lock(&self.weak_control.active).is_stale = self.state.is_configuration_stale(now);
+            lock(&self.weak_control.shared).is_stale = self.state.is_configuration_stale(now);
             let (changes, expired) = self.state.tick(now);
             log_changes(&changes);
             for peer in expired {
@@ -255,6 +255,12 @@
                     log_changes(&[change]);
                 }
             }
+            Command::RecordBackoff(endpoint, started_ms, span) => {
+                if self.state.record_backoff(now, &endpoint, started_ms, span) {
+                    let retry_after_ms = span.as_millis() as u64;
+                    spdlog::info!("endpoint notice", kv: { endpoint = &*endpoint, retry_after_ms });
+                }
+            }
             Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Bundle(bundle) => self.state.apply_bundle(now, &bundle),
@@ -270,7 +276,8 @@
     fn overloaded(&self, now: Time, service: &str) -> Refusal {
         let why = self.state.describe(now, service);
         let message = format!("no endpoint memory becomes free before the deadline: {why}");
-        Refusal::not_run(Code::Overloaded, message).with_retry_after(self.state.memory_retry_after(service))
+        Refusal::not_run(Code::Overloaded, message)
+            .with_retry_after(self.state.memory_retry_after(now, service))
     }
 
     fn update(&mut self, now: Time, update: Update) {
@@ -309,7 +316,7 @@
             return;
         }
         self.source = Some(source);
-        lock(&self.weak_control.active).catalog = Some(catalog);
+        lock(&self.weak_control.shared).catalog = Some(catalog);
         spdlog::info!("configuration in force", kv: { version, order = row_version, routes });
     }
 
@@ -337,7 +344,7 @@
             .collect();
         serde_json::json!({
             "version": self.state.catalog().map(|catalog| catalog.version()),
-            "behind": lock(&self.weak_control.active).is_stale,
+            "behind": lock(&self.weak_control.shared).is_stale,
             "endpoints": endpoints,
             "is_relay": self.state.is_relay(),
             "follows": followed(&self.state.role()),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,10 @@
 use async_std::{future::timeout, net::TcpStream};
 use bytes::Bytes;
 use futures_lite::{AsyncWriteExt as _, future::poll_fn};
-use tarragonhill_core::gateway::{directory::Endpoint, health::Outcome};
+use tarragonhill_core::{
+    Clock,
+    gateway::{directory::Endpoint, health::Outcome},
+};
 use tarragonhill_h1::{
     Connection, Error, Malformed,
     body::Decoder,
@@ -38,6 +41,8 @@
 /// Why an exchange failed.
 #[derive(Debug)]
 pub(crate) enum Failure {
+    /// The endpoint wants no requests now; nothing was sent.
+    BackingOff,
     /// No connection could be opened; nothing was sent.
     Connect(io::Error),
     /// The connection failed after the request was sent; the request may have run.
@@ -51,6 +56,7 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::BackingOff => f.write_str("the endpoint wants no requests now"),
             Self::Connect(error) => write!(f, "connecting failed: {error}"),
             Self::Connection(error) => write!(f, "{error}"),
             Self::InvalidResponse(why) => write!(f, "invalid response: {why}"),
@@ -110,6 +116,7 @@
     pub(crate) pool: &'a Pool,
     pub(crate) dialect: &'a dyn Dialect,
     pub(crate) control: &'a Control,
+    pub(crate) clock: &'a Clock,
 }
 
 impl<'a> Client<'a> {
@@ -124,6 +131,9 @@
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
         let began = Instant::now();
+        if self.control.is_backing_off(self.clock.now(), endpoint) {
+            return Err(Failure::BackingOff);
+        }
         let connection = match self.pool.take(endpoint).await {
             Some(connection) => connection,
             None => {
@@ -183,6 +193,9 @@
         if reply.is_leaving {
             self.control.record_leaving(endpoint);
         }
+        if let Some(span) = reply.retry_after {
+            self.control.record_backoff(self.clock.now(), endpoint, span);
+        }
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -290,6 +290,10 @@
     let sent = inbound.send(context, endpoint, task, inbound.route.stall_timeout + STALL_TIMEOUT_SLACK).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
+        Err(Failure::BackingOff) => {
+            inbound.mark_not_run();
+            return Err(Abort::NotRun(format!("{} wants no requests now", endpoint.id)));
+        }
         Err(Failure::Connect(error)) => {
             inbound.mark_not_run();
             permit.finish(Outcome::Unreachable);
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -37,7 +37,9 @@
                 let kind = Kind::Prefill(result);
                 return Ok(Guard { context: context.clone(), endpoint, kind });
             }
-            Err(Failure::Connect(error)) => (format!("{}: {error}", endpoint.id), false),
+            Err(failure @ (Failure::Connect(_) | Failure::BackingOff)) => {
+                (format!("{}: {failure}", endpoint.id), false)
+            }
             Err(failure) => (format!("{}: {failure}", endpoint.id), true),
         };
         spdlog::info!("prefill failed", kv: { request = inbound.id(), reason = reason.as_str() });
@@ -91,6 +93,7 @@
             });
             Err(Failure::InvalidResponse(if is_not_run { "not run" } else { "refused" }))
         }
+        Err(Failure::BackingOff) => Err(Failure::BackingOff),
         Err(failure) => {
             let is_unsent = matches!(failure, Failure::Connect(_));
             if matches!(failure, Failure::Timeout) {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -189,6 +189,9 @@
 fn classify(inbound: &Inbound, exchanged: Exchanged, permit: Permit, context: &Context) -> Attempt {
     let (head, reply, body) = match exchanged {
         Ok(exchanged) => exchanged,
+        Err(Failure::BackingOff) => {
+            return Attempt::NotRun(format!("{} wants no requests now", permit.endpoint.id));
+        }
         Err(Failure::Connect(error)) => {
             let reason = format!("{} is unreachable: {error}", permit.endpoint.id);
             permit.finish(Outcome::Unreachable);
