Restore the reasons of constants and rules in comments

The rewording of the comments dropped some facts that a maintainer needs. Put back, where they still hold:

- core, gateway decisions: the first window of the retry budget, the grace of lapsed rows, the prefill timeout and the speed of a local prefill, the output margins during shutdown, mean memory, the prior and the decay of output lengths, the reserve for memory growth, ejection times and the weight of an outcome, the failure ratio and the zone factor of placement, the headroom for late requests, local prefill, the sample sizes, headroom and delays of the pools, the shortest retry delay, the crash limit
- core, others: the initial retry budget, the horizon of promised memory, tried endpoints, waiters that are refused early, decodes under withdrawn keys, the time to serve while a peer has newer settings
- gateway: datagrams, hedging, stalled streams, the interval of recorded event rates, idle connections, the retry delay without a configuration

Comments only.

--- a/crates/core/src/agent/scheduler.rs
+++ b/crates/core/src/agent/scheduler.rs
@@ -35,7 +35,8 @@
 /// Weight of the newest sample in the exponential moving averages.
 const AVERAGE_WEIGHT: f64 = 0.2;
 /// How far in advance memory that is still in use may be promised. About the duration of a prefill,
-/// so that the memory and the prefill result become available together.
+/// so that the memory and the prefill result become available together. Predictions further ahead
+/// are wrong too often.
 const PROMISE_HORIZON: Duration = Duration::from_millis(300);
 
 /// A decode order waiting for memory to import its KV cache.
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -15,7 +15,8 @@
 /// Maximum age of the settings, unless recent heartbeats from all entries were received.
 pub const MAX_AGE: Duration = Duration::from_secs(8);
 
-/// Maximum time to keep serving after a peer has reported a newer version.
+/// Maximum time to keep serving after a peer has reported a newer version. The table is read
+/// at once then, and its reply takes milliseconds.
 const MAX_BEHIND: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Debug)]
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -16,7 +16,8 @@
 /// window.
 const USABLE_FRACTION: f64 = 0.7;
 /// Fraction of its share of the slack that a replica uses in its first window. The process that it
-/// replaces may have used the full share within the same window.
+/// replaces may have used the full share within the same window: together, [`USABLE_FRACTION`] x
+/// 1.4 stays below the whole.
 const STARTUP_FRACTION: f64 = 0.4;
 /// Lower bound of the replica count in the first window, while peers are still being discovered.
 const MIN_STARTUP_REPLICAS: u32 = 4;
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -12,7 +12,8 @@
 use crate::clock::Time;
 
 /// How long endpoints whose rows lapsed in a store outage stay in use once the store is reachable
-/// again, so that they can write their rows.
+/// again, so that they can write their rows. Running endpoints do so within 2 s; the rest is for
+/// the change to arrive here.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
 /// The part of a request that an endpoint serves.
--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -23,11 +23,11 @@
 /// prompts arrive late, and endpoint speeds vary.
 const PREFILL_TIMEOUT_FACTOR: u32 = 2;
 /// Time added to the prefill timeout, as a fraction of the time-to-first-token target. Short enough
-/// that a second endpoint can still meet the target.
+/// that a second endpoint can still meet the target. An endpoint that hangs shows no other sign.
 const PREFILL_TIMEOUT_SLACK: f64 = 0.45;
 
 /// Factor by which a prefill takes longer at a decode endpoint than at a prefill endpoint, used
-/// until one is observed.
+/// until one is observed. By the platform's protocol, a decode endpoint prefills at half the speed.
 const LOCAL_PREFILL_SLOWDOWN: f64 = 2.0;
 
 const DEFAULT_PREFILL_SECS_PER_TOKEN: f64 = 20e-6;
@@ -47,14 +47,17 @@
 
 /// Safety margin on the output length during shutdown, in standard deviations of its logarithm,
 /// while the load balancer may still route callers here. In a rolling restart, the next replica may
-/// be shutting down too, so a wide margin would leave callers without an alternative.
+/// be shutting down too, so a wide margin would leave callers without an alternative. Nine outputs
+/// in ten are shorter.
 const LENGTH_SIGMAS: f64 = 1.3;
 /// The same once the load balancer routes new callers elsewhere. A refused caller then retries at
-/// another replica, while a stream that cannot be resumed is lost when the process exits.
+/// another replica, while a stream that cannot be resumed is lost when the process exits. Three
+/// outputs in a thousand are longer.
 const STRICT_LENGTH_SIGMAS: f64 = 2.75;
 
 /// Returns the mean KV cache use of a request over its lifetime, in tokens: the output grows from
-/// zero to its expected length.
+/// zero to its expected length. Runs are at different points of their outputs, so reserving the
+/// largest output for each would leave a part of a full endpoint's memory unused.
 pub fn mean_memory(prompt: u64, expected_output: u64) -> u64 {
     prompt + expected_output / 2
 }
--- a/crates/core/src/gateway/forecast/output.rs
+++ b/crates/core/src/gateway/forecast/output.rs
@@ -1,10 +1,11 @@
 //! Output lengths in relation to the callers' estimates.
 
-/// Factor on the weight of earlier outputs with each new one.
+/// Factor on the weight of earlier outputs with each new one; about the last fifty count.
 const DECAY: f64 = 0.98;
 /// Total weight of observations needed for an estimate.
 const MIN_WEIGHT: f64 = 2.5;
-/// Prior standard deviation of the logarithm.
+/// Prior standard deviation of the logarithm: one output in six is longer than 1.6 times its
+/// estimate.
 const PRIOR_SPREAD: f64 = 0.5;
 /// Number of observations that the prior counts as.
 const PRIOR_WEIGHT: f64 = 5.0;
--- a/crates/core/src/gateway/growth.rs
+++ b/crates/core/src/gateway/growth.rs
@@ -13,7 +13,8 @@
 /// Product of steepness and spread with which a logistic curve approximates a normal distribution.
 const STEEPNESS: f64 = 1.7;
 /// Number of standard deviations of memory use that are reserved per run in addition to the mean.
-/// Avoids preemptions when a burst of runs reaches an endpoint together.
+/// Avoids preemptions when a burst of runs reaches an endpoint together. One for each of nine runs
+/// makes three of their sum, which is rarely exceeded.
 const DEVIATIONS_RESERVED: f64 = 1.0;
 /// Lower bound of the spread, which keeps the steepness finite.
 const MIN_SPREAD: f64 = 0.05;
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -8,14 +8,15 @@
 
 use crate::clock::{Time, decay_factor};
 
-/// Ejection time after the first failure to connect; doubles with each consecutive failure.
+/// Ejection time after the first failure to connect; doubles with each consecutive failure. Short,
+/// since the shortest outages last a few seconds and the next attempt should come soon.
 const MIN_EJECTION: Duration = Duration::from_millis(250);
 /// Longest ejection time; bounds how late a recovered endpoint is used again.
 const MAX_EJECTION: Duration = Duration::from_secs(2);
 /// Ejection time of an endpoint whose address now belongs to another one. Longer than its row in
-/// the store takes to lapse.
+/// the store takes to lapse: about 4 s, after three missed heartbeats.
 const REPLACED_EJECTION: Duration = Duration::from_secs(5);
-/// Weight of one outcome in the failure ratio.
+/// Weight of one outcome in the failure ratio; about the last five count.
 const OUTCOME_WEIGHT: f64 = 0.2;
 /// Half-life of the failure ratio. Without decay, an endpoint that gets no requests would never be
 /// tried again.
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -15,9 +15,11 @@
 use crate::clock::{Time, micros};
 
 /// Endpoints whose failure ratio exceeds the lowest of their service by more than this are used
-/// only if no other can take the request. Tolerates a single recent failure.
+/// only if no other can take the request. Tolerates a single recent failure; an endpoint that fails
+/// two requests in five is above it on average.
 const MAX_EXCESS_FAILURE_RATIO: f64 = 0.3;
-/// Factor on the expected response time of an endpoint in another availability zone.
+/// Factor on the expected response time of an endpoint in another availability zone. The local zone
+/// is used where both are alike, since traffic between zones costs money.
 const CROSS_ZONE_FACTOR: f64 = 1.2;
 /// Prefill time that an endpoint in another availability zone must save, as a fraction of the
 /// time-to-first-token target. Accounts for the transfer of the KV cache between zones.
@@ -43,7 +45,8 @@
 /// Fraction of an engine's memory kept free for runs of other replicas that are not reported yet.
 const HEADROOM: f64 = 0.03;
 /// Fraction of an engine's memory kept free when placing a late request, for requests that can
-/// still meet their target.
+/// still meet their target. A late response is worth less than one on time, but its run occupies
+/// memory as long and would make the next request of a burst late.
 const LATE_HEADROOM: f64 = 0.2;
 
 /// Returns the memory that must stay free at an endpoint after placing a request, in tokens.
@@ -234,7 +237,8 @@
     }
 
     /// Picks a decode endpoint that processes the prompt itself while all prefill endpoints are
-    /// busy.
+    /// busy. In a burst, prefill can be exhausted before decode memory is, and runs would then wait
+    /// although there is room for them.
     ///
     /// Prefill stalls the endpoint's other runs. An endpoint therefore takes one prompt at a time,
     /// with a pause afterwards, and none that would stall runs for longer than `target_gap`. Each
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -16,15 +16,18 @@
 };
 use crate::clock::{Time, decay_factor};
 
-/// Number of requests needed to compute a split, with older ones counting less.
+/// Number of requests needed to compute a split, with older ones counting less. Prompt and output
+/// sizes vary by half to double, so the mean of this many is accurate to about a sixth.
 const MIN_REQUESTS: f64 = 15.0;
-/// Number of observed outputs needed to compute a split, with older ones counting less.
+/// Number of observed outputs needed to compute a split, with older ones counting less. Callers'
+/// estimates are off by half to double, so the mean of this many is accurate to about a fifth.
 const MIN_OUTPUT_WEIGHT: f64 = 8.0;
 /// Half-life of recorded requests: longer than a burst, shorter than a lasting shift of the
 /// traffic.
 const HALF_LIFE: Duration = Duration::from_secs(15);
 /// Factor on the computed prefill demand. Prompts queue behind each other, so a pool without spare
-/// capacity builds up a backlog.
+/// capacity builds up a backlog. With little more, callers that return together after an outage
+/// would wait for the few prefill endpoints for seconds.
 const PREFILL_HEADROOM: f64 = 1.45;
 /// Number of endpoints by which the split must differ from the target before one is moved. Above
 /// one half, so that noise does not move the same endpoint back and forth.
@@ -40,10 +43,12 @@
 /// decided.
 const MIN_ORDER_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long an imbalance must last before an endpoint moves to decode, so that a short one, such as
-/// at the start of a burst or when endpoints fail, is ignored.
+/// at the start of a burst or when endpoints fail, is ignored. A change made for it would soon be
+/// reversed.
 const TO_DECODE_DELAY: Duration = Duration::from_secs(2);
 /// The same for a move to prefill. Longer, because a decode endpoint rejects runs while it changes,
-/// and their prompts have then been prefilled for nothing.
+/// and their prompts have then been prefilled for nothing. Prefill endpoints that fail in a burst
+/// are usually back by the time that another could replace them.
 const TO_PREFILL_DELAY: Duration = Duration::from_secs(4);
 /// Maximum number of changes in progress.
 const MAX_CHANGES: usize = 2;
--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -45,7 +45,7 @@
 const TOTALS_OVERHEAD_BYTES: usize = 24;
 /// Longest retry delay; with a longer one, many callers give up.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(6);
-/// Shortest retry delay for callers over their rate.
+/// Shortest retry delay for callers over their rate; with a shorter one, they retry in step.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Divisor of the burst that gives the largest request that counts as small.
--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -9,7 +9,8 @@
 use super::digest::Digest;
 use crate::clock::Time;
 
-/// Number of crashes after which a request is refused.
+/// Number of crashes after which a request is refused. Two crashes in a row under one request are
+/// hardly a coincidence.
 const CRASH_LIMIT: u32 = 2;
 /// Time after the last crash until a suspect is forgotten.
 const SUSPECT_TTL: Duration = Duration::from_secs(120);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -153,7 +153,7 @@
     /// Chooses an endpoint and records the work as sent to it.
     ///
     /// Endpoints that the request has tried or that recently refused work are used only if no other
-    /// endpoint is available.
+    /// endpoint is available: a fleet in which each endpoint has failed once must still serve.
     pub fn place<R: Rng>(&mut self, now: Time, rng: &mut R, search: &Search<'_>) -> Option<Arc<str>> {
         let preferred =
             |named: &&NamedEndpoint| self.is_up(named) && self.is_preferred(now, &named.0, search.tried);
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -435,7 +435,8 @@
         admissions
     }
 
-    /// Refuses waiters whose deadline is before the next tokens arrive.
+    /// Refuses waiters whose deadline is before the next tokens arrive. They would be refused in
+    /// any case, and learn early when to retry.
     fn refuse_late_waiters(&mut self, now: Time, retry_after: Duration) -> Vec<Admission> {
         let next = now.plus(retry_after);
         let (late, rest): (VecDeque<_>, _) =
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -9,7 +9,8 @@
 
 /// Retries added to a budget per successful request.
 const CREDIT_PER_SUCCESS: f64 = 0.2;
-/// Initial and maximum budget, in retries; covers all requests of an engine that crashes.
+/// Initial and maximum budget, in retries. An engine that crashes interrupts about twenty requests,
+/// and a request that crashes one crashes a second before it is quarantined.
 const MAX_CREDIT: f64 = 50.0;
 /// Maximum attempts per request, including the first.
 pub const MAX_ATTEMPTS: u32 = 3;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -63,7 +63,7 @@
     /// The decode is stopped.
     #[default]
     Cut,
-    /// The decode may finish.
+    /// The decode may finish, since the expensive part of the work is already done.
     Finish,
 }
 
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -20,11 +20,11 @@
     sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
 };
 
-/// Maximum number of queued lines.
+/// Maximum number of queued lines: about a second of a busy process, or half a megabyte.
 const QUEUE_CAPACITY: usize = 2_048;
 
 /// Maximum wait for queued lines to be written at shutdown. Below the time that the gateway reserves for its
-/// exit.
+/// exit; a full queue takes some milliseconds if standard output is read.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Exchange of digests with peers over UDP.
 //!
-//! A digest contains running totals, so a lost datagram needs no retransmission.
+//! A digest contains running totals, so a lost datagram needs no retransmission. Unlike a connection, a UDP
+//! socket cannot stall for good.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/identify.rs
+++ b/crates/gateway/src/identify.rs
@@ -17,8 +17,8 @@
 
 use crate::{context::Inbound, edge::Metadata};
 
-/// Retry delay for callers while this replica has no configuration. The store is then probably unreachable,
-/// and an earlier retry would be refused as well.
+/// Retry delay for callers while this replica has no configuration. The store is then probably unreachable
+/// for some seconds, and an earlier retry would be refused as well.
 const RETRY_WITHOUT_CATALOG: Duration = Duration::from_secs(2);
 /// Retry delay for unknown routes and keys while a peer has a newer configuration.
 const RETRY_WHILE_STALE: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -9,7 +9,7 @@
 use tarragonhill_core::{Clock, Time, gateway::directory::Endpoint};
 use tarragonhill_h1::Connection;
 
-/// Maximum idle connections per endpoint.
+/// Maximum idle connections per endpoint; above the number of concurrent requests in an ordinary burst.
 const MAX_IDLE: usize = 16;
 /// Keep-alive time of endpoints that do not send a `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -21,7 +21,7 @@
 };
 
 /// A resumable stream without an event for this many times the route's target gap counts as stalled and is
-/// resumed at another endpoint. Callers wait longer than that.
+/// resumed at another endpoint. Callers wait for at least eight times the target gap.
 const STALL_GAPS: u32 = 5;
 /// Stall timeout of resumable streams whose route has no target gap.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -29,7 +29,8 @@
 /// How much longer than the caller the gateway waits for an event, if the stream is not resumable.
 pub(super) const STALL_TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 
-/// Minimum interval at which a stream's event rate is recorded.
+/// Minimum interval at which a stream's event rate is recorded. Short enough to follow a change of speed
+/// during a stream, and much longer than the time between events.
 const RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Events that have not been recorded yet.
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -24,7 +24,7 @@
 };
 
 /// Fraction of the route's latency target after which an idempotent request is hedged; leaves time for the
-/// second response to meet the target.
+/// second response to meet the target. By then, nearly all responses of healthy endpoints have arrived.
 const HEDGE_AFTER: f64 = 0.5;
 /// Maximum times that a request is sent, including retries but not hedges.
 const MAX_SENDS: u32 = 4;
@@ -116,8 +116,9 @@
     Ok(())
 }
 
-/// Sends a request and, if it may be retried and the response is slow, hedges it at a second endpoint. Also
-/// returns the number of endpoints that may have run the request.
+/// Sends a request and, if it may be retried and the response is slow, hedges it at a second endpoint, since
+/// an endpoint that hangs shows no other sign. Also returns the number of endpoints that may have run the
+/// request.
 async fn attempt_with_hedge(
     context: &Arc<Context>,
     inbound: &Inbound,
