Close silent new connections soon after a shutdown begins

A client that had connected and sent nothing delayed a graceful shutdown by the head timeout, 10 s by default, even on an idle server. Such a connection now has 2 s from the beginning of the shutdown to send the head of its first request. A client that sends it after 1 s is still served, as shutdown_waits_for_the_first_request_of_a_new_connection shows.

Before this change shutdown_does_not_wait_for_the_head_timeout_of_a_silent_new_connection failed: the shutdown had not completed after 30 s, with a head timeout of 300 s.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -26,6 +26,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long an idle connection stays open once shutdown has begun, for a request in transit.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(300);
+/// The same for a new connection, whose client is about to send its first request.
+const NEW_CONNECTION_GRACE: Duration = Duration::from_secs(2);
 /// Interval of polling for the end of a shutdown.
 const SHUTDOWN_POLL: Duration = Duration::from_millis(10);
 /// How long sent data may stay unacknowledged before the operating system closes the connection.
@@ -326,9 +328,7 @@
         let exchange = async { Event::Done(server.accept_one().await) };
         let shutdown = async {
             closing.begun().await;
-            // A client that has just connected is about to send its first request, so it gets the full
-            // timeout.
-            let grace = if has_responded { SHUTDOWN_GRACE } else { limits.head_timeout };
+            let grace = if has_responded { SHUTDOWN_GRACE } else { NEW_CONNECTION_GRACE };
             sleep_unless_started(grace, &started).await;
             Event::Shutdown
         };
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -95,6 +95,19 @@
     });
 }
 
+/// Guards against a silent new connection that delays a shutdown by the whole head timeout.
+#[test]
+fn shutdown_does_not_wait_for_the_head_timeout_of_a_silent_new_connection() {
+    task::block_on(async {
+        let limits = Limits { head_timeout: 10 * TEST_TIMEOUT, ..Limits::default() };
+        let server = bind(limits).await;
+        let (address, closer) = (server.address(), server.closer());
+        let _serving = task::spawn(server.serve(|_| async { Outbound::text(200, "done") }));
+        let _silent = connect(address).await;
+        future::timeout(TEST_TIMEOUT, closer.close()).await.expect("the shutdown completes");
+    });
+}
+
 /// During shutdown the operating system must refuse new connections. Those left in the accept
 /// backlog would be reset, and the client could not tell whether its request was handled.
 #[test]
