Hand shards over although a request outlasts the drain time

A shutdown of an entry waited without limit for its callers' connections to close, and handed its shards over only then. With a stream that outlasted the drain time, the process was killed first and the shards had no home until its lease expired.

The handover now begins 10 s before the end of the drain time at the latest, while the remaining requests run. Those that end within the drain time are answered whole; connections still open at its end are closed.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -87,6 +87,8 @@
     pub decode_profile: decode::Profile,
     /// Response time of plain services.
     pub plain_latency: Duration,
+    /// Drain time of agents and entries.
+    pub drain: Duration,
 }
 
 impl Shape {
@@ -106,6 +108,7 @@
             prefill_profile: prefill::Profile::default(),
             decode_profile: decode::Profile::default(),
             plain_latency: Duration::from_millis(2),
+            drain: Duration::from_secs(20),
         }
     }
 }
@@ -256,7 +259,7 @@
             admin: any_port,
             table: self.table.address(),
             poll: Duration::from_millis(500),
-            drain: Duration::from_secs(20),
+            drain: self.shape.drain,
             log: logging::off(),
         }
     }
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -100,6 +100,7 @@
             prefill_profile: prefill::Profile::default(),
             decode_profile: decode::Profile::default(),
             plain_latency: Duration::from_millis(2),
+            drain: Duration::from_secs(20),
         }
     }
 }
--- a/crates/bench/tests/path.rs
+++ b/crates/bench/tests/path.rs
@@ -12,6 +12,7 @@
     sim::{DECODE_POISON, POISON, prefill},
 };
 use tarragonhill_core::{
+    home::SHARD_PREFIX,
     plan::Intent,
     settings::{Role, WithdrawalPolicy},
 };
@@ -363,6 +364,47 @@
     });
 }
 
+/// Guards against a shutdown that waits for a stream until the process is killed, without a handover.
+#[test]
+fn a_stream_that_outlasts_the_drain_time_prevents_neither_handover_nor_shutdown() {
+    task::block_on(async {
+        let drain = Duration::from_secs(8);
+        let mut fleet = Fleet::start(Shape { drain, ..shape() }).await.expect("the fleet starts");
+        let request = completion("longer than the drain time", 5_000, true);
+        let caller = caller(&fleet, 1, "faculty");
+        let answer = task::spawn(async move { caller.complete(&request).await });
+        let running = || async { fleet.decode.iter().any(|engine| engine.memory().1 > 0) };
+        assert!(wait_until(running).await);
+        let entry = fleet.entries[1].take().expect("not killed");
+        future::timeout(TIMEOUT, entry.shutdown()).await.expect("the shutdown ends");
+        let shards = fleet.table.keys(SHARD_PREFIX);
+        let owner = |key: &String| fleet.table.get(key).expect("a shard")["owner"].clone();
+        assert!(!shards.is_empty() && shards.iter().all(|key| owner(key) != "entry-1"));
+        let cut = future::timeout(TIMEOUT, answer).await.expect("the connection is closed");
+        assert!(matches!(cut.outcome, Outcome::Broken { .. }), "{:?}", cut.outcome);
+        fleet.stop().await;
+    });
+}
+
+/// Guards against a handover that cuts requests which would end within the drain time.
+#[test]
+fn a_stream_that_runs_during_the_handover_is_completed() {
+    task::block_on(async {
+        let drain = Duration::from_secs(8);
+        let mut fleet = Fleet::start(Shape { drain, ..shape() }).await.expect("the fleet starts");
+        let request = completion("still running", 60, true);
+        let caller = caller(&fleet, 1, "faculty");
+        let sent = request.clone();
+        let answer = task::spawn(async move { caller.complete(&sent).await });
+        let running = || async { fleet.decode.iter().any(|engine| engine.memory().1 > 0) };
+        assert!(wait_until(running).await);
+        let entry = fleet.entries[1].take().expect("not killed");
+        entry.shutdown().await;
+        assert!(answer.await.is_correct(&request));
+        fleet.stop().await;
+    });
+}
+
 /// Of two changes planned on the same version, the second is refused and has no effect.
 #[test]
 fn only_one_of_two_concurrent_changes_is_confirmed() {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -25,6 +25,7 @@
 };
 
 use async_std::task::{self, JoinHandle};
+use futures_lite::FutureExt as _;
 use tarragonhill_core::{Clock, settings::Snapshot};
 use tarragonhill_http::server::{Closer, Server};
 use tarragonhill_table::HttpTable;
@@ -39,6 +40,8 @@
 
 /// Interval at which a shutdown checks for remaining work.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// Part of the drain time that is reserved for the handover of the shards.
+const HANDOVER_TIME: Duration = Duration::from_secs(10);
 
 /// A running entry.
 pub struct Entry {
@@ -127,23 +130,27 @@
         self.admin
     }
 
-    /// Shuts down gracefully: refuses new requests, lets running ones end, then hands over the shards
+    /// Shuts down gracefully: refuses new requests, lets running ones end, and hands over the shards
     /// that this entry owns. Gives up on what remains after the drain time.
     pub async fn shutdown(self) {
         let context = &self.context;
         context.is_shutting_down.store(true, Ordering::Relaxed);
         let began = context.clock.now();
-        let has_time_left = || context.clock.now().since(began) < self.drain;
+        let time_left = || self.drain.saturating_sub(context.clock.now().since(began));
         // Connections are still accepted, so that new requests get a refusal instead of an I/O error.
-        while has_time_left() && context.running.load(Ordering::Relaxed) > 0 {
+        while time_left() > HANDOVER_TIME && context.running.load(Ordering::Relaxed) > 0 {
             context.clock.sleep(DRAIN_POLL).await;
         }
-        self.caller_closer.close().await;
-        self.accept_task.cancel().await;
+        // Requests that are still running borrow from the new owners.
         context.control.leave();
-        while has_time_left() && !context.control.has_left().await {
-            context.clock.sleep(DRAIN_POLL).await;
-        }
+        let finished = async {
+            self.caller_closer.close().await;
+            while !context.control.has_left().await {
+                context.clock.sleep(DRAIN_POLL).await;
+            }
+        };
+        finished.or(context.clock.sleep(time_left())).await;
+        self.accept_task.cancel().await;
         stop(&self.context, self.tasks).await;
     }
 
