Keep the notice of a leaving endpoint whose row is away

Found by the review: the row of an endpoint may lapse or be unreadable for a moment. A response that arrived then and said that the endpoint was leaving was forgotten, and when its row returned as `ready` it got requests again. The mark now depends on the incarnation of the row's newest write, not on the row being there.

A lapsed endpoint that leaves is reported as removed when its row goes for good; before, its load and forecasts were kept.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -180,9 +180,10 @@
 
     /// Records that an incarnation of an endpoint said that it is leaving, whatever its row says.
     pub fn mark_leaving(&mut self, id: &str, started_ms: u64) -> Option<Change> {
-        let record = self.records.get_mut(id)?;
-        let endpoint = record.endpoint.clone().filter(|endpoint| endpoint.started_ms == started_ms)?;
+        // The row may be away for a moment, so the incarnation of its newest write counts.
+        let record = self.records.get_mut(id).filter(|record| record.last_write.0 == started_ms)?;
         record.leaving_incarnation = Some(started_ms);
+        let endpoint = record.endpoint.clone()?;
         let leaving = Record::with_notice(record.leaving_incarnation, endpoint.clone());
         if leaving == endpoint {
             return None;
@@ -238,7 +239,7 @@
         let expires = grace.filter(|_| may_return);
         let kept = previous.clone().filter(|_| expires.is_some());
         let record = self.records.get(&id);
-        let is_change = record.is_none_or(|record| record.expires.is_none());
+        let is_change = expires.is_none() || record.is_none_or(|record| record.expires.is_none());
         let leaving_incarnation = record.and_then(|record| record.leaving_incarnation);
         self.records.insert(id, Record { version, last_write, endpoint: kept, leaving_incarnation, expires });
         let previous = previous.filter(|_| is_change)?;
--- a/crates/core/tests/gateway/directory.rs
+++ b/crates/core/tests/gateway/directory.rs
@@ -143,3 +143,28 @@
     assert!(directory.mark_leaving("e-1", 1).is_none());
     assert_eq!(serving_ids(&directory), ["e-1".into()]);
 }
+
+/// A row may be unreadable or lapsed while a response says that the endpoint is leaving.
+#[test]
+fn a_leaving_endpoint_whose_row_is_away_gets_no_requests_when_it_returns() {
+    let mut directory = Directory::default();
+    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(1), 2, vec![removed_row(2, "e-1")]);
+    directory.mark_leaving("e-1", 1);
+    directory.update(at(2), 3, vec![row(3, endpoint("e-1", Stage::Whole))]);
+    assert!(serving_ids(&directory).is_empty());
+}
+
+/// Otherwise its load and forecasts are kept for good.
+#[test]
+fn a_lapsed_endpoint_that_leaves_is_reported_as_removed() {
+    let mut directory = Directory::default();
+    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.mark_store_unreachable();
+    directory.mark_store_reachable(at(10));
+    let changes = directory.update(at(11), 2, vec![removed_row(2, "e-1")]);
+    assert!(matches!(changes[..], [Change::Lapsed(_)]), "{changes:?}");
+    directory.mark_leaving("e-1", 1);
+    let changes = directory.update(at(12), 3, vec![removed_row(3, "e-1")]);
+    assert!(matches!(changes[..], [Change::Removed(_)]), "{changes:?}");
+}
