Keep one record of the pauses that endpoints ask for

Pauses are now one type, recorded by name apart from load and directory, and the same rule serves placement and sending; a later end stays in force, also over a restart under the same name, because responses of the new incarnation cannot be told from the old one's until its row is read. Sending checks again once the connection is open, and a request that was not sent costs no retry. Prompts wait while all prefill endpoints pause, queued requests that would expire before a pause ends are refused at once, and retry delays for callers are at least 300 ms. An order is not sent to an endpoint whose report says that it is leaving.

--- a/crates/bench/tests/leaving.rs
+++ b/crates/bench/tests/leaving.rs
@@ -1,9 +1,22 @@
 //! Tests of what endpoints say about themselves in responses: that they are leaving, and for how long they
 //! want no requests.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
-use async_std::task;
+use async_channel::{Receiver, Sender};
+use async_std::{
+    net::{TcpListener, TcpStream},
+    task,
+};
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use tarragonhill_bench::platform::{
     caller::{self, Response, completion_request, plain_request},
     endpoint::{EVENT_COUNT, Endpoint, Fault, Role},
@@ -11,13 +24,14 @@
     store,
 };
 use tarragonhill_core::{Clock, clock::Manual};
-use tarragonhill_h1::head::Request;
+use tarragonhill_h1::{Connection, head::Request};
 
 const PROMPT_TOKENS: u64 = 5_000;
 /// Longer than a test takes, unless it advances the clock.
 const LONG_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Too few for the gateway to move an engine to another stage.
 const STREAM_COUNT: u32 = 8;
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Long enough for the fault of the decode engine to change meanwhile.
 const PREFILL_TIME: Duration = Duration::from_millis(300);
 const PLAIN_COUNT: u32 = 20;
@@ -317,3 +331,120 @@
         }
     });
 }
+
+/// Requests that were placed before the pause are sent only when their connections open.
+#[test]
+fn requests_whose_connections_open_during_a_pause_are_not_sent() {
+    run(async {
+        let site = Site::start(Shape { plain: 0, ..Shape::default() }).await.expect("the site starts");
+        let endpoint = BusyEndpoint::start(site.store.address().ip()).await;
+        let row = json!({
+            "service": "filing", "address": endpoint.address.to_string(), "zone": "zone-a", "version": "v1",
+            "slots": 48, "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": 99,
+        });
+        site.store.put("servers", "busy", &row);
+        let running = async || {
+            let state = site.state(0).await;
+            let endpoints = state["endpoints"].as_array().cloned().unwrap_or_default();
+            endpoints.iter().find(|row| row["id"] == "busy").and_then(|row| row["running"].as_u64())
+        };
+        wait_until("the endpoint is known", async || running().await.is_some()).await;
+        let address = site.address();
+        let send = |id: &'static str| task::spawn(caller::request(address, submit(id), b""));
+        let first = send("r1");
+        wait_until("the first request has arrived", async || endpoint.arrivals() == 1).await;
+        // Fills the accept queue, so that further connections do not open.
+        let filler = TcpStream::connect(endpoint.address).await.expect("a connection");
+        let others = [send("r2"), send("r3"), send("r4")];
+        wait_until("all requests are placed", async || running().await == Some(4)).await;
+        endpoint.refuse.send(()).await.expect("the endpoint runs");
+        for caller in [first].into_iter().chain(others) {
+            assert_eq!(caller.await.expect("a response").head.status, 503);
+        }
+        assert_eq!(endpoint.arrivals(), 1);
+        drop(filler);
+    });
+}
+
+/// An endpoint that accepts one connection, and the others only after it has refused its first request.
+struct BusyEndpoint {
+    address: SocketAddr,
+    /// Makes the endpoint refuse its first request and ask for a pause.
+    refuse: Sender<()>,
+    arrivals: Arc<AtomicU32>,
+}
+
+impl BusyEndpoint {
+    async fn start(ip: IpAddr) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::new(ip, 0).into()).expect("an address");
+        socket.listen(0).expect("a listener");
+        socket.set_nonblocking(true).expect("a nonblocking socket");
+        let listener = TcpListener::from(std::net::TcpListener::from(socket));
+        let address = listener.local_addr().expect("an address");
+        let arrivals: Arc<AtomicU32> = Arc::default();
+        let (refuse, refusing) = async_channel::bounded(1);
+        let counted = arrivals.clone();
+        task::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let served = refuse_after(stream, refusing.clone(), counted.clone());
+                if counted.load(Ordering::Relaxed) == 0 {
+                    served.await;
+                } else {
+                    task::spawn(served);
+                }
+            }
+        });
+        Self { address, refuse, arrivals }
+    }
+
+    fn arrivals(&self) -> u32 {
+        self.arrivals.load(Ordering::Relaxed)
+    }
+}
+
+/// Reads a request, and refuses it after a message.
+async fn refuse_after(stream: TcpStream, refusing: Receiver<()>, arrivals: Arc<AtomicU32>) {
+    let mut connection = Connection::new(stream, LONG_RETRY_AFTER);
+    let Ok(head) = connection.read_request(MAX_HEAD_BYTES).await else { return };
+    arrivals.fetch_add(1, Ordering::Relaxed);
+    // Fails once the test is over.
+    let _ = refusing.recv().await;
+    let id = head.fields.get("Tarragonhill-Request-Id").unwrap_or_default();
+    let response = format!(
+        "HTTP/1.1 503 Busy\r\nTarragonhill-Request-Id: {id}\r\nTarragonhill-Not-Executed: 1\r\n\
+         Retry-After: 60\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    );
+    // Fails only if the gateway has disconnected.
+    let _ = connection.write(response.as_bytes()).await;
+}
+
+/// The gateway would spend its retry budget on an endpoint that it does not ask, beside a healthy one.
+#[test]
+fn requests_are_served_elsewhere_when_the_row_of_a_pausing_endpoint_returns() {
+    run(async {
+        let mut site = Site::start(Shape { gateways: 0, ..Shape::default() }).await.expect("the site starts");
+        site.add_gateway_with_clock(Clock::Manual(Manual::default())).await.expect("a gateway");
+        site.wait_until_synced().await;
+        assert_eq!(request(&site, submit("first")).await.head.status, 200);
+        let endpoint = only_executor(&site, Role::Plain);
+        endpoint.set_fault(Fault::RefuseFor(LONG_RETRY_AFTER));
+        let mut count = 0;
+        wait_until("the endpoint refuses", async || {
+            count += 1;
+            assert_eq!(request(&site, submit(&format!("until-{count}"))).await.head.status, 200);
+            endpoint.received_calls().len() > 1
+        })
+        .await;
+        let known = async |site: &Site| site.state(0).await["endpoints"].as_array().map_or(0, Vec::len);
+        let all = known(&site).await;
+        site.store.put_invalid("servers", endpoint.id());
+        wait_until("the row is gone", async || known(&site).await == all - 1).await;
+        site.register(&endpoint, "ready");
+        wait_until("the row is back", async || known(&site).await == all).await;
+        for number in 0..200 {
+            assert_eq!(request(&site, submit(&format!("r{number}"))).await.head.status, 200);
+        }
+        assert_eq!(endpoint.received_calls().len(), 2);
+    });
+}
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -3,6 +3,7 @@
 //! Several replicas of the gateway run side by side. Each decides alone, from the operator's
 //! [`catalog`], the [`directory`] of endpoints and the [`digest`]s that replicas exchange.
 
+pub mod backoff;
 pub mod budget;
 pub mod catalog;
 pub mod completion;
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{
+    backoff::Backoffs,
     digest::{Digest, Share},
     forecast::Size,
     growth::Growth,
@@ -67,8 +68,6 @@
     /// Health by the outcomes of this replica's requests.
     pub health: Health,
     full_until: Time,
-    /// Until when the endpoint wants no requests from this replica.
-    backoff_until: Time,
     /// Consecutive refusals of reservations for which there seemed to be memory.
     unexpected_refusals: u32,
     /// When the endpoint may start its next local prefill.
@@ -109,11 +108,6 @@
         self.prefill_ready_at <= now && self.total(now).prefill_tokens == 0
     }
 
-    /// Returns how long the endpoint still wants no requests from this replica.
-    pub fn backoff(&self, now: Time) -> Duration {
-        self.backoff_until.since(now)
-    }
-
     /// Returns whether the endpoint recently refused a run, so that it counts as full.
     pub fn is_full(&self, now: Time) -> bool {
         self.full_until > now
@@ -144,6 +138,8 @@
     endpoints: BTreeMap<Arc<str>, Load>,
     /// The endpoints in the newest digest of each peer.
     reported: BTreeMap<Arc<str>, Vec<Arc<str>>>,
+    /// Endpoints that want no requests; not part of their load, which may be removed meanwhile.
+    pub backoffs: Backoffs,
 }
 
 impl Loads {
@@ -227,19 +223,6 @@
         load.unexpected_refusals += 1;
     }
 
-    /// Records that an endpoint wants no requests from this replica until a time.
-    pub fn record_backoff(&mut self, endpoint: &Arc<str>, until: Time) {
-        let load = self.endpoints.entry(endpoint.clone()).or_default();
-        load.backoff_until = load.backoff_until.max(until);
-    }
-
-    /// Forgets the backoff of an endpoint that has restarted.
-    pub fn clear_backoff(&mut self, endpoint: &str) {
-        if let Some(load) = self.endpoints.get_mut(endpoint) {
-            load.backoff_until = Time::ZERO;
-        }
-    }
-
     /// Replaces the load that a peer reported before.
     pub fn apply_digest(&mut self, now: Time, digest: &Digest) {
         for endpoint in self.reported.remove(&digest.name).unwrap_or_default() {
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -158,7 +158,7 @@
 
     /// Returns how long an endpoint still wants no requests from this replica.
     fn backoff(&self, endpoint: &Endpoint) -> Duration {
-        self.load(endpoint).map_or(Duration::ZERO, |load| load.backoff(self.now))
+        self.loads.backoffs.left(self.now, &endpoint.id)
     }
 
     /// Returns the time until the first of a stage's endpoints wants requests again; `None` if there is no
@@ -222,6 +222,8 @@
             *end + zone_penalty + ttft_target.mul_f64(aversion)
         });
         match best {
+            // Otherwise decode endpoints would get all prompts at once.
+            None if self.shortest_backoff(service, Stage::Prefill).is_some() => Prefill::Busy,
             None => Prefill::Unavailable,
             Some(((backlog, _), _)) if backlog > ttft_target.mul_f64(MAX_PREFILL_BACKLOG) => Prefill::Busy,
             Some((_, endpoint)) => Prefill::Endpoint(endpoint.clone()),
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -87,6 +87,13 @@
         self.0.retain(|entry| keep(&entry.tag));
     }
 
+    /// Lets the requests expire for which `is_hopeless` returns true.
+    pub fn expire(&mut self, is_hopeless: impl Fn(&Entry<T>) -> bool) {
+        for entry in self.0.iter_mut().filter(|entry| is_hopeless(entry)) {
+            entry.hard_deadline = Time::ZERO;
+        }
+    }
+
     /// Removes expired requests and those that `place` accepts, in order. Once a request is not
     /// accepted, all later ones of its service stay queued.
     pub fn dispatch<P>(
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -30,6 +30,8 @@
 
 /// Retry delay for callers when an endpoint is expected to return soon.
 pub const ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Shortest retry delay for callers when no endpoint wants requests for less than this.
+const MIN_BACKOFF_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Bounds of the retry delay for callers that found no free memory. A shorter delay would find the
 /// same runs in memory; with a longer one, many callers give up.
 const MIN_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -202,7 +204,6 @@
         for change in changes {
             match change {
                 Change::Restarted(endpoint) => {
-                    self.loads.clear_backoff(&endpoint.id);
                     self.suspects.record_crash(now, &endpoint.id);
                     self.pools.cancel(&endpoint.id);
                 }
@@ -223,14 +224,9 @@
         self.directory.mark_leaving(endpoint, started_ms)
     }
 
-    /// Records that an incarnation of an endpoint wants no requests from this replica for `span`. Returns
-    /// false if it is not the current one.
-    pub fn record_backoff(&mut self, now: Time, id: &Arc<str>, started_ms: u64, span: Duration) -> bool {
-        let is_current = self.directory.get(id).is_some_and(|endpoint| endpoint.started_ms == started_ms);
-        if is_current {
-            self.loads.record_backoff(id, now.plus(span));
-        }
-        is_current
+    /// Records that an endpoint wants no requests from this replica until a time.
+    pub fn record_backoff(&mut self, now: Time, endpoint: &Arc<str>, until: Time) {
+        self.loads.backoffs.record(now, endpoint, until);
     }
 
     /// Records that the store is unreachable.
@@ -397,7 +393,9 @@
         let share = Share { running: 1, ..Share::default() };
         let Some(endpoint) = found else {
             let backoff = self.view(now).shortest_backoff(service, Stage::Whole);
-            return Err(no_endpoint(backoff.unwrap_or(ENDPOINT_RETRY_AFTER)));
+            let retry_after =
+                backoff.map_or(ENDPOINT_RETRY_AFTER, |backoff| backoff.max(MIN_BACKOFF_RETRY_AFTER));
+            return Err(no_endpoint(retry_after));
         };
         Ok(self.assign(now, endpoint, share, None))
     }
@@ -424,11 +422,6 @@
         let mut entry = completion.into_entry(&forecast, tag);
         // A request that needs more than an endpoint's memory reserves all of it and runs alone.
         entry.memory = entry.memory.min(engine.map_or(u64::MAX, |engine| engine.memory));
-        let backoff = self.view(now).shortest_backoff(&entry.service, Stage::Decode);
-        if backoff.is_some_and(|backoff| now.plus(backoff) > entry.hard_deadline) {
-            // No endpoint takes the request before it expires.
-            entry.hard_deadline = Time::ZERO;
-        }
         self.queue.push(entry);
     }
 
@@ -465,7 +458,7 @@
     /// Returns the retry delay for callers that found no free memory for a service.
     pub fn memory_retry_after(&self, now: Time, service: &str) -> Duration {
         if let Some(backoff) = self.view(now).shortest_backoff(service, Stage::Decode) {
-            return backoff;
+            return backoff.max(MIN_BACKOFF_RETRY_AFTER);
         }
         let half = self.forecasts.service(service).half_decode_time();
         half.map_or(ENDPOINT_RETRY_AFTER, |half| half.clamp(MIN_MEMORY_RETRY_AFTER, MAX_MEMORY_RETRY_AFTER))
@@ -496,6 +489,13 @@
             return Vec::new();
         }
         let mut queue = std::mem::take(&mut self.queue);
+        if !self.loads.backoffs.is_empty() {
+            let view = self.view(now);
+            queue.expire(|entry| {
+                let backoff = view.shortest_backoff(&entry.service, Stage::Decode);
+                backoff.is_some_and(|backoff| now.plus(backoff) > entry.hard_deadline)
+            });
+        }
         let placed = queue.dispatch(now, |entry| self.place(now, entry));
         self.queue = queue;
         placed
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -391,3 +391,15 @@
         }
     }
 }
+
+/// Otherwise decode endpoints would process all prompts at once, and their streams would stall.
+#[test]
+fn prompts_wait_while_all_prefill_endpoints_want_no_requests() {
+    let directory = directory(vec![endpoint("p-1", Stage::Prefill), endpoint("d-1", Stage::Decode)]);
+    let mut loads = Loads::default();
+    loads.backoffs.record(at(0), &"p-1".into(), at(1_000));
+    assert_eq!(
+        view(&directory, &loads, 10).pick_prefill("drafting", 4_000, TTFT, "zone-a", &[]),
+        Prefill::Busy
+    );
+}
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -200,3 +200,20 @@
     }
     assert_eq!(moved, 1);
 }
+
+/// The order could not be sent, and no other endpoint would be moved until the pause is over.
+#[test]
+fn an_endpoint_that_wants_no_requests_is_not_ordered_to_change_its_stage() {
+    let directory = directory(10, 2);
+    let mut loads = Loads::default();
+    loads.backoffs.record(at(0), &"e-00".into(), at(60_000));
+    let forecasts = trained(SMALL);
+    let forecast = forecasts.service("drafting");
+    let info = ServiceInfo { name: &"drafting".into(), engine: &engine(), forecast: &forecast };
+    let mut pools = Pools::default();
+    let order = (0..20_000).step_by(100).find_map(|now| {
+        record_request(&mut pools, now, 500, 5_000);
+        pools.next_order(at(now), &info, &directory, &loads, 0)
+    });
+    assert_eq!(order.expect("an order").endpoint.id, "e-01".into());
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -15,6 +15,7 @@
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
+        backoff::Backoffs,
         catalog::Catalog,
         completion::{Completion, Prompt},
         digest::Member,
@@ -59,7 +60,7 @@
     Release(Lease, Outcome),
     RecordInterrupted(Arc<str>, u64),
     RecordLeaving(Arc<str>, u64),
-    RecordBackoff(Arc<str>, u64, Duration),
+    RecordBackoff(Arc<str>, Time),
     CancelOrder(Arc<str>),
     Update(Update),
     Bundle(Box<Bundle>),
@@ -135,9 +136,9 @@
     catalog: Option<Arc<Catalog>>,
     /// Whether a peer has a newer configuration.
     is_stale: bool,
-    /// Start times of the endpoints that want no requests, and until when. Placement knows them as well, but an
-    /// endpoint may ask for a pause after a request has been placed.
-    backoffs: BTreeMap<Arc<str>, (u64, Time)>,
+    /// Endpoints that want no requests. Placement knows them as well, but an endpoint may ask for a pause after
+    /// a request has been placed.
+    backoffs: Backoffs,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -245,19 +246,14 @@
 
     /// Records that an endpoint wants no requests from this gateway for `span`.
     pub fn record_backoff(&self, now: Time, endpoint: &Endpoint, span: Duration) {
-        let Endpoint { id, started_ms, .. } = endpoint;
-        let mut shared = lock(&self.shared);
-        shared.backoffs.retain(|_, (_, until)| *until > now);
-        shared.backoffs.insert(id.clone(), (*started_ms, now.plus(span)));
-        drop(shared);
-        self.send(Command::RecordBackoff(id.clone(), *started_ms, span));
+        let until = now.plus(span);
+        lock(&self.shared).backoffs.record(now, &endpoint.id, until);
+        self.send(Command::RecordBackoff(endpoint.id.clone(), until));
     }
 
     /// Returns whether an endpoint wants no requests from this gateway now.
     pub fn is_backing_off(&self, now: Time, endpoint: &Endpoint) -> bool {
-        let shared = lock(&self.shared);
-        let backoff = shared.backoffs.get(&endpoint.id);
-        backoff.is_some_and(|(started_ms, until)| *started_ms == endpoint.started_ms && *until > now)
+        !lock(&self.shared).backoffs.left(now, &endpoint.id).is_zero()
     }
 
     /// Records that an order was not carried out.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -255,11 +255,10 @@
                     log_changes(&[change]);
                 }
             }
-            Command::RecordBackoff(endpoint, started_ms, span) => {
-                if self.state.record_backoff(now, &endpoint, started_ms, span) {
-                    let retry_after_ms = span.as_millis() as u64;
-                    spdlog::info!("endpoint notice", kv: { endpoint = &*endpoint, retry_after_ms });
-                }
+            Command::RecordBackoff(endpoint, until) => {
+                self.state.record_backoff(now, &endpoint, until);
+                let retry_after_ms = until.since(now).as_millis() as u64;
+                spdlog::info!("endpoint notice", kv: { endpoint = &*endpoint, retry_after_ms });
             }
             Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
             Command::Update(update) => self.update(now, update),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -131,7 +131,8 @@
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
         let began = Instant::now();
-        if self.control.is_backing_off(self.clock.now(), endpoint) {
+        let is_backing_off = || self.control.is_backing_off(self.clock.now(), endpoint);
+        if is_backing_off() {
             return Err(Failure::BackingOff);
         }
         let connection = match self.pool.take(endpoint).await {
@@ -141,6 +142,10 @@
                 Connection::open(endpoint.address, limit, TCP_USER_TIMEOUT).await.map_err(Failure::Connect)?
             }
         };
+        // The endpoint may have asked for a pause while the connection was opened.
+        if is_backing_off() {
+            return Err(Failure::BackingOff);
+        }
         let exchanged = self.exchange(endpoint, connection, head, body, id);
         timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout))
     }
@@ -159,12 +164,12 @@
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             let response =
                 read_while_writing(&mut connection, &mut writing).await.map_err(Failure::Connection)?;
-            let framing = response.framing(&head.method);
-            let mut decoder = Decoder::new(framing.map_err(invalid)?);
             let reply = self.dialect.decode_reply(&response);
             if !is_replaced(&response, &reply, endpoint) {
                 self.record_notice(endpoint, &reply);
             }
+            let framing = response.framing(&head.method);
+            let mut decoder = Decoder::new(framing.map_err(invalid)?);
             // Informational, or a late response to an earlier request on this connection.
             let is_unrelated = response.status < 200 || id.is_some() && reply.id.as_deref() != id;
             if is_unrelated && (response.status < 200 || reply.id.is_some()) {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -106,6 +106,9 @@
     let sent =
         context.client().send(&order.endpoint, &message.head, &message.body, None, RESPONSE_TIMEOUT).await;
     let exchange = sent.map_err(|failure| failure.to_string())?;
+    if exchange.reply.is_leaving {
+        return Err("the endpoint is leaving".into());
+    }
     let (head, _, body) = exchange.read_whole().await.map_err(|failure| failure.to_string())?;
     Ok((head.status, body))
 }
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -33,6 +33,8 @@
 enum Attempt {
     /// The endpoint responded.
     Response { head: Response, body: Bytes },
+    /// The request was not sent.
+    NotSent(String),
     /// The endpoint did not run the request.
     NotRun(String),
     /// The endpoint may have run the request.
@@ -68,7 +70,11 @@
                 runs += used;
                 "the endpoint failed".into()
             }
-            Attempt::NotRun(reason) => reason,
+            Attempt::NotSent(reason) if sends < MAX_SENDS => {
+                spdlog::info!("placing the request again", kv: { request = inbound.id(), reason = reason.as_str() });
+                continue;
+            }
+            Attempt::NotSent(reason) | Attempt::NotRun(reason) => reason,
             Attempt::MayHaveRun(reason) => {
                 runs += used;
                 if !inbound.may_retry(runs) {
@@ -177,7 +183,7 @@
         Err(failure) => Err(failure),
     };
     let attempt = classify(inbound, exchanged, permit, context);
-    if matches!(attempt, Attempt::NotRun(_)) {
+    if matches!(attempt, Attempt::NotRun(_) | Attempt::NotSent(_)) {
         inbound.mark_not_run();
     }
     count(context, &attempt);
@@ -191,7 +197,7 @@
     let (head, reply, body) = match exchanged {
         Ok(exchanged) => exchanged,
         Err(Failure::BackingOff) => {
-            return Attempt::NotRun(format!("{} wants no requests now", permit.endpoint.id));
+            return Attempt::NotSent(format!("{} wants no requests now", permit.endpoint.id));
         }
         Err(Failure::Connect(error)) => {
             let reason = format!("{} is unreachable: {error}", permit.endpoint.id);
@@ -232,6 +238,7 @@
 fn count(context: &Context, attempt: &Attempt) {
     let outcome = match attempt {
         Attempt::Response { .. } => "answered",
+        Attempt::NotSent(_) => return,
         Attempt::NotRun(_) => "not_run",
         Attempt::MayHaveRun(_) => "broken",
     };
