--- a/crates/operator/src/log.rs
+++ b/crates/operator/src/log.rs
@@ -104,6 +104,7 @@
     let reason = mask(line.field("reason").unwrap_or_default());
     match line.event.as_str() {
         "request refused" => Some(format!("refused, {}: {reason}", line.field("code").unwrap_or("?"))),
+        "request cut" => Some("cut: the process ended".into()),
         "stream cut" => Some(format!("cut: {reason}")),
         "request ended" if is_endpoint_failure(line) => Some("the endpoint's own failure".into()),
         _ => None,
--- a/crates/operator/tests/log.rs
+++ b/crates/operator/tests/log.rs
@@ -66,3 +66,12 @@
     assert_eq!((&*line.source, line.event.as_str()), ("front-a-1", "gateway started"));
     assert_eq!(Line::parse(&"file".into(), "{truncated"), None);
 }
+
+/// Otherwise requests that were in flight when their process ended are missing from the failures.
+#[test]
+fn a_request_cut_by_the_end_of_its_process_is_a_failure() {
+    let text = r#"{"timestamp":1,"payload":"request cut","kv":{"request":"r9","age_ms":40}}"#;
+    let line = Line::parse(&"file".into(), text).expect("a valid line");
+    let failures = failures(&[line]);
+    assert_eq!(failures["cut: the process ended"].example, "r9");
+}
