Remove the relay from the test of rolling restarts

It closed callers' connections when a gateway ended, because the gateway left them to the runtime. The gateway owns and closes them since, so callers can connect to it directly.

--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -6,7 +6,6 @@
 
 pub mod caller;
 pub mod endpoint;
-mod relay;
 pub mod restarts;
 mod server;
 pub mod site;
--- a/crates/bench/src/platform/restarts.rs
+++ b/crates/bench/src/platform/restarts.rs
@@ -25,7 +25,6 @@
 use super::{
     caller::{Caller, Response, completion_request, plain_request},
     endpoint::{EVENT_COUNT, Endpoint, Role},
-    relay::Relay,
     site::{KEY, Shape, Site, SiteError},
 };
 use crate::sim::lock;
@@ -308,9 +307,9 @@
     let run = Arc::new(Run { site, fronts: Mutex::default(), is_over: AtomicBool::new(false) });
     let mut restarts = Vec::new();
     for (index, process) in processes.into_iter().enumerate() {
-        let relay = run.open(index + 1, &process).await?;
+        run.open(index + 1, &process);
         let rng = ChaCha8Rng::seed_from_u64(rng.random());
-        restarts.push(task::spawn(run.clone().restart(index + 1, process, relay, rng)));
+        restarts.push(task::spawn(run.clone().restart(index + 1, process, rng)));
     }
     let mut callers = Vec::new();
     for habit in Habit::iter() {
@@ -328,8 +327,7 @@
     for caller in callers {
         exchanges.extend(caller.await);
     }
-    for (process, relay) in running {
-        relay.end().await;
+    for process in running {
         process.kill().await;
     }
     task::sleep(SETTLE_TIME).await;
@@ -350,10 +348,9 @@
 
 impl Run {
     /// Lets callers connect to a gateway.
-    async fn open(&self, number: usize, process: &Process) -> Result<Relay, SiteError> {
-        let relay = Relay::start(process.address()).await?;
-        lock(&self.fronts).insert(number, Front { address: relay.address(), shutdown_began: Arc::default() });
-        Ok(relay)
+    fn open(&self, number: usize, process: &Process) {
+        lock(&self.fronts)
+            .insert(number, Front { address: process.address(), shutdown_began: Arc::default() });
     }
 
     /// Shuts a gateway down and starts it again, several times.
@@ -361,9 +358,8 @@
         self: Arc<Self>,
         number: usize,
         mut process: Process,
-        mut relay: Relay,
         mut rng: ChaCha8Rng,
-    ) -> Result<(Process, Relay), SiteError> {
+    ) -> Result<Process, SiteError> {
         for _ in 0..ROUNDS {
             task::sleep(random_time(&mut rng, MAX_UPTIME_MS)).await;
             if let Some(front) = lock(&self.fronts).get(&number) {
@@ -371,11 +367,10 @@
                 let _ = front.shutdown_began.set(Instant::now());
             }
             process.shutdown().await;
-            relay.end().await;
             process = self.site.start_gateway(number).await?;
-            relay = self.open(number, &process).await?;
+            self.open(number, &process);
         }
-        Ok((process, relay))
+        Ok(process)
     }
 
     /// Sends requests until the restarts are over.
