Check the whole response in the test of a stream that ends just before its gateway

The test asserted only that the endpoint did not see a disconnect. It now reads the caller's response and checks that it is complete, with every event. The start that four tests share is one function.

--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -8,7 +8,7 @@
 };
 use tarragonhill_bench::platform::{
     caller::{self, Caller, completion_request, plain_request},
-    endpoint::{Endpoint, Fault, Role},
+    endpoint::{EVENT_COUNT, Endpoint, Fault, Role},
     site::{KEY, Shape, Site, state, wait_until, wait_until_not_ready},
 };
 use tarragonhill_core::{Clock, clock::Manual};
@@ -27,6 +27,8 @@
 const STREAM_ADMITTED: Duration = Duration::from_millis(4_500);
 /// Time of a stream that is in progress while the clock advances.
 const STREAM_TIME: Duration = Duration::from_millis(400);
+/// Metric that shows that the first stream's response has begun.
+const FIRST_BYTE_SENT: &str = "gateway_first_byte_seconds_count{kind=\"streaming\"} 1";
 /// How long a caller is connected before it sends its request.
 const REQUEST_DELAY: Duration = Duration::from_millis(50);
 /// Time limit for a response that the gateway should send at once.
@@ -51,6 +53,18 @@
         Self { site, clock, address }
     }
 
+    /// Starts a site where the plain endpoint holds back the response to a request. Also returns the endpoint
+    /// and the caller.
+    async fn start_with_request() -> (Self, Arc<Endpoint>, Caller) {
+        let fixture = Self::start().await;
+        let endpoint = fixture.endpoint(Role::Plain);
+        endpoint.set_paused(true);
+        let mut caller = Caller::open(fixture.address).await.expect("a connection");
+        caller.send(submit("r1"), b"").await.expect("sent");
+        wait_until_received(&endpoint).await;
+        (fixture, endpoint, caller)
+    }
+
     fn endpoint(&self, role: Role) -> Arc<Endpoint> {
         self.site.endpoints(role)[0].clone()
     }
@@ -128,12 +142,7 @@
 fn a_request_that_would_outlive_the_gateway_reaches_no_endpoint() {
     for head in [submit("r2"), lookup("r2")] {
         run(async {
-            let mut fixture = Fixture::start().await;
-            let endpoint = fixture.endpoint(Role::Plain);
-            endpoint.set_paused(true);
-            let mut running = Caller::open(fixture.address).await.expect("a connection");
-            running.send(submit("r1"), b"").await.expect("sent");
-            wait_until_received(&endpoint).await;
+            let (mut fixture, endpoint, mut running) = Fixture::start_with_request().await;
             let stopping = fixture.begin_shutdown(NEAR_THE_END).await;
             let response = caller::request(fixture.address, head, b"").await.expect("a response");
             assert_eq!(response.head.status, 503);
@@ -151,13 +160,9 @@
 #[test]
 fn a_queued_stream_that_would_outlive_the_gateway_is_refused() {
     run(async {
-        let mut fixture = Fixture::start().await;
-        let (plain, engine) = (fixture.endpoint(Role::Plain), fixture.endpoint(Role::Decode));
-        plain.set_paused(true);
+        let (mut fixture, _, _running) = Fixture::start_with_request().await;
+        let engine = fixture.endpoint(Role::Decode);
         engine.fill_memory();
-        let mut running = Caller::open(fixture.address).await.expect("a connection");
-        running.send(submit("r1"), b"").await.expect("sent");
-        wait_until_received(&plain).await;
         let admin = fixture.site.gateways[0].admin();
         let stopping = fixture.begin_shutdown(STREAM_ADMITTED).await;
         let mut caller = Caller::open(fixture.address).await.expect("a connection");
@@ -178,15 +183,20 @@
 fn a_stream_that_ends_just_before_the_gateway_is_not_cut() {
     run(async {
         let mut fixture = Fixture::start().await;
-        fixture.endpoint(Role::Decode).set_service_time(STREAM_TIME);
-        let mut caller = Caller::open(fixture.address).await.expect("a connection");
-        caller.send(short_stream("r1"), b"prompt").await.expect("sent");
         let engine = fixture.endpoint(Role::Decode);
-        wait_until("the stream has begun", async || engine.active_streams() == 1).await;
-        let (head, first) = caller.read_first_part().await.expect("the first event");
-        assert_eq!((head.status, first.is_some()), (200, true));
+        engine.set_service_time(STREAM_TIME);
+        let address = fixture.address;
+        let response = task::spawn(caller::request(address, short_stream("r1"), b"prompt"));
+        let admin = fixture.site.gateways[0].admin();
+        wait_until("the response has begun", async || {
+            let metrics = caller::request(admin, plain_request("GET", "/metrics", KEY, "q"), b"").await;
+            metrics.is_ok_and(|metrics| metrics.text().contains(FIRST_BYTE_SENT))
+        })
+        .await;
         let stopping = fixture.begin_shutdown(REQUESTS_FAIL).await;
-        wait_until("the stream has ended", async || engine.active_streams() == 0).await;
+        let response = response.await.expect("a response");
+        assert_eq!((response.head.status, response.is_complete), (200, true));
+        assert_eq!(response.event_ids(), (1..=EVENT_COUNT).collect::<Vec<_>>());
         assert_eq!(engine.abandoned(), 0);
         fixture.finish(stopping).await;
     });
@@ -196,12 +206,7 @@
 #[test]
 fn a_response_during_shutdown_to_an_earlier_request_announces_the_close() {
     run(async {
-        let mut fixture = Fixture::start().await;
-        let endpoint = fixture.endpoint(Role::Plain);
-        endpoint.set_paused(true);
-        let mut caller = Caller::open(fixture.address).await.expect("a connection");
-        caller.send(submit("r1"), b"").await.expect("sent");
-        wait_until_received(&endpoint).await;
+        let (mut fixture, endpoint, mut caller) = Fixture::start_with_request().await;
         let stopping = fixture.begin_shutdown(Duration::ZERO).await;
         endpoint.set_paused(false);
         let response = caller.read_response().await.expect("a response");
@@ -214,12 +219,7 @@
 #[test]
 fn a_new_connection_after_the_drain_delay_is_not_closed_before_its_request_arrives() {
     run(async {
-        let mut fixture = Fixture::start().await;
-        let endpoint = fixture.endpoint(Role::Plain);
-        endpoint.set_paused(true);
-        let mut running = Caller::open(fixture.address).await.expect("a connection");
-        running.send(submit("r1"), b"").await.expect("sent");
-        wait_until_received(&endpoint).await;
+        let (mut fixture, endpoint, _running) = Fixture::start_with_request().await;
         let stopping = fixture.begin_shutdown(AFTER_DRAIN_DELAY).await;
         let mut caller = Caller::open(fixture.address).await.expect("a connection");
         task::sleep(REQUEST_DELAY).await;
