Call a pause that an endpoint asks for a backoff, in code and logs

Comments and names used several words for it. Two guards of a request are told apart by name. The reason in log lines is "is backing off". No decision changes.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -180,7 +180,7 @@
 
     /// Records that an incarnation of an endpoint said that it is leaving, whatever its row says.
     pub fn mark_leaving(&mut self, id: &str, started_ms: u64) -> Option<Change> {
-        // The row may be away for a moment, so the incarnation of its newest write counts.
+        // The row may be missing for a moment, so its newest write identifies the incarnation.
         let record = self.records.get_mut(id).filter(|record| record.last_write.0 == started_ms)?;
         record.leaving_incarnation = Some(started_ms);
         let endpoint = record.endpoint.clone()?;
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -138,7 +138,7 @@
     endpoints: BTreeMap<Arc<str>, Load>,
     /// The endpoints in the newest digest of each peer.
     reported: BTreeMap<Arc<str>, Vec<Arc<str>>>,
-    /// Endpoints that want no requests; not part of their load, which may be removed meanwhile.
+    /// Backoffs of endpoints. Not part of [`Load`], because they must outlast its removal.
     pub backoffs: Backoffs,
 }
 
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -140,8 +140,8 @@
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
         let untried = serving.filter(|endpoint| !avoid.contains(&endpoint.id));
         let stable = untried.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
-        let wanting = stable.filter(|endpoint| self.backoff(endpoint).is_zero());
-        wanting.filter(|endpoint| !self.is_ejected(endpoint)).collect()
+        let available = stable.filter(|endpoint| self.backoff(endpoint).is_zero());
+        available.filter(|endpoint| !self.is_ejected(endpoint)).collect()
     }
 
     /// Returns the reachable endpoints, without those that fail more often than the others.
@@ -156,13 +156,13 @@
         self.load(endpoint).is_some_and(|load| load.health.is_ejected(self.now))
     }
 
-    /// Returns how long an endpoint still wants no requests from this replica.
+    /// Returns the remaining backoff of an endpoint.
     fn backoff(&self, endpoint: &Endpoint) -> Duration {
-        self.loads.backoffs.left(self.now, &endpoint.id)
+        self.loads.backoffs.remaining(self.now, &endpoint.id)
     }
 
-    /// Returns the time until the first of a stage's endpoints wants requests again; `None` if there is no
-    /// endpoint, or one that wants them now.
+    /// Returns the shortest remaining backoff of a stage's endpoints; `None` unless all of them are backing
+    /// off.
     pub fn shortest_backoff(&self, service: &str, stage: Stage) -> Option<Duration> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
         serving.map(|endpoint| self.backoff(endpoint)).min().filter(|backoff| !backoff.is_zero())
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -229,7 +229,7 @@
             return None;
         }
         let candidates = endpoints.into_iter().filter(|endpoint| endpoint.stage == from);
-        let candidates = candidates.filter(|endpoint| loads.backoffs.left(now, &endpoint.id).is_zero());
+        let candidates = candidates.filter(|endpoint| loads.backoffs.remaining(now, &endpoint.id).is_zero());
         let idle = candidates.filter(|endpoint| !self.is_changing(now, &endpoint.id));
         let endpoint = idle.min_by_key(|endpoint| pending_work(now, loads, endpoint))?.clone();
         self.last_order = Some(now);
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -87,9 +87,9 @@
         self.0.retain(|entry| keep(&entry.tag));
     }
 
-    /// Lets the requests expire for which `is_hopeless` returns true.
-    pub fn expire(&mut self, is_hopeless: impl Fn(&Entry<T>) -> bool) {
-        for entry in self.0.iter_mut().filter(|entry| is_hopeless(entry)) {
+    /// Expires the requests for which `cannot_start` returns true.
+    pub fn expire(&mut self, cannot_start: impl Fn(&Entry<T>) -> bool) {
+        for entry in self.0.iter_mut().filter(|entry| cannot_start(entry)) {
             entry.hard_deadline = Time::ZERO;
         }
     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -30,7 +30,7 @@
 
 /// Retry delay for callers when an endpoint is expected to return soon.
 pub const ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
-/// Shortest retry delay for callers when no endpoint wants requests for less than this.
+/// Shortest retry delay for callers while all endpoints are backing off.
 const MIN_BACKOFF_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Bounds of the retry delay for callers that found no free memory. A shorter delay would find the
 /// same runs in memory; with a longer one, many callers give up.
@@ -224,7 +224,7 @@
         self.directory.mark_leaving(endpoint, started_ms)
     }
 
-    /// Records that an endpoint wants no requests from this replica until a time.
+    /// Records that an endpoint has asked for a backoff.
     pub fn record_backoff(&mut self, now: Time, endpoint: &Arc<str>, until: Time) {
         self.loads.backoffs.record(now, endpoint, until);
     }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -136,8 +136,7 @@
     catalog: Option<Arc<Catalog>>,
     /// Whether a peer has a newer configuration.
     is_stale: bool,
-    /// Endpoints that want no requests. Placement knows them as well, but an endpoint may ask for a pause after
-    /// a request has been placed.
+    /// Backoffs of endpoints, for requests that were placed before an endpoint asked for one.
     backoffs: Backoffs,
 }
 
@@ -244,16 +243,16 @@
         self.send(Command::RecordLeaving(endpoint.id.clone(), endpoint.started_ms));
     }
 
-    /// Records that an endpoint wants no requests from this gateway for `span`.
+    /// Records that an endpoint has asked for a backoff of `span`.
     pub fn record_backoff(&self, now: Time, endpoint: &Endpoint, span: Duration) {
         let until = now.plus(span);
         lock(&self.shared).backoffs.record(now, &endpoint.id, until);
         self.send(Command::RecordBackoff(endpoint.id.clone(), until));
     }
 
-    /// Returns whether an endpoint wants no requests from this gateway now.
+    /// Returns whether the backoff of an endpoint is not over.
     pub fn is_backing_off(&self, now: Time, endpoint: &Endpoint) -> bool {
-        !lock(&self.shared).backoffs.left(now, &endpoint.id).is_zero()
+        !lock(&self.shared).backoffs.remaining(now, &endpoint.id).is_zero()
     }
 
     /// Records that an order was not carried out.
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -101,7 +101,7 @@
     pub keep_alive: Option<Duration>,
     /// Whether the endpoint is leaving and must soon get no requests.
     pub is_leaving: bool,
-    /// How long the endpoint wants no requests from this gateway, if it refused the request for that reason.
+    /// Backoff that the endpoint asks this gateway for.
     pub retry_after: Option<Duration>,
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,7 +41,7 @@
 /// Why an exchange failed.
 #[derive(Debug)]
 pub(crate) enum Failure {
-    /// The endpoint wants no requests now; nothing was sent.
+    /// The endpoint has asked for a backoff that is not over; nothing was sent.
     BackingOff,
     /// No connection could be opened; nothing was sent.
     Connect(io::Error),
@@ -56,7 +56,7 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::BackingOff => f.write_str("the endpoint wants no requests now"),
+            Self::BackingOff => f.write_str("the endpoint is backing off"),
             Self::Connect(error) => write!(f, "connecting failed: {error}"),
             Self::Connection(error) => write!(f, "{error}"),
             Self::InvalidResponse(why) => write!(f, "invalid response: {why}"),
@@ -142,7 +142,7 @@
                 Connection::open(endpoint.address, limit, TCP_USER_TIMEOUT).await.map_err(Failure::Connect)?
             }
         };
-        // The endpoint may have asked for a pause while the connection was opened.
+        // The endpoint may have asked for a backoff while the connection was opened.
         if is_backing_off() {
             return Err(Failure::BackingOff);
         }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -104,11 +104,11 @@
         let mut writer = ResponseWriter::new(connection.stream().clone(), &head, phases);
         let metadata = context.dialect.decode_metadata(&head);
         let id = metadata.id.clone();
-        let flight = Flight { context, id: id.clone(), began: context.clock.now(), is_finished: false };
+        let cut_guard = CutGuard { context, id: id.clone(), began: context.clock.now(), is_finished: false };
         let served =
             run_until(serve(context, head, body, metadata, &mut writer), wait_for_close(&mut connection))
                 .await;
-        flight.finish();
+        cut_guard.finish();
         in_flight = None;
         if served.is_none() {
             spdlog::info!("caller closed its connection", kv: { request = id.as_deref().unwrap_or("-") });
@@ -139,22 +139,21 @@
     }
 }
 
-/// A request that is being served. Dropping it unfinished logs that the request was cut, which happens when the
-/// process ends.
-struct Flight<'a> {
+/// Logs that a request was cut if it is dropped before the request is finished, as at the end of the process.
+struct CutGuard<'a> {
     context: &'a Context,
     id: Option<Arc<str>>,
     began: Time,
     is_finished: bool,
 }
 
-impl Flight<'_> {
+impl CutGuard<'_> {
     fn finish(mut self) {
         self.is_finished = true;
     }
 }
 
-impl Drop for Flight<'_> {
+impl Drop for CutGuard<'_> {
     fn drop(&mut self) {
         if !self.is_finished {
             let age = self.context.clock.now().since(self.began);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -292,7 +292,7 @@
         Ok(exchange) => exchange,
         Err(Failure::BackingOff) => {
             inbound.mark_not_run();
-            return Err(Abort::NotRun(format!("{} wants no requests now", endpoint.id)));
+            return Err(Abort::NotRun(format!("{} is backing off", endpoint.id)));
         }
         Err(Failure::Connect(error)) => {
             inbound.mark_not_run();
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -131,7 +131,7 @@
 
 /// Why a reservation was neither granted nor refused.
 enum ReserveError {
-    /// The endpoint wants no requests now.
+    /// The endpoint has asked for a backoff that is not over.
     BackingOff,
     /// A different endpoint now listens at the address.
     Replaced,
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -197,7 +197,7 @@
     let (head, reply, body) = match exchanged {
         Ok(exchanged) => exchanged,
         Err(Failure::BackingOff) => {
-            return Attempt::NotSent(format!("{} wants no requests now", permit.endpoint.id));
+            return Attempt::NotSent(format!("{} is backing off", permit.endpoint.id));
         }
         Err(Failure::Connect(error)) => {
             let reason = format!("{} is unreachable: {error}", permit.endpoint.id);
