Log how long a stream has been silent when it is retried or cut

Its log lines did not tell whether the gateway or the endpoint ended the run, and nothing told how long the caller had waited. 'retrying the request' and 'stream cut' now carry events and silent_ms, the retry also its endpoint. The simulated endpoint counts a silent stream as abandoned once the gateway closes its connection, as it did for streams that send.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -464,7 +464,9 @@
                 return (connection, Action::Reset);
             }
             if is_middle && fault == Fault::Silent {
-                return wait_for_close(connection).await;
+                let closed = wait_for_close(connection).await;
+                lock(&self.state).abandoned += 1;
+                return closed;
             }
             if is_middle && fault == Fault::CutInEvent {
                 let _ = connection.write(&chunk(&event.as_bytes()[..event.len() / 2])).await;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -308,7 +308,7 @@
             refuse(context, &refusal, id.as_deref(), writer).await;
         }
         Some(refusal) => {
-            spdlog::warn!("stream cut", kv: { request = inbound.id(), reason = refusal.message.as_str() });
+            stream::log_cut(context, &inbound, writer, &refusal.message);
         }
         None => {}
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -152,11 +152,12 @@
         // The stream was cut: the caller's connection closes without the end of the body.
         let Some(reason) = reason else { return Ok(()) };
         if sends >= MAX_SENDS || !context.control.acquire_retry(inbound.service()).await {
-            return give_up(inbound, writer, reason);
+            return give_up(context, inbound, writer, reason);
         }
         spdlog::info!("retrying the request", kv: {
-            request = inbound.id(), sends, reason = reason.as_str(),
-            after = progress.last_event.as_deref().unwrap_or("")
+            request = inbound.id(), sends, reason = reason.as_str(), endpoint = &*endpoint.id,
+            after = progress.last_event.as_deref().unwrap_or(""), events = writer.timing.events,
+            silent_ms = silent_ms(context, inbound, writer)
         });
     }
     Ok(())
@@ -216,26 +217,50 @@
     if inbound.may_retry(progress.runs) {
         return Ok(Some(reason));
     }
-    cut(inbound, writer, reason)
+    cut(context, inbound, writer, reason)
 }
 
 /// Ends a request that may not be retried any more.
-fn give_up(inbound: &Inbound, writer: &ResponseWriter, reason: String) -> Result<(), Refusal> {
+fn give_up(
+    context: &Context,
+    inbound: &Inbound,
+    writer: &ResponseWriter,
+    reason: String,
+) -> Result<(), Refusal> {
     if writer.is_unsent() && !inbound.may_have_run() {
         return Err(Refusal::not_run(Code::Overloaded, reason).with_retry_after(ENDPOINT_RETRY_AFTER));
     }
-    cut(inbound, writer, reason).map(|_| ())
+    cut(context, inbound, writer, reason).map(|_| ())
 }
 
 /// Returns a refusal if no response has been sent to the caller; otherwise logs that the stream is cut.
-fn cut(inbound: &Inbound, writer: &ResponseWriter, reason: String) -> Result<Option<String>, Refusal> {
+fn cut(
+    context: &Context,
+    inbound: &Inbound,
+    writer: &ResponseWriter,
+    reason: String,
+) -> Result<Option<String>, Refusal> {
     if writer.is_unsent() {
         return Err(Refusal::may_have_run(Code::Broken, reason));
     }
-    spdlog::warn!("stream cut", kv: { request = inbound.id(), reason = reason.as_str() });
+    log_cut(context, inbound, writer, &reason);
     Ok(None)
 }
 
+/// Logs that a stream ends before its last event.
+pub(crate) fn log_cut(context: &Context, inbound: &Inbound, writer: &ResponseWriter, reason: &str) {
+    spdlog::warn!("stream cut", kv: {
+        request = inbound.id(), reason, events = writer.timing.events,
+        silent_ms = silent_ms(context, inbound, writer)
+    });
+}
+
+/// Returns for how long the caller has received no event, in milliseconds.
+fn silent_ms(context: &Context, inbound: &Inbound, writer: &ResponseWriter) -> u64 {
+    let since = writer.timing.last_event().unwrap_or(inbound.received);
+    context.clock.now().since(since).as_millis() as u64
+}
+
 /// Starts an attempt and waits for the response head. On split services, this includes the prefill.
 async fn start<'a>(
     context: &'a Arc<Context>,
--- a/crates/gateway/src/timing.rs
+++ b/crates/gateway/src/timing.rs
@@ -26,6 +26,11 @@
         self.events += events;
     }
 
+    /// Returns when the last event was sent; `None` if there was none.
+    pub fn last_event(&self) -> Option<Time> {
+        self.first.map(|_| self.last)
+    }
+
     /// Returns the time from `received` to the first event; zero if there was none.
     pub fn time_to_first(&self, received: Time) -> Duration {
         self.first.map_or(Duration::ZERO, |first| first.since(received))
