Count the start deadline of a resumed stream from its last event

Cause: the deadline of a placement by the caller's stall timeout counted from the reception of the request. For a new request that is when the caller began to wait; the caller of a stream has waited since its last event. Change: Completion::waiting_since, which is the last event once there is one. Tests, both failed before: a_stream_resumes_although_it_is_older_than_its_stall_timeout (events 1 to 9 of 20, then closed), a_stream_older_than_its_stall_timeout_is_placed_when_it_resumes (the field did not exist; with the old one it is expired).

--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -504,7 +504,7 @@
     Completion {
         service: SERVICE.into(),
         size: Size { prompt: 5_000, expected_output: 750, max_output: 1_900 },
-        received: now,
+        waiting_since: now,
         deadline: now.plus(Duration::from_secs(14)),
         ttft_target: Duration::from_millis(900),
         target_gap: Duration::from_millis(300),
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! Tests of the gateway over real connections, against a simulated platform with injected faults.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use async_std::task;
 use serde_json::json;
@@ -29,6 +29,11 @@
     Site::start(shape).await.expect("the site starts")
 }
 
+/// Starts a site without gateways, for a test that adds one with its own clock.
+async fn start_site_without_gateways() -> Site {
+    Site::start(Shape { gateways: 0, ..Shape::default() }).await.expect("the site starts")
+}
+
 async fn request(site: &Site, head: Request, body: &[u8]) -> Response {
     caller::request(site.address(), head, body).await.expect("a response")
 }
@@ -306,6 +311,34 @@
     }
 }
 
+/// Guards against a resumption that is refused because the request was received too long ago.
+#[test]
+fn a_stream_resumes_although_it_is_older_than_its_stall_timeout() {
+    run(async {
+        let mut site = start_site_without_gateways().await;
+        let clock = Manual::default();
+        site.add_gateway_with_clock(Clock::Manual(clock.clone())).await.expect("a gateway");
+        site.wait_until_synced().await;
+        let engines = site.endpoints(Role::Decode);
+        for engine in &engines {
+            engine.fail_next(Fault::Silent, 1);
+        }
+        let mut head = resumable("r1");
+        head.fields.set("Tarragonhill-Deadline-Ms", "60000");
+        let request_task = task::spawn(caller::request(site.address(), head, b"prompt"));
+        wait_until("a stream is running", async || engines.iter().any(|engine| engine.active_streams() == 1))
+            .await;
+        for engine in &engines {
+            engine.set_fault(Fault::None);
+        }
+        // Longer than the caller waits for the first event.
+        clock.advance(Duration::from_secs(5));
+        let response = request_task.await.expect("a response");
+        assert_eq!((response.is_complete, response.event_ids()), (true, all_event_ids()));
+        assert_eq!(executed(&engines), 2);
+    });
+}
+
 /// A connection can be lost without a reset. The memory of its stream must not stay reserved until the
 /// caller's deadline.
 #[test]
--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -33,8 +33,9 @@
     pub service: Arc<str>,
     /// Prompt and output size.
     pub size: Size,
-    /// When the request was received completely.
-    pub received: Time,
+    /// Since when the caller waits for an event: when the request was received completely or, if the stream
+    /// resumes, when the last event was sent.
+    pub waiting_since: Time,
     /// When the caller disconnects or the route times out, whichever is first.
     pub deadline: Time,
     /// Target for the time to the first event; zero if none is declared.
@@ -56,7 +57,7 @@
         let Self {
             service,
             size,
-            received,
+            waiting_since,
             deadline,
             ttft_target,
             target_gap,
@@ -67,13 +68,14 @@
         let ttft_target = target_or_default(ttft_target);
         // The caller disconnects at its deadline, or earlier if it gets no event for too long.
         let by_deadline = deadline.minus(forecast.known_total_time(size));
-        let by_stall = received.plus(stall_timeout).minus(forecast.known_first_event_time(size.prompt));
+        let first_event = forecast.known_first_event_time(size.prompt);
+        let by_stall = waiting_since.plus(stall_timeout).minus(first_event);
         Entry {
             tag,
             service,
             size,
             memory: mean_memory(size.prompt, size.expected_output),
-            soft_deadline: received.plus(ttft_target).minus(forecast.known_first_event_time(size.prompt)),
+            soft_deadline: waiting_since.plus(ttft_target).minus(first_event),
             hard_deadline: by_deadline.min(by_stall),
             priority,
             target_gap,
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -54,7 +54,7 @@
     Completion {
         service: "drafting".into(),
         size: Size { prompt: memory, expected_output: 0, max_output: 0 },
-        received: at(0),
+        waiting_since: at(0),
         deadline: at(14_000),
         ttft_target: Duration::from_millis(900),
         target_gap: Duration::from_millis(300),
@@ -75,6 +75,16 @@
     assert!(state.apply_catalog(at(2), 11, catalog(6, 0)));
 }
 
+/// Guards against deadlines that count from the reception of the request although the caller has events.
+#[test]
+fn a_stream_older_than_its_stall_timeout_is_placed_when_it_resumes() {
+    let mut state = ready_state();
+    let resumed = Completion { waiting_since: at(6_000), ..completion(5_000) };
+    state.enqueue(at(7_500), resumed, 1);
+    let placed = state.dispatch(at(7_500));
+    assert!(matches!(&placed[..], [(Entry { tag: 1, .. }, Verdict::Placed(_))]));
+}
+
 #[test]
 fn a_run_waits_until_another_releases_its_memory() {
     let mut state = ready_state();
@@ -188,7 +198,7 @@
         let size = Size { prompt: 5_000, expected_output: output, max_output: output * 2 };
         for now in [0, 1_000] {
             let completion =
-                Completion { size, received: at(now), deadline: at(now + 14_000), ..completion(0) };
+                Completion { size, waiting_since: at(now), deadline: at(now + 14_000), ..completion(0) };
             state.enqueue(at(now), completion, 1);
             let placed = state.dispatch(at(now));
             let [(_, Verdict::Placed(pair))] = &placed[..] else { panic!("refused: {speed:?}") };
@@ -270,7 +280,7 @@
     let (mut tries, mut served) = (0, 0);
     for number in 1..=100 {
         let now = u64::from(number) * 20;
-        state.enqueue(at(now), Completion { received: at(now), ..completion(5_000) }, number);
+        state.enqueue(at(now), Completion { waiting_since: at(now), ..completion(5_000) }, number);
         while let Some(lease) = place(&mut state, now) {
             if lease.endpoint == busy.endpoint {
                 served += 1;
@@ -279,7 +289,7 @@
             }
             tries += 1;
             state.record_end(at(now), &lease, Outcome::Full);
-            state.enqueue(at(now), Completion { received: at(now), ..completion(5_000) }, number);
+            state.enqueue(at(now), Completion { waiting_since: at(now), ..completion(5_000) }, number);
         }
     }
     assert_eq!(served, 100);
@@ -294,12 +304,12 @@
     let first = place(&mut state, 0).expect("a placement");
     for number in 1..=5 {
         let now = u64::from(number) * 200;
-        state.enqueue(at(now), Completion { received: at(now), ..completion(5_000) }, number);
+        state.enqueue(at(now), Completion { waiting_since: at(now), ..completion(5_000) }, number);
         let lease = place(&mut state, now).expect("a placement");
         state.record_end(at(now), &lease, Outcome::Full);
     }
     state.record_end(at(1_050), &first, Outcome::Responded(Duration::from_millis(1)));
-    state.enqueue(at(1_101), Completion { received: at(1_101), ..completion(5_000) }, 6);
+    state.enqueue(at(1_101), Completion { waiting_since: at(1_101), ..completion(5_000) }, 6);
     assert!(place(&mut state, 1_101).is_some());
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -45,6 +45,8 @@
 struct Progress {
     /// Id of the last event that the caller received.
     last_event: Option<Arc<str>>,
+    /// Since when the caller waits for an event: the reception of its request, or the last event.
+    waiting_since: Time,
     /// Endpoints where an attempt failed.
     avoid: Vec<Arc<str>>,
     /// Number of endpoints that may have run the request.
@@ -116,7 +118,8 @@
     inbound: &Inbound,
     writer: &mut ResponseWriter,
 ) -> Result<(), Refusal> {
-    let mut progress = Progress { last_event: None, avoid: Vec::new(), runs: 0 };
+    let mut progress =
+        Progress { last_event: None, waiting_since: inbound.received, avoid: Vec::new(), runs: 0 };
     for sends in 1.. {
         let placement = place_in_time(context, inbound, &progress).await?;
         let endpoint = placement.endpoint().clone();
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -53,7 +53,7 @@
     let mut avoid = progress.avoid.clone();
     loop {
         let Permits { decode, prefill } =
-            context.control.place_completion(completion(inbound, &avoid)).await?;
+            context.control.place_completion(completion(inbound, progress, &avoid)).await?;
         let now = context.clock.now();
         context.metrics.placement_waits.observe(now.since(inbound.received).as_secs_f64());
         let prefill_endpoint = prefill.as_ref().map(|prefill| &*prefill.endpoint);
@@ -88,11 +88,11 @@
     context.control.place(inbound.service(), &progress.avoid).await.map(Placement::Whole)
 }
 
-fn completion(inbound: &Inbound, avoid: &[Arc<str>]) -> Completion {
+fn completion(inbound: &Inbound, progress: &Progress, avoid: &[Arc<str>]) -> Completion {
     Completion {
         service: inbound.service().clone(),
         size: inbound.size(),
-        received: inbound.received,
+        waiting_since: progress.waiting_since,
         deadline: inbound.deadline,
         ttft_target: inbound.route.target_latency,
         target_gap: inbound.route.target_gap,
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -107,6 +107,7 @@
         }
         let (now, count) = (context.clock.now(), count_events(&events));
         writer.timing.record(now, count);
+        progress.waiting_since = now;
         if pending.since.is_none()
             && let Some(observation) = start.observation(inbound.size().prompt, now.since(sent))
         {
