Keep a silent stream open until another endpoint can resume it

Callers saw a stream end without its last events although its endpoint had only paused it. Cause: after five target gaps without an event (1.5 s) the gateway closed the endpoint's connection and only then looked for another endpoint. Endpoints pause streams when they run out of memory; then the others are often full too, the resumption waits, and nothing is left to wait for. Change: the placement at another endpoint is sought while the response is still read. The first of the two wins; the old connection is closed before the request is sent again, so it never runs twice. Without a placement the stream has as long as one that cannot be resumed, and the caller's time limit decides. Test, failed before (events 1 to 9 of 20, then closed): a_paused_stream_continues_while_no_other_endpoint_is_available.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -94,7 +94,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
-    /// Whether responses of a plain service are held back.
+    /// Whether responses of a plain service, and streams in their middle, are held back.
     is_paused: bool,
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
@@ -214,7 +214,7 @@
         (state.fault, state.remaining_faults) = (fault, Some(count));
     }
 
-    /// Holds back the responses of a plain service, or lets them continue.
+    /// Holds back the responses of a plain service and streams in their middle, or lets them continue.
     pub fn set_paused(&self, is_paused: bool) {
         lock(&self.state).is_paused = is_paused;
     }
@@ -473,6 +473,9 @@
                 return (connection, Action::Close);
             }
             let mut is_disconnected = self.wait_for_disconnect(&mut connection).await;
+            while is_middle && !is_disconnected && lock(&self.state).is_paused {
+                is_disconnected = self.wait_for_disconnect(&mut connection).await;
+            }
             is_disconnected |= !write_within(&mut connection, &chunk(event.as_bytes()), &mut budget).await;
             if budget == Some(0) {
                 return (connection, Action::Reset);
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -339,6 +339,22 @@
     });
 }
 
+/// Guards against a paused stream that is given up although no other endpoint can resume it.
+#[test]
+fn a_paused_stream_continues_while_no_other_endpoint_is_available() {
+    run(async {
+        let site = start_small_site().await;
+        let engine = &site.endpoints(Role::Decode)[0];
+        engine.set_paused(true);
+        let request_task = task::spawn(caller::request(site.address(), resumable("r1"), b"prompt"));
+        wait_until("another endpoint is sought", async || site.state(0).await["waiting"] == 1).await;
+        engine.set_paused(false);
+        let response = request_task.await.expect("a response");
+        assert_eq!((response.is_complete, response.event_ids()), (true, all_event_ids()));
+        assert_eq!((executed(&site.endpoints(Role::Decode)), engine.abandoned()), (1, 0));
+    });
+}
+
 /// A connection can be lost without a reset. The memory of its stream must not stay reserved until the
 /// caller's deadline.
 #[test]
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -51,6 +51,19 @@
     avoid: Vec<Arc<str>>,
     /// Number of endpoints that may have run the request.
     runs: u32,
+    /// Number of times that the request was sent.
+    sends: u32,
+}
+
+impl Progress {
+    fn new(inbound: &Inbound) -> Self {
+        Self { last_event: None, waiting_since: inbound.received, avoid: Vec::new(), runs: 0, sends: 0 }
+    }
+
+    /// Returns whether the request may be retried if its current attempt, which may have run, fails.
+    fn may_retry_after_failure(&self, inbound: &Inbound) -> bool {
+        self.sends < MAX_SENDS && inbound.may_retry(self.runs + 1)
+    }
 }
 
 /// An endpoint's response whose head has been read.
@@ -108,8 +121,10 @@
 enum Interruption {
     /// Writing to the caller failed.
     CallerDisconnected(std::io::Error),
-    /// The endpoint's response failed or stalled.
+    /// The endpoint's response failed.
     EndpointFailed(String),
+    /// The endpoint's response stalled, and the stream can be resumed at another endpoint.
+    Stalled(Placement),
 }
 
 /// Serves a request. Returns a refusal if the caller has not received a response.
@@ -118,10 +133,14 @@
     inbound: &Inbound,
     writer: &mut ResponseWriter,
 ) -> Result<(), Refusal> {
-    let mut progress =
-        Progress { last_event: None, waiting_since: inbound.received, avoid: Vec::new(), runs: 0 };
-    for sends in 1.. {
-        let placement = place_in_time(context, inbound, &progress).await?;
+    let mut progress = Progress::new(inbound);
+    let mut replacement = None;
+    loop {
+        let placement = match replacement.take() {
+            Some(placement) => placement,
+            None => place_in_time(context, inbound, &progress).await?,
+        };
+        progress.sends += 1;
         let endpoint = placement.endpoint().clone();
         let reason = match start(context, inbound, &progress, placement, &endpoint).await {
             Ok(upstream) => match relay(context, inbound, upstream, writer, &mut progress).await {
@@ -133,6 +152,11 @@
                 Err(Interruption::EndpointFailed(reason)) => {
                     fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
                 }
+                Err(Interruption::Stalled(placement)) => {
+                    replacement = Some(placement);
+                    let reason = format!("{}: response stalled", endpoint.id);
+                    fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
+                }
             },
             Err(Abort::ErrorResponse(head, body)) if writer.is_unsent() => {
                 // Fails only if the caller has disconnected.
@@ -154,16 +178,17 @@
         };
         // The stream was cut: the caller's connection closes without the end of the body.
         let Some(reason) = reason else { return Ok(()) };
-        if sends >= MAX_SENDS || !context.control.acquire_retry(inbound.service()).await {
+        let may_retry = replacement.is_some()
+            || progress.sends < MAX_SENDS && context.control.acquire_retry(inbound.service()).await;
+        if !may_retry {
             return give_up(context, inbound, writer, reason);
         }
         spdlog::info!("retrying the request", kv: {
-            request = inbound.id(), sends, reason = reason.as_str(), endpoint = &*endpoint.id,
+            request = inbound.id(), sends = progress.sends, reason = reason.as_str(), endpoint = &*endpoint.id,
             after = progress.last_event.as_deref().unwrap_or(""), events = writer.timing.events,
             silent_ms = silent_ms(context, inbound, writer)
         });
     }
-    Ok(())
 }
 
 /// Waits for a placement. Refuses a new stream as soon as it is not expected to end before the gateway does:
@@ -173,8 +198,9 @@
     inbound: &Inbound,
     progress: &Progress,
 ) -> Result<Placement, Refusal> {
+    let place = place(context, inbound, progress.waiting_since, &progress.avoid);
     if progress.last_event.is_some() {
-        return place(context, inbound, progress).await;
+        return place.await;
     }
     if !ends_in_time(context, inbound).await {
         return Err(ends_too_late());
@@ -186,7 +212,7 @@
         }
         Err(ends_too_late())
     };
-    place(context, inbound, progress).or(too_late).await
+    place.or(too_late).await
 }
 
 /// Returns whether a stream that starts now is expected to end before the gateway does.
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -1,9 +1,10 @@
 //! Relays the events of an endpoint's response to the caller.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use async_std::future::timeout;
 use bytes::{Bytes, BytesMut};
+use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Time,
     gateway::{forecast::Observation, health::Outcome},
@@ -12,6 +13,7 @@
 use super::{
     Interruption, Progress, Upstream,
     events::{complete_length, count_events, last_id},
+    placement::{Placement, place},
 };
 use crate::{
     caller::ResponseWriter,
@@ -23,10 +25,10 @@
 /// A resumable stream without an event for this many times the route's target gap counts as stalled and is
 /// resumed at another endpoint. Callers wait for at least eight times the target gap.
 const STALL_GAPS: u32 = 5;
-/// Stall timeout of resumable streams whose route has no target gap.
-const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same time for streams whose route has no target gap.
+const DEFAULT_STALL_DELAY: Duration = Duration::from_millis(1_500);
 
-/// How much longer than the caller the gateway waits for an event, if the stream is not resumable.
+/// How much longer than the caller the gateway waits for an event.
 pub(super) const STALL_TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 
 /// Minimum interval at which a stream's event rate is recorded. Short enough to follow a change of speed
@@ -64,7 +66,7 @@
 /// Relays a response to the caller. Only complete events are relayed, because a stream that resumes at
 /// another endpoint repeats a truncated event from its beginning.
 pub(super) async fn relay(
-    context: &Context,
+    context: &Arc<Context>,
     inbound: &Inbound,
     upstream: Upstream<'_>,
     writer: &mut ResponseWriter,
@@ -74,13 +76,17 @@
     let mut buffer = BytesMut::new();
     let mut pending = PendingEvents { since: None, events: 0 };
     loop {
-        let chunk = match next_chunk(inbound, &mut exchange).await {
-            Ok(chunk) => chunk,
-            Err(failure) => {
+        let chunk = match next_step(context, inbound, &mut exchange, progress, &permit).await {
+            Step::Chunk(chunk) => chunk,
+            Step::Failed(failure) => {
                 let reason = format!("{}: {failure}", permit.endpoint.id);
                 permit.finish(Outcome::Failed);
                 return Err(Interruption::EndpointFailed(reason));
             }
+            Step::Replaced(placement) => {
+                permit.finish(Outcome::Failed);
+                return Err(Interruption::Stalled(placement));
+            }
         };
         if writer.is_unsent() {
             let seconds = context.clock.now().since(inbound.received).as_secs_f64();
@@ -118,15 +124,55 @@
     }
 }
 
-/// Reads the next chunk of a response, with a timeout. A connection may stall without being closed, for example
-/// when a middlebox loses its state; its memory would then stay reserved until the deadline.
-async fn next_chunk(inbound: &Inbound, exchange: &mut Exchange<'_>) -> Result<Option<Bytes>, Failure> {
-    let limit = if !inbound.route.is_resumable {
-        inbound.route.stall_timeout + STALL_TIMEOUT_SLACK
-    } else if inbound.route.target_gap.is_zero() {
-        DEFAULT_STALL_TIMEOUT
-    } else {
-        inbound.route.target_gap * STALL_GAPS
+/// What happens next to a response.
+enum Step {
+    /// The next chunk of the body; `None` at its regular end.
+    Chunk(Option<Bytes>),
+    /// The endpoint failed, or sent nothing for too long.
+    Failed(Failure),
+    /// The endpoint sends nothing, and the stream can be resumed at another one.
+    Replaced(Placement),
+}
+
+impl From<Result<Option<Bytes>, Failure>> for Step {
+    fn from(read: Result<Option<Bytes>, Failure>) -> Self {
+        read.map_or_else(Self::Failed, Self::Chunk)
+    }
+}
+
+/// Waits for the next chunk of a response, with a timeout. A connection may stall without being closed, for
+/// example when a middlebox loses its state; its memory would then stay reserved until the deadline.
+///
+/// A resumable stream that stalls is placed at another endpoint. Until that succeeds, it may still continue:
+/// an endpoint without free memory pauses streams, and the other endpoints are often full as well.
+async fn next_step(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    exchange: &mut Exchange<'_>,
+    progress: &Progress,
+    permit: &Permit,
+) -> Step {
+    let limit = inbound.route.stall_timeout + STALL_TIMEOUT_SLACK;
+    let chunk = async { timeout(limit, exchange.next_chunk()).await.unwrap_or(Err(Failure::Timeout)).into() };
+    if !progress.may_retry_after_failure(inbound) {
+        return chunk.await;
+    }
+    let replacement = async {
+        async_std::task::sleep(stall_delay(inbound)).await;
+        let mut avoid = progress.avoid.clone();
+        avoid.push(permit.endpoint.id.clone());
+        match place(context, inbound, progress.waiting_since, &avoid).await {
+            Ok(placement) if context.control.acquire_retry(inbound.service()).await => {
+                Step::Replaced(placement)
+            }
+            Ok(_) | Err(_) => std::future::pending().await,
+        }
     };
-    timeout(limit, exchange.next_chunk()).await.unwrap_or(Err(Failure::Timeout))
+    chunk.or(replacement).await
+}
+
+/// Returns how long a resumable stream may be silent before another endpoint is sought.
+fn stall_delay(inbound: &Inbound) -> Duration {
+    let gap = inbound.route.target_gap;
+    if gap.is_zero() { DEFAULT_STALL_DELAY } else { gap * STALL_GAPS }
 }
