Resume streams in a shutdown whatever their expected length

Callers of a stopping gateway saw a stream end without its last events when its endpoint failed, although another one had read the prompt again. Cause: the check before a decode, which keeps new streams from outlasting the process, was applied to resumptions too. Their response has begun and may go on until the process ends; the check before the placement already left them out. Test, failed before (events 1 and 2 of 20, then closed): a_long_stream_resumes_during_a_shutdown.

--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -21,6 +21,8 @@
 const NEAR_THE_END: Duration = Duration::from_millis(7_000);
 /// Just before the process ends, when requests in flight fail.
 const REQUESTS_FAIL: Duration = Duration::from_millis(7_600);
+/// Before the end of the drain delay.
+const IN_DRAIN_DELAY: Duration = Duration::from_millis(1_000);
 /// After the drain delay, and long before the end of the grace period.
 const AFTER_DRAIN_DELAY: Duration = Duration::from_millis(3_500);
 /// After the drain delay, and early enough for a short stream to end before the gateway does.
@@ -113,6 +115,15 @@
     head
 }
 
+/// Waits until the first stream's response has begun.
+async fn wait_until_response_begins(admin: SocketAddr) {
+    wait_until("the response has begun", async || {
+        let metrics = caller::request(admin, plain_request("GET", "/metrics", KEY, "q"), b"").await;
+        metrics.is_ok_and(|metrics| metrics.text().contains(FIRST_BYTE_SENT))
+    })
+    .await;
+}
+
 async fn wait_until_received(endpoint: &Endpoint) {
     wait_until("the endpoint has received the request", async || !endpoint.received().is_empty()).await;
 }
@@ -187,12 +198,7 @@
         engine.set_service_time(STREAM_TIME);
         let address = fixture.address;
         let response = task::spawn(caller::request(address, short_stream("r1"), b"prompt"));
-        let admin = fixture.site.gateways[0].admin();
-        wait_until("the response has begun", async || {
-            let metrics = caller::request(admin, plain_request("GET", "/metrics", KEY, "q"), b"").await;
-            metrics.is_ok_and(|metrics| metrics.text().contains(FIRST_BYTE_SENT))
-        })
-        .await;
+        wait_until_response_begins(fixture.site.gateways[0].admin()).await;
         let stopping = fixture.begin_shutdown(REQUESTS_FAIL).await;
         let response = response.await.expect("a response");
         assert_eq!((response.head.status, response.is_complete), (200, true));
@@ -202,6 +208,33 @@
     });
 }
 
+/// Guards against a resumption that is refused because a new stream would not end before the gateway.
+#[test]
+fn a_long_stream_resumes_during_a_shutdown() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        fixture.site.add_endpoint(Role::Decode).await.expect("an endpoint");
+        fixture.site.wait_until_synced().await;
+        let engines = fixture.site.endpoints(Role::Decode);
+        engines.iter().for_each(|engine| engine.set_paused(true));
+        let mut head = with_long_deadline(completion_request("/resumable/x", KEY, "r1", 5_000));
+        head.fields.set("Tarragonhill-Token-Counts", "5000,4000");
+        head.fields.set("Tarragonhill-Length-Hint", "4000");
+        let response = task::spawn(caller::request(fixture.address, head, b"prompt"));
+        wait_until_response_begins(fixture.site.gateways[0].admin()).await;
+        let stopping = fixture.begin_shutdown(IN_DRAIN_DELAY).await;
+        for engine in engines {
+            if engine.active_streams() > 0 {
+                engine.kill().await;
+            }
+            engine.set_paused(false);
+        }
+        let response = response.await.expect("a response");
+        assert_eq!((response.is_complete, response.event_ids()), (true, (1..=EVENT_COUNT).collect()));
+        fixture.finish(stopping).await;
+    });
+}
+
 /// The caller would send its next request on a connection that is about to close.
 #[test]
 fn a_response_during_shutdown_to_an_earlier_request_announces_the_close() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -312,7 +312,8 @@
                 Some(permit) => Some(run_prefill(context, inbound, &endpoint.zone, permit).await?),
                 None => None,
             };
-            if prefilled.is_some() && !decode_ends_in_time(context, inbound).await {
+            let is_new = progress.last_event.is_none();
+            if is_new && prefilled.is_some() && !decode_ends_in_time(context, inbound).await {
                 return Err(Abort::EndsTooLate);
             }
             let inputs = Decode {
