Log the contact with a customer's home when no tokens are lent

Callers of the demo are refused with quota_unavailable now and then, although the home of their rate is alive. The line 'refused' gives the code only; it does not tell whether the home was asked, has replied or has failed. 'no tokens lent' gives the outcome, the home, the age of the pending request and of the last reply.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -299,6 +299,17 @@
     HomeUnreachable(Request),
 }
 
+/// An entry's recent contact with the home of a customer, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Contact {
+    /// Time since the pending request was sent; `None` if there is none.
+    pub unanswered: Option<Duration>,
+    /// Time since the home's last reply; `None` if there was none.
+    pub since_reply: Option<Duration>,
+    /// Whether the last request failed.
+    pub has_failed: bool,
+}
+
 /// Rate limiter of one customer at one entry: the borrowed tokens and the requests waiting for more.
 #[derive(Clone, Debug, Default)]
 pub struct Limiter {
@@ -315,6 +326,8 @@
     retry_at: Time,
     /// Whether the last request to the home failed.
     home_unreachable: bool,
+    /// When the home last replied.
+    replied_at: Option<Time>,
     /// Tokens spent since `window_start`.
     spent: u64,
     window_start: Time,
@@ -409,6 +422,7 @@
         let Some(sent_at) = self.sent_at.filter(|_| serial == self.serial) else { return Vec::new() };
         self.sent_at = None;
         self.home_unreachable = false;
+        self.replied_at = Some(now);
         self.expire_tokens(now);
         let expires_at = sent_at.plus(grant.term);
         if now < expires_at {
@@ -468,6 +482,15 @@
         late.into_iter().map(admission).collect()
     }
 
+    /// Returns the contact with the home.
+    pub fn contact(&self, now: Time) -> Contact {
+        Contact {
+            unanswered: self.sent_at.map(|sent_at| now.since(sent_at)),
+            since_reply: self.replied_at.map(|replied_at| now.since(replied_at)),
+            has_failed: self.home_unreachable,
+        }
+    }
+
     /// Returns whether the limiter has no tokens, waiters or pending requests and may be dropped.
     pub fn is_idle(&self, now: Time) -> bool {
         let empty = self.tokens == 0 || now >= self.expires_at;
--- a/crates/daemon/src/entry/controller.rs
+++ b/crates/daemon/src/entry/controller.rs
@@ -22,7 +22,7 @@
     message::{PeerReply, PeerRequest},
     placement::{Need, Policy, Search, View},
     quarantine::{self, CrashStatus},
-    quota::{Admission, Bucket, Grant, Limiter, Waiter},
+    quota::{Admission, Bucket, Contact, Grant, Limiter, Waiter},
     retry::Budget,
 };
 use tarragonhill_table::Row;
@@ -151,7 +151,7 @@
             self.timer_by_customer.remove(&customer);
             if let Some(limiter) = self.limiters.get_mut(&customer) {
                 let admissions = limiter.expire_waiters(now);
-                self.deliver(admissions);
+                self.deliver(now, &customer, admissions);
             }
             self.request_tokens(now, &customer);
         }
@@ -229,7 +229,7 @@
         }
         self.pending.insert(waiter.request, reply);
         let admission = self.limiter(now, customer).admit(now, waiter);
-        self.deliver(admission);
+        self.deliver(now, customer, admission);
         self.request_tokens(now, customer);
     }
 
@@ -262,8 +262,11 @@
         }
     }
 
-    fn deliver(&mut self, admissions: impl IntoIterator<Item = Admission>) {
+    fn deliver(&mut self, now: Time, customer: &Arc<str>, admissions: impl IntoIterator<Item = Admission>) {
         for admission in admissions {
+            if !matches!(admission, Admission::Admitted(_)) {
+                self.log_refusal(now, customer, &admission);
+            }
             let request = match &admission {
                 Admission::Admitted(request)
                 | Admission::OverRate(request, _)
@@ -275,6 +278,22 @@
         }
     }
 
+    /// Logs the refusal of a request with what is known of the customer's home.
+    fn log_refusal(&self, now: Time, customer: &Arc<str>, admission: &Admission) {
+        let (outcome, request) = match admission {
+            Admission::Admitted(request) => ("admitted", request),
+            Admission::OverRate(request, _) => ("over_rate", request),
+            Admission::HomeUnreachable(request) => ("home_unreachable", request),
+        };
+        let Some(limiter) = self.limiters.get(customer) else { return };
+        let Contact { unanswered, since_reply, has_failed } = limiter.contact(now);
+        let (request, home) = (request.to_string(), self.home.owner(customer).unwrap_or_default());
+        spdlog::info!("no tokens lent", kv: {
+            request = request.as_str(), customer = &**customer, outcome, home = &*home,
+            unanswered_ms = millis(unanswered), since_reply_ms = millis(since_reply), has_failed
+        });
+    }
+
     /// Requests tokens from the customer's home if the limiter needs any, and resets its timer.
     fn request_tokens(&mut self, now: Time, customer: &Arc<str>) {
         let Some(limiter) = self.limiters.get_mut(customer) else { return };
@@ -325,7 +344,7 @@
                 Vec::new()
             }
         };
-        self.deliver(admissions);
+        self.deliver(now, customer, admissions);
     }
 
     fn reset_timer(&mut self, now: Time, customer: &Arc<str>) {
@@ -448,3 +467,8 @@
         })
     }
 }
+
+/// Returns a time in milliseconds; -1 if there is none.
+fn millis(span: Option<Duration>) -> i64 {
+    span.map_or(-1, |span| i64::try_from(span.as_millis()).unwrap_or(i64::MAX))
+}
