Report a customer as over its rate when its home has said so

Callers saw quota_unavailable (503) for requests over their rate although the home of the rate was alive and replied within milliseconds; the demo, the README's first command, failed by it. The code asks callers to suspect an outage. Cause: a request that had waited for its whole rate_wait was refused as 'home cannot be reached' if a loan request was pending at that moment, however young. No step takes longer than rate_wait: the home replies at once 'no tokens, ask again in d'; waiters with d up to their deadline stay, the limiter asks again after d, and the deadline falls into the round trip of that second request. In the demo the bucket is short of the next request by just 300 ms of its rate, which is rate_wait, so the two coincide within a millisecond or two; load and a debug build only move the moment. Change: the home counts as unreachable if its last request failed or timed out, or if it has not replied to one that was pending when the waiter came. Tests: request_that_expires_during_a_repeated_loan_request_is_over_its_rate failed before (HomeUnreachable); request_without_a_reply_of_the_home_is_not_reported_as_over_its_rate keeps the other side. Looked for elsewhere: the gateway's limiter asks nobody, and no other refusal is decided by a pending request. The demo's check is unchanged.

--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -288,6 +288,13 @@
     pub deadline: Time,
 }
 
+/// A waiter in a limiter's queue.
+#[derive(Clone, Debug)]
+struct Queued {
+    waiter: Waiter,
+    since: Time,
+}
+
 /// Result of the admission of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -318,7 +325,7 @@
     expires_at: Time,
     /// Charged but unused tokens, to be returned with the next request to the home.
     refund: u64,
-    waiters: VecDeque<Waiter>,
+    waiters: VecDeque<Queued>,
     serial: u64,
     /// When the pending request `serial` was sent; `None` if there is none.
     sent_at: Option<Time>,
@@ -348,7 +355,7 @@
         if self.waiters.is_empty() && self.try_spend(waiter.cost) {
             return Some(Admission::Admitted(waiter.request));
         }
-        self.waiters.push_back(waiter);
+        self.waiters.push_back(Queued { waiter, since: now });
         None
     }
 
@@ -374,7 +381,7 @@
 
     /// Removes a waiting request whose caller has disconnected.
     pub fn cancel(&mut self, request: Request) {
-        self.waiters.retain(|waiter| waiter.request != request);
+        self.waiters.retain(|queued| queued.waiter.request != request);
     }
 
     /// Returns the request to send to the home now, if one is due.
@@ -384,8 +391,10 @@
         if self.sent_at.is_some_and(|sent_at| now.since(sent_at) < REQUEST_TIMEOUT) || now < self.retry_at {
             return None;
         }
+        // A request that is still pending here has timed out.
+        self.home_unreachable |= self.sent_at.is_some();
         let prefetch = self.spend_rate.saturating_mul(crate::clock::micros(LOOKAHEAD)) / MICROS;
-        let queued: u64 = self.waiters.iter().map(|waiter| waiter.cost).sum();
+        let queued: u64 = self.waiters.iter().map(|queued| queued.waiter.cost).sum();
         let runs_low = self.tokens < prefetch / 2;
         let expires_soon = self.expires_at.since(now) < RETURN_BEFORE_EXPIRY && self.tokens > 0;
         if self.waiters.is_empty() && !runs_low && !expires_soon && self.refund == 0 {
@@ -399,7 +408,7 @@
         self.sent_at = Some(now);
         Some(LoanRequest {
             tokens: if is_idle { 0 } else { (queued + prefetch).saturating_sub(self.tokens) },
-            minimum: self.waiters.front().map_or(0, |waiter| waiter.cost),
+            minimum: self.waiters.front().map_or(0, |queued| queued.waiter.cost),
             unspent: self.tokens,
             refund: std::mem::take(&mut self.refund) + returned,
             serial: self.serial,
@@ -440,11 +449,12 @@
     fn admit_waiters(&mut self) -> Vec<Admission> {
         let mut admissions = Vec::new();
         while let Some(front) = self.waiters.front() {
-            let cost = front.cost;
+            let cost = front.waiter.cost;
             if !self.try_spend(cost) {
                 break;
             }
-            admissions.extend(self.waiters.pop_front().map(|waiter| Admission::Admitted(waiter.request)));
+            admissions
+                .extend(self.waiters.pop_front().map(|queued| Admission::Admitted(queued.waiter.request)));
         }
         admissions
     }
@@ -454,9 +464,9 @@
     fn refuse_late_waiters(&mut self, now: Time, retry_after: Duration) -> Vec<Admission> {
         let next = now.plus(retry_after);
         let (late, rest): (VecDeque<_>, _) =
-            self.waiters.drain(..).partition(|waiter| waiter.deadline < next);
+            self.waiters.drain(..).partition(|queued| queued.waiter.deadline < next);
         self.waiters = rest;
-        late.into_iter().map(|waiter| Admission::OverRate(waiter.request, retry_after)).collect()
+        late.into_iter().map(|queued| Admission::OverRate(queued.waiter.request, retry_after)).collect()
     }
 
     /// Records that request `serial` got no grant, as the home was unreachable or has changed.
@@ -470,18 +480,23 @@
 
     /// Refuses waiters whose deadline has passed.
     pub fn expire_waiters(&mut self, now: Time) -> Vec<Admission> {
-        let home_unreachable = self.home_unreachable || self.sent_at.is_some();
         let (late, rest): (VecDeque<_>, _) =
-            self.waiters.drain(..).partition(|waiter| waiter.deadline <= now);
+            self.waiters.drain(..).partition(|queued| queued.waiter.deadline <= now);
         self.waiters = rest;
         let retry_after = self.retry_at.since(now).max(REQUEST_TIMEOUT);
-        let admission = |waiter: Waiter| match home_unreachable {
-            true => Admission::HomeUnreachable(waiter.request),
-            false => Admission::OverRate(waiter.request, retry_after),
+        let admission = |queued: Queued| match self.is_home_unreachable(queued.since) {
+            true => Admission::HomeUnreachable(queued.waiter.request),
+            false => Admission::OverRate(queued.waiter.request, retry_after),
         };
         late.into_iter().map(admission).collect()
     }
 
+    /// Returns whether the home has not been reached by a waiter that is queued since then. A request that was
+    /// sent later follows a reply without enough tokens, and may still be answered.
+    fn is_home_unreachable(&self, queued_since: Time) -> bool {
+        self.home_unreachable || self.sent_at.is_some_and(|sent_at| sent_at <= queued_since)
+    }
+
     /// Returns the contact with the home.
     pub fn contact(&self, now: Time) -> Contact {
         Contact {
@@ -504,7 +519,7 @@
 
     /// Returns when the limiter next needs to send a request, refuse a waiter or return tokens.
     pub fn next_wakeup(&self) -> Option<Time> {
-        let next_deadline = self.waiters.iter().map(|waiter| waiter.deadline).min();
+        let next_deadline = self.waiters.iter().map(|queued| queued.waiter.deadline).min();
         let next_request = match (self.sent_at, self.waiters.is_empty() && self.refund == 0) {
             (Some(sent_at), _) => Some(sent_at.plus(REQUEST_TIMEOUT)),
             (None, false) => Some(self.retry_at),
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -192,6 +192,10 @@
     limiter.request_tokens(now).expect("a loan request is due")
 }
 
+fn at(ms: u64) -> Time {
+    Time::ZERO.plus(Duration::from_millis(ms))
+}
+
 fn waiter(request: u128, cost: u64, now: Time) -> Waiter {
     Waiter { request: Request(request), cost, deadline: now.plus(Duration::from_millis(300)) }
 }
@@ -263,3 +267,30 @@
     let admissions = limiter.receive_grant(Time::ZERO, request.serial, grant);
     assert_eq!(admissions, [Admission::OverRate(Request(1), Duration::from_secs(1))]);
 }
+
+/// Guards against reporting the home as unreachable while it is asked again shortly before a deadline.
+#[test]
+fn request_that_expires_during_a_repeated_loan_request_is_over_its_rate() {
+    let mut home = Lender::with_level(&customer(), 0, 0, Time::ZERO);
+    let mut limiter = Limiter::new(Time::ZERO);
+    limiter.admit(Time::ZERO, waiter(1, 299, Time::ZERO));
+    let request = request_tokens(&mut limiter, Time::ZERO);
+    let grant = home.lend(Time::ZERO, &"a".into(), request);
+    assert_eq!(limiter.receive_grant(Time::ZERO, request.serial, grant), []);
+    request_tokens(&mut limiter, at(299));
+    let admissions = limiter.expire_waiters(at(300));
+    assert!(matches!(admissions[..], [Admission::OverRate(Request(1), _)]), "{admissions:?}");
+}
+
+/// Guards against reporting a customer as over its rate although its home has not replied.
+#[test]
+fn request_without_a_reply_of_the_home_is_not_reported_as_over_its_rate() {
+    let mut limiter = Limiter::new(Time::ZERO);
+    limiter.admit(Time::ZERO, waiter(1, 100, Time::ZERO));
+    request_tokens(&mut limiter, Time::ZERO);
+    limiter.admit(at(100), waiter(2, 100, at(100)));
+    assert_eq!(limiter.expire_waiters(at(300)), [Admission::HomeUnreachable(Request(1))]);
+    // Replaces the unanswered loan request.
+    request_tokens(&mut limiter, at(300));
+    assert_eq!(limiter.expire_waiters(at(400)), [Admission::HomeUnreachable(Request(2))]);
+}
