Expect only the rest of a resumed stream's output

Callers saw a stream end without its last events when its endpoint failed late: the resumption was refused because the whole expected output would not have ended before the deadline, although only its rest was missing. Change: the tokens of the events that the caller has are part of the prompt, and no longer of the output. Test, failed before (expired after 100 events as after none): a_stream_resumes_if_the_rest_of_its_output_ends_in_time.

--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -505,6 +505,7 @@
         service: SERVICE.into(),
         size: Size { prompt: 5_000, expected_output: 750, max_output: 1_900 },
         waiting_since: now,
+        events: 0,
         deadline: now.plus(Duration::from_secs(14)),
         ttft_target: Duration::from_millis(900),
         target_gap: Duration::from_millis(300),
--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -36,6 +36,8 @@
     /// Since when the caller waits for an event: when the request was received completely or, if the stream
     /// resumes, when the last event was sent.
     pub waiting_since: Time,
+    /// Number of events that the caller has received.
+    pub events: u64,
     /// When the caller disconnects or the route times out, whichever is first.
     pub deadline: Time,
     /// Target for the time to the first event; zero if none is declared.
@@ -58,6 +60,7 @@
             service,
             size,
             waiting_since,
+            events,
             deadline,
             ttft_target,
             target_gap,
@@ -66,6 +69,7 @@
             avoid,
         } = self;
         let ttft_target = target_or_default(ttft_target);
+        let size = size.after_events(events, forecast);
         // The caller disconnects at its deadline, or earlier if it gets no event for too long.
         let by_deadline = deadline.minus(forecast.known_total_time(size));
         let first_event = forecast.known_first_event_time(size.prompt);
--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -73,6 +73,18 @@
     pub max_output: u64,
 }
 
+impl Size {
+    /// Returns the size of the rest of a stream after `events` events. Their tokens are part of its prompt.
+    pub fn after_events(self, events: u64, forecast: &Forecast) -> Self {
+        let tokens = (events as f64 * forecast.output_length_or_default().event_tokens) as u64;
+        Self {
+            prompt: self.prompt + tokens.min(self.max_output),
+            expected_output: self.expected_output.saturating_sub(tokens),
+            max_output: self.max_output.saturating_sub(tokens),
+        }
+    }
+}
+
 /// Observation of a request at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Observation {
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -55,6 +55,7 @@
         service: "drafting".into(),
         size: Size { prompt: memory, expected_output: 0, max_output: 0 },
         waiting_since: at(0),
+        events: 0,
         deadline: at(14_000),
         ttft_target: Duration::from_millis(900),
         target_gap: Duration::from_millis(300),
@@ -240,6 +241,21 @@
     assert!(state.memory_retry_after(at(0), "drafting") > Duration::from_millis(1_000));
 }
 
+/// Guards against a resumption that is refused because the whole output would not end before the deadline.
+#[test]
+fn a_stream_resumes_if_the_rest_of_its_output_ends_in_time() {
+    for (events, is_placed) in [(0, false), (100, true)] {
+        let mut state = ready_state();
+        observe_requests(&mut state, 0, SMALL);
+        let size = Size { prompt: 5_000, expected_output: 1_500, max_output: 2_000 };
+        let resumed = Completion { size, waiting_since: at(10_000), events, ..completion(0) };
+        state.enqueue(at(10_000), resumed, 1);
+        let dispatched = state.dispatch(at(10_000));
+        let [(_, verdict)] = &dispatched[..] else { panic!("queued after {events} events") };
+        assert_eq!(matches!(verdict, Verdict::Placed(_)), is_placed, "{events} events");
+    }
+}
+
 /// Guards against a new replica that has no forecasts until it has served requests itself.
 #[test]
 fn a_new_replica_receives_forecasts_from_its_peers() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -42,11 +42,14 @@
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Progress of a request over its attempts.
+#[derive(Clone)]
 struct Progress {
     /// Id of the last event that the caller received.
     last_event: Option<Arc<str>>,
     /// Since when the caller waits for an event: the reception of its request, or the last event.
     waiting_since: Time,
+    /// Number of events that the caller received.
+    events: u64,
     /// Endpoints where an attempt failed.
     avoid: Vec<Arc<str>>,
     /// Number of endpoints that may have run the request.
@@ -57,7 +60,14 @@
 
 impl Progress {
     fn new(inbound: &Inbound) -> Self {
-        Self { last_event: None, waiting_since: inbound.received, avoid: Vec::new(), runs: 0, sends: 0 }
+        Self {
+            last_event: None,
+            waiting_since: inbound.received,
+            events: 0,
+            avoid: Vec::new(),
+            runs: 0,
+            sends: 0,
+        }
     }
 
     /// Returns whether the request may be retried if its current attempt, which may have run, fails.
@@ -178,6 +188,7 @@
         };
         // The stream was cut: the caller's connection closes without the end of the body.
         let Some(reason) = reason else { return Ok(()) };
+        // A replacement has been charged to the retry budget already.
         let may_retry = replacement.is_some()
             || progress.sends < MAX_SENDS && context.control.acquire_retry(inbound.service()).await;
         if !may_retry {
@@ -198,7 +209,7 @@
     inbound: &Inbound,
     progress: &Progress,
 ) -> Result<Placement, Refusal> {
-    let place = place(context, inbound, progress.waiting_since, &progress.avoid);
+    let place = place(context, inbound, progress);
     if progress.last_event.is_some() {
         return place.await;
     }
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -3,11 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use tarragonhill_core::{
-    Refusal, Time,
+    Refusal,
     gateway::{catalog::Engine, completion::Completion, directory::Endpoint, health::Outcome},
 };
 
-use super::resource::{Guard, Kind};
+use super::{
+    Progress,
+    resource::{Guard, Kind},
+};
 use crate::{
     context::{Context, Inbound},
     control::{Permit, Permits},
@@ -36,23 +39,21 @@
     }
 }
 
-/// Waits for a placement and, on split services, reserves memory at the decode endpoint. `waiting_since` is
-/// when the caller began to wait for an event; endpoints in `avoid` are not used.
+/// Waits for a placement and, on split services, reserves memory at the decode endpoint.
 pub(super) async fn place(
     context: &Arc<Context>,
     inbound: &Inbound,
-    waiting_since: Time,
-    avoid: &[Arc<str>],
+    progress: &Progress,
 ) -> Result<Placement, Refusal> {
     let engine = context.control.catalog().and_then(|catalog| catalog.service(inbound.service())?.engine);
-    let Some(engine) = engine else { return place_whole(context, inbound, avoid).await };
+    let Some(engine) = engine else { return place_whole(context, inbound, progress).await };
     if !context.control.is_split(inbound.service()).await {
-        return place_whole(context, inbound, avoid).await;
+        return place_whole(context, inbound, progress).await;
     }
-    let mut avoid = avoid.to_vec();
+    let mut avoid = progress.avoid.clone();
     loop {
         let Permits { decode, prefill } =
-            context.control.place_completion(completion(inbound, waiting_since, &avoid)).await?;
+            context.control.place_completion(completion(inbound, progress, &avoid)).await?;
         let now = context.clock.now();
         context.metrics.placement_waits.observe(now.since(inbound.received).as_secs_f64());
         let prefill_endpoint = prefill.as_ref().map(|prefill| &*prefill.endpoint);
@@ -79,15 +80,20 @@
     }
 }
 
-async fn place_whole(context: &Context, inbound: &Inbound, avoid: &[Arc<str>]) -> Result<Placement, Refusal> {
-    context.control.place(inbound.service(), avoid).await.map(Placement::Whole)
+async fn place_whole(
+    context: &Context,
+    inbound: &Inbound,
+    progress: &Progress,
+) -> Result<Placement, Refusal> {
+    context.control.place(inbound.service(), &progress.avoid).await.map(Placement::Whole)
 }
 
-fn completion(inbound: &Inbound, waiting_since: Time, avoid: &[Arc<str>]) -> Completion {
+fn completion(inbound: &Inbound, progress: &Progress, avoid: &[Arc<str>]) -> Completion {
     Completion {
         service: inbound.service().clone(),
         size: inbound.size(),
-        waiting_since,
+        waiting_since: progress.waiting_since,
+        events: progress.events,
         deadline: inbound.deadline,
         ttft_target: inbound.route.target_latency,
         target_gap: inbound.route.target_gap,
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -113,7 +113,7 @@
         }
         let (now, count) = (context.clock.now(), count_events(&events));
         writer.timing.record(now, count);
-        progress.waiting_since = now;
+        (progress.waiting_since, progress.events) = (now, writer.timing.events);
         if pending.since.is_none()
             && let Some(observation) = start.observation(inbound.size().prompt, now.since(sent))
         {
@@ -159,9 +159,9 @@
     }
     let replacement = async {
         async_std::task::sleep(stall_delay(inbound)).await;
-        let mut avoid = progress.avoid.clone();
-        avoid.push(permit.endpoint.id.clone());
-        match place(context, inbound, progress.waiting_since, &avoid).await {
+        let mut progress = progress.clone();
+        progress.avoid.push(permit.endpoint.id.clone());
+        match place(context, inbound, &progress).await {
             Ok(placement) if context.control.acquire_retry(inbound.service()).await => {
                 Step::Replaced(placement)
             }
