Make the tests of resumed streams independent of the machine's speed

A slow machine could advance the clock of one test after its last event, and resume the stream of the other before it was killed. The first now holds the prefill back while the clock advances; in the second the endpoint cuts its stream once it is let go on.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -94,7 +94,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
-    /// Whether responses of a plain service, and streams in their middle, are held back.
+    /// Whether responses of a plain service or a prefill, and streams in their middle, are held back.
     is_paused: bool,
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
@@ -214,7 +214,8 @@
         (state.fault, state.remaining_faults) = (fault, Some(count));
     }
 
-    /// Holds back the responses of a plain service and streams in their middle, or lets them continue.
+    /// Holds back the responses of a plain service or a prefill, and streams in their middle, or lets them
+    /// continue.
     pub fn set_paused(&self, is_paused: bool) {
         lock(&self.state).is_paused = is_paused;
     }
@@ -416,6 +417,7 @@
         }
         let handle = format!("{}-{}", self.id, lock(&self.state).next_id("r"));
         lock(&self.kv_handles).insert(handle.clone());
+        self.wait_while_paused().await;
         task::sleep(EVENT_INTERVAL + self.service_time()).await;
         self.send_json(connection, 200, &json!({"kv_handle": handle, "tokens": 1, "version": 1})).await
     }
@@ -460,6 +462,10 @@
         for id in last_id + 1..=EVENT_COUNT {
             let event = format!("id: {id}\ndata: token-{id}\n\n");
             let is_middle = id == EVENT_COUNT / 2;
+            let mut is_disconnected = false;
+            while is_middle && !is_disconnected && lock(&self.state).is_paused {
+                is_disconnected = self.wait_for_disconnect(&mut connection).await;
+            }
             if is_middle && fault == Fault::Cut {
                 return (connection, Action::Reset);
             }
@@ -472,10 +478,7 @@
                 let _ = connection.write(&chunk(&event.as_bytes()[..event.len() / 2])).await;
                 return (connection, Action::Close);
             }
-            let mut is_disconnected = self.wait_for_disconnect(&mut connection).await;
-            while is_middle && !is_disconnected && lock(&self.state).is_paused {
-                is_disconnected = self.wait_for_disconnect(&mut connection).await;
-            }
+            is_disconnected |= self.wait_for_disconnect(&mut connection).await;
             is_disconnected |= !write_within(&mut connection, &chunk(event.as_bytes()), &mut budget).await;
             if budget == Some(0) {
                 return (connection, Action::Reset);
@@ -501,9 +504,7 @@
 
     async fn plain(self, connection: Connection, fault: Fault) -> (Connection, Action) {
         self.record(true);
-        while lock(&self.state).is_paused {
-            task::sleep(EVENT_INTERVAL).await;
-        }
+        self.wait_while_paused().await;
         task::sleep(self.service_time()).await;
         let body =
             format!("{} {} {}", self.head.method, self.head.target, String::from_utf8_lossy(&self.body));
@@ -549,6 +550,12 @@
         }
     }
 
+    async fn wait_while_paused(&self) {
+        while lock(&self.state).is_paused {
+            task::sleep(EVENT_INTERVAL).await;
+        }
+    }
+
     fn service_time(&self) -> Duration {
         lock(&self.state).service_time
     }
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -319,23 +319,21 @@
         let clock = Manual::default();
         site.add_gateway_with_clock(Clock::Manual(clock.clone())).await.expect("a gateway");
         site.wait_until_synced().await;
-        let engines = site.endpoints(Role::Decode);
-        for engine in &engines {
-            engine.fail_next(Fault::Silent, 1);
-        }
+        let (prefill, decode) = (site.endpoints(Role::Prefill), site.endpoints(Role::Decode));
+        prefill.iter().for_each(|engine| engine.set_paused(true));
         let mut head = resumable("r1");
         head.fields.set("Tarragonhill-Deadline-Ms", "60000");
         let request_task = task::spawn(caller::request(site.address(), head, b"prompt"));
-        wait_until("a stream is running", async || engines.iter().any(|engine| engine.active_streams() == 1))
-            .await;
-        for engine in &engines {
-            engine.set_fault(Fault::None);
+        wait_until("the prompt is being prefilled", async || executed(&prefill) > 0).await;
+        for engine in decode.iter().filter(|engine| engine.reservations() > 0) {
+            engine.fail_next(Fault::Silent, 1);
         }
-        // Longer than the caller waits for the first event.
+        // Longer than the caller waits for an event.
         clock.advance(Duration::from_secs(5));
+        prefill.iter().for_each(|engine| engine.set_paused(false));
         let response = request_task.await.expect("a response");
         assert_eq!((response.is_complete, response.event_ids()), (true, all_event_ids()));
-        assert_eq!(executed(&engines), 2);
+        assert_eq!(executed(&decode), 2);
     });
 }
 
--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -216,7 +216,10 @@
         fixture.site.add_endpoint(Role::Decode).await.expect("an endpoint");
         fixture.site.wait_until_synced().await;
         let engines = fixture.site.endpoints(Role::Decode);
-        engines.iter().for_each(|engine| engine.set_paused(true));
+        for engine in &engines {
+            engine.set_paused(true);
+            engine.fail_next(Fault::CutInEvent, 1);
+        }
         let mut head = with_long_deadline(completion_request("/resumable/x", KEY, "r1", 5_000));
         head.fields.set("Tarragonhill-Token-Counts", "5000,4000");
         head.fields.set("Tarragonhill-Length-Hint", "4000");
@@ -224,8 +227,8 @@
         wait_until_response_begins(fixture.site.gateways[0].admin()).await;
         let stopping = fixture.begin_shutdown(IN_DRAIN_DELAY).await;
         for engine in engines {
-            if engine.active_streams() > 0 {
-                engine.kill().await;
+            if engine.active_streams() == 0 {
+                engine.set_fault(Fault::None);
             }
             engine.set_paused(false);
         }
