--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -112,7 +112,8 @@
         Completion {
             service: "drafting".into(),
             size: Size { prompt: 5_000, expected_output: 500, max_output: 1_000 },
-            received: at(10),
+            waiting_since: at(10),
+            events: 0,
             deadline: at(5_000),
             ttft_target: Duration::from_millis(900),
             target_gap: Duration::from_millis(300),
