Split the routing state by job

Cause: state.rs held 699 lines of store, digests, admission, placement and progress; evacuations and cold endpoints would have gone on top.

--- /dev/null
+++ b/crates/core/src/gateway/state/admission.rs
@@ -0,0 +1,44 @@
+//! Admission of requests, and the budgets for retries.
+
+use std::sync::Arc;
+
+use super::{Admission, State};
+use crate::{
+    clock::Time,
+    gateway::catalog::Customer,
+    refusal::{Code, Refusal},
+};
+
+impl<T> State<T> {
+    /// Admits a request and charges its customer.
+    pub fn admit(&mut self, now: Time, admission: &Admission) -> Result<(), Refusal> {
+        if self.suspects.is_refused(now, admission.fingerprint) {
+            return Err(Refusal::not_run(Code::Quarantined, "the request has crashed endpoints"));
+        }
+        if let Some(customer) = &admission.customer
+            && let Err(delay) = self.rate_limiter.spend(now, &customer.name, admission.tokens)
+        {
+            let left = self.rate_limiter.tokens_left_for(&customer.name);
+            let Customer { name, rate, burst, .. } = &**customer;
+            let requested = admission.tokens;
+            let message = format!(
+                "{name} requested {requested} tokens but has {left} left; rate {rate}, burst {burst}"
+            );
+            return Err(Refusal::not_run(Code::OverRate, message).with_retry_after(delay));
+        }
+        self.budget.record_request(now, &admission.service);
+        Ok(())
+    }
+
+    /// Gives back the tokens of a request that did not run.
+    pub fn refund(&mut self, admission: &Admission) {
+        if let Some(customer) = &admission.customer {
+            self.rate_limiter.refund(&customer.name, admission.tokens);
+        }
+    }
+
+    /// Spends one retry of the service's retry budget; returns false if none is left.
+    pub fn retry(&mut self, now: Time, service: &Arc<str>) -> bool {
+        self.budget.try_spend(now, service, self.peers.count())
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/state/peers.rs
@@ -0,0 +1,136 @@
+//! Exchange of digests with the other replicas.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use super::State;
+use crate::{
+    clock::Time,
+    gateway::{
+        digest::{Digest, Member},
+        interval::{digest_interval, forward_interval, urgent_interval},
+        rate_limit::Totals,
+        relay::{Bundle, Delivery, Role, Topology},
+    },
+};
+
+/// One in this many digests carries forecasts.
+const DIGESTS_PER_FORECAST: u64 = 10;
+
+impl<T> State<T> {
+    /// Adds a peer that is listed in the store.
+    pub fn add_member(&mut self, now: Time, member: Member) {
+        self.peers.add(now, member);
+    }
+
+    /// Applies the digests of a datagram, and keeps those that this replica has to pass on.
+    pub fn apply_bundle(&mut self, now: Time, bundle: &Bundle) {
+        for parcel in &bundle.parcels {
+            if self.apply_digest(now, &parcel.digest, bundle.from)
+                && let Some(topology) = &self.topology
+            {
+                self.outbox.add(&self.identity.member(), topology, &bundle.sender, parcel);
+            }
+        }
+        self.peers.record_datagram(now, &bundle.sender);
+    }
+
+    /// Applies the digest of a peer; returns false if it is outdated.
+    pub fn apply_digest(&mut self, now: Time, digest: &Digest, from: SocketAddr) -> bool {
+        if !self.peers.record_digest(now, digest, from) {
+            return false;
+        }
+        self.staleness.record_peer(now, digest.versions);
+        self.rate_limiter.apply_digest(now, digest);
+        self.loads.apply_digest(now, digest);
+        self.suspects.apply_digest(digest);
+        self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
+        for (endpoint, change) in &digest.changing {
+            self.pools.record_peer_change(now, endpoint, *change);
+        }
+        true
+    }
+
+    /// Returns whether peers should learn of this replica's spending soon.
+    fn is_digest_urgent(&self) -> bool {
+        self.rate_limiter.is_digest_urgent()
+    }
+
+    /// Returns the time from one digest to the next.
+    pub fn digest_interval(&self) -> Duration {
+        let replicas = self.peers.count();
+        if self.is_digest_urgent() { urgent_interval(replicas) } else { digest_interval(replicas) }
+    }
+
+    /// Returns the interval at which digests of other replicas are passed on; `None` if there are
+    /// none to pass on.
+    pub fn forward_interval(&self) -> Option<Duration> {
+        let is_urgent = self.outbox.is_urgent();
+        (!self.outbox.is_empty()).then(|| forward_interval(self.peers.count(), is_urgent))
+    }
+
+    /// Returns the digests of other replicas that this one passes on, with their recipients.
+    pub fn take_forwards(&mut self) -> Vec<Delivery> {
+        // In a fleet that has become small, all replicas send their digests directly.
+        self.outbox.take(self.topology.as_ref().unwrap_or(&Topology::default()))
+    }
+
+    /// Returns the next digest and its recipients.
+    pub fn next_digest(&mut self, now: Time) -> (Digest, Vec<Member>) {
+        self.serial += 1;
+        let is_urgent = self.is_digest_urgent();
+        let Totals { spent, left, refused } = self.rate_limiter.take_totals(now);
+        let own = self.identity.member();
+        self.topology = Topology::new(now, &own, &self.peers);
+        let (members, recipients) = match &self.topology {
+            None => (self.peers.live_members(now).chain([own]).collect(), self.peers.members().collect()),
+            Some(Topology { siblings, members, remotes, .. }) => {
+                (vec![own], [siblings, members, remotes].into_iter().flatten().cloned().collect())
+            }
+        };
+        let digest = Digest {
+            name: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
+            serial: self.serial,
+            is_urgent,
+            members,
+            spent,
+            left,
+            refused,
+            shares: self.loads.local(),
+            failure_permille: self.loads.local_failure_permille(now),
+            changing: self.pools.changes(now),
+            suspects: self.suspects.report(now),
+            versions: self.staleness.own(),
+            forecasts: if self.serial.is_multiple_of(DIGESTS_PER_FORECAST) {
+                self.forecasts.local()
+            } else {
+                BTreeMap::new()
+            },
+        };
+        (digest, recipients)
+    }
+
+    /// Returns the known peers.
+    pub fn members(&self) -> Vec<Member> {
+        self.peers.members().collect()
+    }
+
+    /// Returns whether this replica is a relay of its zone.
+    pub fn is_relay(&self) -> bool {
+        self.topology.as_ref().is_some_and(|topology| topology.is_relay)
+    }
+
+    /// Returns where this replica reads the endpoint table.
+    pub fn role(&self) -> Role {
+        match &self.topology {
+            None => Role::Independent,
+            Some(Topology { followed: None, .. }) => Role::Reader,
+            Some(Topology { followed: Some(relay), .. }) => Role::Follower(relay.clone()),
+        }
+    }
+
+    /// Returns the number of replicas that share the traffic, including this one.
+    pub fn replica_count(&self) -> u32 {
+        self.peers.count()
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/state/placing.rs
@@ -0,0 +1,189 @@
+//! Placement of requests, and the queue.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Assignment, Dispatched, Pair, State};
+use crate::{
+    clock::Time,
+    gateway::{
+        completion::{Completion, Prompt, target_or_default},
+        digest::Share,
+        directory::{Endpoint, Stage},
+        growth::Growth,
+        load::Estimate,
+        placement::{Partition, Placement, Prefill, Run, View, headroom},
+        queue::Entry,
+    },
+    refusal::{Code, Refusal},
+};
+
+/// Retry delay for callers when an endpoint is expected to return soon.
+pub const ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Shortest retry delay for callers while all endpoints are backing off.
+const MIN_BACKOFF_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Bounds of the retry delay for callers that found no free memory. A shorter delay would find the
+/// same runs in memory; with a longer one, many callers give up.
+const MIN_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+const MAX_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(3_000);
+
+impl<T> State<T> {
+    /// Returns whether a service currently has separate prefill or decode endpoints.
+    pub fn is_split(&self, now: Time, service: &str) -> bool {
+        let view = self.view(now);
+        view.has_stage(service, Stage::Decode) || view.has_stage(service, Stage::Prefill)
+    }
+
+    /// Assigns an endpoint to a whole request.
+    pub fn place_whole(
+        &mut self,
+        now: Time,
+        service: &str,
+        avoid: &[Arc<str>],
+    ) -> Result<Assignment, Refusal> {
+        let found = self.view(now).pick_whole(service, avoid);
+        let share = Share { running: 1, ..Share::default() };
+        let Some(endpoint) = found else {
+            let backoff = self.view(now).shortest_backoff(service, Stage::Whole);
+            let retry_after =
+                backoff.map_or(ENDPOINT_RETRY_AFTER, |backoff| backoff.max(MIN_BACKOFF_RETRY_AFTER));
+            return Err(no_endpoint(retry_after));
+        };
+        Ok(self.assign(now, endpoint, share, None))
+    }
+
+    /// Assigns another prefill endpoint to a prompt; `None` if none is available.
+    pub fn place_prefill(&mut self, now: Time, prompt: &Prompt) -> Option<Assignment> {
+        let Prompt { service, tokens, ttft_target, zone, avoid } = prompt;
+        let ttft_target = target_or_default(*ttft_target);
+        let Prefill::Endpoint(endpoint) =
+            self.view(now).pick_prefill(service, *tokens, ttft_target, zone, avoid)
+        else {
+            return None;
+        };
+        Some(self.assign_prefill(now, endpoint, *tokens, ttft_target))
+    }
+
+    /// Queues a completion; [`Self::dispatch`] returns it once it is placed or has expired.
+    pub fn enqueue(&mut self, now: Time, completion: Completion, tag: T) {
+        let forecast = self.forecasts.service(&completion.service);
+        let engine = self.engine(&completion.service);
+        if let Some(engine) = &engine {
+            self.pools.record_request(now, &completion.service, engine, completion.size);
+        }
+        let mut entry = completion.into_entry(&forecast, tag);
+        // A request that needs more than an endpoint's memory reserves all of it and runs alone.
+        entry.memory = entry.memory.min(engine.map_or(u64::MAX, |engine| engine.memory));
+        self.queue.push(entry);
+    }
+
+    /// Returns the retry delay for callers that found no free memory for a service.
+    pub fn memory_retry_after(&self, now: Time, service: &str) -> Duration {
+        if let Some(backoff) = self.view(now).shortest_backoff(service, Stage::Decode) {
+            return backoff.max(MIN_BACKOFF_RETRY_AFTER);
+        }
+        let half = self.forecasts.service(service).half_decode_time();
+        half.map_or(ENDPOINT_RETRY_AFTER, |half| half.clamp(MIN_MEMORY_RETRY_AFTER, MAX_MEMORY_RETRY_AFTER))
+    }
+
+    /// Removes requests from the queue that can be placed now or have expired, and returns them.
+    pub fn dispatch(&mut self, now: Time) -> Vec<Dispatched<T>> {
+        if self.catalog.is_none() {
+            return Vec::new();
+        }
+        let mut queue = std::mem::take(&mut self.queue);
+        if !self.loads.backoffs.is_empty() {
+            let view = self.view(now);
+            queue.expire(|entry| {
+                let backoff = view.shortest_backoff(&entry.service, Stage::Decode);
+                backoff.is_some_and(|backoff| now.plus(backoff) > entry.hard_deadline)
+            });
+        }
+        let placed = queue.dispatch(now, |entry| self.place(now, entry));
+        self.queue = queue;
+        placed
+    }
+
+    /// Assigns endpoints to a completion; `None` if it has to stay queued.
+    fn place(&mut self, now: Time, entry: &Entry<T>) -> Option<Pair> {
+        let Entry { service, size, memory, target_gap, ttft_target, avoid, .. } = entry;
+        let engine = self.engine(service)?;
+        let spread = self.forecasts.service(service).output_length_or_default().spread;
+        let run = Run {
+            prompt: size.prompt,
+            growth: Growth::for_run(*size, 0, spread),
+            headroom: headroom(&engine, entry.is_late(now)),
+            target_gap: *target_gap,
+            ttft_target: *ttft_target,
+            avoid,
+        };
+        let Placement { endpoint, prefill } = self.view(now).pick_pair(service, &engine, &run)?;
+        let prefill_tokens = if prefill.is_some() { 0 } else { size.prompt };
+        let share = Share { running: 1, memory: *memory, prefill_tokens, ..Share::default() };
+        let decode = self.assign(now, endpoint, share, Some(Estimate { size: *size, spread }));
+        let prefill = prefill.map(|prefill| self.assign_prefill(now, prefill, size.prompt, *ttft_target));
+        Some(Pair { decode, prefill })
+    }
+
+    /// Summarizes the queue and the decode pool of a service on one line, for logs of refusals.
+    pub fn describe(&self, now: Time, service: &str) -> String {
+        let queued = self.queue.len();
+        format!("{queued} requests queued; {}", self.view(now).describe(service, Stage::Decode))
+    }
+
+    /// Removes queued requests whose callers have disconnected.
+    pub fn retain_queued(&mut self, keep: impl Fn(&T) -> bool) {
+        self.queue.retain(keep);
+    }
+
+    /// Returns the number of queued requests.
+    pub fn queue_length(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn view(&self, now: Time) -> View<'_> {
+        View {
+            now,
+            directory: &self.directory,
+            loads: &self.loads,
+            pools: &self.pools,
+            forecasts: &self.forecasts,
+            zone: &self.identity.zone,
+            replica: &self.identity.name,
+            partition: self.partition(),
+        }
+    }
+
+    fn partition(&self) -> Partition {
+        Partition { index: self.peers.position(), count: self.peers.count() }
+    }
+
+    fn assign(
+        &mut self,
+        now: Time,
+        endpoint: Arc<Endpoint>,
+        share: Share,
+        output: Option<Estimate>,
+    ) -> Assignment {
+        let lease = self.loads.acquire_run(now, &endpoint.id, share, output);
+        Assignment { endpoint, lease, prefill_tokens: 0, prefill_timeout: Duration::ZERO }
+    }
+
+    fn assign_prefill(
+        &mut self,
+        now: Time,
+        endpoint: Arc<Endpoint>,
+        prompt: u64,
+        ttft_target: Duration,
+    ) -> Assignment {
+        let queued = self.loads.get(&endpoint.id).map_or(0, |load| load.total(now).prefill_tokens);
+        let forecast = self.forecasts.endpoint(now, &endpoint.service, &endpoint.id);
+        let prefill_tokens = queued + prompt;
+        let prefill_timeout = forecast.prefill_timeout(prefill_tokens, ttft_target);
+        let share = Share { prefill_tokens: prompt, ..Share::default() };
+        Assignment { prefill_tokens, prefill_timeout, ..self.assign(now, endpoint, share, None) }
+    }
+}
+
+fn no_endpoint(retry_after: Duration) -> Refusal {
+    Refusal::not_run(Code::NoEndpoint, "no endpoint is available").with_retry_after(retry_after)
+}
--- /dev/null
+++ b/crates/core/src/gateway/state/store.rs
@@ -0,0 +1,104 @@
+//! What was read from the store: configuration and endpoints.
+
+use std::sync::Arc;
+
+use super::{Listing, State};
+use crate::{
+    clock::Time,
+    gateway::{catalog::Catalog, digest::Member, directory::Change, staleness::Versions},
+};
+
+impl<T> State<T> {
+    /// Applies a configuration; returns false if it is not newer than the current one.
+    pub fn apply_catalog(&mut self, now: Time, row_version: u64, catalog: Arc<Catalog>) -> bool {
+        if self.catalog.is_some() && row_version <= self.staleness.own().configuration {
+            return false;
+        }
+        self.rate_limiter.update_customers(now, catalog.customers());
+        self.staleness.record_configuration(now, row_version);
+        self.catalog = Some(catalog);
+        true
+    }
+
+    /// Applies a list of endpoints read from the store.
+    pub fn apply_listing(&mut self, now: Time, listing: Listing) -> Vec<Change> {
+        self.directory.mark_store_reachable(now);
+        self.update_directory(now, listing)
+    }
+
+    /// Applies the list of a peer whose newest row is `newest`.
+    pub fn apply_peer_listing(&mut self, now: Time, mut listing: Listing, newest: u64) -> Vec<Change> {
+        // Once a list has been read, rows that the peer lacks are kept: they may only have lapsed
+        // during a store outage.
+        listing.is_complete &= !self.directory.is_loaded();
+        let changes = self.update_directory(now, listing);
+        self.staleness.record_endpoints(now, newest);
+        changes
+    }
+
+    fn update_directory(&mut self, now: Time, listing: Listing) -> Vec<Change> {
+        let changes = if listing.is_complete {
+            self.directory.replace(now, listing.version, listing.rows)
+        } else {
+            self.directory.update(now, listing.version, listing.rows)
+        };
+        self.staleness.record_endpoints(now, self.directory.newest_row());
+        self.apply_changes(now, &changes);
+        changes
+    }
+
+    pub(super) fn apply_changes(&mut self, now: Time, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Restarted(endpoint) => {
+                    self.suspects.record_crash(now, &endpoint.id);
+                    self.pools.cancel(&endpoint.id);
+                }
+                Change::Removed(endpoint) => {
+                    self.suspects.record_crash(now, &endpoint.id);
+                    self.loads.remove_if_idle(&endpoint.id);
+                    self.forecasts.remove_endpoint(&endpoint.service, &endpoint.id);
+                }
+                Change::Updated(endpoint) => self.pools.confirm(endpoint),
+                Change::Draining(_) | Change::Lapsed(_) => {}
+            }
+        }
+    }
+
+    /// Records that an incarnation of an endpoint said that it is leaving. Returns the change if it was not
+    /// known.
+    pub fn record_leaving(&mut self, endpoint: &str, started_ms: u64) -> Option<Change> {
+        self.directory.mark_leaving(endpoint, started_ms)
+    }
+
+    /// Records that the store is unreachable.
+    pub fn mark_store_unreachable(&mut self) {
+        self.directory.mark_store_unreachable();
+    }
+
+    /// Returns the versions of this replica's copy of the store.
+    pub fn versions(&self) -> Versions {
+        self.staleness.own()
+    }
+
+    /// Returns whether a peer has a newer configuration than this replica.
+    pub fn is_configuration_stale(&self, now: Time) -> bool {
+        let own = Versions { endpoints: u64::MAX, ..self.staleness.own() };
+        self.peers.ahead_of(now, own).next().is_some()
+    }
+
+    /// Returns the peers that have data which the store should have delivered to this replica by
+    /// now; empty if nothing is overdue.
+    pub fn catch_up_peers(&self, now: Time) -> Vec<Member> {
+        if !self.staleness.is_overdue(now) {
+            return Vec::new();
+        }
+        self.peers.ahead_of(now, self.staleness.own()).collect()
+    }
+
+    /// Returns the list of endpoints, for a peer that cannot read the store.
+    pub fn listing(&self) -> Listing {
+        let (version, rows) = self.directory.versioned_rows();
+        Listing { version, is_complete: true, rows }
+    }
+}
