--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -12,6 +12,7 @@
 pub mod forecast;
 pub mod growth;
 pub mod health;
+pub mod interval;
 pub mod lease;
 pub mod load;
 pub mod mirror;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    directory::Stage, forecast::Forecast, growth::Growth, relay::digest_interval, staleness::Versions,
+    directory::Stage, forecast::Forecast, growth::Growth, interval::digest_interval, staleness::Versions,
 };
 use crate::clock::Time;
 
--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -19,7 +19,7 @@
 use super::{
     catalog::Customer,
     digest::{Digest, Peers},
-    relay::digest_interval,
+    interval::digest_interval,
 };
 use crate::clock::{Time, decay_factor, micros};
 
--- a/crates/core/src/gateway/relay.rs
+++ b/crates/core/src/gateway/relay.rs
@@ -6,7 +6,7 @@
 //! replicas, not with its square. Digests keep their origin, incarnation and serial, so a digest
 //! that arrives twice or through a changing set of relays counts once.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -17,16 +17,6 @@
 /// Relays in each zone; with more than one, the loss of a relay delays only a part of the zone.
 const RELAYS_PER_ZONE: usize = 2;
 
-/// Digest interval of a small fleet. Peers learn of a replica's load with this delay.
-const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(100);
-/// Digest interval per replica in a large fleet; bounds the digests that each replica receives.
-const DIGEST_INTERVAL_PER_REPLICA: Duration = Duration::from_micros(1_470);
-/// Number of times that a relay passes digests on, and that a replica may send urgent digests, in one
-/// digest interval.
-const FORWARDS_PER_INTERVAL: u32 = 2;
-/// Minimum interval of urgent digests.
-const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(25);
-
 /// A digest and its encoded form, which relays pass on unchanged.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Parcel {
@@ -148,21 +138,6 @@
     vec![relays[index % relays.len()]]
 }
 
-/// Returns the digest interval of a fleet.
-pub fn digest_interval(replicas: u32) -> Duration {
-    (DIGEST_INTERVAL_PER_REPLICA * replicas).max(MIN_DIGEST_INTERVAL)
-}
-
-/// Returns the minimum interval of digests that report urgent changes.
-pub fn urgent_interval(replicas: u32) -> Duration {
-    (DIGEST_INTERVAL_PER_REPLICA * replicas / FORWARDS_PER_INTERVAL).max(MIN_URGENT_INTERVAL)
-}
-
-/// Returns the interval at which relays pass digests on.
-pub fn forward_interval(replicas: u32, is_urgent: bool) -> Duration {
-    if is_urgent { MIN_URGENT_INTERVAL } else { digest_interval(replicas) / FORWARDS_PER_INTERVAL }
-}
-
 /// How a digest reached this replica, which determines its recipients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod stream;
 mod sync;
 mod timing;
+mod transfer;
 mod unary;
 
 pub use server::{Gateway, Settings, StartError, Status, Store};
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -22,7 +22,10 @@
 use tarragonhill_wire::proto::{self, entry_client::EntryClient};
 use tonic::transport::{Channel, Endpoint};
 
-use crate::{control::Control, sync};
+use crate::{
+    control::Control,
+    transfer::{STEP_TIMEOUT, collect},
+};
 
 /// How long a relay waits for a change before it answers. Bounds how late the loss of a relay is noticed.
 const LONG_POLL: Duration = Duration::from_millis(700);
@@ -133,9 +136,9 @@
             after: after.unwrap_or(0),
             wait_ms: LONG_POLL.as_millis() as u64,
         };
-        let response = timeout(LONG_POLL + sync::STEP_TIMEOUT, client.follow(position)).await;
+        let response = timeout(LONG_POLL + STEP_TIMEOUT, client.follow(position)).await;
         let response = response.map_err(|_| "request timed out")?.map_err(|status| status.to_string())?;
-        let bytes = sync::collect(response.into_inner()).await?;
+        let bytes = collect(response.into_inner()).await?;
         let batch = proto::Batch::decode(bytes.as_slice()).map_err(|error| error.to_string())?;
         Batch::try_from(batch).map_err(|error| error.to_string())
     }
@@ -147,7 +150,7 @@
         }
         let endpoint =
             Endpoint::from_shared(format!("http://{address}")).map_err(|error| error.to_string())?;
-        let connected = timeout(sync::STEP_TIMEOUT, endpoint.connect()).await;
+        let connected = timeout(STEP_TIMEOUT, endpoint.connect()).await;
         let channel = connected.map_err(|_| "connecting timed out")?.map_err(|error| error.to_string())?;
         lock(&self.0.relay).connection = Some((address, channel.clone()));
         Ok(channel)
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,30 +3,26 @@
 //! A replica that cannot reach the store has no configuration after startup, or an outdated one. It then
 //! fetches a snapshot from a peer. Digests carry the peers' addresses and the versions of their copies.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use async_std::{
-    future::timeout,
-    task::{self, JoinHandle},
-};
-use futures_lite::stream::{self, Stream};
+use async_std::task::{self, JoinHandle};
 use prost::Message as _;
 use rand::seq::IndexedRandom as _;
 use tarragonhill_core::gateway::{digest::Member, snapshot::Snapshot};
 use tarragonhill_wire::proto::{self, entry_client::EntryClient, entry_server};
 use tonic::{
-    Request, Response, Status, Streaming,
+    Request, Response, Status,
     transport::{Endpoint, Server, server::TcpIncoming},
 };
 
-use crate::{context::Context, control::Control, edge::Update, mirror::Mirror};
+use crate::{
+    context::Context,
+    control::Control,
+    edge::Update,
+    mirror::Mirror,
+    transfer::{Chunks, chunked, collect, with_timeout},
+};
 
-/// Timeout for connecting, for the response to begin and for each chunk. The whole transfer has no timeout,
-/// because its duration depends on the size of the configuration.
-pub(crate) const STEP_TIMEOUT: Duration = Duration::from_millis(800);
-/// Size of a chunk; small enough for a slow link to carry within [`STEP_TIMEOUT`].
-const CHUNK_BYTES: usize = 32 << 10;
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
 /// Delay before peers are asked again during startup.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Interval at which an initialized replica checks whether a peer has newer data.
@@ -49,8 +45,6 @@
     mirror: Mirror,
 }
 
-type Chunks = Pin<Box<dyn Stream<Item = Result<proto::Chunk, Status>> + Send>>;
-
 #[tonic::async_trait]
 impl entry_server::Entry for Service {
     type TellStream = Chunks;
@@ -74,12 +68,6 @@
     }
 }
 
-fn chunked(bytes: &[u8]) -> Response<Chunks> {
-    let chunks: Vec<proto::Chunk> =
-        bytes.chunks(CHUNK_BYTES).map(|data| proto::Chunk { data: data.to_vec() }).collect();
-    Response::new(Box::pin(stream::iter(chunks.into_iter().map(Ok))))
-}
-
 /// Fetches snapshots from peers until this replica is initialized, unless the store responds soon after
 /// startup. Afterwards, fetches a snapshot whenever a peer has data that the store should have delivered.
 pub(crate) async fn run(context: Arc<Context>) {
@@ -135,22 +123,6 @@
     Snapshot::try_from(snapshot).map_err(|error| error.to_string())
 }
 
-/// Reads the chunks of a response, with a timeout for each.
-pub(crate) async fn collect(mut chunks: Streaming<proto::Chunk>) -> Result<Vec<u8>, String> {
-    let mut bytes = Vec::new();
-    while let Some(chunk) = with_timeout(chunks.message()).await?.map_err(|status| status.to_string())? {
-        if bytes.len() + chunk.data.len() > MAX_RESPONSE_BYTES {
-            return Err("response too large".into());
-        }
-        bytes.extend_from_slice(&chunk.data);
-    }
-    Ok(bytes)
-}
-
-async fn with_timeout<T>(step: impl Future<Output = T>) -> Result<T, String> {
-    timeout(STEP_TIMEOUT, step).await.map_err(|_| "request timed out".to_string())
-}
-
 fn apply(context: &Context, member: &Member, snapshot: Snapshot) {
     let Snapshot { versions, configuration, listing } = snapshot;
     let row_version = versions.configuration;
