Evacuation of availability zones

Cause: op/evacuate/ZONE was not read at all, so endpoints of an evacuated zone went on getting requests. What callers saw: nothing yet; the operator's order was ignored.

Change: core::gateway::evacuation holds the evacuated zones as of a version of the store. The directory leaves their endpoints out of everything that serves, so placements, prefill, hedges, resumptions, moves and the split of the pools follow. A request that was placed before the evacuation is checked again before it is sent, also after its connection was opened, and is placed again at no charge to retries. A service with no endpoint outside the evacuated zones refuses at once. An unreadable row evacuates its zone: its key says all; it is logged and counted (gateway_invalid_rows_total), as invalid endpoint rows and configurations are now. gateway_evacuated{zone} and /state show what is in force.

Tests: unit tests of the order of versions, with a property over replicas that read and hear in any order; state tests of placement, digests and refusal at once; nine tests over real connections with a decode placed before the evacuation, a store that is silent, busy or forgets its history, and restarts within.

--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -1,6 +1,7 @@
 //! A site of the simulated platform: store, endpoints and gateway replicas in one process.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::{
@@ -33,6 +34,8 @@
 pub const KV_CACHE_TOKENS: u64 = 20_000;
 const MODEL_SERVICE: &str = "models";
 const PLAIN_SERVICE: &str = "filing";
+/// Availability zone of the gateways, and of endpoints for which no other is given.
+pub const DEFAULT_ZONE: &str = "zone-a";
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -98,6 +101,8 @@
     peer_ip: Ipv4Addr,
     /// Grace period of gateways that are started.
     grace: Duration,
+    /// Availability zones of endpoints that are not in the default one.
+    zones: BTreeMap<Arc<str>, &'static str>,
     /// Source of endpoint numbers and of `seq` values.
     counter: u64,
 }
@@ -134,6 +139,7 @@
             ip,
             peer_ip: unique_loopback_ip(),
             grace: DEFAULT_GRACE,
+            zones: BTreeMap::new(),
             counter: 0,
         })
     }
@@ -174,7 +180,7 @@
         let any_port = SocketAddr::from((self.ip, 0));
         let common = CommonSettings {
             name: format!("entry-{number}").into(),
-            zone: "zone-a".into(),
+            zone: DEFAULT_ZONE.into(),
             listen: any_port,
             admin: any_port,
             table: self.store.address(),
@@ -207,9 +213,28 @@
         &mut self,
         role: Role,
         address: SocketAddr,
+    ) -> Result<Arc<Endpoint>, SiteError> {
+        self.start_endpoint(role, DEFAULT_ZONE, address).await
+    }
+
+    /// Starts an endpoint in an availability zone and registers it in the store.
+    pub async fn add_endpoint_in(
+        &mut self,
+        role: Role,
+        zone: &'static str,
+    ) -> Result<Arc<Endpoint>, SiteError> {
+        self.start_endpoint(role, zone, SocketAddr::from((self.ip, 0))).await
+    }
+
+    async fn start_endpoint(
+        &mut self,
+        role: Role,
+        zone: &'static str,
+        address: SocketAddr,
     ) -> Result<Arc<Endpoint>, SiteError> {
         self.counter += 1;
         let id = format!("{role}-{}", self.counter);
+        self.zones.insert(id.as_str().into(), zone);
         let endpoint =
             Arc::new(Endpoint::start(&id, role, address, KV_CACHE_TOKENS, self.kv_handles.clone()).await?);
         self.register(&endpoint, "ready");
@@ -225,9 +250,10 @@
     /// Writes the row of an endpoint that started at `born`, with this `state`.
     pub fn register_incarnation(&mut self, endpoint: &Endpoint, state: &str, born: u64) {
         self.counter += 1;
+        let zone = self.zones.get(endpoint.id()).copied().unwrap_or(DEFAULT_ZONE);
         let mut row = json!({
             "service": if endpoint.role() == Role::Plain { PLAIN_SERVICE } else { MODEL_SERVICE },
-            "address": endpoint.address().to_string(), "zone": "zone-a", "version": "v1", "slots": 48,
+            "address": endpoint.address().to_string(), "zone": zone, "version": "v1", "slots": 48,
             "state": state, "cold_remaining_ms": 0, "seq": self.counter, "born": born,
         });
         if endpoint.role() != Role::Plain {
@@ -246,6 +272,24 @@
         self.store.put("op", "config", configuration);
     }
 
+    /// Evacuates an availability zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.store.put("op", &format!("evacuate/{zone}"), &json!({}));
+    }
+
+    /// Lifts the evacuation of an availability zone.
+    pub fn lift_evacuation(&self, zone: &str) {
+        self.store.remove("op", &format!("evacuate/{zone}"));
+    }
+
+    /// Waits until a replica has exactly these zones evacuated.
+    pub async fn wait_for_evacuations(&self, gateway: usize, zones: &[&str]) {
+        wait_until("the evacuations are in force", async || {
+            self.state(gateway).await["evacuated"] == json!(zones)
+        })
+        .await;
+    }
+
     /// Returns the address at which the first replica serves callers.
     pub fn address(&self) -> SocketAddr {
         self.gateways[0].address()
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod completion;
 pub mod digest;
 pub mod directory;
+pub mod evacuation;
 pub mod forecast;
 pub mod growth;
 pub mod health;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -6,7 +6,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    directory::Stage, forecast::Forecast, growth::Growth, interval::digest_interval, staleness::Versions,
+    directory::Stage, evacuation::Evacuations, forecast::Forecast, growth::Growth, interval::digest_interval,
+    staleness::Versions,
 };
 use crate::clock::Time;
 
@@ -83,6 +84,8 @@
     pub suspects: BTreeMap<u64, u32>,
     /// Versions of the sender's copy of the store.
     pub versions: Versions,
+    /// Evacuated zones. Receivers act on them without reading the store.
+    pub evacuations: Evacuations,
     /// Forecasts by service, mainly for replicas that have just started; empty in most digests.
     pub forecasts: BTreeMap<Arc<str>, Forecast>,
 }
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -9,6 +9,7 @@
 
 use strum::{Display, EnumString, IntoStaticStr};
 
+use super::evacuation::Evacuations;
 use crate::clock::Time;
 
 /// How long endpoints whose rows lapsed in a store outage stay in use once the store is reachable
@@ -111,6 +112,8 @@
     /// When the store became reachable again after an outage.
     store_recovered: Option<Time>,
     is_store_unreachable: bool,
+    /// Endpoints of these zones are listed but do not serve.
+    evacuations: Evacuations,
 }
 
 impl Directory {
@@ -126,6 +129,16 @@
         }
     }
 
+    /// Returns the evacuated zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the evacuated zones, to change them.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
     /// Returns whether a list has been read.
     pub fn is_loaded(&self) -> bool {
         self.version > 0
@@ -265,7 +278,11 @@
 
     /// Returns the endpoints of a service that accept new requests.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Endpoint>> {
-        self.all().filter(move |endpoint| &*endpoint.service == service && !endpoint.is_draining)
+        self.all().filter(move |endpoint| {
+            &*endpoint.service == service
+                && !endpoint.is_draining
+                && !self.evacuations.contains(&endpoint.zone)
+        })
     }
 
     /// Returns the list version and rows, for a peer that cannot read the store. Lapsed endpoints
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -350,6 +350,12 @@
         &*endpoint.zone == zone
     }
 
+    /// Returns whether a service has endpoints that accept work, but all of them in evacuated zones.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        self.directory.serving(service).next().is_none()
+            && self.directory.all().any(|endpoint| &*endpoint.service == service && !endpoint.is_draining)
+    }
+
     /// Returns whether a service has any endpoint of a stage that accepts work.
     pub fn has_stage(&self, service: &str, stage: Stage) -> bool {
         self.directory.serving(service).any(|endpoint| endpoint.stage == stage)
--- a/crates/core/src/gateway/snapshot.rs
+++ b/crates/core/src/gateway/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{staleness::Versions, state::Listing};
+use super::{evacuation::Evacuations, staleness::Versions, state::Listing};
 
 /// Store contents that a replica has read. The store assigns the versions, so snapshots of
 /// different replicas can be compared.
@@ -12,6 +12,8 @@
     pub versions: Versions,
     /// The configuration, encoded as in the store.
     pub configuration: Arc<[u8]>,
+    /// The evacuated zones.
+    pub evacuations: Evacuations,
     /// The endpoint list.
     pub listing: Listing,
 }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -11,7 +11,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-pub use self::placing::ENDPOINT_RETRY_AFTER;
+pub use self::placing::{ENDPOINT_RETRY_AFTER, no_endpoint};
 use super::{
     budget::{Budget, Rule},
     catalog::{Catalog, Customer, Engine},
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -40,6 +40,7 @@
             return false;
         }
         self.staleness.record_peer(now, digest.versions);
+        self.directory.evacuations_mut().merge(&digest.evacuations);
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
         self.suspects.apply_digest(digest);
@@ -101,6 +102,7 @@
             changing: self.pools.changes(now),
             suspects: self.suspects.report(now),
             versions: self.staleness.own(),
+            evacuations: self.directory.evacuations().clone(),
             forecasts: if self.serial.is_multiple_of(DIGESTS_PER_FORECAST) {
                 self.forecasts.local()
             } else {
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -27,6 +27,11 @@
 const MAX_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(3_000);
 
 impl<T> State<T> {
+    /// Returns whether a service has endpoints, but all of them in evacuated zones.
+    pub fn is_evacuated(&self, now: Time, service: &str) -> bool {
+        self.view(now).is_evacuated(service)
+    }
+
     /// Returns whether a service currently has separate prefill or decode endpoints.
     pub fn is_split(&self, now: Time, service: &str) -> bool {
         let view = self.view(now);
@@ -91,6 +96,10 @@
             return Vec::new();
         }
         let mut queue = std::mem::take(&mut self.queue);
+        if !self.directory.evacuations().is_empty() {
+            let view = self.view(now);
+            queue.expire(|entry| view.is_evacuated(&entry.service));
+        }
         if !self.loads.backoffs.is_empty() {
             let view = self.view(now);
             queue.expire(|entry| {
@@ -184,6 +193,7 @@
     }
 }
 
-fn no_endpoint(retry_after: Duration) -> Refusal {
+/// Returns the refusal of a request for which there is no endpoint at the moment.
+pub fn no_endpoint(retry_after: Duration) -> Refusal {
     Refusal::not_run(Code::NoEndpoint, "no endpoint is available").with_retry_after(retry_after)
 }
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -5,7 +5,13 @@
 use super::{Listing, State};
 use crate::{
     clock::Time,
-    gateway::{catalog::Catalog, digest::Member, directory::Change, staleness::Versions},
+    gateway::{
+        catalog::Catalog,
+        digest::Member,
+        directory::Change,
+        evacuation::{self, Evacuations},
+        staleness::Versions,
+    },
 };
 
 impl<T> State<T> {
@@ -20,6 +26,16 @@
         true
     }
 
+    /// Applies evacuations read from the store.
+    pub fn apply_evacuations(&mut self, batch: evacuation::Batch) {
+        self.directory.evacuations_mut().apply(batch);
+    }
+
+    /// Takes over the evacuations of a peer if they are newer.
+    pub fn merge_evacuations(&mut self, evacuations: &Evacuations) {
+        self.directory.evacuations_mut().merge(evacuations);
+    }
+
     /// Applies a list of endpoints read from the store.
     pub fn apply_listing(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         self.directory.mark_store_reachable(now);
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod digest;
 mod directory;
+mod evacuation;
 mod forecast;
 mod growth;
 mod health;
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -9,6 +9,7 @@
         completion::Completion,
         digest::Digest,
         directory::{Endpoint, Row, Stage},
+        evacuation::{Batch, Change, Evacuations},
         forecast::{Observation, Size},
         health::Outcome,
         load::Lease,
@@ -386,3 +387,73 @@
     assert!(state.dispatch(at(1_009)).is_empty());
     assert!(matches!(&state.dispatch(at(1_010))[..], [(_, Verdict::Placed(_))]));
 }
+
+/// Returns a state with endpoints of both stages in two zones.
+fn two_zone_state() -> State<u32> {
+    let mut state = ready_state();
+    let in_zone_b = |id, stage| Endpoint { zone: "zone-b".into(), ..endpoint(id, stage) };
+    let rows = vec![row(3, in_zone_b("p-2", Stage::Prefill)), row(4, in_zone_b("d-2", Stage::Decode))];
+    state.apply_listing(at(0), Listing { version: 4, is_complete: false, rows });
+    state
+}
+
+fn evacuate(state: &mut State<u32>, version: u64, zone: &str, is_evacuated: bool) {
+    state.apply_evacuations(Batch::Changes(vec![Change { zone: zone.into(), version, is_evacuated }]));
+}
+
+/// Returns the zones of the endpoints that `count` completions get.
+fn zones_used(state: &mut State<u32>, now: u64, count: u32) -> Vec<Arc<str>> {
+    let mut zones = Vec::new();
+    for number in 0..count {
+        state.enqueue(at(now), Completion { waiting_since: at(now), ..completion(3_000) }, number);
+    }
+    for (_, verdict) in state.dispatch(at(now)) {
+        if let Verdict::Placed(pair) = verdict {
+            zones.extend(pair.prefill.map(|prefill| prefill.endpoint.zone.clone()));
+            zones.push(pair.decode.endpoint.zone.clone());
+        }
+    }
+    zones
+}
+
+/// Guards against prompts or runs that are placed in a zone that the operator has evacuated.
+#[test]
+fn an_evacuated_zone_gets_neither_prompts_nor_runs() {
+    let mut state = two_zone_state();
+    evacuate(&mut state, 20, "zone-a", true);
+    let zones = zones_used(&mut state, 10, 5);
+    assert!(zones.len() == 10 && zones.iter().all(|zone| &**zone == "zone-b"), "{zones:?}");
+    evacuate(&mut state, 21, "zone-a", false);
+    assert!(zones_used(&mut state, 20, 5).iter().any(|zone| &**zone == "zone-a"));
+}
+
+/// Guards against a replica that keeps using an evacuated zone until it reads the store itself.
+#[test]
+fn an_evacuation_is_learned_from_a_digest() {
+    let (mut reader, mut other) = (two_zone_state(), two_zone_state());
+    evacuate(&mut reader, 20, "zone-a", true);
+    let (digest, _) = reader.next_digest(at(10));
+    other.apply_digest(at(10), &Digest { name: "peer".into(), ..digest }, ([127, 0, 0, 1], 8).into());
+    assert!(zones_used(&mut other, 10, 5).iter().all(|zone| &**zone == "zone-b"));
+}
+
+/// Guards against requests that wait for their deadline although their service has no endpoint outside the evacuated
+/// zones.
+#[test]
+fn requests_to_an_evacuated_service_are_refused_at_once() {
+    let mut state = two_zone_state();
+    state.enqueue(at(10), completion(59_000), 1);
+    state.enqueue(at(10), completion(59_000), 2);
+    state.enqueue(at(10), completion(59_000), 3);
+    assert_eq!(state.dispatch(at(10)).len(), 2);
+    state.apply_evacuations(Batch::Complete(Evacuations::new(20, ["zone-a".into(), "zone-b".into()])));
+    assert!(matches!(state.dispatch(at(20)).as_slice(), [(_, Verdict::Expired)]));
+    assert!(state.is_evacuated(at(20), "drafting"));
+    assert_eq!(
+        state
+            .place_whole(at(20), "drafting", &[])
+            .map(|_| ())
+            .map_err(|refusal| (refusal.code, refusal.not_run)),
+        Err((Code::NoEndpoint, true))
+    );
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,6 +12,7 @@
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt as _;
+use strum::Display;
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
@@ -20,6 +21,7 @@
         completion::{Completion, Prompt},
         digest::Member,
         directory::Endpoint,
+        evacuation::Evacuations,
         forecast::{Forecast, Observation},
         health::Outcome,
         load::Lease,
@@ -72,6 +74,17 @@
     Dump(ReplySender<serde_json::Value>),
 }
 
+/// Why nothing may be sent to an endpoint, although it may have been chosen before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Block {
+    /// The endpoint has asked for a backoff that is not over.
+    #[strum(to_string = "the endpoint is backing off")]
+    BackingOff,
+    /// The operator has evacuated the endpoint's zone.
+    #[strum(to_string = "the endpoint's zone is evacuated")]
+    Evacuated,
+}
+
 /// Placement of a request on an endpoint. Dropping it releases the request's share of the endpoint's load.
 pub struct Permit {
     /// Endpoint that the request is placed on.
@@ -138,6 +151,8 @@
     is_stale: bool,
     /// Backoffs of endpoints, for requests that were placed before an endpoint asked for one.
     backoffs: Backoffs,
+    /// Evacuated zones, for requests that were placed before the evacuation.
+    evacuations: Evacuations,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -250,9 +265,19 @@
         self.send(Command::RecordBackoff(endpoint.id.clone(), until));
     }
 
-    /// Returns whether the backoff of an endpoint is not over.
-    pub fn is_backing_off(&self, now: Time, endpoint: &Endpoint) -> bool {
-        !lock(&self.shared).backoffs.remaining(now, &endpoint.id).is_zero()
+    /// Returns why nothing may be sent to an endpoint at the moment; `None` if it may.
+    pub fn block(&self, now: Time, endpoint: &Endpoint) -> Option<Block> {
+        let shared = lock(&self.shared);
+        if shared.evacuations.contains(&endpoint.zone) {
+            return Some(Block::Evacuated);
+        }
+        let is_backing_off = !shared.backoffs.remaining(now, &endpoint.id).is_zero();
+        is_backing_off.then_some(Block::BackingOff)
+    }
+
+    /// Returns the evacuated zones.
+    pub fn evacuations(&self) -> Evacuations {
+        lock(&self.shared).evacuations.clone()
     }
 
     /// Records that an order was not carried out.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -23,7 +23,7 @@
         queue::Verdict,
         relay::{Delivery, Role},
         snapshot::Snapshot,
-        state::{Assignment, Identity, Pair, State},
+        state::{Assignment, ENDPOINT_RETRY_AFTER, Identity, Pair, State, no_endpoint},
     },
     refusal::Code,
 };
@@ -134,7 +134,10 @@
             let tick = if self.state.queue_length() > 0 { QUEUE_TICK } else { TICK };
             let tick = self.state.forward_interval().map_or(tick, |interval| tick.min(interval));
             match timeout(tick, commands.recv()).await {
-                Ok(Ok(command)) => self.execute(command),
+                Ok(Ok(command)) => {
+                    self.execute(command);
+                    self.publish_evacuations();
+                }
                 Ok(Err(_)) => return,
                 Err(_) => {}
             }
@@ -180,6 +183,9 @@
         for (entry, verdict) in self.state.dispatch(now) {
             let result = match verdict {
                 Verdict::Placed(pair) => self.permits(pair).ok_or_else(shutting_down),
+                Verdict::Expired if self.state.is_evacuated(now, &entry.service) => {
+                    Err(no_endpoint(ENDPOINT_RETRY_AFTER))
+                }
                 Verdict::Expired => Err(self.overloaded(now, &entry.service)),
             };
             // If the request has been cancelled, the permits are dropped here and thereby released.
@@ -187,6 +193,21 @@
         }
     }
 
+    /// Makes newer evacuations known to the threads that send to endpoints.
+    fn publish_evacuations(&self) {
+        let evacuations = self.state.directory().evacuations();
+        let mut shared = lock(&self.weak_control.shared);
+        if shared.evacuations.version() == evacuations.version() {
+            return;
+        }
+        let previous = std::mem::replace(&mut shared.evacuations, evacuations.clone());
+        drop(shared);
+        if !previous.zones().eq(evacuations.zones()) {
+            let zones = evacuations.zones().map(|zone| &**zone).collect::<Vec<&str>>().join(",");
+            spdlog::info!("evacuations in force", kv: { zones = zones.as_str(), order = evacuations.version() });
+        }
+    }
+
     /// Logs a change of this replica's part in the exchange of digests and endpoints.
     fn log_role(&mut self) {
         let role = (self.state.is_relay(), followed(&self.state.role()).cloned());
@@ -282,10 +303,15 @@
     fn update(&mut self, now: Time, update: Update) {
         match update {
             Update::Catalog { row_version, catalog, source } => self.adopt(now, row_version, catalog, source),
+            Update::Evacuations(batch) => self.state.apply_evacuations(batch),
+            Update::PeerEvacuations(evacuations) => self.state.merge_evacuations(&evacuations),
             Update::Listing(listing) => log_changes(&self.state.apply_listing(now, listing)),
             Update::PeerListing { listing, newest } => {
                 log_changes(&self.state.apply_peer_listing(now, listing, newest));
             }
+            Update::InvalidRow { what, key, reason } => {
+                spdlog::warn!("invalid row", kv: { what, key = key.as_str(), reason = reason.as_str() });
+            }
             Update::Member(member) => {
                 spdlog::info!("peer read from the store", kv: { peer = &*member.name, address = member.address.to_string().as_str() });
                 self.state.add_member(now, member);
@@ -304,7 +330,8 @@
     fn snapshot(&self) -> Option<Snapshot> {
         let configuration = self.source.clone()?;
         let versions = self.state.versions();
-        Some(Snapshot { versions, configuration, listing: self.state.listing() })
+        let evacuations = self.state.directory().evacuations().clone();
+        Some(Snapshot { versions, configuration, evacuations, listing: self.state.listing() })
     }
 
     /// Activates a configuration, unless it is not newer than the active one.
@@ -345,6 +372,7 @@
             "version": self.state.catalog().map(|catalog| catalog.version()),
             "behind": lock(&self.weak_control.shared).is_stale,
             "endpoints": endpoints,
+            "evacuated": self.state.directory().evacuations().zones().collect::<Vec<_>>(),
             "is_relay": self.state.is_relay(),
             "follows": followed(&self.state.role()),
             "left": self.state.tokens_left(now),
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -9,6 +9,7 @@
         catalog::Catalog,
         digest::Member,
         directory::{Endpoint, Stage},
+        evacuation,
         lease::Status as LeaseStatus,
         state::Listing,
     },
@@ -211,6 +212,10 @@
         /// Configuration encoded as in the store, for peers that cannot reach the store.
         source: Arc<[u8]>,
     },
+    /// Evacuations were read from the store. Sent before the configuration that was read with them.
+    Evacuations(evacuation::Batch),
+    /// Evacuations were fetched from a peer.
+    PeerEvacuations(evacuation::Evacuations),
     /// Endpoints were read from the store.
     Listing(Listing),
     /// Endpoints were fetched from a peer; unlike `Listing`, not a sign that the store is reachable.
@@ -220,6 +225,15 @@
         /// Version of the newest row that the peer has read.
         newest: u64,
     },
+    /// A row of the store could not be decoded.
+    InvalidRow {
+        /// Kind of row.
+        what: &'static str,
+        /// Key of the row.
+        key: String,
+        /// Why it is invalid.
+        reason: String,
+    },
     /// The name and gossip address of a peer were read.
     Member(Member),
     /// The store became unreachable.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    control::Control,
+    control::{Block, Control},
     edge::{Dialect, Reply},
     pool::Pool,
 };
@@ -41,8 +41,8 @@
 /// Why an exchange failed.
 #[derive(Debug)]
 pub(crate) enum Failure {
-    /// The endpoint has asked for a backoff that is not over; nothing was sent.
-    BackingOff,
+    /// Nothing may be sent to the endpoint at the moment, and nothing was.
+    Blocked(Block),
     /// No connection could be opened; nothing was sent.
     Connect(io::Error),
     /// The connection failed after the request was sent; the request may have run.
@@ -56,7 +56,7 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::BackingOff => f.write_str("the endpoint is backing off"),
+            Self::Blocked(block) => write!(f, "{block}"),
             Self::Connect(error) => write!(f, "connecting failed: {error}"),
             Self::Connection(error) => write!(f, "{error}"),
             Self::InvalidResponse(why) => write!(f, "invalid response: {why}"),
@@ -131,10 +131,12 @@
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
         let began = Instant::now();
-        let is_backing_off = || self.control.is_backing_off(self.clock.now(), endpoint);
-        if is_backing_off() {
-            return Err(Failure::BackingOff);
-        }
+        let check = || {
+            self.control
+                .block(self.clock.now(), endpoint)
+                .map_or(Ok(()), |block| Err(Failure::Blocked(block)))
+        };
+        check()?;
         let connection = match self.pool.take(endpoint).await {
             Some(connection) => connection,
             None => {
@@ -142,10 +144,8 @@
                 Connection::open(endpoint.address, limit, TCP_USER_TIMEOUT).await.map_err(Failure::Connect)?
             }
         };
-        // The endpoint may have asked for a backoff while the connection was opened.
-        if is_backing_off() {
-            return Err(Failure::BackingOff);
-        }
+        // That may have changed while the connection was opened.
+        check()?;
         let exchanged = self.exchange(endpoint, connection, head, body, id);
         timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout))
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,10 @@
     pub longest_gaps: Histogram,
     /// Times that a part of the store became unreadable, by part.
     pub store_losses: IntCounterVec,
+    /// Rows of the store that could not be decoded, by kind.
+    pub invalid_rows: IntCounterVec,
+    /// 1 for each evacuated availability zone.
+    pub evacuated: GaugeVec,
     /// Version of the active configuration; 0 before the first.
     pub version: IntGauge,
     /// Forecast durations of the parts of a completion, seconds, by service and part.
@@ -48,10 +52,12 @@
                 "Longest pause between a stream's events",
             ),
             store_losses: counter("gateway_store_losses_total", "Losses of the store", &["what"]),
+            invalid_rows: counter("gateway_invalid_rows_total", "Invalid rows of the store", &["what"]),
+            evacuated: gauges("gateway_evacuated", "Evacuated availability zones", &["zone"]),
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 9] = [
+        let collectors: [Box<dyn Collector>; 11] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -59,6 +65,8 @@
             Box::new(metrics.placement_waits.clone()),
             Box::new(metrics.longest_gaps.clone()),
             Box::new(metrics.store_losses.clone()),
+            Box::new(metrics.invalid_rows.clone()),
+            Box::new(metrics.evacuated.clone()),
             Box::new(metrics.version.clone()),
             Box::new(metrics.forecasts.clone()),
         ];
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -274,6 +274,10 @@
     pub async fn update_metrics(&self) {
         let version = self.0.control.catalog().map_or(0, |catalog| catalog.version());
         self.0.metrics.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.0.metrics.evacuated.reset();
+        for zone in self.0.control.evacuations().zones() {
+            self.0.metrics.evacuated.with_label_values(&[&**zone]).set(1.0);
+        }
         for (service, forecast) in self.0.control.forecasts().await {
             let times = [
                 ("reading", forecast.prefill_time(FORECAST_PROMPT_TOKENS)),
@@ -295,8 +299,10 @@
 
 async fn apply_updates(updates: Receiver<Update>, context: Arc<Context>) {
     while let Ok(update) = updates.recv().await {
-        if let Update::StoreLost { what, .. } = &update {
-            context.metrics.store_losses.with_label_values(&[what]).inc();
+        match &update {
+            Update::StoreLost { what, .. } => context.metrics.store_losses.with_label_values(&[what]).inc(),
+            Update::InvalidRow { what, .. } => context.metrics.invalid_rows.with_label_values(&[what]).inc(),
+            _ => {}
         }
         context.control.update(update);
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -117,6 +117,8 @@
 
 /// Why an attempt ended before its response began.
 enum Abort {
+    /// Nothing was sent to the endpoint.
+    NotSent(String),
     /// The request has not run.
     NotRun(String),
     /// The request has not run and would not end before the gateway does.
@@ -181,6 +183,12 @@
             Err(Abort::MayHaveRun(reason)) => {
                 fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
             }
+            Err(Abort::NotSent(reason)) => {
+                spdlog::info!("placing the request again", kv: { request = inbound.id(), reason = reason.as_str() });
+                progress.sends -= 1;
+                progress.avoid.push(endpoint.id.clone());
+                continue;
+            }
             Err(Abort::NotRun(reason)) => {
                 progress.avoid.push(endpoint.id.clone());
                 Some(reason)
@@ -335,7 +343,7 @@
                 last_event: progress.last_event.as_deref(),
             };
             let started = send(context, inbound, decode, endpoint, Task::Decode(inputs)).await;
-            if !matches!(started, Err(Abort::NotRun(_))) {
+            if !matches!(started, Err(Abort::NotSent(_) | Abort::NotRun(_))) {
                 reservation.iter_mut().chain(&mut prefilled).for_each(Guard::mark_consumed);
             }
             started
@@ -356,9 +364,9 @@
     let sent = inbound.send(context, endpoint, task, inbound.route.stall_timeout + STALL_TIMEOUT_SLACK).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
-        Err(Failure::BackingOff) => {
+        Err(Failure::Blocked(block)) => {
             inbound.mark_not_run();
-            return Err(Abort::NotRun(format!("{} is backing off", endpoint.id)));
+            return Err(Abort::NotSent(format!("{}: {block}", endpoint.id)));
         }
         Err(Failure::Connect(error)) => {
             inbound.mark_not_run();
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -64,7 +64,7 @@
         match reserve(context, &decode.endpoint, &engine, decode.memory()).await {
             Ok(Some(granted)) => return Ok(Placement::Split { decode, prefill, reservation: Some(granted) }),
             Ok(None) => decode.finish(Outcome::Full),
-            Err(ReserveError::BackingOff) => avoid.push(decode.endpoint.id.clone()),
+            Err(ReserveError::Blocked) => avoid.push(decode.endpoint.id.clone()),
             Err(ReserveError::Replaced) => {
                 avoid.push(decode.endpoint.id.clone());
                 decode.finish(Outcome::Replaced);
@@ -113,7 +113,7 @@
     let message = context.dialect.reserve(endpoint, memory, engine.max_reservation.min(MAX_RESERVATION_TTL));
     let sent = context.client().send(endpoint, &message.head, &message.body, None, RESERVE_TIMEOUT).await;
     let unreachable = |failure: Failure| match failure {
-        Failure::BackingOff => ReserveError::BackingOff,
+        Failure::Blocked(_) => ReserveError::Blocked,
         failure => ReserveError::Unreachable(failure.to_string()),
     };
     let exchange = sent.map_err(unreachable)?;
@@ -132,8 +132,8 @@
 
 /// Why a reservation was neither granted nor refused.
 enum ReserveError {
-    /// The endpoint has asked for a backoff that is not over.
-    BackingOff,
+    /// Nothing may be sent to the endpoint at the moment.
+    Blocked,
     /// A different endpoint now listens at the address.
     Replaced,
     /// The endpoint did not respond, or not as expected.
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -37,7 +37,7 @@
                 let kind = Kind::Prefill(result);
                 return Ok(Guard { context: context.clone(), endpoint, kind });
             }
-            Err(failure @ (Failure::Connect(_) | Failure::BackingOff)) => {
+            Err(failure @ (Failure::Connect(_) | Failure::Blocked(_))) => {
                 (format!("{}: {failure}", endpoint.id), false)
             }
             Err(failure) => (format!("{}: {failure}", endpoint.id), true),
@@ -93,7 +93,7 @@
             });
             Err(Failure::InvalidResponse(if is_not_run { "not run" } else { "refused" }))
         }
-        Err(Failure::BackingOff) => Err(Failure::BackingOff),
+        Err(Failure::Blocked(block)) => Err(Failure::Blocked(block)),
         Err(failure) => {
             let is_unsent = matches!(failure, Failure::Connect(_));
             if matches!(failure, Failure::Timeout) {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -124,11 +124,12 @@
 }
 
 fn apply(context: &Context, member: &Member, snapshot: Snapshot) {
-    let Snapshot { versions, configuration, listing } = snapshot;
+    let Snapshot { versions, configuration, evacuations, listing } = snapshot;
     let row_version = versions.configuration;
     spdlog::info!("snapshot fetched from a peer", kv: {
         peer = &*member.name, order = row_version, configuration = configuration.len(), endpoints = listing.rows.len()
     });
+    context.control.update(Update::PeerEvacuations(evacuations));
     if !configuration.is_empty() {
         match context.dialect.decode_catalog(&configuration) {
             Ok(catalog) => {
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -196,8 +196,8 @@
 fn classify(inbound: &Inbound, exchanged: Exchanged, permit: Permit, context: &Context) -> Attempt {
     let (head, reply, body) = match exchanged {
         Ok(exchanged) => exchanged,
-        Err(Failure::BackingOff) => {
-            return Attempt::NotSent(format!("{} is backing off", permit.endpoint.id));
+        Err(Failure::Blocked(block)) => {
+            return Attempt::NotSent(format!("{}: {block}", permit.endpoint.id));
         }
         Err(Failure::Connect(error)) => {
             let reason = format!("{} is unreachable: {error}", permit.endpoint.id);
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -10,6 +10,7 @@
     clock::micros,
     gateway::{
         digest::{Digest, Member, Share, StageChange},
+        evacuation::Evacuations,
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         relay::Parcel,
@@ -66,6 +67,7 @@
                     stage: change.stage.to_string(),
                 })
                 .collect(),
+            evacuations: encode_evacuations(&digest.evacuations),
             forecasts: digest.forecasts.iter().map(encode_forecast).collect(),
             configuration: digest.versions.configuration,
             endpoints: digest.versions.endpoints,
@@ -82,6 +84,18 @@
     encoded
 }
 
+/// Encodes evacuations; absent if none have been read.
+pub(crate) fn encode_evacuations(evacuations: &Evacuations) -> Option<proto::Evacuations> {
+    let zones = evacuations.zones().map(|zone| zone.to_string()).collect();
+    (evacuations.version() > 0).then(|| proto::Evacuations { version: evacuations.version(), zones })
+}
+
+/// Decodes evacuations. Absent ones have version 0, which nobody takes over.
+pub(crate) fn decode_evacuations(message: Option<proto::Evacuations>) -> Evacuations {
+    let proto::Evacuations { version, zones } = message.unwrap_or_default();
+    Evacuations::new(version, zones.into_iter().map(Arc::from))
+}
+
 fn encode_forecast((service, forecast): (&Arc<str>, &Forecast)) -> proto::Forecast {
     let trend = |trend: Option<Trend>| trend.map(|Trend { base, slope }| proto::Trend { base, slope });
     let output_length = |OutputLength { event_tokens, spread, events, weight }| proto::Answers {
@@ -199,6 +213,7 @@
                 .collect(),
             forecasts: digest.forecasts.into_iter().map(decode_forecast).collect(),
             versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
+            evacuations: decode_evacuations(digest.evacuations),
         })
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -401,6 +401,16 @@
     /// Whether relays should pass the digest on without delay.
     #[prost(bool, tag = "12")]
     pub urgent: bool,
+    #[prost(message, optional, tag = "13")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+}
+/// Evacuated availability zones as of a version of the store.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuations {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -572,6 +582,8 @@
     /// Version of the newest endpoint row.
     #[prost(uint64, tag = "5")]
     pub newest: u64,
+    #[prost(message, optional, tag = "6")]
+    pub evacuations: ::core::option::Option<Evacuations>,
 }
 /// An endpoint row.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/snapshot.rs
+++ b/crates/wire/src/snapshot.rs
@@ -13,7 +13,11 @@
     state::Listing,
 };
 
-use crate::{DecodeError, proto};
+use crate::{
+    DecodeError,
+    digest::{decode_evacuations, encode_evacuations},
+    proto,
+};
 
 /// Limit on a decompressed configuration, equal to the limit on responses of the store.
 const MAX_CONFIGURATION_BYTES: u64 = 16 << 20;
@@ -64,6 +68,7 @@
             list: snapshot.listing.version,
             endpoints: endpoints.collect(),
             newest: snapshot.versions.endpoints,
+            evacuations: encode_evacuations(&snapshot.evacuations),
         }
     }
 }
@@ -79,6 +84,7 @@
         Ok(Self {
             versions: Versions { configuration: snapshot.order, endpoints: snapshot.newest },
             configuration: configuration.into(),
+            evacuations: decode_evacuations(snapshot.evacuations),
             listing: Listing { version: snapshot.list, is_complete: true, rows: rows? },
         })
     }
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -7,6 +7,7 @@
     gateway::{
         digest::{Digest, Share},
         directory::{Endpoint, Row, Stage},
+        evacuation::Evacuations,
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         snapshot::Snapshot,
@@ -146,6 +147,7 @@
 fn store_snapshot_round_trips() {
     let listing = Listing { version: 12, is_complete: true, rows: vec![listed("i-1"), listed("i-2")] };
     let snapshot = Snapshot {
+        evacuations: Evacuations::new(3, ["zone-b".into()]),
         versions: Versions { configuration: 11, endpoints: 9 },
         configuration: b"{\xff}".to_vec().into(),
         listing,
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -12,6 +12,7 @@
         completion::Completion,
         digest::{Digest, Member, Share, StageChange},
         directory::{Endpoint, Row, Stage},
+        evacuation::Evacuations,
         forecast::{Forecast, Size, Trend},
         growth::Growth,
         relay::{Bundle, Parcel},
@@ -37,6 +38,7 @@
     let share = Share { running: 2, memory: 16_000, growth: Growth([16_000; 8]), ..Share::default() };
     let trend = Some(Trend { base: 0.01, slope: 1e-5 });
     Digest {
+        evacuations: Evacuations::new(12, ["zone-b".into()]),
         name: name.into(),
         incarnation: 9,
         serial,
