Requests to cold endpoints within what the whole fleet may send

Cause: cold_remaining_ms, the header of cold endpoints, cold_start_s and cold_per_s were ignored.

Change: how long an endpoint is cold is learned from its row and from responses, and taken for granted for a service's cold_start_s when its zone returns from an evacuation or when it was unreachable, since its row may come later. A cold endpoint belongs to up to four gateways by rendezvous hash (core::gateway::cold); each keeps an interval between its requests there, at placement and again at the send. The list of gateways only grows in a process, so that a cut adds no owners; a gateway that has registered just now owns nothing for 3 s, by when those that can be reached know it; and owners of two groups that do not know of each other fit within the tolerance together. New settings cold-overage and cold-slack, from the sheet.

Ways compared (core/tests/gateway/cold.rs, sends whenever allowed, 8.6 a second and tolerance 17.9): an equal share of the rate for each gateway holds with 1 gateway and breaks with 24, 68 and 300, since all may send their first request in one second; owners hold with 1, 24, 68 and 300, also cut and grown at random (60 cases).

--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -16,6 +16,7 @@
     gateway::{
         budget::Rule,
         catalog::{Catalog, Customer, Engine, Limits, Service},
+        cold::Tolerance,
         completion::Completion,
         digest::Member,
         directory::{Endpoint, Row, Stage},
@@ -453,7 +454,7 @@
     let Member { name, address, zone, millicores } = member.clone();
     let identity = Identity { name, zone, incarnation, address, millicores };
     let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-    let mut state = State::new(identity, retries, Time::ZERO);
+    let mut state = State::new(identity, retries, Tolerance::default(), Time::ZERO);
     state.apply_catalog(Time::ZERO, 1, catalog.clone());
     let rows = (0..shape.endpoints).map(|index| row(index, shape.zones)).collect();
     state.apply_listing(Time::ZERO, Listing { version: shape.endpoints as u64, is_complete: true, rows });
@@ -472,7 +473,13 @@
         slots: 48,
         is_draining: false,
     };
-    Row { id, version: index as u64 + 1, sequence: 1, endpoint: Some(Arc::new(endpoint)) }
+    Row {
+        id,
+        version: index as u64 + 1,
+        sequence: 1,
+        cold: Duration::ZERO,
+        endpoint: Some(Arc::new(endpoint)),
+    }
 }
 
 fn customer_name(number: usize) -> String {
@@ -493,7 +500,7 @@
 fn catalog(customers: usize) -> Arc<Catalog> {
     let mut catalog = Catalog::new(1, Limits::default());
     let engine = Engine { slots: 48, memory: 45_000, max_reservation: Duration::from_secs(2) };
-    catalog.add_service(Service { name: SERVICE.into(), engine: Some(engine) });
+    catalog.add_service(Service { name: SERVICE.into(), engine: Some(engine), warmup: None });
     for number in 0..customers {
         catalog.add_customer(customer_of(&customer_name(number)), [format!("key-{number}").as_str().into()]);
     }
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::task;
@@ -99,6 +99,10 @@
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
     is_leaving: bool,
+    /// End of the cold phase.
+    cold_until: Option<Instant>,
+    /// When requests arrived during cold phases.
+    cold_arrivals: Vec<Instant>,
     received: Vec<ReceivedRequest>,
     service_time: Duration,
     /// All received requests, including control calls.
@@ -236,6 +240,28 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Makes the endpoint cold for `span`, as after a start. Its row does not change.
+    pub fn set_cold(&self, span: Duration) {
+        lock(&self.state).cold_until = Some(Instant::now() + span);
+    }
+
+    /// Returns how much longer the endpoint is cold.
+    pub fn cold(&self) -> Duration {
+        let until = lock(&self.state).cold_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Returns the largest number of requests, without control calls, in any second of a cold phase.
+    pub fn busiest_cold_second(&self) -> usize {
+        let arrivals = lock(&self.state).cold_arrivals.clone();
+        let within = |start: &Instant, at: &Instant| at.duration_since(*start) < Duration::from_secs(1);
+        let counts = arrivals
+            .iter()
+            .enumerate()
+            .map(|(index, start)| arrivals[index..].iter().take_while(|at| within(start, at)).count());
+        counts.max().unwrap_or(0)
+    }
+
     /// Stops at once and closes all connections.
     pub async fn kill(&self) {
         self.server.kill().await;
@@ -378,6 +404,12 @@
     }
 
     async fn execute(self, connection: Connection) -> (Connection, Action) {
+        {
+            let (mut state, now) = (lock(&self.state), Instant::now());
+            if state.cold_until.is_some_and(|until| until > now) {
+                state.cold_arrivals.push(now);
+            }
+        }
         let fault = lock(&self.state).take_fault();
         match fault {
             Fault::Refuse | Fault::RefuseLate => {
@@ -577,6 +609,10 @@
         if lock(&self.state).is_leaving {
             head.fields.push("Server-Leaving", "1");
         }
+        let cold = lock(&self.state).cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        if let Some(cold) = cold.filter(|cold| !cold.is_zero()) {
+            head.fields.push("Tarragonhill-Cold-Ms", cold.as_millis().to_string());
+        }
         head
     }
 
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -13,7 +13,10 @@
 
 use async_std::task;
 use serde_json::{Value, json};
-use tarragonhill_core::{Clock, gateway::budget::Rule};
+use tarragonhill_core::{
+    Clock,
+    gateway::{budget::Rule, cold::Tolerance},
+};
 use tarragonhill_daemon::{
     StartError,
     config::{CommonSettings, GatewaySettings},
@@ -36,6 +39,10 @@
 const PLAIN_SERVICE: &str = "filing";
 /// Availability zone of the gateways, and of endpoints for which no other is given.
 pub const DEFAULT_ZONE: &str = "zone-a";
+/// Requests a second that a cold endpoint takes.
+pub const COLD_REQUESTS_PER_S: f64 = 8.6;
+/// What cold endpoints tolerate beyond their declared rate.
+const COLD_TOLERANCE: Tolerance = Tolerance { factor: 1.5, slack: 5.0 };
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -189,7 +196,14 @@
             log: logging::off(),
         };
         let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-        GatewaySettings { common, peer, millicores: 1_000, grace: self.grace, retries }
+        GatewaySettings {
+            common,
+            peer,
+            millicores: 1_000,
+            grace: self.grace,
+            retries,
+            cold_tolerance: COLD_TOLERANCE,
+        }
     }
 
     /// Kills a replica and starts it again with the same name and gossip address.
@@ -254,7 +268,7 @@
         let mut row = json!({
             "service": if endpoint.role() == Role::Plain { PLAIN_SERVICE } else { MODEL_SERVICE },
             "address": endpoint.address().to_string(), "zone": zone, "version": "v1", "slots": 48,
-            "state": state, "cold_remaining_ms": 0, "seq": self.counter, "born": born,
+            "state": state, "cold_remaining_ms": endpoint.cold().as_millis() as u64, "seq": self.counter, "born": born,
         });
         if endpoint.role() != Role::Plain {
             row["stage"] = endpoint.role().to_string().into();
@@ -381,7 +395,8 @@
         "version": version,
         "routes": [route("stream", "streaming", MODEL_SERVICE), resumable, route("submit", "unsafe", PLAIN_SERVICE), lookup],
         "services": [
-            {"name": MODEL_SERVICE, "health_path": "/health", "max_connections": 290, "engine": {
+            {"name": MODEL_SERVICE, "health_path": "/health", "max_connections": 290,
+                "engine": {
                 "slots": 48, "kv_cache_tokens": KV_CACHE_TOKENS, "kv_token_bytes": 131_072, "link_mbps": 1_500_000.0,
                 "handle_ttl_s": 0.5, "switch_s": 6.0, "hold_ms": 2_000.0}},
             {"name": PLAIN_SERVICE, "health_path": "/health", "max_connections": 96},
@@ -397,6 +412,16 @@
     })
 }
 
+/// Returns the same configuration with a limit on requests to cold endpoints.
+pub fn with_cold_limit(version: u64) -> Value {
+    let mut configuration = configuration(version);
+    for service in configuration["services"].as_array_mut().expect("a list of services") {
+        service["cold_start_s"] = 3.0.into();
+        service["cold_per_s"] = COLD_REQUESTS_PER_S.into();
+    }
+    configuration
+}
+
 /// Returns the same configuration with `added` more rate-limited customers.
 pub fn with_customers(version: u64, added: usize) -> Value {
     let mut configuration = configuration(version);
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -779,6 +779,10 @@
         };
         wait_until("a loss is counted", async || metrics().await.contains("gateway_store_losses_total{"))
             .await;
+        site.store.set_fault(store::Fault::None);
+        site.store.put_invalid("op", "evacuate/no-such-zone");
+        wait_until("an evacuation is in force", async || metrics().await.contains("gateway_evacuated{"))
+            .await;
         let text = metrics().await;
         let served: BTreeSet<&str> =
             text.lines().filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next()).collect();
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod catalog;
+pub mod cold;
 pub mod completion;
 pub mod digest;
 pub mod directory;
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -4,6 +4,8 @@
 
 use strum::{Display, EnumString};
 
+use super::cold::Warmup;
+
 /// Kind of a route's requests, which decides whether they may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -95,12 +97,14 @@
 }
 
 /// A group of endpoints that serve the same requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Unique name.
     pub name: Arc<str>,
     /// Capacity of its endpoints; `None` if they run no models.
     pub engine: Option<Engine>,
+    /// What cold endpoints take; `None` if no limit is declared.
+    pub warmup: Option<Warmup>,
 }
 
 /// A caller and its limits.
@@ -154,7 +158,7 @@
 }
 
 /// One immutable version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     version: u64,
     limits: Limits,
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -60,6 +60,8 @@
     pub version: u64,
     /// Number of the write, counted by the endpoint from its start.
     pub sequence: u64,
+    /// How much longer the endpoint is cold, by what it wrote.
+    pub cold: Duration,
     /// `None` if the row was removed or cannot be used.
     pub endpoint: Option<Arc<Endpoint>>,
 }
@@ -181,7 +183,7 @@
             .records
             .iter()
             .filter(|(id, record)| record.version <= version && !listed.contains(id))
-            .map(|(id, _)| Row { id: id.clone(), version, sequence: 0, endpoint: None })
+            .map(|(id, _)| Row { id: id.clone(), version, sequence: 0, cold: Duration::ZERO, endpoint: None })
             .collect();
         let is_current = version >= self.version;
         let mut changes = self.update(now, version, rows);
@@ -291,7 +293,8 @@
         let current = self.records.iter().filter(|(_, record)| record.expires.is_none());
         let rows = current.filter_map(|(id, record)| {
             let endpoint = Some(record.endpoint.clone()?);
-            Some(Row { id: id.clone(), version: record.version, sequence: record.last_write.1, endpoint })
+            let (version, sequence) = (record.version, record.last_write.1);
+            Some(Row { id: id.clone(), version, sequence, cold: Duration::ZERO, endpoint })
         });
         (self.version, rows.collect())
     }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -6,6 +6,7 @@
 
 use super::{
     catalog::Engine,
+    cold::ColdEndpoints,
     directory::{Directory, Endpoint, Stage},
     forecast::Forecasts,
     growth::Growth,
@@ -99,6 +100,8 @@
     pub now: Time,
     /// Known endpoints.
     pub directory: &'a Directory,
+    /// Those of them that are cold.
+    pub cold: &'a ColdEndpoints,
     /// Their loads.
     pub loads: &'a Loads,
     /// Stage changes in progress.
@@ -135,12 +138,14 @@
         self.loads.get(&endpoint.id)
     }
 
-    /// Returns the endpoints that are not in `avoid`, changing their stage, ejected or backing off.
+    /// Returns the endpoints that are not in `avoid`, changing their stage, ejected, backing off, or cold with no
+    /// request due from this replica.
     fn reachable(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
         let untried = serving.filter(|endpoint| !avoid.contains(&endpoint.id));
         let stable = untried.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
-        let available = stable.filter(|endpoint| self.backoff(endpoint).is_zero());
+        let open = stable.filter(|endpoint| self.cold.wait(self.now, &endpoint.id) == Some(Duration::ZERO));
+        let available = open.filter(|endpoint| self.backoff(endpoint).is_zero());
         available.filter(|endpoint| !self.is_ejected(endpoint)).collect()
     }
 
@@ -168,6 +173,17 @@
         serving.map(|endpoint| self.backoff(endpoint)).min().filter(|backoff| !backoff.is_zero())
     }
 
+    /// Returns the shortest time until this replica may send to a cold endpoint of a stage; `None` if no endpoint is
+    /// cold.
+    pub fn shortest_cold_wait(&self, service: &str, stage: Stage) -> Option<Duration> {
+        let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
+        let cold = serving.filter_map(|endpoint| Some((endpoint, self.cold.get(self.now, &endpoint.id)?)));
+        cold.map(|(endpoint, cold)| {
+            self.cold.wait(self.now, &endpoint.id).unwrap_or_else(|| cold.until.since(self.now))
+        })
+        .min()
+    }
+
     /// Returns whether a prompt has been in flight for so long that the endpoint probably hangs.
     fn is_stalled(&self, endpoint: &Endpoint, ttft_target: Duration) -> bool {
         let longest = ttft_target.mul_f64(STALLED_PREFILL);
@@ -223,7 +239,11 @@
         });
         match best {
             // Otherwise decode endpoints would get all prompts at once.
-            None if self.shortest_backoff(service, Stage::Prefill).is_some() => Prefill::Busy,
+            None if self.shortest_backoff(service, Stage::Prefill).is_some()
+                || self.shortest_cold_wait(service, Stage::Prefill).is_some() =>
+            {
+                Prefill::Busy
+            }
             None => Prefill::Unavailable,
             Some(((backlog, _), _)) if backlog > ttft_target.mul_f64(MAX_PREFILL_BACKLOG) => Prefill::Busy,
             Some((_, endpoint)) => Prefill::Endpoint(endpoint.clone()),
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::{
     budget::{Budget, Rule},
     catalog::{Catalog, Customer, Engine},
+    cold::{ColdEndpoints, Roster, Tolerance},
     digest::{Member, Peers},
     directory::{Change, Directory, Endpoint, Row},
     forecast::Forecasts,
@@ -109,6 +110,10 @@
     /// Versions read from the store and known to peers.
     staleness: Staleness,
     directory: Directory,
+    cold: ColdEndpoints,
+    /// What cold endpoints tolerate, by the operator.
+    tolerance: Tolerance,
+    roster: Roster,
     loads: Loads,
     rate_limiter: RateLimiter,
     budget: Budget,
@@ -125,13 +130,16 @@
 
 impl<T> State<T> {
     /// Creates the state of a replica that starts now.
-    pub fn new(identity: Identity, retries: Rule, now: Time) -> Self {
+    pub fn new(identity: Identity, retries: Rule, tolerance: Tolerance, now: Time) -> Self {
         Self {
+            roster: Roster::new(identity.name.clone()),
             peers: Peers::new(identity.name.clone()),
             identity,
             catalog: None,
             staleness: Staleness::default(),
             directory: Directory::default(),
+            cold: ColdEndpoints::default(),
+            tolerance,
             loads: Loads::default(),
             rate_limiter: RateLimiter::new(now),
             budget: Budget::new(retries, now),
@@ -155,6 +163,7 @@
             self.suspects.remove_peer(peer);
             self.forecasts.remove_peer(peer);
         }
+        self.cold.expire(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
         let changes = self.directory.expire_lapsed(now);
@@ -201,6 +210,11 @@
         &self.directory
     }
 
+    /// Returns the cold endpoints.
+    pub fn cold(&self) -> &ColdEndpoints {
+        &self.cold
+    }
+
     /// Returns the load of all endpoints.
     pub fn loads(&self) -> &Loads {
         &self.loads
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -1,6 +1,6 @@
 //! Exchange of digests with the other replicas.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::State;
 use crate::{
@@ -19,9 +19,23 @@
 impl<T> State<T> {
     /// Adds a peer that is listed in the store.
     pub fn add_member(&mut self, now: Time, member: Member) {
+        self.extend_roster([&member.name]);
         self.peers.add(now, member);
     }
 
+    /// Records that all peers that the store lists have been added.
+    pub fn mark_members_read(&mut self) {
+        self.roster.mark_read();
+        self.update_cold_intervals();
+    }
+
+    fn extend_roster<'a>(&mut self, names: impl IntoIterator<Item = &'a Arc<str>>) {
+        let added = names.into_iter().filter(|name| self.roster.add(name)).count();
+        if added > 0 {
+            self.update_cold_intervals();
+        }
+    }
+
     /// Applies the digests of a datagram, and keeps those that this replica has to pass on.
     pub fn apply_bundle(&mut self, now: Time, bundle: &Bundle) {
         for parcel in &bundle.parcels {
@@ -40,7 +54,9 @@
             return false;
         }
         self.staleness.record_peer(now, digest.versions);
-        self.directory.evacuations_mut().merge(&digest.evacuations);
+        self.merge_evacuations(now, &digest.evacuations);
+        let names = digest.members.iter().map(|member| &member.name).chain([&digest.name]);
+        self.extend_roster(names);
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
         self.suspects.apply_digest(digest);
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -48,7 +48,10 @@
         let found = self.view(now).pick_whole(service, avoid);
         let share = Share { running: 1, ..Share::default() };
         let Some(endpoint) = found else {
-            let backoff = self.view(now).shortest_backoff(service, Stage::Whole);
+            let view = self.view(now);
+            let backoff = view
+                .shortest_backoff(service, Stage::Whole)
+                .or_else(|| view.shortest_cold_wait(service, Stage::Whole));
             let retry_after =
                 backoff.map_or(ENDPOINT_RETRY_AFTER, |backoff| backoff.max(MIN_BACKOFF_RETRY_AFTER));
             return Err(no_endpoint(retry_after));
@@ -153,6 +156,7 @@
         View {
             now,
             directory: &self.directory,
+            cold: &self.cold,
             loads: &self.loads,
             pools: &self.pools,
             forecasts: &self.forecasts,
@@ -173,6 +177,8 @@
         share: Share,
         output: Option<Estimate>,
     ) -> Assignment {
+        // The endpoint is open by now, as a placement requires.
+        self.cold.take(now, &endpoint.id);
         let lease = self.loads.acquire_run(now, &endpoint.id, share, output);
         Assignment { endpoint, lease, prefill_tokens: 0, prefill_timeout: Duration::ZERO }
     }
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -69,6 +69,7 @@
         }
         if outcome == Outcome::Unreachable {
             self.suspects.record_crash(now, &lease.endpoint);
+            self.record_restart(now, &lease.endpoint);
         }
         if self.directory.get(&lease.endpoint).is_none() {
             self.loads.remove_if_idle(&lease.endpoint);
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -1,12 +1,13 @@
 //! What was read from the store: configuration and endpoints.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::{Listing, State};
 use crate::{
     clock::Time,
     gateway::{
         catalog::Catalog,
+        cold::{Cold, Share},
         digest::Member,
         directory::Change,
         evacuation::{self, Evacuations},
@@ -23,17 +24,67 @@
         self.rate_limiter.update_customers(now, catalog.customers());
         self.staleness.record_configuration(now, row_version);
         self.catalog = Some(catalog);
+        self.update_cold_intervals();
         true
     }
 
     /// Applies evacuations read from the store.
-    pub fn apply_evacuations(&mut self, batch: evacuation::Batch) {
-        self.directory.evacuations_mut().apply(batch);
+    pub fn apply_evacuations(&mut self, now: Time, batch: evacuation::Batch) {
+        self.change_evacuations(now, |evacuations| evacuations.apply(batch));
     }
 
     /// Takes over the evacuations of a peer if they are newer.
-    pub fn merge_evacuations(&mut self, evacuations: &Evacuations) {
-        self.directory.evacuations_mut().merge(evacuations);
+    pub fn merge_evacuations(&mut self, now: Time, evacuations: &Evacuations) {
+        self.change_evacuations(now, |own| own.merge(evacuations));
+    }
+
+    /// Changes the evacuations. Endpoints of zones that are no longer evacuated count as cold: they may have been
+    /// restarted, and their rows may arrive later than the end of the evacuation.
+    fn change_evacuations(&mut self, now: Time, change: impl FnOnce(&mut Evacuations)) {
+        let previous = self.directory.evacuations().clone();
+        change(self.directory.evacuations_mut());
+        let evacuations = self.directory.evacuations();
+        let is_back = |zone: &str| previous.contains(zone) && !evacuations.contains(zone);
+        let back = self.directory.all().filter(|endpoint| is_back(&endpoint.zone));
+        let back: Vec<Arc<str>> = back.map(|endpoint| endpoint.id.clone()).collect();
+        for endpoint in back {
+            self.record_restart(now, &endpoint);
+        }
+    }
+
+    /// Records that an endpoint may just have started, and may be cold for as long as its service declares.
+    pub(super) fn record_restart(&mut self, now: Time, endpoint: &Arc<str>) {
+        let service = self.directory.get(endpoint).map(|endpoint| &*endpoint.service);
+        let service = service.and_then(|service| self.catalog.as_ref()?.service(service));
+        if let Some(warmup) = service.and_then(|service| service.warmup) {
+            self.record_cold(now, endpoint, warmup.duration);
+        }
+    }
+
+    /// Records that an endpoint is cold for `span`.
+    pub fn record_cold(&mut self, now: Time, endpoint: &Arc<str>, span: Duration) {
+        let interval = self.cold_interval(endpoint);
+        self.cold.record(now, endpoint, Cold { until: now.plus(span), interval });
+    }
+
+    /// Returns the interval at which this replica may send to an endpoint while it is cold.
+    fn cold_interval(&self, endpoint: &str) -> Option<Duration> {
+        let service = self.directory.get(endpoint).map(|endpoint| &*endpoint.service);
+        let service = service.and_then(|service| self.catalog.as_ref()?.service(service));
+        let Some(warmup) = service.and_then(|service| service.warmup) else { return Some(Duration::ZERO) };
+        let share = Share::new(warmup.rate, self.tolerance)?;
+        self.roster.is_owner(endpoint, share.owners).then_some(share.interval)
+    }
+
+    /// Recomputes which cold endpoints this replica may send to. Must be called after each change of the roster and
+    /// of the configuration.
+    pub(super) fn update_cold_intervals(&mut self) {
+        if self.cold.is_empty() {
+            return;
+        }
+        let mut cold = std::mem::take(&mut self.cold);
+        cold.update_intervals(|endpoint| self.cold_interval(endpoint));
+        self.cold = cold;
     }
 
     /// Applies a list of endpoints read from the store.
@@ -53,12 +104,17 @@
     }
 
     fn update_directory(&mut self, now: Time, listing: Listing) -> Vec<Change> {
+        let cold = listing.rows.iter().filter(|row| !row.cold.is_zero());
+        let cold: Vec<(Arc<str>, Duration)> = cold.map(|row| (row.id.clone(), row.cold)).collect();
         let changes = if listing.is_complete {
             self.directory.replace(now, listing.version, listing.rows)
         } else {
             self.directory.update(now, listing.version, listing.rows)
         };
         self.staleness.record_endpoints(now, self.directory.newest_row());
+        for (endpoint, span) in cold {
+            self.record_cold(now, &endpoint, span);
+        }
         self.apply_changes(now, &changes);
         changes
     }
@@ -113,8 +169,11 @@
     }
 
     /// Returns the list of endpoints, for a peer that cannot read the store.
-    pub fn listing(&self) -> Listing {
-        let (version, rows) = self.directory.versioned_rows();
+    pub fn listing(&self, now: Time) -> Listing {
+        let (version, mut rows) = self.directory.versioned_rows();
+        for row in &mut rows {
+            row.cold = self.cold.get(now, &row.id).map_or(Duration::ZERO, |cold| cold.until.since(now));
+        }
         Listing { version, is_complete: true, rows }
     }
 }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod catalog;
+mod cold;
 mod digest;
 mod directory;
 mod evacuation;
@@ -48,11 +49,17 @@
 }
 
 fn row(version: u64, endpoint: Endpoint) -> Row {
-    Row { id: endpoint.id.clone(), version, sequence: version, endpoint: Some(Arc::new(endpoint)) }
+    Row {
+        id: endpoint.id.clone(),
+        version,
+        sequence: version,
+        cold: Duration::ZERO,
+        endpoint: Some(Arc::new(endpoint)),
+    }
 }
 
 fn removed_row(version: u64, id: &str) -> Row {
-    Row { id: id.into(), version, sequence: 0, endpoint: None }
+    Row { id: id.into(), version, sequence: 0, cold: Duration::ZERO, endpoint: None }
 }
 
 fn engine() -> Engine {
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -7,6 +7,7 @@
 };
 
 use tarragonhill_core::gateway::{
+    cold::ColdEndpoints,
     digest::{Digest, Share},
     directory::{Directory, Endpoint, Stage},
     forecast::Forecasts,
@@ -30,12 +31,14 @@
 }
 
 fn view<'a>(directory: &'a Directory, loads: &'a Loads, now: u64) -> View<'a> {
+    static COLD: LazyLock<ColdEndpoints> = LazyLock::new(ColdEndpoints::default);
     static POOLS: LazyLock<Pools> = LazyLock::new(Pools::default);
     static FORECASTS: LazyLock<Forecasts> = LazyLock::new(|| trained(SMALL));
     let partition = Partition { index: 0, count: 1 };
     View {
         now: at(now),
         directory,
+        cold: &COLD,
         loads,
         pools: &POOLS,
         forecasts: &FORECASTS,
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -6,6 +6,7 @@
     gateway::{
         budget::Rule,
         catalog::{Catalog, Kind, Limits, Service},
+        cold::Tolerance,
         completion::Completion,
         digest::Digest,
         directory::{Endpoint, Row, Stage},
@@ -30,13 +31,13 @@
         millicores: 1_000,
     };
     let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
-    State::new(identity, retries, at(0))
+    State::new(identity, retries, Tolerance::default(), at(0))
 }
 
 fn catalog(version: u64, rate: u64) -> Arc<Catalog> {
     let mut catalog = Catalog::new(version, Limits::default());
     catalog.add_route(route("/a/", Kind::Streaming));
-    catalog.add_service(Service { name: "drafting".into(), engine: Some(engine()) });
+    catalog.add_service(Service { name: "drafting".into(), engine: Some(engine()), warmup: None });
     catalog.add_customer(customer("faculty", rate, rate), ["key".into()]);
     Arc::new(catalog)
 }
@@ -398,7 +399,7 @@
 }
 
 fn evacuate(state: &mut State<u32>, version: u64, zone: &str, is_evacuated: bool) {
-    state.apply_evacuations(Batch::Changes(vec![Change { zone: zone.into(), version, is_evacuated }]));
+    state.apply_evacuations(at(0), Batch::Changes(vec![Change { zone: zone.into(), version, is_evacuated }]));
 }
 
 /// Returns the zones of the endpoints that `count` completions get.
@@ -446,7 +447,7 @@
     state.enqueue(at(10), completion(59_000), 2);
     state.enqueue(at(10), completion(59_000), 3);
     assert_eq!(state.dispatch(at(10)).len(), 2);
-    state.apply_evacuations(Batch::Complete(Evacuations::new(20, ["zone-a".into(), "zone-b".into()])));
+    state.apply_evacuations(at(0), Batch::Complete(Evacuations::new(20, ["zone-a".into(), "zone-b".into()])));
     assert!(matches!(state.dispatch(at(20)).as_slice(), [(_, Verdict::Expired)]));
     assert!(state.is_evacuated(at(20), "drafting"));
     assert_eq!(
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -7,7 +7,10 @@
 
 use bpaf::Bpaf;
 use spdlog::LevelFilter;
-use tarragonhill_core::{gateway::budget::Rule, placement::Policy};
+use tarragonhill_core::{
+    gateway::{budget::Rule, cold::Tolerance},
+    placement::Policy,
+};
 use tarragonhill_http::server::Limits;
 
 use crate::logging;
@@ -162,6 +165,12 @@
     /// Window over which retries are counted, seconds
     #[bpaf(long, env("TARRAGONHILL_RETRY_WINDOW_S"), argument("S"), fallback(10.0), display_fallback)]
     pub retry_window_s: f64,
+    /// Factor on the declared rate of cold endpoints that they tolerate; empty for the default
+    #[bpaf(long, env("TARRAGONHILL_COLD_OVERAGE"), argument("N"), fallback("1.0".into()), display_fallback)]
+    pub cold_overage: String,
+    /// Requests a second that cold endpoints tolerate in addition; empty for the default
+    #[bpaf(long, env("TARRAGONHILL_COLD_SLACK"), argument("N"), fallback("0.0".into()), display_fallback)]
+    pub cold_slack: String,
 }
 
 /// An invalid setting.
@@ -251,6 +260,8 @@
     pub grace: Duration,
     /// Retry budget.
     pub retries: Rule,
+    /// What cold endpoints tolerate beyond the rate that the operator declares.
+    pub cold_tolerance: Tolerance,
 }
 
 /// Validated settings of a daemon.
@@ -355,12 +366,19 @@
             slack: number("retry-slack", gateway.retry_slack, 0.0, 1e6)?,
             window: Duration::from_secs_f64(number("retry-window-s", gateway.retry_window_s, 0.5, 600.0)?),
         };
+        let declared = Tolerance::default();
+        let cold_tolerance = Tolerance {
+            factor: optional_number("cold-overage", &gateway.cold_overage, 0.0, 100.0)?
+                .unwrap_or(declared.factor),
+            slack: optional_number("cold-slack", &gateway.cold_slack, 0.0, 1e6)?.unwrap_or(declared.slack),
+        };
         Ok(Self {
             common: common.try_into()?,
             peer: address("peer", &gateway.peer)?,
             millicores: (number("cpu-share", gateway.cpu_share, 0.001, 1e3)? * 1e3) as u32,
             grace: Duration::from_secs_f64(number("grace-s", gateway.grace_s, 0.0, 3_600.0)?),
             retries,
+            cold_tolerance,
         })
     }
 }
@@ -395,6 +413,15 @@
     Ok(value)
 }
 
+/// Parses a number; an empty text is none.
+fn optional_number(setting: &str, text: &str, min: f64, max: f64) -> Result<Option<f64>, ConfigError> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let value = text.parse().map_err(|_| invalid(setting, format!("{text:?} is not a number")))?;
+    number(setting, value, min, max).map(Some)
+}
+
 fn count(setting: &str, value: usize, min: usize, max: usize) -> Result<usize, ConfigError> {
     if !(min..=max).contains(&value) {
         return Err(invalid(setting, format!("{value} is not between {min} and {max}")));
@@ -403,7 +430,7 @@
 }
 
 /// Names of all settings: flags without the leading dashes.
-pub const SETTING_NAMES: [&str; 25] = [
+pub const SETTING_NAMES: [&str; 27] = [
     "name",
     "zone",
     "listen",
@@ -429,6 +456,8 @@
     "retry-ratio",
     "retry-slack",
     "retry-window-s",
+    "cold-overage",
+    "cold-slack",
 ];
 
 /// Variable that the platform sets; it has the prefix but is not a setting of the daemon.
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -42,6 +42,7 @@
             millicores: settings.millicores,
             incarnation: rand::random(),
             retries: settings.retries,
+            cold_tolerance: settings.cold_tolerance,
             drain_delay: DEREGISTRATION_DELAY,
             grace: settings.grace.saturating_sub(EXIT_RESERVE),
         };
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,6 +18,7 @@
     gateway::{
         backoff::Backoffs,
         catalog::Catalog,
+        cold::ColdEndpoints,
         completion::{Completion, Prompt},
         digest::Member,
         directory::Endpoint,
@@ -63,6 +64,7 @@
     RecordInterrupted(Arc<str>, u64),
     RecordLeaving(Arc<str>, u64),
     RecordBackoff(Arc<str>, Time),
+    RecordCold(Arc<str>, Duration),
     CancelOrder(Arc<str>),
     Update(Update),
     Bundle(Box<Bundle>),
@@ -83,6 +85,9 @@
     /// The operator has evacuated the endpoint's zone.
     #[strum(to_string = "the endpoint's zone is evacuated")]
     Evacuated,
+    /// The endpoint is cold, and other replicas send to it, or this one has sent to it too often.
+    #[strum(to_string = "the endpoint is cold")]
+    Cold,
 }
 
 /// Placement of a request on an endpoint. Dropping it releases the request's share of the endpoint's load.
@@ -153,6 +158,8 @@
     backoffs: Backoffs,
     /// Evacuated zones, for requests that were placed before the evacuation.
     evacuations: Evacuations,
+    /// Cold endpoints, and when requests were sent to them.
+    cold: ColdEndpoints,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -275,6 +282,27 @@
         is_backing_off.then_some(Block::BackingOff)
     }
 
+    /// Takes a turn to send a request to an endpoint, and returns when; `None` if the endpoint is cold and there is no
+    /// turn within `limit`.
+    pub fn take_cold_turn(&self, now: Time, endpoint: &Endpoint, limit: Duration) -> Option<Time> {
+        let mut shared = lock(&self.shared);
+        shared.cold.wait(now, &endpoint.id).filter(|wait| *wait <= limit)?;
+        shared.cold.take(now, &endpoint.id)
+    }
+
+    /// Returns the number of cold endpoints.
+    pub fn cold_count(&self, now: Time) -> usize {
+        lock(&self.shared).cold.all(now).count()
+    }
+
+    /// Records that an endpoint said that it is cold for `span`.
+    pub fn record_cold(&self, now: Time, endpoint: &Endpoint, span: Duration) {
+        let is_known = lock(&self.shared).cold.get(now, &endpoint.id).is_some();
+        if !is_known {
+            self.send(Command::RecordCold(endpoint.id.clone(), span));
+        }
+    }
+
     /// Returns the evacuated zones.
     pub fn evacuations(&self) -> Evacuations {
         lock(&self.shared).evacuations.clone()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -15,6 +15,7 @@
     gateway::{
         budget::Rule,
         catalog::Catalog,
+        cold::Tolerance,
         digest::{Digest, Member},
         directory::Change,
         forecast::Forecast,
@@ -60,12 +61,18 @@
 }
 
 /// Starts the thread and returns a handle to it. The thread sends digests and orders to `outputs`.
-pub fn start(identity: Identity, retries: Rule, clock: Clock, outputs: Outputs) -> io::Result<Control> {
+pub fn start(
+    identity: Identity,
+    retries: Rule,
+    tolerance: Tolerance,
+    clock: Clock,
+    outputs: Outputs,
+) -> io::Result<Control> {
     let (commands, received) = async_channel::unbounded();
     let (initializing, initialized) = async_channel::bounded(1);
     let started = clock.now();
     let control = Control { commands, shared: Arc::default(), initialized, started };
-    let state = State::new(identity, retries, started);
+    let state = State::new(identity, retries, tolerance, started);
     // A weak handle, so that the thread ends once all other handles have been dropped.
     let commands = control.commands.downgrade();
     let (shared, initialized) = (control.shared.clone(), control.initialized.clone());
@@ -137,6 +144,7 @@
                 Ok(Ok(command)) => {
                     self.execute(command);
                     self.publish_evacuations();
+                    self.publish_cold();
                 }
                 Ok(Err(_)) => return,
                 Err(_) => {}
@@ -204,7 +212,28 @@
         drop(shared);
         if !previous.zones().eq(evacuations.zones()) {
             let zones = evacuations.zones().map(|zone| &**zone).collect::<Vec<&str>>().join(",");
-            spdlog::info!("evacuations in force", kv: { zones = zones.as_str(), order = evacuations.version() });
+            let listed = self.state.directory().all();
+            let endpoints = listed.filter(|endpoint| evacuations.contains(&endpoint.zone)).count();
+            spdlog::info!("evacuations in force", kv: { zones = zones.as_str(), order = evacuations.version(), endpoints });
+        }
+    }
+
+    /// Makes changes of the cold endpoints known to the threads that send to endpoints.
+    fn publish_cold(&self) {
+        let (cold, now) = (self.state.cold(), self.clock.now());
+        let mut shared = lock(&self.weak_control.shared);
+        if shared.cold.generation() == cold.generation() {
+            return;
+        }
+        let previous = shared.cold.clone();
+        shared.cold.copy_list(cold);
+        drop(shared);
+        for (endpoint, state) in cold.all(now).filter(|(endpoint, _)| previous.get(now, endpoint).is_none()) {
+            let interval_ms = state.interval.map(|interval| interval.as_millis() as u64);
+            spdlog::info!("endpoint cold", kv: {
+                endpoint = &**endpoint, cold_ms = state.until.since(now).as_millis() as u64,
+                is_owner = interval_ms.is_some(), interval_ms = interval_ms.unwrap_or(0)
+            });
         }
     }
 
@@ -281,10 +310,11 @@
                 let retry_after_ms = until.since(now).as_millis() as u64;
                 spdlog::info!("endpoint notice", kv: { endpoint = &*endpoint, retry_after_ms });
             }
+            Command::RecordCold(endpoint, span) => self.state.record_cold(now, &endpoint, span),
             Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Bundle(bundle) => self.state.apply_bundle(now, &bundle),
-            Command::Snapshot(reply) => drop(reply.try_send(self.snapshot())),
+            Command::Snapshot(reply) => drop(reply.try_send(self.snapshot(now))),
             Command::NewerPeers(reply) => drop(reply.try_send(self.state.catch_up_peers(now))),
             Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
             Command::Members(reply) => drop(reply.try_send(self.state.members())),
@@ -303,8 +333,8 @@
     fn update(&mut self, now: Time, update: Update) {
         match update {
             Update::Catalog { row_version, catalog, source } => self.adopt(now, row_version, catalog, source),
-            Update::Evacuations(batch) => self.state.apply_evacuations(batch),
-            Update::PeerEvacuations(evacuations) => self.state.merge_evacuations(&evacuations),
+            Update::Evacuations(batch) => self.state.apply_evacuations(now, batch),
+            Update::PeerEvacuations(evacuations) => self.state.merge_evacuations(now, &evacuations),
             Update::Listing(listing) => log_changes(&self.state.apply_listing(now, listing)),
             Update::PeerListing { listing, newest } => {
                 log_changes(&self.state.apply_peer_listing(now, listing, newest));
@@ -316,6 +346,7 @@
                 spdlog::info!("peer read from the store", kv: { peer = &*member.name, address = member.address.to_string().as_str() });
                 self.state.add_member(now, member);
             }
+            Update::MembersRead => self.state.mark_members_read(),
             Update::StoreLost { what, reason } => {
                 spdlog::warn!("store lost", kv: { what, reason = reason.as_str() });
                 self.state.mark_store_unreachable();
@@ -327,11 +358,11 @@
         }
     }
 
-    fn snapshot(&self) -> Option<Snapshot> {
+    fn snapshot(&self, now: Time) -> Option<Snapshot> {
         let configuration = self.source.clone()?;
         let versions = self.state.versions();
         let evacuations = self.state.directory().evacuations().clone();
-        Some(Snapshot { versions, configuration, evacuations, listing: self.state.listing() })
+        Some(Snapshot { versions, configuration, evacuations, listing: self.state.listing(now) })
     }
 
     /// Activates a configuration, unless it is not newer than the active one.
@@ -358,6 +389,7 @@
                     "id": endpoint.id, "service": endpoint.service, "zone": endpoint.zone,
                     "stage": endpoint.stage.to_string(), "leaving": endpoint.is_draining,
                     "running": all.running, "memory": all.memory, "reading": all.prefill_tokens,
+                    "cold_ms": self.state.cold().get(now, &endpoint.id).map(|cold| cold.until.since(now).as_millis() as u64),
                     "failing": load.map(|load| load.health.failure_ratio(now)),
                 })
             })
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -102,6 +102,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the endpoint is leaving and must soon get no requests.
     pub is_leaving: bool,
+    /// How much longer the endpoint is cold, if it says so.
+    pub cold: Option<Duration>,
     /// Backoff that the endpoint asks this gateway for.
     pub retry_after: Option<Duration>,
 }
@@ -236,6 +238,9 @@
     },
     /// The name and gossip address of a peer were read.
     Member(Member),
+    /// All members that the store lists have been sent, at a time when all replicas that started before this one know
+    /// it.
+    MembersRead,
     /// The store became unreachable.
     StoreLost {
         /// Part of the store that could not be read.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     pub invalid_rows: IntCounterVec,
     /// 1 for each evacuated availability zone.
     pub evacuated: GaugeVec,
+    /// Number of cold endpoints.
+    pub cold_endpoints: IntGauge,
     /// Version of the active configuration; 0 before the first.
     pub version: IntGauge,
     /// Forecast durations of the parts of a completion, seconds, by service and part.
@@ -54,10 +56,11 @@
             store_losses: counter("gateway_store_losses_total", "Losses of the store", &["what"]),
             invalid_rows: counter("gateway_invalid_rows_total", "Invalid rows of the store", &["what"]),
             evacuated: gauges("gateway_evacuated", "Evacuated availability zones", &["zone"]),
+            cold_endpoints: gauge("gateway_cold_endpoints", "Endpoints that are cold"),
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 11] = [
+        let collectors: [Box<dyn Collector>; 12] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -67,6 +70,7 @@
             Box::new(metrics.store_losses.clone()),
             Box::new(metrics.invalid_rows.clone()),
             Box::new(metrics.evacuated.clone()),
+            Box::new(metrics.cold_endpoints.clone()),
             Box::new(metrics.version.clone()),
             Box::new(metrics.forecasts.clone()),
         ];
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,7 +19,7 @@
 use prometheus::Registry;
 use tarragonhill_core::{
     Clock, Time,
-    gateway::{budget::Rule, shutdown::Shutdown, state::Identity},
+    gateway::{budget::Rule, cold::Tolerance, shutdown::Shutdown, state::Identity},
 };
 
 use crate::{
@@ -72,6 +72,8 @@
     pub incarnation: u64,
     /// Retry budget.
     pub retries: Rule,
+    /// What cold endpoints tolerate beyond the rate that the operator declares.
+    pub cold_tolerance: Tolerance,
     /// How long new connections are still accepted after shutdown has begun and the gateway reports not ready.
     pub drain_delay: Duration,
     /// Maximum duration of a shutdown, including `drain_delay`.
@@ -137,7 +139,8 @@
         let (digests, outgoing_digests) = async_channel::bounded(DIGEST_CAPACITY);
         let (orders, outgoing_orders) = async_channel::bounded(ORDER_CAPACITY);
         let outputs = Outputs { digests, orders };
-        let control = worker::start(identity, settings.retries, clock.clone(), outputs);
+        let control =
+            worker::start(identity, settings.retries, settings.cold_tolerance, clock.clone(), outputs);
         let control = control.map_err(StartError::Thread)?;
         let mirror = Mirror::new(clock.clone(), control.clone());
         let (phases, monitor) = phases();
@@ -278,6 +281,8 @@
         for zone in self.0.control.evacuations().zones() {
             self.0.metrics.evacuated.with_label_values(&[&**zone]).set(1.0);
         }
+        let cold_endpoints = self.0.control.cold_count(self.0.clock.now());
+        self.0.metrics.cold_endpoints.set(i64::try_from(cold_endpoints).unwrap_or(i64::MAX));
         for (service, forecast) in self.0.control.forecasts().await {
             let times = [
                 ("reading", forecast.prefill_time(FORECAST_PROMPT_TOKENS)),
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -611,6 +611,9 @@
     /// Whether the endpoint is draining.
     #[prost(bool, tag = "10")]
     pub leaving: bool,
+    /// How much longer the endpoint is cold.
+    #[prost(uint64, tag = "11")]
+    pub cold_us: u64,
 }
 /// Generated client implementations.
 pub mod agent_client {
--- a/crates/wire/src/snapshot.rs
+++ b/crates/wire/src/snapshot.rs
@@ -3,14 +3,18 @@
 use std::{
     io::{self, Read as _, Write as _},
     sync::Arc,
+    time::Duration,
 };
 
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
-use tarragonhill_core::gateway::{
-    directory::{Endpoint, Row},
-    snapshot::Snapshot,
-    staleness::Versions,
-    state::Listing,
+use tarragonhill_core::{
+    clock::micros,
+    gateway::{
+        directory::{Endpoint, Row},
+        snapshot::Snapshot,
+        staleness::Versions,
+        state::Listing,
+    },
 };
 
 use crate::{
@@ -60,6 +64,7 @@
                 stage: endpoint.stage.to_string(),
                 slots: endpoint.slots,
                 leaving: endpoint.is_draining,
+                cold_us: micros(row.cold),
             })
         });
         Self {
@@ -112,6 +117,7 @@
             is_draining: listed.leaving,
         };
         let (version, sequence) = (listed.version, listed.sequence);
-        Ok(Self { id, version, sequence, endpoint: Some(Arc::new(endpoint)) })
+        let cold = Duration::from_micros(listed.cold_us);
+        Ok(Self { id, version, sequence, cold, endpoint: Some(Arc::new(endpoint)) })
     }
 }
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -140,7 +140,13 @@
         slots: 48,
         is_draining: true,
     };
-    Row { id: name(id), version: 7, sequence: 9, endpoint: Some(Arc::new(endpoint)) }
+    Row {
+        id: name(id),
+        version: 7,
+        sequence: 9,
+        cold: Duration::from_millis(1_500),
+        endpoint: Some(Arc::new(endpoint)),
+    }
 }
 
 #[test]
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -9,6 +9,7 @@
     gateway::{
         budget::Rule,
         catalog::{Catalog, Customer, Engine, Limits, Service},
+        cold::Tolerance,
         completion::Completion,
         digest::{Digest, Member, Share, StageChange},
         directory::{Endpoint, Row, Stage},
@@ -73,7 +74,7 @@
     let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
     let mut catalog = Catalog::new(1, Limits::default());
     let engine = Engine { slots: 48, memory: 45_000, max_reservation: Duration::from_secs(2) };
-    catalog.add_service(Service { name: "drafting".into(), engine: Some(engine) });
+    catalog.add_service(Service { name: "drafting".into(), engine: Some(engine), warmup: None });
     let customer = Customer {
         name: "faculty".into(),
         priority: None,
@@ -97,9 +98,10 @@
         id: endpoint.id.clone(),
         version: 1,
         sequence: 1,
+        cold: Duration::ZERO,
         endpoint: Some(Arc::new(endpoint)),
     });
-    let mut state = State::new(identity, retries, at(0));
+    let mut state = State::new(identity, retries, Tolerance::default(), at(0));
     state.apply_catalog(at(0), 1, Arc::new(catalog));
     state.apply_listing(at(0), Listing { version: 1, is_complete: true, rows: rows.into() });
     state
