--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -6,12 +6,15 @@
 pub mod backoff;
 pub mod budget;
 pub mod catalog;
+pub mod cold;
 pub mod completion;
 pub mod digest;
 pub mod directory;
+pub mod evacuation;
 pub mod forecast;
 pub mod growth;
 pub mod health;
+pub mod interval;
 pub mod lease;
 pub mod load;
 pub mod mirror;
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -9,6 +9,7 @@
 
 use strum::{Display, EnumString, IntoStaticStr};
 
+use super::evacuation::Evacuations;
 use crate::clock::Time;
 
 /// How long endpoints whose rows lapsed in a store outage stay in use once the store is reachable
@@ -59,6 +60,8 @@
     pub version: u64,
     /// Number of the write, counted by the endpoint from its start.
     pub sequence: u64,
+    /// How much longer the endpoint is cold, by what it wrote.
+    pub cold: Duration,
     /// `None` if the row was removed or cannot be used.
     pub endpoint: Option<Arc<Endpoint>>,
 }
@@ -111,6 +114,8 @@
     /// When the store became reachable again after an outage.
     store_recovered: Option<Time>,
     is_store_unreachable: bool,
+    /// Endpoints of these zones are listed but do not serve.
+    evacuations: Evacuations,
 }
 
 impl Directory {
@@ -126,6 +131,16 @@
         }
     }
 
+    /// Returns the evacuated zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the evacuated zones, to change them.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
     /// Returns whether a list has been read.
     pub fn is_loaded(&self) -> bool {
         self.version > 0
@@ -168,7 +183,7 @@
             .records
             .iter()
             .filter(|(id, record)| record.version <= version && !listed.contains(id))
-            .map(|(id, _)| Row { id: id.clone(), version, sequence: 0, endpoint: None })
+            .map(|(id, _)| Row { id: id.clone(), version, sequence: 0, cold: Duration::ZERO, endpoint: None })
             .collect();
         let is_current = version >= self.version;
         let mut changes = self.update(now, version, rows);
@@ -265,7 +280,11 @@
 
     /// Returns the endpoints of a service that accept new requests.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Endpoint>> {
-        self.all().filter(move |endpoint| &*endpoint.service == service && !endpoint.is_draining)
+        self.all().filter(move |endpoint| {
+            &*endpoint.service == service
+                && !endpoint.is_draining
+                && !self.evacuations.contains(&endpoint.zone)
+        })
     }
 
     /// Returns the list version and rows, for a peer that cannot read the store. Lapsed endpoints
@@ -274,7 +293,8 @@
         let current = self.records.iter().filter(|(_, record)| record.expires.is_none());
         let rows = current.filter_map(|(id, record)| {
             let endpoint = Some(record.endpoint.clone()?);
-            Some(Row { id: id.clone(), version: record.version, sequence: record.last_write.1, endpoint })
+            let (version, sequence) = (record.version, record.last_write.1);
+            Some(Row { id: id.clone(), version, sequence, cold: Duration::ZERO, endpoint })
         });
         (self.version, rows.collect())
     }
--- /dev/null
+++ b/crates/core/src/gateway/state/store.rs
@@ -0,0 +1,179 @@
+//! What was read from the store: configuration and endpoints.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Listing, State};
+use crate::{
+    clock::Time,
+    gateway::{
+        catalog::Catalog,
+        cold::{Cold, Share},
+        digest::Member,
+        directory::Change,
+        evacuation::{self, Evacuations},
+        staleness::Versions,
+    },
+};
+
+impl<T> State<T> {
+    /// Applies a configuration; returns false if it is not newer than the current one.
+    pub fn apply_catalog(&mut self, now: Time, row_version: u64, catalog: Arc<Catalog>) -> bool {
+        if self.catalog.is_some() && row_version <= self.staleness.own().configuration {
+            return false;
+        }
+        self.rate_limiter.update_customers(now, catalog.customers());
+        self.staleness.record_configuration(now, row_version);
+        self.catalog = Some(catalog);
+        self.update_cold_intervals();
+        true
+    }
+
+    /// Applies evacuations read from the store.
+    pub fn apply_evacuations(&mut self, now: Time, batch: evacuation::Batch) {
+        self.change_evacuations(now, |evacuations| evacuations.apply(batch));
+    }
+
+    /// Takes over the evacuations of a peer if they are newer.
+    pub fn merge_evacuations(&mut self, now: Time, evacuations: &Evacuations) {
+        self.change_evacuations(now, |own| own.merge(evacuations));
+    }
+
+    /// Changes the evacuations. Endpoints of zones that are no longer evacuated count as cold: they may have been
+    /// restarted, and their rows may arrive later than the end of the evacuation.
+    fn change_evacuations(&mut self, now: Time, change: impl FnOnce(&mut Evacuations)) {
+        let previous = self.directory.evacuations().clone();
+        change(self.directory.evacuations_mut());
+        let evacuations = self.directory.evacuations();
+        let is_back = |zone: &str| previous.contains(zone) && !evacuations.contains(zone);
+        let back = self.directory.all().filter(|endpoint| is_back(&endpoint.zone));
+        let back: Vec<Arc<str>> = back.map(|endpoint| endpoint.id.clone()).collect();
+        for endpoint in back {
+            self.record_restart(now, &endpoint);
+        }
+    }
+
+    /// Records that an endpoint may just have started, and may be cold for as long as its service declares.
+    pub(super) fn record_restart(&mut self, now: Time, endpoint: &Arc<str>) {
+        let service = self.directory.get(endpoint).map(|endpoint| &*endpoint.service);
+        let service = service.and_then(|service| self.catalog.as_ref()?.service(service));
+        if let Some(warmup) = service.and_then(|service| service.warmup) {
+            self.record_cold(now, endpoint, warmup.duration);
+        }
+    }
+
+    /// Records that an endpoint is cold for `span`.
+    pub fn record_cold(&mut self, now: Time, endpoint: &Arc<str>, span: Duration) {
+        let interval = self.cold_interval(endpoint);
+        self.cold.record(now, endpoint, Cold { until: now.plus(span), interval });
+    }
+
+    /// Returns the interval at which this replica may send to an endpoint while it is cold.
+    fn cold_interval(&self, endpoint: &str) -> Option<Duration> {
+        let service = self.directory.get(endpoint).map(|endpoint| &*endpoint.service);
+        let service = service.and_then(|service| self.catalog.as_ref()?.service(service));
+        let Some(warmup) = service.and_then(|service| service.warmup) else { return Some(Duration::ZERO) };
+        let share = Share::new(warmup.rate, self.tolerance)?;
+        self.roster.is_owner(endpoint, share.owners).then_some(share.interval)
+    }
+
+    /// Recomputes which cold endpoints this replica may send to. Must be called after each change of the roster and
+    /// of the configuration.
+    pub(super) fn update_cold_intervals(&mut self) {
+        if self.cold.is_empty() {
+            return;
+        }
+        let mut cold = std::mem::take(&mut self.cold);
+        cold.update_intervals(|endpoint| self.cold_interval(endpoint));
+        self.cold = cold;
+    }
+
+    /// Applies a list of endpoints read from the store.
+    pub fn apply_listing(&mut self, now: Time, listing: Listing) -> Vec<Change> {
+        self.directory.mark_store_reachable(now);
+        self.update_directory(now, listing)
+    }
+
+    /// Applies the list of a peer whose newest row is `newest`.
+    pub fn apply_peer_listing(&mut self, now: Time, mut listing: Listing, newest: u64) -> Vec<Change> {
+        // Once a list has been read, rows that the peer lacks are kept: they may only have lapsed
+        // during a store outage.
+        listing.is_complete &= !self.directory.is_loaded();
+        let changes = self.update_directory(now, listing);
+        self.staleness.record_endpoints(now, newest);
+        changes
+    }
+
+    fn update_directory(&mut self, now: Time, listing: Listing) -> Vec<Change> {
+        let cold = listing.rows.iter().filter(|row| !row.cold.is_zero());
+        let cold: Vec<(Arc<str>, Duration)> = cold.map(|row| (row.id.clone(), row.cold)).collect();
+        let changes = if listing.is_complete {
+            self.directory.replace(now, listing.version, listing.rows)
+        } else {
+            self.directory.update(now, listing.version, listing.rows)
+        };
+        self.staleness.record_endpoints(now, self.directory.newest_row());
+        for (endpoint, span) in cold {
+            self.record_cold(now, &endpoint, span);
+        }
+        self.apply_changes(now, &changes);
+        changes
+    }
+
+    pub(super) fn apply_changes(&mut self, now: Time, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Restarted(endpoint) => {
+                    self.suspects.record_crash(now, &endpoint.id);
+                    self.pools.cancel(&endpoint.id);
+                }
+                Change::Removed(endpoint) => {
+                    self.suspects.record_crash(now, &endpoint.id);
+                    self.loads.remove_if_idle(&endpoint.id);
+                    self.forecasts.remove_endpoint(&endpoint.service, &endpoint.id);
+                }
+                Change::Updated(endpoint) => self.pools.confirm(endpoint),
+                Change::Draining(_) | Change::Lapsed(_) => {}
+            }
+        }
+    }
+
+    /// Records that an incarnation of an endpoint said that it is leaving. Returns the change if it was not
+    /// known.
+    pub fn record_leaving(&mut self, endpoint: &str, started_ms: u64) -> Option<Change> {
+        self.directory.mark_leaving(endpoint, started_ms)
+    }
+
+    /// Records that the store is unreachable.
+    pub fn mark_store_unreachable(&mut self) {
+        self.directory.mark_store_unreachable();
+    }
+
+    /// Returns the versions of this replica's copy of the store.
+    pub fn versions(&self) -> Versions {
+        self.staleness.own()
+    }
+
+    /// Returns whether a peer has a newer configuration than this replica.
+    pub fn is_configuration_stale(&self, now: Time) -> bool {
+        let own = Versions { endpoints: u64::MAX, ..self.staleness.own() };
+        self.peers.ahead_of(now, own).next().is_some()
+    }
+
+    /// Returns the peers that have data which the store should have delivered to this replica by
+    /// now; empty if nothing is overdue.
+    pub fn catch_up_peers(&self, now: Time) -> Vec<Member> {
+        if !self.staleness.is_overdue(now) {
+            return Vec::new();
+        }
+        self.peers.ahead_of(now, self.staleness.own()).collect()
+    }
+
+    /// Returns the list of endpoints, for a peer that cannot read the store.
+    pub fn listing(&self, now: Time) -> Listing {
+        let (version, mut rows) = self.directory.versioned_rows();
+        for row in &mut rows {
+            row.cold = self.cold.get(now, &row.id).map_or(Duration::ZERO, |cold| cold.until.since(now));
+        }
+        Listing { version, is_complete: true, rows }
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,14 +12,17 @@
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt as _;
+use strum::Display;
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
         backoff::Backoffs,
         catalog::Catalog,
+        cold::ColdEndpoints,
         completion::{Completion, Prompt},
         digest::Member,
         directory::Endpoint,
+        evacuation::Evacuations,
         forecast::{Forecast, Observation},
         health::Outcome,
         load::Lease,
@@ -61,6 +64,7 @@
     RecordInterrupted(Arc<str>, u64),
     RecordLeaving(Arc<str>, u64),
     RecordBackoff(Arc<str>, Time),
+    RecordCold(Arc<str>, Duration),
     CancelOrder(Arc<str>),
     Update(Update),
     Bundle(Box<Bundle>),
@@ -72,6 +76,20 @@
     Dump(ReplySender<serde_json::Value>),
 }
 
+/// Why nothing may be sent to an endpoint, although it may have been chosen before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Block {
+    /// The endpoint has asked for a backoff that is not over.
+    #[strum(to_string = "the endpoint is backing off")]
+    BackingOff,
+    /// The operator has evacuated the endpoint's zone.
+    #[strum(to_string = "the endpoint's zone is evacuated")]
+    Evacuated,
+    /// The endpoint is cold, and other replicas send to it, or this one has sent to it too often.
+    #[strum(to_string = "the endpoint is cold")]
+    Cold,
+}
+
 /// Placement of a request on an endpoint. Dropping it releases the request's share of the endpoint's load.
 pub struct Permit {
     /// Endpoint that the request is placed on.
@@ -138,6 +156,10 @@
     is_stale: bool,
     /// Backoffs of endpoints, for requests that were placed before an endpoint asked for one.
     backoffs: Backoffs,
+    /// Evacuated zones, for requests that were placed before the evacuation.
+    evacuations: Evacuations,
+    /// Cold endpoints, and when requests were sent to them.
+    cold: ColdEndpoints,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -250,9 +272,40 @@
         self.send(Command::RecordBackoff(endpoint.id.clone(), until));
     }
 
-    /// Returns whether the backoff of an endpoint is not over.
-    pub fn is_backing_off(&self, now: Time, endpoint: &Endpoint) -> bool {
-        !lock(&self.shared).backoffs.remaining(now, &endpoint.id).is_zero()
+    /// Returns why nothing may be sent to an endpoint at the moment; `None` if it may.
+    pub fn block(&self, now: Time, endpoint: &Endpoint) -> Option<Block> {
+        let shared = lock(&self.shared);
+        if shared.evacuations.contains(&endpoint.zone) {
+            return Some(Block::Evacuated);
+        }
+        let is_backing_off = !shared.backoffs.remaining(now, &endpoint.id).is_zero();
+        is_backing_off.then_some(Block::BackingOff)
+    }
+
+    /// Takes a turn to send a request to an endpoint, and returns when; `None` if the endpoint is cold and there is no
+    /// turn within `limit`.
+    pub fn take_cold_turn(&self, now: Time, endpoint: &Endpoint, limit: Duration) -> Option<Time> {
+        let mut shared = lock(&self.shared);
+        shared.cold.wait(now, &endpoint.id).filter(|wait| *wait <= limit)?;
+        shared.cold.take(now, &endpoint.id)
+    }
+
+    /// Returns the number of cold endpoints.
+    pub fn cold_count(&self, now: Time) -> usize {
+        lock(&self.shared).cold.all(now).count()
+    }
+
+    /// Records that an endpoint said that it is cold for `span`.
+    pub fn record_cold(&self, now: Time, endpoint: &Endpoint, span: Duration) {
+        let is_known = lock(&self.shared).cold.get(now, &endpoint.id).is_some();
+        if !is_known {
+            self.send(Command::RecordCold(endpoint.id.clone(), span));
+        }
+    }
+
+    /// Returns the evacuated zones.
+    pub fn evacuations(&self) -> Evacuations {
+        lock(&self.shared).evacuations.clone()
     }
 
     /// Records that an order was not carried out.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    control::Control,
+    control::{Block, Control},
     edge::{Dialect, Reply},
     pool::Pool,
 };
@@ -32,6 +32,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long sent data may stay unacknowledged before the operating system closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for a turn at a cold endpoint. Placements keep the same interval, so turns are rarely taken.
+const MAX_COLD_WAIT: Duration = Duration::from_millis(600);
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Limit on a body that is read whole.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -41,8 +43,8 @@
 /// Why an exchange failed.
 #[derive(Debug)]
 pub(crate) enum Failure {
-    /// The endpoint has asked for a backoff that is not over; nothing was sent.
-    BackingOff,
+    /// Nothing may be sent to the endpoint at the moment, and nothing was.
+    Blocked(Block),
     /// No connection could be opened; nothing was sent.
     Connect(io::Error),
     /// The connection failed after the request was sent; the request may have run.
@@ -56,7 +58,7 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::BackingOff => f.write_str("the endpoint is backing off"),
+            Self::Blocked(block) => write!(f, "{block}"),
             Self::Connect(error) => write!(f, "connecting failed: {error}"),
             Self::Connection(error) => write!(f, "{error}"),
             Self::InvalidResponse(why) => write!(f, "invalid response: {why}"),
@@ -131,10 +133,12 @@
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
         let began = Instant::now();
-        let is_backing_off = || self.control.is_backing_off(self.clock.now(), endpoint);
-        if is_backing_off() {
-            return Err(Failure::BackingOff);
-        }
+        let check = || {
+            self.control
+                .block(self.clock.now(), endpoint)
+                .map_or(Ok(()), |block| Err(Failure::Blocked(block)))
+        };
+        check()?;
         let connection = match self.pool.take(endpoint).await {
             Some(connection) => connection,
             None => {
@@ -142,14 +146,30 @@
                 Connection::open(endpoint.address, limit, TCP_USER_TIMEOUT).await.map_err(Failure::Connect)?
             }
         };
-        // The endpoint may have asked for a backoff while the connection was opened.
-        if is_backing_off() {
-            return Err(Failure::BackingOff);
+        // That may have changed while the connection was opened.
+        check()?;
+        // Only requests of callers count, and those have an id.
+        if id.is_some() {
+            self.wait_for_cold(endpoint, limit.saturating_sub(began.elapsed())).await?;
         }
         let exchanged = self.exchange(endpoint, connection, head, body, id);
         timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout))
     }
 
+    /// Waits until this replica may send a request to an endpoint that is cold.
+    async fn wait_for_cold(self, endpoint: &Endpoint, limit: Duration) -> Result<(), Failure> {
+        let now = self.clock.now();
+        let at = self.control.take_cold_turn(now, endpoint, limit.min(MAX_COLD_WAIT));
+        let at = at.ok_or(Failure::Blocked(Block::Cold))?;
+        if at > now {
+            self.clock.sleep(at.since(now)).await;
+            if let Some(block) = self.control.block(self.clock.now(), endpoint) {
+                return Err(Failure::Blocked(block));
+            }
+        }
+        Ok(())
+    }
+
     async fn exchange(
         self,
         endpoint: &'a Endpoint,
@@ -198,6 +218,9 @@
         if reply.is_leaving {
             self.control.record_leaving(endpoint);
         }
+        if let Some(span) = reply.cold {
+            self.control.record_cold(self.clock.now(), endpoint, span);
+        }
         if let Some(span) = reply.retry_after {
             self.control.record_backoff(self.clock.now(), endpoint, span);
         }
--- a/crates/wire/src/snapshot.rs
+++ b/crates/wire/src/snapshot.rs
@@ -3,17 +3,25 @@
 use std::{
     io::{self, Read as _, Write as _},
     sync::Arc,
+    time::Duration,
 };
 
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
-use tarragonhill_core::gateway::{
-    directory::{Endpoint, Row},
-    snapshot::Snapshot,
-    staleness::Versions,
-    state::Listing,
+use tarragonhill_core::{
+    clock::micros,
+    gateway::{
+        directory::{Endpoint, Row},
+        snapshot::Snapshot,
+        staleness::Versions,
+        state::Listing,
+    },
 };
 
-use crate::{DecodeError, proto};
+use crate::{
+    DecodeError,
+    digest::{decode_evacuations, encode_evacuations},
+    proto,
+};
 
 /// Limit on a decompressed configuration, equal to the limit on responses of the store.
 const MAX_CONFIGURATION_BYTES: u64 = 16 << 20;
@@ -56,6 +64,7 @@
                 stage: endpoint.stage.to_string(),
                 slots: endpoint.slots,
                 leaving: endpoint.is_draining,
+                cold_us: micros(row.cold),
             })
         });
         Self {
@@ -64,6 +73,7 @@
             list: snapshot.listing.version,
             endpoints: endpoints.collect(),
             newest: snapshot.versions.endpoints,
+            evacuations: encode_evacuations(&snapshot.evacuations),
         }
     }
 }
@@ -79,6 +89,7 @@
         Ok(Self {
             versions: Versions { configuration: snapshot.order, endpoints: snapshot.newest },
             configuration: configuration.into(),
+            evacuations: decode_evacuations(snapshot.evacuations),
             listing: Listing { version: snapshot.list, is_complete: true, rows: rows? },
         })
     }
@@ -106,6 +117,7 @@
             is_draining: listed.leaving,
         };
         let (version, sequence) = (listed.version, listed.sequence);
-        Ok(Self { id, version, sequence, endpoint: Some(Arc::new(endpoint)) })
+        let cold = Duration::from_micros(listed.cold_us);
+        Ok(Self { id, version, sequence, cold, endpoint: Some(Arc::new(endpoint)) })
     }
 }
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -7,6 +7,7 @@
     gateway::{
         digest::{Digest, Share},
         directory::{Endpoint, Row, Stage},
+        evacuation::Evacuations,
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         snapshot::Snapshot,
@@ -139,13 +140,20 @@
         slots: 48,
         is_draining: true,
     };
-    Row { id: name(id), version: 7, sequence: 9, endpoint: Some(Arc::new(endpoint)) }
+    Row {
+        id: name(id),
+        version: 7,
+        sequence: 9,
+        cold: Duration::from_millis(1_500),
+        endpoint: Some(Arc::new(endpoint)),
+    }
 }
 
 #[test]
 fn store_snapshot_round_trips() {
     let listing = Listing { version: 12, is_complete: true, rows: vec![listed("i-1"), listed("i-2")] };
     let snapshot = Snapshot {
+        evacuations: Evacuations::new(3, ["zone-b".into()]),
         versions: Versions { configuration: 11, endpoints: 9 },
         configuration: b"{\xff}".to_vec().into(),
         listing,
