Let a relay that read an empty store answer its zone

Cause: mirror::Table took version 0 for unread, and 0 is also the version of a store in which nothing has been written. A gateway that no longer writes its row before its first read met it at the first start of a site: the copy stayed unavailable and every follower turned to the store itself. Change: the version is an Option. A test guards it.

--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -34,8 +34,8 @@
 pub struct Table {
     /// Includes removed rows whose removal was read.
     rows: BTreeMap<Arc<str>, Row>,
-    /// Version of the newest batch; zero before the first complete one.
-    version: u64,
+    /// Version of the newest batch; `None` before the first complete one. An empty store has version 0.
+    version: Option<u64>,
     /// Version from which all removals are in `rows`.
     complete_since: u64,
     is_available: bool,
@@ -47,11 +47,11 @@
         if batch.is_complete {
             self.rows.clear();
             self.complete_since = batch.version;
-        } else if self.version == 0 {
+        } else if self.version.is_none() {
             return;
         }
         self.is_available = true;
-        self.version = self.version.max(batch.version);
+        self.version = self.version.max(Some(batch.version));
         for row in &batch.rows {
             self.rows.insert(row.key.clone(), row.clone());
         }
@@ -64,26 +64,27 @@
 
     /// Returns whether readers may be answered from the copy.
     pub fn is_available(&self) -> bool {
-        self.is_available && self.version > 0
+        self.is_available && self.version.is_some()
     }
 
     /// Returns whether there is anything newer than `after`.
     pub fn has_changes(&self, after: u64) -> bool {
-        self.version > after
+        self.version > Some(after)
     }
 
     /// Returns the rows that changed after a version, or all rows if the removals since then are
     /// unknown or `after` is `None`.
     pub fn read(&self, after: Option<u64>) -> Batch {
+        let version = self.version.unwrap_or(0);
         match after.filter(|after| *after >= self.complete_since) {
             Some(after) => Batch {
                 rows: self.rows.values().filter(|row| row.version > after).cloned().collect(),
-                version: self.version.max(after),
+                version: version.max(after),
                 is_complete: false,
             },
             None => Batch {
                 rows: self.rows.values().filter(|row| !row.is_removed).cloned().collect(),
-                version: self.version,
+                version,
                 is_complete: true,
             },
         }
--- a/crates/core/tests/gateway/mirror.rs
+++ b/crates/core/tests/gateway/mirror.rs
@@ -53,3 +53,14 @@
     assert!(table.is_available());
     assert!(!Table::default().is_available());
 }
+
+/// Guards against a relay that answers nobody because it read the store before anything was written.
+#[test]
+fn a_copy_of_an_empty_store_follows_its_first_changes() {
+    let mut table = Table::default();
+    table.apply(&Batch { rows: Vec::new(), version: 0, is_complete: true });
+    assert!(table.is_available());
+    table.apply(&Batch { rows: vec![row("a", 1)], version: 1, is_complete: false });
+    assert!(table.has_changes(0));
+    assert_eq!(table.read(Some(0)).rows, [row("a", 1)]);
+}
