--- a/crates/bench/src/platform/restarts.rs
+++ b/crates/bench/src/platform/restarts.rs
@@ -25,7 +25,7 @@
 use super::{
     caller::{Caller, Response, completion_request, plain_request},
     endpoint::{EVENT_COUNT, Endpoint, Role},
-    site::{KEY, Shape, Site, SiteError},
+    site::{KEY, Shape, Site, SiteError, with_cold_limit},
 };
 use crate::sim::lock;
 
@@ -54,6 +54,16 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for requests in transit to arrive before the history is read.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
+/// Zone that is evacuated.
+const EVACUATED_ZONE: &str = "zone-b";
+/// Time after which an evacuated zone must get no requests.
+const EVACUATION_BOUND: Duration = Duration::from_millis(5_000);
+/// Duration of an evacuation.
+const EVACUATION_TIME: Duration = Duration::from_millis(7_000);
+/// How long the endpoints of the zone are cold afterwards.
+const COLD_TIME: Duration = Duration::from_secs(3);
+/// Requests in one second that a cold endpoint tolerates, by the site's settings.
+const COLD_LIMIT: usize = 17;
 /// Statuses that promise that the request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -94,6 +104,10 @@
     AtMostOnce,
     /// A response belongs to its request.
     OwnResponse,
+    /// An evacuated zone gets no request once the bound is over.
+    Evacuated,
+    /// A cold endpoint gets no more requests in a second than it tolerates.
+    Cold,
 }
 
 /// A gateway as callers see it.
@@ -161,6 +175,8 @@
     pub seed: u64,
     exchanges: Vec<Exchange>,
     arrivals: BTreeMap<String, Arrivals>,
+    /// What endpoints saw of the evacuation.
+    zone_violations: Vec<(Promise, String)>,
 }
 
 impl History {
@@ -182,8 +198,14 @@
 
     /// Returns all violations of a promise.
     pub fn violations(&self, promise: Promise) -> Vec<Violation> {
+        let at_endpoints = self.zone_violations.iter().filter(|(broken, _)| *broken == promise);
+        let at_endpoints =
+            at_endpoints.map(|(promise, details)| Violation { promise: *promise, details: details.clone() });
         let broken = self.exchanges.iter().filter(|exchange| !self.is_kept(promise, exchange));
-        broken.map(|exchange| Violation { promise, details: self.describe(exchange) }).collect()
+        broken
+            .map(|exchange| Violation { promise, details: self.describe(exchange) })
+            .chain(at_endpoints)
+            .collect()
     }
 
     fn arrivals(&self, exchange: &Exchange) -> Arrivals {
@@ -205,6 +227,8 @@
             }
             Promise::AtMostOnce => exchange.kind == Kind::Lookup || executed <= 1,
             Promise::OwnResponse => exchange.is_own_response(),
+            // Seen by endpoints, not by callers.
+            Promise::Evacuated | Promise::Cold => true,
         }
     }
 
@@ -289,6 +313,10 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut site = Site::start(Shape { gateways: 0, ..SHAPE }).await?;
     site.set_grace(GRACE);
+    site.configure(&with_cold_limit(2));
+    for role in [Role::Prefill, Role::Decode, Role::Plain] {
+        site.add_endpoint_in(role, EVACUATED_ZONE).await?;
+    }
     for _ in 0..SHAPE.gateways {
         site.add_gateway().await?;
     }
@@ -300,11 +328,18 @@
     for endpoint in &endpoints {
         endpoint.set_service_time(random_time(&mut rng, MAX_SERVICE_MS));
     }
-    if let Some(slow) = endpoints.last() {
+    if let Some(slow) = endpoints
+        .iter()
+        .rfind(|endpoint| endpoint.role() == Role::Plain && !site.is_in(endpoint, EVACUATED_ZONE))
+    {
         slow.set_service_time(SLOW_SERVICE_TIME);
     }
+    let evacuated: Vec<Arc<Endpoint>> =
+        endpoints.iter().filter(|endpoint| site.is_in(endpoint, EVACUATED_ZONE)).cloned().collect();
     let processes = std::mem::take(&mut site.gateways);
     let run = Arc::new(Run { site, fronts: Mutex::default(), is_over: AtomicBool::new(false) });
+    let evacuation =
+        task::spawn(run.clone().evacuate(evacuated.clone(), ChaCha8Rng::seed_from_u64(rng.random())));
     let mut restarts = Vec::new();
     for (index, process) in processes.into_iter().enumerate() {
         run.open(index + 1, &process);
@@ -322,6 +357,7 @@
     for restart in restarts {
         running.push(restart.await?);
     }
+    let mut zone_violations: Vec<(Promise, String)> = evacuation.await.into_iter().collect();
     run.is_over.store(true, Ordering::Relaxed);
     let mut exchanges = Vec::new();
     for caller in callers {
@@ -331,7 +367,14 @@
         process.kill().await;
     }
     task::sleep(SETTLE_TIME).await;
-    Ok(History { seed, exchanges, arrivals: arrivals(&endpoints) })
+    for endpoint in evacuated {
+        let busiest = endpoint.busiest_cold_second();
+        if busiest > COLD_LIMIT {
+            let details = format!("seed {seed}, {}: {busiest} requests in one second", endpoint.id());
+            zone_violations.push((Promise::Cold, details));
+        }
+    }
+    Ok(History { seed, exchanges, arrivals: arrivals(&endpoints), zone_violations })
 }
 
 fn arrivals(endpoints: &[Arc<Endpoint>]) -> BTreeMap<String, Arrivals> {
@@ -353,6 +396,26 @@
             .insert(number, Front { address: process.address(), shutdown_began: Arc::default() });
     }
 
+    /// Evacuates a zone and takes it back with cold endpoints. Returns the violation if endpoints of the zone got
+    /// requests after the bound.
+    async fn evacuate(
+        self: Arc<Self>,
+        endpoints: Vec<Arc<Endpoint>>,
+        mut rng: ChaCha8Rng,
+    ) -> Option<(Promise, String)> {
+        let received = || endpoints.iter().map(|endpoint| endpoint.received().len()).sum::<usize>();
+        task::sleep(random_time(&mut rng, MAX_UPTIME_MS)).await;
+        self.site.evacuate(EVACUATED_ZONE);
+        task::sleep(EVACUATION_BOUND).await;
+        let before = received();
+        task::sleep(EVACUATION_TIME.saturating_sub(EVACUATION_BOUND)).await;
+        let after = received();
+        endpoints.iter().for_each(|endpoint| endpoint.set_cold(COLD_TIME));
+        self.site.lift_evacuation(EVACUATED_ZONE);
+        let details = || format!("{} requests reached {EVACUATED_ZONE} after the bound", after - before);
+        (after > before).then(|| (Promise::Evacuated, details()))
+    }
+
     /// Shuts a gateway down and starts it again, several times.
     async fn restart(
         self: Arc<Self>,
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -286,6 +286,11 @@
         self.store.put("op", "config", configuration);
     }
 
+    /// Returns whether an endpoint is in an availability zone.
+    pub fn is_in(&self, endpoint: &Endpoint, zone: &str) -> bool {
+        self.zones.get(endpoint.id()).is_some_and(|known| *known == zone)
+    }
+
     /// Evacuates an availability zone.
     pub fn evacuate(&self, zone: &str) {
         self.store.put("op", &format!("evacuate/{zone}"), &json!({}));
--- a/crates/bench/tests/restarts.rs
+++ b/crates/bench/tests/restarts.rs
@@ -46,6 +46,17 @@
     assert_kept(Promise::OwnResponse);
 }
 
+#[test]
+fn an_evacuated_zone_gets_no_requests_during_restarts() {
+    assert_kept(Promise::Evacuated);
+}
+
+/// Guards against cold endpoints that crash because restarted gateways have forgotten what they sent.
+#[test]
+fn cold_endpoints_get_few_requests_during_restarts() {
+    assert_kept(Promise::Cold);
+}
+
 /// Without such requests, the other tests would show nothing.
 #[test]
 fn requests_are_sent_and_served_during_shutdowns() {
