--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -78,6 +78,8 @@
     Unsigned,
     /// Reports that another endpoint listens at the address.
     Replaced,
+    /// Loses prefill results as soon as they are there.
+    LoseResult,
 }
 
 /// A request that the endpoint received.
@@ -448,7 +450,9 @@
             return wait_for_close(connection).await;
         }
         let handle = format!("{}-{}", self.id, lock(&self.state).next_id("r"));
-        lock(&self.kv_handles).insert(handle.clone());
+        if fault != Fault::LoseResult {
+            lock(&self.kv_handles).insert(handle.clone());
+        }
         self.wait_while_paused().await;
         task::sleep(EVENT_INTERVAL + self.service_time()).await;
         self.send_json(connection, 200, &json!({"kv_handle": handle, "tokens": 1, "version": 1})).await
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -826,6 +826,22 @@
     });
 }
 
+/// Decode engines refuse runs whose prefill result is gone. If these were ejected for it, streams would wait for engines
+/// that are free.
+#[test]
+fn a_prefill_engine_that_loses_its_results_is_avoided() {
+    run(async {
+        let site = start_site().await;
+        let engines = site.endpoints(Role::Prefill);
+        engines[0].set_fault(Fault::LoseResult);
+        for number in 0..12 {
+            let response = request(&site, stream(&format!("r{number}")), b"prompt").await;
+            assert_eq!((response.is_complete, response.event_ids()), (true, all_event_ids()));
+        }
+        assert!(engines[0].received().len() <= 4, "{}", engines[0].received().len());
+    });
+}
+
 /// The endpoint loses its response, and there is no other endpoint for a retry. The request may have been
 /// executed all the same.
 #[test]
