Revert the attribution of rejected runs to prefill endpoints

It passes its test and is not level: avoiding the prefill endpoints shrinks their pool in a burst, which is the likely cause and was not traced.

--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -826,8 +826,7 @@
     });
 }
 
-/// Decode engines refuse runs whose prefill result is gone. If these were ejected for it, streams would wait for engines
-/// that are free.
+/// Guards against decode engines that are ejected for results that a prefill engine has lost, and streams that fail for it.
 #[test]
 fn a_prefill_engine_that_loses_its_results_is_avoided() {
     run(async {
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -107,11 +107,6 @@
         }
     }
 
-    /// Records a failure that was noticed only after the response.
-    pub fn record_failure(&mut self, now: Time) {
-        self.record_result(now, 1.0);
-    }
-
     fn record_result(&mut self, now: Time, failed: f64) {
         self.failure_ratio = self.failure_ratio(now) * (1.0 - OUTCOME_WEIGHT) + failed * OUTCOME_WEIGHT;
         self.updated = now;
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -121,8 +121,6 @@
     pub endpoint: Arc<str>,
     /// The request's share of the load.
     pub share: Share,
-    /// Prefill endpoint whose result the run starts from.
-    pub source: Option<Arc<str>>,
     number: u64,
     sent_at: Time,
 }
@@ -172,7 +170,7 @@
             load.runs.insert(number, Run { memory: share.memory, output, generated: 0 });
             load.update_growth();
         }
-        Lease { endpoint: endpoint.clone(), share, source: None, number, sent_at: now }
+        Lease { endpoint: endpoint.clone(), share, number, sent_at: now }
     }
 
     /// Records the first event of a response, which shows that the prompt has been processed. The
@@ -189,11 +187,6 @@
         }
     }
 
-    /// Records a failure that only another endpoint has noticed, such as a lost prefill result.
-    pub fn record_failure(&mut self, now: Time, endpoint: &Arc<str>) {
-        self.endpoints.entry(endpoint.clone()).or_default().health.record_failure(now);
-    }
-
     /// Records output tokens of a run.
     pub fn record_tokens(&mut self, lease: &Lease, tokens: u64) {
         let Some(load) = self.endpoints.get_mut(&lease.endpoint) else { return };
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -18,7 +18,7 @@
 /// Endpoints whose failure ratio exceeds the lowest of their service by more than this are used
 /// only if no other can take the request. Tolerates a single recent failure; an endpoint that fails
 /// two requests in five is above it on average.
-pub(super) const MAX_EXCESS_FAILURE_RATIO: f64 = 0.3;
+const MAX_EXCESS_FAILURE_RATIO: f64 = 0.3;
 /// Factor on the expected response time of an endpoint in another availability zone. The local zone
 /// is used where both are alike, since traffic between zones costs money.
 const CROSS_ZONE_FACTOR: f64 = 1.2;
@@ -253,7 +253,7 @@
     /// Picks the endpoints for a run; `None` if it has to stay queued.
     pub fn pick_pair(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Placement> {
         let endpoint = self.pick_decode(service, engine, run)?;
-        match self.pick_prefill(service, run.prompt, run.ttft_target, &endpoint.zone, run.avoid) {
+        match self.pick_prefill(service, run.prompt, run.ttft_target, &endpoint.zone, &[]) {
             Prefill::Endpoint(prefill) => Some(Placement { endpoint, prefill: Some(prefill) }),
             Prefill::Unavailable => Some(Placement { endpoint, prefill: None }),
             Prefill::Busy => {
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -10,7 +10,6 @@
         forecast::{Forecast, Observation},
         health::Outcome,
         load::Lease,
-        placement::MAX_EXCESS_FAILURE_RATIO,
     },
 };
 
@@ -63,10 +62,6 @@
 
     /// Records the end of a request at its endpoint.
     pub fn record_end(&mut self, now: Time, lease: &Lease, outcome: Outcome) {
-        let outcome = match &lease.source {
-            Some(source) if outcome == Outcome::ReservationRejected => self.attribute_rejection(now, source),
-            _ => outcome,
-        };
         let is_unexpected = outcome == Outcome::Full && self.seems_free(now, lease);
         self.loads.release(now, lease, outcome);
         if is_unexpected {
@@ -81,22 +76,6 @@
         }
     }
 
-    /// Returns the outcome of a run that a decode endpoint rejected although its memory was reserved. Either that
-    /// endpoint rejects everything, or the prefill result at `source` is lost. Only one of the two shows again with
-    /// other partners, so both are suspected until the source has failed repeatedly.
-    fn attribute_rejection(&mut self, now: Time, source: &Arc<str>) -> Outcome {
-        if self.directory.get(source).is_none() {
-            return Outcome::ReservationRejected;
-        }
-        self.loads.record_failure(now, source);
-        let failure_ratio = self.loads.get(source).map_or(0.0, |load| load.failure_ratio(now));
-        if failure_ratio > MAX_EXCESS_FAILURE_RATIO {
-            Outcome::Abandoned
-        } else {
-            Outcome::ReservationRejected
-        }
-    }
-
     /// Returns whether an endpoint seems to have much free memory, with the memory of the lease in use.
     fn seems_free(&self, now: Time, lease: &Lease) -> bool {
         let endpoint = self.directory.get(&lease.endpoint);
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -15,7 +15,7 @@
         health::Outcome,
         load::Lease,
         queue::{Entry, Verdict},
-        state::{Admission, Identity, Listing, Pair, State},
+        state::{Admission, Identity, Listing, State},
     },
     refusal::Code,
 };
@@ -458,48 +458,3 @@
         Err((Code::NoEndpoint, true))
     );
 }
-
-/// Plays runs whose prefill results are lost at some of the prefill endpoints, and returns how many prompts were
-/// prefilled there.
-fn prompts_at_lossy_endpoints(state: &mut State<u32>, is_lossy: fn(&str) -> bool) -> u32 {
-    let (mut lost, mut served) = (0, 0);
-    for number in 0..200_u64 {
-        let now = 100 + number * 20;
-        state.enqueue(
-            at(now),
-            Completion { waiting_since: at(now), deadline: at(now + 14_000), ..completion(1_000) },
-            0,
-        );
-        for (_, verdict) in state.dispatch(at(now)) {
-            let Verdict::Placed(Pair { decode, prefill: Some(prefill) }) = verdict else {
-                panic!("not placed")
-            };
-            let mut lease = decode.lease.clone();
-            lease.source = Some(prefill.endpoint.id.clone());
-            state.record_end(at(now + 5), &prefill.lease, Outcome::Responded(Duration::from_millis(5)));
-            if is_lossy(&prefill.endpoint.id) {
-                lost += 1;
-                state.record_end(at(now + 8), &lease, Outcome::ReservationRejected);
-            } else {
-                served += 1;
-                state.record_end(at(now + 10), &lease, Outcome::Responded(Duration::from_millis(5)));
-            }
-        }
-    }
-    assert_eq!(lost + served, 200);
-    lost
-}
-
-/// Guards against prompts that are prefilled again and again where results are lost, and against decode endpoints that
-/// are ejected for it. Plays four seconds of 50 prompts each, with a third of the prefill endpoints losing results.
-#[test]
-fn prompts_avoid_prefill_endpoints_whose_results_are_lost() {
-    let mut state = state();
-    state.apply_catalog(at(0), 10, catalog(1, 0));
-    let prefill = (0..6).map(|index| endpoint(&format!("p-{index}"), Stage::Prefill));
-    let decode = (0..6).map(|index| endpoint(&format!("d-{index}"), Stage::Decode));
-    let rows = prefill.chain(decode).enumerate().map(|(index, endpoint)| row(index as u64 + 1, endpoint));
-    state.apply_listing(at(0), Listing { version: 20, is_complete: true, rows: rows.collect() });
-    let lost = prompts_at_lossy_endpoints(&mut state, |id| matches!(id, "p-0" | "p-1"));
-    assert!(lost <= 12, "{lost} of 200 prompts were lost");
-}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -111,11 +111,6 @@
         self.lease.clear_prefill();
     }
 
-    /// Sets the prefill endpoint whose result the request starts from.
-    pub fn set_source(&mut self, endpoint: Option<Arc<str>>) {
-        self.lease.source = endpoint;
-    }
-
     /// Returns the memory reserved for the request, tokens.
     pub fn memory(&self) -> u64 {
         self.lease.share.memory
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -121,13 +121,6 @@
     NotSent(String),
     /// The request has not run.
     NotRun(String),
-    /// The request has not run: the decode endpoint rejected it although memory was reserved. The prefill result may be
-    /// lost.
-    ResultRejected {
-        reason: String,
-        /// Prefill endpoint that holds the result.
-        source: Arc<str>,
-    },
     /// The request has not run and would not end before the gateway does.
     EndsTooLate,
     /// The request may have run.
@@ -200,10 +193,6 @@
                 progress.avoid.push(endpoint.id.clone());
                 Some(reason)
             }
-            Err(Abort::ResultRejected { reason, source }) => {
-                progress.avoid.extend([endpoint.id.clone(), source]);
-                Some(reason)
-            }
         };
         // The stream was cut: the caller's connection closes without the end of the body.
         let Some(reason) = reason else { return Ok(()) };
@@ -337,7 +326,7 @@
             };
             send(context, inbound, permit, endpoint, task).await
         }
-        Placement::Split { mut decode, prefill, mut reservation } => {
+        Placement::Split { decode, prefill, mut reservation } => {
             let mut prefilled = match prefill {
                 Some(permit) => Some(run_prefill(context, inbound, &endpoint.zone, permit).await?),
                 None => None,
@@ -346,10 +335,6 @@
             if is_new && prefilled.is_some() && !decode_ends_in_time(context, inbound).await {
                 return Err(Abort::EndsTooLate);
             }
-            // Without a reservation, a rejection says that memory is missing.
-            let source = prefilled.as_ref().filter(|_| reservation.is_some());
-            let source = source.map(|prefilled| prefilled.endpoint.id.clone());
-            decode.set_source(source.clone());
             let inputs = Decode {
                 source: prefilled
                     .as_ref()
@@ -361,10 +346,7 @@
             if !matches!(started, Err(Abort::NotSent(_) | Abort::NotRun(_))) {
                 reservation.iter_mut().chain(&mut prefilled).for_each(Guard::mark_consumed);
             }
-            match (started, source) {
-                (Err(Abort::NotRun(reason)), Some(source)) => Err(Abort::ResultRejected { reason, source }),
-                (started, _) => started,
-            }
+            started
         }
     }
 }
