--- a/crates/core/tests/gateway/cold.rs
+++ b/crates/core/tests/gateway/cold.rs
@@ -110,7 +110,7 @@
         .quickcheck(holds as fn(usize, u8, Vec<bool>, Vec<u8>) -> TestResult);
 }
 
-/// Guards against a replica that names itself the owner of everything because it knows nobody yet.
+/// Guards against a replica that owns every cold endpoint because its list of replicas is incomplete.
 #[test]
 fn a_replica_that_has_not_read_the_store_owns_nothing() {
     let mut roster = Roster::new("own".into());
--- a/crates/core/tests/gateway/evacuation.rs
+++ b/crates/core/tests/gateway/evacuation.rs
@@ -51,8 +51,7 @@
     read: usize,
 }
 
-/// Guards against replicas that disagree on the evacuated zones after they read and told each other the same changes in
-/// different orders.
+/// Guards against replicas whose evacuations depend on the order of their reads and of their peers' digests.
 #[test]
 fn replicas_agree_with_the_store_whatever_the_order_in_which_they_learn() {
     fn agree(steps: Vec<(u8, u8, u8)>) -> bool {
--- a/crates/core/tests/gateway/mirror.rs
+++ b/crates/core/tests/gateway/mirror.rs
@@ -54,7 +54,7 @@
     assert!(!Table::default().is_available());
 }
 
-/// Guards against a relay that answers nobody because it read the store before anything was written.
+/// Guards against a relay whose copy stays unavailable because its first read found an empty store.
 #[test]
 fn a_copy_of_an_empty_store_follows_its_first_changes() {
     let mut table = Table::default();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -76,7 +76,7 @@
     Dump(ReplySender<serde_json::Value>),
 }
 
-/// Why nothing may be sent to an endpoint, although it may have been chosen before.
+/// Why no request may be sent to an endpoint, even if one has already been placed there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum Block {
     /// The endpoint has asked for a backoff that is not over.
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -90,7 +90,7 @@
     (evacuations.version() > 0).then(|| proto::Evacuations { version: evacuations.version(), zones })
 }
 
-/// Decodes evacuations. Absent ones have version 0, which nobody takes over.
+/// Decodes evacuations. Absent ones get version 0, which is older than any other.
 pub(crate) fn decode_evacuations(message: Option<proto::Evacuations>) -> Evacuations {
     let proto::Evacuations { version, zones } = message.unwrap_or_default();
     Evacuations::new(version, zones.into_iter().map(Arc::from))
