Count the messages of each request and what is charged for them

The retry budget is charged where a retry is decided, but what counts is the messages that endpoints get. Neither logs nor metrics showed both. A request that was sent more than once now ends with the log line 'request retried' (prefills, runs, retries, charged), and gateway_retries_total and gateway_retry_charges_total count the same by service. No change of behaviour.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -42,6 +42,65 @@
     retries: u32,
 }
 
+/// A message by which an endpoint gets a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Asks for a prefill only.
+    Prefill,
+    /// Asks for the response.
+    Run,
+}
+
+/// The messages by which endpoints got one request.
+///
+/// The budget counts messages, not decisions to retry: a retry that prefills the prompt again consists of two. The
+/// first prefill that an endpoint accepts and the first other message are not retries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sends {
+    prefills: u32,
+    runs: u32,
+    /// Whether an endpoint has accepted a prefill.
+    is_prefilled: bool,
+}
+
+impl Sends {
+    /// Records that a message is being sent.
+    pub fn record_sent(&mut self, message: Message) {
+        match message {
+            Message::Prefill => self.prefills += 1,
+            Message::Run => self.runs += 1,
+        }
+    }
+
+    /// Records that nothing was sent after all.
+    pub fn record_unsent(&mut self, message: Message) {
+        match message {
+            Message::Prefill => self.prefills = self.prefills.saturating_sub(1),
+            Message::Run => self.runs = self.runs.saturating_sub(1),
+        }
+    }
+
+    /// Records that an endpoint has accepted a prefill.
+    pub fn record_prefilled(&mut self) {
+        self.is_prefilled = true;
+    }
+
+    /// Returns the number of prefills.
+    pub fn prefills(&self) -> u32 {
+        self.prefills
+    }
+
+    /// Returns the number of other messages.
+    pub fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    /// Returns the number of messages that count as retries.
+    pub fn retries(&self) -> u32 {
+        (self.prefills + self.runs).saturating_sub(1 + u32::from(self.is_prefilled))
+    }
+}
+
 /// Requests and retries within the window, by service.
 #[derive(Clone, Debug)]
 pub struct Budget {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, OnceLock,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicU32, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -11,7 +11,14 @@
 use bytes::Bytes;
 use tarragonhill_core::{
     Clock, Refusal, Time,
-    gateway::{catalog::Route, directory::Endpoint, forecast::Size, shutdown::Shutdown, state::Admission},
+    gateway::{
+        budget::{self, Sends},
+        catalog::Route,
+        directory::Endpoint,
+        forecast::Size,
+        shutdown::Shutdown,
+        state::Admission,
+    },
     refusal::Code,
 };
 use tarragonhill_h1::head::Request;
@@ -91,6 +98,15 @@
     /// Number of endpoints that may have run the request. A count and not a flag: a hedged request is at two
     /// endpoints, and one of them may report that it did not run it.
     runs: AtomicU32,
+    /// Messages sent to endpoints, and what was charged for them.
+    ledger: Mutex<Ledger>,
+}
+
+/// Messages of a request, and the retries that were charged to the retry budget for it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Ledger {
+    pub(crate) sends: Sends,
+    pub(crate) charged: u32,
 }
 
 impl Inbound {
@@ -104,7 +120,17 @@
     ) -> Self {
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = received.plus(timeout);
-        Self { head, body, metadata, route, admission, received, deadline, runs: AtomicU32::new(0) }
+        Self {
+            head,
+            body,
+            metadata,
+            route,
+            admission,
+            received,
+            deadline,
+            runs: AtomicU32::new(0),
+            ledger: Mutex::default(),
+        }
     }
 
     /// Returns the service that handles the request.
@@ -148,7 +174,34 @@
             Dispatch { endpoint, customer: self.customer_name(), left, priority: self.priority(), task };
         let head = context.dialect.encode_request(&self.head, &dispatch);
         let id = self.metadata.id.as_deref();
-        context.client().send(endpoint, &head, &self.body, id, limit.min(left)).await
+        let message = match task {
+            Task::Prefill => budget::Message::Prefill,
+            Task::Whole | Task::Decode(_) => budget::Message::Run,
+        };
+        self.ledger().sends.record_sent(message);
+        let sent = context.client().send(endpoint, &head, &self.body, id, limit.min(left)).await;
+        match &sent {
+            Ok(exchange) if message == budget::Message::Prefill && exchange.head.status == 200 => {
+                self.ledger().sends.record_prefilled();
+            }
+            Err(Failure::Blocked(_) | Failure::Connect(_)) => self.ledger().sends.record_unsent(message),
+            Ok(_) | Err(_) => {}
+        }
+        sent
+    }
+
+    /// Charges one retry to the service's retry budget; returns false if none is left.
+    pub(crate) async fn acquire_retry(&self, context: &Context) -> bool {
+        let is_granted = context.control.acquire_retry(self.service()).await;
+        let result = if is_granted { "charged" } else { "refused" };
+        context.metrics.retry_charges.with_label_values(&[self.service(), result]).inc();
+        self.ledger().charged += u32::from(is_granted);
+        is_granted
+    }
+
+    /// Returns the messages sent for the request, and what was charged for them.
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Logs the endpoint, the prefill endpoint if there is one, and the time until placement.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound, ends_too_late},
+    context::{Context, Inbound, Ledger, ends_too_late},
     edge::Metadata,
     identify::identify,
     shutdown::Phase,
@@ -312,6 +312,7 @@
         }
         None => {}
     }
+    log_retries(context, &inbound);
     log_end(context, &inbound, writer);
 }
 
@@ -362,6 +363,20 @@
     });
 }
 
+/// Logs the messages of a request that was sent more than once, and what was charged for them.
+fn log_retries(context: &Context, inbound: &Inbound) {
+    let Ledger { sends, charged } = *inbound.ledger();
+    let retries = sends.retries();
+    if retries == 0 && charged == 0 {
+        return;
+    }
+    context.metrics.retries.with_label_values(&[inbound.service()]).inc_by(retries.into());
+    spdlog::info!("request retried", kv: {
+        request = inbound.id(), service = &**inbound.service(), prefills = sends.prefills(), runs = sends.runs(),
+        retries, charged
+    });
+}
+
 fn log_end(context: &Context, inbound: &Inbound, writer: &ResponseWriter) {
     let kind = inbound.route.kind.to_string();
     let status = writer.status.to_string();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,10 @@
     pub refusals: IntCounterVec,
     /// Requests sent to endpoints, by outcome.
     pub sends: IntCounterVec,
+    /// Messages that count as retries, by service; recorded when their request ends.
+    pub retries: IntCounterVec,
+    /// Retries asked of the retry budget, by service and result.
+    pub retry_charges: IntCounterVec,
     /// Seconds from receiving a request to the head of its response, by kind of route.
     pub first_byte: HistogramVec,
     /// Seconds that streams waited for placement.
@@ -44,6 +48,16 @@
             requests: counter("gateway_requests_total", "Answers to callers", &["kind", "status"]),
             refusals: counter("gateway_refusals_total", "Refusals by the gateway", &["code"]),
             sends: counter("gateway_sends_total", "Requests sent to endpoints", &["outcome"]),
+            retries: counter(
+                "gateway_retries_total",
+                "Messages to endpoints that count as retries",
+                &["service"],
+            ),
+            retry_charges: counter(
+                "gateway_retry_charges_total",
+                "Retries asked of the retry budget",
+                &["service", "result"],
+            ),
             first_byte: histogram("gateway_first_byte_seconds", "Time to the head of an answer", &["kind"]),
             placement_waits: unlabeled_histogram(
                 "gateway_wait_seconds",
@@ -60,10 +74,12 @@
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 12] = [
+        let collectors: [Box<dyn Collector>; 14] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
+            Box::new(metrics.retries.clone()),
+            Box::new(metrics.retry_charges.clone()),
             Box::new(metrics.first_byte.clone()),
             Box::new(metrics.placement_waits.clone()),
             Box::new(metrics.longest_gaps.clone()),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -197,8 +197,8 @@
         // The stream was cut: the caller's connection closes without the end of the body.
         let Some(reason) = reason else { return Ok(()) };
         // A replacement has been charged to the retry budget already.
-        let may_retry = replacement.is_some()
-            || progress.sends < MAX_SENDS && context.control.acquire_retry(inbound.service()).await;
+        let may_retry =
+            replacement.is_some() || progress.sends < MAX_SENDS && inbound.acquire_retry(context).await;
         if !may_retry {
             return give_up(context, inbound, writer, reason);
         }
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -44,7 +44,7 @@
         };
         spdlog::info!("prefill failed", kv: { request = inbound.id(), reason = reason.as_str() });
         // If nothing was sent, the retry is not charged to the retry budget.
-        let may_retry = !was_sent || context.control.acquire_retry(inbound.service()).await;
+        let may_retry = !was_sent || inbound.acquire_retry(context).await;
         if attempts >= MAX_ATTEMPTS || !may_retry {
             return Err(Abort::NotRun(reason));
         }
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -84,7 +84,7 @@
                 reason
             }
         };
-        if sends >= MAX_SENDS || !context.control.acquire_retry(inbound.service()).await {
+        if sends >= MAX_SENDS || !inbound.acquire_retry(context).await {
             let refusal = retries_exhausted(inbound, reason);
             return give_up(inbound, writer, error_response, refusal).await;
         }
@@ -151,7 +151,7 @@
         return (attempt, 1);
     }
     let Ok(permit) = context.control.place(inbound.service(), avoid).await else { return (first.await, 1) };
-    if !context.control.acquire_retry(inbound.service()).await {
+    if !inbound.acquire_retry(context).await {
         drop(permit);
         return (first.await, 1);
     }
