--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod endpoint;
 pub mod restarts;
+pub mod retries;
 mod server;
 pub mod site;
 pub mod store;
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -91,6 +91,8 @@
     pub body: Bytes,
     /// Whether the endpoint executed it.
     pub was_executed: bool,
+    /// When it arrived.
+    pub received_at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -182,6 +184,7 @@
                 kv_handles: kv_handles.clone(),
                 head,
                 body,
+                received_at: Instant::now(),
             };
             async move { exchange.handle(connection).await }
         });
@@ -313,6 +316,7 @@
     kv_handles: KvHandles,
     head: Request,
     body: Bytes,
+    received_at: Instant,
 }
 
 impl Exchange {
@@ -597,7 +601,8 @@
     }
 
     fn record(&self, was_executed: bool) {
-        let request = ReceivedRequest { head: self.head.clone(), body: self.body.clone(), was_executed };
+        let (head, body) = (self.head.clone(), self.body.clone());
+        let request = ReceivedRequest { head, body, was_executed, received_at: self.received_at };
         lock(&self.state).received.push(request);
     }
 
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -44,6 +44,7 @@
 /// What cold endpoints tolerate beyond their declared rate.
 const COLD_TOLERANCE: Tolerance = Tolerance { factor: 1.5, slack: 5.0 };
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+const DEFAULT_RETRIES: Rule = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -108,6 +109,8 @@
     peer_ip: Ipv4Addr,
     /// Grace period of gateways that are started.
     grace: Duration,
+    /// Retry budget of gateways that are started.
+    retries: Rule,
     /// Availability zones of endpoints that are not in the default one.
     zones: BTreeMap<Arc<str>, &'static str>,
     /// Source of endpoint numbers and of `seq` values.
@@ -146,6 +149,7 @@
             ip,
             peer_ip: unique_loopback_ip(),
             grace: DEFAULT_GRACE,
+            retries: DEFAULT_RETRIES,
             zones: BTreeMap::new(),
             counter: 0,
         })
@@ -156,6 +160,11 @@
         self.grace = grace;
     }
 
+    /// Sets the retry budget of gateways that are started later.
+    pub fn set_retries(&mut self, retries: Rule) {
+        self.retries = retries;
+    }
+
     /// Starts a replica without adding it to `gateways`.
     pub async fn start_gateway(&self, number: usize) -> Result<Gateway, SiteError> {
         let settings = self.settings(number, SocketAddr::from((self.peer_ip, 0)));
@@ -195,13 +204,12 @@
             drain: Duration::ZERO,
             log: logging::off(),
         };
-        let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
         GatewaySettings {
             common,
             peer,
             millicores: 1_000,
             grace: self.grace,
-            retries,
+            retries: self.retries,
             cold_tolerance: COLD_TOLERANCE,
         }
     }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod digest;
 mod directory;
 mod evacuation;
+mod fleet_budget;
 mod forecast;
 mod growth;
 mod health;
