Charge the retry budget for messages instead of decisions

Cause: the budget was charged one retry where the gateway decided to try again. A stream whose decode was rejected is prefilled again and decoded again, which is two messages. A decode that was blocked at the gateway after its prefill (the endpoint asked for a backoff, or its zone was evacuated) was placed anew with a new prefill and no charge at all. Charges made early for a request that then waited in the queue counted in another window than its messages.

Change: a ledger for each request holds its messages and charges. Inbound::send, which all messages pass, charges what is still due; where a retry is decided, both messages of a prefill and a decode are charged together, so that no prefill is made that cannot be decoded. A charge that is not used for 2 s lapses. A request that lacks the budget is refused at once, as not run if that is true.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -1,7 +1,7 @@
 //! Retry budget, shared by all replicas.
 //!
 //! In any window, the retries of a service stay below a fraction of its requests plus a fixed
-//! slack. Each replica counts only its own requests and uses an equal share of the slack, so the
+//! slack. A retry is a message to an endpoint, so a [`Ledger`] for each request tells what has to be charged. Each replica counts only its own requests and uses an equal share of the slack, so the
 //! limit holds without coordination.
 
 use std::{
@@ -21,6 +21,9 @@
 const STARTUP_FRACTION: f64 = 0.4;
 /// Lower bound of the replica count in the first window, while peers are still being discovered.
 const MIN_STARTUP_REPLICAS: u32 = 4;
+/// How long a charge may precede its message. A request may wait for an endpoint in between; with an older charge, its
+/// message would count in a window that the charge does not.
+const CHARGE_TTL: Duration = Duration::from_secs(2);
 /// Granularity of the sliding window.
 const BUCKET_DURATION: Duration = Duration::from_millis(500);
 
@@ -51,6 +54,15 @@
     Run,
 }
 
+/// The messages of an attempt that still have to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// The request for the response.
+    Run,
+    /// A prefill, and then the request for the response.
+    PrefillAndRun,
+}
+
 /// The messages by which endpoints got one request.
 ///
 /// The budget counts messages, not decisions to retry: a retry that prefills the prompt again consists of two. The
@@ -64,27 +76,6 @@
 }
 
 impl Sends {
-    /// Records that a message is being sent.
-    pub fn record_sent(&mut self, message: Message) {
-        match message {
-            Message::Prefill => self.prefills += 1,
-            Message::Run => self.runs += 1,
-        }
-    }
-
-    /// Records that nothing was sent after all.
-    pub fn record_unsent(&mut self, message: Message) {
-        match message {
-            Message::Prefill => self.prefills = self.prefills.saturating_sub(1),
-            Message::Run => self.runs = self.runs.saturating_sub(1),
-        }
-    }
-
-    /// Records that an endpoint has accepted a prefill.
-    pub fn record_prefilled(&mut self) {
-        self.is_prefilled = true;
-    }
-
     /// Returns the number of prefills.
     pub fn prefills(&self) -> u32 {
         self.prefills
@@ -99,6 +90,85 @@
     pub fn retries(&self) -> u32 {
         (self.prefills + self.runs).saturating_sub(1 + u32::from(self.is_prefilled))
     }
+
+    /// Returns the number of retries after an attempt, if endpoints accept its prefill.
+    fn retries_after(self, plan: Plan) -> u32 {
+        match plan {
+            Plan::Run => Self { runs: self.runs + 1, ..self },
+            Plan::PrefillAndRun => {
+                Self { prefills: self.prefills + 1, runs: self.runs + 1, is_prefilled: true }
+            }
+        }
+        .retries()
+    }
+}
+
+/// The messages of one request, and what the budget was charged for them.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    sends: Sends,
+    /// When charges were made for messages that have been sent. As many as there are retries, unless a prefill was
+    /// rejected: that becomes known only afterwards and is part of what the next attempt has to pay.
+    used: Vec<Time>,
+    /// When charges were made for messages that have not been sent yet.
+    unused: Vec<Time>,
+    /// All charges so far.
+    charged: u32,
+}
+
+impl Ledger {
+    /// Returns the messages sent so far.
+    pub fn sends(&self) -> Sends {
+        self.sends
+    }
+
+    /// Returns the number of charges so far.
+    pub fn charged(&self) -> u32 {
+        self.charged
+    }
+
+    /// Returns how many retries must be charged before the messages of a plan may be sent.
+    pub fn due(&mut self, now: Time, plan: Plan) -> u32 {
+        self.unused.retain(|charged_at| now.since(*charged_at) < CHARGE_TTL);
+        self.sends.retries_after(plan).saturating_sub((self.used.len() + self.unused.len()) as u32)
+    }
+
+    /// Records that retries were charged.
+    pub fn record_charged(&mut self, now: Time, count: u32) {
+        self.unused.extend((0..count).map(|_| now));
+        self.charged += count;
+    }
+
+    /// Records that a message is being sent.
+    pub fn record_sent(&mut self, message: Message) {
+        let expected = match message {
+            Message::Prefill => {
+                self.sends.prefills += 1;
+                Sends { is_prefilled: true, ..self.sends }
+            }
+            Message::Run => {
+                self.sends.runs += 1;
+                self.sends
+            }
+        };
+        let missing = (expected.retries() as usize).saturating_sub(self.used.len());
+        self.used.extend(self.unused.drain(..missing.min(self.unused.len())));
+    }
+
+    /// Records that nothing was sent after all. What was charged for it pays for a later message.
+    pub fn record_unsent(&mut self, message: Message) {
+        match message {
+            Message::Prefill => self.sends.prefills = self.sends.prefills.saturating_sub(1),
+            Message::Run => self.sends.runs = self.sends.runs.saturating_sub(1),
+        }
+        let still_used = self.used.len().min(self.sends.retries() as usize);
+        self.unused.extend(self.used.drain(still_used..));
+    }
+
+    /// Records that an endpoint has accepted a prefill.
+    pub fn record_prefilled(&mut self) {
+        self.sends.is_prefilled = true;
+    }
 }
 
 /// Requests and retries within the window, by service.
@@ -120,18 +190,18 @@
         self.bucket(now, service).requests += 1;
     }
 
-    /// Records a retry if the budget allows it, and returns whether it does. `replicas` is the
-    /// number of replicas that share the slack, including this one.
-    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, replicas: u32) -> bool {
+    /// Records `count` retries if the budget allows all of them, and returns whether it does. `replicas` is the number
+    /// of replicas that share the slack, including this one.
+    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: u32) -> bool {
         self.bucket(now, service);
         let buckets = &self.services[service];
         let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = buckets.iter().map(|bucket| bucket.retries).sum();
         let allowed = self.rule.ratio * f64::from(requests) + self.slack(now, replicas);
-        if f64::from(retries + 1) > allowed * USABLE_FRACTION {
+        if f64::from(retries + count) > allowed * USABLE_FRACTION {
             return false;
         }
-        self.bucket(now, service).retries += 1;
+        self.bucket(now, service).retries += count;
         true
     }
 
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Spends one retry of the service's retry budget; returns false if none is left.
-    pub fn retry(&mut self, now: Time, service: &Arc<str>) -> bool {
-        self.budget.try_spend(now, service, self.peers.count())
+    /// Spends `count` retries of the service's retry budget; returns false, and spends none, if fewer are left.
+    pub fn retry(&mut self, now: Time, service: &Arc<str>, count: u32) -> bool {
+        self.budget.try_spend(now, service, count, self.peers.count())
     }
 }
--- a/crates/core/tests/gateway/fleet_budget.rs
+++ b/crates/core/tests/gateway/fleet_budget.rs
@@ -144,7 +144,7 @@
                 replica.state.admit(now, &admission).expect("no limit applies");
                 requests.push(now);
             }
-            while replica.state.retry(now, &admission.service) {
+            while replica.state.retry(now, &admission.service, 1) {
                 retries.push(now);
             }
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,7 +12,7 @@
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
-        budget::{self, Sends},
+        budget::{self, Ledger, Plan},
         catalog::Route,
         directory::Endpoint,
         forecast::Size,
@@ -102,13 +102,6 @@
     ledger: Mutex<Ledger>,
 }
 
-/// Messages of a request, and the retries that were charged to the retry budget for it.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Ledger {
-    pub(crate) sends: Sends,
-    pub(crate) charged: u32,
-}
-
 impl Inbound {
     pub(crate) fn new(
         head: Request,
@@ -158,7 +151,8 @@
         self.route.is_repeatable() && runs < self.route.max_attempts
     }
 
-    /// Sends the request to an endpoint and waits for the response head, for at most `limit`.
+    /// Sends the request to an endpoint and waits for the response head, for at most `limit`. A retry that has not
+    /// been charged yet is charged first.
     pub(crate) async fn send<'a>(
         &self,
         context: &'a Context,
@@ -174,28 +168,38 @@
             Dispatch { endpoint, customer: self.customer_name(), left, priority: self.priority(), task };
         let head = context.dialect.encode_request(&self.head, &dispatch);
         let id = self.metadata.id.as_deref();
-        let message = match task {
-            Task::Prefill => budget::Message::Prefill,
-            Task::Whole | Task::Decode(_) => budget::Message::Run,
+        let (message, plan) = match task {
+            Task::Prefill => (budget::Message::Prefill, Plan::PrefillAndRun),
+            Task::Whole | Task::Decode(_) => (budget::Message::Run, Plan::Run),
         };
-        self.ledger().sends.record_sent(message);
+        if !self.charge(context, plan).await {
+            return Err(Failure::OverBudget);
+        }
+        self.ledger().record_sent(message);
         let sent = context.client().send(endpoint, &head, &self.body, id, limit.min(left)).await;
         match &sent {
             Ok(exchange) if message == budget::Message::Prefill && exchange.head.status == 200 => {
-                self.ledger().sends.record_prefilled();
+                self.ledger().record_prefilled();
             }
-            Err(Failure::Blocked(_) | Failure::Connect(_)) => self.ledger().sends.record_unsent(message),
+            Err(Failure::Blocked(_) | Failure::Connect(_)) => self.ledger().record_unsent(message),
             Ok(_) | Err(_) => {}
         }
         sent
     }
 
-    /// Charges one retry to the service's retry budget; returns false if none is left.
-    pub(crate) async fn acquire_retry(&self, context: &Context) -> bool {
-        let is_granted = context.control.acquire_retry(self.service()).await;
+    /// Charges the service's retry budget for the messages of a plan, as far as they are retries and not charged yet.
+    /// Returns false if the budget does not suffice.
+    pub(crate) async fn charge(&self, context: &Context, plan: Plan) -> bool {
+        let due = self.ledger().due(context.clock.now(), plan);
+        if due == 0 {
+            return true;
+        }
+        let is_granted = context.control.acquire_retries(self.service(), due).await;
         let result = if is_granted { "charged" } else { "refused" };
-        context.metrics.retry_charges.with_label_values(&[self.service(), result]).inc();
-        self.ledger().charged += u32::from(is_granted);
+        context.metrics.retry_charges.with_label_values(&[self.service(), result]).inc_by(due.into());
+        if is_granted {
+            self.ledger().record_charged(context.clock.now(), due);
+        }
         is_granted
     }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -50,7 +50,7 @@
 pub(crate) enum Command {
     Admit(Admission, ReplySender<Result<(), Refusal>>),
     Refund(Admission),
-    AcquireRetry(Arc<str>, ReplySender<bool>),
+    AcquireRetries(Arc<str>, u32, ReplySender<bool>),
     IsSplit(Arc<str>, ReplySender<bool>),
     Place(Arc<str>, Vec<Arc<str>>, ReplySender<PermitResult>),
     PlacePrompt(Prompt, ReplySender<Option<Permit>>),
@@ -218,9 +218,10 @@
         self.send(Command::Refund(admission));
     }
 
-    /// Takes one retry from the service's retry budget; returns false if the budget is exhausted.
-    pub async fn acquire_retry(&self, service: &Arc<str>) -> bool {
-        self.request(|reply| Command::AcquireRetry(service.clone(), reply)).await.unwrap_or(false)
+    /// Takes `count` retries from the service's retry budget; takes none and returns false if fewer are left.
+    pub async fn acquire_retries(&self, service: &Arc<str>, count: u32) -> bool {
+        let taken = self.request(|reply| Command::AcquireRetries(service.clone(), count, reply));
+        taken.await.unwrap_or(false)
     }
 
     /// Returns whether a service has separate prefill and decode endpoints.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -273,7 +273,9 @@
         match command {
             Command::Admit(admission, reply) => drop(reply.try_send(self.state.admit(now, &admission))),
             Command::Refund(admission) => self.state.refund(&admission),
-            Command::AcquireRetry(service, reply) => drop(reply.try_send(self.state.retry(now, &service))),
+            Command::AcquireRetries(service, count, reply) => {
+                let _ = reply.try_send(self.state.retry(now, &service, count));
+            }
             Command::IsSplit(service, reply) => drop(reply.try_send(self.state.is_split(now, &service))),
             Command::Place(service, avoid, reply) => {
                 let assignment = self.state.place_whole(now, &service, &avoid);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,11 +40,16 @@
 /// Maximum responses skipped on one connection because they belong to other requests or are informational.
 const MAX_SKIPPED_RESPONSES: u32 = 2;
 
+/// Reason of refusals for lack of a retry.
+pub(crate) const OVER_BUDGET: &str = "the retry budget is used up";
+
 /// Why an exchange failed.
 #[derive(Debug)]
 pub(crate) enum Failure {
     /// Nothing may be sent to the endpoint at the moment, and nothing was.
     Blocked(Block),
+    /// The retry budget is used up; nothing was sent.
+    OverBudget,
     /// No connection could be opened; nothing was sent.
     Connect(io::Error),
     /// The connection failed after the request was sent; the request may have run.
@@ -59,6 +64,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Blocked(block) => write!(f, "{block}"),
+            Self::OverBudget => f.write_str(OVER_BUDGET),
             Self::Connect(error) => write!(f, "connecting failed: {error}"),
             Self::Connection(error) => write!(f, "{error}"),
             Self::InvalidResponse(why) => write!(f, "invalid response: {why}"),
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound, Ledger, ends_too_late},
+    context::{Context, Inbound, ends_too_late},
     edge::Metadata,
     identify::identify,
     shutdown::Phase,
@@ -365,7 +365,10 @@
 
 /// Logs the messages of a request that was sent more than once, and what was charged for them.
 fn log_retries(context: &Context, inbound: &Inbound) {
-    let Ledger { sends, charged } = *inbound.ledger();
+    let (sends, charged) = {
+        let ledger = inbound.ledger();
+        (ledger.sends(), ledger.charged())
+    };
     let retries = sends.retries();
     if retries == 0 && charged == 0 {
         return;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,7 +16,10 @@
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Refusal, Time,
-    gateway::{directory::Endpoint, forecast::Observation, health::Outcome, state::ENDPOINT_RETRY_AFTER},
+    gateway::{
+        budget::Plan, directory::Endpoint, forecast::Observation, health::Outcome,
+        state::ENDPOINT_RETRY_AFTER,
+    },
     refusal::Code,
 };
 use tarragonhill_h1::head::Response;
@@ -32,7 +35,7 @@
     context::{Context, Inbound, ends_too_late},
     control::Permit,
     edge::{Decode, Task},
-    exchange::{Exchange, Failure, MISDIRECTED, is_not_run_status, not_run_outcome},
+    exchange::{Exchange, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
     shutdown::Phase,
 };
 
@@ -119,6 +122,8 @@
 enum Abort {
     /// Nothing was sent to the endpoint.
     NotSent(String),
+    /// Nothing was sent to the endpoint, and the retry budget is used up.
+    OverBudget,
     /// The request has not run.
     NotRun(String),
     /// The request has not run and would not end before the gateway does.
@@ -183,6 +188,7 @@
             Err(Abort::MayHaveRun(reason)) => {
                 fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
             }
+            Err(Abort::OverBudget) => return give_up(context, inbound, writer, OVER_BUDGET.into()),
             Err(Abort::NotSent(reason)) => {
                 spdlog::info!("placing the request again", kv: { request = inbound.id(), reason = reason.as_str() });
                 progress.sends -= 1;
@@ -197,8 +203,9 @@
         // The stream was cut: the caller's connection closes without the end of the body.
         let Some(reason) = reason else { return Ok(()) };
         // A replacement has been charged to the retry budget already.
-        let may_retry =
-            replacement.is_some() || progress.sends < MAX_SENDS && inbound.acquire_retry(context).await;
+        let may_retry = replacement.is_some()
+            || progress.sends < MAX_SENDS
+                && inbound.charge(context, retry_plan(context, inbound).await).await;
         if !may_retry {
             return give_up(context, inbound, writer, reason);
         }
@@ -210,6 +217,12 @@
     }
 }
 
+/// Returns the messages by which a request is retried, before its placement is known.
+async fn retry_plan(context: &Context, inbound: &Inbound) -> Plan {
+    let is_split = context.control.is_split(inbound.service()).await;
+    if is_split { Plan::PrefillAndRun } else { Plan::Run }
+}
+
 /// Waits for a placement. Refuses a new stream as soon as it is not expected to end before the gateway does:
 /// the caller can retry at once at another replica.
 async fn place_in_time(
@@ -343,7 +356,7 @@
                 last_event: progress.last_event.as_deref(),
             };
             let started = send(context, inbound, decode, endpoint, Task::Decode(inputs)).await;
-            if !matches!(started, Err(Abort::NotSent(_) | Abort::NotRun(_))) {
+            if !matches!(started, Err(Abort::NotSent(_) | Abort::OverBudget | Abort::NotRun(_))) {
                 reservation.iter_mut().chain(&mut prefilled).for_each(Guard::mark_consumed);
             }
             started
@@ -368,6 +381,10 @@
             inbound.mark_not_run();
             return Err(Abort::NotSent(format!("{}: {block}", endpoint.id)));
         }
+        Err(Failure::OverBudget) => {
+            inbound.mark_not_run();
+            return Err(Abort::OverBudget);
+        }
         Err(Failure::Connect(error)) => {
             inbound.mark_not_run();
             permit.finish(Outcome::Unreachable);
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -4,7 +4,7 @@
 
 use tarragonhill_core::{
     Refusal,
-    gateway::{catalog::Engine, completion::Completion, directory::Endpoint, health::Outcome},
+    gateway::{budget::Plan, catalog::Engine, completion::Completion, directory::Endpoint, health::Outcome},
 };
 
 use super::{
@@ -37,6 +37,14 @@
             Self::Whole(permit) | Self::Split { decode: permit, .. } => &permit.endpoint,
         }
     }
+
+    /// Returns the messages by which the request will be sent.
+    pub(super) fn plan(&self) -> Plan {
+        match self {
+            Self::Whole(_) | Self::Split { prefill: None, .. } => Plan::Run,
+            Self::Split { prefill: Some(_), .. } => Plan::PrefillAndRun,
+        }
+    }
 }
 
 /// Waits for a placement and, on split services, reserves memory at the decode endpoint.
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use tarragonhill_core::gateway::{
-    completion::Prompt, directory::Endpoint, forecast::Observation, health::Outcome,
+    budget::Plan, completion::Prompt, directory::Endpoint, forecast::Observation, health::Outcome,
 };
 
 use super::{
@@ -32,22 +32,21 @@
     for attempts in 1.. {
         avoid.push(permit.endpoint.id.clone());
         let endpoint = permit.endpoint.clone();
-        let (reason, was_sent) = match prefill_at(context, inbound, permit, &endpoint).await {
+        let reason = match prefill_at(context, inbound, permit, &endpoint).await {
             Ok(result) => {
                 let kind = Kind::Prefill(result);
                 return Ok(Guard { context: context.clone(), endpoint, kind });
             }
-            Err(failure @ (Failure::Connect(_) | Failure::Blocked(_))) => {
-                (format!("{}: {failure}", endpoint.id), false)
-            }
-            Err(failure) => (format!("{}: {failure}", endpoint.id), true),
+            Err(Failure::OverBudget) => return Err(Abort::OverBudget),
+            Err(failure) => format!("{}: {failure}", endpoint.id),
         };
         spdlog::info!("prefill failed", kv: { request = inbound.id(), reason = reason.as_str() });
-        // If nothing was sent, the retry is not charged to the retry budget.
-        let may_retry = !was_sent || inbound.acquire_retry(context).await;
-        if attempts >= MAX_ATTEMPTS || !may_retry {
+        if attempts >= MAX_ATTEMPTS {
             return Err(Abort::NotRun(reason));
         }
+        if !inbound.charge(context, Plan::PrefillAndRun).await {
+            return Err(Abort::OverBudget);
+        }
         let prompt = Prompt {
             service: inbound.service().clone(),
             tokens: inbound.size().prompt,
@@ -93,7 +92,7 @@
             });
             Err(Failure::InvalidResponse(if is_not_run { "not run" } else { "refused" }))
         }
-        Err(Failure::Blocked(block)) => Err(Failure::Blocked(block)),
+        Err(failure @ (Failure::Blocked(_) | Failure::OverBudget)) => Err(failure),
         Err(failure) => {
             let is_unsent = matches!(failure, Failure::Connect(_));
             if matches!(failure, Failure::Timeout) {
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -162,7 +162,7 @@
         let mut progress = progress.clone();
         progress.avoid.push(permit.endpoint.id.clone());
         match place(context, inbound, &progress).await {
-            Ok(placement) if inbound.acquire_retry(context).await => Step::Replaced(placement),
+            Ok(placement) if inbound.charge(context, placement.plan()).await => Step::Replaced(placement),
             Ok(_) | Err(_) => std::future::pending().await,
         }
     };
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -10,7 +10,7 @@
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Refusal,
-    gateway::{health::Outcome, state::ENDPOINT_RETRY_AFTER},
+    gateway::{budget::Plan, health::Outcome, state::ENDPOINT_RETRY_AFTER},
     refusal::Code,
 };
 use tarragonhill_h1::head::Response;
@@ -20,7 +20,7 @@
     context::{Context, Inbound, ends_too_late},
     control::Permit,
     edge::{Reply, Task},
-    exchange::{Failure, MISDIRECTED, is_not_run_status, not_run_outcome},
+    exchange::{Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
 };
 
 /// Fraction of the route's latency target after which an idempotent request is hedged; leaves time for the
@@ -84,7 +84,7 @@
                 reason
             }
         };
-        if sends >= MAX_SENDS || !inbound.acquire_retry(context).await {
+        if sends >= MAX_SENDS || !inbound.charge(context, Plan::Run).await {
             let refusal = retries_exhausted(inbound, reason);
             return give_up(inbound, writer, error_response, refusal).await;
         }
@@ -151,7 +151,7 @@
         return (attempt, 1);
     }
     let Ok(permit) = context.control.place(inbound.service(), avoid).await else { return (first.await, 1) };
-    if !inbound.acquire_retry(context).await {
+    if !inbound.charge(context, Plan::Run).await {
         drop(permit);
         return (first.await, 1);
     }
@@ -199,6 +199,7 @@
         Err(Failure::Blocked(block)) => {
             return Attempt::NotSent(format!("{}: {block}", permit.endpoint.id));
         }
+        Err(Failure::OverBudget) => return Attempt::NotRun(OVER_BUDGET.into()),
         Err(Failure::Connect(error)) => {
             let reason = format!("{} is unreachable: {error}", permit.endpoint.id);
             permit.finish(Outcome::Unreachable);
