--- a/crates/core/src/gateway/cold.rs
+++ b/crates/core/src/gateway/cold.rs
@@ -104,6 +104,11 @@
         self.is_read = true;
     }
 
+    /// Returns the number of replicas; `None` before the store's list of replicas has been read.
+    pub fn count(&self) -> Option<u32> {
+        self.is_read.then_some(self.names.len() as u32)
+    }
+
     /// Returns whether this replica is one of the `count` owners of an endpoint.
     pub fn is_owner(&self, endpoint: &str, count: usize) -> bool {
         let own = rank(&self.own, endpoint);
