Start the slack of the retry budget empty in each process

What callers saw: nothing at once; with gateways that restart several times within a window, endpoints could get more retries than the budget of their service allows.

Cause: a process that had just started could use four tenths of its share of the slack at once, whatever the process before it had used. A second and third restart within the window gave as much again.

Change: the slack is a token bucket of the replica's share, which starts empty and gains 0.4 of the share in each window, up to 0.4. What all processes under one name can use within a window is then bounded however often they restart. What requests earn stays a count in the sliding window, as a process counts only requests that it received itself. Without the store's list of replicas, no slack is used.

retries_are_allowed_again_after_the_window asserted that nothing is left 9 s after the burst; a bucket gains meanwhile. It now uses all that it gets during the whole window and asserts that the sum stays within the slack, which is the promise, and as before that a retry is allowed after it.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -1,8 +1,10 @@
 //! Retry budget, shared by all replicas.
 //!
-//! In any window, the retries of a service stay below a fraction of its requests plus a fixed
-//! slack. A retry is a message to an endpoint, so a [`Ledger`] for each request tells what has to be charged. Each replica counts only its own requests and uses an equal share of the slack, so the
-//! limit holds without coordination.
+//! In any window, the retries of a service stay below a fraction of its requests plus a fixed slack. A retry is a
+//! message to an endpoint, so a [`Ledger`] for each request tells what has to be charged.
+//!
+//! The limit holds without coordination, also while replicas are cut off or restarted: each replica counts only
+//! requests that it received itself, and uses an equal share of the slack, for which a new process has to wait.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -12,15 +14,12 @@
 
 use crate::clock::Time;
 
-/// Fraction of the budget that is used. Leaves a margin for replicas that join or leave within a
-/// window.
+/// Fraction of the retries that requests earn which is used. Leaves a margin for messages that arrive later than they
+/// were charged.
 const USABLE_FRACTION: f64 = 0.7;
-/// Fraction of its share of the slack that a replica uses in its first window. The process that it
-/// replaces may have used the full share within the same window: together, [`USABLE_FRACTION`] x
-/// 1.4 stays below the whole.
-const STARTUP_FRACTION: f64 = 0.4;
-/// Lower bound of the replica count in the first window, while peers are still being discovered.
-const MIN_STARTUP_REPLICAS: u32 = 4;
+/// Fraction of a replica's share of the slack that it may save up, and that it gains in each window. Both together, with
+/// a margin for late messages and for replicas that do not know of new ones yet, stay within the share.
+const SLACK_FRACTION: f64 = 0.4;
 /// How long a charge may precede its message. A request may wait for an endpoint in between; with an older charge, its
 /// message would count in a window that the charge does not.
 const CHARGE_TTL: Duration = Duration::from_secs(2);
@@ -38,13 +37,6 @@
     pub window: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    start: Time,
-    requests: u32,
-    retries: u32,
-}
-
 /// A message by which an endpoint gets a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Message {
@@ -171,12 +163,62 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    start: Time,
+    requests: u32,
+    /// Retries that requests of the window have paid for. Fractions of a retry may come from the slack.
+    retries: f64,
+}
+
+/// Requests and retries of one service.
+#[derive(Clone, Debug)]
+struct Account {
+    window: VecDeque<Bucket>,
+    /// Retries left of the replica's share of the slack.
+    slack: f64,
+    slack_updated_at: Time,
+}
+
+impl Account {
+    /// Creates the account of a replica that started at `started_at` and has saved up no slack at that time: the process
+    /// that it replaces may have used all of it.
+    fn new(started_at: Time) -> Self {
+        Self { window: VecDeque::new(), slack: 0.0, slack_updated_at: started_at }
+    }
+
+    fn bucket(&mut self, now: Time, window: Duration) -> &mut Bucket {
+        while self.window.front().is_some_and(|bucket| now.since(bucket.start) >= window) {
+            self.window.pop_front();
+        }
+        if self.window.back().is_none_or(|bucket| now.since(bucket.start) >= BUCKET_DURATION) {
+            self.window.push_back(Bucket { start: now, requests: 0, retries: 0.0 });
+        }
+        let last = self.window.len() - 1;
+        &mut self.window[last]
+    }
+
+    /// Returns how many more retries the requests of the window pay for.
+    fn earned(&self, ratio: f64) -> f64 {
+        let requests: u32 = self.window.iter().map(|bucket| bucket.requests).sum();
+        let retries: f64 = self.window.iter().map(|bucket| bucket.retries).sum();
+        (ratio * f64::from(requests) * USABLE_FRACTION - retries).max(0.0)
+    }
+
+    fn refill_slack(&mut self, now: Time, share: f64, window: Duration) {
+        let most = share * SLACK_FRACTION;
+        let gained = most * now.since(self.slack_updated_at).div_duration_f64(window);
+        self.slack = (self.slack + gained).min(most);
+        self.slack_updated_at = now;
+    }
+}
+
 /// Requests and retries within the window, by service.
 #[derive(Clone, Debug)]
 pub struct Budget {
     rule: Rule,
     started_at: Time,
-    services: BTreeMap<Arc<str>, VecDeque<Bucket>>,
+    services: BTreeMap<Arc<str>, Account>,
 }
 
 impl Budget {
@@ -187,41 +229,34 @@
 
     /// Records a request of a caller.
     pub fn record_request(&mut self, now: Time, service: &Arc<str>) {
-        self.bucket(now, service).requests += 1;
+        let window = self.rule.window;
+        self.account(service).bucket(now, window).requests += 1;
     }
 
     /// Records `count` retries if the budget allows all of them, and returns whether it does. `replicas` is the number
-    /// of replicas that share the slack, including this one.
-    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: u32) -> bool {
-        self.bucket(now, service);
-        let buckets = &self.services[service];
-        let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = buckets.iter().map(|bucket| bucket.retries).sum();
-        let allowed = self.rule.ratio * f64::from(requests) + self.slack(now, replicas);
-        if f64::from(retries + count) > allowed * USABLE_FRACTION {
+    /// of replicas that share the slack, including this one; `None` if it is not known, so that the slack must not be
+    /// used.
+    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: Option<u32>) -> bool {
+        let Rule { ratio, slack, window } = self.rule;
+        let account = self.account(service);
+        account.bucket(now, window);
+        if let Some(replicas) = replicas {
+            account.refill_slack(now, slack / f64::from(replicas.max(1)), window);
+        }
+        let earned = account.earned(ratio);
+        let usable_slack = if replicas.is_some() { account.slack } else { 0.0 };
+        let count = f64::from(count);
+        if count > earned + usable_slack {
             return false;
         }
-        self.bucket(now, service).retries += count;
+        let by_requests = earned.min(count);
+        account.bucket(now, window).retries += by_requests;
+        account.slack -= count - by_requests;
         true
     }
 
-    /// Returns this replica's share of the slack.
-    fn slack(&self, now: Time, replicas: u32) -> f64 {
-        if now.since(self.started_at) < self.rule.window {
-            return self.rule.slack * STARTUP_FRACTION / f64::from(replicas.max(MIN_STARTUP_REPLICAS));
-        }
-        self.rule.slack / f64::from(replicas.max(1))
-    }
-
-    fn bucket(&mut self, now: Time, service: &Arc<str>) -> &mut Bucket {
-        let buckets = self.services.entry(service.clone()).or_default();
-        while buckets.front().is_some_and(|bucket| now.since(bucket.start) >= self.rule.window) {
-            buckets.pop_front();
-        }
-        if buckets.back().is_none_or(|bucket| now.since(bucket.start) >= BUCKET_DURATION) {
-            buckets.push_back(Bucket { start: now, requests: 0, retries: 0 });
-        }
-        let last = buckets.len() - 1;
-        &mut buckets[last]
+    fn account(&mut self, service: &Arc<str>) -> &mut Account {
+        let started_at = self.started_at;
+        self.services.entry(service.clone()).or_insert_with(|| Account::new(started_at))
     }
 }
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -40,6 +40,6 @@
     /// Spends `count` retries of the service's retry budget; returns false, and spends none, if fewer are left.
     pub fn retry(&mut self, now: Time, service: &Arc<str>, count: u32) -> bool {
         // Not only replicas that are alive as far as this one knows: those that are cut off from it use their share.
-        self.budget.try_spend(now, service, count, self.roster.count().unwrap_or(self.peers.count()))
+        self.budget.try_spend(now, service, count, self.roster.count())
     }
 }
