Make response fields that the gateway does not know visible

Endpoints have three times begun to say something about themselves in a header that nobody read, and each time neither logs nor metrics showed it. At most 32 names are kept.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -5,7 +5,7 @@
 pub mod worker;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -40,6 +40,9 @@
 /// still retry at another replica if the store is unreachable.
 const INITIAL_READ_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Largest number of unknown response fields that are remembered.
+const MAX_UNKNOWN_FIELDS: usize = 32;
+
 /// Prompt length for which forecasts are logged and exported, tokens.
 pub(crate) const FORECAST_PROMPT_TOKENS: u64 = 1_000;
 
@@ -160,6 +163,8 @@
     evacuations: Evacuations,
     /// Cold endpoints, and when requests were sent to them.
     cold: ColdEndpoints,
+    /// Names of response fields that the gateway does not know, in lowercase.
+    unknown_fields: BTreeSet<String>,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -304,6 +309,19 @@
         }
     }
 
+    /// Records the name of a response field that the gateway does not know. Returns whether it is a new one; a limited
+    /// number of names is remembered.
+    pub fn record_unknown_field(&self, name: &str) -> bool {
+        let mut shared = lock(&self.shared);
+        let is_full = shared.unknown_fields.len() >= MAX_UNKNOWN_FIELDS;
+        !is_full && shared.unknown_fields.insert(name.to_ascii_lowercase())
+    }
+
+    /// Returns the names of the response fields that the gateway does not know.
+    pub fn unknown_fields(&self) -> BTreeSet<String> {
+        lock(&self.shared).unknown_fields.clone()
+    }
+
     /// Returns the evacuated zones.
     pub fn evacuations(&self) -> Evacuations {
         lock(&self.shared).evacuations.clone()
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -132,6 +132,10 @@
     /// Decodes the head of an endpoint's response.
     fn decode_reply(&self, response: &Response) -> Reply;
 
+    /// Returns the names of the fields of an endpoint's response that mean nothing to the gateway and are not known to
+    /// be for the caller either.
+    fn unknown_fields<'a>(&self, response: &'a Response) -> Vec<&'a str>;
+
     /// Encodes a refusal as a response, without framing fields.
     fn encode_refusal(&self, refusal: &Refusal, id: Option<&str>) -> (Response, Vec<u8>);
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -194,6 +194,7 @@
             if !is_replaced(&response, &reply, endpoint) {
                 self.record_notice(endpoint, &reply);
             }
+            self.record_unknown_fields(endpoint, &response);
             let framing = response.framing(&head.method);
             let mut decoder = Decoder::new(framing.map_err(invalid)?);
             // Informational, or a late response to an earlier request on this connection.
@@ -219,6 +220,20 @@
         Err(Failure::InvalidResponse("too many responses to other requests"))
     }
 
+    /// Logs fields that endpoints did not send before and that the gateway does not know: what an endpoint says there
+    /// has no effect.
+    fn record_unknown_fields(self, endpoint: &Endpoint, response: &Response) {
+        for name in self.dialect.unknown_fields(response) {
+            if self.control.record_unknown_field(name) {
+                let value = response.fields.get(name).unwrap_or_default();
+                let value: String = value.chars().take(MAX_LOGGED_VALUE_CHARS).collect();
+                spdlog::warn!("unknown response field", kv: {
+                    field = name, value = value.as_str(), endpoint = &*endpoint.id, service = &*endpoint.service
+                });
+            }
+        }
+    }
+
     /// Records what an endpoint says about itself in a response.
     fn record_notice(self, endpoint: &Endpoint, reply: &Reply) {
         if reply.is_leaving {
@@ -233,6 +248,9 @@
     }
 }
 
+/// Longest part of an unknown field's value that is logged.
+const MAX_LOGGED_VALUE_CHARS: usize = 80;
+
 /// Encodes head and body. The body is sent with `Content-Length`, even if it was received in chunks.
 fn encode(head: &Request, body: &[u8]) -> Vec<u8> {
     let mut head = head.clone();
