--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -26,6 +26,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 /// Delay of [`Fault::RefuseLate`]; longer than the hedging delay of the gateway.
 const LATE_REFUSAL_DELAY: Duration = Duration::from_millis(700);
+/// Period in which requests to an endpoint that has named a limit are counted.
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Number of events in a complete stream.
 pub const EVENT_COUNT: u32 = 20;
 
@@ -107,6 +109,12 @@
     cold_until: Option<Instant>,
     /// When requests arrived during cold phases.
     cold_arrivals: Vec<Instant>,
+    /// Requests a second that the endpoint takes from all gateways together; `None` if it names no limit.
+    limit: Option<f64>,
+    /// When the endpoint first named its limit.
+    limited_since: Option<Instant>,
+    /// When requests arrived while the endpoint named a limit.
+    limited_arrivals: Vec<Instant>,
     received: Vec<ReceivedRequest>,
     service_time: Duration,
     /// All received requests, including control calls.
@@ -267,6 +275,29 @@
         counts.max().unwrap_or(0)
     }
 
+    /// Names a limit in all further responses, in requests a second, or none.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        let mut state = lock(&self.state);
+        state.limit = limit;
+        state.limited_since = None;
+        state.limited_arrivals.clear();
+    }
+
+    /// Returns the largest number of requests, without control calls, in any [`LIMIT_WINDOW`] that begins at least
+    /// `notice` after the endpoint first named its limit.
+    pub fn busiest_limited_window(&self, notice: Duration) -> usize {
+        let state = lock(&self.state);
+        let Some(since) = state.limited_since else { return 0 };
+        let arrivals: Vec<Instant> =
+            state.limited_arrivals.iter().copied().filter(|at| at.duration_since(since) >= notice).collect();
+        let within = |start: &Instant, at: &Instant| at.duration_since(*start) < LIMIT_WINDOW;
+        let counts = arrivals
+            .iter()
+            .enumerate()
+            .map(|(index, start)| arrivals[index..].iter().take_while(|at| within(start, at)).count());
+        counts.max().unwrap_or(0)
+    }
+
     /// Stops at once and closes all connections.
     pub async fn kill(&self) {
         self.server.kill().await;
@@ -415,6 +446,9 @@
             if state.cold_until.is_some_and(|until| until > now) {
                 state.cold_arrivals.push(now);
             }
+            if state.limited_since.is_some() {
+                state.limited_arrivals.push(now);
+            }
         }
         let fault = lock(&self.state).take_fault();
         match fault {
@@ -618,6 +652,16 @@
         if lock(&self.state).is_leaving {
             head.fields.push("Server-Leaving", "1");
         }
+        let limit = {
+            let mut state = lock(&self.state);
+            if state.limit.is_some() {
+                state.limited_since.get_or_insert_with(Instant::now);
+            }
+            state.limit
+        };
+        if let Some(limit) = limit {
+            head.fields.push("Server-Limit", limit.to_string());
+        }
         let cold = lock(&self.state).cold_until.map(|until| until.saturating_duration_since(Instant::now()));
         if let Some(cold) = cold.filter(|cold| !cold.is_zero()) {
             head.fields.push("Tarragonhill-Cold-Ms", cold.as_millis().to_string());
