Move owners and intervals of cold endpoints to a module of their own

core::gateway::throttle holds what keeps a limit over a whole fleet: the roster, the owners of an endpoint, and the turns at which a replica may send. core::gateway::cold keeps what is particular to cold endpoints. No change of behaviour; all tests as before.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -28,3 +28,4 @@
 pub mod staleness;
 pub mod state;
 pub mod suspect;
+pub mod throttle;
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -6,12 +6,12 @@
 
 use super::{
     catalog::Engine,
-    cold::ColdEndpoints,
     directory::{Directory, Endpoint, Stage},
     forecast::Forecasts,
     growth::Growth,
     load::{Load, Loads},
     pools::Pools,
+    throttle::Throttles,
 };
 use crate::clock::{Time, micros};
 
@@ -101,7 +101,7 @@
     /// Known endpoints.
     pub directory: &'a Directory,
     /// Those of them that are cold.
-    pub cold: &'a ColdEndpoints,
+    pub cold: &'a Throttles,
     /// Their loads.
     pub loads: &'a Loads,
     /// Stage changes in progress.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use super::{
     budget::{Budget, Rule},
     catalog::{Catalog, Customer, Engine},
-    cold::{ColdEndpoints, Roster, Tolerance},
+    cold::Tolerance,
     digest::{Member, Peers},
     directory::{Change, Directory, Endpoint, Row},
     forecast::Forecasts,
@@ -26,6 +26,7 @@
     relay::{Outbox, Topology},
     staleness::Staleness,
     suspect::Suspects,
+    throttle::{Roster, Throttles},
 };
 use crate::clock::Time;
 
@@ -110,7 +111,7 @@
     /// Versions read from the store and known to peers.
     staleness: Staleness,
     directory: Directory,
-    cold: ColdEndpoints,
+    cold: Throttles,
     /// What cold endpoints tolerate, by the operator.
     tolerance: Tolerance,
     roster: Roster,
@@ -138,7 +139,7 @@
             catalog: None,
             staleness: Staleness::default(),
             directory: Directory::default(),
-            cold: ColdEndpoints::default(),
+            cold: Throttles::default(),
             tolerance,
             loads: Loads::default(),
             rate_limiter: RateLimiter::new(now),
@@ -211,7 +212,7 @@
     }
 
     /// Returns the cold endpoints.
-    pub fn cold(&self) -> &ColdEndpoints {
+    pub fn cold(&self) -> &Throttles {
         &self.cold
     }
 
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -7,11 +7,12 @@
     clock::Time,
     gateway::{
         catalog::Catalog,
-        cold::{Cold, Share},
+        cold,
         digest::Member,
         directory::Change,
         evacuation::{self, Evacuations},
         staleness::Versions,
+        throttle::Throttle,
     },
 };
 
@@ -67,7 +68,7 @@
     /// Records that an endpoint is cold for `span`.
     pub fn record_cold(&mut self, now: Time, endpoint: &Arc<str>, span: Duration) {
         let interval = self.cold_interval(endpoint);
-        self.cold.record(now, endpoint, Cold { until: now.plus(span), interval });
+        self.cold.extend(now, endpoint, Throttle { until: now.plus(span), interval });
     }
 
     /// Returns the interval at which this replica may send to an endpoint while it is cold.
@@ -75,7 +76,7 @@
         let service = self.directory.get(endpoint).map(|endpoint| &*endpoint.service);
         let service = service.and_then(|service| self.catalog.as_ref()?.service(service));
         let Some(warmup) = service.and_then(|service| service.warmup) else { return Some(Duration::ZERO) };
-        let share = Share::new(warmup.rate, self.tolerance)?;
+        let share = cold::share(warmup.rate, self.tolerance)?;
         self.roster.is_owner(endpoint, share.owners).then_some(share.interval)
     }
 
--- /dev/null
+++ b/crates/core/src/gateway/throttle.rs
@@ -0,0 +1,179 @@
+//! Limits on what all replicas together send to an endpoint.
+//!
+//! A limit must hold whether replicas reach each other or not. Each throttled endpoint therefore belongs to a few
+//! replicas, its owners, and each owner keeps a minimum interval between the requests that it sends there. [`cold`]
+//! tells when an endpoint is throttled, and at which rate.
+//!
+//! [`cold`]: super::cold
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::clock::Time;
+
+/// Number of groups of replicas that may not know of each other and name owners of their own: those that were cut
+/// off before the fleet grew, and all others.
+pub(super) const GROUPS: f64 = 2.0;
+/// Added to the interval between two requests, as one may take longer to arrive than the next.
+pub(super) const INTERVAL_MARGIN: Duration = Duration::from_millis(20);
+/// Longest time for which an endpoint is believed to be throttled; rows and responses may claim anything.
+pub const MAX_DURATION: Duration = Duration::from_secs(60);
+
+/// How the owners of a throttled endpoint share what it takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Number of owners. Owners of all groups that send at this interval stay within the tolerance in any period.
+    pub owners: usize,
+    /// Minimum interval between two requests of one owner.
+    pub interval: Duration,
+}
+
+/// The replicas that may own throttled endpoints.
+///
+/// The list holds every replica that the store or a peer has named, alive or not: replicas with the same list name the
+/// same owners, and a replica that is cut off keeps those that it knew.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Roster {
+    own: Arc<str>,
+    names: BTreeSet<Arc<str>>,
+    /// Whether the store has been read. Before, this replica may know few others, and owns nothing.
+    is_read: bool,
+}
+
+impl Roster {
+    /// Creates the list of a replica that knows of no other.
+    pub fn new(own: Arc<str>) -> Self {
+        let names = BTreeSet::from([own.clone()]);
+        Self { own, names, is_read: false }
+    }
+
+    /// Adds a replica. Returns whether it was unknown.
+    pub fn add(&mut self, name: &Arc<str>) -> bool {
+        self.names.insert(name.clone())
+    }
+
+    /// Records that the store's list of replicas has been read and added.
+    pub fn mark_read(&mut self) {
+        self.is_read = true;
+    }
+
+    /// Returns the number of replicas; `None` before the store's list of replicas has been read.
+    pub fn count(&self) -> Option<u32> {
+        self.is_read.then_some(self.names.len() as u32)
+    }
+
+    /// Returns whether this replica is one of the `count` owners of an endpoint.
+    pub fn is_owner(&self, endpoint: &str, count: usize) -> bool {
+        let own = rank(&self.own, endpoint);
+        let before = self.names.iter().filter(|name| rank(name, endpoint) < own);
+        self.is_read && before.take(count).count() < count
+    }
+}
+
+/// Returns the place of a replica among the owners of an endpoint, by rendezvous hashing.
+fn rank(replica: &str, endpoint: &str) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(endpoint.as_bytes());
+    hash.update(&[0]);
+    hash.update(replica.as_bytes());
+    hash.digest()
+}
+
+/// A throttled endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Throttle {
+    /// End of the throttling, as far as known.
+    pub until: Time,
+    /// Minimum interval between two requests of this replica; `None` if it must not send any.
+    pub interval: Option<Duration>,
+}
+
+/// The throttled endpoints, and when this replica may send to them.
+#[derive(Clone, Debug, Default)]
+pub struct Throttles {
+    endpoints: BTreeMap<Arc<str>, Throttle>,
+    /// Increases with each change of `endpoints`.
+    generation: u64,
+    /// Earliest time of the next request. Kept until the throttling ends, so that a change of the roster gives no
+    /// request more.
+    next: BTreeMap<Arc<str>, Time>,
+}
+
+impl Throttles {
+    /// Throttles an endpoint, for longer if it is throttled already. An earlier end is not believed: a report may be
+    /// older than the last one.
+    pub fn extend(&mut self, now: Time, endpoint: &Arc<str>, throttle: Throttle) {
+        let until = throttle.until.min(now.plus(MAX_DURATION));
+        if until <= now {
+            return;
+        }
+        let known = self.endpoints.get(endpoint).map(|throttle| throttle.until).filter(|until| *until > now);
+        let until = known.map_or(until, |known| known.max(until));
+        self.endpoints.insert(endpoint.clone(), Throttle { until, ..throttle });
+        self.generation += 1;
+    }
+
+    /// Replaces the intervals of all throttled endpoints.
+    pub fn update_intervals(&mut self, interval: impl Fn(&Arc<str>) -> Option<Duration>) {
+        for (endpoint, throttle) in &mut self.endpoints {
+            throttle.interval = interval(endpoint);
+        }
+        self.generation += 1;
+    }
+
+    /// Returns the generation of the list, by which a copy of it tells whether it is outdated.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Copies the list of endpoints from another one, but not when requests were sent there.
+    pub fn copy_list(&mut self, other: &Self) {
+        self.endpoints.clone_from(&other.endpoints);
+        self.generation = other.generation;
+    }
+
+    /// Returns whether no endpoint is throttled.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Removes endpoints whose throttling has ended.
+    pub fn expire(&mut self, now: Time) {
+        self.endpoints.retain(|_, throttle| throttle.until > now);
+        let endpoints = &self.endpoints;
+        self.next.retain(|endpoint, next| *next > now || endpoints.contains_key(endpoint));
+    }
+
+    /// Returns the throttle of an endpoint if there is one.
+    pub fn get(&self, now: Time, endpoint: &str) -> Option<Throttle> {
+        self.endpoints.get(endpoint).copied().filter(|throttle| throttle.until > now)
+    }
+
+    /// Returns the throttled endpoints.
+    pub fn all(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Throttle)> {
+        self.endpoints.iter().filter(move |(_, throttle)| throttle.until > now)
+    }
+
+    /// Returns how long this replica has to wait before it may send to an endpoint; `None` if it may not while the
+    /// throttling lasts.
+    pub fn wait(&self, now: Time, endpoint: &str) -> Option<Duration> {
+        let Some(throttle) = self.get(now, endpoint) else { return Some(Duration::ZERO) };
+        throttle.interval?;
+        Some(self.next.get(endpoint).map_or(Duration::ZERO, |next| next.since(now)))
+    }
+
+    /// Takes the next time at which this replica may send to an endpoint, and returns it; `None` if there is none
+    /// while the throttling lasts.
+    pub fn take(&mut self, now: Time, endpoint: &Arc<str>) -> Option<Time> {
+        let at = now.plus(self.wait(now, endpoint)?);
+        if let Some(interval) = self.get(now, endpoint).and_then(|throttle| throttle.interval) {
+            self.next.insert(endpoint.clone(), at.plus(interval));
+        }
+        Some(at)
+    }
+}
--- a/crates/core/tests/gateway/cold.rs
+++ b/crates/core/tests/gateway/cold.rs
@@ -5,7 +5,10 @@
 use quickcheck::{Gen, QuickCheck, TestResult};
 use tarragonhill_core::{
     Time,
-    gateway::cold::{Cold, ColdEndpoints, MAX_COLD, Roster, Share, Tolerance},
+    gateway::{
+        cold::{Tolerance, share},
+        throttle::{MAX_DURATION, Roster, Throttle, Throttles},
+    },
 };
 
 use crate::at;
@@ -31,8 +34,8 @@
     roster
 }
 
-fn cold(until: Time, interval: Option<Duration>) -> Cold {
-    Cold { until, interval }
+fn cold(until: Time, interval: Option<Duration>) -> Throttle {
+    Throttle { until, interval }
 }
 
 /// Returns the most requests that arrive in any second if each replica sends whenever its list allows.
@@ -40,9 +43,9 @@
     let end = at(5_000);
     let mut sends: Vec<Time> = Vec::new();
     for interval in intervals {
-        let mut endpoints = ColdEndpoints::default();
+        let mut endpoints = Throttles::default();
         let id: Arc<str> = ENDPOINT.into();
-        endpoints.record(at(0), &id, cold(end, Some(*interval)));
+        endpoints.extend(at(0), &id, cold(end, Some(*interval)));
         let mut now = at(0);
         while now < end {
             if endpoints.wait(now, ENDPOINT) == Some(Duration::ZERO) {
@@ -60,7 +63,7 @@
 
 /// Returns the intervals of those of the replicas that own the endpoint by their rosters.
 fn owners_intervals(rosters: &[Roster]) -> Vec<Duration> {
-    let share = Share::new(RATE, TOLERANCE).expect("a share");
+    let share = share(RATE, TOLERANCE).expect("a share");
     let owners = rosters.iter().filter(|roster| roster.is_owner(ENDPOINT, share.owners));
     owners.map(|_| share.interval).collect()
 }
@@ -128,7 +131,7 @@
         if !most.is_finite() || most > 200.0 {
             return TestResult::discard();
         }
-        let Some(share) = Share::new(rate, tolerance) else { return TestResult::passed() };
+        let Some(share) = share(rate, tolerance) else { return TestResult::passed() };
         // Two groups of replicas may each name their owners.
         let busiest = busiest_second(&vec![share.interval; share.owners * 2]);
         TestResult::from_bool(rate > 0.0 && busiest as f64 <= most)
@@ -138,9 +141,9 @@
     {
         assert!(!keeps(rate, factor, slack).is_failure(), "{rate} {factor} {slack}");
     }
-    assert_eq!(Share::new(0.0, TOLERANCE), None);
-    assert_eq!(Share::new(-4.0, TOLERANCE), None);
-    assert_eq!(Share::new(f64::NAN, TOLERANCE), None);
+    assert_eq!(share(0.0, TOLERANCE), None);
+    assert_eq!(share(-4.0, TOLERANCE), None);
+    assert_eq!(share(f64::NAN, TOLERANCE), None);
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(40, 3))
         .tests(200)
@@ -150,9 +153,9 @@
 /// Guards against a row from before the last start that makes a cold endpoint look warm.
 #[test]
 fn an_endpoint_stays_cold_for_the_longest_time_reported() {
-    let (id, mut endpoints): (Arc<str>, _) = (ENDPOINT.into(), ColdEndpoints::default());
-    endpoints.record(at(0), &id, cold(at(3_000), None));
-    endpoints.record(at(100), &id, cold(at(200), None));
+    let (id, mut endpoints): (Arc<str>, _) = (ENDPOINT.into(), Throttles::default());
+    endpoints.extend(at(0), &id, cold(at(3_000), None));
+    endpoints.extend(at(100), &id, cold(at(200), None));
     assert!(endpoints.get(at(2_999), ENDPOINT).is_some());
     assert!(endpoints.get(at(3_000), ENDPOINT).is_none());
 }
@@ -160,17 +163,17 @@
 /// Guards against an endpoint that is never used again because its row claims to be cold for years.
 #[test]
 fn an_absurd_cold_time_is_cut_off() {
-    let (id, mut endpoints): (Arc<str>, _) = (ENDPOINT.into(), ColdEndpoints::default());
-    endpoints.record(at(0), &id, cold(at(0).plus(Duration::MAX), None));
-    assert!(endpoints.get(at(0).plus(MAX_COLD), ENDPOINT).is_none());
+    let (id, mut endpoints): (Arc<str>, _) = (ENDPOINT.into(), Throttles::default());
+    endpoints.extend(at(0), &id, cold(at(0).plus(Duration::MAX), None));
+    assert!(endpoints.get(at(0).plus(MAX_DURATION), ENDPOINT).is_none());
 }
 
 /// Guards against a burst of requests after each change of the list of replicas.
 #[test]
 fn a_changed_interval_does_not_forget_the_last_request() {
-    let (id, mut endpoints): (Arc<str>, _) = (ENDPOINT.into(), ColdEndpoints::default());
+    let (id, mut endpoints): (Arc<str>, _) = (ENDPOINT.into(), Throttles::default());
     let interval = Duration::from_millis(500);
-    endpoints.record(at(0), &id, cold(at(3_000), Some(interval)));
+    endpoints.extend(at(0), &id, cold(at(3_000), Some(interval)));
     assert_eq!(endpoints.take(at(0), &id), Some(at(0)));
     endpoints.update_intervals(|_| None);
     assert_eq!(endpoints.take(at(10), &id), None);
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -7,7 +7,6 @@
 };
 
 use tarragonhill_core::gateway::{
-    cold::ColdEndpoints,
     digest::{Digest, Share},
     directory::{Directory, Endpoint, Stage},
     forecast::Forecasts,
@@ -16,6 +15,7 @@
     load::Loads,
     placement::{Partition, Prefill, Run, View, headroom},
     pools::Pools,
+    throttle::Throttles,
 };
 
 use crate::{SMALL, at, endpoint, engine, row, trained};
@@ -31,7 +31,7 @@
 }
 
 fn view<'a>(directory: &'a Directory, loads: &'a Loads, now: u64) -> View<'a> {
-    static COLD: LazyLock<ColdEndpoints> = LazyLock::new(ColdEndpoints::default);
+    static COLD: LazyLock<Throttles> = LazyLock::new(Throttles::default);
     static POOLS: LazyLock<Pools> = LazyLock::new(Pools::default);
     static FORECASTS: LazyLock<Forecasts> = LazyLock::new(|| trained(SMALL));
     let partition = Partition { index: 0, count: 1 };
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,7 +18,6 @@
     gateway::{
         backoff::Backoffs,
         catalog::Catalog,
-        cold::ColdEndpoints,
         completion::{Completion, Prompt},
         digest::Member,
         directory::Endpoint,
@@ -30,6 +29,7 @@
         snapshot::Snapshot,
         staleness::Versions,
         state::Admission,
+        throttle::Throttles,
     },
     refusal::Code,
 };
@@ -162,7 +162,7 @@
     /// Evacuated zones, for requests that were placed before the evacuation.
     evacuations: Evacuations,
     /// Cold endpoints, and when requests were sent to them.
-    cold: ColdEndpoints,
+    cold: Throttles,
     /// Names of response fields that the gateway does not know, in lowercase.
     unknown_fields: BTreeSet<String>,
 }
