Keep to the limits that endpoints name in their responses

Cause: nothing read the header. What an endpoint says about itself in responses was decoded field by field as incidents brought them up.

Change: the dialect decodes the limit from each response, also refusals, reservations, prefills and reports. core::gateway::limit keeps the newest observation of each endpoint, own or from a peer's digest; the mechanism of cold endpoints (core::gateway::throttle) keeps to it: a few owners by rendezvous hash over all replicas ever named, each with an interval, at the placement and again where messages are sent, so that hedges, prefills, resumptions and retries are included. The interval is such that two groups of replicas with owners of their own stay within 1.5 times the limit and 5 requests in 4 s. When nothing has been seen of an endpoint for a while, the next replicas in order become its owners, so that it does not stay unused when they are gone and the end of the limit is noticed. A response without the header ends the limit, everywhere. New processes learn limits from digests. A request without room goes to another endpoint; if there is none, it is refused at once, as not run, and queued streams that could not get a turn before their deadline are refused without waiting for it.

Random fleets of 1 to 24 replicas, cut, restarted and ended, keep to the limit as the endpoint sees it; with every replica as an owner they do not.

--- a/crates/bench/src/platform/restarts.rs
+++ b/crates/bench/src/platform/restarts.rs
@@ -24,7 +24,7 @@
 
 use super::{
     caller::{Caller, Response, completion_request, plain_request},
-    endpoint::{EVENT_COUNT, Endpoint, Role},
+    endpoint::{EVENT_COUNT, Endpoint, LIMIT_WINDOW, Role},
     site::{KEY, Shape, Site, SiteError, with_cold_limit},
 };
 use crate::sim::lock;
@@ -64,6 +64,12 @@
 const COLD_TIME: Duration = Duration::from_secs(3);
 /// Requests in one second that a cold endpoint tolerates, by the site's settings.
 const COLD_LIMIT: usize = 17;
+/// Requests a second that some endpoints take, by what they say in their responses.
+const LIMIT_PER_S: f64 = 2.0;
+/// Time until all gateways must keep to such a limit.
+const LIMIT_NOTICE: Duration = Duration::from_secs(3);
+/// Requests in [`LIMIT_WINDOW`] that such an endpoint bears.
+const LIMIT: usize = 17;
 /// Statuses that promise that the request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -108,6 +114,8 @@
     Evacuated,
     /// A cold endpoint gets no more requests in a second than it tolerates.
     Cold,
+    /// An endpoint that has named a limit gets no more requests than it bears.
+    Limited,
 }
 
 /// A gateway as callers see it.
@@ -175,8 +183,8 @@
     pub seed: u64,
     exchanges: Vec<Exchange>,
     arrivals: BTreeMap<String, Arrivals>,
-    /// What endpoints saw of the evacuation.
-    zone_violations: Vec<(Promise, String)>,
+    /// Promises that endpoints saw broken.
+    endpoint_violations: Vec<(Promise, String)>,
 }
 
 impl History {
@@ -198,7 +206,7 @@
 
     /// Returns all violations of a promise.
     pub fn violations(&self, promise: Promise) -> Vec<Violation> {
-        let at_endpoints = self.zone_violations.iter().filter(|(broken, _)| *broken == promise);
+        let at_endpoints = self.endpoint_violations.iter().filter(|(broken, _)| *broken == promise);
         let at_endpoints =
             at_endpoints.map(|(promise, details)| Violation { promise: *promise, details: details.clone() });
         let broken = self.exchanges.iter().filter(|exchange| !self.is_kept(promise, exchange));
@@ -228,7 +236,7 @@
             Promise::AtMostOnce => exchange.kind == Kind::Lookup || executed <= 1,
             Promise::OwnResponse => exchange.is_own_response(),
             // Seen by endpoints, not by callers.
-            Promise::Evacuated | Promise::Cold => true,
+            Promise::Evacuated | Promise::Cold | Promise::Limited => true,
         }
     }
 
@@ -336,6 +344,11 @@
     }
     let evacuated: Vec<Arc<Endpoint>> =
         endpoints.iter().filter(|endpoint| site.is_in(endpoint, EVACUATED_ZONE)).cloned().collect();
+    let limited: Vec<Arc<Endpoint>> = [Role::Prefill, Role::Decode, Role::Plain]
+        .into_iter()
+        .filter_map(|role| endpoints.iter().find(|endpoint| endpoint.role() == role).cloned())
+        .collect();
+    limited.iter().for_each(|endpoint| endpoint.set_limit(Some(LIMIT_PER_S)));
     let processes = std::mem::take(&mut site.gateways);
     let run = Arc::new(Run { site, fronts: Mutex::default(), is_over: AtomicBool::new(false) });
     let evacuation =
@@ -357,7 +370,7 @@
     for restart in restarts {
         running.push(restart.await?);
     }
-    let mut zone_violations: Vec<(Promise, String)> = evacuation.await.into_iter().collect();
+    let mut endpoint_violations: Vec<(Promise, String)> = evacuation.await.into_iter().collect();
     run.is_over.store(true, Ordering::Relaxed);
     let mut exchanges = Vec::new();
     for caller in callers {
@@ -371,10 +384,17 @@
         let busiest = endpoint.busiest_cold_second();
         if busiest > COLD_LIMIT {
             let details = format!("seed {seed}, {}: {busiest} requests in one second", endpoint.id());
-            zone_violations.push((Promise::Cold, details));
+            endpoint_violations.push((Promise::Cold, details));
+        }
+    }
+    for endpoint in limited {
+        let busiest = endpoint.busiest_limited_window(LIMIT_NOTICE);
+        if busiest > LIMIT {
+            let details = format!("seed {seed}, {}: {busiest} requests in {LIMIT_WINDOW:?}", endpoint.id());
+            endpoint_violations.push((Promise::Limited, details));
         }
     }
-    Ok(History { seed, exchanges, arrivals: arrivals(&endpoints), zone_violations })
+    Ok(History { seed, exchanges, arrivals: arrivals(&endpoints), endpoint_violations })
 }
 
 fn arrivals(endpoints: &[Arc<Endpoint>]) -> BTreeMap<String, Arrivals> {
--- a/crates/bench/tests/restarts.rs
+++ b/crates/bench/tests/restarts.rs
@@ -57,6 +57,12 @@
     assert_kept(Promise::Cold);
 }
 
+/// Guards against restarted gateways that have forgotten the limits that endpoints named.
+#[test]
+fn limited_endpoints_get_few_requests_during_restarts() {
+    assert_kept(Promise::Limited);
+}
+
 /// Without such requests, the other tests would show nothing.
 #[test]
 fn requests_are_sent_and_served_during_shutdowns() {
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -7,7 +7,7 @@
 
 use super::{
     directory::Stage, evacuation::Evacuations, forecast::Forecast, growth::Growth, interval::digest_interval,
-    staleness::Versions,
+    limit, staleness::Versions,
 };
 use crate::clock::Time;
 
@@ -82,6 +82,8 @@
     pub changing: BTreeMap<Arc<str>, StageChange>,
     /// Crashes by request fingerprint, for requests that ran on an endpoint when it crashed.
     pub suspects: BTreeMap<u64, u32>,
+    /// Limits that endpoints named in responses to the sender.
+    pub limits: BTreeMap<Arc<str>, limit::Report>,
     /// Versions of the sender's copy of the store.
     pub versions: Versions,
     /// Evacuated zones. Receivers act on them without reading the store.
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -11,7 +11,7 @@
     growth::Growth,
     load::{Load, Loads},
     pools::Pools,
-    throttle::Throttles,
+    throttle::Gate,
 };
 use crate::clock::{Time, micros};
 
@@ -43,6 +43,10 @@
 /// it, replicas that do not know each other's newest runs would all pick the same endpoint.
 const PREFERENCE_BONUS: f64 = 0.2;
 
+/// Retry delay while all endpoints have named limits that belong to other replicas. A caller that comes back may reach
+/// one of these.
+const OWNER_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Fraction of an engine's memory kept free for runs of other replicas that are not reported yet.
 const HEADROOM: f64 = 0.03;
 /// Fraction of an engine's memory kept free when placing a late request, for requests that can
@@ -100,8 +104,8 @@
     pub now: Time,
     /// Known endpoints.
     pub directory: &'a Directory,
-    /// Those of them that are cold.
-    pub cold: &'a Throttles,
+    /// Those of them that take only few requests.
+    pub gate: &'a Gate,
     /// Their loads.
     pub loads: &'a Loads,
     /// Stage changes in progress.
@@ -138,13 +142,13 @@
         self.loads.get(&endpoint.id)
     }
 
-    /// Returns the endpoints that are not in `avoid`, changing their stage, ejected, backing off, or cold with no
+    /// Returns the endpoints that are not in `avoid`, changing their stage, ejected, backing off, or throttled with no
     /// request due from this replica.
     fn reachable(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
         let untried = serving.filter(|endpoint| !avoid.contains(&endpoint.id));
         let stable = untried.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
-        let open = stable.filter(|endpoint| self.cold.wait(self.now, &endpoint.id) == Some(Duration::ZERO));
+        let open = stable.filter(|endpoint| self.gate.wait(self.now, &endpoint.id) == Some(Duration::ZERO));
         let available = open.filter(|endpoint| self.backoff(endpoint).is_zero());
         available.filter(|endpoint| !self.is_ejected(endpoint)).collect()
     }
@@ -173,15 +177,29 @@
         serving.map(|endpoint| self.backoff(endpoint)).min().filter(|backoff| !backoff.is_zero())
     }
 
-    /// Returns the shortest time until this replica may send to a cold endpoint of a stage; `None` if no endpoint is
-    /// cold.
-    pub fn shortest_cold_wait(&self, service: &str, stage: Stage) -> Option<Duration> {
+    /// Returns the shortest time until this replica may send to a throttled endpoint of a stage; `None` if no endpoint
+    /// is throttled.
+    pub fn shortest_throttle_wait(&self, service: &str, stage: Stage) -> Option<Duration> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
-        let cold = serving.filter_map(|endpoint| Some((endpoint, self.cold.get(self.now, &endpoint.id)?)));
-        cold.map(|(endpoint, cold)| {
-            self.cold.wait(self.now, &endpoint.id).unwrap_or_else(|| cold.until.since(self.now))
-        })
-        .min()
+        let throttled = serving.filter(|endpoint| self.gate.is_throttled(self.now, &endpoint.id));
+        throttled
+            .map(|endpoint| {
+                let until_warm = || {
+                    let cold = self.gate.cold.get(self.now, &endpoint.id);
+                    cold.map_or(OWNER_RETRY_AFTER, |cold| cold.until.since(self.now))
+                };
+                self.gate.wait(self.now, &endpoint.id).unwrap_or_else(until_warm)
+            })
+            .min()
+    }
+
+    /// Returns how many requests this replica may send to the endpoints of a stage before `deadline`; `None` unless all
+    /// of them are throttled.
+    pub fn turns_before(&self, service: &str, stage: Stage, deadline: Time) -> Option<u64> {
+        let mut serving =
+            self.directory.serving(service).filter(|endpoint| endpoint.stage == stage).peekable();
+        serving.peek()?;
+        serving.map(|endpoint| self.gate.turns_before(self.now, &endpoint.id, deadline)).sum()
     }
 
     /// Returns whether a prompt has been in flight for so long that the endpoint probably hangs.
@@ -240,7 +258,7 @@
         match best {
             // Otherwise decode endpoints would get all prompts at once.
             None if self.shortest_backoff(service, Stage::Prefill).is_some()
-                || self.shortest_cold_wait(service, Stage::Prefill).is_some() =>
+                || self.shortest_throttle_wait(service, Stage::Prefill).is_some() =>
             {
                 Prefill::Busy
             }
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -88,7 +88,7 @@
     }
 
     /// Expires the requests for which `cannot_start` returns true.
-    pub fn expire(&mut self, cannot_start: impl Fn(&Entry<T>) -> bool) {
+    pub fn expire(&mut self, mut cannot_start: impl FnMut(&Entry<T>) -> bool) {
         for entry in self.0.iter_mut().filter(|entry| cannot_start(entry)) {
             entry.hard_deadline = Time::ZERO;
         }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -19,6 +19,7 @@
     digest::{Member, Peers},
     directory::{Change, Directory, Endpoint, Row},
     forecast::Forecasts,
+    limit::Limits,
     load::{Lease, Loads},
     pools::{Order, Pools, ServiceInfo},
     queue::{Entry, Queue, Verdict},
@@ -26,7 +27,7 @@
     relay::{Outbox, Topology},
     staleness::Staleness,
     suspect::Suspects,
-    throttle::{Roster, Throttles},
+    throttle::{Gate, Roster},
 };
 use crate::clock::Time;
 
@@ -111,7 +112,9 @@
     /// Versions read from the store and known to peers.
     staleness: Staleness,
     directory: Directory,
-    cold: Throttles,
+    /// Endpoints that take only few requests, and when this replica may send to them.
+    gate: Gate,
+    limits: Limits,
     /// What cold endpoints tolerate, by the operator.
     tolerance: Tolerance,
     roster: Roster,
@@ -139,7 +142,8 @@
             catalog: None,
             staleness: Staleness::default(),
             directory: Directory::default(),
-            cold: Throttles::default(),
+            gate: Gate::default(),
+            limits: Limits::default(),
             tolerance,
             loads: Loads::default(),
             rate_limiter: RateLimiter::new(now),
@@ -164,7 +168,9 @@
             self.suspects.remove_peer(peer);
             self.forecasts.remove_peer(peer);
         }
-        self.cold.expire(now);
+        self.gate.expire(now);
+        self.limits.expire(now);
+        self.update_limits(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
         let changes = self.directory.expire_lapsed(now);
@@ -211,9 +217,14 @@
         &self.directory
     }
 
-    /// Returns the cold endpoints.
-    pub fn cold(&self) -> &Throttles {
-        &self.cold
+    /// Returns the endpoints that take only few requests.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Returns the limits that endpoints name.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
     }
 
     /// Returns the load of all endpoints.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -60,6 +60,7 @@
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
         self.suspects.apply_digest(digest);
+        self.apply_limits(now, &digest.limits);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
         for (endpoint, change) in &digest.changing {
             self.pools.record_peer_change(now, endpoint, *change);
@@ -117,6 +118,7 @@
             failure_permille: self.loads.local_failure_permille(now),
             changing: self.pools.changes(now),
             suspects: self.suspects.report(now),
+            limits: self.limits.report(now),
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().clone(),
             forecasts: if self.serial.is_multiple_of(DIGESTS_PER_FORECAST) {
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -1,6 +1,6 @@
 //! Placement of requests, and the queue.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{Assignment, Dispatched, Pair, State};
 use crate::{
@@ -51,7 +51,7 @@
             let view = self.view(now);
             let backoff = view
                 .shortest_backoff(service, Stage::Whole)
-                .or_else(|| view.shortest_cold_wait(service, Stage::Whole));
+                .or_else(|| view.shortest_throttle_wait(service, Stage::Whole));
             let retry_after =
                 backoff.map_or(ENDPOINT_RETRY_AFTER, |backoff| backoff.max(MIN_BACKOFF_RETRY_AFTER));
             return Err(no_endpoint(retry_after));
@@ -110,6 +110,19 @@
                 backoff.is_some_and(|backoff| now.plus(backoff) > entry.hard_deadline)
             });
         }
+        if !self.gate.is_empty() {
+            let view = self.view(now);
+            let mut turns: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+            queue.expire(|entry| {
+                let deadline = entry.hard_deadline;
+                let Some(left) = view.turns_before(&entry.service, Stage::Decode, deadline) else {
+                    return false;
+                };
+                let taken = turns.entry(entry.service.clone()).or_default();
+                *taken += 1;
+                *taken > left
+            });
+        }
         let placed = queue.dispatch(now, |entry| self.place(now, entry));
         self.queue = queue;
         placed
@@ -156,7 +169,7 @@
         View {
             now,
             directory: &self.directory,
-            cold: &self.cold,
+            gate: &self.gate,
             loads: &self.loads,
             pools: &self.pools,
             forecasts: &self.forecasts,
@@ -178,7 +191,7 @@
         output: Option<Estimate>,
     ) -> Assignment {
         // The endpoint is open by now, as a placement requires.
-        self.cold.take(now, &endpoint.id);
+        let _ = self.gate.take(now, &endpoint.id, Duration::ZERO);
         let lease = self.loads.acquire_run(now, &endpoint.id, share, output);
         Assignment { endpoint, lease, prefill_tokens: 0, prefill_timeout: Duration::ZERO }
     }
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -1,6 +1,6 @@
 //! What was read from the store: configuration and endpoints.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{Listing, State};
 use crate::{
@@ -11,6 +11,7 @@
         digest::Member,
         directory::Change,
         evacuation::{self, Evacuations},
+        limit::{Observation, Report},
         staleness::Versions,
         throttle::Throttle,
     },
@@ -68,7 +69,7 @@
     /// Records that an endpoint is cold for `span`.
     pub fn record_cold(&mut self, now: Time, endpoint: &Arc<str>, span: Duration) {
         let interval = self.cold_interval(endpoint);
-        self.cold.extend(now, endpoint, Throttle { until: now.plus(span), interval });
+        self.gate.cold.extend(now, endpoint, Throttle { until: now.plus(span), interval });
     }
 
     /// Returns the interval at which this replica may send to an endpoint while it is cold.
@@ -83,12 +84,38 @@
     /// Recomputes which cold endpoints this replica may send to. Must be called after each change of the roster and
     /// of the configuration.
     pub(super) fn update_cold_intervals(&mut self) {
-        if self.cold.is_empty() {
+        if self.gate.cold.is_empty() {
             return;
         }
-        let mut cold = std::mem::take(&mut self.cold);
+        let mut cold = std::mem::take(&mut self.gate.cold);
         cold.update_intervals(|endpoint| self.cold_interval(endpoint));
-        self.cold = cold;
+        self.gate.cold = cold;
+    }
+
+    /// Records the limit that an endpoint named in a response, or that it named none.
+    pub fn record_limit(&mut self, now: Time, endpoint: &Arc<str>, limit: Option<f64>) {
+        if self.directory.get(endpoint).is_some() {
+            self.limits.record(endpoint, Observation { limit, at: now }, true);
+            self.update_limits(now);
+        }
+    }
+
+    /// Records the limits that a peer saw.
+    pub(super) fn apply_limits(&mut self, now: Time, reports: &BTreeMap<Arc<str>, Report>) {
+        if reports.is_empty() {
+            return;
+        }
+        let known = reports.iter().filter(|(endpoint, _)| self.directory.get(endpoint).is_some());
+        for (endpoint, Report { limit, age }) in known {
+            self.limits.record(endpoint, Observation { limit: *limit, at: now.minus(*age) }, false);
+        }
+        self.update_limits(now);
+    }
+
+    /// Recomputes when this replica may send to endpoints that name a limit. Must be called several times a second, as
+    /// their owners change in time.
+    pub(super) fn update_limits(&mut self, now: Time) {
+        self.gate.limited.replace(self.limits.throttles(now, &self.roster));
     }
 
     /// Applies a list of endpoints read from the store.
@@ -129,10 +156,12 @@
                 Change::Restarted(endpoint) => {
                     self.suspects.record_crash(now, &endpoint.id);
                     self.pools.cancel(&endpoint.id);
+                    self.limits.remove(&endpoint.id);
                 }
                 Change::Removed(endpoint) => {
                     self.suspects.record_crash(now, &endpoint.id);
                     self.loads.remove_if_idle(&endpoint.id);
+                    self.limits.remove(&endpoint.id);
                     self.forecasts.remove_endpoint(&endpoint.service, &endpoint.id);
                 }
                 Change::Updated(endpoint) => self.pools.confirm(endpoint),
@@ -176,7 +205,7 @@
     pub fn listing(&self, now: Time) -> Listing {
         let (version, mut rows) = self.directory.versioned_rows();
         for row in &mut rows {
-            row.cold = self.cold.get(now, &row.id).map_or(Duration::ZERO, |cold| cold.until.since(now));
+            row.cold = self.gate.cold.get(now, &row.id).map_or(Duration::ZERO, |cold| cold.until.since(now));
         }
         Listing { version, is_complete: true, rows }
     }
--- a/crates/core/src/gateway/throttle.rs
+++ b/crates/core/src/gateway/throttle.rs
@@ -2,9 +2,10 @@
 //!
 //! A limit must hold whether replicas reach each other or not. Each throttled endpoint therefore belongs to a few
 //! replicas, its owners, and each owner keeps a minimum interval between the requests that it sends there. [`cold`]
-//! tells when an endpoint is throttled, and at which rate.
+//! and [`limit`] tell when an endpoint is throttled, and at which rate.
 //!
 //! [`cold`]: super::cold
+//! [`limit`]: super::limit
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -69,9 +70,17 @@
 
     /// Returns whether this replica is one of the `count` owners of an endpoint.
     pub fn is_owner(&self, endpoint: &str, count: usize) -> bool {
+        self.is_owner_in_round(endpoint, count, 0)
+    }
+
+    /// Returns whether this replica is one of the `count` owners of an endpoint in a round. In each round the next
+    /// replicas are the owners; after the last ones the first follow.
+    pub fn is_owner_in_round(&self, endpoint: &str, count: usize, round: usize) -> bool {
+        let count = count.max(1);
+        let rounds = self.names.len().div_ceil(count);
         let own = rank(&self.own, endpoint);
-        let before = self.names.iter().filter(|name| rank(name, endpoint) < own);
-        self.is_read && before.take(count).count() < count
+        let before = self.names.iter().filter(|name| rank(name, endpoint) < own).count();
+        self.is_read && before / count == round % rounds
     }
 }
 
@@ -118,6 +127,14 @@
         self.generation += 1;
     }
 
+    /// Replaces all throttles. Does nothing if they are the same.
+    pub fn replace(&mut self, throttles: BTreeMap<Arc<str>, Throttle>) {
+        if self.endpoints != throttles {
+            self.endpoints = throttles;
+            self.generation += 1;
+        }
+    }
+
     /// Replaces the intervals of all throttled endpoints.
     pub fn update_intervals(&mut self, interval: impl Fn(&Arc<str>) -> Option<Duration>) {
         for (endpoint, throttle) in &mut self.endpoints {
@@ -171,9 +188,91 @@
     /// while the throttling lasts.
     pub fn take(&mut self, now: Time, endpoint: &Arc<str>) -> Option<Time> {
         let at = now.plus(self.wait(now, endpoint)?);
+        self.record_turn(now, endpoint, at);
+        Some(at)
+    }
+
+    /// Records that this replica sends to an endpoint at `at`.
+    fn record_turn(&mut self, now: Time, endpoint: &Arc<str>, at: Time) {
         if let Some(interval) = self.get(now, endpoint).and_then(|throttle| throttle.interval) {
             self.next.insert(endpoint.clone(), at.plus(interval));
         }
-        Some(at)
+    }
+
+    /// Returns how many requests this replica may send to an endpoint before `deadline`; `None` if the endpoint is
+    /// not throttled all that time.
+    fn turns_before(&self, now: Time, endpoint: &str, deadline: Time) -> Option<u64> {
+        let throttle = self.get(now, endpoint).filter(|throttle| throttle.until >= deadline)?;
+        let Some(interval) = throttle.interval else { return Some(0) };
+        let Some(left) = self.wait(now, endpoint).and_then(|wait| deadline.since(now).checked_sub(wait))
+        else {
+            return Some(0);
+        };
+        Some(1 + left.div_duration_f64(interval.max(Duration::from_millis(1))) as u64)
+    }
+}
+
+/// Why an endpoint is throttled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The endpoint is cold.
+    Cold,
+    /// The endpoint has named a limit.
+    Limited,
+}
+
+/// All throttled endpoints. One that is cold and has named a limit is throttled by both.
+#[derive(Clone, Debug, Default)]
+pub struct Gate {
+    /// The cold endpoints.
+    pub cold: Throttles,
+    /// The endpoints that name a limit.
+    pub limited: Throttles,
+}
+
+impl Gate {
+    /// Returns whether no endpoint is throttled.
+    pub fn is_empty(&self) -> bool {
+        self.cold.is_empty() && self.limited.is_empty()
+    }
+
+    /// Returns whether an endpoint is throttled.
+    pub fn is_throttled(&self, now: Time, endpoint: &str) -> bool {
+        self.cold.get(now, endpoint).is_some() || self.limited.get(now, endpoint).is_some()
+    }
+
+    /// Removes endpoints whose throttling has ended.
+    pub fn expire(&mut self, now: Time) {
+        self.cold.expire(now);
+        self.limited.expire(now);
+    }
+
+    /// Returns how long this replica has to wait before it may send to an endpoint; `None` if it may not while the
+    /// throttling lasts.
+    pub fn wait(&self, now: Time, endpoint: &str) -> Option<Duration> {
+        Some(self.cold.wait(now, endpoint)?.max(self.limited.wait(now, endpoint)?))
+    }
+
+    /// Takes the next time at which this replica may send to an endpoint, and returns it. Fails if there is none within
+    /// `limit`.
+    pub fn take(&mut self, now: Time, endpoint: &Arc<str>, limit: Duration) -> Result<Time, Cause> {
+        let is_within = |wait: &Duration| *wait <= limit;
+        let cold = self.cold.wait(now, endpoint).filter(is_within).ok_or(Cause::Cold)?;
+        let limited = self.limited.wait(now, endpoint).filter(is_within).ok_or(Cause::Limited)?;
+        let at = now.plus(cold.max(limited));
+        self.cold.record_turn(now, endpoint, at);
+        self.limited.record_turn(now, endpoint, at);
+        Ok(at)
+    }
+
+    /// Returns how many requests this replica may send to an endpoint before `deadline`; `None` if the endpoint is
+    /// not throttled all that time.
+    pub fn turns_before(&self, now: Time, endpoint: &str, deadline: Time) -> Option<u64> {
+        let cold = self.cold.turns_before(now, endpoint, deadline);
+        let limited = self.limited.turns_before(now, endpoint, deadline);
+        match (cold, limited) {
+            (Some(cold), Some(limited)) => Some(cold.min(limited)),
+            (turns, None) | (None, turns) => turns,
+        }
     }
 }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod evacuation;
 mod fleet_budget;
+mod fleet_limit;
 mod forecast;
 mod growth;
 mod health;
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -15,7 +15,7 @@
     load::Loads,
     placement::{Partition, Prefill, Run, View, headroom},
     pools::Pools,
-    throttle::Throttles,
+    throttle::Gate,
 };
 
 use crate::{SMALL, at, endpoint, engine, row, trained};
@@ -31,14 +31,14 @@
 }
 
 fn view<'a>(directory: &'a Directory, loads: &'a Loads, now: u64) -> View<'a> {
-    static COLD: LazyLock<Throttles> = LazyLock::new(Throttles::default);
+    static GATE: LazyLock<Gate> = LazyLock::new(Gate::default);
     static POOLS: LazyLock<Pools> = LazyLock::new(Pools::default);
     static FORECASTS: LazyLock<Forecasts> = LazyLock::new(|| trained(SMALL));
     let partition = Partition { index: 0, count: 1 };
     View {
         now: at(now),
         directory,
-        cold: &COLD,
+        gate: &GATE,
         loads,
         pools: &POOLS,
         forecasts: &FORECASTS,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -29,7 +29,7 @@
         snapshot::Snapshot,
         staleness::Versions,
         state::Admission,
-        throttle::Throttles,
+        throttle::{Cause, Gate},
     },
     refusal::Code,
 };
@@ -68,6 +68,7 @@
     RecordLeaving(Arc<str>, u64),
     RecordBackoff(Arc<str>, Time),
     RecordCold(Arc<str>, Duration),
+    RecordLimit(Arc<str>, Option<f64>),
     CancelOrder(Arc<str>),
     Update(Update),
     Bundle(Box<Bundle>),
@@ -91,6 +92,18 @@
     /// The endpoint is cold, and other replicas send to it, or this one has sent to it too often.
     #[strum(to_string = "the endpoint is cold")]
     Cold,
+    /// The endpoint has named a limit, and other replicas send to it, or this one has sent to it too often.
+    #[strum(to_string = "the endpoint's limit is reached")]
+    Limited,
+}
+
+impl From<Cause> for Block {
+    fn from(cause: Cause) -> Self {
+        match cause {
+            Cause::Cold => Self::Cold,
+            Cause::Limited => Self::Limited,
+        }
+    }
 }
 
 /// Placement of a request on an endpoint. Dropping it releases the request's share of the endpoint's load.
@@ -161,8 +174,8 @@
     backoffs: Backoffs,
     /// Evacuated zones, for requests that were placed before the evacuation.
     evacuations: Evacuations,
-    /// Cold endpoints, and when requests were sent to them.
-    cold: Throttles,
+    /// Endpoints that take only few requests, and when requests were sent to them.
+    gate: Gate,
     /// Names of response fields that the gateway does not know, in lowercase.
     unknown_fields: BTreeSet<String>,
 }
@@ -288,22 +301,33 @@
         is_backing_off.then_some(Block::BackingOff)
     }
 
-    /// Takes a turn to send a request to an endpoint, and returns when; `None` if the endpoint is cold and there is no
-    /// turn within `limit`.
-    pub fn take_cold_turn(&self, now: Time, endpoint: &Endpoint, limit: Duration) -> Option<Time> {
-        let mut shared = lock(&self.shared);
-        shared.cold.wait(now, &endpoint.id).filter(|wait| *wait <= limit)?;
-        shared.cold.take(now, &endpoint.id)
+    /// Takes a turn to send a request to an endpoint, and returns when. Fails if the endpoint takes only few requests
+    /// and there is no turn within `limit`.
+    pub fn take_turn(&self, now: Time, endpoint: &Endpoint, limit: Duration) -> Result<Time, Block> {
+        lock(&self.shared).gate.take(now, &endpoint.id, limit).map_err(Block::from)
     }
 
     /// Returns the number of cold endpoints.
     pub fn cold_count(&self, now: Time) -> usize {
-        lock(&self.shared).cold.all(now).count()
+        lock(&self.shared).gate.cold.all(now).count()
+    }
+
+    /// Returns the number of endpoints that name a limit.
+    pub fn limited_count(&self, now: Time) -> usize {
+        lock(&self.shared).gate.limited.all(now).count()
+    }
+
+    /// Records the limit that an endpoint named in a response, or that it named none.
+    pub fn record_limit(&self, now: Time, endpoint: &Endpoint, limit: Option<f64>) {
+        // Most endpoints have no limit, and then there is nothing to record.
+        if limit.is_some() || lock(&self.shared).gate.limited.get(now, &endpoint.id).is_some() {
+            self.send(Command::RecordLimit(endpoint.id.clone(), limit));
+        }
     }
 
     /// Records that an endpoint said that it is cold for `span`.
     pub fn record_cold(&self, now: Time, endpoint: &Endpoint, span: Duration) {
-        let is_known = lock(&self.shared).cold.get(now, &endpoint.id).is_some();
+        let is_known = lock(&self.shared).gate.cold.get(now, &endpoint.id).is_some();
         if !is_known {
             self.send(Command::RecordCold(endpoint.id.clone(), span));
         }
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -25,6 +25,7 @@
         relay::{Delivery, Role},
         snapshot::Snapshot,
         state::{Assignment, ENDPOINT_RETRY_AFTER, Identity, Pair, State, no_endpoint},
+        throttle::{Throttle, Throttles},
     },
     refusal::Code,
 };
@@ -144,7 +145,7 @@
                 Ok(Ok(command)) => {
                     self.execute(command);
                     self.publish_evacuations();
-                    self.publish_cold();
+                    self.publish_gate();
                 }
                 Ok(Err(_)) => return,
                 Err(_) => {}
@@ -218,23 +219,33 @@
         }
     }
 
-    /// Makes changes of the cold endpoints known to the threads that send to endpoints.
-    fn publish_cold(&self) {
-        let (cold, now) = (self.state.cold(), self.clock.now());
+    /// Makes changes of the endpoints that take only few requests known to the threads that send to endpoints.
+    fn publish_gate(&self) {
+        let (gate, now) = (self.state.gate(), self.clock.now());
         let mut shared = lock(&self.weak_control.shared);
-        if shared.cold.generation() == cold.generation() {
+        let is_same = |one: &Throttles, other: &Throttles| one.generation() == other.generation();
+        if is_same(&shared.gate.cold, &gate.cold) && is_same(&shared.gate.limited, &gate.limited) {
             return;
         }
-        let previous = shared.cold.clone();
-        shared.cold.copy_list(cold);
+        let previous = shared.gate.clone();
+        shared.gate.cold.copy_list(&gate.cold);
+        shared.gate.limited.copy_list(&gate.limited);
         drop(shared);
-        for (endpoint, state) in cold.all(now).filter(|(endpoint, _)| previous.get(now, endpoint).is_none()) {
-            let interval_ms = state.interval.map(|interval| interval.as_millis() as u64);
+        for (endpoint, throttle) in newly_throttled(now, &previous.cold, &gate.cold) {
             spdlog::info!("endpoint cold", kv: {
-                endpoint = &**endpoint, cold_ms = state.until.since(now).as_millis() as u64,
-                is_owner = interval_ms.is_some(), interval_ms = interval_ms.unwrap_or(0)
+                endpoint = &**endpoint, cold_ms = throttle.until.since(now).as_millis() as u64,
+                is_owner = throttle.interval.is_some(), interval_ms = interval_ms(throttle)
             });
         }
+        for (endpoint, throttle) in newly_throttled(now, &previous.limited, &gate.limited) {
+            spdlog::info!("endpoint limited", kv: {
+                endpoint = &**endpoint, requests_per_s = self.state.limits().get(endpoint).unwrap_or(0.0),
+                is_owner = throttle.interval.is_some(), interval_ms = interval_ms(throttle)
+            });
+        }
+        for (endpoint, _) in newly_throttled(now, &gate.limited, &previous.limited) {
+            spdlog::info!("endpoint no longer limited", kv: { endpoint = &**endpoint });
+        }
     }
 
     /// Logs a change of this replica's part in the exchange of digests and endpoints.
@@ -313,6 +324,7 @@
                 spdlog::info!("endpoint notice", kv: { endpoint = &*endpoint, retry_after_ms });
             }
             Command::RecordCold(endpoint, span) => self.state.record_cold(now, &endpoint, span),
+            Command::RecordLimit(endpoint, limit) => self.state.record_limit(now, &endpoint, limit),
             Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Bundle(bundle) => self.state.apply_bundle(now, &bundle),
@@ -391,7 +403,8 @@
                     "id": endpoint.id, "service": endpoint.service, "zone": endpoint.zone,
                     "stage": endpoint.stage.to_string(), "leaving": endpoint.is_draining,
                     "running": all.running, "memory": all.memory, "reading": all.prefill_tokens,
-                    "cold_ms": self.state.cold().get(now, &endpoint.id).map(|cold| cold.until.since(now).as_millis() as u64),
+                    "cold_ms": self.state.gate().cold.get(now, &endpoint.id).map(|cold| cold.until.since(now).as_millis() as u64),
+                    "limit": self.state.limits().get(&endpoint.id),
                     "failing": load.map(|load| load.health.failure_ratio(now)),
                 })
             })
@@ -444,6 +457,19 @@
     })
 }
 
+/// Returns the endpoints of `new` that `old` lacks.
+fn newly_throttled<'a>(
+    now: Time,
+    old: &'a Throttles,
+    new: &'a Throttles,
+) -> impl Iterator<Item = (&'a Arc<str>, &'a Throttle)> {
+    new.all(now).filter(move |(endpoint, _)| old.get(now, endpoint).is_none())
+}
+
+fn interval_ms(throttle: &Throttle) -> u64 {
+    throttle.interval.map_or(0, |interval| interval.as_millis() as u64)
+}
+
 fn log_changes(changes: &[Change]) {
     for change in changes {
         let (what, endpoint) = match change {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -86,7 +86,7 @@
 }
 
 /// Fields of an endpoint's response head that the gateway interprets.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
     /// Id of the request that the response belongs to.
     pub id: Option<String>,
@@ -104,6 +104,8 @@
     pub is_leaving: bool,
     /// How much longer the endpoint is cold, if it says so.
     pub cold: Option<Duration>,
+    /// Requests a second that the endpoint takes from all gateways together, if it names a limit.
+    pub limit: Option<f64>,
     /// Backoff that the endpoint asks this gateway for.
     pub retry_after: Option<Duration>,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,8 +32,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long sent data may stay unacknowledged before the operating system closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest wait for a turn at a cold endpoint. Placements keep the same interval, so turns are rarely taken.
-const MAX_COLD_WAIT: Duration = Duration::from_millis(600);
+/// Longest wait for a turn at an endpoint that takes only few requests. Placements keep the same interval, so turns are
+/// rarely taken.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(600);
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Limit on a body that is read whole.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -156,17 +157,17 @@
         check()?;
         // Only requests of callers count, and those have an id.
         if id.is_some() {
-            self.wait_for_cold(endpoint, limit.saturating_sub(began.elapsed())).await?;
+            self.wait_for_turn(endpoint, limit.saturating_sub(began.elapsed())).await?;
         }
         let exchanged = self.exchange(endpoint, connection, head, body, id);
         timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout))
     }
 
-    /// Waits until this replica may send a request to an endpoint that is cold.
-    async fn wait_for_cold(self, endpoint: &Endpoint, limit: Duration) -> Result<(), Failure> {
+    /// Waits until this replica may send a request to an endpoint that takes only few requests.
+    async fn wait_for_turn(self, endpoint: &Endpoint, limit: Duration) -> Result<(), Failure> {
         let now = self.clock.now();
-        let at = self.control.take_cold_turn(now, endpoint, limit.min(MAX_COLD_WAIT));
-        let at = at.ok_or(Failure::Blocked(Block::Cold))?;
+        let turn = self.control.take_turn(now, endpoint, limit.min(MAX_TURN_WAIT));
+        let at = turn.map_err(Failure::Blocked)?;
         if at > now {
             self.clock.sleep(at.since(now)).await;
             if let Some(block) = self.control.block(self.clock.now(), endpoint) {
@@ -242,6 +243,7 @@
         if let Some(span) = reply.cold {
             self.control.record_cold(self.clock.now(), endpoint, span);
         }
+        self.control.record_limit(self.clock.now(), endpoint, reply.limit);
         if let Some(span) = reply.retry_after {
             self.control.record_backoff(self.clock.now(), endpoint, span);
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -281,6 +281,8 @@
         for zone in self.0.control.evacuations().zones() {
             self.0.metrics.evacuated.with_label_values(&[&**zone]).set(1.0);
         }
+        let limited_endpoints = self.0.control.limited_count(self.0.clock.now());
+        self.0.metrics.limited_endpoints.set(i64::try_from(limited_endpoints).unwrap_or(i64::MAX));
         for field in self.0.control.unknown_fields() {
             self.0.metrics.unknown_fields.with_label_values(&[&*field]).set(1.0);
         }
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -13,6 +13,7 @@
         evacuation::Evacuations,
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
+        limit,
         relay::Parcel,
         staleness::Versions,
     },
@@ -68,6 +69,7 @@
                 })
                 .collect(),
             evacuations: encode_evacuations(&digest.evacuations),
+            limits: digest.limits.iter().map(encode_limit).collect(),
             forecasts: digest.forecasts.iter().map(encode_forecast).collect(),
             configuration: digest.versions.configuration,
             endpoints: digest.versions.endpoints,
@@ -96,6 +98,19 @@
     Evacuations::new(version, zones.into_iter().map(Arc::from))
 }
 
+fn encode_limit((endpoint, report): (&Arc<str>, &limit::Report)) -> proto::Limit {
+    proto::Limit {
+        endpoint: endpoint.to_string(),
+        requests_per_s: report.limit.unwrap_or(0.0),
+        age_us: micros(report.age),
+    }
+}
+
+fn decode_limit(message: proto::Limit) -> (Arc<str>, limit::Report) {
+    let limit = Some(sanitize(message.requests_per_s)).filter(|limit| *limit > 0.0);
+    (message.endpoint.into(), limit::Report { limit, age: Duration::from_micros(message.age_us) })
+}
+
 fn encode_forecast((service, forecast): (&Arc<str>, &Forecast)) -> proto::Forecast {
     let trend = |trend: Option<Trend>| trend.map(|Trend { base, slope }| proto::Trend { base, slope });
     let output_length = |OutputLength { event_tokens, spread, events, weight }| proto::Answers {
@@ -214,6 +229,7 @@
             forecasts: digest.forecasts.into_iter().map(decode_forecast).collect(),
             versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
             evacuations: decode_evacuations(digest.evacuations),
+            limits: digest.limits.into_iter().map(decode_limit).collect(),
         })
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -403,6 +403,19 @@
     pub urgent: bool,
     #[prost(message, optional, tag = "13")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// What endpoints said about their limits in the newest responses to the sender.
+    #[prost(message, repeated, tag = "14")]
+    pub limits: ::prost::alloc::vec::Vec<Limit>,
+}
+/// Requests a second that an endpoint takes from all replicas together; zero if it no longer names a limit.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Limit {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub requests_per_s: f64,
+    #[prost(uint64, tag = "3")]
+    pub age_us: u64,
 }
 /// Evacuated availability zones as of a version of the store.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -16,6 +16,7 @@
         evacuation::Evacuations,
         forecast::{Forecast, Size, Trend},
         growth::Growth,
+        limit,
         relay::{Bundle, Parcel},
         staleness::Versions,
         state::{Identity, Listing, State},
@@ -53,6 +54,11 @@
         changing: [("d-9".into(), StageChange { stage: Stage::Prefill, remaining: Duration::from_secs(1) })]
             .into(),
         suspects: [(7, 2)].into(),
+        limits: [
+            ("d-1".into(), limit::Report { limit: Some(1.6), age: Duration::from_millis(300) }),
+            ("d-2".into(), limit::Report { limit: None, age: Duration::ZERO }),
+        ]
+        .into(),
         versions: Versions { configuration: 11, endpoints: 9 },
         forecasts: [("drafting".into(), Forecast { prefill: trend, ..Forecast::default() })].into(),
     }
