End a limit only by the response to a request

What callers saw: nothing; an endpoint that sends informational responses could get all requests although it names a limit.

Cause: each response without the header ended the limit at all gateways, also informational ones and those to other requests.

Change: only the response to the request that was sent ends a limit. A limit is still learned from any response.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -74,6 +74,8 @@
     Silent,
     /// Sends an additional response after the first one.
     Extra,
+    /// Sends an informational response, which says nothing about the endpoint, before the first one.
+    Informational,
     /// Sends a response without a length and closes the connection.
     Unframed,
     /// Responds without a signature.
@@ -602,6 +604,12 @@
                 let _ = connection.write(&body.as_bytes()[..body.len() / 2]).await;
                 (connection, Action::Close)
             }
+            Fault::Informational => {
+                let mut connection = connection;
+                let _ = connection.write(b"HTTP/1.1 103 Early Hints\r\n\r\n").await;
+                task::sleep(self.service_time()).await;
+                send(connection, success_head, body.as_bytes(), Action::Keep).await
+            }
             Fault::Unframed => {
                 let mut connection = connection;
                 let _ = connection.write(&success_head.encode()).await;
--- a/crates/bench/tests/limit.rs
+++ b/crates/bench/tests/limit.rs
@@ -211,3 +211,17 @@
         assert!(after > 2 * most(LIMIT), "{after} requests");
     });
 }
+
+/// Guards against an informational response that ends a limit, as it does not name it.
+#[test]
+fn a_limit_outlasts_informational_responses() {
+    task::block_on(async {
+        let site = start_site(4, 2).await;
+        let limited = limit_first(&site, Role::Plain);
+        limited.set_fault(Fault::Informational);
+        limited.set_service_time(Duration::from_millis(200));
+        site.endpoints(Role::Plain)[1].set_service_time(Duration::from_millis(400));
+        send_load(&site, Duration::from_millis(15), lookup).await;
+        assert_within_limit(&limited);
+    });
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -207,6 +207,9 @@
             if is_unrelated && response.status < 400 {
                 return Err(Failure::InvalidResponse("missing request id"));
             }
+            if !is_unrelated && reply.limit.is_none() {
+                self.control.record_limit(self.clock.now(), endpoint, None);
+            }
             let is_sent = writing.is_done;
             return Ok(Exchange {
                 head: response,
@@ -243,7 +246,9 @@
         if let Some(span) = reply.cold {
             self.control.record_cold(self.clock.now(), endpoint, span);
         }
-        self.control.record_limit(self.clock.now(), endpoint, reply.limit);
+        if reply.limit.is_some() {
+            self.control.record_limit(self.clock.now(), endpoint, reply.limit);
+        }
         if let Some(span) = reply.retry_after {
             self.control.record_backoff(self.clock.now(), endpoint, span);
         }
