--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod interval;
 pub mod lease;
+pub mod ledger;
 pub mod limit;
 pub mod load;
 pub mod mirror;
--- a/crates/core/tests/gateway/budget.rs
+++ b/crates/core/tests/gateway/budget.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use tarragonhill_core::gateway::budget::{Budget, Ledger, Message, Plan, Rule};
+use tarragonhill_core::gateway::{
+    budget::{Budget, Rule},
+    ledger::{Ledger, Message, Plan},
+};
 
 use crate::at;
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,10 +12,10 @@
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
-        budget::{self, Ledger, Plan},
         catalog::Route,
         directory::Endpoint,
         forecast::Size,
+        ledger::{self, Ledger, Plan},
         shutdown::Shutdown,
         state::Admission,
     },
@@ -169,8 +169,8 @@
         let head = context.dialect.encode_request(&self.head, &dispatch);
         let id = self.metadata.id.as_deref();
         let (message, plan) = match task {
-            Task::Prefill => (budget::Message::Prefill, Plan::PrefillAndRun),
-            Task::Whole | Task::Decode(_) => (budget::Message::Run, Plan::Run),
+            Task::Prefill => (ledger::Message::Prefill, Plan::PrefillAndRun),
+            Task::Whole | Task::Decode(_) => (ledger::Message::Run, Plan::Run),
         };
         if !self.charge(context, plan).await {
             return Err(Failure::OverBudget);
@@ -178,7 +178,7 @@
         self.ledger().record_sent(message);
         let sent = context.client().send(endpoint, &head, &self.body, id, limit.min(left)).await;
         match &sent {
-            Ok(exchange) if message == budget::Message::Prefill && exchange.head.status == 200 => {
+            Ok(exchange) if message == ledger::Message::Prefill && exchange.head.status == 200 => {
                 self.ledger().record_prefilled();
             }
             Err(Failure::Blocked(_) | Failure::Connect(_)) => self.ledger().record_unsent(message),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,7 +17,7 @@
 use tarragonhill_core::{
     Refusal, Time,
     gateway::{
-        budget::Plan, directory::Endpoint, forecast::Observation, health::Outcome,
+        directory::Endpoint, forecast::Observation, health::Outcome, ledger::Plan,
         state::ENDPOINT_RETRY_AFTER,
     },
     refusal::Code,
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -4,7 +4,7 @@
 
 use tarragonhill_core::{
     Refusal,
-    gateway::{budget::Plan, catalog::Engine, completion::Completion, directory::Endpoint, health::Outcome},
+    gateway::{catalog::Engine, completion::Completion, directory::Endpoint, health::Outcome, ledger::Plan},
 };
 
 use super::{
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use tarragonhill_core::gateway::{
-    budget::Plan, completion::Prompt, directory::Endpoint, forecast::Observation, health::Outcome,
+    completion::Prompt, directory::Endpoint, forecast::Observation, health::Outcome, ledger::Plan,
 };
 
 use super::{
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -10,7 +10,7 @@
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Refusal,
-    gateway::{budget::Plan, health::Outcome, state::ENDPOINT_RETRY_AFTER},
+    gateway::{health::Outcome, ledger::Plan, state::ENDPOINT_RETRY_AFTER},
     refusal::Code,
 };
 use tarragonhill_h1::head::Response;
