Refuse the least urgent streams first when limited endpoints have few turns

What callers saw: with all decode endpoints of a service limited or cold, the newest streams were refused, however urgent.

Cause: the check for turns went through the queue in the order of the last dispatch, with new requests at its end.

Change: the queue is sorted before. The new test expects the urgent one of four streams to be placed, and the last by rank to be refused.

--- a/crates/core/src/gateway/ledger.rs
+++ b/crates/core/src/gateway/ledger.rs
@@ -7,6 +7,7 @@
 /// How long a charge may precede its message. A request may wait for an endpoint in between; with an older charge, its
 /// message would count in a window that the charge does not.
 const CHARGE_TTL: Duration = Duration::from_secs(2);
+
 /// A message by which an endpoint gets a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Message {
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -87,7 +87,12 @@
         self.0.retain(|entry| keep(&entry.tag));
     }
 
-    /// Expires the requests for which `cannot_start` returns true.
+    /// Sorts the requests by the order in which they are placed.
+    pub fn sort(&mut self, now: Time) {
+        self.0.sort_by_key(|entry| entry.rank(now));
+    }
+
+    /// Expires the requests for which `cannot_start` returns true, which is asked in their order.
     pub fn expire(&mut self, mut cannot_start: impl FnMut(&Entry<T>) -> bool) {
         for entry in self.0.iter_mut().filter(|entry| cannot_start(entry)) {
             entry.hard_deadline = Time::ZERO;
@@ -101,7 +106,7 @@
         now: Time,
         mut place: impl FnMut(&Entry<T>) -> Option<P>,
     ) -> Vec<(Entry<T>, Verdict<P>)> {
-        self.0.sort_by_key(|entry| entry.rank(now));
+        self.sort(now);
         let mut verdicts = Vec::new();
         let mut blocked: Vec<Arc<str>> = Vec::new();
         let mut remaining = Vec::new();
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -12,7 +12,7 @@
         growth::Growth,
         load::Estimate,
         placement::{Partition, Placement, Prefill, Run, View, headroom},
-        queue::Entry,
+        queue::{Entry, Queue},
     },
     refusal::{Code, Refusal},
 };
@@ -111,23 +111,30 @@
             });
         }
         if !self.gate.is_empty() {
-            let view = self.view(now);
-            let mut turns: BTreeMap<Arc<str>, u64> = BTreeMap::new();
-            queue.expire(|entry| {
-                let deadline = entry.hard_deadline;
-                let Some(left) = view.turns_before(&entry.service, Stage::Decode, deadline) else {
-                    return false;
-                };
-                let taken = turns.entry(entry.service.clone()).or_default();
-                *taken += 1;
-                *taken > left
-            });
+            self.expire_without_turn(now, &mut queue);
         }
         let placed = queue.dispatch(now, |entry| self.place(now, entry));
         self.queue = queue;
         placed
     }
 
+    /// Expires requests that cannot get a turn before their deadline, because all endpoints of their service are
+    /// throttled and others come first.
+    fn expire_without_turn(&self, now: Time, queue: &mut Queue<T>) {
+        let view = self.view(now);
+        let mut taken: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        queue.sort(now);
+        queue.expire(|entry| {
+            let Some(turns) = view.turns_before(&entry.service, Stage::Decode, entry.hard_deadline) else {
+                return false;
+            };
+            let taken = taken.entry(entry.service.clone()).or_default();
+            let has_turn = *taken < turns;
+            *taken += u64::from(has_turn);
+            !has_turn
+        });
+    }
+
     /// Assigns endpoints to a completion; `None` if it has to stay queued.
     fn place(&mut self, now: Time, entry: &Entry<T>) -> Option<Pair> {
         let Entry { service, size, memory, target_gap, ttft_target, avoid, .. } = entry;
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -458,3 +458,30 @@
         Err((Code::NoEndpoint, true))
     );
 }
+
+/// Guards against streams that wait for a limited endpoint until their deadline, and against refusing an urgent one in
+/// favor of others that wait already.
+#[test]
+fn queued_requests_beyond_the_turns_of_limited_endpoints_expire_at_once() {
+    let mut state = ready_state();
+    state.mark_members_read();
+    state.record_limit(at(1_000), &"d-1".into(), Some(0.5));
+    // Two owners share 0.35 requests a second: a turn now and one in 5.7 s.
+    for (tag, priority) in [(1, 5), (2, 5), (3, 5), (4, 0)] {
+        let completion = Completion { priority, stall_timeout: Duration::from_secs(14), ..completion(100) };
+        state.enqueue(at(1_000), completion, tag);
+    }
+    let verdicts = state.dispatch(at(1_000));
+    let placed: Vec<u32> = verdicts
+        .iter()
+        .filter(|(_, verdict)| matches!(verdict, Verdict::Placed(_)))
+        .map(|(entry, _)| entry.tag)
+        .collect();
+    let expired = verdicts
+        .iter()
+        .filter(|(_, verdict)| matches!(verdict, Verdict::Expired))
+        .map(|(entry, _)| entry.tag);
+    assert_eq!(placed, [4]);
+    assert_eq!(expired.collect::<Vec<u32>>(), [3]);
+    assert_eq!(state.queue_length(), 2);
+}
