--- /dev/null
+++ b/crates/core/tests/gateway/fleet.rs
@@ -0,0 +1,190 @@
+//! A fleet of replicas without a network, which are cut off from each other, restarted and ended.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use quickcheck::{Arbitrary, Gen};
+use tarragonhill_core::{
+    Time,
+    gateway::{
+        budget::Rule,
+        cold::Tolerance,
+        digest::Member,
+        state::{Identity, State},
+    },
+};
+
+use crate::at;
+
+/// Length of a day.
+pub const DAY_MS: u64 = 40_000;
+/// Time before which no trouble begins.
+const CALM_MS: u64 = 8_000;
+/// Time after its start at which a replica has read the store's list of replicas.
+const LISTED_AFTER_MS: u64 = 3_500;
+pub const RETRIES: Rule = Rule { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) };
+
+/// What happens to one replica.
+#[derive(Clone, Copy, Debug)]
+pub enum Trouble {
+    /// It exchanges no digests with others during this time.
+    Cut { from_ms: u64, until_ms: u64 },
+    /// Its process is killed and starts again at once.
+    Restart { at_ms: u64 },
+    /// It ends for good.
+    End { at_ms: u64 },
+}
+
+impl Arbitrary for Trouble {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let at_ms = CALM_MS + u64::arbitrary(random) % (DAY_MS - CALM_MS);
+        match u8::arbitrary(random) % 9 {
+            0..4 => Self::Restart { at_ms },
+            4..8 => Self::Cut { from_ms: at_ms, until_ms: at_ms + u64::arbitrary(random) % 25_000 },
+            _ => Self::End { at_ms },
+        }
+    }
+}
+
+/// The replicas of a fleet, and their troubles.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub replicas: usize,
+    /// Troubles, with the index of the replica.
+    pub troubles: Vec<(usize, Trouble)>,
+}
+
+impl Plan {
+    /// Returns the plan of a fleet in which all replicas have the same trouble.
+    pub fn same(replicas: usize, trouble: Trouble) -> Self {
+        Self { replicas, troubles: (0..replicas).map(|index| (index, trouble)).collect() }
+    }
+}
+
+impl Arbitrary for Plan {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let replicas = *random.choose(&[1, 2, 4, 5, 24]).expect("a choice");
+        let troubles = (0..u8::arbitrary(random) % 40)
+            .map(|_| (usize::arbitrary(random) % replicas, Trouble::arbitrary(random)));
+        Self { replicas, troubles: troubles.collect() }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let plan = self.clone();
+        let without = move |index: usize| {
+            let mut shorter = plan.clone();
+            shorter.troubles.remove(index);
+            shorter
+        };
+        Box::new((0..self.troubles.len()).map(without))
+    }
+}
+
+pub struct Replica {
+    pub state: State<u32>,
+    pub incarnation: u64,
+    started_ms: u64,
+}
+
+/// A fleet in which time goes on by steps.
+pub struct Fleet {
+    plan: Plan,
+    step_ms: u64,
+    /// Gives a new process what it reads from the store at its start.
+    prepare: fn(&mut State<u32>, Time),
+    /// The replicas; `None` for those that have ended.
+    replicas: Vec<Option<Replica>>,
+}
+
+fn member(index: usize) -> Member {
+    let name: Arc<str> = format!("entry-{index:03}").into();
+    let address = "127.0.0.1:7".parse().expect("an address");
+    Member { name, address, zone: "zone-a".into(), millicores: 1_000 }
+}
+
+impl Fleet {
+    pub fn new(plan: Plan, step_ms: u64, prepare: fn(&mut State<u32>, Time)) -> Self {
+        let mut fleet = Self { plan, step_ms, prepare, replicas: Vec::new() };
+        for index in 0..fleet.plan.replicas {
+            let replica = fleet.start(index, 0);
+            fleet.replicas.push(Some(replica));
+        }
+        fleet
+    }
+
+    fn start(&self, index: usize, now_ms: u64) -> Replica {
+        let Member { name, address, zone, millicores } = member(index);
+        let incarnation = now_ms + 1;
+        let identity = Identity { name, zone, incarnation, address, millicores };
+        let mut state = State::new(identity, RETRIES, Tolerance::default(), at(now_ms));
+        (self.prepare)(&mut state, at(now_ms));
+        // As the store lists them. That all others know this one as well is certain only later.
+        (0..self.plan.replicas).for_each(|other| state.add_member(at(now_ms), member(other)));
+        Replica { state, incarnation, started_ms: now_ms }
+    }
+
+    /// Plays the troubles of a step, and exchanges digests.
+    pub fn step(&mut self, now_ms: u64) {
+        let now = at(now_ms);
+        let cut = self.play_troubles(now_ms);
+        for replica in self.replicas.iter_mut().flatten() {
+            if now_ms == replica.started_ms + LISTED_AFTER_MS {
+                replica.state.mark_members_read();
+            }
+        }
+        let mut reachable: Vec<(usize, &mut Replica)> = self
+            .replicas
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(index, replica)| Some((index, replica.as_mut()?)))
+            .collect();
+        reachable.retain(|(index, _)| !cut.contains(index));
+        let sent: Vec<_> =
+            reachable.iter_mut().map(|(index, replica)| (*index, replica.state.next_digest(now).0)).collect();
+        for (index, replica) in &mut reachable {
+            for (from, digest) in sent.iter().filter(|(from, _)| from != index) {
+                replica.state.apply_digest(now, digest, member(*from).address);
+            }
+        }
+        self.alive().for_each(|(_, replica)| drop(replica.state.tick(now)));
+    }
+
+    /// Returns the replicas that have not ended, with their index.
+    pub fn alive(&mut self) -> impl Iterator<Item = (usize, &mut Replica)> {
+        let replicas = self.replicas.iter_mut().enumerate();
+        replicas.filter_map(|(index, replica)| Some((index, replica.as_mut()?)))
+    }
+
+    /// Restarts and ends replicas, and returns those that are cut off.
+    fn play_troubles(&mut self, now_ms: u64) -> BTreeSet<usize> {
+        let step = now_ms..now_ms + self.step_ms;
+        let mut cut = BTreeSet::new();
+        for (index, trouble) in self.plan.troubles.clone() {
+            match trouble {
+                Trouble::Cut { from_ms, until_ms } if (from_ms..until_ms).contains(&now_ms) => {
+                    cut.insert(index);
+                }
+                Trouble::Restart { at_ms } if step.contains(&at_ms) && self.replicas[index].is_some() => {
+                    self.replicas[index] = Some(self.start(index, now_ms));
+                }
+                Trouble::End { at_ms } if step.contains(&at_ms) => self.replicas[index] = None,
+                Trouble::Cut { .. } | Trouble::Restart { .. } | Trouble::End { .. } => {}
+            }
+        }
+        cut
+    }
+}
+
+/// Returns the largest sum in any window, of amounts in the order of their times.
+pub fn busiest(amounts: &[(Time, u64)], window: Duration) -> u64 {
+    let mut largest = 0;
+    let (mut sum, mut first) = (0, 0);
+    for (at, amount) in amounts {
+        sum += amount;
+        while at.since(amounts[first].0) >= window {
+            sum -= amounts[first].1;
+            first += 1;
+        }
+        largest = largest.max(sum);
+    }
+    largest
+}
