--- a/crates/core/src/gateway/limit.rs
+++ b/crates/core/src/gateway/limit.rs
@@ -84,11 +84,6 @@
         self.0.get(endpoint)?.observation.limit
     }
 
-    /// Returns the endpoints with their limits, for those that name one.
-    pub fn all(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
-        self.0.iter().filter_map(|(endpoint, known)| Some((endpoint, known.observation.limit?)))
-    }
-
     /// Returns the latest observations of this replica, for its digest.
     pub fn report(&self, now: Time) -> BTreeMap<Arc<str>, Report> {
         let own = self.0.iter().filter(|(_, known)| known.is_own);
