--- a/crates/core/tests/gateway/fleet_limit.rs
+++ b/crates/core/tests/gateway/fleet_limit.rs
@@ -18,8 +18,8 @@
 const LIMITED_FROM_MS: u64 = 8_000;
 /// Time until all replicas must keep to a limit.
 const NOTICE_MS: u64 = 3_000;
-/// Time until a replica that was told a limit must keep to it.
-const TOLD_MS: u64 = 500;
+/// Time until a replica that has read a limit in a response must keep to it.
+const REACTION_MS: u64 = 500;
 const WINDOW: Duration = Duration::from_secs(4);
 const SERVICE: &str = "drafting";
 const ENDPOINT: &str = "i-1";
@@ -48,8 +48,8 @@
 /// What the endpoint got.
 #[derive(Debug, Default)]
 struct Arrivals {
-    /// Requests from processes that had been told the limit.
-    told: Vec<(Time, u64)>,
+    /// Requests from processes that had read the limit in a response.
+    informed: Vec<(Time, u64)>,
     all: Vec<Time>,
 }
 
@@ -60,8 +60,8 @@
         state.apply_listing(now, Listing { version: 1, is_complete: true, rows });
     });
     let mut arrivals = Arrivals::default();
-    // When each process was first told the limit.
-    let mut told: BTreeMap<(usize, u64), u64> = BTreeMap::new();
+    // When each process first read the limit in a response.
+    let mut informed: BTreeMap<(usize, u64), u64> = BTreeMap::new();
     for now_ms in (0..DAY_MS).step_by(STEP_MS as usize) {
         let now = at(now_ms);
         fleet.step(now_ms);
@@ -72,13 +72,14 @@
             }
             arrivals.all.push(now);
             let process = (index, replica.incarnation);
-            let is_told = told.get(&process).is_some_and(|told_ms| told_ms + TOLD_MS <= now_ms);
-            if is_told && now_ms >= LIMITED_FROM_MS + NOTICE_MS {
-                arrivals.told.push((now, 1));
+            let is_informed =
+                informed.get(&process).is_some_and(|informed_ms| informed_ms + REACTION_MS <= now_ms);
+            if is_informed && now_ms >= LIMITED_FROM_MS + NOTICE_MS {
+                arrivals.informed.push((now, 1));
             }
             replica.state.record_limit(now, &ENDPOINT.into(), is_limited.then_some(day.limit));
             if is_limited {
-                told.entry(process).or_insert(now_ms);
+                informed.entry(process).or_insert(now_ms);
             }
         }
     }
@@ -90,7 +91,7 @@
 }
 
 fn keeps_limit(day: Day) -> TestResult {
-    let busiest = busiest(&play(&day).told, WINDOW);
+    let busiest = busiest(&play(&day).informed, WINDOW);
     if busiest as f64 > most(day.limit) {
         return TestResult::error(format!("{busiest} requests"));
     }
