--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -41,6 +41,9 @@
 
 /// Maximum times that a request is sent, including retries.
 const MAX_SENDS: u32 = 4;
+/// Longest time for which the result of a prefill is used by another decode than the one that it was made for; endpoints
+/// evict results soon.
+const MAX_RESULT_AGE: Duration = Duration::from_millis(400);
 /// Interval at which a queued stream checks whether it can still end before the gateway does.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -118,10 +121,16 @@
     }
 }
 
+/// A prefilled prompt.
+struct Prefilled {
+    result: Guard,
+    at: Time,
+}
+
 /// Why an attempt ended before its response began.
 enum Abort {
-    /// Nothing was sent to the endpoint.
-    NotSent(String),
+    /// Nothing was sent to the endpoint. The prompt may have been prefilled elsewhere.
+    NotSent { reason: String, prefilled: Option<Prefilled> },
     /// Nothing was sent to the endpoint, and the retry budget is used up.
     OverBudget,
     /// The request has not run.
@@ -152,6 +161,7 @@
 ) -> Result<(), Refusal> {
     let mut progress = Progress::new(inbound);
     let mut replacement = None;
+    let mut prefilled: Option<Prefilled> = None;
     loop {
         let placement = match replacement.take() {
             Some(placement) => placement,
@@ -159,7 +169,7 @@
         };
         progress.sends += 1;
         let endpoint = placement.endpoint().clone();
-        let reason = match start(context, inbound, &progress, placement, &endpoint).await {
+        let reason = match start(context, inbound, &progress, placement, prefilled.take(), &endpoint).await {
             Ok(upstream) => match relay(context, inbound, upstream, writer, &mut progress).await {
                 Ok(()) => return Ok(()),
                 Err(Interruption::CallerDisconnected(error)) => {
@@ -189,7 +199,8 @@
                 fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
             }
             Err(Abort::OverBudget) => return give_up(context, inbound, writer, OVER_BUDGET.into()),
-            Err(Abort::NotSent(reason)) => {
+            Err(Abort::NotSent { reason, prefilled: kept }) => {
+                prefilled = kept;
                 spdlog::info!("placing the request again", kv: { request = inbound.id(), reason = reason.as_str() });
                 progress.sends -= 1;
                 progress.avoid.push(endpoint.id.clone());
@@ -328,6 +339,7 @@
     inbound: &Inbound,
     progress: &Progress,
     placement: Placement,
+    kept: Option<Prefilled>,
     endpoint: &'a Arc<Endpoint>,
 ) -> Result<Upstream<'a>, Abort> {
     match placement {
@@ -340,9 +352,14 @@
             send(context, inbound, permit, endpoint, task).await
         }
         Placement::Split { decode, prefill, mut reservation } => {
-            let mut prefilled = match prefill {
-                Some(permit) => Some(run_prefill(context, inbound, &endpoint.zone, permit).await?),
-                None => None,
+            let is_fresh = |kept: &Prefilled| context.clock.now().since(kept.at) < MAX_RESULT_AGE;
+            let mut prefilled = match (kept.filter(is_fresh), prefill) {
+                (Some(kept), _) => Some(kept),
+                (None, Some(permit)) => {
+                    let result = run_prefill(context, inbound, &endpoint.zone, permit).await?;
+                    Some(Prefilled { result, at: context.clock.now() })
+                }
+                (None, None) => None,
             };
             let is_new = progress.last_event.is_none();
             if is_new && prefilled.is_some() && !decode_ends_in_time(context, inbound).await {
@@ -351,13 +368,18 @@
             let inputs = Decode {
                 source: prefilled
                     .as_ref()
-                    .and_then(|prefilled| Some((prefilled.endpoint.address, prefilled.name()?))),
+                    .and_then(|Prefilled { result, .. }| Some((result.endpoint.address, result.name()?))),
                 reservation: reservation.as_ref().and_then(Guard::name),
                 last_event: progress.last_event.as_deref(),
             };
             let started = send(context, inbound, decode, endpoint, Task::Decode(inputs)).await;
-            if !matches!(started, Err(Abort::NotSent(_) | Abort::OverBudget | Abort::NotRun(_))) {
-                reservation.iter_mut().chain(&mut prefilled).for_each(Guard::mark_consumed);
+            match started {
+                Err(Abort::NotSent { reason, .. }) => return Err(Abort::NotSent { reason, prefilled }),
+                Err(Abort::OverBudget | Abort::NotRun(_)) => {}
+                Ok(_) | Err(_) => {
+                    let results = prefilled.iter_mut().map(|prefilled| &mut prefilled.result);
+                    reservation.iter_mut().chain(results).for_each(Guard::mark_consumed);
+                }
             }
             started
         }
@@ -379,7 +401,8 @@
         Ok(exchange) => exchange,
         Err(Failure::Blocked(block)) => {
             inbound.mark_not_run();
-            return Err(Abort::NotSent(format!("{}: {block}", endpoint.id)));
+            let reason = format!("{}: {block}", endpoint.id);
+            return Err(Abort::NotSent { reason, prefilled: None });
         }
         Err(Failure::OverBudget) => {
             inbound.mark_not_run();
