Give a process a small part of the retry slack at its start

What callers saw: a gateway that had just started refused each request that its first endpoint had rejected, for lack of a retry.

Cause: started the bucket empty and left it unused until the store's list of replicas counted as read, 3 s after the start.

Change: a process starts with 0.07 of its replica's share, and the bucket holds and gains 0.3 of it. Up to five processes of a replica in a window stay within the share.

Evidence: the tests pass, and so do those of fleets that are cut and restarted, which are as they were.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -4,7 +4,7 @@
 //! message to an endpoint, so a [`Ledger`] for each request tells what has to be charged.
 //!
 //! The limit holds without coordination, also while replicas are cut off or restarted: each replica counts only
-//! requests that it received itself, and uses an equal share of the slack, for which a new process has to wait.
+//! requests that it received itself, and uses an equal share of the slack, most of which a new process has to wait for.
 //!
 //! [`Ledger`]: super::ledger::Ledger
 
@@ -19,9 +19,11 @@
 /// Fraction of the retries that requests earn which is used. Leaves a margin for messages that arrive later than they
 /// were charged.
 const USABLE_FRACTION: f64 = 0.7;
-/// Fraction of a replica's share of the slack that it may save up, and that it gains in each window. Both together, with
-/// a margin for late messages and for replicas that do not know of new ones yet, stay within the share.
-const SLACK_FRACTION: f64 = 0.4;
+/// Fraction of a replica's share of the slack that it may save up, and that it gains in each window.
+const SLACK_FRACTION: f64 = 0.3;
+/// Fraction of its share that a process may use at its start. What the processes of a replica use in a window stays within
+/// the share if there are no more than five of them.
+const STARTUP_FRACTION: f64 = 0.07;
 /// Granularity of the sliding window.
 const BUCKET_DURATION: Duration = Duration::from_millis(500);
 
@@ -48,16 +50,15 @@
 #[derive(Clone, Debug)]
 struct Account {
     window: VecDeque<Bucket>,
-    /// Retries left of the replica's share of the slack.
-    slack: f64,
+    /// Retries left of the replica's share of the slack; `None` before it is first asked for.
+    slack: Option<f64>,
     slack_updated_at: Time,
 }
 
 impl Account {
-    /// Creates the account of a replica that started at `started_at` and has saved up no slack at that time: the process
-    /// that it replaces may have used all of it.
+    /// Creates the account of a replica that started at `started_at`.
     fn new(started_at: Time) -> Self {
-        Self { window: VecDeque::new(), slack: 0.0, slack_updated_at: started_at }
+        Self { window: VecDeque::new(), slack: None, slack_updated_at: started_at }
     }
 
     fn bucket(&mut self, now: Time, window: Duration) -> &mut Bucket {
@@ -78,11 +79,13 @@
         (ratio * f64::from(requests) * USABLE_FRACTION - retries).max(0.0)
     }
 
-    fn refill_slack(&mut self, now: Time, share: f64, window: Duration) {
+    /// Refills the slack and returns it. It is small at the start: the process before this one may have used more.
+    fn refill_slack(&mut self, now: Time, share: f64, window: Duration) -> f64 {
         let most = share * SLACK_FRACTION;
         let gained = most * now.since(self.slack_updated_at).div_duration_f64(window);
-        self.slack = (self.slack + gained).min(most);
+        let left = self.slack.unwrap_or(share * STARTUP_FRACTION);
         self.slack_updated_at = now;
+        *self.slack.insert((left + gained).min(most))
     }
 }
 
@@ -107,24 +110,20 @@
     }
 
     /// Records `count` retries if the budget allows all of them, and returns whether it does. `replicas` is the number
-    /// of replicas that share the slack, including this one; `None` if it is not known, so that the slack must not be
-    /// used.
-    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: Option<u32>) -> bool {
+    /// of replicas that share the slack, including this one.
+    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: u32) -> bool {
         let Rule { ratio, slack, window } = self.rule;
         let account = self.account(service);
         account.bucket(now, window);
-        if let Some(replicas) = replicas {
-            account.refill_slack(now, slack / f64::from(replicas.max(1)), window);
-        }
+        let usable_slack = account.refill_slack(now, slack / f64::from(replicas.max(1)), window);
         let earned = account.earned(ratio);
-        let usable_slack = if replicas.is_some() { account.slack } else { 0.0 };
         let count = f64::from(count);
         if count > earned + usable_slack {
             return false;
         }
         let by_requests = earned.min(count);
         account.bucket(now, window).retries += by_requests;
-        account.slack -= count - by_requests;
+        account.slack = Some(usable_slack - (count - by_requests));
         true
     }
 
--- a/crates/core/src/gateway/throttle.rs
+++ b/crates/core/src/gateway/throttle.rs
@@ -63,9 +63,9 @@
         self.is_read = true;
     }
 
-    /// Returns the number of replicas; `None` before the store's list of replicas has been read.
-    pub fn count(&self) -> Option<u32> {
-        self.is_read.then_some(self.names.len() as u32)
+    /// Returns the number of replicas.
+    pub fn count(&self) -> u32 {
+        self.names.len() as u32
     }
 
     /// Returns whether this replica is one of the `count` owners of an endpoint.
