--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -107,6 +107,8 @@
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
     is_leaving: bool,
+    /// Name of a field without a meaning that all responses carry.
+    extra_field: Option<&'static str>,
     /// End of the cold phase.
     cold_until: Option<Instant>,
     /// When requests arrived during cold phases.
@@ -255,6 +257,11 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Adds a field without a meaning to all further responses.
+    pub fn set_extra_field(&self, name: &'static str) {
+        lock(&self.state).extra_field = Some(name);
+    }
+
     /// Makes the endpoint cold for `span`, as after a start. Its row does not change.
     pub fn set_cold(&self, span: Duration) {
         lock(&self.state).cold_until = Some(Instant::now() + span);
@@ -660,6 +667,9 @@
         if lock(&self.state).is_leaving {
             head.fields.push("Server-Leaving", "1");
         }
+        if let Some(name) = lock(&self.state).extra_field {
+            head.fields.push(name, "1");
+        }
         let limit = {
             let mut state = lock(&self.state);
             if state.limit.is_some() {
--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -771,6 +771,10 @@
         assert_eq!(request(&site, submit("r1"), b"case").await.head.status, 200);
         assert_eq!(request(&site, stream("r2"), b"prompt").await.event_ids(), all_event_ids());
         assert_eq!(request(&site, plain_request("GET", "/nowhere/x", KEY, "r3"), b"").await.head.status, 404);
+        let plain = site.endpoints(Role::Plain).remove(0);
+        plain.set_extra_field("Server-Mood");
+        plain.fail_next(Fault::Refuse, 1);
+        request(&site, submit("r4"), b"case").await;
         site.store.set_fault(store::Fault::Busy);
         site.configure(&configuration(2));
         let metrics = async || {
