Log each charge of the retry budget with its inputs, and pauses of the process

A line 'retries charged' now names the request, the decision, what requests had earned, what was left of the slack and how many replicas share it; 'process paused' tells of a second without a tick. No change of behaviour. Tests adapted to the new result of try_spend, with the same assertions.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -38,6 +38,19 @@
     pub window: Duration,
 }
 
+/// Decision on a charge, with its inputs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// Whether the retries were charged.
+    pub is_granted: bool,
+    /// Retries that the requests of the window paid for before the charge.
+    pub earned: f64,
+    /// Retries that were left of this replica's share of the slack before the charge.
+    pub slack: f64,
+    /// Number of replicas that share the slack, as far as this one knows.
+    pub replicas: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     start: Time,
@@ -109,22 +122,24 @@
         self.account(service).bucket(now, window).requests += 1;
     }
 
-    /// Records `count` retries if the budget allows all of them, and returns whether it does. `replicas` is the number
-    /// of replicas that share the slack, including this one.
-    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: u32) -> bool {
+    /// Records `count` retries if the budget allows all of them. `replicas` is the number of replicas that share the
+    /// slack, including this one.
+    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: u32) -> Decision {
         let Rule { ratio, slack, window } = self.rule;
         let account = self.account(service);
         account.bucket(now, window);
         let usable_slack = account.refill_slack(now, slack / f64::from(replicas.max(1)), window);
         let earned = account.earned(ratio);
         let count = f64::from(count);
-        if count > earned + usable_slack {
-            return false;
+        let is_granted = count <= earned + usable_slack;
+        let decision = Decision { is_granted, earned, slack: usable_slack, replicas };
+        if !is_granted {
+            return decision;
         }
         let by_requests = earned.min(count);
         account.bucket(now, window).retries += by_requests;
         account.slack = Some(usable_slack - (count - by_requests));
-        true
+        decision
     }
 
     fn account(&mut self, service: &Arc<str>) -> &mut Account {
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -5,7 +5,7 @@
 use super::{Admission, State};
 use crate::{
     clock::Time,
-    gateway::catalog::Customer,
+    gateway::{budget::Decision, catalog::Customer},
     refusal::{Code, Refusal},
 };
 
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Spends `count` retries of the service's retry budget; returns false, and spends none, if fewer are left.
-    pub fn retry(&mut self, now: Time, service: &Arc<str>, count: u32) -> bool {
+    /// Spends `count` retries of the service's retry budget, or none if fewer are left.
+    pub fn retry(&mut self, now: Time, service: &Arc<str>, count: u32) -> Decision {
         // Not only replicas that are alive as far as this one knows: those that are cut off from it use their share.
         self.budget.try_spend(now, service, count, self.roster.count())
     }
--- a/crates/core/tests/gateway/budget.rs
+++ b/crates/core/tests/gateway/budget.rs
@@ -22,7 +22,7 @@
         for replica in &mut replicas {
             replica.record_request(at(now), &service);
             requests += 1.0;
-            retries += if replica.try_spend(at(now), &service, 1, 4) { 1.0 } else { 0.0 };
+            retries += if replica.try_spend(at(now), &service, 1, 4).is_granted { 1.0 } else { 0.0 };
         }
     }
     assert!(retries <= RULE.ratio * requests + RULE.slack, "{retries} of {requests}");
@@ -33,13 +33,14 @@
 fn retries_are_allowed_again_after_the_window() {
     let service: Arc<str> = "filing".into();
     let mut budget = Budget::new(RULE, at(0));
-    let used = (0..100).filter(|_| budget.try_spend(at(20_000), &service, 1, 1)).count();
+    let used = (0..100).filter(|_| budget.try_spend(at(20_000), &service, 1, 1).is_granted).count();
     assert!(used > 0 && used < 40, "{used}");
     let mut saturated = budget.clone();
-    let later = (20_000..30_000).step_by(50).filter(|now| saturated.try_spend(at(*now), &service, 1, 1));
+    let later =
+        (20_000..30_000).step_by(50).filter(|now| saturated.try_spend(at(*now), &service, 1, 1).is_granted);
     let used = used + later.count();
     assert!(used as f64 <= RULE.slack, "{used} within a window");
-    assert!(budget.try_spend(at(30_100), &service, 1, 1));
+    assert!(budget.try_spend(at(30_100), &service, 1, 1).is_granted);
 }
 
 /// Replicas that restart together don't know each other yet, and their previous processes may have
@@ -50,9 +51,9 @@
     let mut retries = 0;
     for _ in 0..4 {
         let mut old = Budget::new(RULE, at(0));
-        retries += (0..50).filter(|_| old.try_spend(at(20_000), &service, 1, 4)).count();
+        retries += (0..50).filter(|_| old.try_spend(at(20_000), &service, 1, 4).is_granted).count();
         let mut new = Budget::new(RULE, at(21_000));
-        retries += (0..50).filter(|_| new.try_spend(at(21_000), &service, 1, 1)).count();
+        retries += (0..50).filter(|_| new.try_spend(at(21_000), &service, 1, 1).is_granted).count();
     }
     assert!(retries as f64 <= RULE.slack, "{retries}");
 }
--- a/crates/core/tests/gateway/fleet_budget.rs
+++ b/crates/core/tests/gateway/fleet_budget.rs
@@ -52,7 +52,7 @@
                 requests.push(now);
             }
             let is_burst = now_ms.is_multiple_of(day.pause_ms);
-            while is_burst && replica.state.retry(now, &admission.service, 1) {
+            while is_burst && replica.state.retry(now, &admission.service, 1).is_granted {
                 retries.push(now);
             }
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -194,9 +194,14 @@
         if due == 0 {
             return true;
         }
-        let is_granted = context.control.acquire_retries(self.service(), due).await;
+        let Some(decision) = context.control.acquire_retries(self.service(), due).await else { return false };
+        let is_granted = decision.is_granted;
         let result = if is_granted { "charged" } else { "refused" };
         context.metrics.retry_charges.with_label_values(&[self.service(), result]).inc_by(due.into());
+        spdlog::info!("retries charged", kv: {
+            request = self.id(), service = &**self.service(), count = due, granted = is_granted,
+            earned = decision.earned, slack = decision.slack, replicas = decision.replicas
+        });
         if is_granted {
             self.ledger().record_charged(context.clock.now(), due);
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -17,6 +17,7 @@
     Clock, Refusal, Time,
     gateway::{
         backoff::Backoffs,
+        budget::Decision,
         catalog::Catalog,
         completion::{Completion, Prompt},
         digest::Member,
@@ -53,7 +54,7 @@
 pub(crate) enum Command {
     Admit(Admission, ReplySender<Result<(), Refusal>>),
     Refund(Admission),
-    AcquireRetries(Arc<str>, u32, ReplySender<bool>),
+    AcquireRetries(Arc<str>, u32, ReplySender<Decision>),
     IsSplit(Arc<str>, ReplySender<bool>),
     Place(Arc<str>, Vec<Arc<str>>, ReplySender<PermitResult>),
     PlacePrompt(Prompt, ReplySender<Option<Permit>>),
@@ -236,10 +237,10 @@
         self.send(Command::Refund(admission));
     }
 
-    /// Takes `count` retries from the service's retry budget; takes none and returns false if fewer are left.
-    pub async fn acquire_retries(&self, service: &Arc<str>, count: u32) -> bool {
-        let taken = self.request(|reply| Command::AcquireRetries(service.clone(), count, reply));
-        taken.await.unwrap_or(false)
+    /// Takes `count` retries from the service's retry budget, or none if fewer are left. Returns `None` if the control
+    /// thread has ended.
+    pub async fn acquire_retries(&self, service: &Arc<str>, count: u32) -> Option<Decision> {
+        self.request(|reply| Command::AcquireRetries(service.clone(), count, reply)).await
     }
 
     /// Returns whether a service has separate prefill and decode endpoints.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -40,6 +40,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Interval at which the queue is checked while requests wait, so that expired requests are refused soon.
 const QUEUE_TICK: Duration = Duration::from_millis(25);
+/// Time without a tick that is logged: the process was paused, or had no processor.
+const PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which forecasts are logged; they explain refusals.
 const FORECAST_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -158,6 +160,10 @@
     fn tick(&mut self) {
         let now = self.clock.now();
         if now.since(self.last_tick) >= TICK {
+            let paused = now.since(self.last_tick);
+            if self.last_tick > Time::ZERO && paused >= PAUSE {
+                spdlog::warn!("process paused", kv: { ms = paused.as_millis() as u64 });
+            }
             self.last_tick = now;
             lock(&self.weak_control.shared).is_stale = self.state.is_configuration_stale(now);
             let (changes, expired) = self.state.tick(now);
