Tests of the retry budget of replicas that learn of each other late, which fail

The fleets of the tests gave each replica the whole list at its start. In a site a new process knows only itself until it has read the store's list. With lists that are read 2 s late, 12 replicas that restart together exceed the budget; a replica in a crash loop does so alone. The random fleets now draw the delay as well, and fail: 24 replicas listed after 250 ms, without any trouble.

--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -8,3 +8,5 @@
 pub mod restarts;
 pub mod site;
 pub mod slopes;
+pub mod soak;
+pub mod stand_in;
--- /dev/null
+++ b/crates/bench/src/cmd/stand_in.rs
@@ -0,0 +1,172 @@
+//! `stand-in`: one simulated server as a process of its own, which can be paused and killed by signals.
+//!
+//! The server prints JSON lines: its address when it listens, then each request that it got. An endpoint reads
+//! [`Order`]s as JSON lines from its standard input.
+
+use std::{
+    io::{self, BufRead as _, Write as _},
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use async_std::task;
+use bpaf::Bpaf;
+use serde::{Deserialize, Serialize};
+use strum::EnumString;
+
+use crate::platform::{
+    endpoint::{Endpoint, Fault, KvHandles, ReceivedRequest, Role},
+    store::Store,
+};
+
+/// Memory of an engine, in tokens.
+const KV_CACHE_TOKENS: u64 = 1_000_000;
+/// Interval at which received requests are printed.
+const PRINT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Kind of a simulated server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Server {
+    /// The platform's store.
+    Store,
+    /// An engine for prefill.
+    Prefill,
+    /// An engine for decode.
+    Decode,
+    /// A plain service.
+    Plain,
+}
+
+/// Options of `stand-in`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Options {
+    /// Id of an endpoint
+    #[bpaf(long, argument("ID"), fallback("endpoint".into()))]
+    id: String,
+    /// Listen address
+    #[bpaf(long, argument("IP:PORT"))]
+    listen: SocketAddr,
+    /// Kind of the server: store, prefill, decode or plain
+    #[bpaf(positional("KIND"))]
+    server: Server,
+}
+
+/// Change of an endpoint's behaviour.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Further requests take this long.
+    ServiceTime {
+        /// Milliseconds.
+        ms: u64,
+    },
+    /// The next `count` requests are rejected as not executed.
+    Reject {
+        /// Number of requests.
+        count: u32,
+    },
+    /// The next `count` requests get status 500.
+    Fail {
+        /// Number of requests.
+        count: u32,
+    },
+    /// The connections of the next `count` requests are reset after the request has run.
+    Reset {
+        /// Number of requests.
+        count: u32,
+    },
+    /// The next `count` requests run and get no response.
+    Hang {
+        /// Number of requests.
+        count: u32,
+    },
+}
+
+/// A request that an endpoint got.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Arrival {
+    /// Id of the request.
+    pub request: String,
+    /// Whether it asked for a prefill only.
+    pub is_prefill: bool,
+    /// Whether the endpoint executed it.
+    pub was_executed: bool,
+    /// When the endpoint read it, in microseconds since the Unix epoch.
+    pub at_us: u64,
+}
+
+impl Arrival {
+    fn new(received: &ReceivedRequest) -> Self {
+        let fields = &received.head.fields;
+        let at = SystemTime::now() - received.received_at.elapsed();
+        Self {
+            request: fields.get("Tarragonhill-Request-Id").unwrap_or_default().into(),
+            is_prefill: fields.get("Tarragonhill-Serving-Stage").is_some(),
+            was_executed: received.was_executed,
+            at_us: unix_micros(at),
+        }
+    }
+
+    /// Returns when the endpoint read the request, on the clock of this process.
+    pub fn at(&self) -> Instant {
+        let age = unix_micros(SystemTime::now()).saturating_sub(self.at_us);
+        Instant::now() - Duration::from_micros(age)
+    }
+}
+
+fn unix_micros(at: SystemTime) -> u64 {
+    let since = at.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Runs the server until its standard input ends.
+pub async fn execute(options: Options) -> io::Result<bool> {
+    let role = match options.server {
+        Server::Store => return run_store(options.listen).await,
+        Server::Prefill => Role::Prefill,
+        Server::Decode => Role::Decode,
+        Server::Plain => Role::Plain,
+    };
+    let handles = KvHandles::Unknown;
+    let endpoint = Endpoint::start(&options.id, role, options.listen, KV_CACHE_TOKENS, handles).await?;
+    let endpoint = Arc::new(endpoint);
+    println!("{}", endpoint.address());
+    let target = endpoint.clone();
+    let orders = thread::spawn(move || follow_orders(&target));
+    let mut printed = 0;
+    while !orders.is_finished() {
+        task::sleep(PRINT_INTERVAL).await;
+        let received = endpoint.received();
+        let mut output = io::stdout().lock();
+        for request in &received[printed..] {
+            writeln!(output, "{}", serde_json::to_string(&Arrival::new(request))?)?;
+        }
+        output.flush()?;
+        printed = received.len();
+    }
+    Ok(true)
+}
+
+async fn run_store(listen: SocketAddr) -> io::Result<bool> {
+    let store = Store::start(listen).await?;
+    println!("{}", store.address());
+    async_std::task::spawn_blocking(|| io::stdin().lines().for_each(drop)).await;
+    Ok(true)
+}
+
+/// Carries out orders until the standard input ends.
+fn follow_orders(endpoint: &Endpoint) {
+    for line in io::stdin().lock().lines().map_while(Result::ok) {
+        match serde_json::from_str(&line) {
+            Ok(Order::ServiceTime { ms }) => endpoint.set_service_time(Duration::from_millis(ms)),
+            Ok(Order::Reject { count }) => endpoint.fail_next(Fault::Refuse, count),
+            Ok(Order::Fail { count }) => endpoint.fail_next(Fault::Error, count),
+            Ok(Order::Reset { count }) => endpoint.fail_next(Fault::ResetAfterRun, count),
+            Ok(Order::Hang { count }) => endpoint.fail_next(Fault::Hang, count),
+            Err(error) => eprintln!("invalid order {line:?}: {error}"),
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,7 @@
 //! Benchmarks, load generators and fault checks of the router, and the simulated back ends they use.
 //!
-//! Everything runs as tasks of one process over loopback TCP: the daemons' own code, and simulated
-//! engines and services that speak the protocols of `docs/protocol-*.md`. No child process is started.
+//! Nearly everything runs as tasks of one process over loopback TCP: the daemons' own code, and simulated
+//! engines and services that speak the protocols of `docs/protocol-*.md`. Only [`soak`] starts child processes.
 //!
 //! ```no_run
 //! use tarragonhill_bench::fleet::{Fleet, Shape};
@@ -21,5 +21,6 @@
 pub mod platform;
 pub mod score;
 pub mod sim;
+pub mod soak;
 pub mod usage;
 pub mod workload;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use bpaf::Bpaf;
 use tarragonhill_bench::{
-    cmd::{check, demo, gossip, measure, overhead, restarts, site, slopes},
+    cmd::{check, demo, gossip, measure, overhead, restarts, site, slopes, soak, stand_in},
     fleet::FleetError,
 };
 use tarragonhill_daemon::logging;
@@ -39,6 +39,12 @@
     /// Restart gateways under load and check what callers and endpoints saw
     #[bpaf(command)]
     Restarts(#[bpaf(external(restarts::options))] restarts::Options),
+    /// Run gateways, endpoints and a store as processes, disturb them by signals and proxies, and check the retry budget
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak::options))] soak::Options),
+    /// Run one simulated server as a process of its own, for `soak`
+    #[bpaf(command("stand-in"))]
+    StandIn(#[bpaf(external(stand_in::options))] stand_in::Options),
 }
 
 fn main() -> ExitCode {
@@ -54,6 +60,8 @@
         Options::Slopes => task::block_on(slopes::execute()),
         Options::Gossip(options) => gossip::execute(options),
         Options::Restarts(options) => restarts::execute(options).map_err(FleetError::from),
+        Options::Soak(options) => soak::execute(options).map_err(FleetError::from),
+        Options::StandIn(options) => task::block_on(stand_in::execute(options)).map_err(FleetError::from),
         Options::Measure(options) => task::block_on(measure::execute(options)),
         Options::Overhead(options) => task::block_on(overhead::execute(options)),
     };
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -165,8 +165,36 @@
     }
 }
 
-/// Handles of prefill results that no decode has fetched yet, for all engines of a site.
-pub type KvHandles = Arc<Mutex<BTreeSet<String>>>;
+/// Handles of prefill results that no decode has fetched yet.
+#[derive(Clone, Debug)]
+pub enum KvHandles {
+    /// Of all engines of a site, which are in one process.
+    Known(Arc<Mutex<BTreeSet<String>>>),
+    /// Of engines in other processes: every handle counts as valid.
+    Unknown,
+}
+
+impl Default for KvHandles {
+    fn default() -> Self {
+        Self::Known(Arc::default())
+    }
+}
+
+impl KvHandles {
+    fn insert(&self, handle: String) {
+        if let Self::Known(handles) = self {
+            lock(handles).insert(handle);
+        }
+    }
+
+    /// Removes a handle and returns whether it was valid.
+    fn take(&self, handle: &str) -> bool {
+        match self {
+            Self::Known(handles) => lock(handles).remove(handle),
+            Self::Unknown => true,
+        }
+    }
+}
 
 /// A running endpoint.
 pub struct Endpoint {
@@ -445,7 +473,7 @@
                 state.free_tokens += tokens;
             }
         }
-        lock(&self.kv_handles).remove(&id);
+        self.kv_handles.take(&id);
         self.send_json(connection, 200, &json!({})).await
     }
 
@@ -498,7 +526,7 @@
         }
         let handle = format!("{}-{}", self.id, lock(&self.state).next_id("r"));
         if fault != Fault::LoseResult {
-            lock(&self.kv_handles).insert(handle.clone());
+            self.kv_handles.insert(handle.clone());
         }
         self.wait_while_paused().await;
         task::sleep(EVENT_INTERVAL + self.service_time()).await;
@@ -508,7 +536,7 @@
     async fn decode(self, connection: Connection, fault: Fault) -> (Connection, Action) {
         if let Some(source) = self.head.fields.get("Tarragonhill-Kv-Source") {
             let handle = source.rsplit('/').next().unwrap_or_default();
-            if !lock(&self.kv_handles).remove(handle) {
+            if !self.kv_handles.take(handle) {
                 self.record(false);
                 return self.refuse(connection, None).await;
             }
--- a/crates/bench/src/platform/retries.rs
+++ b/crates/bench/src/platform/retries.rs
@@ -31,21 +31,47 @@
     messages.iter().skip(1).map(|message| message.received_at).collect()
 }
 
-/// Describes the first window with more retries than a rule allows, if there is one. `requests` is when callers sent
-/// their requests.
-pub fn first_excess(received: &[ReceivedRequest], requests: &[Instant], rule: Rule) -> Option<String> {
-    let mut retries = arrivals(received);
+/// Retries and requests of one window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Window {
+    /// Retries that arrived.
+    pub arrived: usize,
+    /// Requests that count for the window.
+    pub sent: usize,
+    /// Retries that the rule allows.
+    pub allowed: f64,
+}
+
+impl Window {
+    /// Returns how many more retries the rule allows; negative if it is broken.
+    pub fn room(&self) -> f64 {
+        self.allowed - self.arrived as f64
+    }
+}
+
+/// Returns the windows that begin with a retry. `requests` is when callers sent their requests.
+pub fn windows(received: &[ReceivedRequest], requests: &[Instant], rule: Rule) -> Vec<Window> {
+    let (mut retries, mut requests) = (arrivals(received), requests.to_vec());
     retries.sort();
-    let count = |times: &[Instant], start: Instant, length: Duration| {
-        times.iter().filter(|at| **at >= start && at.duration_since(start) < length).count()
+    requests.sort();
+    let count = |times: &[Instant], start: Instant| {
+        let after = times.partition_point(|at| *at < start);
+        times[after..].partition_point(|at| at.duration_since(start) < rule.window)
     };
-    retries.iter().find_map(|start| {
+    let window = |start: &Instant| {
         let starts = [Duration::ZERO, rule.window / 2, rule.window];
-        let windows = starts.into_iter().filter_map(|before| start.checked_sub(before));
-        let sent = windows.map(|start| count(requests, start, rule.window)).max().unwrap_or(0);
+        let starts = starts.into_iter().filter_map(|before| start.checked_sub(before));
+        let sent = starts.map(|start| count(&requests, start)).max().unwrap_or(0);
         let allowed = rule.ratio * sent as f64 + rule.slack;
-        let arrived = count(&retries, *start, rule.window);
-        (arrived as f64 > allowed)
-            .then(|| format!("{arrived} retries for {sent} requests in {:?}; allowed {allowed}", rule.window))
-    })
+        Window { arrived: count(&retries, *start), sent, allowed }
+    };
+    retries.iter().map(window).collect()
+}
+
+/// Describes the first window with more retries than a rule allows, if there is one. `requests` is when callers sent
+/// their requests.
+pub fn first_excess(received: &[ReceivedRequest], requests: &[Instant], rule: Rule) -> Option<String> {
+    let excess = windows(received, requests, rule).into_iter().find(|window| window.room() < 0.0)?;
+    let Window { arrived, sent, allowed } = excess;
+    Some(format!("{arrived} retries for {sent} requests in {:?}; allowed {allowed}", rule.window))
 }
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -351,7 +351,7 @@
 }
 
 /// Returns a loopback address that is unique in this process and rarely used by other test processes.
-fn unique_loopback_ip() -> Ipv4Addr {
+pub(crate) fn unique_loopback_ip() -> Ipv4Addr {
     static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(0);
     let [_, _, high, low] = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let process = u8::try_from(std::process::id() % 250).unwrap_or(0) + 2;
--- a/crates/bench/src/platform/store.rs
+++ b/crates/bench/src/platform/store.rs
@@ -260,9 +260,17 @@
     #[serde(default)]
     puts: Vec<Put>,
     #[serde(default)]
+    remove: Vec<RowKey>,
+    #[serde(default)]
     expected_revision: Vec<Expected>,
 }
 
+#[derive(Deserialize)]
+struct RowKey {
+    table: String,
+    key: String,
+}
+
 #[derive(Deserialize)]
 struct Expected {
     table: String,
@@ -290,6 +298,9 @@
     for put in transaction.puts {
         state.write(&put.table, &put.key, Some(put.value));
     }
+    for row in transaction.remove {
+        state.write(&row.table, &row.key, None);
+    }
     (200, json!({"row_version": state.version, "now_ms": 0}))
 }
 
--- /dev/null
+++ b/crates/bench/src/soak.rs
@@ -0,0 +1,80 @@
+//! Gateways, endpoints and a store as separate processes, which are paused, killed and restarted by signals, behind
+//! proxies that hold back bytes and reset connections.
+//!
+//! The seed determines the disturbances and the requests. Processes interleave differently in every run, so a run cannot
+//! be replayed exactly.
+
+mod plan;
+mod process;
+mod proxy;
+mod run;
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    thread,
+    time::Duration,
+};
+
+use async_std::task;
+use tarragonhill_core::gateway::budget::Rule;
+
+pub use self::{
+    plan::{Event, Kind, Plan},
+    run::{History, Service},
+};
+
+/// Programs that are started as processes.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The `tarragonhilld` binary.
+    pub daemon: PathBuf,
+    /// The `tarragonhill-bench` binary, which contains the simulated servers.
+    pub bench: PathBuf,
+}
+
+impl Programs {
+    /// Returns the binaries that were built together with `bench`.
+    pub fn beside(bench: &Path) -> Self {
+        Self { daemon: bench.with_file_name("tarragonhilld"), bench: bench.to_owned() }
+    }
+}
+
+/// Size and duration of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Time in which disturbances begin.
+    pub duration: Duration,
+    /// Number of disturbances.
+    pub events: usize,
+    /// Retry budget of each service.
+    pub retries: Rule,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        let retries = Rule { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
+        Self { gateways: 4, duration: Duration::from_secs(40), events: 12, retries }
+    }
+}
+
+/// Runs these seeds concurrently. Writes the logs of the gateways of each seed into a directory below `logs`.
+pub fn run_all(
+    programs: &Programs,
+    shape: Shape,
+    seeds: &[u64],
+    logs: &Path,
+    kinds: &[Kind],
+) -> io::Result<Vec<History>> {
+    thread::scope(|scope| {
+        let start = |&seed: &u64| {
+            let plan = Plan::random(seed, shape, kinds);
+            let directory = logs.join(format!("seed-{seed}"));
+            scope.spawn(move || task::block_on(run::run(programs, shape, plan, &directory)))
+        };
+        let runs: Vec<_> = seeds.iter().map(start).collect();
+        runs.into_iter().map(|run| run.join().expect("a run does not panic")).collect()
+    })
+}
--- /dev/null
+++ b/crates/bench/src/soak/run.rs
@@ -0,0 +1,612 @@
+//! One run: starts the processes, disturbs them while callers send requests, and collects what endpoints got.
+
+use std::{
+    collections::BTreeMap,
+    fs::{self, OpenOptions},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_std::{future::timeout, task};
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use strum::Display;
+use tarragonhill_core::gateway::budget::Rule;
+use tarragonhill_h1::head::Request;
+
+use super::{
+    Programs, Shape,
+    plan::{Event, Kind, Plan},
+    process::Process,
+    proxy::Proxy,
+};
+use crate::{
+    cmd::stand_in::{Arrival, Order, Server},
+    platform::{
+        caller::{self, Caller, completion_request, plain_request},
+        endpoint::ReceivedRequest,
+        retries::{Window, arrivals, windows},
+        site::{KEY, configuration, unique_loopback_ip},
+    },
+    sim::lock,
+};
+
+const PREFILL_ENGINES: usize = 2;
+const DECODE_ENGINES: usize = 4;
+const PLAIN_ENDPOINTS: usize = 3;
+const ENDPOINT_PORT: u16 = 8080;
+const CALLER_PORT: u16 = 8221;
+const ADMIN_PORT: u16 = 8224;
+const STORE_PORT: u16 = 8225;
+const PEER_PORT: u16 = 7600;
+const ZONE: &str = "zone-a";
+/// Time before the first disturbance, in which gateways save up retries.
+const WARM_UP: Duration = Duration::from_secs(12);
+/// Time after the last disturbance.
+const COOL_DOWN: Duration = Duration::from_secs(12);
+/// Mean time between two requests.
+const REQUEST_INTERVAL_MS: f64 = 28.0;
+/// Factor on the number of requests in a burst.
+const BURST_FACTOR: f64 = 3.0;
+/// Time until a killed process starts again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// Time between two kills of a series.
+const SERIES_INTERVAL: Duration = Duration::from_millis(700);
+/// Time in which a gateway shuts down.
+const GRACE: Duration = Duration::from_secs(8);
+/// Service time of an endpoint that is slow.
+const SLOW_MS: u64 = 2_000;
+/// Usual service time of an endpoint.
+const SERVICE_MS: u64 = 15;
+/// Number of requests that an endpoint fails in one disturbance.
+const FAULTS: u32 = 60;
+/// Longest time a caller waits for the response to a plain request.
+const PLAIN_DEADLINE: Duration = Duration::from_secs(1);
+/// Longest time a caller waits for a stream.
+const STREAM_DEADLINE: Duration = Duration::from_secs(8);
+/// Interval at which processes that have ended are noticed.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const PROMPT_TOKENS: u64 = 100;
+
+/// A service of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Service {
+    /// The engines.
+    Models,
+    /// The plain service.
+    Filing,
+}
+
+/// What endpoints got and callers sent in a run.
+#[derive(Debug)]
+pub struct History {
+    /// The disturbances.
+    pub plan: Plan,
+    /// Directory with the logs of the gateways.
+    pub logs: PathBuf,
+    /// Number of responses with status 200.
+    pub succeeded: usize,
+    /// Number of responses with another status.
+    pub refused: usize,
+    /// Number of requests without a response.
+    pub unanswered: usize,
+    rule: Rule,
+    requests: BTreeMap<Service, Vec<Instant>>,
+    received: BTreeMap<Service, Vec<ReceivedRequest>>,
+}
+
+impl History {
+    /// Returns the number of requests that callers sent.
+    pub fn sent(&self, service: Service) -> usize {
+        self.requests.get(&service).map_or(0, Vec::len)
+    }
+
+    /// Returns the number of messages that count as retries.
+    pub fn retries(&self, service: Service) -> usize {
+        self.received.get(&service).map_or(0, |received| arrivals(received).len())
+    }
+
+    /// Returns the window with the least room for more retries; `None` if there was no retry.
+    pub fn tightest(&self, service: Service) -> Option<Window> {
+        let received = self.received.get(&service)?;
+        let requests = self.requests.get(&service)?;
+        let windows = windows(received, requests, self.rule).into_iter();
+        windows.min_by(|one, other| one.room().total_cmp(&other.room()))
+    }
+
+    /// Returns what gateways charged, by their logs; less than that if processes were killed.
+    pub fn charged(&self, service: Service) -> u64 {
+        let name = match service {
+            Service::Models => "models",
+            Service::Filing => "filing",
+        };
+        let logs = fs::read_dir(&self.logs).into_iter().flatten().flatten();
+        let text = logs.filter_map(|entry| fs::read_to_string(entry.path()).ok());
+        let charged = |text: String| {
+            let lines = text.lines().filter(|line| line.contains("\"request retried\""));
+            let lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            let lines = lines.filter(|line| line["kv"]["service"] == name);
+            lines.filter_map(|line| line["kv"]["charged"].as_u64()).sum::<u64>()
+        };
+        text.map(charged).sum()
+    }
+}
+
+/// A gateway, and the settings with which it is started again.
+struct Gateway {
+    address: SocketAddr,
+    admin: SocketAddr,
+    arguments: Vec<String>,
+    log: PathBuf,
+    process: Mutex<Process>,
+    /// Whether it is down on purpose.
+    is_down: AtomicBool,
+}
+
+/// An endpoint behind a proxy.
+struct Endpoint {
+    server: Server,
+    proxy: Proxy,
+    listen: SocketAddr,
+    /// Number of processes so far; part of the id.
+    starts: AtomicUsize,
+    process: Mutex<Process>,
+    /// Lines printed by processes that were killed.
+    past: Mutex<Vec<String>>,
+}
+
+impl Endpoint {
+    fn id(&self) -> String {
+        endpoint_id(self.listen.ip(), self.starts.load(Ordering::Relaxed))
+    }
+
+    fn order(&self, order: Order) {
+        let line = serde_json::to_string(&order).expect("an order can be encoded");
+        // Fails only if the process has been killed.
+        let _ = lock(&self.process).write_line(&line);
+    }
+}
+
+fn endpoint_id(ip: std::net::IpAddr, starts: usize) -> String {
+    format!("endpoint-{ip}-{starts}")
+}
+
+struct Run {
+    programs: Programs,
+    store: Mutex<Process>,
+    store_address: SocketAddr,
+    gateways: Vec<Gateway>,
+    endpoints: Vec<Endpoint>,
+    /// Source of `seq` and `born` in rows.
+    counter: AtomicUsize,
+    is_over: AtomicBool,
+    bursts: AtomicUsize,
+    requests: Mutex<BTreeMap<Service, Vec<Instant>>>,
+    idle: Mutex<BTreeMap<usize, Vec<Caller>>>,
+    statuses: Mutex<Vec<Option<u16>>>,
+}
+
+/// Starts the processes, plays the plan and returns what endpoints and callers saw.
+pub(super) async fn run(programs: &Programs, shape: Shape, plan: Plan, logs: &Path) -> io::Result<History> {
+    fs::create_dir_all(logs)?;
+    let run = Arc::new(Run::start(programs, shape, logs).await?);
+    let callers = task::spawn(run.clone().send_requests(plan.seed));
+    let watch = task::spawn(run.clone().watch());
+    task::sleep(WARM_UP).await;
+    let played = plan.events.iter().map(|event| task::spawn(run.clone().play(*event)));
+    for event in played.collect::<Vec<_>>() {
+        event.await;
+    }
+    task::sleep(COOL_DOWN).await;
+    run.is_over.store(true, Ordering::Relaxed);
+    callers.await;
+    watch.await;
+    let statuses = lock(&run.statuses).clone();
+    let count = |keep: fn(&Option<u16>) -> bool| statuses.iter().filter(|status| keep(status)).count();
+    Ok(History {
+        plan,
+        logs: logs.to_owned(),
+        succeeded: count(|status| *status == Some(200)),
+        refused: count(|status| status.is_some_and(|status| status != 200)),
+        unanswered: count(Option::is_none),
+        rule: shape.retries,
+        requests: lock(&run.requests).clone(),
+        received: run.received(),
+    })
+}
+
+impl Run {
+    async fn start(programs: &Programs, shape: Shape, logs: &Path) -> io::Result<Self> {
+        let store_address = SocketAddr::from((unique_loopback_ip(), STORE_PORT));
+        let store = start_stand_in(programs, Server::Store, "store", store_address)?;
+        let mut endpoints = Vec::new();
+        for (server, count) in [
+            (Server::Prefill, PREFILL_ENGINES),
+            (Server::Decode, DECODE_ENGINES),
+            (Server::Plain, PLAIN_ENDPOINTS),
+        ] {
+            for _ in 0..count {
+                endpoints.push(start_endpoint(programs, server).await?);
+            }
+        }
+        let gateways = (0..shape.gateways).map(|number| {
+            start_gateway(programs, shape, number, store_address, &logs.join(format!("gateway-{number}.log")))
+        });
+        let run = Self {
+            programs: programs.clone(),
+            store: Mutex::new(store),
+            store_address,
+            gateways: gateways.collect::<io::Result<_>>()?,
+            endpoints,
+            counter: AtomicUsize::new(0),
+            is_over: AtomicBool::new(false),
+            bursts: AtomicUsize::new(0),
+            requests: Mutex::default(),
+            idle: Mutex::default(),
+            statuses: Mutex::default(),
+        };
+        wait_until(async || run.put("op", "config", Some(&soak_configuration())).await).await?;
+        for endpoint in &run.endpoints {
+            endpoint.order(Order::ServiceTime { ms: SERVICE_MS });
+            wait_until(async || run.register(endpoint).await).await?;
+        }
+        for gateway in &run.gateways {
+            wait_until(async || is_ready(gateway.admin).await).await?;
+        }
+        Ok(run)
+    }
+
+    /// Writes a row to the store, or removes it; returns whether that was acknowledged.
+    async fn put(&self, table: &str, key: &str, value: Option<&Value>) -> bool {
+        let body = match value {
+            Some(value) => {
+                json!({"puts": [{"table": table, "part": "", "key": key, "value": STANDARD.encode(value.to_string())}]})
+            }
+            None => json!({"remove": [{"table": table, "part": "", "key": key}]}),
+        };
+        let mut head = Request::new("POST", "/v1/rows-tx");
+        head.fields.push("Host", "store");
+        let body = body.to_string().into_bytes();
+        let call = caller::request(self.store_address, head, &body);
+        matches!(timeout(PLAIN_DEADLINE, call).await, Ok(Ok(response)) if response.head.status == 200)
+    }
+
+    async fn register(&self, endpoint: &Endpoint) -> bool {
+        let count = self.counter.fetch_add(1, Ordering::Relaxed) + 1;
+        let is_plain = endpoint.server == Server::Plain;
+        let mut row = json!({
+            "service": if is_plain { "filing" } else { "models" }, "address": endpoint.proxy.address().to_string(),
+            "zone": ZONE, "version": "v1", "slots": 48, "state": "ready", "cold_remaining_ms": 0, "seq": count,
+            "born": endpoint.starts.load(Ordering::Relaxed),
+        });
+        if !is_plain {
+            row["stage"] = endpoint.server.to_string().into();
+        }
+        self.put("servers", &endpoint.id(), Some(&row)).await
+    }
+
+    /// Starts gateways that have ended by themselves again.
+    async fn watch(self: Arc<Self>) {
+        while !self.is_over.load(Ordering::Relaxed) {
+            task::sleep(WATCH_INTERVAL).await;
+            for gateway in &self.gateways {
+                let has_ended = lock(&gateway.process).has_ended();
+                if has_ended && !gateway.is_down.load(Ordering::Relaxed) {
+                    self.start_again(gateway);
+                }
+            }
+        }
+    }
+
+    fn start_again(&self, gateway: &Gateway) {
+        if let Ok(process) = spawn_gateway(&self.programs.daemon, &gateway.arguments, &gateway.log) {
+            *lock(&gateway.process) = process;
+        }
+    }
+
+    async fn kill_and_restart(&self, gateway: &Gateway) {
+        gateway.is_down.store(true, Ordering::Relaxed);
+        lock(&gateway.process).kill();
+        task::sleep(RESTART_DELAY).await;
+        self.start_again(gateway);
+        gateway.is_down.store(false, Ordering::Relaxed);
+    }
+
+    async fn kill_in_series(&self, gateways: &[Gateway], lasts: Duration) {
+        let began = Instant::now();
+        while began.elapsed() < lasts {
+            let restarts = gateways.iter().map(|gateway| self.kill_and_restart(gateway));
+            join_all(restarts).await;
+            task::sleep(SERIES_INTERVAL).await;
+        }
+    }
+
+    /// Plays a disturbance to its end.
+    async fn play(self: Arc<Self>, event: Event) {
+        task::sleep(event.at).await;
+        let Event { lasts, kind, target, .. } = event;
+        let gateway = target % self.gateways.len();
+        let endpoint = &self.endpoints[target % self.endpoints.len()];
+        match kind {
+            Kind::PauseEndpoint => self.pause_endpoints(std::slice::from_ref(&endpoint), lasts).await,
+            Kind::PauseService => {
+                let same =
+                    |other: &&Endpoint| other.server == endpoint.server && other.listen != endpoint.listen;
+                self.pause_endpoints(&self.endpoints.iter().filter(same).collect::<Vec<_>>(), lasts).await;
+            }
+            Kind::PauseGateway => pause(&self.gateways[gateway..=gateway], lasts).await,
+            Kind::PauseGateways => pause(&self.gateways, lasts).await,
+            Kind::KillGateway => self.kill_and_restart(&self.gateways[gateway]).await,
+            Kind::KillGateways => {
+                join_all(self.gateways.iter().map(|gateway| self.kill_and_restart(gateway))).await;
+            }
+            Kind::KillInSeries => self.kill_in_series(&self.gateways[gateway..=gateway], lasts).await,
+            Kind::KillAllInSeries => self.kill_in_series(&self.gateways, lasts).await,
+            Kind::RestartGateway => {
+                lock(&self.gateways[gateway].process).terminate();
+                task::sleep(GRACE).await;
+            }
+            Kind::KillEndpoint => self.replace(endpoint, lasts).await,
+            Kind::HoldEndpoint => {
+                endpoint.proxy.set_held(true);
+                task::sleep(lasts).await;
+                endpoint.proxy.set_held(false);
+            }
+            Kind::ResetEndpoint => endpoint.proxy.reset(),
+            Kind::Reject => endpoint.order(Order::Reject { count: FAULTS }),
+            Kind::Fail => endpoint.order(Order::Fail { count: FAULTS }),
+            Kind::Lose => endpoint.order(Order::Reset { count: FAULTS }),
+            Kind::Hang => endpoint.order(Order::Hang { count: FAULTS }),
+            Kind::Slow => {
+                endpoint.order(Order::ServiceTime { ms: SLOW_MS });
+                task::sleep(lasts).await;
+                endpoint.order(Order::ServiceTime { ms: SERVICE_MS });
+            }
+            Kind::PauseStore => {
+                lock(&self.store).pause();
+                task::sleep(lasts).await;
+                lock(&self.store).resume();
+            }
+            Kind::Burst => {
+                self.bursts.fetch_add(1, Ordering::Relaxed);
+                task::sleep(lasts).await;
+                self.bursts.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    async fn pause_endpoints(&self, endpoints: &[&Endpoint], lasts: Duration) {
+        endpoints.iter().for_each(|endpoint| lock(&endpoint.process).pause());
+        task::sleep(lasts).await;
+        endpoints.iter().for_each(|endpoint| lock(&endpoint.process).resume());
+    }
+
+    /// Kills an endpoint and starts another one at its address.
+    async fn replace(&self, endpoint: &Endpoint, lasts: Duration) {
+        let old = endpoint.id();
+        {
+            let mut process = lock(&endpoint.process);
+            lock(&endpoint.past).extend(process.lines());
+            process.kill();
+        }
+        self.put("servers", &old, None).await;
+        task::sleep(lasts).await;
+        let starts = endpoint.starts.load(Ordering::Relaxed) + 1;
+        let id = endpoint_id(endpoint.listen.ip(), starts);
+        if let Ok(process) = start_stand_in(&self.programs, endpoint.server, &id, endpoint.listen) {
+            *lock(&endpoint.process) = process;
+            endpoint.starts.store(starts, Ordering::Relaxed);
+            endpoint.order(Order::ServiceTime { ms: SERVICE_MS });
+            self.register(endpoint).await;
+        }
+    }
+
+    /// Sends requests at random times until the run is over, and waits for the responses.
+    async fn send_requests(self: Arc<Self>, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(1));
+        let mut responses = Vec::new();
+        while !self.is_over.load(Ordering::Relaxed) {
+            let factor = if self.bursts.load(Ordering::Relaxed) > 0 { BURST_FACTOR } else { 1.0 };
+            let wait = REQUEST_INTERVAL_MS * rng.random_range(0.0..2.0) / factor;
+            task::sleep(Duration::from_secs_f64(wait / 1_000.0)).await;
+            let gateway = rng.random_range(0..self.gateways.len());
+            let request = random_request(&mut rng, responses.len());
+            responses.push(task::spawn(self.clone().call(gateway, request)));
+        }
+        for response in responses {
+            let status = response.await;
+            lock(&self.statuses).push(status);
+        }
+    }
+
+    /// Sends a request, over an open connection if there is one, and returns the status of the response.
+    async fn call(self: Arc<Self>, gateway: usize, request: Outgoing) -> Option<u16> {
+        let idle = lock(&self.idle).get_mut(&gateway).and_then(Vec::pop);
+        let deadline = request.deadline;
+        let call = async {
+            let mut caller = match idle {
+                Some(caller) => caller,
+                None => Caller::open(self.gateways[gateway].address).await.ok()?,
+            };
+            lock(&self.requests).entry(request.service).or_default().push(Instant::now());
+            let response = caller.request(request.head, &request.body).await.ok()?;
+            if response.is_complete && response.header("Connection") != Some("close") {
+                lock(&self.idle).entry(gateway).or_default().push(caller);
+            }
+            Some(response.head.status)
+        };
+        timeout(deadline, call).await.ok().flatten()
+    }
+
+    fn received(&self) -> BTreeMap<Service, Vec<ReceivedRequest>> {
+        let mut received: BTreeMap<Service, Vec<ReceivedRequest>> = BTreeMap::new();
+        for endpoint in &self.endpoints {
+            let service = if endpoint.server == Server::Plain { Service::Filing } else { Service::Models };
+            let past = lock(&endpoint.past).clone();
+            let lines = past.into_iter().chain(lock(&endpoint.process).lines());
+            let arrivals = lines.filter_map(|line| serde_json::from_str::<Arrival>(&line).ok());
+            received.entry(service).or_default().extend(arrivals.map(received_request));
+        }
+        received
+    }
+}
+
+fn received_request(arrival: Arrival) -> ReceivedRequest {
+    let mut head = Request::new("POST", "/");
+    head.fields.push("Tarragonhill-Request-Id", &*arrival.request);
+    if arrival.is_prefill {
+        head.fields.push("Tarragonhill-Serving-Stage", "prefill");
+    }
+    let received_at = arrival.at();
+    ReceivedRequest { head, body: Default::default(), was_executed: arrival.was_executed, received_at }
+}
+
+/// A request of a caller.
+struct Outgoing {
+    service: Service,
+    head: Request,
+    body: Vec<u8>,
+    deadline: Duration,
+}
+
+fn random_request(rng: &mut ChaCha8Rng, number: usize) -> Outgoing {
+    let id = format!("r{number}");
+    let (service, mut head, body, deadline) = match rng.random_range(0..20) {
+        0..5 => {
+            let head = plain_request("GET", &format!("/lookup/{id}"), KEY, &id);
+            (Service::Filing, head, Vec::new(), PLAIN_DEADLINE)
+        }
+        5..12 => {
+            let head = plain_request("POST", &format!("/submit/{id}"), KEY, &id);
+            (Service::Filing, head, id.clone().into_bytes(), PLAIN_DEADLINE)
+        }
+        kind => {
+            let route = if kind < 17 { "stream" } else { "resumable" };
+            let head = completion_request(&format!("/{route}/x"), KEY, &id, PROMPT_TOKENS);
+            (Service::Models, head, b"prompt".to_vec(), STREAM_DEADLINE)
+        }
+    };
+    head.fields.set("Tarragonhill-Deadline-Ms", deadline.as_millis().to_string());
+    Outgoing { service, head, body, deadline }
+}
+
+fn soak_configuration() -> Value {
+    let mut configuration = configuration(1);
+    for route in configuration["routes"].as_array_mut().expect("a list of routes") {
+        if route["name"] == "lookup" {
+            route["target_latency_ms"] = 100.into();
+            route["max_attempts"] = 3.into();
+        }
+    }
+    configuration
+}
+
+async fn pause(gateways: &[Gateway], lasts: Duration) {
+    gateways.iter().for_each(|gateway| lock(&gateway.process).pause());
+    task::sleep(lasts).await;
+    gateways.iter().for_each(|gateway| lock(&gateway.process).resume());
+}
+
+async fn join_all(futures: impl Iterator<Item = impl Future<Output = ()>>) {
+    let mut pending: Vec<_> = futures.map(Box::pin).collect();
+    futures_lite::future::poll_fn(|cx| {
+        pending.retain_mut(|future| future.as_mut().poll(cx).is_pending());
+        if pending.is_empty() { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
+    })
+    .await;
+}
+
+fn start_stand_in(programs: &Programs, server: Server, id: &str, listen: SocketAddr) -> io::Result<Process> {
+    let arguments = [
+        "stand-in".into(),
+        "--id".into(),
+        id.into(),
+        "--listen".into(),
+        listen.to_string(),
+        server.to_string(),
+    ];
+    let arguments: Vec<String> = arguments.into();
+    Process::start(&programs.bench, &arguments)
+}
+
+async fn start_endpoint(programs: &Programs, server: Server) -> io::Result<Endpoint> {
+    let listen = SocketAddr::from((unique_loopback_ip(), ENDPOINT_PORT));
+    let proxy = Proxy::start(SocketAddr::from((unique_loopback_ip(), ENDPOINT_PORT)), listen).await?;
+    let process = start_stand_in(programs, server, &endpoint_id(listen.ip(), 1), listen)?;
+    Ok(Endpoint {
+        server,
+        proxy,
+        listen,
+        starts: AtomicUsize::new(1),
+        process: Mutex::new(process),
+        past: Mutex::default(),
+    })
+}
+
+fn start_gateway(
+    programs: &Programs,
+    shape: Shape,
+    number: usize,
+    store: SocketAddr,
+    log: &Path,
+) -> io::Result<Gateway> {
+    let ip: Ipv4Addr = unique_loopback_ip();
+    let at = |port: u16| SocketAddr::from((ip, port));
+    let Rule { ratio, slack, window } = shape.retries;
+    let arguments: Vec<String> = [
+        "gateway".to_owned(),
+        format!("--name=front-{number}"),
+        format!("--zone={ZONE}"),
+        format!("--listen={}", at(CALLER_PORT)),
+        format!("--admin={}", at(ADMIN_PORT)),
+        format!("--peer={}", at(PEER_PORT)),
+        format!("--table={store}"),
+        format!("--grace-s={}", GRACE.as_secs()),
+        format!("--retry-ratio={ratio}"),
+        format!("--retry-slack={slack}"),
+        format!("--retry-window-s={}", window.as_secs_f64()),
+    ]
+    .into();
+    let process = spawn_gateway(&programs.daemon, &arguments, log)?;
+    Ok(Gateway {
+        address: at(CALLER_PORT),
+        admin: at(ADMIN_PORT),
+        arguments,
+        log: log.to_owned(),
+        process: Mutex::new(process),
+        is_down: AtomicBool::new(false),
+    })
+}
+
+fn spawn_gateway(daemon: &Path, arguments: &[String], log: &Path) -> io::Result<Process> {
+    let log = OpenOptions::new().create(true).append(true).open(log)?;
+    Process::start_with_log(daemon, arguments, log)
+}
+
+async fn is_ready(admin: SocketAddr) -> bool {
+    let mut head = Request::new("GET", "/v1/readiness");
+    head.fields.push("Host", "admin");
+    let call = caller::request(admin, head, b"");
+    matches!(timeout(PLAIN_DEADLINE, call).await, Ok(Ok(response)) if response.head.status == 200)
+}
+
+async fn wait_until(mut is_met: impl AsyncFnMut() -> bool) -> io::Result<()> {
+    let began = Instant::now();
+    while !is_met().await {
+        if began.elapsed() > START_TIMEOUT {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "the processes did not start in time"));
+        }
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
--- a/crates/core/tests/gateway/fleet.rs
+++ b/crates/core/tests/gateway/fleet.rs
@@ -19,8 +19,8 @@
 pub const DAY_MS: u64 = 40_000;
 /// Time before which no trouble begins.
 const CALM_MS: u64 = 8_000;
-/// Time after its start at which a replica has read the store's list of replicas.
-const LISTED_AFTER_MS: u64 = 3_500;
+/// Time after its start at which all others are sure to know a replica.
+const SETTLED_AFTER_MS: u64 = 3_500;
 pub const RETRIES: Rule = Rule { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) };
 
 /// What happens to one replica.
@@ -49,14 +49,22 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub replicas: usize,
+    /// Time after its start at which a replica learns of the others, from the store's list.
+    pub listed_after_ms: u64,
     /// Troubles, with the index of the replica.
     pub troubles: Vec<(usize, Trouble)>,
 }
 
 impl Plan {
+    /// Returns the plan of a fleet without troubles.
+    pub fn calm(replicas: usize) -> Self {
+        Self { replicas, listed_after_ms: 0, troubles: Vec::new() }
+    }
+
     /// Returns the plan of a fleet in which all replicas have the same trouble.
     pub fn same(replicas: usize, trouble: Trouble) -> Self {
-        Self { replicas, troubles: (0..replicas).map(|index| (index, trouble)).collect() }
+        let troubles = (0..replicas).map(|index| (index, trouble)).collect();
+        Self { troubles, ..Self::calm(replicas) }
     }
 }
 
@@ -65,7 +73,9 @@
         let replicas = *random.choose(&[1, 2, 4, 5, 24]).expect("a choice");
         let troubles = (0..u8::arbitrary(random) % 40)
             .map(|_| (usize::arbitrary(random) % replicas, Trouble::arbitrary(random)));
-        Self { replicas, troubles: troubles.collect() }
+        let troubles = troubles.collect();
+        let listed_after_ms = *random.choose(&[0, 250, 2_000]).expect("a choice");
+        Self { replicas, listed_after_ms, troubles }
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
@@ -117,27 +127,42 @@
         let identity = Identity { name, zone, incarnation, address, millicores };
         let mut state = State::new(identity, RETRIES, Tolerance::default(), at(now_ms));
         (self.prepare)(&mut state, at(now_ms));
-        // As the store lists them. That all others know this one as well is certain only later.
-        (0..self.plan.replicas).for_each(|other| state.add_member(at(now_ms), member(other)));
-        Replica { state, incarnation, started_ms: now_ms }
+        let mut replica = Replica { state, incarnation, started_ms: now_ms };
+        self.list(&mut replica, now_ms);
+        replica
+    }
+
+    /// Lets a replica read the store's list if it is time. That all others know this one as well is certain only later.
+    fn list(&self, replica: &mut Replica, now_ms: u64) {
+        if now_ms == replica.started_ms + self.plan.listed_after_ms {
+            (0..self.plan.replicas).for_each(|other| replica.state.add_member(at(now_ms), member(other)));
+        }
     }
 
     /// Plays the troubles of a step, and exchanges digests.
     pub fn step(&mut self, now_ms: u64) {
         let now = at(now_ms);
         let cut = self.play_troubles(now_ms);
-        for replica in self.replicas.iter_mut().flatten() {
-            if now_ms == replica.started_ms + LISTED_AFTER_MS {
+        let mut replicas = std::mem::take(&mut self.replicas);
+        for replica in replicas.iter_mut().flatten() {
+            if now_ms > replica.started_ms {
+                self.list(replica, now_ms);
+            }
+            if now_ms == replica.started_ms + SETTLED_AFTER_MS {
                 replica.state.mark_members_read();
             }
         }
+        self.replicas = replicas;
+        let listed_after_ms = self.plan.listed_after_ms;
         let mut reachable: Vec<(usize, &mut Replica)> = self
             .replicas
             .iter_mut()
             .enumerate()
             .filter_map(|(index, replica)| Some((index, replica.as_mut()?)))
             .collect();
-        reachable.retain(|(index, _)| !cut.contains(index));
+        // A replica that does not know the others yet is not known to them by its address.
+        let is_listed = |replica: &Replica| now_ms >= replica.started_ms + listed_after_ms;
+        reachable.retain(|(index, replica)| !cut.contains(index) && is_listed(replica));
         let sent: Vec<_> =
             reachable.iter_mut().map(|(index, replica)| (*index, replica.state.next_digest(now).0)).collect();
         for (index, replica) in &mut reachable {
--- a/crates/core/tests/gateway/fleet_budget.rs
+++ b/crates/core/tests/gateway/fleet_budget.rs
@@ -91,14 +91,34 @@
             let times = (20_000..30_000).step_by(interval_ms);
             times.map(move |at_ms| (index, Trouble::Restart { at_ms }))
         };
-        let plan = Plan { replicas: 5, troubles: (0..5).flat_map(restarts).collect() };
+        let plan = Plan { troubles: (0..5).flat_map(restarts).collect(), ..Plan::calm(5) };
         // Without requests, all retries come from the slack.
         let day = Day { plan, requests_per_step: 0, pause_ms };
         assert!(keeps_budget(day), "restarts every {interval_ms} ms, bursts every {pause_ms} ms");
     }
 }
 
-/// Guards against any mixture of the two.
+/// Guards against new processes that take the whole slack for theirs before they know the other replicas.
+#[test]
+fn replicas_that_learn_of_each_other_late_stay_within_the_retry_budget() {
+    for replicas in [4, 12, 24] {
+        let plan =
+            Plan { listed_after_ms: 2_000, ..Plan::same(replicas, Trouble::Restart { at_ms: 20_000 }) };
+        let day = Day { plan, requests_per_step: 0, pause_ms: STEP_MS };
+        assert!(keeps_budget(day), "{replicas} replicas");
+    }
+}
+
+/// Guards against a share of the slack that each process of a crash loop uses anew.
+#[test]
+fn a_replica_in_a_crash_loop_stays_within_the_retry_budget() {
+    let restarts = (20_000..30_000).step_by(STEP_MS as usize).map(|at_ms| (0, Trouble::Restart { at_ms }));
+    let plan = Plan { troubles: restarts.collect(), ..Plan::calm(1) };
+    let day = Day { plan, requests_per_step: 0, pause_ms: STEP_MS };
+    assert!(keeps_budget(day));
+}
+
+/// Guards against any mixture of them.
 #[test]
 fn a_fleet_that_is_cut_and_restarted_at_random_stays_within_the_retry_budget() {
     QuickCheck::new()
@@ -110,7 +130,7 @@
 /// Guards against a budget that is never used: failed requests would not be retried at all.
 #[test]
 fn a_calm_fleet_uses_much_of_the_retry_budget() {
-    let plan = Plan { replicas: 5, troubles: Vec::new() };
+    let plan = Plan::calm(5);
     let (requests, retries) = play(&Day { plan, requests_per_step: 1, pause_ms: STEP_MS });
     let windows = DAY_MS as f64 / RETRIES.window.as_millis() as f64;
     let allowed = RETRIES.ratio * requests.len() as f64 + RETRIES.slack * windows;
--- a/crates/core/tests/gateway/fleet_limit.rs
+++ b/crates/core/tests/gateway/fleet_limit.rs
@@ -122,7 +122,8 @@
 fn a_limited_endpoint_is_used_also_when_its_owners_are_gone() {
     let count = |replicas: usize, ended: usize| {
         let troubles = (0..ended).map(|index| (index, Trouble::End { at_ms: 15_000 })).collect();
-        let day = Day { plan: Plan { replicas, troubles }, limit: 2.0, limited_until_ms: DAY_MS };
+        let day =
+            Day { plan: Plan { troubles, ..Plan::calm(replicas) }, limit: 2.0, limited_until_ms: DAY_MS };
         let from = at(16_000);
         play(&day).all.iter().filter(|arrived| **arrived >= from).count()
     };
@@ -137,7 +138,7 @@
 /// Guards against a limit that is believed after the endpoint no longer names it.
 #[test]
 fn all_replicas_forget_a_limit_once_one_of_them_sees_its_end() {
-    let plan = Plan { replicas: 24, troubles: Vec::new() };
+    let plan = Plan::calm(24);
     let day = Day { plan, limit: 1.6, limited_until_ms: 20_000 };
     let arrivals = play(&day);
     let later = arrivals.all.iter().filter(|arrived| **arrived >= at(25_000)).count();
--- a/crates/core/tests/gateway/fleet_rate.rs
+++ b/crates/core/tests/gateway/fleet_rate.rs
@@ -37,7 +37,7 @@
 fn replicas_that_are_all_restarted_in_series_keep_to_the_rate_of_a_customer() {
     let restarts =
         |index: usize| (0..10).map(move |round| (index, Trouble::Restart { at_ms: 20_000 + 1_000 * round }));
-    let plan = Plan { replicas: 24, troubles: (0..24).flat_map(restarts).collect() };
+    let plan = Plan { troubles: (0..24).flat_map(restarts).collect(), ..Plan::calm(24) };
     let mut fleet = Fleet::new(plan, STEP_MS, prepare);
     let customer = Some(Arc::new(customer("faculty", RATE, RATE)));
     let admission = Admission { customer, tokens: REQUEST_TOKENS, service: "notes".into(), fingerprint: 0 };
