--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -65,6 +65,7 @@
     let mut broken = 0;
     for batch in seeds.chunks(options.at_once.max(1)) {
         for history in run_all(&programs, shape, batch, &options.logs, &options.kind)? {
+            history.save()?;
             broken += usize::from(!print_history(&history));
         }
     }
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -353,9 +353,9 @@
 /// Returns a loopback address that is unique in this process and rarely used by other test processes.
 pub(crate) fn unique_loopback_ip() -> Ipv4Addr {
     static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(0);
-    let [_, _, high, low] = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let process = u8::try_from(std::process::id() % 250).unwrap_or(0) + 2;
-    Ipv4Addr::new(127, process, high, low.saturating_add(1))
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    let part = |value: u32| u8::try_from(value % 250).unwrap_or(0);
+    Ipv4Addr::new(127, part(std::process::id()) + 2, part(number / 250), part(number) + 1)
 }
 
 /// Returns the number in the id of an endpoint.
--- a/crates/bench/src/soak/process.rs
+++ b/crates/bench/src/soak/process.rs
@@ -54,9 +54,9 @@
         Ok(Self { child, input: None, lines: Arc::default() })
     }
 
-    /// Returns the lines printed so far.
-    pub fn lines(&self) -> Vec<String> {
-        lock(&self.lines).clone()
+    /// Returns the lines printed since the last call.
+    pub fn take_lines(&self) -> Vec<String> {
+        std::mem::take(&mut *lock(&self.lines))
     }
 
     /// Writes a line to the process's standard input.
--- a/crates/bench/src/soak/proxy.rs
+++ b/crates/bench/src/soak/proxy.rs
@@ -92,8 +92,7 @@
 /// Copies bytes until the end of `from`, and then closes `to` for writing.
 async fn copy(shared: &Shared, mut from: TcpStream, mut to: TcpStream) {
     let mut buffer = vec![0; BUFFER_SIZE];
-    loop {
-        let Ok(length) = from.read(&mut buffer).await else { break };
+    while let Ok(length) = from.read(&mut buffer).await {
         while shared.is_held.load(Ordering::Relaxed) {
             task::sleep(HOLD_INTERVAL).await;
         }
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -106,6 +106,29 @@
 }
 
 impl History {
+    /// Writes what endpoints got and when callers sent requests beside the logs of the gateways, as JSON lines with times
+    /// in milliseconds since the first request.
+    pub fn save(&self) -> io::Result<()> {
+        let origin = self.requests.values().flatten().min().copied().unwrap_or_else(Instant::now);
+        let ms = |at: &Instant| at.saturating_duration_since(origin).as_millis() as u64;
+        let mut lines = Vec::new();
+        for (service, received) in &self.received {
+            for message in received {
+                let field = |name| message.head.fields.get(name);
+                lines.push(json!({
+                    "service": service.to_string(), "arrived": ms(&message.received_at),
+                    "request": field("Tarragonhill-Request-Id"), "stage": field("Tarragonhill-Serving-Stage"),
+                    "was_executed": message.was_executed,
+                }));
+            }
+        }
+        for (service, requests) in &self.requests {
+            lines.extend(requests.iter().map(|at| json!({"service": service.to_string(), "sent": ms(at)})));
+        }
+        let text: Vec<String> = lines.iter().map(Value::to_string).collect();
+        fs::write(self.logs.join("history.jsonl"), text.join("\n"))
+    }
+
     /// Returns the number of requests that callers sent.
     pub fn sent(&self, service: Service) -> usize {
         self.requests.get(&service).map_or(0, Vec::len)
@@ -396,7 +419,7 @@
         let old = endpoint.id();
         {
             let mut process = lock(&endpoint.process);
-            lock(&endpoint.past).extend(process.lines());
+            lock(&endpoint.past).extend(process.take_lines());
             process.kill();
         }
         self.put("servers", &old, None).await;
@@ -453,7 +476,7 @@
         for endpoint in &self.endpoints {
             let service = if endpoint.server == Server::Plain { Service::Filing } else { Service::Models };
             let past = lock(&endpoint.past).clone();
-            let lines = past.into_iter().chain(lock(&endpoint.process).lines());
+            let lines = past.into_iter().chain(lock(&endpoint.process).take_lines());
             let arrivals = lines.filter_map(|line| serde_json::from_str::<Arrival>(&line).ok());
             received.entry(service).or_default().extend(arrivals.map(received_request));
         }
