Soak: whole services that reject, fail or lose requests

With one bad endpoint, gateways avoid it and the budget is hardly used. When all endpoints of a kind are bad, every request is retried as often as the budget allows.

--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -44,6 +44,12 @@
     Lose,
     /// An endpoint runs requests and does not respond.
     Hang,
+    /// All endpoints of a kind reject requests.
+    RejectAll,
+    /// All endpoints of a kind fail requests.
+    FailAll,
+    /// All endpoints of a kind reset connections after they have run the request.
+    LoseAll,
     /// An endpoint takes long for each request.
     Slow,
     /// The store is paused.
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -390,6 +390,9 @@
             Kind::Fail => endpoint.order(Order::Fail { count: FAULTS }),
             Kind::Lose => endpoint.order(Order::Reset { count: FAULTS }),
             Kind::Hang => endpoint.order(Order::Hang { count: FAULTS }),
+            Kind::RejectAll => self.order_all(endpoint.server, |count| Order::Reject { count }, lasts).await,
+            Kind::FailAll => self.order_all(endpoint.server, |count| Order::Fail { count }, lasts).await,
+            Kind::LoseAll => self.order_all(endpoint.server, |count| Order::Reset { count }, lasts).await,
             Kind::Slow => {
                 endpoint.order(Order::ServiceTime { ms: SLOW_MS });
                 task::sleep(lasts).await;
@@ -408,6 +411,14 @@
         }
     }
 
+    /// Gives all endpoints of a kind an order, for as many requests as come while it lasts.
+    async fn order_all(&self, server: Server, order: impl Fn(u32) -> Order, lasts: Duration) {
+        let endpoints = || self.endpoints.iter().filter(|endpoint| endpoint.server == server);
+        endpoints().for_each(|endpoint| endpoint.order(order(u32::MAX)));
+        task::sleep(lasts).await;
+        endpoints().for_each(|endpoint| endpoint.order(order(0)));
+    }
+
     async fn pause_endpoints(&self, endpoints: &[&Endpoint], lasts: Duration) {
         endpoints.iter().for_each(|endpoint| lock(&endpoint.process).pause());
         task::sleep(lasts).await;
