Keep a charge of the retry budget until its message can no longer arrive

What callers saw: nothing; endpoints may get more retries in a window than their budget allows. Cause: a message counts when its endpoint reads it, a charge when it is made, and a charge left the window after 10 s. Behind a paused endpoint, or a connection on which nothing moves, messages of many seconds are read at once: the first messages of requests that were hedged elsewhere, and retries that timed out. The margin covered two seconds.

Now a charge is open from the decision until the endpoint has read the message (it responds, or closes the connection), and leaves the window a window later. When a request ends first, each message that may still be read, if it would count as a retry, stays charged until the endpoint has answered something that was sent later and the operating system has given up on unacknowledged bytes (3 s); after a minute without any sign, it is given up. Endpoints that respond as usual see no difference. Charges that were not used are returned when the request ends. A charge no longer lapses after 2 s, so the test of that is replaced by ones of the invariant: a charge counts until a window after its message was read, messages of ended requests remain, and a hedge does not free the message that it has overtaken.

The charges of a request whose caller has disconnected are settled too; its line 'request retried' was missing before.

The token bucket of the slack becomes a part of the share in each window (0.5, before 0.3 and as much gained), reached in time after the start. Granularity: 500 ms more than the window, never less.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -1,31 +1,44 @@
 //! Retry budget, shared by all replicas.
 //!
 //! In any window, the retries of a service stay below a fraction of its requests plus a fixed slack. A retry is a
-//! message to an endpoint, so a [`Ledger`] for each request tells what has to be charged.
+//! message to an endpoint, so a [`Ledger`] for each request tells what has to be charged. Messages count when endpoints
+//! read them, which may be long after they were sent: a charge leaves the window only a window after its message has been
+//! read, or can no longer be.
 //!
 //! The limit holds without coordination, also while replicas are cut off or restarted: each replica counts only
-//! requests that it received itself, and uses an equal share of the slack, most of which a new process has to wait for.
+//! requests that it received itself, and uses an equal share of the slack. Processes of one replica that follow each
+//! other share its part.
 //!
 //! [`Ledger`]: super::ledger::Ledger
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
+use super::ledger::Remainder;
 use crate::clock::Time;
 
-/// Fraction of the retries that requests earn which is used. Leaves a margin for messages that arrive later than they
-/// were charged.
+/// Fraction of the retries that requests earn which is used. Leaves a margin for messages that arrive when there are
+/// fewer requests than when they were sent.
 const USABLE_FRACTION: f64 = 0.7;
-/// Fraction of a replica's share of the slack that it may save up, and that it gains in each window.
-const SLACK_FRACTION: f64 = 0.3;
-/// Fraction of its share that a process may use at its start. What the processes of a replica use in a window stays within
-/// the share if there are no more than five of them.
-const STARTUP_FRACTION: f64 = 0.07;
+/// Fraction of a replica's share of the slack that one process uses in a window.
+///
+/// In any window, the processes of a replica use at most this part by the first of them, [`GAIN_FRACTION`] by all others
+/// together and [`STARTUP_FRACTION`] by one of these: less than the share.
+const SLACK_FRACTION: f64 = 0.5;
+/// Fraction of the share by which what a process may use grows in a window, until it is [`SLACK_FRACTION`].
+const GAIN_FRACTION: f64 = 0.3;
+/// Fraction of the share that a process may use as soon as it knows the other replicas, unless an earlier process of
+/// the replica started in the window before.
+const STARTUP_FRACTION: f64 = 0.1;
 /// Granularity of the sliding window.
 const BUCKET_DURATION: Duration = Duration::from_millis(500);
+/// Time in which a message arrives that the endpoint has not acknowledged; after that, the operating system has given up.
+const TRANSIT_TIME: Duration = Duration::from_secs(3);
+/// Longest time for which a message is expected to be read by an endpoint of which nothing is heard.
+const MAX_PENDING_TIME: Duration = Duration::from_secs(60);
 
 /// Limit on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,10 +56,10 @@
 pub struct Decision {
     /// Whether the retries were charged.
     pub is_granted: bool,
-    /// Retries that the requests of the window paid for before the charge.
-    pub earned: f64,
-    /// Retries that were left of this replica's share of the slack before the charge.
-    pub slack: f64,
+    /// Retries charged before whose messages were read within the window or may still be.
+    pub used: u32,
+    /// Retries that are allowed in the window.
+    pub allowed: f64,
     /// Number of replicas that share the slack, as far as this one knows.
     pub replicas: u32,
 }
@@ -55,50 +68,82 @@
 struct Bucket {
     start: Time,
     requests: u32,
-    /// Retries that requests of the window have paid for. Fractions of a retry may come from the slack.
-    retries: f64,
+    /// Retries that were concluded.
+    retries: u32,
 }
 
-/// Requests and retries of one service.
+/// A message of a request that has ended, which an endpoint may still read.
 #[derive(Clone, Debug)]
+struct Pending {
+    endpoint: Arc<str>,
+    /// End of the request; the message was sent before.
+    since: Time,
+    /// Whether the endpoint has read a later message.
+    is_read: bool,
+}
+
+/// Requests and retries of one service.
+#[derive(Clone, Debug, Default)]
 struct Account {
     window: VecDeque<Bucket>,
-    /// Retries left of the replica's share of the slack; `None` before it is first asked for.
-    slack: Option<f64>,
-    slack_updated_at: Time,
+    /// Charges of requests in progress for messages that have not been concluded.
+    open: u32,
+    pending: Vec<Pending>,
 }
 
 impl Account {
-    /// Creates the account of a replica that started at `started_at`.
-    fn new(started_at: Time) -> Self {
-        Self { window: VecDeque::new(), slack: None, slack_updated_at: started_at }
-    }
-
     fn bucket(&mut self, now: Time, window: Duration) -> &mut Bucket {
-        while self.window.front().is_some_and(|bucket| now.since(bucket.start) >= window) {
+        // A bucket also holds what was recorded after its start.
+        let lifetime = window + BUCKET_DURATION;
+        while self.window.front().is_some_and(|bucket| now.since(bucket.start) >= lifetime) {
             self.window.pop_front();
         }
         if self.window.back().is_none_or(|bucket| now.since(bucket.start) >= BUCKET_DURATION) {
-            self.window.push_back(Bucket { start: now, requests: 0, retries: 0.0 });
+            self.window.push_back(Bucket { start: now, requests: 0, retries: 0 });
         }
         let last = self.window.len() - 1;
         &mut self.window[last]
     }
 
-    /// Returns how many more retries the requests of the window pay for.
-    fn earned(&self, ratio: f64) -> f64 {
-        let requests: u32 = self.window.iter().map(|bucket| bucket.requests).sum();
-        let retries: f64 = self.window.iter().map(|bucket| bucket.retries).sum();
-        (ratio * f64::from(requests) * USABLE_FRACTION - retries).max(0.0)
+    fn requests(&self) -> u32 {
+        self.window.iter().map(|bucket| bucket.requests).sum()
+    }
+
+    /// Returns the retries that count within the window that ends now.
+    fn used(&self) -> u32 {
+        let concluded: u32 = self.window.iter().map(|bucket| bucket.retries).sum();
+        concluded + self.open + self.pending.len() as u32
     }
 
-    /// Refills the slack and returns it. It is small at the start: the process before this one may have used more.
-    fn refill_slack(&mut self, now: Time, share: f64, window: Duration) -> f64 {
-        let most = share * SLACK_FRACTION;
-        let gained = most * now.since(self.slack_updated_at).div_duration_f64(window);
-        let left = self.slack.unwrap_or(share * STARTUP_FRACTION);
-        self.slack_updated_at = now;
-        *self.slack.insert((left + gained).min(most))
+    /// Concludes the messages of ended requests that can no longer arrive.
+    fn expire(&mut self, now: Time, window: Duration) {
+        let before = self.pending.len();
+        self.pending.retain(|pending| {
+            let age = now.since(pending.since);
+            age < MAX_PENDING_TIME && !(pending.is_read && age >= TRANSIT_TIME)
+        });
+        let concluded = (before - self.pending.len()) as u32;
+        if concluded > 0 {
+            self.bucket(now, window).retries += concluded;
+        }
+    }
+}
+
+/// What a process knows of its replica.
+#[derive(Clone, Copy, Debug, Default)]
+struct Standing {
+    /// Whether the process may use [`STARTUP_FRACTION`].
+    has_grant: bool,
+    /// When it became certain that this replica and all others know each other.
+    settled_at: Option<Time>,
+}
+
+impl Standing {
+    /// Returns the fraction of the replica's share that the process may use in a window.
+    fn usable_fraction(self, now: Time, window: Duration) -> f64 {
+        let grant = if self.has_grant { STARTUP_FRACTION } else { 0.0 };
+        let windows = self.settled_at.map_or(0.0, |at| now.since(at).div_duration_f64(window));
+        (grant + GAIN_FRACTION * windows).min(SLACK_FRACTION)
     }
 }
 
@@ -106,14 +151,25 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     rule: Rule,
-    started_at: Time,
+    standing: Standing,
     services: BTreeMap<Arc<str>, Account>,
 }
 
 impl Budget {
-    /// Creates the budget of a replica that starts now.
-    pub fn new(rule: Rule, now: Time) -> Self {
-        Self { rule, started_at: now, services: BTreeMap::new() }
+    /// Creates the budget of a process that does not know the other replicas yet. It uses nothing of the slack.
+    pub fn new(rule: Rule) -> Self {
+        Self { rule, standing: Standing::default(), services: BTreeMap::new() }
+    }
+
+    /// Records that the other replicas are known. `since_previous` is the time since an earlier process of this replica
+    /// started; `None` if there was none.
+    pub fn record_registered(&mut self, since_previous: Option<Duration>) {
+        self.standing.has_grant = since_previous.is_none_or(|since| since >= self.rule.window);
+    }
+
+    /// Records that the other replicas are known, and know this one.
+    pub fn record_settled(&mut self, now: Time) {
+        self.standing.settled_at.get_or_insert(now);
     }
 
     /// Records a request of a caller.
@@ -122,28 +178,63 @@
         self.account(service).bucket(now, window).requests += 1;
     }
 
-    /// Records `count` retries if the budget allows all of them. `replicas` is the number of replicas that share the
+    /// Charges `count` retries if the budget allows all of them. `replicas` is the number of replicas that share the
     /// slack, including this one.
-    pub fn try_spend(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: u32) -> Decision {
+    pub fn try_charge(&mut self, now: Time, service: &Arc<str>, count: u32, replicas: u32) -> Decision {
         let Rule { ratio, slack, window } = self.rule;
+        let share = slack / f64::from(replicas.max(1));
+        let usable_slack = share * self.standing.usable_fraction(now, window);
         let account = self.account(service);
+        account.expire(now, window);
         account.bucket(now, window);
-        let usable_slack = account.refill_slack(now, slack / f64::from(replicas.max(1)), window);
-        let earned = account.earned(ratio);
-        let count = f64::from(count);
-        let is_granted = count <= earned + usable_slack;
-        let decision = Decision { is_granted, earned, slack: usable_slack, replicas };
-        if !is_granted {
-            return decision;
+        let used = account.used();
+        let allowed = ratio * f64::from(account.requests()) * USABLE_FRACTION + usable_slack;
+        let is_granted = f64::from(used + count) <= allowed;
+        if is_granted {
+            account.open += count;
         }
-        let by_requests = earned.min(count);
-        account.bucket(now, window).retries += by_requests;
-        account.slack = Some(usable_slack - (count - by_requests));
-        decision
+        Decision { is_granted, used, allowed, replicas }
+    }
+
+    /// Records that the messages of `count` charges were read.
+    pub fn conclude(&mut self, now: Time, service: &Arc<str>, count: u32) {
+        let window = self.rule.window;
+        let account = self.account(service);
+        account.open = account.open.saturating_sub(count);
+        account.bucket(now, window).retries += count;
+    }
+
+    /// Records the end of a request. Its charges are replaced by the messages that may still be read.
+    pub fn record_end(&mut self, now: Time, service: &Arc<str>, remainder: Remainder) {
+        let account = self.account(service);
+        account.open = account.open.saturating_sub(remainder.charges);
+        let pending = remainder.pending.into_iter();
+        account.pending.extend(pending.map(|endpoint| Pending { endpoint, since: now, is_read: false }));
+    }
+
+    /// Records that an endpoint has read a message that was sent at `sent`, and so all that were sent to it before.
+    pub fn record_read(&mut self, now: Time, endpoint: &str, sent: Time) {
+        let window = self.rule.window;
+        for account in self.services.values_mut() {
+            let earlier = |pending: &&mut Pending| &*pending.endpoint == endpoint && pending.since <= sent;
+            account.pending.iter_mut().filter(earlier).for_each(|pending| pending.is_read = true);
+            account.expire(now, window);
+        }
+    }
+
+    /// Concludes messages that can no longer arrive; must be called several times a second.
+    pub fn expire(&mut self, now: Time) {
+        let window = self.rule.window;
+        self.services.values_mut().for_each(|account| account.expire(now, window));
+    }
+
+    /// Returns the endpoints that may still read messages of requests that have ended.
+    pub fn awaited(&self) -> BTreeSet<Arc<str>> {
+        let pending = self.services.values().flat_map(|account| &account.pending);
+        pending.filter(|pending| !pending.is_read).map(|pending| pending.endpoint.clone()).collect()
     }
 
     fn account(&mut self, service: &Arc<str>) -> &mut Account {
-        let started_at = self.started_at;
-        self.services.entry(service.clone()).or_insert_with(|| Account::new(started_at))
+        self.services.entry(service.clone()).or_default()
     }
 }
--- a/crates/core/src/gateway/ledger.rs
+++ b/crates/core/src/gateway/ledger.rs
@@ -1,12 +1,6 @@
 //! The messages by which endpoints get one request, and what the retry budget was charged for them.
 
-use std::time::Duration;
-
-use crate::clock::Time;
-
-/// How long a charge may precede its message. A request may wait for an endpoint in between; with an older charge, its
-/// message would count in a window that the charge does not.
-const CHARGE_TTL: Duration = Duration::from_secs(2);
+use std::sync::Arc;
 
 /// A message by which an endpoint gets a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,7 +20,7 @@
     PrefillAndRun,
 }
 
-/// The messages by which endpoints got one request.
+/// Numbers of messages.
 ///
 /// The budget counts messages, not decisions to retry: a retry that prefills the prompt again consists of two. The
 /// first prefill that an endpoint accepts and the first other message are not retries.
@@ -64,25 +58,67 @@
         }
         .retries()
     }
+
+    fn add(&mut self, message: Message) {
+        match message {
+            Message::Prefill => self.prefills += 1,
+            Message::Run => self.runs += 1,
+        }
+    }
+}
+
+/// A message in the order of sending.
+#[derive(Clone, Debug)]
+struct Entry {
+    message: Message,
+    endpoint: Arc<str>,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// The endpoint may or may not have read it.
+    Sent,
+    /// The endpoint has read it, or has closed the connection, so that it will not read it any more.
+    Concluded,
+    /// Nothing was sent after all.
+    Unsent,
+}
+
+/// Identifies a message within its ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MessageId(usize);
+
+/// What remains of a ledger when its request ends.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Remainder {
+    /// Charges whose messages have not arrived.
+    pub charges: u32,
+    /// Endpoints that may still read a message, which would count as a retry. One for each message.
+    pub pending: Vec<Arc<str>>,
 }
 
 /// The messages of one request, and what the budget was charged for them.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    sends: Sends,
-    /// When charges were made for messages that have been sent. As many as there are retries, unless a prefill was
-    /// rejected: that becomes known only afterwards and is part of what the next attempt has to pay.
-    used: Vec<Time>,
-    /// When charges were made for messages that have not been sent yet.
-    unused: Vec<Time>,
+    entries: Vec<Entry>,
+    is_prefilled: bool,
     /// All charges so far.
     charged: u32,
+    /// Charges for retries that have been concluded.
+    concluded: u32,
 }
 
 impl Ledger {
     /// Returns the messages sent so far.
     pub fn sends(&self) -> Sends {
-        self.sends
+        self.count(|state| state != State::Unsent)
+    }
+
+    fn count(&self, keep: impl Fn(State) -> bool) -> Sends {
+        let mut sends = Sends { is_prefilled: self.is_prefilled, ..Sends::default() };
+        self.entries.iter().filter(|entry| keep(entry.state)).for_each(|entry| sends.add(entry.message));
+        sends
     }
 
     /// Returns the number of charges so far.
@@ -91,45 +127,54 @@
     }
 
     /// Returns how many retries must be charged before the messages of a plan may be sent.
-    pub fn due(&mut self, now: Time, plan: Plan) -> u32 {
-        self.unused.retain(|charged_at| now.since(*charged_at) < CHARGE_TTL);
-        self.sends.retries_after(plan).saturating_sub((self.used.len() + self.unused.len()) as u32)
+    pub fn due(&self, plan: Plan) -> u32 {
+        self.sends().retries_after(plan).saturating_sub(self.charged)
     }
 
     /// Records that retries were charged.
-    pub fn record_charged(&mut self, now: Time, count: u32) {
-        self.unused.extend((0..count).map(|_| now));
+    pub fn record_charged(&mut self, count: u32) {
         self.charged += count;
     }
 
     /// Records that a message is being sent.
-    pub fn record_sent(&mut self, message: Message) {
-        let expected = match message {
-            Message::Prefill => {
-                self.sends.prefills += 1;
-                Sends { is_prefilled: true, ..self.sends }
-            }
-            Message::Run => {
-                self.sends.runs += 1;
-                self.sends
-            }
-        };
-        let missing = (expected.retries() as usize).saturating_sub(self.used.len());
-        self.used.extend(self.unused.drain(..missing.min(self.unused.len())));
+    pub fn record_sent(&mut self, message: Message, endpoint: &Arc<str>) -> MessageId {
+        self.entries.push(Entry { message, endpoint: endpoint.clone(), state: State::Sent });
+        MessageId(self.entries.len() - 1)
     }
 
     /// Records that nothing was sent after all. What was charged for it pays for a later message.
-    pub fn record_unsent(&mut self, message: Message) {
-        match message {
-            Message::Prefill => self.sends.prefills = self.sends.prefills.saturating_sub(1),
-            Message::Run => self.sends.runs = self.sends.runs.saturating_sub(1),
-        }
-        let still_used = self.used.len().min(self.sends.retries() as usize);
-        self.unused.extend(self.used.drain(still_used..));
+    pub fn record_unsent(&mut self, id: MessageId) {
+        self.entries[id.0].state = State::Unsent;
     }
 
-    /// Records that an endpoint has accepted a prefill.
-    pub fn record_prefilled(&mut self) {
-        self.sends.is_prefilled = true;
+    /// Records that an endpoint has read a message, or never will. Returns how many more charges are for messages that
+    /// have been concluded.
+    pub fn record_concluded(&mut self, id: MessageId) -> u32 {
+        self.entries[id.0].state = State::Concluded;
+        self.conclude()
+    }
+
+    /// Records that an endpoint has read a message and accepted the prefill; otherwise like `record_concluded`.
+    pub fn record_prefilled(&mut self, id: MessageId) -> u32 {
+        self.is_prefilled = true;
+        self.record_concluded(id)
+    }
+
+    fn conclude(&mut self) -> u32 {
+        let retries = self.count(|state| state == State::Concluded).retries().min(self.charged);
+        let more = retries.saturating_sub(self.concluded);
+        self.concluded += more;
+        more
+    }
+
+    /// Returns what remains at the end of the request.
+    pub fn remainder(&self) -> Remainder {
+        let concluded = self.count(|state| state == State::Concluded);
+        let may_be_retries = self.sends().retries() > concluded.retries();
+        let pending = self.entries.iter().filter(|entry| may_be_retries && entry.state == State::Sent);
+        Remainder {
+            charges: self.charged - self.concluded,
+            pending: pending.map(|entry| entry.endpoint.clone()).collect(),
+        }
     }
 }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -135,6 +135,9 @@
 impl<T> State<T> {
     /// Creates the state of a replica that starts now.
     pub fn new(identity: Identity, retries: Rule, tolerance: Tolerance, now: Time) -> Self {
+        let mut budget = Budget::new(retries);
+        budget.record_registered(None);
+        budget.record_settled(now);
         Self {
             roster: Roster::new(identity.name.clone()),
             peers: Peers::new(identity.name.clone()),
@@ -147,7 +150,7 @@
             tolerance,
             loads: Loads::default(),
             rate_limiter: RateLimiter::new(now),
-            budget: Budget::new(retries, now),
+            budget,
             queue: Queue::default(),
             suspects: Suspects::default(),
             pools: Pools::default(),
@@ -168,6 +171,7 @@
             self.suspects.remove_peer(peer);
             self.forecasts.remove_peer(peer);
         }
+        self.budget.expire(now);
         self.gate.expire(now);
         self.limits.expire(now);
         self.update_limits(now);
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -1,11 +1,11 @@
 //! Admission of requests, and the budgets for retries.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use super::{Admission, State};
 use crate::{
     clock::Time,
-    gateway::{budget::Decision, catalog::Customer},
+    gateway::{budget::Decision, catalog::Customer, ledger::Remainder},
     refusal::{Code, Refusal},
 };
 
@@ -37,9 +37,29 @@
         }
     }
 
-    /// Spends `count` retries of the service's retry budget, or none if fewer are left.
-    pub fn retry(&mut self, now: Time, service: &Arc<str>, count: u32) -> Decision {
+    /// Charges `count` retries to the service's retry budget, or none if fewer are left.
+    pub fn charge_retries(&mut self, now: Time, service: &Arc<str>, count: u32) -> Decision {
         // Not only replicas that are alive as far as this one knows: those that are cut off from it use their share.
-        self.budget.try_spend(now, service, count, self.roster.count())
+        self.budget.try_charge(now, service, count, self.roster.count())
+    }
+
+    /// Records that the messages of `count` charges were read.
+    pub fn conclude_retries(&mut self, now: Time, service: &Arc<str>, count: u32) {
+        self.budget.conclude(now, service, count);
+    }
+
+    /// Records the end of a request that was charged retries or sent more than once.
+    pub fn end_retries(&mut self, now: Time, service: &Arc<str>, remainder: Remainder) {
+        self.budget.record_end(now, service, remainder);
+    }
+
+    /// Records that an endpoint has read a message that was sent at `sent`.
+    pub fn record_read(&mut self, now: Time, endpoint: &str, sent: Time) {
+        self.budget.record_read(now, endpoint, sent);
+    }
+
+    /// Returns the endpoints that may still read messages of requests that have ended.
+    pub fn awaited_endpoints(&self) -> BTreeSet<Arc<str>> {
+        self.budget.awaited()
     }
 }
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -157,6 +157,8 @@
                     self.suspects.record_crash(now, &endpoint.id);
                     self.pools.cancel(&endpoint.id);
                     self.limits.remove(&endpoint.id);
+                    // What was sent to the process before is lost.
+                    self.budget.record_read(now, &endpoint.id, now);
                 }
                 Change::Removed(endpoint) => {
                     self.suspects.record_crash(now, &endpoint.id);
--- a/crates/core/tests/gateway/budget.rs
+++ b/crates/core/tests/gateway/budget.rs
@@ -5,24 +5,42 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use tarragonhill_core::gateway::{
     budget::{Budget, Rule},
-    ledger::{Ledger, Message, Plan},
+    ledger::{Ledger, Message, Plan, Remainder},
 };
 
 use crate::at;
 
 const RULE: Rule = Rule { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) };
 
+/// Returns the budget of a replica that has known the others for `known_for_ms` at the time `now_ms`.
+fn settled(now_ms: u64, known_for_ms: u64) -> Budget {
+    let mut budget = Budget::new(RULE);
+    budget.record_settled(at(now_ms - known_for_ms));
+    budget
+}
+
+/// Charges as many retries as the budget allows, which are read at once, and returns their number.
+fn use_up(budget: &mut Budget, now_ms: u64, service: &Arc<str>, replicas: u32) -> usize {
+    let charges = (0..100).take_while(|_| budget.try_charge(at(now_ms), service, 1, replicas).is_granted);
+    let charges = charges.count();
+    budget.conclude(at(now_ms), service, charges as u32);
+    charges
+}
+
 /// When all requests to a service fail, retries must not double its load.
 #[test]
 fn retries_of_all_replicas_stay_within_ratio_and_slack() {
     let service: Arc<str> = "filing".into();
-    let mut replicas = vec![Budget::new(RULE, at(0)); 4];
+    let mut replicas = vec![settled(30_000, 30_000); 4];
     let (mut requests, mut retries) = (0.0, 0.0);
-    for now in (10_000..19_000).step_by(50) {
+    for now in (30_000..39_000).step_by(50) {
         for replica in &mut replicas {
             replica.record_request(at(now), &service);
             requests += 1.0;
-            retries += if replica.try_spend(at(now), &service, 1, 4).is_granted { 1.0 } else { 0.0 };
+            if replica.try_charge(at(now), &service, 1, 4).is_granted {
+                replica.conclude(at(now), &service, 1);
+                retries += 1.0;
+            }
         }
     }
     assert!(retries <= RULE.ratio * requests + RULE.slack, "{retries} of {requests}");
@@ -32,50 +50,82 @@
 #[test]
 fn retries_are_allowed_again_after_the_window() {
     let service: Arc<str> = "filing".into();
-    let mut budget = Budget::new(RULE, at(0));
-    let used = (0..100).filter(|_| budget.try_spend(at(20_000), &service, 1, 1).is_granted).count();
+    let mut budget = settled(30_000, 30_000);
+    let used = use_up(&mut budget, 30_000, &service, 1);
     assert!(used > 0 && used < 40, "{used}");
     let mut saturated = budget.clone();
-    let later =
-        (20_000..30_000).step_by(50).filter(|now| saturated.try_spend(at(*now), &service, 1, 1).is_granted);
-    let used = used + later.count();
-    assert!(used as f64 <= RULE.slack, "{used} within a window");
-    assert!(budget.try_spend(at(30_100), &service, 1, 1).is_granted);
+    let later: usize = (30_000..40_000).step_by(50).map(|now| use_up(&mut saturated, now, &service, 1)).sum();
+    assert!((used + later) as f64 <= RULE.slack, "{used} and {later} within a window");
+    assert!(use_up(&mut budget, 40_600, &service, 1) > 0);
 }
 
-/// Replicas that restart together don't know each other yet, and their previous processes may have
-/// used up the slack.
+/// Guards against processes that use the slack again that those before them have used in the same window.
 #[test]
 fn replicas_that_have_just_started_share_the_slack() {
     let service: Arc<str> = "filing".into();
     let mut retries = 0;
     for _ in 0..4 {
-        let mut old = Budget::new(RULE, at(0));
-        retries += (0..50).filter(|_| old.try_spend(at(20_000), &service, 1, 4).is_granted).count();
-        let mut new = Budget::new(RULE, at(21_000));
-        retries += (0..50).filter(|_| new.try_spend(at(21_000), &service, 1, 1).is_granted).count();
+        retries += use_up(&mut settled(30_000, 30_000), 30_000, &service, 4);
+        let mut new = Budget::new(RULE);
+        retries += use_up(&mut new, 31_000, &service, 1);
+        new.record_registered(Some(RULE.window));
+        new.record_settled(at(31_000));
+        retries += use_up(&mut new, 31_000, &service, 4);
+        retries += use_up(&mut new, 39_900, &service, 4);
     }
     assert!(retries as f64 <= RULE.slack, "{retries}");
 }
 
+/// Guards against a message that an endpoint reads long after it was sent, when its charge has left the window.
+#[test]
+fn a_charge_counts_until_a_window_after_its_message_was_read() {
+    let service: Arc<str> = "filing".into();
+    let mut budget = settled(30_000, 30_000);
+    let mut granted: u32 = 0;
+    while budget.try_charge(at(30_000), &service, 1, 1).is_granted {
+        granted += 1;
+    }
+    assert_eq!(use_up(&mut budget, 50_000, &service, 1), 0, "messages in progress");
+    let remainder = Remainder { charges: granted, pending: vec!["paused".into(); granted as usize] };
+    budget.record_end(at(50_000), &service, remainder);
+    assert_eq!(use_up(&mut budget, 70_000, &service, 1), 0, "messages that may still be read");
+    assert_eq!(budget.awaited().len(), 1);
+    budget.record_read(at(70_000), "paused", at(49_000));
+    assert_eq!(use_up(&mut budget, 85_000, &service, 1), 0, "the endpoint has only read an earlier message");
+    budget.record_read(at(86_000), "paused", at(85_500));
+    assert_eq!(use_up(&mut budget, 95_900, &service, 1), 0, "messages read within the window");
+    assert!(use_up(&mut budget, 97_000, &service, 1) > 0);
+}
+
+/// Guards against endpoints that are gone for good and keep the budget from being used.
+#[test]
+fn messages_to_an_endpoint_that_never_responds_are_given_up() {
+    let service: Arc<str> = "filing".into();
+    let mut budget = settled(30_000, 30_000);
+    while budget.try_charge(at(30_000), &service, 1, 1).is_granted {}
+    let remainder = Remainder { charges: 20, pending: vec!["gone".into(); 20] };
+    budget.record_end(at(31_000), &service, remainder);
+    assert_eq!(use_up(&mut budget, 90_000, &service, 1), 0);
+    budget.expire(at(92_000));
+    assert!(use_up(&mut budget, 103_000, &service, 1) > 0);
+}
+
 /// What becomes of a message that the gateway is about to send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
     Unsent,
     Rejected,
-    /// It arrives, and its response is lost.
+    /// Nothing is heard of it; it may arrive at any time.
     Lost,
     Accepted,
 }
 
-/// An attempt to serve a request: its plan, the fates of its messages, and how long it waits between charge and
-/// message.
+/// An attempt to serve a request: its plan and the fates of its messages.
 #[derive(Clone, Copy, Debug)]
 struct Attempt {
     plan: Plan,
     prefill: Fate,
     run: Fate,
-    wait_ms: u64,
 }
 
 impl Arbitrary for Attempt {
@@ -84,7 +134,7 @@
             || *random.choose(&[Fate::Unsent, Fate::Rejected, Fate::Lost, Fate::Accepted]).expect("a choice");
         let (prefill, run) = (fate(), fate());
         let plan = *random.choose(&[Plan::Run, Plan::PrefillAndRun]).expect("a choice");
-        Self { plan, prefill, run, wait_ms: u64::arbitrary(random) % 4_000 }
+        Self { plan, prefill, run }
     }
 }
 
@@ -95,40 +145,44 @@
 }
 
 /// Sends a message and returns whether it arrived, if the budget allows it.
-fn send(ledger: &mut Ledger, now: u64, message: Message, plan: Plan, fate: Fate) -> bool {
-    let due = ledger.due(at(now), plan);
-    ledger.record_charged(at(now), due);
-    ledger.record_sent(message);
+fn send(ledger: &mut Ledger, message: Message, plan: Plan, fate: Fate) -> bool {
+    let due = ledger.due(plan);
+    ledger.record_charged(due);
+    let id = ledger.record_sent(message, &"endpoint".into());
     match fate {
-        Fate::Unsent => ledger.record_unsent(message),
-        Fate::Accepted if message == Message::Prefill => ledger.record_prefilled(),
-        Fate::Accepted | Fate::Rejected | Fate::Lost => {}
+        Fate::Unsent => ledger.record_unsent(id),
+        Fate::Accepted if message == Message::Prefill => drop(ledger.record_prefilled(id)),
+        Fate::Accepted | Fate::Rejected => drop(ledger.record_concluded(id)),
+        Fate::Lost => {}
     }
     fate != Fate::Unsent
 }
 
-/// Guards against messages that endpoints count and the budget does not.
+/// Guards against messages that endpoints count and the budget does not, and against those that may be read after the end of
+/// their request.
 #[test]
 fn each_message_that_counts_as_a_retry_is_charged() {
     fn is_charged(attempts: Vec<Attempt>) -> bool {
-        let (mut ledger, mut now) = (Ledger::default(), 0);
-        let (mut prefills, mut runs) = (Vec::new(), 0);
-        attempts.into_iter().all(|Attempt { plan, prefill, run, wait_ms }| {
-            let due = ledger.due(at(now), plan);
-            ledger.record_charged(at(now), due);
-            now += wait_ms;
-            if plan == Plan::PrefillAndRun
-                && send(&mut ledger, now, Message::Prefill, Plan::PrefillAndRun, prefill)
-            {
+        let mut ledger = Ledger::default();
+        let (mut prefills, mut runs, mut lost) = (Vec::new(), 0, 0);
+        let is_charged = attempts.into_iter().all(|Attempt { plan, prefill, run }| {
+            ledger.record_charged(ledger.due(plan));
+            if plan == Plan::PrefillAndRun && send(&mut ledger, Message::Prefill, plan, prefill) {
                 prefills.push(prefill);
+                lost += usize::from(prefill == Fate::Lost);
             }
             // Without the prefill's result, the request is not sent.
             let is_ready = plan == Plan::Run || prefill == Fate::Accepted;
-            if is_ready && send(&mut ledger, now, Message::Run, Plan::Run, run) {
+            if is_ready && send(&mut ledger, Message::Run, Plan::Run, run) {
                 runs += 1;
+                lost += usize::from(run == Fate::Lost);
             }
             ledger.charged() as usize >= counted(&prefills, runs)
-        })
+        });
+        let remainder = ledger.remainder();
+        let concluded = ledger.charged() as usize - remainder.charges as usize;
+        let still_counted = concluded + remainder.pending.len();
+        is_charged && remainder.pending.len() <= lost && still_counted >= counted(&prefills, runs)
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(12, 7))
@@ -140,22 +194,24 @@
 #[test]
 fn a_charge_pays_for_a_later_message_if_its_own_was_not_sent() {
     let mut ledger = Ledger::default();
-    ledger.record_sent(Message::Run);
-    assert_eq!(ledger.due(at(0), Plan::Run), 1);
-    ledger.record_charged(at(0), 1);
-    assert!(send(&mut ledger, 100, Message::Run, Plan::Run, Fate::Lost));
-    assert_eq!(ledger.due(at(200), Plan::Run), 1);
-    ledger.record_charged(at(200), 1);
-    assert!(!send(&mut ledger, 300, Message::Run, Plan::Run, Fate::Unsent));
-    assert_eq!(ledger.due(at(400), Plan::Run), 0);
+    ledger.record_sent(Message::Run, &"first".into());
+    assert_eq!(ledger.due(Plan::Run), 1);
+    ledger.record_charged(1);
+    assert!(send(&mut ledger, Message::Run, Plan::Run, Fate::Lost));
+    assert_eq!(ledger.due(Plan::Run), 1);
+    ledger.record_charged(1);
+    assert!(!send(&mut ledger, Message::Run, Plan::Run, Fate::Unsent));
+    assert_eq!(ledger.due(Plan::Run), 0);
 }
 
-/// Guards against a charge that has left the window of its message.
+/// Guards against a hedged request whose first message waits at a paused endpoint while the second is answered.
 #[test]
-fn a_charge_lapses_if_its_message_is_not_sent_for_long() {
+fn a_message_that_was_overtaken_by_a_retry_remains_pending() {
     let mut ledger = Ledger::default();
-    ledger.record_sent(Message::Run);
-    ledger.record_charged(at(0), 1);
-    assert_eq!(ledger.due(at(1_900), Plan::Run), 0);
-    assert_eq!(ledger.due(at(2_100), Plan::Run), 1);
+    ledger.record_sent(Message::Run, &"paused".into());
+    assert_eq!(ledger.remainder(), Remainder::default(), "a single message is no retry");
+    ledger.record_charged(ledger.due(Plan::Run));
+    let hedge = ledger.record_sent(Message::Run, &"other".into());
+    assert_eq!(ledger.record_concluded(hedge), 0, "the message that was read first is no retry");
+    assert_eq!(ledger.remainder(), Remainder { charges: 1, pending: vec!["paused".into()] });
 }
--- a/crates/core/tests/gateway/fleet_budget.rs
+++ b/crates/core/tests/gateway/fleet_budget.rs
@@ -52,7 +52,8 @@
                 requests.push(now);
             }
             let is_burst = now_ms.is_multiple_of(day.pause_ms);
-            while is_burst && replica.state.retry(now, &admission.service, 1).is_granted {
+            while is_burst && replica.state.charge_retries(now, &admission.service, 1).is_granted {
+                replica.state.conclude_retries(now, &admission.service, 1);
                 retries.push(now);
             }
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -175,35 +175,40 @@
         if !self.charge(context, plan).await {
             return Err(Failure::OverBudget);
         }
-        self.ledger().record_sent(message);
+        let number = self.ledger().record_sent(message, &endpoint.id);
         let sent = context.client().send(endpoint, &head, &self.body, id, limit.min(left)).await;
-        match &sent {
+        let concluded = match &sent {
             Ok(exchange) if message == ledger::Message::Prefill && exchange.head.status == 200 => {
-                self.ledger().record_prefilled();
+                self.ledger().record_prefilled(number)
             }
-            Err(Failure::Blocked(_) | Failure::Connect(_)) => self.ledger().record_unsent(message),
-            Ok(_) | Err(_) => {}
-        }
+            Err(Failure::Blocked(_) | Failure::Connect(_)) => {
+                self.ledger().record_unsent(number);
+                0
+            }
+            Err(failure) if failure.is_pending() => 0,
+            Ok(_) | Err(_) => self.ledger().record_concluded(number),
+        };
+        context.control.conclude_retries(self.service(), concluded);
         sent
     }
 
     /// Charges the service's retry budget for the messages of a plan, as far as they are retries and not charged yet.
     /// Returns false if the budget does not suffice.
     pub(crate) async fn charge(&self, context: &Context, plan: Plan) -> bool {
-        let due = self.ledger().due(context.clock.now(), plan);
+        let due = self.ledger().due(plan);
         if due == 0 {
             return true;
         }
-        let Some(decision) = context.control.acquire_retries(self.service(), due).await else { return false };
+        let Some(decision) = context.control.charge_retries(self.service(), due).await else { return false };
         let is_granted = decision.is_granted;
         let result = if is_granted { "charged" } else { "refused" };
         context.metrics.retry_charges.with_label_values(&[self.service(), result]).inc_by(due.into());
         spdlog::info!("retries charged", kv: {
             request = self.id(), service = &**self.service(), count = due, granted = is_granted,
-            earned = decision.earned, slack = decision.slack, replicas = decision.replicas
+            used = decision.used, allowed = decision.allowed, replicas = decision.replicas
         });
         if is_granted {
-            self.ledger().record_charged(context.clock.now(), due);
+            self.ledger().record_charged(due);
         }
         is_granted
     }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -25,6 +25,7 @@
         evacuation::Evacuations,
         forecast::{Forecast, Observation},
         health::Outcome,
+        ledger::Remainder,
         load::Lease,
         relay::{Bundle, Role},
         snapshot::Snapshot,
@@ -54,7 +55,10 @@
 pub(crate) enum Command {
     Admit(Admission, ReplySender<Result<(), Refusal>>),
     Refund(Admission),
-    AcquireRetries(Arc<str>, u32, ReplySender<Decision>),
+    ChargeRetries(Arc<str>, u32, ReplySender<Decision>),
+    ConcludeRetries(Arc<str>, u32),
+    EndRetries(Arc<str>, Remainder),
+    RecordRead(Arc<str>, Time),
     IsSplit(Arc<str>, ReplySender<bool>),
     Place(Arc<str>, Vec<Arc<str>>, ReplySender<PermitResult>),
     PlacePrompt(Prompt, ReplySender<Option<Permit>>),
@@ -177,6 +181,8 @@
     evacuations: Evacuations,
     /// Endpoints that take only few requests, and when requests were sent to them.
     gate: Gate,
+    /// Endpoints that may still read messages of requests that have ended.
+    awaited: BTreeSet<Arc<str>>,
     /// Names of response fields that the gateway does not know, in lowercase.
     unknown_fields: BTreeSet<String>,
 }
@@ -237,10 +243,32 @@
         self.send(Command::Refund(admission));
     }
 
-    /// Takes `count` retries from the service's retry budget, or none if fewer are left. Returns `None` if the control
+    /// Charges `count` retries to the service's retry budget, or none if fewer are left. Returns `None` if the control
     /// thread has ended.
-    pub async fn acquire_retries(&self, service: &Arc<str>, count: u32) -> Option<Decision> {
-        self.request(|reply| Command::AcquireRetries(service.clone(), count, reply)).await
+    pub async fn charge_retries(&self, service: &Arc<str>, count: u32) -> Option<Decision> {
+        self.request(|reply| Command::ChargeRetries(service.clone(), count, reply)).await
+    }
+
+    /// Records that the messages of `count` charges were read.
+    pub fn conclude_retries(&self, service: &Arc<str>, count: u32) {
+        if count > 0 {
+            self.send(Command::ConcludeRetries(service.clone(), count));
+        }
+    }
+
+    /// Records the end of a request.
+    pub fn end_retries(&self, service: &Arc<str>, remainder: Remainder) {
+        if remainder != Remainder::default() {
+            self.send(Command::EndRetries(service.clone(), remainder));
+        }
+    }
+
+    /// Records that an endpoint has read a message that was sent at `sent`.
+    pub fn record_read(&self, endpoint: &Arc<str>, sent: Time) {
+        // Rarely awaited, so that most responses need no command.
+        if lock(&self.shared).awaited.contains(endpoint) {
+            self.send(Command::RecordRead(endpoint.clone(), sent));
+        }
     }
 
     /// Returns whether a service has separate prefill and decode endpoints.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -148,6 +148,7 @@
                     self.execute(command);
                     self.publish_evacuations();
                     self.publish_gate();
+                    self.publish_awaited();
                 }
                 Ok(Err(_)) => return,
                 Err(_) => {}
@@ -254,6 +255,15 @@
         }
     }
 
+    /// Makes the endpoints that may still read messages of ended requests known to the threads that read responses.
+    fn publish_awaited(&self) {
+        let awaited = self.state.awaited_endpoints();
+        let mut shared = lock(&self.weak_control.shared);
+        if shared.awaited != awaited {
+            shared.awaited = awaited;
+        }
+    }
+
     /// Logs a change of this replica's part in the exchange of digests and endpoints.
     fn log_role(&mut self) {
         let role = (self.state.is_relay(), followed(&self.state.role()).cloned());
@@ -290,9 +300,12 @@
         match command {
             Command::Admit(admission, reply) => drop(reply.try_send(self.state.admit(now, &admission))),
             Command::Refund(admission) => self.state.refund(&admission),
-            Command::AcquireRetries(service, count, reply) => {
-                let _ = reply.try_send(self.state.retry(now, &service, count));
+            Command::ChargeRetries(service, count, reply) => {
+                let _ = reply.try_send(self.state.charge_retries(now, &service, count));
             }
+            Command::ConcludeRetries(service, count) => self.state.conclude_retries(now, &service, count),
+            Command::EndRetries(service, remainder) => self.state.end_retries(now, &service, remainder),
+            Command::RecordRead(endpoint, sent) => self.state.record_read(now, &endpoint, sent),
             Command::IsSplit(service, reply) => drop(reply.try_send(self.state.is_split(now, &service))),
             Command::Place(service, avoid, reply) => {
                 let assignment = self.state.place_whole(now, &service, &avoid);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -61,6 +61,18 @@
     Timeout,
 }
 
+impl Failure {
+    /// Returns whether the endpoint may read the request later. It will not once it has closed the connection.
+    pub(crate) fn is_pending(&self) -> bool {
+        match self {
+            Self::Timeout => true,
+            Self::Connection(Error::Io(error)) => error.kind() == io::ErrorKind::TimedOut,
+            Self::Blocked(_) | Self::OverBudget | Self::Connect(_) => false,
+            Self::Connection(_) | Self::InvalidResponse(_) => false,
+        }
+    }
+}
+
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -139,7 +151,7 @@
         id: Option<&str>,
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
-        let began = Instant::now();
+        let (began, sent_at) = (Instant::now(), self.clock.now());
         let check = || {
             self.control
                 .block(self.clock.now(), endpoint)
@@ -160,7 +172,12 @@
             self.wait_for_turn(endpoint, limit.saturating_sub(began.elapsed())).await?;
         }
         let exchanged = self.exchange(endpoint, connection, head, body, id);
-        timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout))
+        let exchanged =
+            timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout));
+        if exchanged.is_ok() {
+            self.control.record_read(&endpoint.id, sent_at);
+        }
+        exchanged
     }
 
     /// Waits until this replica may send a request to an endpoint that takes only few requests.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -278,6 +278,7 @@
         return refuse(context, &refusal, id.as_deref(), writer).await;
     }
     log_admission(&inbound, catalog.as_deref());
+    let _retries = Retries { context, inbound: &inbound };
     let limit = inbound.deadline.since(context.clock.now());
     let begun = writer.begun();
     let failing = async {
@@ -312,7 +313,6 @@
         }
         None => {}
     }
-    log_retries(context, &inbound);
     log_end(context, &inbound, writer);
 }
 
@@ -363,11 +363,25 @@
     });
 }
 
+/// Settles the charges of a request when it ends, also if it is cancelled because its caller has disconnected.
+struct Retries<'a> {
+    context: &'a Context,
+    inbound: &'a Inbound,
+}
+
+impl Drop for Retries<'_> {
+    fn drop(&mut self) {
+        log_retries(self.context, self.inbound);
+        let remainder = self.inbound.ledger().remainder();
+        self.context.control.end_retries(self.inbound.service(), remainder);
+    }
+}
+
 /// Logs the messages of a request that was sent more than once, and what was charged for them.
 fn log_retries(context: &Context, inbound: &Inbound) {
-    let (sends, charged) = {
+    let (sends, charged, pending) = {
         let ledger = inbound.ledger();
-        (ledger.sends(), ledger.charged())
+        (ledger.sends(), ledger.charged(), ledger.remainder().pending.len())
     };
     let retries = sends.retries();
     if retries == 0 && charged == 0 {
@@ -376,7 +390,7 @@
     context.metrics.retries.with_label_values(&[inbound.service()]).inc_by(retries.into());
     spdlog::info!("request retried", kv: {
         request = inbound.id(), service = &**inbound.service(), prefills = sends.prefills(), runs = sends.runs(),
-        retries, charged
+        retries, charged, pending
     });
 }
 
