Use the retry slack only after the other replicas are known, once for processes in series

What callers saw: nothing; after gateways start together, endpoints may get more retries than their budget allows.

A process now uses nothing of the slack until it has read the store's list with its own row in it. Its row tells when the process before it started: if that is less than a window ago, it begins without the part of the share that others may use at once. So the processes of a replica stay within its share however often they restart. Each start of a process costs a write to the store; a process that starts while the store is away retries only what its requests earn.

Evidence: the three tests that failed in pass: 12 and 24 replicas that learn of each other 2 s late, a replica restarted each 250 ms, and random fleets.

--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -335,6 +335,7 @@
                 let known = state["endpoints"].as_array().map_or(0, Vec::len);
                 known == self.endpoints.len()
                     && !state["version"].is_null()
+                    && state["registered"] == true
                     && state["sharers"].as_u64() == Some(self.gateways.len() as u64)
             })
             .await;
--- a/crates/bench/src/platform/store.rs
+++ b/crates/bench/src/platform/store.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, LazyLock, Mutex},
     time::{Duration, Instant},
 };
 
@@ -83,10 +83,16 @@
     }
 
     fn rows_response(&self, rows: Vec<Value>) -> Value {
-        json!({"rows": rows, "truncated": false, "row_version": self.version, "now_ms": 0})
+        json!({"rows": rows, "truncated": false, "row_version": self.version, "now_ms": now_ms()})
     }
 }
 
+/// Returns the store's clock, which never jumps.
+fn now_ms() -> u64 {
+    static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
+    u64::try_from(STARTED.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
 fn encode(table: &str, key: &str, row: &Row) -> Value {
     let mut encoded = json!({"table": table, "part": "", "key": key, "row_version": row.version});
     if row.is_removed {
@@ -301,7 +307,7 @@
     for row in transaction.remove {
         state.write(&row.table, &row.key, None);
     }
-    (200, json!({"row_version": state.version, "now_ms": 0}))
+    (200, json!({"row_version": state.version, "now_ms": now_ms()}))
 }
 
 async fn reply(
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -135,9 +135,6 @@
 impl<T> State<T> {
     /// Creates the state of a replica that starts now.
     pub fn new(identity: Identity, retries: Rule, tolerance: Tolerance, now: Time) -> Self {
-        let mut budget = Budget::new(retries);
-        budget.record_registered(None);
-        budget.record_settled(now);
         Self {
             roster: Roster::new(identity.name.clone()),
             peers: Peers::new(identity.name.clone()),
@@ -150,7 +147,7 @@
             tolerance,
             loads: Loads::default(),
             rate_limiter: RateLimiter::new(now),
-            budget,
+            budget: Budget::new(retries),
             queue: Queue::default(),
             suspects: Suspects::default(),
             pools: Pools::default(),
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of requests, and the budgets for retries.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{Admission, State};
 use crate::{
@@ -62,4 +62,10 @@
     pub fn awaited_endpoints(&self) -> BTreeSet<Arc<str>> {
         self.budget.awaited()
     }
+
+    /// Records that the row of this process was written to the store, after the list of all others was read.
+    /// `since_previous` is the time since an earlier process of this replica wrote it; `None` if there was none.
+    pub fn record_registered(&mut self, since_previous: Option<Duration>) {
+        self.budget.record_registered(since_previous);
+    }
 }
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -23,9 +23,10 @@
         self.peers.add(now, member);
     }
 
-    /// Records that all peers that the store lists have been added.
-    pub fn mark_members_read(&mut self) {
+    /// Records that all peers that the store lists have been added, and know this replica.
+    pub fn mark_members_read(&mut self, now: Time) {
         self.roster.mark_read();
+        self.budget.record_settled(now);
         self.update_cold_intervals();
     }
 
--- a/crates/core/tests/gateway/fleet.rs
+++ b/crates/core/tests/gateway/fleet.rs
@@ -93,6 +93,16 @@
     pub state: State<u32>,
     pub incarnation: u64,
     started_ms: u64,
+    /// Start of the process before this one.
+    previous_ms: Option<u64>,
+}
+
+impl Replica {
+    /// Returns whether the replica settles now. Others know one that is not the first of its name at once.
+    fn settles(&self, now_ms: u64, listed_after_ms: u64) -> bool {
+        let delay_ms = if self.previous_ms.is_some() { listed_after_ms } else { SETTLED_AFTER_MS };
+        now_ms == self.started_ms + delay_ms
+    }
 }
 
 /// A fleet in which time goes on by steps.
@@ -115,27 +125,33 @@
     pub fn new(plan: Plan, step_ms: u64, prepare: fn(&mut State<u32>, Time)) -> Self {
         let mut fleet = Self { plan, step_ms, prepare, replicas: Vec::new() };
         for index in 0..fleet.plan.replicas {
-            let replica = fleet.start(index, 0);
+            let replica = fleet.start(index, 0, None);
             fleet.replicas.push(Some(replica));
         }
         fleet
     }
 
-    fn start(&self, index: usize, now_ms: u64) -> Replica {
+    fn start(&self, index: usize, now_ms: u64, previous_ms: Option<u64>) -> Replica {
         let Member { name, address, zone, millicores } = member(index);
         let incarnation = now_ms + 1;
         let identity = Identity { name, zone, incarnation, address, millicores };
         let mut state = State::new(identity, RETRIES, Tolerance::default(), at(now_ms));
         (self.prepare)(&mut state, at(now_ms));
-        let mut replica = Replica { state, incarnation, started_ms: now_ms };
+        let mut replica = Replica { state, incarnation, started_ms: now_ms, previous_ms };
         self.list(&mut replica, now_ms);
         replica
     }
 
-    /// Lets a replica read the store's list if it is time. That all others know this one as well is certain only later.
+    /// Lets a replica read the store's list and register if it is time.
     fn list(&self, replica: &mut Replica, now_ms: u64) {
-        if now_ms == replica.started_ms + self.plan.listed_after_ms {
+        let listed_after_ms = self.plan.listed_after_ms;
+        if now_ms == replica.started_ms + listed_after_ms {
             (0..self.plan.replicas).for_each(|other| replica.state.add_member(at(now_ms), member(other)));
+            let since = replica.previous_ms.map(|previous_ms| replica.started_ms - previous_ms);
+            replica.state.record_registered(since.map(Duration::from_millis));
+        }
+        if replica.settles(now_ms, listed_after_ms) {
+            replica.state.mark_members_read(at(now_ms));
         }
     }
 
@@ -148,9 +164,6 @@
             if now_ms > replica.started_ms {
                 self.list(replica, now_ms);
             }
-            if now_ms == replica.started_ms + SETTLED_AFTER_MS {
-                replica.state.mark_members_read();
-            }
         }
         self.replicas = replicas;
         let listed_after_ms = self.plan.listed_after_ms;
@@ -189,7 +202,8 @@
                     cut.insert(index);
                 }
                 Trouble::Restart { at_ms } if step.contains(&at_ms) && self.replicas[index].is_some() => {
-                    self.replicas[index] = Some(self.start(index, now_ms));
+                    let previous_ms = self.replicas[index].as_ref().map(|replica| replica.started_ms);
+                    self.replicas[index] = Some(self.start(index, now_ms, previous_ms));
                 }
                 Trouble::End { at_ms } if step.contains(&at_ms) => self.replicas[index] = None,
                 Trouble::Cut { .. } | Trouble::Restart { .. } | Trouble::End { .. } => {}
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -464,7 +464,7 @@
 #[test]
 fn queued_requests_beyond_the_turns_of_limited_endpoints_expire_at_once() {
     let mut state = ready_state();
-    state.mark_members_read();
+    state.mark_members_read(at(0));
     state.record_limit(at(1_000), &"d-1".into(), Some(0.5));
     // Two owners share 0.35 requests a second: a turn now and one in 5.7 s.
     for (tag, priority) in [(1, 5), (2, 5), (3, 5), (4, 0)] {
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -86,6 +86,7 @@
         clock,
         weak_control,
         source: None,
+        is_registered: false,
         initializing,
         outputs,
         last_tick: Time::ZERO,
@@ -123,6 +124,8 @@
     weak_control: WeakControl,
     /// Active configuration, encoded as in the store.
     source: Option<Arc<[u8]>>,
+    /// Whether this process has written its row to the store.
+    is_registered: bool,
     /// Dropped once configuration and endpoints have been read.
     initializing: Option<Sender<()>>,
     outputs: Outputs,
@@ -379,7 +382,13 @@
                 spdlog::info!("peer read from the store", kv: { peer = &*member.name, address = member.address.to_string().as_str() });
                 self.state.add_member(now, member);
             }
-            Update::MembersRead => self.state.mark_members_read(),
+            Update::Registered { since_previous } => {
+                let since_previous_ms = since_previous.map_or(0, |since| since.as_millis() as u64);
+                spdlog::info!("registered", kv: { is_first = since_previous.is_none(), since_previous_ms });
+                self.is_registered = true;
+                self.state.record_registered(since_previous);
+            }
+            Update::MembersRead => self.state.mark_members_read(now),
             Update::StoreLost { what, reason } => {
                 spdlog::warn!("store lost", kv: { what, reason = reason.as_str() });
                 self.state.mark_store_unreachable();
@@ -443,6 +452,7 @@
             "follows": followed(&self.state.role()),
             "left": self.state.tokens_left(now),
             "sharers": self.state.replica_count(),
+            "registered": self.is_registered,
             "waiting": self.state.queue_length(),
             "forecasts": forecasts,
         })
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -244,6 +244,11 @@
     },
     /// The name and gossip address of a peer were read.
     Member(Member),
+    /// The row of this process was written, after all members that the store lists were sent.
+    Registered {
+        /// Time since an earlier process of this replica wrote the row; `None` if there was none.
+        since_previous: Option<Duration>,
+    },
     /// All members that the store lists have been sent, at a time when all replicas that started before this one know
     /// it.
     MembersRead,
