Begin with empty rate buckets in a process that follows another one shortly after

A process now begins with empty buckets, which refill at the customer's rate, and adds the quarter of the burst when it has registered and the process before it started 10 s ago or longer. A peer's level replaces it as before.

The tests of one limiter register it first; their assertions are the same.

--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -28,9 +28,11 @@
 /// Time without a digest after which a peer is charged its share of the rate, in digest intervals;
 /// tolerates a few lost digests and the loss of a relay.
 const SILENCE_TIMEOUT_INTERVALS: u32 = 10;
-/// Divisor of the burst that gives the initial level of a new process, until a peer reports the
+/// Divisor of the burst that gives the level of a new process once it has registered, until a peer reports the
 /// actual level: the process may replace one that had already spent the bucket.
 const INITIAL_LEVEL_DIVISOR: i64 = 4;
+/// Shortest time between the starts of two processes of a replica that both begin with a part of the burst.
+const MIN_GRANT_INTERVAL: Duration = Duration::from_secs(10);
 /// Period after start in which the level may still be taken over from a peer.
 const LEARNING_PERIOD: Duration = Duration::from_secs(3);
 /// Largest size of the totals in one digest, so that the digest fits into a datagram.
@@ -125,11 +127,10 @@
 
 impl Account {
     fn new(customer: &Customer, now: Time) -> Self {
-        let burst = signed(customer.burst) * MICROTOKENS_PER_TOKEN;
         Self {
             rate: signed(customer.rate),
-            level: burst / INITIAL_LEVEL_DIVISOR,
-            burst,
+            level: 0,
+            burst: signed(customer.burst) * MICROTOKENS_PER_TOKEN,
             refilled_at: now,
             deferred: 0,
             spent: 0,
@@ -209,6 +210,13 @@
         self.is_initialized = true;
     }
 
+    /// Adds the part of the burst with which a process begins, unless the level is known from a peer.
+    fn grant_initial_level(&mut self) {
+        if !self.is_initialized {
+            self.level = (self.level + self.burst / INITIAL_LEVEL_DIVISOR).min(self.burst);
+        }
+    }
+
     fn charge_silent_peer(&mut self, peer: &Arc<str>, passed: Duration, replicas: u32) {
         let share = signed(micros(passed)) * self.rate / i64::from(replicas.max(1));
         self.peers.entry(peer.clone()).or_default().charged += share;
@@ -239,6 +247,8 @@
     /// after it.
     cursor: Arc<str>,
     started: Time,
+    /// Whether this process begins with a part of each burst; `None` until it has registered.
+    has_grant: Option<bool>,
     charged_at: Time,
 }
 
@@ -250,16 +260,34 @@
             unreported: BTreeMap::new(),
             cursor: Arc::default(),
             started: now,
+            has_grant: None,
             charged_at: now,
         }
     }
 
+    /// Records that this process has registered. `since_previous` is the time since an earlier process of this replica
+    /// started; `None` if there was none. If all replicas were restarted lately, nobody knows what the customers have
+    /// spent, and a process has to begin with empty buckets.
+    pub fn record_registered(&mut self, since_previous: Option<Duration>) {
+        let has_grant = since_previous.is_none_or(|since| since >= MIN_GRANT_INTERVAL);
+        let is_first = self.has_grant.replace(has_grant).is_none();
+        if has_grant && is_first {
+            self.accounts.values_mut().for_each(Account::grant_initial_level);
+        }
+    }
+
     /// Applies the customers of a new configuration; known customers keep their levels.
     pub fn update_customers<'a>(&mut self, now: Time, customers: impl Iterator<Item = &'a Arc<Customer>>) {
         let mut previous = std::mem::take(&mut self.accounts);
         for customer in customers.filter(|customer| customer.rate > 0) {
             let account = previous.remove(&customer.name);
-            let mut account = account.unwrap_or_else(|| Account::new(customer, now));
+            let mut account = account.unwrap_or_else(|| {
+                let mut account = Account::new(customer, now);
+                if self.has_grant == Some(true) {
+                    account.grant_initial_level();
+                }
+                account
+            });
             account.refill(now);
             account.adjust(customer);
             self.accounts.insert(customer.name.clone(), account);
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -67,5 +67,6 @@
     /// `since_previous` is the time since an earlier process of this replica wrote it; `None` if there was none.
     pub fn record_registered(&mut self, since_previous: Option<Duration>) {
         self.budget.record_registered(since_previous);
+        self.rate_limiter.record_registered(since_previous);
     }
 }
--- a/crates/core/tests/gateway/rate_limit.rs
+++ b/crates/core/tests/gateway/rate_limit.rs
@@ -22,6 +22,7 @@
 
 fn rate_limiter(customer: &Arc<Customer>) -> RateLimiter {
     let mut rate_limiter = RateLimiter::new(at(0));
+    rate_limiter.record_registered(None);
     rate_limiter.update_customers(at(0), std::iter::once(customer));
     rate_limiter
 }
@@ -73,6 +74,7 @@
     let mut old = rate_limiter(&faculty);
     assert_eq!(old.spend(at(10_000), "faculty", BURST), Ok(()));
     let mut new = RateLimiter::new(at(10_000));
+    new.record_registered(None);
     new.update_customers(at(10_000), std::iter::once(&faculty));
     new.apply_digest(at(10_100), &digest("old", 1, &mut old, 10_000));
     assert!(new.spend(at(10_100), "faculty", 200).is_err());
@@ -203,6 +205,7 @@
 #[test]
 fn spending_from_a_low_bucket_makes_the_digest_urgent() {
     let mut rate_limiter = RateLimiter::new(at(0));
+    rate_limiter.record_registered(None);
     rate_limiter.update_customers(at(0), [Arc::new(customer("faculty", 10_000, 10_000))].iter());
     assert!(rate_limiter.spend(at(10_000), "faculty", 4_000).is_ok());
     assert!(!rate_limiter.is_digest_urgent(), "the level is not low");
@@ -220,6 +223,7 @@
     let customers: Vec<_> =
         (0..21_000).map(|number| Arc::new(customer(&format!("customer-{number:05}"), RATE, BURST))).collect();
     let mut rate_limiter = RateLimiter::new(at(0));
+    rate_limiter.record_registered(None);
     rate_limiter.update_customers(at(0), customers.iter());
     let mut reported = BTreeSet::new();
     for round in 0..60 {
