--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -7,7 +7,7 @@
 use strum::IntoEnumIterator as _;
 use tarragonhill_core::gateway::budget::Rule;
 
-use crate::soak::{History, Kind, Programs, Service, Shape, run_all};
+use crate::soak::{History, Kind, Plan, Programs, Service, Shape, run_all};
 
 /// Options of `soak`.
 #[derive(Clone, Debug, Bpaf)]
@@ -33,9 +33,12 @@
     /// Retries allowed for each request
     #[bpaf(long, argument("R"), fallback(0.2), display_fallback)]
     retry_ratio: f64,
-    /// Further retries allowed per window of 10 s
+    /// Further retries allowed per window
     #[bpaf(long, argument("N"), fallback(52.0), display_fallback)]
     retry_slack: f64,
+    /// Length of the window, seconds
+    #[bpaf(long, argument("S"), fallback(10.0), display_fallback)]
+    retry_window_s: f64,
     /// Kind of disturbance; may be repeated; all kinds if there is none
     #[bpaf(long, argument("KIND"))]
     kind: Vec<Kind>,
@@ -58,13 +61,14 @@
         retries: Rule {
             ratio: options.retry_ratio,
             slack: options.retry_slack,
-            window: Duration::from_secs(10),
+            window: Duration::from_secs_f64(options.retry_window_s),
         },
     };
     let seeds: Vec<u64> = (options.seed..options.seed.saturating_add(options.seeds)).collect();
     let mut broken = 0;
     for batch in seeds.chunks(options.at_once.max(1)) {
-        for history in run_all(&programs, shape, batch, &options.logs, &options.kind)? {
+        let plans = batch.iter().map(|seed| Plan::random(*seed, shape, &options.kind)).collect();
+        for history in run_all(&programs, shape, plans, &options.logs)? {
             history.save()?;
             broken += usize::from(!print_history(&history));
         }
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -60,21 +60,14 @@
     }
 }
 
-/// Runs these seeds concurrently. Writes the logs of the gateways of each seed into a directory below `logs`.
-pub fn run_all(
-    programs: &Programs,
-    shape: Shape,
-    seeds: &[u64],
-    logs: &Path,
-    kinds: &[Kind],
-) -> io::Result<Vec<History>> {
+/// Plays these plans concurrently. Writes the logs of the gateways of each into a directory below `logs`.
+pub fn run_all(programs: &Programs, shape: Shape, plans: Vec<Plan>, logs: &Path) -> io::Result<Vec<History>> {
     thread::scope(|scope| {
-        let start = |&seed: &u64| {
-            let plan = Plan::random(seed, shape, kinds);
-            let directory = logs.join(format!("seed-{seed}"));
+        let start = |plan: Plan| {
+            let directory = logs.join(format!("seed-{}", plan.seed));
             scope.spawn(move || task::block_on(run::run(programs, shape, plan, &directory)))
         };
-        let runs: Vec<_> = seeds.iter().map(start).collect();
+        let runs: Vec<_> = plans.into_iter().map(start).collect();
         runs.into_iter().map(|run| run.join().expect("a run does not panic")).collect()
     })
 }
--- /dev/null
+++ b/crates/bench/tests/soak.rs
@@ -0,0 +1,82 @@
+//! A short soak with separate processes. `tarragonhill-bench soak` runs more seeds.
+//!
+//! Needs the `tarragonhilld` binary, which `cargo test --workspace` builds.
+
+use std::{path::Path, sync::LazyLock, time::Duration};
+
+use strum::IntoEnumIterator as _;
+use tarragonhill_bench::soak::{Event, History, Kind, Plan, Programs, Service, Shape, run_all};
+use tarragonhill_core::gateway::budget::Rule;
+
+/// Seeds whose disturbances once led to more retries than the budget allows.
+const SEEDS: [u64; 2] = [404, 405];
+/// Disturbances after which many requests are retried, by processes that follow each other.
+const KINDS: [Kind; 9] = [
+    Kind::FailAll,
+    Kind::LoseAll,
+    Kind::RejectAll,
+    Kind::RejectAll,
+    Kind::KillGateways,
+    Kind::KillAllInSeries,
+    Kind::KillInSeries,
+    Kind::PauseStore,
+    Kind::PauseGateways,
+];
+/// Selects the plain endpoints.
+const PLAIN: usize = 8;
+
+fn play(shape: Shape, plans: Vec<Plan>) -> Vec<History> {
+    let programs = Programs::beside(Path::new(env!("CARGO_BIN_EXE_tarragonhill-bench")));
+    assert!(programs.daemon.exists(), "cargo build -p tarragonhill-daemon builds the daemon");
+    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    run_all(&programs, shape, plans, &logs).expect("the processes start")
+}
+
+static RANDOM: LazyLock<Vec<History>> = LazyLock::new(|| {
+    let shape = Shape { duration: Duration::from_secs(45), events: 14, ..Shape::default() };
+    play(shape, SEEDS.iter().map(|seed| Plan::random(*seed, shape, &KINDS)).collect())
+});
+
+/// A run in which gateways read the requests of a pause when it is over, and all of them fail.
+static LATE_REQUESTS: LazyLock<Vec<History>> = LazyLock::new(|| {
+    let event =
+        |kind, lasts| Event { at: Duration::ZERO, lasts: Duration::from_secs(lasts), kind, target: PLAIN };
+    let events = vec![event(Kind::PauseGateways, 14), event(Kind::RejectAll, 28)];
+    let shape = Shape::default();
+    let retries = Rule { slack: 10.0, ..shape.retries };
+    play(Shape { retries, ..shape }, vec![Plan { seed: 1, events }])
+});
+
+fn assert_kept(history: &History) {
+    for service in Service::iter() {
+        let tightest = history.tightest(service);
+        let is_kept = tightest.is_none_or(|window| window.room() >= 0.0);
+        assert!(is_kept, "seed {}, {service}: {tightest:?}, logs in {:?}", history.plan.seed, history.logs);
+    }
+}
+
+/// Guards against processes that use the retry budget of those before them, and against messages that are not charged.
+#[test]
+fn endpoints_get_no_more_retries_than_the_budget_while_gateways_are_killed_in_series() {
+    RANDOM.iter().for_each(assert_kept);
+}
+
+/// Guards against requests that earn retries when they are read, long after callers sent them.
+#[test]
+fn endpoints_get_no_more_retries_than_the_budget_after_a_pause_of_all_gateways() {
+    LATE_REQUESTS.iter().for_each(assert_kept);
+}
+
+/// Without retries, the other tests would show nothing.
+#[test]
+fn requests_are_served_and_retried_in_the_soak() {
+    for history in RANDOM.iter().chain(&*LATE_REQUESTS) {
+        let retries: usize = Service::iter().map(|service| history.retries(service)).sum();
+        assert!(
+            history.succeeded > 0 && retries > 0,
+            "seed {}: {} served",
+            history.plan.seed,
+            history.succeeded
+        );
+    }
+}
