Let requests that waited for a paused gateway earn no retries

What callers saw: nothing; after a pause of gateways, endpoints may get more retries than their budget allows. Cause: a request earns retries when it is read. A gateway that was paused reads the requests of the pause at once, and they earn retries beside those that are sent then; the budget counts them in the window in which callers sent them. Same class: what is counted is the reading, what counts is the sending.

The control thread notices when it did not run for a second or more, by the time since boot, which goes on while a host is suspended. Requests before that no longer earn, nor do those that are read in the 2 s after it. After a pause of a gateway, its retries come from the slack for 2 s.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -37,6 +37,8 @@
 const BUCKET_DURATION: Duration = Duration::from_millis(500);
 /// Time in which a message arrives that the endpoint has not acknowledged; after that, the operating system has given up.
 const TRANSIT_TIME: Duration = Duration::from_secs(3);
+/// Time after a pause of the process in which it reads requests that were sent before.
+const CATCH_UP_TIME: Duration = Duration::from_secs(2);
 /// Longest time for which a message is expected to be read by an endpoint of which nothing is heard.
 const MAX_PENDING_TIME: Duration = Duration::from_secs(60);
 
@@ -152,13 +154,15 @@
 pub struct Budget {
     rule: Rule,
     standing: Standing,
+    /// Time before which requests earn nothing: they may have been sent long ago.
+    earning_from: Time,
     services: BTreeMap<Arc<str>, Account>,
 }
 
 impl Budget {
     /// Creates the budget of a process that does not know the other replicas yet. It uses nothing of the slack.
     pub fn new(rule: Rule) -> Self {
-        Self { rule, standing: Standing::default(), services: BTreeMap::new() }
+        Self { rule, standing: Standing::default(), earning_from: Time::ZERO, services: BTreeMap::new() }
     }
 
     /// Records that the other replicas are known. `since_previous` is the time since an earlier process of this replica
@@ -175,7 +179,16 @@
     /// Records a request of a caller.
     pub fn record_request(&mut self, now: Time, service: &Arc<str>) {
         let window = self.rule.window;
-        self.account(service).bucket(now, window).requests += 1;
+        let earns = now >= self.earning_from;
+        self.account(service).bucket(now, window).requests += u32::from(earns);
+    }
+
+    /// Records that the process was paused until now. Requests of before no longer earn retries: the clock may have stood
+    /// still. Those that were sent meanwhile are read now, and would earn in another window than that of their sending.
+    pub fn record_pause(&mut self, now: Time) {
+        self.earning_from = now.plus(CATCH_UP_TIME);
+        let buckets = self.services.values_mut().flat_map(|account| &mut account.window);
+        buckets.for_each(|bucket| bucket.requests = 0);
     }
 
     /// Charges `count` retries if the budget allows all of them. `replicas` is the number of replicas that share the
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -58,6 +58,11 @@
         self.budget.record_read(now, endpoint, sent);
     }
 
+    /// Records that the process was paused until now.
+    pub fn record_pause(&mut self, now: Time) {
+        self.budget.record_pause(now);
+    }
+
     /// Returns the endpoints that may still read messages of requests that have ended.
     pub fn awaited_endpoints(&self) -> BTreeSet<Arc<str>> {
         self.budget.awaited()
--- a/crates/core/tests/gateway/budget.rs
+++ b/crates/core/tests/gateway/budget.rs
@@ -97,6 +97,22 @@
     assert!(use_up(&mut budget, 97_000, &service, 1) > 0);
 }
 
+/// Guards against requests that earn retries after a pause of the process, in another window than that of their sending.
+#[test]
+fn requests_read_just_after_a_pause_earn_no_retries() {
+    let service: Arc<str> = "filing".into();
+    let mut budget = Budget::new(Rule { slack: 0.0, ..RULE });
+    let requests = |budget: &mut Budget, now_ms: u64| {
+        (0..100).for_each(|_| budget.record_request(at(now_ms), &service));
+    };
+    requests(&mut budget, 30_000);
+    budget.record_pause(at(31_000));
+    requests(&mut budget, 31_100);
+    assert_eq!(use_up(&mut budget, 31_200, &service, 1), 0);
+    requests(&mut budget, 33_000);
+    assert!(use_up(&mut budget, 33_000, &service, 1) > 0);
+}
+
 /// Guards against endpoints that are gone for good and keep the budget from being used.
 #[test]
 fn messages_to_an_endpoint_that_never_responds_are_given_up() {
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -10,6 +10,7 @@
 
 use async_channel::{Receiver, Sender, WeakSender};
 use async_std::{future::timeout, task};
+use rustix::time::{ClockId, clock_gettime};
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
@@ -40,7 +41,7 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Interval at which the queue is checked while requests wait, so that expired requests are refused soon.
 const QUEUE_TICK: Duration = Duration::from_millis(25);
-/// Time without a tick that is logged: the process was paused, or had no processor.
+/// Time after which the process counts as paused; the thread usually wakes up several times a second.
 const PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which forecasts are logged; they explain refusals.
 const FORECAST_LOG_INTERVAL: Duration = Duration::from_secs(2);
@@ -89,6 +90,7 @@
         is_registered: false,
         initializing,
         outputs,
+        awake_at: since_boot(),
         last_tick: Time::ZERO,
         last_digest: Time::ZERO,
         last_forward: Time::ZERO,
@@ -129,6 +131,8 @@
     /// Dropped once configuration and endpoints have been read.
     initializing: Option<Sender<()>>,
     outputs: Outputs,
+    /// When the thread last woke up, since the host's boot.
+    awake_at: Duration,
     /// When state was last expired.
     last_tick: Time,
     /// When the last digest was sent.
@@ -146,7 +150,10 @@
         loop {
             let tick = if self.state.queue_length() > 0 { QUEUE_TICK } else { TICK };
             let tick = self.state.forward_interval().map_or(tick, |interval| tick.min(interval));
-            match timeout(tick, commands.recv()).await {
+            let received = timeout(tick, commands.recv()).await;
+            // Before any command: the process may have been paused while requests were waiting.
+            self.notice_pause();
+            match received {
                 Ok(Ok(command)) => {
                     self.execute(command);
                     self.publish_evacuations();
@@ -160,14 +167,20 @@
         }
     }
 
+    /// Notices that the process did not run for a while. The time since boot also counts while the host is suspended.
+    fn notice_pause(&mut self) {
+        let awake_at = since_boot();
+        let paused = awake_at.saturating_sub(std::mem::replace(&mut self.awake_at, awake_at));
+        if paused >= PAUSE {
+            spdlog::warn!("process paused", kv: { ms = paused.as_millis() as u64 });
+            self.state.record_pause(self.clock.now());
+        }
+    }
+
     /// Runs the periodic work that is due and places queued requests.
     fn tick(&mut self) {
         let now = self.clock.now();
         if now.since(self.last_tick) >= TICK {
-            let paused = now.since(self.last_tick);
-            if self.last_tick > Time::ZERO && paused >= PAUSE {
-                spdlog::warn!("process paused", kv: { ms = paused.as_millis() as u64 });
-            }
             self.last_tick = now;
             lock(&self.weak_control.shared).is_stale = self.state.is_configuration_stale(now);
             let (changes, expired) = self.state.tick(now);
@@ -459,6 +472,12 @@
     }
 }
 
+/// Returns the time since the host's boot, with the time in which it was suspended.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(u64::try_from(time.tv_sec).unwrap_or(0), u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
 /// Returns the relay whose endpoint table a replica with this role follows.
 fn followed(role: &Role) -> Option<&Arc<str>> {
     match role {
