Charge only messages that may have been written

A hedge that wins cancels the first message, often while its connection is still being opened, for example to an endpoint that has lost power. Since such a message stayed charged for a minute, although nobody can read it, so that fewer requests could be retried just when endpoints are lost. A message counts as sent from its first byte on, and one of which nothing is heard is given up after half a minute instead of one.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -40,7 +40,7 @@
 /// Time after a pause of the process in which it reads requests that were sent before.
 const CATCH_UP_TIME: Duration = Duration::from_secs(2);
 /// Longest time for which a message is expected to be read by an endpoint of which nothing is heard.
-const MAX_PENDING_TIME: Duration = Duration::from_secs(60);
+const MAX_PENDING_TIME: Duration = Duration::from_secs(30);
 
 /// Limit on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/core/src/gateway/ledger.rs
+++ b/crates/core/src/gateway/ledger.rs
@@ -1,6 +1,9 @@
 //! The messages by which endpoints get one request, and what the retry budget was charged for them.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 /// A message by which an endpoint gets a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +75,7 @@
 struct Entry {
     message: Message,
     endpoint: Arc<str>,
+    is_written: Arc<AtomicBool>,
     state: State,
 }
 
@@ -85,9 +89,13 @@
     Unsent,
 }
 
-/// Identifies a message within its ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MessageId(usize);
+/// A message that is being sent.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    index: usize,
+    /// Whether a part of it may have been written. Before that, no endpoint can read it, even if the sending is cancelled.
+    pub is_written: Arc<AtomicBool>,
+}
 
 /// What remains of a ledger when its request ends.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -137,27 +145,29 @@
     }
 
     /// Records that a message is being sent.
-    pub fn record_sent(&mut self, message: Message, endpoint: &Arc<str>) -> MessageId {
-        self.entries.push(Entry { message, endpoint: endpoint.clone(), state: State::Sent });
-        MessageId(self.entries.len() - 1)
+    pub fn record_sent(&mut self, message: Message, endpoint: &Arc<str>) -> Sending {
+        let is_written: Arc<AtomicBool> = Arc::default();
+        let (endpoint, index) = (endpoint.clone(), self.entries.len());
+        self.entries.push(Entry { message, endpoint, is_written: is_written.clone(), state: State::Sent });
+        Sending { index, is_written }
     }
 
     /// Records that nothing was sent after all. What was charged for it pays for a later message.
-    pub fn record_unsent(&mut self, id: MessageId) {
-        self.entries[id.0].state = State::Unsent;
+    pub fn record_unsent(&mut self, sending: &Sending) {
+        self.entries[sending.index].state = State::Unsent;
     }
 
     /// Records that an endpoint has read a message, or never will. Returns how many more charges are for messages that
     /// have been concluded.
-    pub fn record_concluded(&mut self, id: MessageId) -> u32 {
-        self.entries[id.0].state = State::Concluded;
+    pub fn record_concluded(&mut self, sending: &Sending) -> u32 {
+        self.entries[sending.index].state = State::Concluded;
         self.conclude()
     }
 
     /// Records that an endpoint has read a message and accepted the prefill; otherwise like `record_concluded`.
-    pub fn record_prefilled(&mut self, id: MessageId) -> u32 {
+    pub fn record_prefilled(&mut self, sending: &Sending) -> u32 {
         self.is_prefilled = true;
-        self.record_concluded(id)
+        self.record_concluded(sending)
     }
 
     fn conclude(&mut self) -> u32 {
@@ -171,7 +181,9 @@
     pub fn remainder(&self) -> Remainder {
         let concluded = self.count(|state| state == State::Concluded);
         let may_be_retries = self.sends().retries() > concluded.retries();
-        let pending = self.entries.iter().filter(|entry| may_be_retries && entry.state == State::Sent);
+        let is_pending =
+            |entry: &&Entry| entry.state == State::Sent && entry.is_written.load(Ordering::Relaxed);
+        let pending = self.entries.iter().filter(|entry| may_be_retries && is_pending(entry));
         Remainder {
             charges: self.charged - self.concluded,
             pending: pending.map(|entry| entry.endpoint.clone()).collect(),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -64,8 +64,7 @@
     pub(crate) fn send_detached(self: &Arc<Self>, endpoint: Arc<Endpoint>, message: Message) {
         let context = self.clone();
         async_std::task::spawn(async move {
-            let sent = context.client().send(&endpoint, &message.head, &message.body, None, DETACHED_TIMEOUT);
-            match sent.await {
+            match context.client().send_message(&endpoint, &message, DETACHED_TIMEOUT).await {
                 Ok(exchange) => drop(exchange.read_whole().await),
                 Err(failure) => {
                     spdlog::debug!("sending a release failed", kv: { endpoint = &*endpoint.id, reason = failure.to_string().as_str() });
@@ -175,18 +174,19 @@
         if !self.charge(context, plan).await {
             return Err(Failure::OverBudget);
         }
-        let number = self.ledger().record_sent(message, &endpoint.id);
-        let sent = context.client().send(endpoint, &head, &self.body, id, limit.min(left)).await;
+        let sending = self.ledger().record_sent(message, &endpoint.id);
+        let client = context.client();
+        let sent = client.send(endpoint, &head, &self.body, id, limit.min(left), &sending.is_written).await;
         let concluded = match &sent {
             Ok(exchange) if message == ledger::Message::Prefill && exchange.head.status == 200 => {
-                self.ledger().record_prefilled(number)
+                self.ledger().record_prefilled(&sending)
             }
             Err(Failure::Blocked(_) | Failure::Connect(_)) => {
-                self.ledger().record_unsent(number);
+                self.ledger().record_unsent(&sending);
                 0
             }
             Err(failure) if failure.is_pending() => 0,
-            Ok(_) | Err(_) => self.ledger().record_concluded(number),
+            Ok(_) | Err(_) => self.ledger().record_concluded(&sending),
         };
         context.control.conclude_retries(self.service(), concluded);
         sent
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
     future::Future,
     io,
     pin::{Pin, pin},
+    sync::atomic::{AtomicBool, Ordering},
     task::{Context as TaskContext, Poll},
     time::{Duration, Instant},
 };
@@ -24,7 +25,7 @@
 
 use crate::{
     control::{Block, Control},
-    edge::{Dialect, Reply},
+    edge::{Dialect, Message, Reply},
     pool::Pool,
 };
 
@@ -142,7 +143,7 @@
 
 impl<'a> Client<'a> {
     /// Sends a request and waits for the response head, for at most `limit`. `id` is the request id that
-    /// the response must carry.
+    /// the response must carry. `is_written` is set before the first byte is written.
     pub(crate) async fn send(
         self,
         endpoint: &'a Endpoint,
@@ -150,6 +151,7 @@
         body: &[u8],
         id: Option<&str>,
         limit: Duration,
+        is_written: &AtomicBool,
     ) -> Result<Exchange<'a>, Failure> {
         let (began, sent_at) = (Instant::now(), self.clock.now());
         let check = || {
@@ -171,6 +173,7 @@
         if id.is_some() {
             self.wait_for_turn(endpoint, limit.saturating_sub(began.elapsed())).await?;
         }
+        is_written.store(true, Ordering::Relaxed);
         let exchanged = self.exchange(endpoint, connection, head, body, id);
         let exchanged =
             timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout));
@@ -180,6 +183,16 @@
         exchanged
     }
 
+    /// Sends a message of the gateway's own and waits for the response head, for at most `limit`.
+    pub(crate) async fn send_message(
+        self,
+        endpoint: &'a Endpoint,
+        message: &Message,
+        limit: Duration,
+    ) -> Result<Exchange<'a>, Failure> {
+        self.send(endpoint, &message.head, &message.body, None, limit, &AtomicBool::default()).await
+    }
+
     /// Waits until this replica may send a request to an endpoint that takes only few requests.
     async fn wait_for_turn(self, endpoint: &Endpoint, limit: Duration) -> Result<(), Failure> {
         let now = self.clock.now();
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -103,8 +103,7 @@
 }
 
 async fn send(context: &Context, order: &Order, message: &Message) -> Result<(u16, bytes::Bytes), String> {
-    let sent =
-        context.client().send(&order.endpoint, &message.head, &message.body, None, RESPONSE_TIMEOUT).await;
+    let sent = context.client().send_message(&order.endpoint, message, RESPONSE_TIMEOUT).await;
     let exchange = sent.map_err(|failure| failure.to_string())?;
     if exchange.reply.is_leaving {
         return Err("the endpoint is leaving".into());
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -119,7 +119,7 @@
     memory: u64,
 ) -> Result<Option<Guard>, ReserveError> {
     let message = context.dialect.reserve(endpoint, memory, engine.max_reservation.min(MAX_RESERVATION_TTL));
-    let sent = context.client().send(endpoint, &message.head, &message.body, None, RESERVE_TIMEOUT).await;
+    let sent = context.client().send_message(endpoint, &message, RESERVE_TIMEOUT).await;
     let unreachable = |failure: Failure| match failure {
         Failure::Blocked(_) => ReserveError::Blocked,
         failure => ReserveError::Unreachable(failure.to_string()),
