--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -513,6 +513,7 @@
     deadline: Duration,
 }
 
+/// Returns a lookup, a submission, a stream or, rarely, a stream that may be resumed.
 fn random_request(rng: &mut ChaCha8Rng, number: usize) -> Outgoing {
     let id = format!("r{number}");
     let (service, mut head, body, deadline) = match rng.random_range(0..20) {
