--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    fs::{self, OpenOptions},
+    fs::{self, File, OpenOptions},
     io,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
@@ -612,6 +612,8 @@
         format!("--retry-window-s={}", window.as_secs_f64()),
     ]
     .into();
+    // Without the lines of an earlier run.
+    File::create(log)?;
     let process = spawn_gateway(&programs.daemon, &arguments, log)?;
     Ok(Gateway {
         address: at(CALLER_PORT),
