Log how the response of a stream's endpoint was framed and ended

The hypotheses on answers that are framed as complete and are not differ in the framing of the endpoint's response and in the bytes after the last whole event. Neither was logged: a stream that ended at its endpoint left the line `request ended` only, which was the same for a response that was broken off. No change of behaviour.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 };
 use tarragonhill_h1::{
     Connection, Error, Malformed,
-    body::Decoder,
+    body::{Decoder, Framing},
     head::{Request, Response},
 };
 
@@ -92,6 +92,8 @@
     pub(crate) head: Response,
     /// Decoded fields of the head.
     pub(crate) reply: Reply,
+    /// Framing of the body.
+    pub(crate) framing: Framing,
     connection: Connection,
     decoder: Decoder,
     /// Whether the whole request was written. Otherwise the connection cannot be reused: the endpoint would
@@ -226,8 +228,8 @@
                 self.record_notice(endpoint, &reply);
             }
             self.record_unknown_fields(endpoint, &response);
-            let framing = response.framing(&head.method);
-            let mut decoder = Decoder::new(framing.map_err(invalid)?);
+            let framing = response.framing(&head.method).map_err(invalid)?;
+            let mut decoder = Decoder::new(framing);
             // Informational, or a late response to an earlier request on this connection.
             let is_unrelated = response.status < 200 || id.is_some() && reply.id.as_deref() != id;
             if is_unrelated && (response.status < 200 || reply.id.is_some()) {
@@ -244,6 +246,7 @@
             return Ok(Exchange {
                 head: response,
                 reply,
+                framing,
                 connection,
                 decoder,
                 is_sent,
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -94,6 +94,10 @@
             writer.write_head(exchange.head.clone()).await.map_err(Interruption::CallerDisconnected)?;
         }
         let Some(chunk) = chunk else {
+            spdlog::info!("endpoint's stream ended", kv: {
+                request = inbound.id(), endpoint = &*permit.endpoint.id,
+                framing = exchange.framing.to_string().as_str(), trailing = buffer.len()
+            });
             writer.write_chunk(&buffer).await.map_err(Interruption::CallerDisconnected)?;
             writer.finish().await.map_err(Interruption::CallerDisconnected)?;
             exchange.recycle();
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -1,6 +1,7 @@
 //! Body framing: incremental decoding of bodies and detection of truncated ones.
 
 use bytes::{Buf as _, Bytes, BytesMut};
+use strum::Display;
 
 use crate::Malformed;
 
@@ -9,7 +10,8 @@
 const MAX_TRAILER_BYTES: usize = 16_384;
 
 /// How the end of a body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Framing {
     /// There is no body.
     Empty,
