--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -70,6 +70,10 @@
     Cut,
     /// Closes the connection in the middle of an event, without the last chunk.
     CutInEvent,
+    /// Ends the response in the middle of an event as if it were complete.
+    EndInEvent,
+    /// Ends the response after half of the events as if it were complete.
+    EndEarly,
     /// Stops sending in the middle of a stream and keeps the connection open.
     Silent,
     /// Sends an additional response after the first one.
@@ -107,6 +111,8 @@
     /// Number of requests that still fail; `None` is unlimited.
     remaining_faults: Option<u32>,
     is_leaving: bool,
+    /// Whether responses have neither a length nor chunks and end with their connection.
+    is_unframed: bool,
     /// Name of a field without a meaning that all responses carry.
     extra_field: Option<&'static str>,
     /// End of the cold phase.
@@ -129,6 +135,8 @@
     reservations: BTreeMap<String, u64>,
     released: u64,
     active_streams: u32,
+    /// Streams that are held back in their middle.
+    held_streams: u32,
     /// Streams that ended because the caller disconnected.
     abandoned: u32,
     /// Role assigned by the last order; replaces the initial role.
@@ -285,6 +293,11 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Sets whether all further responses have neither a length nor chunks and end with their connection.
+    pub fn set_unframed(&self, is_unframed: bool) {
+        lock(&self.state).is_unframed = is_unframed;
+    }
+
     /// Adds a field without a meaning to all further responses.
     pub fn set_extra_field(&self, name: &'static str) {
         lock(&self.state).extra_field = Some(name);
@@ -360,6 +373,11 @@
         lock(&self.state).active_streams
     }
 
+    /// Returns the number of streams that are held back in their middle.
+    pub fn held_streams(&self) -> u32 {
+        lock(&self.state).held_streams
+    }
+
     /// Returns the number of streams that ended because the caller disconnected.
     pub fn abandoned(&self) -> u32 {
         lock(&self.state).abandoned
@@ -561,7 +579,11 @@
         }
         let mut head = self.new_head(200, fault != Fault::Unsigned);
         head.fields.push("Content-Type", "text/event-stream");
-        head.fields.push("Transfer-Encoding", "chunked");
+        let is_chunked = !self.is_unframed();
+        if is_chunked {
+            head.fields.push("Transfer-Encoding", "chunked");
+        }
+        let frame = |data: &[u8]| if is_chunked { chunk(data) } else { data.to_vec() };
         let mut budget = match fault {
             Fault::ResetAt(bytes) => Some(bytes),
             _ => None,
@@ -574,9 +596,11 @@
             let event = format!("id: {id}\ndata: token-{id}\n\n");
             let is_middle = id == EVENT_COUNT / 2;
             let mut is_disconnected = false;
+            lock(&self.state).held_streams += u32::from(is_middle);
             while is_middle && !is_disconnected && lock(&self.state).is_paused {
                 is_disconnected = self.wait_for_disconnect(&mut connection).await;
             }
+            lock(&self.state).held_streams -= u32::from(is_middle);
             if is_middle && fault == Fault::Cut {
                 return (connection, Action::Reset);
             }
@@ -585,12 +609,17 @@
                 lock(&self.state).abandoned += 1;
                 return closed;
             }
+            if is_middle && matches!(fault, Fault::CutInEvent | Fault::EndInEvent) {
+                let _ = connection.write(&frame(&event.as_bytes()[..event.len() / 2])).await;
+            }
             if is_middle && fault == Fault::CutInEvent {
-                let _ = connection.write(&chunk(&event.as_bytes()[..event.len() / 2])).await;
                 return (connection, Action::Close);
             }
+            if is_middle && matches!(fault, Fault::EndInEvent | Fault::EndEarly) {
+                break;
+            }
             is_disconnected |= self.wait_for_disconnect(&mut connection).await;
-            is_disconnected |= !write_within(&mut connection, &chunk(event.as_bytes()), &mut budget).await;
+            is_disconnected |= !write_within(&mut connection, &frame(event.as_bytes()), &mut budget).await;
             if budget == Some(0) {
                 return (connection, Action::Reset);
             }
@@ -599,6 +628,9 @@
                 return (connection, Action::Close);
             }
         }
+        if !is_chunked {
+            return (connection, Action::Close);
+        }
         let is_written = write_within(&mut connection, LAST_CHUNK, &mut budget).await;
         (connection, if is_written || budget.is_none() { Action::Keep } else { Action::Reset })
     }
@@ -624,10 +656,13 @@
             Fault::ResetAfterRun => (connection, Action::Reset),
             Fault::ResetAt(bytes) => {
                 let (mut connection, mut head) = (connection, success_head);
-                head.fields.push("Content-Length", body.len().to_string());
+                if !self.is_unframed() {
+                    head.fields.push("Content-Length", body.len().to_string());
+                }
                 let response = [&head.encode(), body.as_bytes()].concat();
                 let is_written = write_within(&mut connection, &response, &mut Some(bytes)).await;
-                (connection, if is_written { Action::Keep } else { Action::Reset })
+                let sound = if self.is_unframed() { Action::Close } else { Action::Keep };
+                (connection, if is_written { sound } else { Action::Reset })
             }
             Fault::Hang => wait_for_close(connection).await,
             Fault::Error => send(connection, self.new_head(500, true), b"failed", Action::Keep).await,
@@ -645,12 +680,7 @@
                 task::sleep(self.service_time()).await;
                 send(connection, success_head, body.as_bytes(), Action::Keep).await
             }
-            Fault::Unframed => {
-                let mut connection = connection;
-                let _ = connection.write(&success_head.encode()).await;
-                let _ = connection.write(body.as_bytes()).await;
-                (connection, Action::Close)
-            }
+            Fault::Unframed => send_unframed(connection, &success_head, body.as_bytes()).await,
             Fault::Extra => {
                 let extra_head = self.new_head(200, true);
                 let (mut connection, action) =
@@ -663,6 +693,7 @@
                 let _ = connection.write(b"stray").await;
                 (connection, action)
             }
+            _ if self.is_unframed() => send_unframed(connection, &success_head, body.as_bytes()).await,
             _ => send(connection, success_head, body.as_bytes(), Action::Keep).await,
         }
     }
@@ -677,6 +708,10 @@
         lock(&self.state).service_time
     }
 
+    fn is_unframed(&self) -> bool {
+        lock(&self.state).is_unframed
+    }
+
     fn record(&self, was_executed: bool) {
         let (head, body) = (self.head.clone(), self.body.clone());
         let request = ReceivedRequest { head, body, was_executed, received_at: self.received_at };
@@ -728,6 +763,9 @@
     async fn send_json(&self, connection: Connection, status: u16, value: &Value) -> (Connection, Action) {
         let mut head = self.new_head(status, false);
         head.fields.push("Content-Type", "application/json");
+        if self.is_unframed() {
+            return send_unframed(connection, &head, value.to_string().as_bytes()).await;
+        }
         send(connection, head, value.to_string().as_bytes(), Action::Keep).await
     }
 }
@@ -746,6 +784,12 @@
     (connection, Action::Close)
 }
 
+/// Sends a response that ends with its connection.
+async fn send_unframed(mut connection: Connection, head: &Response, body: &[u8]) -> (Connection, Action) {
+    let _ = connection.write(&[&head.encode(), body].concat()).await;
+    (connection, Action::Close)
+}
+
 async fn send(
     mut connection: Connection,
     mut head: Response,
