Treat a stream that ends inside an event as broken off

Cause: the relay took the regular end of a response's framing for the end of the stream. A response without a length and without chunks ends regularly when its connection is closed, also by a crash; and a last chunk may follow a half event.

Callers saw 9 of 20 events, half an event and a last chunk: an answer framed as complete. A stream that could be resumed was not.

Change: an end with bytes after the last whole event fails the attempt like a closed connection does, whatever the framing: the stream resumes at another endpoint or is cut. The half event is not relayed. Why it holds: events end with an empty line, so a whole stream leaves no bytes over.

--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -88,17 +88,24 @@
                 return Err(Interruption::Stalled(placement));
             }
         };
+        if chunk.is_none() {
+            spdlog::info!("endpoint's stream ended", kv: {
+                request = inbound.id(), endpoint = &*permit.endpoint.id,
+                framing = exchange.framing.to_string().as_str(), trailing = buffer.len()
+            });
+        }
+        // Whatever its framing says, a stream that ends inside an event is not complete.
+        if chunk.is_none() && !buffer.is_empty() {
+            let reason = format!("{}: the stream ended inside an event", permit.endpoint.id);
+            permit.finish(Outcome::Failed);
+            return Err(Interruption::EndpointFailed(reason));
+        }
         if writer.is_unsent() {
             let seconds = context.clock.now().since(inbound.received).as_secs_f64();
             context.metrics.first_byte.with_label_values(&["streaming"]).observe(seconds);
             writer.write_head(exchange.head.clone()).await.map_err(Interruption::CallerDisconnected)?;
         }
         let Some(chunk) = chunk else {
-            spdlog::info!("endpoint's stream ended", kv: {
-                request = inbound.id(), endpoint = &*permit.endpoint.id,
-                framing = exchange.framing.to_string().as_str(), trailing = buffer.len()
-            });
-            writer.write_chunk(&buffer).await.map_err(Interruption::CallerDisconnected)?;
             writer.finish().await.map_err(Interruption::CallerDisconnected)?;
             exchange.recycle();
             let size = inbound.size();
