Frame answers to callers only as far as their endpoint did

Cause: a response without a length and without chunks, whose end is the end of its connection, was passed on with a last chunk (streams) or a Content-Length (whole answers). The caller was told of an end that no endpoint had stated: a response that broke off unnoticed looked as good as a whole one.

Callers saw a complete answer in either case. A stream that had begun in chunks and was resumed at an endpoint that answers without a length ended with a last chunk after 9 of 20 events if that endpoint ended early.

Change: the writer is told the framing of the response that it passes on. Without a stated end it uses neither chunks nor a length, and the connection ends the answer; it is reset unless the whole answer was written. If a stream has begun in chunks and its last part has no stated end, the last chunk is left out, so that the caller can resume. Reservations, prefill results and pages of the store are JSON objects, of which no part can be decoded; the test of the first two passed before.

The test lookups_get_the_right_response_for_any_fault_of_one_endpoint sent all requests over one connection.

--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -473,6 +473,10 @@
                     (200, format!("GET {target} ")),
                     "{fault}"
                 );
+                if !response.head.keeps_alive() {
+                    assert_eq!(fault, Fault::Unframed, "only an answer without a length ends its connection");
+                    connection = Caller::open(site.address()).await.expect("a connection");
+                }
             }
         });
     }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -13,7 +13,7 @@
 use futures_lite::AsyncWriteExt as _;
 use socket2::SockRef;
 use tarragonhill_h1::{
-    body,
+    body::{self, Framing},
     head::{Request, Response},
 };
 
@@ -109,33 +109,36 @@
         self.is_complete() && !self.close
     }
 
-    /// Writes a response whose body is known.
-    pub async fn write_whole(&mut self, mut head: Response, body: &[u8]) -> io::Result<()> {
+    /// Writes a response whose body is known. `framing` is that of the response as it was received: no length is stated if
+    /// none was.
+    pub async fn write_whole(&mut self, mut head: Response, body: &[u8], framing: Framing) -> io::Result<()> {
+        let end = if framing == Framing::UntilClose { End::Close } else { End::Length };
+        self.close |= end == End::Close;
         self.set_framing(&mut head);
-        if !matches!(head.status, 204 | 304) {
+        if end == End::Length && !matches!(head.status, 204 | 304) {
             head.fields.set("Content-Length", body.len().to_string());
         }
         let mut bytes = head.encode();
         if !self.is_head {
             bytes.extend_from_slice(body);
         }
-        self.progress = Progress::Started(End::Length);
+        self.begin(end);
         self.write(&bytes).await?;
-        self.progress = Progress::Complete;
+        self.complete();
         Ok(())
     }
 
-    /// Writes the head of a response whose body follows in parts.
-    pub async fn write_head(&mut self, mut head: Response) -> io::Result<()> {
-        let end = if self.minor > 0 { End::LastChunk } else { End::Close };
+    /// Writes the head of a response whose body follows in parts. `framing` is that of the response as it is received: no
+    /// chunks are used if its end will not be stated.
+    pub async fn write_head(&mut self, mut head: Response, framing: Framing) -> io::Result<()> {
+        let has_chunks = self.minor > 0 && framing != Framing::UntilClose;
+        let end = if has_chunks { End::LastChunk } else { End::Close };
         self.close |= end == End::Close;
         self.set_framing(&mut head);
         if end == End::LastChunk {
             head.fields.set("Transfer-Encoding", "chunked");
-        } else {
-            self.reset_on_close(true);
         }
-        self.progress = Progress::Started(end);
+        self.begin(end);
         self.write(&head.encode()).await
     }
 
@@ -148,17 +151,33 @@
         }
     }
 
-    /// Ends the body. A body that is not ended is truncated, which the caller detects.
-    pub async fn finish(&mut self) -> io::Result<()> {
-        match self.progress {
-            Progress::Started(End::LastChunk) => self.write(body::LAST_CHUNK).await?,
-            Progress::Started(End::Close) => self.reset_on_close(false),
-            Progress::Started(End::Length) | Progress::NotStarted | Progress::Complete => {}
+    /// Ends the body. A body that is not ended is truncated, which the caller detects. `framing` is that of the response that
+    /// has ended: without a stated end, a body in chunks stays truncated.
+    pub async fn finish(&mut self, framing: Framing) -> io::Result<()> {
+        if self.progress == Progress::Started(End::LastChunk) {
+            if framing == Framing::UntilClose {
+                return Ok(());
+            }
+            self.write(body::LAST_CHUNK).await?;
         }
-        self.progress = Progress::Complete;
+        self.complete();
         Ok(())
     }
 
+    fn begin(&mut self, end: End) {
+        if end == End::Close {
+            self.reset_on_close(true);
+        }
+        self.progress = Progress::Started(end);
+    }
+
+    fn complete(&mut self) {
+        if self.progress == Progress::Started(End::Close) {
+            self.reset_on_close(false);
+        }
+        self.progress = Progress::Complete;
+    }
+
     /// Replaces the framing and connection fields of the endpoint's response with the gateway's own.
     fn set_framing(&mut self, head: &mut Response) {
         self.status = head.status;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -87,6 +87,15 @@
     }
 }
 
+/// A response that has been read whole.
+pub(crate) struct Answer {
+    pub(crate) head: Response,
+    pub(crate) reply: Reply,
+    pub(crate) body: Bytes,
+    /// Framing of the body.
+    pub(crate) framing: Framing,
+}
+
 /// Exchange whose response head has been read.
 pub(crate) struct Exchange<'a> {
     pub(crate) head: Response,
@@ -115,15 +124,16 @@
     }
 
     /// Reads the whole body and returns the connection to the pool.
-    pub(crate) async fn read_whole(mut self) -> Result<(Response, Reply, Bytes), Failure> {
+    pub(crate) async fn read_whole(mut self) -> Result<Answer, Failure> {
         let body = self
             .connection
             .read_body(&mut self.decoder, MAX_BODY_BYTES)
             .await
             .map_err(Failure::Connection)?;
-        let (head, reply) = (self.head.clone(), self.reply.clone());
+        let answer =
+            Answer { head: self.head.clone(), reply: self.reply.clone(), body, framing: self.framing };
         self.recycle();
-        Ok((head, reply, body))
+        Ok(answer)
     }
 
     /// Returns the connection to the pool if it can carry another request.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -226,7 +226,7 @@
     spdlog::info!("request rejected", kv: { status });
     let head = tarragonhill_h1::head::Response::new(status);
     let mut writer = ResponseWriter::closing(connection.stream().clone());
-    if writer.write_whole(head, b"").await.is_ok() {
+    if writer.write_whole(head, b"", Framing::Empty).await.is_ok() {
         linger(connection).await;
     }
 }
@@ -347,7 +347,7 @@
     let code: &'static str = refusal.code.into();
     context.metrics.refusals.with_label_values(&[code]).inc();
     let (head, body) = context.dialect.encode_refusal(refusal, id);
-    let written = writer.write_whole(head, &body).await;
+    let written = writer.write_whole(head, &body, Framing::Length(body.len() as u64)).await;
     spdlog::info!("request refused", kv: {
         request = id.unwrap_or("-"), code, status = writer.status, not_run = refusal.not_run,
         reason = refusal.message.as_str(), told = written.is_ok(),
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -14,6 +14,7 @@
 use crate::{
     context::Context,
     edge::{Claims, Message, Report, StageChange},
+    exchange::Answer,
 };
 
 /// Response timeout for reports and orders.
@@ -108,6 +109,6 @@
     if exchange.reply.is_leaving {
         return Err("the endpoint is leaving".into());
     }
-    let (head, _, body) = exchange.read_whole().await.map_err(|failure| failure.to_string())?;
+    let Answer { head, body, .. } = exchange.read_whole().await.map_err(|failure| failure.to_string())?;
     Ok((head.status, body))
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Refusal, Time,
@@ -22,7 +21,6 @@
     },
     refusal::Code,
 };
-use tarragonhill_h1::head::Response;
 
 use self::{
     placement::{Placement, place},
@@ -35,7 +33,7 @@
     context::{Context, Inbound, ends_too_late},
     control::Permit,
     edge::{Decode, Task},
-    exchange::{Exchange, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
+    exchange::{Answer, Exchange, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
     shutdown::Phase,
 };
 
@@ -140,7 +138,7 @@
     /// The request may have run.
     MayHaveRun(String),
     /// The endpoint ran the request and responded with an error.
-    ErrorResponse(Response, Bytes),
+    ErrorResponse(Answer),
 }
 
 /// Why a stream stopped before its end.
@@ -185,12 +183,12 @@
                     fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
                 }
             },
-            Err(Abort::ErrorResponse(head, body)) if writer.is_unsent() => {
+            Err(Abort::ErrorResponse(Answer { head, body, framing, .. })) if writer.is_unsent() => {
                 // Fails only if the caller has disconnected.
-                let _ = writer.write_whole(head, &body).await;
+                let _ = writer.write_whole(head, &body, framing).await;
                 return Ok(());
             }
-            Err(Abort::ErrorResponse(head, _)) => {
+            Err(Abort::ErrorResponse(Answer { head, .. })) => {
                 let reason = format!("resuming failed with status {}", head.status);
                 fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
             }
@@ -439,7 +437,7 @@
     permit.finish(Outcome::Failed);
     let is_error_response = exchange.reply.is_signed && status >= 400 && !is_not_run_status(status);
     match exchange.read_whole().await {
-        Ok((head, _, body)) if is_error_response => Err(Abort::ErrorResponse(head, body)),
+        Ok(answer) if is_error_response => Err(Abort::ErrorResponse(answer)),
         Ok(_) => Err(Abort::MayHaveRun(format!("{}: invalid response, status {status}", endpoint.id))),
         Err(failure) => Err(Abort::MayHaveRun(format!("{}: {failure}", endpoint.id))),
     }
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -14,7 +14,7 @@
 use crate::{
     context::{Context, Inbound},
     control::{Permit, Permits},
-    exchange::Failure,
+    exchange::{Answer, Failure},
 };
 
 /// Response timeout for a reservation.
@@ -128,7 +128,7 @@
     if exchange.is_replaced() {
         return Err(ReserveError::Replaced);
     }
-    let (head, _, body) = exchange.read_whole().await.map_err(unreachable)?;
+    let Answer { head, body, .. } = exchange.read_whole().await.map_err(unreachable)?;
     match (head.status, context.dialect.decode_reservation(&body)) {
         (200, Some(name)) => {
             Ok(Some(Guard { context: context.clone(), endpoint: endpoint.clone(), kind: Kind::Memory(name) }))
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -14,7 +14,7 @@
     context::{Context, Inbound},
     control::Permit,
     edge::Task,
-    exchange::{Failure, MISDIRECTED, not_run_outcome},
+    exchange::{Answer, Failure, MISDIRECTED, not_run_outcome},
 };
 
 /// Maximum endpoints that are tried for one prompt.
@@ -74,8 +74,8 @@
         Err(failure) => Err(failure),
     };
     match exchanged {
-        Ok((head, _, body)) if head.status == 200 => {
-            let result = context.dialect.decode_prefill(&body);
+        Ok(answer) if answer.head.status == 200 => {
+            let result = context.dialect.decode_prefill(&answer.body);
             if result.is_some() {
                 let took = context.clock.now().since(began);
                 permit.observe(Observation::Prefill { tokens: permit.prefill_tokens, took });
@@ -83,7 +83,7 @@
             }
             result.ok_or(Failure::InvalidResponse("the name of the prefill result is missing"))
         }
-        Ok((head, reply, _)) => {
+        Ok(Answer { head, reply, .. }) => {
             let is_not_run = reply.not_run || head.status == MISDIRECTED;
             permit.finish(if is_not_run {
                 not_run_outcome(&head, &reply, endpoint, Outcome::ReservationRejected)
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -13,6 +13,7 @@
 use super::{
     Interruption, Progress, Upstream,
     events::{complete_length, count_events, last_id},
+    log_cut,
     placement::{Placement, place},
 };
 use crate::{
@@ -103,10 +104,15 @@
         if writer.is_unsent() {
             let seconds = context.clock.now().since(inbound.received).as_secs_f64();
             context.metrics.first_byte.with_label_values(&["streaming"]).observe(seconds);
-            writer.write_head(exchange.head.clone()).await.map_err(Interruption::CallerDisconnected)?;
+            let written = writer.write_head(exchange.head.clone(), exchange.framing).await;
+            written.map_err(Interruption::CallerDisconnected)?;
         }
         let Some(chunk) = chunk else {
-            writer.finish().await.map_err(Interruption::CallerDisconnected)?;
+            let finished = writer.finish(exchange.framing).await;
+            finished.map_err(Interruption::CallerDisconnected)?;
+            if !writer.is_complete() {
+                log_cut(context, inbound, writer, "the endpoint of its last part stated no end");
+            }
             exchange.recycle();
             let size = inbound.size();
             pending.flush(context.clock.now(), &permit);
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -6,21 +6,19 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use async_std::future::timeout;
-use bytes::Bytes;
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Refusal,
     gateway::{health::Outcome, ledger::Plan, state::ENDPOINT_RETRY_AFTER},
     refusal::Code,
 };
-use tarragonhill_h1::head::Response;
 
 use crate::{
     caller::ResponseWriter,
     context::{Context, Inbound, ends_too_late},
     control::Permit,
-    edge::{Reply, Task},
-    exchange::{Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
+    edge::Task,
+    exchange::{Answer, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
 };
 
 /// Fraction of the route's latency target after which an idempotent request is hedged; leaves time for the
@@ -32,7 +30,7 @@
 /// Result of a request at one endpoint.
 enum Attempt {
     /// The endpoint responded.
-    Response { head: Response, body: Bytes },
+    Response(Answer),
     /// The request was not sent.
     NotSent(String),
     /// The endpoint did not run the request.
@@ -48,7 +46,7 @@
     writer: &mut ResponseWriter,
 ) -> Result<(), Refusal> {
     let mut avoid: Vec<Arc<str>> = Vec::new();
-    let mut error_response: Option<(Response, Bytes)> = None;
+    let mut error_response: Option<Answer> = None;
     let mut runs = 0;
     for sends in 1.. {
         if !ends_in_time(context, inbound) {
@@ -62,11 +60,11 @@
         avoid.push(permit.endpoint.id.clone());
         let (attempt, used) = attempt_with_hedge(context, inbound, permit, &mut avoid, runs).await;
         let reason = match attempt {
-            Attempt::Response { head, body } if head.status < 500 || !inbound.may_retry(runs + used) => {
-                return relay(inbound, writer, head, body).await;
+            Attempt::Response(answer) if answer.head.status < 500 || !inbound.may_retry(runs + used) => {
+                return relay(inbound, writer, answer).await;
             }
-            Attempt::Response { head, body } => {
-                error_response = Some((head, body));
+            Attempt::Response(answer) => {
+                error_response = Some(answer);
                 runs += used;
                 "the endpoint failed".into()
             }
@@ -111,22 +109,18 @@
 async fn give_up(
     inbound: &Inbound,
     writer: &mut ResponseWriter,
-    error_response: Option<(Response, Bytes)>,
+    error_response: Option<Answer>,
     refusal: Refusal,
 ) -> Result<(), Refusal> {
     match error_response {
-        Some((head, body)) => relay(inbound, writer, head, body).await,
+        Some(answer) => relay(inbound, writer, answer).await,
         None => Err(refusal),
     }
 }
 
-async fn relay(
-    inbound: &Inbound,
-    writer: &mut ResponseWriter,
-    head: Response,
-    body: Bytes,
-) -> Result<(), Refusal> {
-    if let Err(error) = writer.write_whole(head, &body).await {
+async fn relay(inbound: &Inbound, writer: &mut ResponseWriter, answer: Answer) -> Result<(), Refusal> {
+    let Answer { head, body, framing, .. } = answer;
+    if let Err(error) = writer.write_whole(head, &body, framing).await {
         spdlog::info!("caller disconnected", kv: { request = inbound.id(), reason = error.to_string().as_str() });
     }
     Ok(())
@@ -163,11 +157,11 @@
         let two = async { (second.as_mut().await, false) };
         one.or(two).await
     };
-    if matches!(&earlier, Attempt::Response { head, .. } if head.status < 500) {
+    if matches!(&earlier, Attempt::Response(answer) if answer.head.status < 500) {
         return (earlier, 2);
     }
     let later = if is_first { second.await } else { first.await };
-    let better = if matches!(later, Attempt::Response { .. }) { later } else { earlier };
+    let better = if matches!(later, Attempt::Response(_)) { later } else { earlier };
     (better, 2)
 }
 
@@ -190,12 +184,15 @@
     attempt
 }
 
-type Exchanged = Result<(Response, Reply, Bytes), Failure>;
-
 /// Classifies the result of an exchange and records the outcome at the endpoint.
-fn classify(inbound: &Inbound, exchanged: Exchanged, permit: Permit, context: &Context) -> Attempt {
-    let (head, reply, body) = match exchanged {
-        Ok(exchanged) => exchanged,
+fn classify(
+    inbound: &Inbound,
+    exchanged: Result<Answer, Failure>,
+    permit: Permit,
+    context: &Context,
+) -> Attempt {
+    let answer = match exchanged {
+        Ok(answer) => answer,
         Err(Failure::Blocked(block)) => {
             return Attempt::NotSent(format!("{}: {block}", permit.endpoint.id));
         }
@@ -212,9 +209,10 @@
             return Attempt::MayHaveRun(reason);
         }
     };
+    let Answer { head, reply, .. } = &answer;
     if reply.not_run || head.status == MISDIRECTED {
         let reason = format!("{} did not run the request, status {}", permit.endpoint.id, head.status);
-        let outcome = not_run_outcome(&head, &reply, &permit.endpoint, Outcome::Refused);
+        let outcome = not_run_outcome(head, reply, &permit.endpoint, Outcome::Refused);
         permit.finish(outcome);
         return Attempt::NotRun(reason);
     }
@@ -233,12 +231,12 @@
     if head.status >= 500 {
         permit.finish(Outcome::Failed);
     }
-    Attempt::Response { head, body }
+    Attempt::Response(answer)
 }
 
 fn count(context: &Context, attempt: &Attempt) {
     let outcome = match attempt {
-        Attempt::Response { .. } => "answered",
+        Attempt::Response(_) => "answered",
         Attempt::NotSent(_) => return,
         Attempt::NotRun(_) => "not_run",
         Attempt::MayHaveRun(_) => "broken",
