Fail bodies of the earlier form's client that are broken off or have no length

Cause: the HTTP library ends a body that is shorter than its Content-Length without an error, and takes a response without a length and without chunks for one with an empty body. The client of the earlier form passed both on, with a length of its own.

Callers of the earlier form saw half of a plain service's answer, or none of it, framed as complete.

A body cut in its chunks was an error before.

Change: the client checks the length, and treats a response that states no end as an error; so are bodies over the limit of 64 MiB, which were cut without a sign.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -16,7 +16,7 @@
 
 /// Idle connections kept for each address.
 const MAX_IDLE: usize = 64;
-/// Longest body that [`Response::bytes`] returns; longer ones are truncated.
+/// Longest body that [`Response::bytes`] returns; longer ones are errors.
 const MAX_BODY_BYTES: u64 = 64 << 20;
 /// Longest pause between two reads in [`Response::bytes`].
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -154,9 +154,14 @@
 
     /// Reads the whole body and returns the connection to the pool.
     pub async fn bytes(mut self) -> Result<Vec<u8>, Error> {
+        if !self.is_framed() {
+            return Err(Error::Unexpected("a body without a length".into()));
+        }
+        // The HTTP library ends a body that is shorter than its length without an error.
+        let length = self.response.len();
         let mut bytes = Vec::new();
         let mut buffer = vec![0; READ_SIZE];
-        let mut body = self.response.take_body().take(MAX_BODY_BYTES);
+        let mut body = self.response.take_body().take(MAX_BODY_BYTES + 1);
         loop {
             let read = timeout(STALL_TIMEOUT, body.read(&mut buffer)).await.map_err(|_| Error::Timeout)?;
             match read.map_err(|error| Error::Connection(error.to_string()))? {
@@ -164,10 +169,22 @@
                 read => bytes.extend_from_slice(&buffer[..read]),
             }
         }
+        if bytes.len() as u64 > MAX_BODY_BYTES {
+            return Err(Error::Unexpected("a body that is too long".into()));
+        }
+        if length.is_some_and(|length| length != bytes.len()) {
+            return Err(Error::Connection("closed inside the body".into()));
+        }
         self.release();
         Ok(bytes)
     }
 
+    /// Returns whether the response states the end of its body. The HTTP library takes any other body for empty.
+    fn is_framed(&self) -> bool {
+        let is_bodiless = matches!(self.status(), 204 | 304);
+        is_bodiless || ["content-length", "transfer-encoding"].iter().any(|name| self.header(name).is_some())
+    }
+
     /// Reads the whole body as JSON and returns the connection to the pool.
     pub async fn json<T: serde::de::DeserializeOwned>(self) -> Result<T, Error> {
         let bytes = self.bytes().await?;
