Read and log the software versions of endpoints, and what callers resume

Rows of endpoints name the version of their software, and the gateway dropped it when it read them; nothing in the logs could tell at which version a stream had begun and gone on. No change of behaviour. The stand-in site starts endpoints of chosen versions.

--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -467,6 +467,7 @@
         id: id.clone(),
         started_ms: 1,
         service: SERVICE.into(),
+        software_version: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: format!("zone-{}", index % zones).into(),
         stage: if index.is_multiple_of(3) { Stage::Prefill } else { Stage::Decode },
--- a/crates/bench/src/platform/caller.rs
+++ b/crates/bench/src/platform/caller.rs
@@ -66,6 +66,13 @@
     head
 }
 
+/// Makes a request resume the stream that the attempt `resumes` began, after its event `last_event`.
+pub fn resume(mut head: Request, resumes: &str, last_event: u32) -> Request {
+    head.fields.push("Resumes", resumes);
+    head.fields.push("Last-Event-Id", last_event.to_string());
+    head
+}
+
 impl Caller {
     /// Opens a connection.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -39,6 +39,8 @@
 const PLAIN_SERVICE: &str = "filing";
 /// Availability zone of the gateways, and of endpoints for which no other is given.
 pub const DEFAULT_ZONE: &str = "zone-a";
+/// Software version of endpoints unless a test chooses another one.
+const DEFAULT_VERSION: &str = "v1";
 /// Requests a second that a cold endpoint takes.
 pub const COLD_REQUESTS_PER_S: f64 = 8.6;
 /// What cold endpoints tolerate beyond their declared rate.
@@ -113,6 +115,8 @@
     retries: Rule,
     /// Availability zones of endpoints that are not in the default one.
     zones: BTreeMap<Arc<str>, &'static str>,
+    /// Software versions of endpoints that do not have the default one.
+    versions: BTreeMap<Arc<str>, &'static str>,
     /// Source of endpoint numbers and of `seq` values.
     counter: u64,
 }
@@ -151,6 +155,7 @@
             grace: DEFAULT_GRACE,
             retries: DEFAULT_RETRIES,
             zones: BTreeMap::new(),
+            versions: BTreeMap::new(),
             counter: 0,
         })
     }
@@ -236,7 +241,7 @@
         role: Role,
         address: SocketAddr,
     ) -> Result<Arc<Endpoint>, SiteError> {
-        self.start_endpoint(role, DEFAULT_ZONE, address).await
+        self.start_endpoint(role, DEFAULT_ZONE, DEFAULT_VERSION, address).await
     }
 
     /// Starts an endpoint in an availability zone and registers it in the store.
@@ -245,18 +250,29 @@
         role: Role,
         zone: &'static str,
     ) -> Result<Arc<Endpoint>, SiteError> {
-        self.start_endpoint(role, zone, SocketAddr::from((self.ip, 0))).await
+        self.start_endpoint(role, zone, DEFAULT_VERSION, SocketAddr::from((self.ip, 0))).await
+    }
+
+    /// Starts an endpoint of a software version and registers it in the store.
+    pub async fn add_endpoint_of(
+        &mut self,
+        role: Role,
+        version: &'static str,
+    ) -> Result<Arc<Endpoint>, SiteError> {
+        self.start_endpoint(role, DEFAULT_ZONE, version, SocketAddr::from((self.ip, 0))).await
     }
 
     async fn start_endpoint(
         &mut self,
         role: Role,
         zone: &'static str,
+        version: &'static str,
         address: SocketAddr,
     ) -> Result<Arc<Endpoint>, SiteError> {
         self.counter += 1;
         let id = format!("{role}-{}", self.counter);
         self.zones.insert(id.as_str().into(), zone);
+        self.versions.insert(id.as_str().into(), version);
         let endpoint =
             Arc::new(Endpoint::start(&id, role, address, KV_CACHE_TOKENS, self.kv_handles.clone()).await?);
         self.register(&endpoint, "ready");
@@ -273,9 +289,10 @@
     pub fn register_incarnation(&mut self, endpoint: &Endpoint, state: &str, born: u64) {
         self.counter += 1;
         let zone = self.zones.get(endpoint.id()).copied().unwrap_or(DEFAULT_ZONE);
+        let version = self.versions.get(endpoint.id()).copied().unwrap_or(DEFAULT_VERSION);
         let mut row = json!({
             "service": if endpoint.role() == Role::Plain { PLAIN_SERVICE } else { MODEL_SERVICE },
-            "address": endpoint.address().to_string(), "zone": zone, "version": "v1", "slots": 48,
+            "address": endpoint.address().to_string(), "zone": zone, "version": version, "slots": 48,
             "state": state, "cold_remaining_ms": endpoint.cold().as_millis() as u64, "seq": self.counter, "born": born,
         });
         if endpoint.role() != Role::Plain {
@@ -294,6 +311,16 @@
         self.store.put("op", "config", configuration);
     }
 
+    /// Changes the software version of an endpoint, as by a start under the same id. Its row does not change yet.
+    pub fn set_version(&mut self, endpoint: &Endpoint, version: &'static str) {
+        self.versions.insert(endpoint.id().clone(), version);
+    }
+
+    /// Returns the software version of an endpoint.
+    pub fn version(&self, endpoint: &Endpoint) -> &'static str {
+        self.versions.get(endpoint.id()).copied().unwrap_or(DEFAULT_VERSION)
+    }
+
     /// Returns whether an endpoint is in an availability zone.
     pub fn is_in(&self, endpoint: &Endpoint, zone: &str) -> bool {
         self.zones.get(endpoint.id()).is_some_and(|known| *known == zone)
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -39,6 +39,8 @@
     pub started_ms: u64,
     /// Name of the service.
     pub service: Arc<str>,
+    /// Version of its software, compared for equality only. What endpoints of two versions generate does not fit together.
+    pub software_version: Arc<str>,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Availability zone.
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -44,6 +44,7 @@
         id: id.into(),
         started_ms: 1,
         service: "drafting".into(),
+        software_version: "v1".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "zone-a".into(),
         stage,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -222,6 +222,8 @@
     pub(crate) fn log_placement(&self, now: Time, endpoint: &Endpoint, prefill: Option<&Endpoint>) {
         spdlog::info!("request placed", kv: {
             request = self.id(), endpoint = &*endpoint.id, reader = prefill.map_or("", |prefill| &*prefill.id),
+            version = &*endpoint.software_version,
+            reader_version = prefill.map_or("", |prefill| &*prefill.software_version),
             waited_ms = now.since(self.received).as_millis() as u64
         });
     }
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -530,7 +530,7 @@
         let stage: &'static str = endpoint.stage.into();
         spdlog::info!("endpoint", kv: {
             change = what, endpoint = &*endpoint.id, service = &*endpoint.service, zone = &*endpoint.zone, stage,
-            address = endpoint.address.to_string().as_str()
+            address = endpoint.address.to_string().as_str(), version = &*endpoint.software_version
         });
     }
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -27,6 +27,17 @@
     pub key: Option<Arc<str>>,
     /// Token counts of a completion; `None` for other requests.
     pub tokens: Option<Tokens>,
+    /// The stream that the request takes up; `None` for new ones.
+    pub resume: Option<Resume>,
+}
+
+/// A stream that a caller takes up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resume {
+    /// Id of the attempt that brought the stream's first event; `None` if the caller does not name it.
+    pub stream: Option<Arc<str>>,
+    /// Id of the last event that the caller received.
+    pub last_event: Option<Arc<str>>,
 }
 
 /// Token counts of a completion.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -356,6 +356,12 @@
 }
 
 fn log_admission(inbound: &Inbound, catalog: Option<&Catalog>) {
+    if let Some(resume) = &inbound.metadata.resume {
+        spdlog::info!("stream resumed by its caller", kv: {
+            request = inbound.id(), stream = resume.stream.as_deref().unwrap_or(""),
+            after = resume.last_event.as_deref().unwrap_or("")
+        });
+    }
     spdlog::info!("request admitted", kv: {
         request = inbound.id(), route = &*inbound.route.name, customer = inbound.customer_name().unwrap_or(""),
         tokens = inbound.admission.tokens, version = catalog.map_or(0, Catalog::version),
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -627,6 +627,8 @@
     /// How much longer the endpoint is cold.
     #[prost(uint64, tag = "11")]
     pub cold_us: u64,
+    #[prost(string, tag = "12")]
+    pub software_version: ::prost::alloc::string::String,
 }
 /// Generated client implementations.
 pub mod agent_client {
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -135,6 +135,7 @@
         id: name(id),
         started_ms: 1_700_000_000_123,
         service: name("models"),
+        software_version: "v1".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: name("zone-a"),
         stage: Stage::Prefill,
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -94,6 +94,7 @@
         id: id.into(),
         started_ms: 1,
         service: "drafting".into(),
+        software_version: "v1".into(),
         address: address(),
         zone: "zone-a".into(),
         stage,
