Resume a stream within its answer only at its software version

Cause: a stream whose endpoint failed or stalled was placed like a new one, at any endpoint of its service.

Callers saw events of two software versions in one answer, framed as complete.

Change: the version of the endpoint whose event is relayed first belongs to the stream's progress, and placements may name a version that the endpoint must have. In the queue, a request that waits for a version holds up only others that need it; one whose version no endpoint serves is refused at once. Why it holds: every later attempt of an answer is placed from that progress, also the replacement of a stalled one.

--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -520,5 +520,6 @@
         stall_timeout: Duration::from_millis(3_600),
         priority: 1,
         avoid: Vec::new(),
+        software_version: None,
     }
 }
--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -50,6 +50,8 @@
     pub priority: u8,
     /// Endpoints that failed the request before.
     pub avoid: Vec<Arc<str>>,
+    /// Software version that began the stream, which the endpoint must have; `None` for a new one.
+    pub software_version: Option<Arc<str>>,
 }
 
 impl Completion {
@@ -67,6 +69,7 @@
             stall_timeout,
             priority,
             avoid,
+            software_version,
         } = self;
         let ttft_target = target_or_default(ttft_target);
         let size = size.after_events(events, forecast);
@@ -85,6 +88,7 @@
             target_gap,
             ttft_target,
             avoid,
+            software_version,
         }
     }
 }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -60,6 +60,22 @@
     (engine.memory as f64 * fraction) as u64
 }
 
+/// Which endpoints a request may use.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Filter<'a> {
+    /// Endpoints that failed the request before.
+    pub avoid: &'a [Arc<str>],
+    /// Software version that an endpoint must have; `None` if any will do.
+    pub software_version: Option<&'a str>,
+}
+
+impl Filter<'_> {
+    fn admits(&self, endpoint: &Endpoint) -> bool {
+        let has_version = self.software_version.is_none_or(|version| version == &*endpoint.software_version);
+        has_version && !self.avoid.contains(&endpoint.id)
+    }
+}
+
 /// A run to be placed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Run<'a> {
@@ -73,8 +89,8 @@
     pub target_gap: Duration,
     /// Target for the time to the first event.
     pub ttft_target: Duration,
-    /// Endpoints that failed the run before.
-    pub avoid: &'a [Arc<str>],
+    /// Decode endpoints that it may use.
+    pub filter: Filter<'a>,
 }
 
 /// Endpoints selected for a run.
@@ -142,20 +158,20 @@
         self.loads.get(&endpoint.id)
     }
 
-    /// Returns the endpoints that are not in `avoid`, changing their stage, ejected, backing off, or throttled with no
-    /// request due from this replica.
-    fn reachable(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
+    /// Returns the endpoints that the filter admits and that are not changing their stage, ejected, backing off, or
+    /// throttled with no request due from this replica.
+    fn reachable(&self, service: &'a str, stage: Stage, filter: Filter<'_>) -> Vec<&'a Arc<Endpoint>> {
         let serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
-        let untried = serving.filter(|endpoint| !avoid.contains(&endpoint.id));
-        let stable = untried.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
+        let admitted = serving.filter(|endpoint| filter.admits(endpoint));
+        let stable = admitted.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
         let open = stable.filter(|endpoint| self.gate.wait(self.now, &endpoint.id) == Some(Duration::ZERO));
         let available = open.filter(|endpoint| self.backoff(endpoint).is_zero());
         available.filter(|endpoint| !self.is_ejected(endpoint)).collect()
     }
 
     /// Returns the reachable endpoints, without those that fail more often than the others.
-    fn candidates(&self, service: &'a str, stage: Stage, avoid: &[Arc<str>]) -> Vec<&'a Arc<Endpoint>> {
-        let mut reachable = self.reachable(service, stage, avoid);
+    fn candidates(&self, service: &'a str, stage: Stage, filter: Filter<'_>) -> Vec<&'a Arc<Endpoint>> {
+        let mut reachable = self.reachable(service, stage, filter);
         let best = reachable.iter().map(|endpoint| self.failure_ratio(endpoint)).fold(1.0, f64::min);
         reachable.retain(|endpoint| self.failure_ratio(endpoint) <= best + MAX_EXCESS_FAILURE_RATIO);
         reachable
@@ -213,7 +229,7 @@
     }
 
     /// Picks an endpoint for a whole request: the one with the shortest expected response time.
-    pub fn pick_whole(&self, service: &str, avoid: &[Arc<str>]) -> Option<Arc<Endpoint>> {
+    pub fn pick_whole(&self, service: &str, filter: Filter<'_>) -> Option<Arc<Endpoint>> {
         let expected = |endpoint: &Endpoint| {
             let Some(load) = self.load(endpoint) else { return 0 };
             let in_flight = f64::from(load.total(self.now).running + 1);
@@ -221,7 +237,7 @@
             micros(load.health.response_time(self.now).mul_f64(in_flight * zone_factor))
         };
         let is_full = |endpoint: &Endpoint| self.load(endpoint).is_some_and(|load| load.is_full(self.now));
-        let candidates = self.candidates(service, Stage::Whole, avoid).into_iter();
+        let candidates = self.candidates(service, Stage::Whole, filter).into_iter();
         candidates.min_by_key(|endpoint| (is_full(endpoint), expected(endpoint))).cloned()
     }
 
@@ -242,10 +258,10 @@
         prompt: u64,
         ttft_target: Duration,
         zone: &str,
-        avoid: &[Arc<str>],
+        filter: Filter<'_>,
     ) -> Prefill {
         let penalty = ttft_target.mul_f64(CROSS_ZONE_PREFILL_SAVING);
-        let mut candidates = self.candidates(service, Stage::Prefill, avoid);
+        let mut candidates = self.candidates(service, Stage::Prefill, filter);
         if candidates.iter().any(|endpoint| !self.is_stalled(endpoint, ttft_target)) {
             candidates.retain(|endpoint| !self.is_stalled(endpoint, ttft_target));
         }
@@ -271,7 +287,7 @@
     /// Picks the endpoints for a run; `None` if it has to stay queued.
     pub fn pick_pair(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Placement> {
         let endpoint = self.pick_decode(service, engine, run)?;
-        match self.pick_prefill(service, run.prompt, run.ttft_target, &endpoint.zone, &[]) {
+        match self.pick_prefill(service, run.prompt, run.ttft_target, &endpoint.zone, Filter::default()) {
             Prefill::Endpoint(prefill) => Some(Placement { endpoint, prefill: Some(prefill) }),
             Prefill::Unavailable => Some(Placement { endpoint, prefill: None }),
             Prefill::Busy => {
@@ -285,8 +301,8 @@
     pub fn pick_decode(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Arc<Endpoint>> {
         // Falls back to failing endpoints when the healthy ones are full: most of their runs still
         // succeed.
-        let healthy = self.most_free(self.candidates(service, Stage::Decode, run.avoid), engine, run);
-        healthy.or_else(|| self.most_free(self.reachable(service, Stage::Decode, run.avoid), engine, run))
+        let healthy = self.most_free(self.candidates(service, Stage::Decode, run.filter), engine, run);
+        healthy.or_else(|| self.most_free(self.reachable(service, Stage::Decode, run.filter), engine, run))
     }
 
     /// Picks a decode endpoint that processes the prompt itself while all prefill endpoints are
@@ -312,7 +328,7 @@
         let listed = self.directory.serving(service).filter(|endpoint| endpoint.stage == Stage::Decode);
         let own = listed.enumerate().filter(|(index, _)| self.partition.contains(*index));
         let own: Vec<&Arc<str>> = own.map(|(_, endpoint)| &endpoint.id).collect();
-        let mut idle = self.candidates(service, Stage::Decode, run.avoid);
+        let mut idle = self.candidates(service, Stage::Decode, run.filter);
         idle.retain(|endpoint| own.contains(&&endpoint.id) && self.is_ready_for_prefill(endpoint));
         self.most_free(idle, engine, run)
     }
@@ -394,6 +410,12 @@
             && self.directory.all().any(|endpoint| &*endpoint.service == service && !endpoint.is_draining)
     }
 
+    /// Returns whether any endpoint of a stage accepts work and has this software version.
+    pub fn serves_version(&self, service: &str, stage: Stage, version: &str) -> bool {
+        let mut serving = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
+        serving.any(|endpoint| &*endpoint.software_version == version)
+    }
+
     /// Returns whether a service has any endpoint of a stage that accepts work.
     pub fn has_stage(&self, service: &str, stage: Stage) -> bool {
         self.directory.serving(service).any(|endpoint| endpoint.stage == stage)
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -33,6 +33,8 @@
     pub ttft_target: Duration,
     /// Endpoints that failed the request before.
     pub avoid: Vec<Arc<str>>,
+    /// Software version that the endpoint must have; `None` if any will do.
+    pub software_version: Option<Arc<str>>,
 }
 
 impl<T> Entry<T> {
@@ -41,6 +43,14 @@
         self.soft_deadline < now
     }
 
+    /// Returns whether a request that was not accepted stands before this one and needs the same endpoints. One that needs
+    /// a software version holds up only those that need the same one.
+    fn is_behind(&self, blocked: &[(Arc<str>, Option<Arc<str>>)]) -> bool {
+        blocked.iter().any(|(service, version)| {
+            *service == self.service && (version.is_none() || *version == self.software_version)
+        })
+    }
+
     fn rank(&self, now: Time) -> (bool, u8, Time) {
         (self.is_late(now), self.priority, self.soft_deadline)
     }
@@ -100,7 +110,7 @@
     }
 
     /// Removes expired requests and those that `place` accepts, in order. Once a request is not
-    /// accepted, all later ones of its service stay queued.
+    /// accepted, all later ones that need the same endpoints stay queued.
     pub fn dispatch<P>(
         &mut self,
         now: Time,
@@ -108,21 +118,21 @@
     ) -> Vec<(Entry<T>, Verdict<P>)> {
         self.sort(now);
         let mut verdicts = Vec::new();
-        let mut blocked: Vec<Arc<str>> = Vec::new();
+        let mut blocked: Vec<(Arc<str>, Option<Arc<str>>)> = Vec::new();
         let mut remaining = Vec::new();
         for entry in std::mem::take(&mut self.0) {
             if entry.hard_deadline < now {
                 verdicts.push((entry, Verdict::Expired));
                 continue;
             }
-            if blocked.contains(&entry.service) {
+            if entry.is_behind(&blocked) {
                 remaining.push(entry);
                 continue;
             }
             match place(&entry) {
                 Some(placement) => verdicts.push((entry, Verdict::Placed(placement))),
                 None => {
-                    blocked.push(entry.service.clone());
+                    blocked.push((entry.service.clone(), entry.software_version.clone()));
                     remaining.push(entry);
                 }
             }
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -11,7 +11,7 @@
         directory::{Endpoint, Stage},
         growth::Growth,
         load::Estimate,
-        placement::{Partition, Placement, Prefill, Run, View, headroom},
+        placement::{Filter, Partition, Placement, Prefill, Run, View, headroom},
         queue::{Entry, Queue},
     },
     refusal::{Code, Refusal},
@@ -43,9 +43,9 @@
         &mut self,
         now: Time,
         service: &str,
-        avoid: &[Arc<str>],
+        filter: Filter<'_>,
     ) -> Result<Assignment, Refusal> {
-        let found = self.view(now).pick_whole(service, avoid);
+        let found = self.view(now).pick_whole(service, filter);
         let share = Share { running: 1, ..Share::default() };
         let Some(endpoint) = found else {
             let view = self.view(now);
@@ -63,8 +63,9 @@
     pub fn place_prefill(&mut self, now: Time, prompt: &Prompt) -> Option<Assignment> {
         let Prompt { service, tokens, ttft_target, zone, avoid } = prompt;
         let ttft_target = target_or_default(*ttft_target);
+        let filter = Filter { avoid, ..Filter::default() };
         let Prefill::Endpoint(endpoint) =
-            self.view(now).pick_prefill(service, *tokens, ttft_target, zone, avoid)
+            self.view(now).pick_prefill(service, *tokens, ttft_target, zone, filter)
         else {
             return None;
         };
@@ -99,6 +100,7 @@
             return Vec::new();
         }
         let mut queue = std::mem::take(&mut self.queue);
+        queue.expire(|entry| self.lacks_version(now, entry));
         if !self.directory.evacuations().is_empty() {
             let view = self.view(now);
             queue.expire(|entry| view.is_evacuated(&entry.service));
@@ -118,6 +120,12 @@
         placed
     }
 
+    /// Returns whether a request needs a software version that no endpoint of its service has.
+    pub fn lacks_version(&self, now: Time, entry: &Entry<T>) -> bool {
+        let version = entry.software_version.as_deref();
+        version.is_some_and(|version| !self.view(now).serves_version(&entry.service, Stage::Decode, version))
+    }
+
     /// Expires requests that cannot get a turn before their deadline, because all endpoints of their service are
     /// throttled and others come first.
     fn expire_without_turn(&self, now: Time, queue: &mut Queue<T>) {
@@ -137,7 +145,7 @@
 
     /// Assigns endpoints to a completion; `None` if it has to stay queued.
     fn place(&mut self, now: Time, entry: &Entry<T>) -> Option<Pair> {
-        let Entry { service, size, memory, target_gap, ttft_target, avoid, .. } = entry;
+        let Entry { service, size, memory, target_gap, ttft_target, .. } = entry;
         let engine = self.engine(service)?;
         let spread = self.forecasts.service(service).output_length_or_default().spread;
         let run = Run {
@@ -146,7 +154,7 @@
             headroom: headroom(&engine, entry.is_late(now)),
             target_gap: *target_gap,
             ttft_target: *ttft_target,
-            avoid,
+            filter: Filter { avoid: &entry.avoid, software_version: entry.software_version.as_deref() },
         };
         let Placement { endpoint, prefill } = self.view(now).pick_pair(service, &engine, &run)?;
         let prefill_tokens = if prefill.is_some() { 0 } else { size.prompt };
--- a/crates/core/tests/gateway/fleet_limit.rs
+++ b/crates/core/tests/gateway/fleet_limit.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use tarragonhill_core::{
     Time,
-    gateway::{directory::Stage, state::Listing},
+    gateway::{directory::Stage, placement::Filter, state::Listing},
 };
 
 use crate::{
@@ -67,7 +67,7 @@
         fleet.step(now_ms);
         let is_limited = (LIMITED_FROM_MS..day.limited_until_ms).contains(&now_ms);
         for (index, replica) in fleet.alive() {
-            if replica.state.place_whole(now, SERVICE, &[]).is_err() {
+            if replica.state.place_whole(now, SERVICE, Filter::default()).is_err() {
                 continue;
             }
             arrivals.all.push(now);
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -13,7 +13,7 @@
     growth::Growth,
     health::Outcome,
     load::Loads,
-    placement::{Partition, Prefill, Run, View, headroom},
+    placement::{Filter, Partition, Prefill, Run, View, headroom},
     pools::Pools,
     throttle::Gate,
 };
@@ -112,8 +112,9 @@
     let far = Endpoint { zone: "zone-b".into(), ..endpoint("p-2", Stage::Prefill) };
     let directory = directory(vec![endpoint("p-1", Stage::Prefill), far]);
     let mut loads = Loads::default();
-    let place =
-        |loads: &Loads| id(view(&directory, loads, 10).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]));
+    let place = |loads: &Loads| {
+        id(view(&directory, loads, 10).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default()))
+    };
     assert_eq!(place(&loads), Some("p-1".into()));
     let prefill = Share { prefill_tokens: 8_000, ..Share::default() };
     loads.acquire(at(0), &"p-1".into(), prefill);
@@ -137,7 +138,7 @@
     complete(&mut loads, "w-1", 8, 3);
     complete(&mut loads, "w-2", 8, 0);
     loads.acquire(at(20), &"w-2".into(), Share { running: 9, ..Share::default() });
-    let found = view(&directory, &loads, 30).pick_whole("drafting", &[]);
+    let found = view(&directory, &loads, 30).pick_whole("drafting", Filter::default());
     assert_eq!(found.map(|found| found.id.clone()), Some("w-2".into()));
 }
 
@@ -154,7 +155,8 @@
         ..Digest::default()
     };
     loads.apply_digest(at(30), &digest);
-    let found = view(&directory, &loads, 40).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]);
+    let found =
+        view(&directory, &loads, 40).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default());
     assert_eq!(id(found), Some("p-2".into()));
 }
 
@@ -178,7 +180,8 @@
     let directory = directory(vec![endpoint("w-1", Stage::Whole), endpoint("w-2", Stage::Whole)]);
     let loads = Loads::default();
     let avoid = ["w-1".into()];
-    let found = view(&directory, &loads, 0).pick_whole("drafting", &avoid);
+    let found =
+        view(&directory, &loads, 0).pick_whole("drafting", Filter { avoid: &avoid, ..Filter::default() });
     assert_eq!(found.map(|found| found.id.clone()), Some("w-2".into()));
 }
 
@@ -190,18 +193,24 @@
     let mut loads = Loads::default();
     let mut placed = 0;
     while let Prefill::Endpoint(found) =
-        view(&directory, &loads, 10).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[])
+        view(&directory, &loads, 10).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default())
     {
         loads.acquire(at(0), &found.id, Share { prefill_tokens: 5_000, ..Share::default() });
         placed += 1;
     }
     assert_eq!(placed, 5);
     assert_eq!(
-        view(&directory, &loads, 10).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]),
+        view(&directory, &loads, 10).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default()),
         Prefill::Busy
     );
     assert_eq!(
-        view(&directory, &loads, 10).pick_prefill("drafting", 5_000, TTFT, "zone-a", &["p-1".into()]),
+        view(&directory, &loads, 10).pick_prefill(
+            "drafting",
+            5_000,
+            TTFT,
+            "zone-a",
+            Filter { avoid: &["p-1".into()], ..Filter::default() }
+        ),
         Prefill::Unavailable
     );
 }
@@ -215,11 +224,11 @@
     let shares = [("p-1".into(), prefill), ("d-1".into(), share_of(30_000))].into();
     loads.apply_digest(at(0), &Digest { name: "frozen".into(), shares, ..Digest::default() });
     assert_eq!(
-        view(&directory, &loads, 500).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]),
+        view(&directory, &loads, 500).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default()),
         Prefill::Busy
     );
     assert_eq!(
-        id(view(&directory, &loads, 700).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[])),
+        id(view(&directory, &loads, 700).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default())),
         Some("p-1".into())
     );
     // Its runs still count until the digest is stale.
@@ -239,7 +248,7 @@
     loads.acquire(at(0), &"p-1".into(), prefill(2_000));
     loads.acquire(at(900), &"p-2".into(), prefill(8_000));
     let place = |loads: &Loads, now| {
-        id(view(&directory, loads, now).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]))
+        id(view(&directory, loads, now).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default()))
     };
     assert_eq!(place(&loads, 700), Some("p-1".into()));
     assert_eq!(place(&loads, 901), Some("p-2".into()));
@@ -259,7 +268,9 @@
         loads.release(at(now), &lease, Outcome::ReservationRejected);
     }
     loads.acquire(at(20), &"p-2".into(), Share { prefill_tokens: 8_000, ..Share::default() });
-    let place = |now| id(view(&directory, &loads, now).pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]));
+    let place = |now| {
+        id(view(&directory, &loads, now).pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default()))
+    };
     assert_eq!(place(30), Some("p-2".into()));
     assert_eq!(place(300), Some("p-1".into()));
 }
@@ -319,7 +330,7 @@
     let lease = loads.acquire(at(20), &"w-1".into(), Share { running: 1, ..Share::default() });
     loads.release(at(21), &lease, Outcome::Refused);
     let place = |loads: &Loads, now| {
-        view(&directory, loads, now).pick_whole("drafting", &[]).map(|found| found.id.clone())
+        view(&directory, loads, now).pick_whole("drafting", Filter::default()).map(|found| found.id.clone())
     };
     assert_eq!(place(&loads, 22), Some("w-2".into()));
     let lease = loads.acquire(at(200), &"w-1".into(), Share { running: 1, ..Share::default() });
@@ -372,7 +383,7 @@
         let replica = format!("replica-{number}");
         let loads = Loads::default();
         let view = View { replica: &replica, ..view(&directory, &loads, 10) };
-        let found = id(view.pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]));
+        let found = id(view.pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default()));
         *counts.entry(found.expect("an endpoint")).or_default() += 1;
     }
     let most = counts.values().max().copied().unwrap_or_default();
@@ -389,7 +400,7 @@
             let mut loads = Loads::default();
             loads.acquire(at(0), &busy.into(), Share { prefill_tokens: 5_000, ..Share::default() });
             let view = View { replica: &replica, ..view(&directory, &loads, 10) };
-            let found = id(view.pick_prefill("drafting", 5_000, TTFT, "zone-a", &[]));
+            let found = id(view.pick_prefill("drafting", 5_000, TTFT, "zone-a", Filter::default()));
             assert_eq!(found.as_deref(), Some(idle));
         }
     }
@@ -402,7 +413,7 @@
     let mut loads = Loads::default();
     loads.backoffs.record(at(0), &"p-1".into(), at(1_000));
     assert_eq!(
-        view(&directory, &loads, 10).pick_prefill("drafting", 4_000, TTFT, "zone-a", &[]),
+        view(&directory, &loads, 10).pick_prefill("drafting", 4_000, TTFT, "zone-a", Filter::default()),
         Prefill::Busy
     );
 }
--- a/crates/core/tests/gateway/queue.rs
+++ b/crates/core/tests/gateway/queue.rs
@@ -26,6 +26,7 @@
         target_gap: Duration::from_millis(300),
         ttft_target: Duration::from_millis(900),
         avoid: Vec::new(),
+        software_version: None,
     }
 }
 
@@ -52,6 +53,22 @@
     assert_eq!(placed(queue.dispatch(at(20), |_| Some(()))), [2, 1]);
 }
 
+/// Guards against resumes of one version that hold up new streams and resumes of other versions.
+#[test]
+fn a_request_that_waits_for_its_version_holds_up_only_those_of_that_version() {
+    let of = |version: &str, entry| Entry { software_version: Some(version.into()), ..entry };
+    let mut queue = Queue::default();
+    queue.push(of("v1", entry(1, 500, 9_000)));
+    queue.push(of("v1", Entry { memory: 100, ..entry(2, 501, 9_001) }));
+    queue.push(of("v2", entry(3, 502, 9_002)));
+    queue.push(entry(4, 503, 9_003));
+    let fits = |entry: &Entry<u32>| {
+        let is_full = entry.software_version.as_deref() == Some("v1") && entry.memory > 1_000;
+        (!is_full).then_some(())
+    };
+    assert_eq!(placed(queue.dispatch(at(20), fits)), [3, 4]);
+}
+
 #[test]
 fn a_large_request_is_not_overtaken_by_smaller_ones() {
     let mut queue = Queue::default();
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -14,6 +14,7 @@
         forecast::{Observation, Size},
         health::Outcome,
         load::Lease,
+        placement::Filter,
         queue::{Entry, Verdict},
         state::{Admission, Identity, Listing, State},
     },
@@ -64,6 +65,7 @@
         stall_timeout: Duration::from_millis(3_600),
         priority: 1,
         avoid: Vec::new(),
+        software_version: None,
     }
 }
 
@@ -452,7 +454,7 @@
     assert!(state.is_evacuated(at(20), "drafting"));
     assert_eq!(
         state
-            .place_whole(at(20), "drafting", &[])
+            .place_whole(at(20), "drafting", Filter::default())
             .map(|_| ())
             .map_err(|refusal| (refusal.code, refusal.not_run)),
         Err((Code::NoEndpoint, true))
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -60,7 +60,7 @@
     EndRetries(Arc<str>, Remainder),
     RecordRead(Arc<str>, Time),
     IsSplit(Arc<str>, ReplySender<bool>),
-    Place(Arc<str>, Vec<Arc<str>>, ReplySender<PermitResult>),
+    Place(Arc<str>, Vec<Arc<str>>, Option<Arc<str>>, ReplySender<PermitResult>),
     PlacePrompt(Prompt, ReplySender<Option<Permit>>),
     Enqueue(Completion, ReplySender<PermitsResult>),
     Forecast(Arc<str>, ReplySender<Forecast>),
@@ -276,9 +276,15 @@
         self.request(|reply| Command::IsSplit(service.clone(), reply)).await.unwrap_or(false)
     }
 
-    /// Places a whole request on an endpoint that is not in `avoid`.
-    pub async fn place(&self, service: &Arc<str>, avoid: &[Arc<str>]) -> PermitResult {
-        let placed = self.request(|reply| Command::Place(service.clone(), avoid.to_vec(), reply)).await;
+    /// Places a whole request on an endpoint that is not in `avoid` and has the software version, if one is given.
+    pub async fn place(
+        &self,
+        service: &Arc<str>,
+        avoid: &[Arc<str>],
+        version: Option<&Arc<str>>,
+    ) -> PermitResult {
+        let place = |reply| Command::Place(service.clone(), avoid.to_vec(), version.cloned(), reply);
+        let placed = self.request(place).await;
         placed.unwrap_or(Err(shutting_down()))
     }
 
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -21,6 +21,7 @@
         directory::Change,
         forecast::Forecast,
         health::Outcome,
+        placement::Filter,
         pools::Order,
         queue::Verdict,
         relay::{Delivery, Role},
@@ -215,7 +216,10 @@
         for (entry, verdict) in self.state.dispatch(now) {
             let result = match verdict {
                 Verdict::Placed(pair) => self.permits(pair).ok_or_else(shutting_down),
-                Verdict::Expired if self.state.is_evacuated(now, &entry.service) => {
+                Verdict::Expired
+                    if self.state.is_evacuated(now, &entry.service)
+                        || self.state.lacks_version(now, &entry) =>
+                {
                     Err(no_endpoint(ENDPOINT_RETRY_AFTER))
                 }
                 Verdict::Expired => Err(self.overloaded(now, &entry.service)),
@@ -323,8 +327,9 @@
             Command::EndRetries(service, remainder) => self.state.end_retries(now, &service, remainder),
             Command::RecordRead(endpoint, sent) => self.state.record_read(now, &endpoint, sent),
             Command::IsSplit(service, reply) => drop(reply.try_send(self.state.is_split(now, &service))),
-            Command::Place(service, avoid, reply) => {
-                let assignment = self.state.place_whole(now, &service, &avoid);
+            Command::Place(service, avoid, version, reply) => {
+                let filter = Filter { avoid: &avoid, software_version: version.as_deref() };
+                let assignment = self.state.place_whole(now, &service, filter);
                 drop(reply.try_send(
                     assignment.and_then(|assignment| self.permit(assignment).ok_or_else(shutting_down)),
                 ));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -50,6 +50,8 @@
 struct Progress {
     /// Id of the last event that the caller received.
     last_event: Option<Arc<str>>,
+    /// Software version that generated the events that the caller received; `None` before the first.
+    software_version: Option<Arc<str>>,
     /// Since when the caller waits for an event: the reception of its request, or the last event.
     waiting_since: Time,
     /// Number of events that the caller received.
@@ -66,6 +68,7 @@
     fn new(inbound: &Inbound) -> Self {
         Self {
             last_event: None,
+            software_version: None,
             waiting_since: inbound.received,
             events: 0,
             avoid: Vec::new(),
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -93,7 +93,8 @@
     inbound: &Inbound,
     progress: &Progress,
 ) -> Result<Placement, Refusal> {
-    context.control.place(inbound.service(), &progress.avoid).await.map(Placement::Whole)
+    let version = progress.software_version.as_ref();
+    context.control.place(inbound.service(), &progress.avoid, version).await.map(Placement::Whole)
 }
 
 fn completion(inbound: &Inbound, progress: &Progress, avoid: &[Arc<str>]) -> Completion {
@@ -108,6 +109,7 @@
         stall_timeout: inbound.route.stall_timeout,
         priority: inbound.priority(),
         avoid: avoid.to_vec(),
+        software_version: progress.software_version.clone(),
     }
 }
 
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -128,6 +128,7 @@
         if let Some(id) = last_id(&events) {
             progress.last_event = Some(id.into());
         }
+        progress.software_version.get_or_insert_with(|| permit.endpoint.software_version.clone());
         let (now, count) = (context.clock.now(), count_events(&events));
         writer.timing.record(now, count);
         (progress.waiting_since, progress.events) = (now, writer.timing.events);
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -52,7 +52,7 @@
         if !ends_in_time(context, inbound) {
             return give_up(inbound, writer, error_response, ends_too_late()).await;
         }
-        let permit = match context.control.place(inbound.service(), &avoid).await {
+        let permit = match context.control.place(inbound.service(), &avoid, None).await {
             Ok(permit) => permit,
             Err(refusal) => return give_up(inbound, writer, error_response, refusal).await,
         };
@@ -144,7 +144,9 @@
     if let Ok(attempt) = timeout(delay, first.as_mut()).await {
         return (attempt, 1);
     }
-    let Ok(permit) = context.control.place(inbound.service(), avoid).await else { return (first.await, 1) };
+    let Ok(permit) = context.control.place(inbound.service(), avoid, None).await else {
+        return (first.await, 1);
+    };
     if !inbound.charge(context, Plan::Run).await {
         drop(permit);
         return (first.await, 1);
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -131,6 +131,7 @@
             stall_timeout: Duration::from_millis(3_600),
             priority: 1,
             avoid: Vec::new(),
+            software_version: None,
         },
         (),
     );
