Resume callers' streams only at the software version that began them

Cause: a caller's resume was placed like a new stream. The gateway did not read the stream that it names, and no gateway knew which version had begun it.

Callers saw the beginning of a stream from one version and its rest from another one, at the gateway that had served it as well as at others; also after that gateway was killed, and in second and third resumes.

Change: before the first event of a stream is relayed, the gateway records the version and tells three others, chosen by rendezvous hashing of the stream and their names, in a datagram. A gateway that is to resume a stream it does not know asks the first five by the same order, repeats that after 50 ms, and answers 503 (not run, unknown_stream) once all have said that they do not know it, or after 200 ms. When a peer starts, returns or stops, each gateway tells the owners again of the streams that it relays. Streams that nobody knows go on if the service has had one version only for as long as a stream may last, by what this gateway and its peers have read from the store.

Why it holds: a version is recorded only by the gateway that relays events of it, a stream with two versions counts as unknown, and what is not known is not resumed. Lost datagrams, restarts and cuts make refusals, not mixtures.

--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -360,7 +360,7 @@
         let encoded: Vec<(Arc<[u8]>, Vec<Member>)> = deliveries
             .into_iter()
             .map(|(digests, recipients)| {
-                let bundle = proto::Bundle { sender: sender.clone(), digests };
+                let bundle = proto::Bundle { sender: sender.clone(), digests, ..proto::Bundle::default() };
                 (bundle.encode_to_vec().into(), recipients)
             })
             .collect();
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -141,7 +141,11 @@
             ..proto::Digest::default()
         };
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
-        let bundle = proto::Bundle { sender: "other".into(), digests: vec![newer.encode_to_vec()] };
+        let bundle = proto::Bundle {
+            sender: "other".into(),
+            digests: vec![newer.encode_to_vec()],
+            ..proto::Bundle::default()
+        };
         socket.send_to(&bundle.encode_to_vec(), site.gateways[0].peer()).await.expect("sent");
         wait_until("the replica knows of a newer version", async || site.state(0).await["behind"] == true)
             .await;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -88,6 +88,10 @@
     pub versions: Versions,
     /// Evacuated zones. Receivers act on them without reading the store.
     pub evacuations: Evacuations,
+    /// How long the sender has known all changes of the endpoints; zero while it cannot read the store, and in most digests.
+    pub observed: Duration,
+    /// Services that had endpoints of several software versions, with the time since then; complete if `observed` is not zero.
+    pub mixed: BTreeMap<Arc<str>, Duration>,
     /// Forecasts by service, mainly for replicas that have just started; empty in most digests.
     pub forecasts: BTreeMap<Arc<str>, Forecast>,
 }
@@ -236,6 +240,13 @@
         })
     }
 
+    /// Returns the incarnation of each live peer.
+    pub fn incarnations(&self, now: Time) -> impl Iterator<Item = (Arc<str>, u64)> {
+        let is_live = move |peer: &Peer| peer.serial > 0 && now.since(peer.last_contact) < LIVENESS_TIMEOUT;
+        let live = self.peers.iter().filter(move |(_, peer)| is_live(peer));
+        live.map(|(name, peer)| (name.clone(), peer.incarnation))
+    }
+
     /// Returns the live peers whose copy of the store is newer than `own` in any part.
     pub fn ahead_of(&self, now: Time, own: Versions) -> impl Iterator<Item = Member> {
         self.live_members(now).filter(move |member| {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -8,6 +8,7 @@
 mod placing;
 mod progress;
 mod store;
+mod streams;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -19,8 +20,10 @@
     digest::{Member, Peers},
     directory::{Change, Directory, Endpoint, Row},
     forecast::Forecasts,
+    history::History,
     limit::Limits,
     load::{Lease, Loads},
+    origin::Origins,
     pools::{Order, Pools, ServiceInfo},
     queue::{Entry, Queue, Verdict},
     rate_limit::RateLimiter,
@@ -130,6 +133,11 @@
     /// Recipients of digests; `None` in a small fleet, where all replicas are.
     topology: Option<Topology>,
     outbox: Outbox,
+    /// Versions that began streams.
+    origins: Origins,
+    /// Live peers, with their incarnations, that have been told of the streams relayed here.
+    told_peers: BTreeMap<Arc<str>, u64>,
+    history: History,
 }
 
 impl<T> State<T> {
@@ -155,6 +163,9 @@
             serial: 0,
             topology: None,
             outbox: Outbox::default(),
+            origins: Origins::default(),
+            told_peers: BTreeMap::new(),
+            history: History::default(),
         }
     }
 
@@ -176,6 +187,8 @@
         self.forecasts.recompute();
         let changes = self.directory.expire_lapsed(now);
         self.apply_changes(now, &changes);
+        self.origins.expire(now);
+        self.history.record(now, &self.directory);
         (changes, expired)
     }
 
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -13,8 +13,8 @@
     },
 };
 
-/// One in this many digests carries forecasts.
-const DIGESTS_PER_FORECAST: u64 = 10;
+/// One in this many digests carries forecasts and software versions.
+const DIGESTS_PER_FULL: u64 = 10;
 
 impl<T> State<T> {
     /// Adds a peer that is listed in the store.
@@ -63,6 +63,9 @@
         self.suspects.apply_digest(digest);
         self.apply_limits(now, &digest.limits);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
+        if !digest.observed.is_zero() {
+            self.history.apply_peer(now, digest.observed, &digest.mixed);
+        }
         for (endpoint, change) in &digest.changing {
             self.pools.record_peer_change(now, endpoint, *change);
         }
@@ -106,6 +109,7 @@
                 (vec![own], [siblings, members, remotes].into_iter().flatten().cloned().collect())
             }
         };
+        let is_full = self.serial.is_multiple_of(DIGESTS_PER_FULL);
         let digest = Digest {
             name: self.identity.name.clone(),
             incarnation: self.identity.incarnation,
@@ -122,11 +126,9 @@
             limits: self.limits.report(now),
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().clone(),
-            forecasts: if self.serial.is_multiple_of(DIGESTS_PER_FORECAST) {
-                self.forecasts.local()
-            } else {
-                BTreeMap::new()
-            },
+            observed: if is_full { self.history.span(now) } else { Duration::ZERO },
+            mixed: if is_full { self.history.mixed(now) } else { BTreeMap::new() },
+            forecasts: if is_full { self.forecasts.local() } else { BTreeMap::new() },
         };
         (digest, recipients)
     }
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -121,6 +121,7 @@
     /// Applies a list of endpoints read from the store.
     pub fn apply_listing(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         self.directory.mark_store_reachable(now);
+        self.history.record_read(now);
         self.update_directory(now, listing)
     }
 
@@ -143,6 +144,7 @@
             self.directory.update(now, listing.version, listing.rows)
         };
         self.staleness.record_endpoints(now, self.directory.newest_row());
+        self.history.record(now, &self.directory);
         for (endpoint, span) in cold {
             self.record_cold(now, &endpoint, span);
         }
@@ -181,6 +183,7 @@
     /// Records that the store is unreachable.
     pub fn mark_store_unreachable(&mut self) {
         self.directory.mark_store_unreachable();
+        self.history.interrupt();
     }
 
     /// Returns the versions of this replica's copy of the store.
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -32,6 +32,8 @@
     Overloaded,
     /// Every endpoint for the request is leaving or unreachable.
     NoEndpoint,
+    /// No gateway knows which software version began the stream, which has to go on at the same one.
+    UnknownStream,
     /// The settings of the entry may be stale.
     SettingsUnconfirmed,
     /// The entry is shutting down.
@@ -72,6 +74,7 @@
             Self::QuotaUnavailable
             | Self::Overloaded
             | Self::NoEndpoint
+            | Self::UnknownStream
             | Self::SettingsUnconfirmed
             | Self::ShuttingDown
             | Self::RecordUnavailable => 503,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,6 +16,7 @@
         directory::Endpoint,
         forecast::Size,
         ledger::{self, Ledger, Plan},
+        origin::{Origin, Stream},
         shutdown::Shutdown,
         state::Admission,
     },
@@ -33,7 +34,7 @@
 };
 
 /// Retry delay for callers that another replica can serve at once.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+pub(crate) const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
 /// State shared by all tasks.
 pub(crate) struct Context {
@@ -80,6 +81,9 @@
         .with_retry_after(RETRY_ELSEWHERE)
 }
 
+/// How much longer than until its caller's deadline the version of a stream is kept.
+const RESUME_SLACK: Duration = Duration::from_secs(1);
+
 /// Timeout of background messages, which only release resources; endpoints also release those after a while.
 const DETACHED_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -150,6 +154,23 @@
         self.route.is_repeatable() && runs < self.route.max_attempts
     }
 
+    /// Returns the stream that the request begins or takes up; `None` if its attempt is not named.
+    pub(crate) fn stream(&self) -> Option<Stream> {
+        let attempt = match &self.metadata.resume {
+            Some(resume) => resume.stream.as_deref(),
+            None => self.metadata.id.as_deref(),
+        };
+        attempt.map(|attempt| Stream::of(self.customer_name().unwrap_or_default(), attempt))
+    }
+
+    /// Records the software version whose events the caller gets, before the first of them is sent.
+    pub(crate) fn record_origin(&self, context: &Context, software_version: &Arc<str>) {
+        let Some(stream) = self.stream() else { return };
+        let resumable_for = self.metadata.timeout.unwrap_or(self.route.timeout) + RESUME_SLACK;
+        let left = self.received.plus(resumable_for).since(context.clock.now());
+        context.control.record_origin(Origin { stream, software_version: software_version.clone(), left });
+    }
+
     /// Sends the request to an endpoint and waits for the response head, for at most `limit`. A retry that has not
     /// been charged yet is charged first.
     pub(crate) async fn send<'a>(
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,6 +27,7 @@
         health::Outcome,
         ledger::Remainder,
         load::Lease,
+        origin::{Message, Origin, Stream},
         relay::{Bundle, Role},
         snapshot::Snapshot,
         staleness::Versions,
@@ -77,6 +78,9 @@
     CancelOrder(Arc<str>),
     Update(Update),
     Bundle(Box<Bundle>),
+    Message(Member, Message),
+    RecordOrigin(Origin),
+    FindOrigin(Option<Stream>, Arc<str>, Duration, ReplySender<Option<Arc<str>>>),
     Snapshot(ReplySender<Option<Snapshot>>),
     NewerPeers(ReplySender<Vec<Member>>),
     Versions(ReplySender<Versions>),
@@ -401,6 +405,27 @@
         self.send(Command::Bundle(Box::new(bundle)));
     }
 
+    /// Applies what a peer tells and asks about streams.
+    pub fn receive_message(&self, sender: Member, message: Message) {
+        self.send(Command::Message(sender, message));
+    }
+
+    /// Records the version that began a stream whose events this replica relays.
+    pub fn record_origin(&self, origin: Origin) {
+        self.send(Command::RecordOrigin(origin));
+    }
+
+    /// Returns the software version that began a stream of a service; `None` if it cannot be told. The stream may not be
+    /// named, and may have lasted for `span`.
+    pub async fn find_origin(
+        &self,
+        stream: Option<Stream>,
+        service: &Arc<str>,
+        span: Duration,
+    ) -> Option<Arc<str>> {
+        self.request(|reply| Command::FindOrigin(stream, service.clone(), span, reply)).await.flatten()
+    }
+
     /// Returns a snapshot of the local copy of the store; `None` before the first configuration.
     pub async fn snapshot(&self) -> Option<Snapshot> {
         self.request(Command::Snapshot).await.flatten()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -21,6 +21,7 @@
         directory::Change,
         forecast::Forecast,
         health::Outcome,
+        origin::{Message, Origin, Searches, Stream},
         placement::Filter,
         pools::Order,
         queue::Verdict,
@@ -42,6 +43,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Interval at which the queue is checked while requests wait, so that expired requests are refused soon.
 const QUEUE_TICK: Duration = Duration::from_millis(25);
+/// Interval at which searches are checked, so that callers whose stream no peer knows are refused soon.
+const SEARCH_TICK: Duration = Duration::from_millis(20);
 /// Time after which the process counts as paused; the thread usually wakes up several times a second.
 const PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which forecasts are logged; they explain refusals.
@@ -63,6 +66,8 @@
     pub digests: Sender<Outgoing>,
     /// Orders for endpoints.
     pub orders: Sender<Order>,
+    /// What peers are told and asked about streams.
+    pub messages: Sender<(Member, Message)>,
 }
 
 /// Starts the thread and returns a handle to it. The thread sends digests and orders to `outputs`.
@@ -85,6 +90,7 @@
     let initializing = Some(initializing);
     let mut worker = Worker {
         state,
+        searches: Searches::default(),
         clock,
         weak_control,
         source: None,
@@ -121,8 +127,19 @@
     }
 }
 
+/// Whoever waits for the software version of a stream.
+#[derive(Debug)]
+struct Seeker {
+    service: Arc<str>,
+    /// How long a stream may have lasted.
+    span: Duration,
+    reply: ReplySender<Option<Arc<str>>>,
+}
+
 struct Worker {
     state: State<ReplySender<PermitsResult>>,
+    /// Streams that peers are asked for.
+    searches: Searches<Seeker>,
     clock: Clock,
     weak_control: WeakControl,
     /// Active configuration, encoded as in the store.
@@ -150,6 +167,7 @@
     async fn run(&mut self, commands: Receiver<Command>) {
         loop {
             let tick = if self.state.queue_length() > 0 { QUEUE_TICK } else { TICK };
+            let tick = if self.searches.is_empty() { tick } else { tick.min(SEARCH_TICK) };
             let tick = self.state.forward_interval().map_or(tick, |interval| tick.min(interval));
             let received = timeout(tick, commands.recv()).await;
             // Before any command: the process may have been paused while requests were waiting.
@@ -194,6 +212,15 @@
             {
                 self.state.cancel_order(&error.into_inner().endpoint.id);
             }
+            for (member, message) in self.state.take_retold(now) {
+                self.send_message(member, message);
+            }
+        }
+        for (member, sought) in self.searches.take_repeats(now) {
+            self.send_message(member, Message { sought, ..Message::default() });
+        }
+        for (stream, seekers) in self.searches.expire(now) {
+            self.give_up_search(now, stream, seekers);
         }
         // If the channel is full, digests are dropped; later ones supersede them.
         if now.since(self.last_digest) >= self.state.digest_interval() {
@@ -229,6 +256,64 @@
         }
     }
 
+    /// Sends a message to a peer. If the channel is full, it is lost like a datagram.
+    fn send_message(&self, member: Member, message: Message) {
+        let _ = self.outputs.messages.try_send((member, message));
+    }
+
+    /// Records that this replica relays a stream, and tells the others that have to know.
+    fn record_origin(&mut self, now: Time, origin: Origin) {
+        for member in self.state.record_origin(now, &origin) {
+            self.send_message(member, Message { origins: vec![origin.clone()], ..Message::default() });
+        }
+    }
+
+    /// Finds the version that began a stream, here or at peers.
+    fn find_origin(&mut self, now: Time, stream: Option<Stream>, seeker: Seeker) {
+        let Some(stream) = stream else { return self.give_up_search(now, Stream::default(), vec![seeker]) };
+        if let Some(origin) = self.state.origin(now, stream) {
+            let _ = seeker.reply.try_send(Some(origin.software_version));
+            return;
+        }
+        let asked = self.state.asked(now, stream);
+        if asked.is_empty() {
+            return self.give_up_search(now, stream, vec![seeker]);
+        }
+        if self.searches.add(now, stream, &asked, seeker) {
+            for member in asked {
+                self.send_message(member, Message { sought: vec![stream], ..Message::default() });
+            }
+        }
+    }
+
+    fn receive_message(&mut self, now: Time, sender: Member, message: &Message) {
+        let reply = self.state.apply_message(now, message);
+        for origin in &message.origins {
+            for seeker in self.searches.finish(origin.stream) {
+                let _ = seeker.reply.try_send(Some(origin.software_version.clone()));
+            }
+        }
+        for stream in &message.unknown {
+            let seekers = self.searches.record_unknown(*stream, &sender.name);
+            self.give_up_search(now, *stream, seekers);
+        }
+        if !reply.is_empty() {
+            self.send_message(sender, reply);
+        }
+    }
+
+    /// Answers those who wait for a stream that no peer knows.
+    fn give_up_search(&self, now: Time, stream: Stream, seekers: Vec<Seeker>) {
+        for Seeker { service, span, reply } in seekers {
+            let version = self.state.sole_version(now, &service, span);
+            spdlog::info!("stream not known", kv: {
+                stream = format!("{:016x}", stream.0).as_str(), service = &*service,
+                version = version.as_deref().unwrap_or(""), replicas = self.state.replica_count()
+            });
+            let _ = reply.try_send(version);
+        }
+    }
+
     /// Makes newer evacuations known to the threads that send to endpoints.
     fn publish_evacuations(&self) {
         let evacuations = self.state.directory().evacuations();
@@ -368,6 +453,11 @@
             Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Bundle(bundle) => self.state.apply_bundle(now, &bundle),
+            Command::Message(sender, message) => self.receive_message(now, sender, &message),
+            Command::RecordOrigin(origin) => self.record_origin(now, origin),
+            Command::FindOrigin(stream, service, span, reply) => {
+                self.find_origin(now, stream, Seeker { service, span, reply });
+            }
             Command::Snapshot(reply) => drop(reply.try_send(self.snapshot(now))),
             Command::NewerPeers(reply) => drop(reply.try_send(self.state.catch_up_peers(now))),
             Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
     Clock, Time,
     gateway::{
         digest::{Digest, Member},
+        origin::Message,
         relay::{Bundle, Delivery, Parcel},
     },
 };
@@ -26,6 +27,8 @@
 const BUNDLE_BYTES: usize = 8 << 10;
 /// Largest size of a datagram's fields other than the digests' bytes.
 const BUNDLE_OVERHEAD_BYTES: usize = 128;
+/// Largest number of streams in a datagram, so that it is not fragmented.
+const MAX_MESSAGE_STREAMS: usize = 40;
 /// Minimum interval of log lines about invalid datagrams.
 const INVALID_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -86,7 +89,7 @@
     }
 
     async fn send_bundle(&self, digests: Vec<Vec<u8>>, recipients: &[Member]) {
-        let bundle = proto::Bundle { sender: self.own.to_string(), digests };
+        let bundle = proto::Bundle { sender: self.own.to_string(), digests, ..proto::Bundle::default() };
         let bytes = bundle.encode_to_vec();
         for member in recipients {
             if let Err(error) = self.socket.send_to(&bytes, member.address).await {
@@ -96,7 +99,22 @@
     }
 }
 
-/// Passes received digests to the control thread.
+/// Sends messages about streams until the channel closes.
+pub(crate) async fn send_messages(
+    socket: Arc<UdpSocket>,
+    own: Arc<str>,
+    messages: Receiver<(Member, Message)>,
+) {
+    while let Ok((member, message)) = messages.recv().await {
+        for part in message.split(MAX_MESSAGE_STREAMS) {
+            let bundle = proto::Bundle { sender: own.to_string(), ..proto::Bundle::from(&part) };
+            // A lost message is repeated, or the stream is found at another replica.
+            let _ = socket.send_to(&bundle.encode_to_vec(), member.address).await;
+        }
+    }
+}
+
+/// Passes received digests and messages to the control thread.
 pub(crate) async fn receive(socket: Arc<UdpSocket>, clock: Clock, control: Control) {
     let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
     let mut rejections = Rejections::default();
@@ -111,6 +129,16 @@
         };
         match proto::Bundle::decode(&bytes[..length]) {
             Ok(bundle) => {
+                let message = Message::from(&bundle);
+                if !message.is_empty() {
+                    let sender = Member {
+                        name: bundle.sender.as_str().into(),
+                        address: from,
+                        zone: Arc::default(),
+                        millicores: 0,
+                    };
+                    control.receive_message(sender, message);
+                }
                 let count = bundle.digests.len();
                 let digests = bundle.digests.into_iter().map(EncodedDigest);
                 let parcels: Vec<Parcel> =
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -44,6 +44,8 @@
 const RESPONSE_RESERVE: Duration = Duration::from_millis(150);
 /// Capacity of the digest channel. Small, because later digests supersede earlier ones.
 const DIGEST_CAPACITY: usize = 4;
+/// Capacity of the channel for messages about streams; covers what a replica tells when a peer has started.
+const MESSAGE_CAPACITY: usize = 1_024;
 /// Capacity of the order channel.
 const ORDER_CAPACITY: usize = 4;
 
@@ -138,7 +140,8 @@
         };
         let (digests, outgoing_digests) = async_channel::bounded(DIGEST_CAPACITY);
         let (orders, outgoing_orders) = async_channel::bounded(ORDER_CAPACITY);
-        let outputs = Outputs { digests, orders };
+        let (messages, outgoing_messages) = async_channel::bounded(MESSAGE_CAPACITY);
+        let outputs = Outputs { digests, orders, messages };
         let control =
             worker::start(identity, settings.retries, settings.cold_tolerance, clock.clone(), outputs);
         let control = control.map_err(StartError::Thread)?;
@@ -158,6 +161,7 @@
         let tasks = Tasks(vec![
             task::spawn(frontend::accept(context.clone(), listener, open_sender)),
             task::spawn(gossip::send(socket.clone(), settings.name.clone(), outgoing_digests)),
+            task::spawn(gossip::send_messages(socket.clone(), settings.name.clone(), outgoing_messages)),
             task::spawn(gossip::receive(socket, context.clock.clone(), control.clone())),
             task::spawn(apply_updates(store.updates, context.clone())),
             sync::serve(incoming, control, mirror.clone()),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,7 +30,7 @@
 };
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound, ends_too_late},
+    context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late},
     control::Permit,
     edge::{Decode, Task},
     exchange::{Answer, Exchange, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
@@ -161,6 +161,7 @@
     writer: &mut ResponseWriter,
 ) -> Result<(), Refusal> {
     let mut progress = Progress::new(inbound);
+    progress.software_version = resumed_version(context, inbound).await?;
     let mut replacement = None;
     let mut prefilled: Option<Prefilled> = None;
     loop {
@@ -229,6 +230,20 @@
     }
 }
 
+/// Returns the software version at which a stream that its caller takes up must go on; `None` for a new stream. Refuses the
+/// request if the version cannot be told.
+async fn resumed_version(context: &Context, inbound: &Inbound) -> Result<Option<Arc<str>>, Refusal> {
+    if inbound.metadata.resume.is_none() {
+        return Ok(None);
+    }
+    let span = inbound.route.timeout;
+    let found = context.control.find_origin(inbound.stream(), inbound.service(), span).await;
+    found.map(Some).ok_or_else(|| {
+        Refusal::not_run(Code::UnknownStream, "no replica knows which software version began the stream")
+            .with_retry_after(RETRY_ELSEWHERE)
+    })
+}
+
 /// Returns the messages by which a request is retried, before its placement is known.
 async fn retry_plan(context: &Context, inbound: &Inbound) -> Plan {
     let is_split = context.control.is_split(inbound.service()).await;
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -129,6 +129,9 @@
             progress.last_event = Some(id.into());
         }
         progress.software_version.get_or_insert_with(|| permit.endpoint.software_version.clone());
+        if progress.events == 0 {
+            inbound.record_origin(context, &permit.endpoint.software_version);
+        }
         let (now, count) = (context.clock.now(), count_events(&events));
         writer.timing.record(now, count);
         (progress.waiting_since, progress.events) = (now, writer.timing.events);
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -71,6 +71,12 @@
             evacuations: encode_evacuations(&digest.evacuations),
             limits: digest.limits.iter().map(encode_limit).collect(),
             forecasts: digest.forecasts.iter().map(encode_forecast).collect(),
+            observed_us: micros(digest.observed),
+            mixed: digest
+                .mixed
+                .iter()
+                .map(|(service, age)| proto::Mixed { service: service.to_string(), age_us: micros(*age) })
+                .collect(),
             configuration: digest.versions.configuration,
             endpoints: digest.versions.endpoints,
         }
@@ -230,6 +236,12 @@
             versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
             evacuations: decode_evacuations(digest.evacuations),
             limits: digest.limits.into_iter().map(decode_limit).collect(),
+            observed: Duration::from_micros(digest.observed_us),
+            mixed: digest
+                .mixed
+                .into_iter()
+                .map(|mixed| (mixed.service.into(), Duration::from_micros(mixed.age_us)))
+                .collect(),
         })
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -360,7 +360,7 @@
     pub epoch: u64,
 }
 /// A datagram between gateway replicas.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Bundle {
     /// Name of the replica that sends the datagram.
     #[prost(string, tag = "1")]
@@ -368,6 +368,26 @@
     /// Encoded Digests: the sender's own, or those that it passes on.
     #[prost(bytes = "vec", repeated, tag = "2")]
     pub digests: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    /// Streams that the sender knows.
+    #[prost(message, repeated, tag = "3")]
+    pub origins: ::prost::alloc::vec::Vec<Origin>,
+    /// Streams that the sender asks for.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub sought: ::prost::alloc::vec::Vec<u64>,
+    /// Streams that the sender was asked for and does not know.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub unknown: ::prost::alloc::vec::Vec<u64>,
+}
+/// Software version that began a stream. `stream` is a hash of the customer and of the attempt that brought the first
+/// event; the caller may resume the stream for `left_us`.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Origin {
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    #[prost(string, tag = "2")]
+    pub version: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub left_us: u64,
 }
 /// State of a gateway replica. It holds running totals, so lost and reordered digests do no harm.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -406,6 +426,19 @@
     /// What endpoints said about their limits in the newest responses to the sender.
     #[prost(message, repeated, tag = "14")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
+    /// How long the sender has known all changes of the endpoints; zero in most digests.
+    #[prost(uint64, tag = "15")]
+    pub observed_us: u64,
+    #[prost(message, repeated, tag = "16")]
+    pub mixed: ::prost::alloc::vec::Vec<Mixed>,
+}
+/// A service that had endpoints of several software versions until `age_us` ago.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Mixed {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub age_us: u64,
 }
 /// Requests a second that an endpoint takes from all replicas together; zero if it no longer names a limit.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -16,7 +16,7 @@
         evacuation::Evacuations,
         forecast::{Forecast, Size, Trend},
         growth::Growth,
-        limit,
+        limit, origin,
         relay::{Bundle, Parcel},
         staleness::Versions,
         state::{Identity, Listing, State},
@@ -60,6 +60,8 @@
         ]
         .into(),
         versions: Versions { configuration: 11, endpoints: 9 },
+        observed: Duration::from_secs(14),
+        mixed: [("drafting".into(), Duration::from_millis(250))].into(),
         forecasts: [("drafting".into(), Forecast { prefill: trend, ..Forecast::default() })].into(),
     }
 }
@@ -232,3 +234,20 @@
 fn a_datagram_of_an_older_version_is_rejected() {
     assert!(proto::Bundle::decode(encode(&digest("a", 1)).as_slice()).is_err());
 }
+
+#[test]
+fn messages_about_streams_survive_a_round_trip() {
+    let message = origin::Message {
+        origins: vec![origin::Origin {
+            stream: origin::Stream(u64::MAX),
+            software_version: "v1.2".into(),
+            left: Duration::from_millis(13_500),
+        }],
+        sought: vec![origin::Stream(7)],
+        unknown: vec![origin::Stream(0)],
+    };
+    let encoded = proto::Bundle { sender: "a".into(), ..proto::Bundle::from(&message) }.encode_to_vec();
+    let decoded = proto::Bundle::decode(encoded.as_slice()).expect("a bundle");
+    assert_eq!(origin::Message::from(&decoded), message);
+    assert!(origin::Message::from(&proto::Bundle::default()).is_empty());
+}
