Prefill a prompt at the software version that decodes it

Cause: prefill and decode endpoints were paired without regard to their versions, so that a decode endpoint went on from the memory of another version.

Callers saw nothing that can be told from outside; what such a pair generates depends on the versions.

Change: a decode endpoint whose version has prefill endpoints is picked first, and the prompt goes to one of these, also after a prefill that failed; a result that is left over goes only to a decode endpoint of its version. A version without prefill endpoints is used for new streams like a decode endpoint while prefill is busy, and for its own streams always. With one version, the same endpoints are picked as before.

--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -24,6 +24,8 @@
     pub zone: Arc<str>,
     /// Endpoints that failed the prompt before.
     pub avoid: Vec<Arc<str>>,
+    /// Software version of the decode endpoint.
+    pub software_version: Arc<str>,
 }
 
 /// A completion request to be placed.
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -1,6 +1,6 @@
 //! Selection of the endpoints for a request.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use xxhash_rust::xxh3::Xxh3;
 
@@ -284,10 +284,14 @@
         }
     }
 
-    /// Picks the endpoints for a run; `None` if it has to stay queued.
+    /// Picks the endpoints for a run; `None` if it has to stay queued. Both have the same software version, because what two
+    /// versions keep in memory may not fit together.
     pub fn pick_pair(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Placement> {
-        let endpoint = self.pick_decode(service, engine, run)?;
-        match self.pick_prefill(service, run.prompt, run.ttft_target, &endpoint.zone, Filter::default()) {
+        let Some(endpoint) = self.pick_decode_beside_prefill(service, engine, run) else {
+            return self.pick_alone(service, engine, run);
+        };
+        let filter = Filter { software_version: Some(&endpoint.software_version), ..Filter::default() };
+        match self.pick_prefill(service, run.prompt, run.ttft_target, &endpoint.zone, filter) {
             Prefill::Endpoint(prefill) => Some(Placement { endpoint, prefill: Some(prefill) }),
             Prefill::Unavailable => Some(Placement { endpoint, prefill: None }),
             Prefill::Busy => {
@@ -299,10 +303,49 @@
 
     /// Picks the decode endpoint with the most free memory.
     pub fn pick_decode(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Arc<Endpoint>> {
+        self.pick_decode_where(service, engine, run, |_| true)
+    }
+
+    fn pick_decode_where(
+        &self,
+        service: &str,
+        engine: &Engine,
+        run: &Run<'_>,
+        is_admitted: impl Fn(&Endpoint) -> bool,
+    ) -> Option<Arc<Endpoint>> {
         // Falls back to failing endpoints when the healthy ones are full: most of their runs still
         // succeed.
-        let healthy = self.most_free(self.candidates(service, Stage::Decode, run.filter), engine, run);
-        healthy.or_else(|| self.most_free(self.reachable(service, Stage::Decode, run.filter), engine, run))
+        let mut healthy = self.candidates(service, Stage::Decode, run.filter);
+        healthy.retain(|endpoint| is_admitted(endpoint));
+        self.most_free(healthy, engine, run).or_else(|| {
+            let mut reachable = self.reachable(service, Stage::Decode, run.filter);
+            reachable.retain(|endpoint| is_admitted(endpoint));
+            self.most_free(reachable, engine, run)
+        })
+    }
+
+    /// Picks a decode endpoint whose software version has prefill endpoints.
+    fn pick_decode_beside_prefill(
+        &self,
+        service: &str,
+        engine: &Engine,
+        run: &Run<'_>,
+    ) -> Option<Arc<Endpoint>> {
+        let prefills = self.directory.serving(service).filter(|endpoint| endpoint.stage == Stage::Prefill);
+        let versions: BTreeSet<&Arc<str>> = prefills.map(|endpoint| &endpoint.software_version).collect();
+        self.pick_decode_where(service, engine, run, |endpoint| versions.contains(&endpoint.software_version))
+    }
+
+    /// Picks a decode endpoint that processes the prompt itself because its software version has no prefill endpoint. Where
+    /// other versions have some, it is used only as if those were busy.
+    fn pick_alone(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Placement> {
+        let has_choice = run.filter.software_version.is_none() && self.has_stage(service, Stage::Prefill);
+        let endpoint = if has_choice {
+            self.pick_decode_with_prefill(service, engine, run)
+        } else {
+            self.pick_decode(service, engine, run)
+        };
+        Some(Placement { endpoint: endpoint?, prefill: None })
     }
 
     /// Picks a decode endpoint that processes the prompt itself while all prefill endpoints are
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -61,9 +61,9 @@
 
     /// Assigns another prefill endpoint to a prompt; `None` if none is available.
     pub fn place_prefill(&mut self, now: Time, prompt: &Prompt) -> Option<Assignment> {
-        let Prompt { service, tokens, ttft_target, zone, avoid } = prompt;
+        let Prompt { service, tokens, ttft_target, zone, avoid, software_version } = prompt;
         let ttft_target = target_or_default(*ttft_target);
-        let filter = Filter { avoid, ..Filter::default() };
+        let filter = Filter { avoid, software_version: Some(software_version) };
         let Prefill::Endpoint(endpoint) =
             self.view(now).pick_prefill(service, *tokens, ttft_target, zone, filter)
         else {
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -417,3 +417,69 @@
         Prefill::Busy
     );
 }
+
+fn of(version: &str, endpoint: Endpoint) -> Endpoint {
+    Endpoint { software_version: version.into(), ..endpoint }
+}
+
+/// Guards against prefill results of one version in the memory of another one.
+#[test]
+fn prefill_and_decode_have_the_same_version() {
+    let directory = directory(vec![
+        of("v1", endpoint("d-1", Stage::Decode)),
+        of("v2", endpoint("d-2", Stage::Decode)),
+        of("v1", endpoint("p-1", Stage::Prefill)),
+        of("v2", endpoint("p-2", Stage::Prefill)),
+    ]);
+    let mut loads = Loads::default();
+    for busy in ["d-1", "d-2"] {
+        let lease = loads.acquire(at(0), &busy.into(), share_of(40_000));
+        let found = view(&directory, &loads, 10).pick_pair("drafting", &engine(), &run_of(5_000, 0));
+        let found = found.expect("a pair");
+        let prefill = found.prefill.expect("a prefill endpoint");
+        assert_ne!(&*found.endpoint.id, busy);
+        assert_eq!(found.endpoint.software_version, prefill.software_version);
+        loads.release(at(10), &lease, Outcome::Abandoned);
+    }
+}
+
+/// Guards against new versions that get all streams and read their prompts at half the speed.
+#[test]
+fn versions_without_a_prefill_endpoint_are_used_only_if_the_others_are_full() {
+    let directory = directory(vec![
+        of("v1", endpoint("d-1", Stage::Decode)),
+        of("v2", endpoint("d-2", Stage::Decode)),
+        of("v1", endpoint("p-1", Stage::Prefill)),
+    ]);
+    let mut loads = Loads::default();
+    let place = |loads: &Loads| {
+        let partition = Partition { index: 0, count: 1 };
+        let view = View { partition, ..view(&directory, loads, 10) };
+        let found = view.pick_pair("drafting", &engine(), &run_of(5_000, 0));
+        found.map(|found| (found.endpoint.id.clone(), found.prefill.is_some()))
+    };
+    loads.acquire(at(0), &"d-1".into(), share_of(30_000));
+    assert_eq!(place(&loads), Some(("d-1".into(), true)));
+    loads.acquire(at(0), &"d-1".into(), share_of(29_000));
+    assert_eq!(place(&loads), Some(("d-2".into(), false)));
+}
+
+/// Guards against streams that cannot be resumed because no prefill endpoint of their version is left.
+#[test]
+fn a_version_without_a_prefill_endpoint_takes_its_own_streams() {
+    let directory = directory(vec![
+        of("v1", endpoint("d-1", Stage::Decode)),
+        of("v2", endpoint("d-2", Stage::Decode)),
+        of("v1", endpoint("p-1", Stage::Prefill)),
+    ]);
+    let loads = Loads::default();
+    let run = run_of(5_000, 0);
+    let place = |version| {
+        let filter = Filter { software_version: Some(version), ..Filter::default() };
+        let found = view(&directory, &loads, 10).pick_pair("drafting", &engine(), &Run { filter, ..run });
+        found.map(|found| (found.endpoint.id.clone(), found.prefill.is_some()))
+    };
+    assert_eq!(place("v2"), Some(("d-2".into(), false)));
+    assert_eq!(place("v1"), Some(("d-1".into(), true)));
+    assert_eq!(place("v3"), None);
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -368,11 +368,14 @@
             send(context, inbound, permit, endpoint, task).await
         }
         Placement::Split { decode, prefill, mut reservation } => {
-            let is_fresh = |kept: &Prefilled| context.clock.now().since(kept.at) < MAX_RESULT_AGE;
-            let mut prefilled = match (kept.filter(is_fresh), prefill) {
+            let is_usable = |kept: &Prefilled| {
+                context.clock.now().since(kept.at) < MAX_RESULT_AGE
+                    && kept.result.endpoint.software_version == endpoint.software_version
+            };
+            let mut prefilled = match (kept.filter(is_usable), prefill) {
                 (Some(kept), _) => Some(kept),
                 (None, Some(permit)) => {
-                    let result = run_prefill(context, inbound, &endpoint.zone, permit).await?;
+                    let result = run_prefill(context, inbound, endpoint, permit).await?;
                     Some(Prefilled { result, at: context.clock.now() })
                 }
                 (None, None) => None,
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -20,11 +20,11 @@
 /// Maximum endpoints that are tried for one prompt.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// Prefills the prompt. If an endpoint fails, another one is tried.
+/// Prefills the prompt for a decode endpoint. If an endpoint fails, another one is tried.
 pub(super) async fn run_prefill(
     context: &Arc<Context>,
     inbound: &Inbound,
-    zone: &Arc<str>,
+    decode: &Endpoint,
     first: Permit,
 ) -> Result<Guard, Abort> {
     let mut avoid = Vec::new();
@@ -51,8 +51,9 @@
             service: inbound.service().clone(),
             tokens: inbound.size().prompt,
             ttft_target: inbound.route.target_latency,
-            zone: zone.clone(),
+            zone: decode.zone.clone(),
             avoid: avoid.clone(),
+            software_version: decode.software_version.clone(),
         };
         let Some(new) = context.control.place_prompt(prompt).await else { return Err(Abort::NotRun(reason)) };
         permit = new;
