Let resumes that name no stream go on where one version is known, and keep what is known of versions

Callers that do not name their stream come from before there were several versions.

Change: for a stream that is not named, a single known version is enough; several known ones, here or at peers, still refuse it. For named ones it has to be certain. The time for which changes are known no longer begins anew when the store cannot be read for a moment, as its feed goes on without a gap; it does if the list is read again as a whole or an endpoint left that was never seen. Peers that start learn it from the next digest instead of within ten.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -306,6 +306,11 @@
         self.newest_row
     }
 
+    /// Returns whether an endpoint was ever listed under this name.
+    pub fn is_known(&self, id: &str) -> bool {
+        self.records.contains_key(id)
+    }
+
     /// Returns an endpoint by name.
     pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.records.get(id).and_then(|record| record.endpoint.as_ref())
--- a/crates/core/src/gateway/origin.rs
+++ b/crates/core/src/gateway/origin.rs
@@ -31,7 +31,7 @@
 const MAX_SPAN: Duration = Duration::from_secs(600);
 
 /// A stream, over all attempts of its caller.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Stream(pub u64);
 
 impl Stream {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -137,6 +137,8 @@
     origins: Origins,
     /// Live peers, with their incarnations, that have been told of the streams relayed here.
     told_peers: BTreeMap<Arc<str>, u64>,
+    /// Whether the next digest has to carry forecasts and software versions.
+    is_full_digest_due: bool,
     history: History,
 }
 
@@ -165,6 +167,7 @@
             outbox: Outbox::default(),
             origins: Origins::default(),
             told_peers: BTreeMap::new(),
+            is_full_digest_due: false,
             history: History::default(),
         }
     }
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -109,7 +109,8 @@
                 (vec![own], [siblings, members, remotes].into_iter().flatten().cloned().collect())
             }
         };
-        let is_full = self.serial.is_multiple_of(DIGESTS_PER_FULL);
+        let is_due = std::mem::take(&mut self.is_full_digest_due);
+        let is_full = is_due || self.serial.is_multiple_of(DIGESTS_PER_FULL);
         let digest = Digest {
             name: self.identity.name.clone(),
             incarnation: self.identity.incarnation,
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -9,7 +9,7 @@
         catalog::Catalog,
         cold,
         digest::Member,
-        directory::Change,
+        directory::{Change, Row},
         evacuation::{self, Evacuations},
         limit::{Observation, Report},
         staleness::Versions,
@@ -121,10 +121,17 @@
     /// Applies a list of endpoints read from the store.
     pub fn apply_listing(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         self.directory.mark_store_reachable(now);
-        self.history.record_read(now);
+        self.history.record_read(now, self.has_gap(&listing));
         self.update_directory(now, listing)
     }
 
+    /// Returns whether endpoints may have come and gone since the last list.
+    fn has_gap(&self, listing: &Listing) -> bool {
+        let is_read_again = listing.is_complete && self.directory.is_loaded();
+        let is_unknown = |row: &Row| row.endpoint.is_none() && !self.directory.is_known(&row.id);
+        is_read_again || listing.rows.iter().any(is_unknown)
+    }
+
     /// Applies the list of a peer whose newest row is `newest`.
     pub fn apply_peer_listing(&mut self, now: Time, mut listing: Listing, newest: u64) -> Vec<Change> {
         // Once a list has been read, rows that the peer lacks are kept: they may only have lapsed
@@ -183,7 +190,7 @@
     /// Records that the store is unreachable.
     pub fn mark_store_unreachable(&mut self) {
         self.directory.mark_store_unreachable();
-        self.history.interrupt();
+        self.history.mark_store_unreachable();
     }
 
     /// Returns the versions of this replica's copy of the store.
--- a/crates/core/src/gateway/state/streams.rs
+++ b/crates/core/src/gateway/state/streams.rs
@@ -64,6 +64,8 @@
             return Vec::new();
         }
         self.told_peers = incarnations;
+        // Peers that have started learn the versions from it.
+        self.is_full_digest_due = true;
         let mut messages: BTreeMap<Member, Message> = BTreeMap::new();
         for origin in self.origins.own(now) {
             for member in self.told(now, origin.stream) {
@@ -73,9 +75,21 @@
         messages.into_iter().collect()
     }
 
-    /// Returns the version of a service if it had no other one for `span`, as far as this replica can tell.
-    pub fn sole_version(&self, now: Time, service: &str, span: Duration) -> Option<Arc<str>> {
-        self.history.sole(now, service, span).cloned()
+    /// Returns the version at which a stream goes on that no replica knows. A caller that does not name its stream does not know of
+    /// versions either, so it is enough that this replica knows a single one.
+    pub fn assumed_version(
+        &self,
+        now: Time,
+        service: &str,
+        span: Duration,
+        is_named: bool,
+    ) -> Option<Arc<str>> {
+        let sole = if is_named {
+            self.history.sole(now, service, span)
+        } else {
+            self.history.known_sole(now, service, span)
+        };
+        sole.cloned()
     }
 
     /// Returns the number of known streams.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -220,7 +220,7 @@
             self.send_message(member, Message { sought, ..Message::default() });
         }
         for (stream, seekers) in self.searches.expire(now) {
-            self.give_up_search(now, stream, seekers);
+            self.give_up_search(now, Some(stream), seekers);
         }
         // If the channel is full, digests are dropped; later ones supersede them.
         if now.since(self.last_digest) >= self.state.digest_interval() {
@@ -270,14 +270,14 @@
 
     /// Finds the version that began a stream, here or at peers.
     fn find_origin(&mut self, now: Time, stream: Option<Stream>, seeker: Seeker) {
-        let Some(stream) = stream else { return self.give_up_search(now, Stream::default(), vec![seeker]) };
+        let Some(stream) = stream else { return self.give_up_search(now, None, vec![seeker]) };
         if let Some(origin) = self.state.origin(now, stream) {
             let _ = seeker.reply.try_send(Some(origin.software_version));
             return;
         }
         let asked = self.state.asked(now, stream);
         if asked.is_empty() {
-            return self.give_up_search(now, stream, vec![seeker]);
+            return self.give_up_search(now, Some(stream), vec![seeker]);
         }
         if self.searches.add(now, stream, &asked, seeker) {
             for member in asked {
@@ -295,19 +295,20 @@
         }
         for stream in &message.unknown {
             let seekers = self.searches.record_unknown(*stream, &sender.name);
-            self.give_up_search(now, *stream, seekers);
+            self.give_up_search(now, Some(*stream), seekers);
         }
         if !reply.is_empty() {
             self.send_message(sender, reply);
         }
     }
 
-    /// Answers those who wait for a stream that no peer knows.
-    fn give_up_search(&self, now: Time, stream: Stream, seekers: Vec<Seeker>) {
+    /// Answers those who wait for a stream that no peer knows, or that is not named.
+    fn give_up_search(&self, now: Time, stream: Option<Stream>, seekers: Vec<Seeker>) {
         for Seeker { service, span, reply } in seekers {
-            let version = self.state.sole_version(now, &service, span);
+            let version = self.state.assumed_version(now, &service, span, stream.is_some());
+            let name = stream.map_or_else(String::new, |stream| format!("{:016x}", stream.0));
             spdlog::info!("stream not known", kv: {
-                stream = format!("{:016x}", stream.0).as_str(), service = &*service,
+                stream = name.as_str(), service = &*service,
                 version = version.as_deref().unwrap_or(""), replicas = self.state.replica_count()
             });
             let _ = reply.try_send(version);
