Keep endpoints of both stages for each software version

Prompts are prefilled at the version that decodes them, so a version without prefill endpoints reads its prompts at half the speed, and one without decode endpoints takes no stream. Stage changes chose the endpoint with the least work, which is the only one of a new version sooner or later. Now no version loses its last endpoint of a stage, and one without any gets the next. Both tests fail without the change.

--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -228,10 +228,21 @@
         if !is_due || self.changing.len() + self.peer_changing.len() >= MAX_CHANGES {
             return None;
         }
-        let candidates = endpoints.into_iter().filter(|endpoint| endpoint.stage == from);
+        // Prefill and decode have the same software version, so no version loses its last endpoint of a stage, and one
+        // without any gets it first.
+        let count = |version: &Arc<str>, stage| {
+            let of_version = endpoints.iter().filter(|endpoint| endpoint.software_version == *version);
+            of_version.filter(|endpoint| self.target_stage(endpoint) == stage).count()
+        };
+        let candidates = endpoints.iter().filter(|endpoint| endpoint.stage == from);
         let candidates = candidates.filter(|endpoint| loads.backoffs.remaining(now, &endpoint.id).is_zero());
         let idle = candidates.filter(|endpoint| !self.is_changing(now, &endpoint.id));
-        let endpoint = idle.min_by_key(|endpoint| pending_work(now, loads, endpoint))?.clone();
+        let spare = idle.filter(|endpoint| count(&endpoint.software_version, from) > 1);
+        let key = |endpoint: &&&Arc<Endpoint>| {
+            let has_stage = count(&endpoint.software_version, to) > 0;
+            (has_stage, pending_work(now, loads, endpoint))
+        };
+        let endpoint: Arc<Endpoint> = (*spare.min_by_key(key)?).clone();
         self.last_order = Some(now);
         self.changing.insert(endpoint.id.clone(), (now.plus(CHANGE_TIMEOUT), to));
         Some(Order { endpoint, stage: to })
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -217,3 +217,47 @@
     });
     assert_eq!(order.expect("an order").endpoint.id, "e-01".into());
 }
+
+/// Returns a directory with this number of endpoints of each software version and stage.
+fn versions(pools: &[(&str, Stage, usize)]) -> Directory {
+    let mut directory = Directory::default();
+    let endpoints =
+        pools.iter().flat_map(|(version, stage, count)| std::iter::repeat_n((*version, *stage), *count));
+    let rows = endpoints.enumerate().map(|(index, (version, stage))| {
+        let address = format!("127.0.0.1:{}", index + 1).parse().expect("an address");
+        let endpoint = endpoint(&format!("e-{index:02}"), stage);
+        row(index as u64 + 1, Endpoint { address, software_version: version.into(), ..endpoint })
+    });
+    directory.update(at(0), 100, rows.collect());
+    directory
+}
+
+/// Guards against versions whose prompts or streams have no endpoint, because the only one was idle and changed its stage.
+#[test]
+fn no_version_loses_its_last_endpoint_of_a_stage() {
+    let mut directory = versions(&[
+        ("v1", Stage::Prefill, 4),
+        ("v1", Stage::Decode, 3),
+        ("v2", Stage::Prefill, 1),
+        ("v2", Stage::Decode, 2),
+    ]);
+    let (_, orders) = simulate(&mut directory, 2_000, 2_000);
+    assert!(!orders.is_empty());
+    for version in ["v1", "v2"] {
+        for stage in [Stage::Prefill, Stage::Decode] {
+            let mut serving = directory.serving("drafting");
+            let has_stage =
+                serving.any(|endpoint| &*endpoint.software_version == version && endpoint.stage == stage);
+            assert!(has_stage, "{version} has no {stage} endpoint after {orders:?}");
+        }
+    }
+}
+
+/// Guards against versions that read their prompts at their decode endpoints although others have spare ones.
+#[test]
+fn a_version_without_a_prefill_endpoint_gets_the_next_one() {
+    let mut directory =
+        versions(&[("v1", Stage::Prefill, 1), ("v1", Stage::Decode, 6), ("v2", Stage::Decode, 3)]);
+    let (_, orders) = simulate(&mut directory, 9_000, 50);
+    assert_eq!(orders.first().map(|order| &*order.endpoint.software_version), Some("v2"));
+}
