Let requests wait for the registration of a process that has just started

Cause: the token buckets of a new process are empty until it has registered, and requests waited for configuration and endpoints only. One that arrived in between was refused with 429 although its customer was within its rate.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -202,16 +202,20 @@
     shared: Arc<Mutex<Shared>>,
     /// Closed once configuration and endpoints have been read; no message is ever sent.
     initialized: Receiver<()>,
+    /// Closed once the process has registered, likewise.
+    registered: Receiver<()>,
     started: Time,
 }
 
 impl Control {
-    /// Waits until configuration and endpoints have been read, at most until `INITIAL_READ_TIMEOUT` after
-    /// startup. Without the wait, requests that arrive during the first read would be refused.
+    /// Waits until configuration and endpoints have been read and the process has registered, at most until
+    /// `INITIAL_READ_TIMEOUT` after startup. Without the wait, requests that arrive during the first read would be refused, or
+    /// charged to token buckets that are still empty.
     pub async fn wait_initialized(&self, clock: &Clock) {
         let left = INITIAL_READ_TIMEOUT.saturating_sub(clock.now().since(self.started));
         let read = async {
             let _ = self.initialized.recv().await;
+            let _ = self.registered.recv().await;
         };
         read.or(clock.sleep(left)).await;
     }
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -80,22 +80,23 @@
 ) -> io::Result<Control> {
     let (commands, received) = async_channel::unbounded();
     let (initializing, initialized) = async_channel::bounded(1);
+    let (registering, registered) = async_channel::bounded(1);
     let started = clock.now();
-    let control = Control { commands, shared: Arc::default(), initialized, started };
+    let control = Control { commands, shared: Arc::default(), initialized, registered, started };
     let state = State::new(identity, retries, tolerance, started);
     // A weak handle, so that the thread ends once all other handles have been dropped.
     let commands = control.commands.downgrade();
     let (shared, initialized) = (control.shared.clone(), control.initialized.clone());
-    let weak_control = WeakControl { commands, shared, initialized, started };
-    let initializing = Some(initializing);
+    let registered = control.registered.clone();
+    let weak_control = WeakControl { commands, shared, initialized, registered, started };
     let mut worker = Worker {
         state,
         searches: Searches::default(),
         clock,
         weak_control,
         source: None,
-        is_registered: false,
-        initializing,
+        registering: Some(registering),
+        initializing: Some(initializing),
         outputs,
         awake_at: since_boot(),
         last_tick: Time::ZERO,
@@ -115,15 +116,16 @@
     commands: WeakSender<Command>,
     shared: Arc<Mutex<Shared>>,
     initialized: Receiver<()>,
+    registered: Receiver<()>,
     started: Time,
 }
 
 impl WeakControl {
     /// Returns a handle, or `None` once all other handles have been dropped.
     fn upgrade(&self) -> Option<Control> {
-        let Self { commands, shared, initialized, started } = self;
-        let (shared, initialized) = (shared.clone(), initialized.clone());
-        Some(Control { commands: commands.upgrade()?, shared, initialized, started: *started })
+        let Self { commands, shared, initialized, registered, started } = self;
+        let (shared, initialized, registered) = (shared.clone(), initialized.clone(), registered.clone());
+        Some(Control { commands: commands.upgrade()?, shared, initialized, registered, started: *started })
     }
 }
 
@@ -144,8 +146,8 @@
     weak_control: WeakControl,
     /// Active configuration, encoded as in the store.
     source: Option<Arc<[u8]>>,
-    /// Whether this process has written its row to the store.
-    is_registered: bool,
+    /// Dropped once this process has written its row to the store.
+    registering: Option<Sender<()>>,
     /// Dropped once configuration and endpoints have been read.
     initializing: Option<Sender<()>>,
     outputs: Outputs,
@@ -494,8 +496,8 @@
             Update::Registered { since_previous } => {
                 let since_previous_ms = since_previous.map_or(0, |since| since.as_millis() as u64);
                 spdlog::info!("registered", kv: { is_first = since_previous.is_none(), since_previous_ms });
-                self.is_registered = true;
                 self.state.record_registered(since_previous);
+                self.registering = None;
             }
             Update::MembersRead => self.state.mark_members_read(now),
             Update::StoreLost { what, reason } => {
@@ -561,7 +563,7 @@
             "follows": followed(&self.state.role()),
             "left": self.state.tokens_left(now),
             "sharers": self.state.replica_count(),
-            "registered": self.is_registered,
+            "registered": self.registering.is_none(),
             "waiting": self.state.queue_length(),
             "forecasts": forecasts,
         })
