Begin and resume streams only at the process that is listed

Cause: an endpoint may start again under its id, with another software version, and its row is read later: after up to some hundred milliseconds, or after the end of a store outage. Until then its streams were taken for those of the version in the old row.

Callers could get the rest of such a stream from another version.

The lead is the users'; no recorded case is known to be one.

Change: before the first stream on a connection, the process at its other end is asked for its report, which says when it started. If that is not the start in the row, it gets no stream until the row has been read. Why it holds: a connection does not outlast its process, so a connection that was asked once leads to the listed process for as long as it is open. Weighed: asking only after a connection failed or while versions are mixed; a gateway that had no connection to the endpoint at its restart sees no failure.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,7 +12,7 @@
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
-        catalog::Route,
+        catalog::{Kind, Route},
         directory::Endpoint,
         forecast::Size,
         ledger::{self, Ledger, Plan},
@@ -27,7 +27,7 @@
 use crate::{
     control::Control,
     edge::{Dialect, Dispatch, Message, Metadata, Task},
-    exchange::{Client, Exchange, Failure},
+    exchange::{Client, Exchange, Failure, Recipient},
     metrics::Metrics,
     pool::Pool,
     shutdown::Monitor,
@@ -197,7 +197,12 @@
         }
         let sending = self.ledger().record_sent(message, &endpoint.id);
         let client = context.client();
-        let sent = client.send(endpoint, &head, &self.body, id, limit.min(left), &sending.is_written).await;
+        let recipient = match message {
+            ledger::Message::Run if self.route.kind == Kind::Streaming => Recipient::Listed,
+            ledger::Message::Run | ledger::Message::Prefill => Recipient::Any,
+        };
+        let (limit, is_written) = (limit.min(left), &sending.is_written);
+        let sent = client.send(endpoint, &head, &self.body, id, recipient, limit, is_written).await;
         let concluded = match &sent {
             Ok(exchange) if message == ledger::Message::Prefill && exchange.head.status == 200 => {
                 self.ledger().record_prefilled(&sending)
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -186,6 +186,8 @@
     pub is_busy: bool,
     /// Number of stage changes accepted since the endpoint started.
     pub revision: u64,
+    /// Start time by the endpoint's own clock, in Unix milliseconds; `None` if it does not say.
+    pub started_ms: Option<u64>,
 }
 
 /// Order to an endpoint to change its stage.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -104,6 +104,8 @@
     /// Framing of the body.
     pub(crate) framing: Framing,
     connection: Connection,
+    /// Whether the connection certainly leads to the process that is listed.
+    is_listed: bool,
     decoder: Decoder,
     /// Whether the whole request was written. Otherwise the connection cannot be reused: the endpoint would
     /// read the next request as the rest of this one.
@@ -139,9 +141,26 @@
     /// Returns the connection to the pool if it can carry another request.
     pub(crate) fn recycle(self) {
         if self.is_sent && self.decoder.is_done() && self.head.keeps_alive() {
-            self.pool.put(self.endpoint, self.connection, self.reply.keep_alive);
+            self.pool.put(self.endpoint, self.connection, self.is_listed, self.reply.keep_alive);
         }
     }
+
+    /// Reads the whole body and returns it with the connection, if that can carry another request.
+    async fn into_body(mut self) -> Result<(Bytes, Option<Connection>), Failure> {
+        let body = self.connection.read_body(&mut self.decoder, MAX_BODY_BYTES).await;
+        let body = body.map_err(Failure::Connection)?;
+        let is_reusable = self.is_sent && self.decoder.is_done() && self.head.keeps_alive();
+        Ok((body, is_reusable.then_some(self.connection)))
+    }
+}
+
+/// Which process of an endpoint may get a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Recipient {
+    /// Any that has the endpoint's id.
+    Any,
+    /// The one that is listed, whose software version is known.
+    Listed,
 }
 
 /// Sends requests to endpoints over pooled connections.
@@ -162,6 +181,7 @@
         head: &Request,
         body: &[u8],
         id: Option<&str>,
+        recipient: Recipient,
         limit: Duration,
         is_written: &AtomicBool,
     ) -> Result<Exchange<'a>, Failure> {
@@ -172,12 +192,16 @@
                 .map_or(Ok(()), |block| Err(Failure::Blocked(block)))
         };
         check()?;
-        let connection = match self.pool.take(endpoint).await {
-            Some(connection) => connection,
-            None => {
-                let limit = limit.min(CONNECT_TIMEOUT);
-                Connection::open(endpoint.address, limit, TCP_USER_TIMEOUT).await.map_err(Failure::Connect)?
-            }
+        let needs_listed = recipient == Recipient::Listed && endpoint.started_ms > 0;
+        let (connection, is_listed) = match self.pool.take(endpoint).await {
+            Some((connection, is_listed)) if is_listed || !needs_listed => (connection, is_listed),
+            Some((connection, _)) => match self.identify(endpoint, connection, limit).await {
+                Ok(connection) => (connection, true),
+                // The endpoint may just have closed it.
+                Err(_) => (self.open_listed(endpoint, limit).await?, true),
+            },
+            None if needs_listed => (self.open_listed(endpoint, limit).await?, true),
+            None => (self.open(endpoint, limit).await?, false),
         };
         // That may have changed while the connection was opened.
         check()?;
@@ -189,10 +213,46 @@
         let exchanged = self.exchange(endpoint, connection, head, body, id);
         let exchanged =
             timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout));
-        if exchanged.is_ok() {
-            self.control.record_read(&endpoint.id, sent_at);
+        let exchange = exchanged?;
+        self.control.record_read(&endpoint.id, sent_at);
+        Ok(Exchange { is_listed, ..exchange })
+    }
+
+    /// Opens a connection within `limit`, at most [`CONNECT_TIMEOUT`].
+    async fn open(self, endpoint: &Endpoint, limit: Duration) -> Result<Connection, Failure> {
+        let opened = Connection::open(endpoint.address, limit.min(CONNECT_TIMEOUT), TCP_USER_TIMEOUT).await;
+        opened.map_err(Failure::Connect)
+    }
+
+    /// Opens a connection to the process that is listed.
+    async fn open_listed(self, endpoint: &'a Endpoint, limit: Duration) -> Result<Connection, Failure> {
+        let connection = self.open(endpoint, limit).await?;
+        self.identify(endpoint, connection, limit).await
+    }
+
+    /// Asks the process at the other end of a connection when it started, since its row may be older. Returns a connection to
+    /// the process that is listed. A connection does not outlast its process, so it is asked once.
+    async fn identify(
+        self,
+        endpoint: &'a Endpoint,
+        connection: Connection,
+        limit: Duration,
+    ) -> Result<Connection, Failure> {
+        let Message { head, body } = self.dialect.request_report(endpoint);
+        let asked =
+            async { self.exchange(endpoint, connection, &head, &body, None).await?.into_body().await };
+        let asked = timeout(limit.min(CONNECT_TIMEOUT), asked).await.unwrap_or(Err(Failure::Timeout));
+        let unknown = |failure: Failure| Failure::Connect(io::Error::other(failure.to_string()));
+        let (body, connection) = asked.map_err(unknown)?;
+        let started = self.dialect.decode_report(&body).and_then(|report| report.started_ms);
+        if started.is_some_and(|started| started != endpoint.started_ms) {
+            spdlog::info!("endpoint is newer than its row", kv: { endpoint = &*endpoint.id });
+            return Err(Failure::Connect(io::Error::other("another process than the one that is listed")));
+        }
+        match connection {
+            Some(connection) => Ok(connection),
+            None => self.open(endpoint, limit).await,
         }
-        exchanged
     }
 
     /// Sends a message of the gateway's own and waits for the response head, for at most `limit`.
@@ -202,7 +262,8 @@
         message: &Message,
         limit: Duration,
     ) -> Result<Exchange<'a>, Failure> {
-        self.send(endpoint, &message.head, &message.body, None, limit, &AtomicBool::default()).await
+        let Message { head, body } = message;
+        self.send(endpoint, head, body, None, Recipient::Any, limit, &AtomicBool::default()).await
     }
 
     /// Waits until this replica may send a request to an endpoint that takes only few requests.
@@ -258,6 +319,7 @@
                 reply,
                 framing,
                 connection,
+                is_listed: false,
                 decoder,
                 is_sent,
                 endpoint,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    /// Whether it certainly leads to the process that is listed.
+    is_listed: bool,
     /// When the connection is no longer used.
     until: Time,
 }
@@ -37,8 +39,9 @@
         Self { clock, idle: Mutex::default() }
     }
 
-    /// Takes an idle connection that is still open and has no unread bytes.
-    pub(crate) async fn take(&self, endpoint: &Endpoint) -> Option<Connection> {
+    /// Takes an idle connection that is still open and has no unread bytes. Also returns whether it certainly leads to the
+    /// process that is listed.
+    pub(crate) async fn take(&self, endpoint: &Endpoint) -> Option<(Connection, bool)> {
         loop {
             let idle = {
                 let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -46,13 +49,19 @@
             };
             // Unread bytes would be read as part of the next response.
             if idle.until > self.clock.now() && idle.connection.is_idle().await {
-                return Some(idle.connection);
+                return Some((idle.connection, idle.is_listed));
             }
         }
     }
 
     /// Returns a connection whose last response has been read completely.
-    pub(crate) fn put(&self, endpoint: &Endpoint, connection: Connection, keep_alive: Option<Duration>) {
+    pub(crate) fn put(
+        &self,
+        endpoint: &Endpoint,
+        connection: Connection,
+        is_listed: bool,
+        keep_alive: Option<Duration>,
+    ) {
         let span = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(CLOSE_MARGIN);
         if span.is_zero() || connection.buffered() > 0 {
             return;
@@ -65,7 +74,7 @@
         });
         let kept = all.entry(endpoint.id.clone()).or_default();
         if kept.len() < MAX_IDLE {
-            kept.push(Idle { connection, until: now.plus(span) });
+            kept.push(Idle { connection, is_listed, until: now.plus(span) });
         }
     }
 }
