Take a response without a length and without events for broken off

Cause: an endpoint that crashes right after the head of a response that ends with its connection leaves an empty body, which was passed on as a whole stream without events.

Callers saw an empty answer with status 200.

Change: such a stream fails its attempt, and is retried if it may be. A caller that takes up a stream may have had its last event, so an empty rest counts as the end there.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -74,6 +74,8 @@
     EndInEvent,
     /// Ends the response after half of the events as if it were complete.
     EndEarly,
+    /// Ends the response before the first event as if it were complete.
+    EndAtOnce,
     /// Stops sending in the middle of a stream and keeps the connection open.
     Silent,
     /// Sends an additional response after the first one.
@@ -605,7 +607,8 @@
             return (connection, if budget.is_some() { Action::Reset } else { Action::Close });
         }
         let last_id = self.head.fields.get("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
-        for id in last_id + 1..=EVENT_COUNT {
+        let count = if fault == Fault::EndAtOnce { 0 } else { EVENT_COUNT };
+        for id in last_id + 1..=count {
             let event = format!("id: {id}\ndata: token-{id}\n\n");
             let is_middle = id == EVENT_COUNT / 2;
             let mut is_disconnected = false;
--- a/crates/bench/tests/framing.rs
+++ b/crates/bench/tests/framing.rs
@@ -128,6 +128,22 @@
     });
 }
 
+/// Guards against empty answers in place of streams whose endpoint crashed before the first event.
+#[test]
+fn a_stream_without_a_length_that_ends_before_its_first_event_is_retried_or_fails() {
+    task::block_on(async {
+        let mut site = start_site(Style::Unframed, Fault::EndAtOnce).await;
+        let response = request(&site, stream("r1")).await;
+        assert_eq!(response.head.status, 502);
+        site.add_endpoint(Role::Decode).await.expect("an endpoint");
+        site.wait_until_synced().await;
+        for id in ["r2", "r3", "r4"] {
+            let response = request(&site, resumable(id)).await;
+            assert_eq!(response.event_ids(), all_event_ids(), "{id}");
+        }
+    });
+}
+
 /// Guards against chunks around a body whose end the endpoint did not state.
 #[test]
 fn a_sound_stream_without_a_length_passes_whole_and_without_chunks() {
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -9,6 +9,7 @@
     Time,
     gateway::{forecast::Observation, health::Outcome},
 };
+use tarragonhill_h1::body::Framing;
 
 use super::{
     Interruption, Progress, Upstream,
@@ -95,9 +96,13 @@
                 framing = exchange.framing.to_string().as_str(), trailing = buffer.len()
             });
         }
-        // Whatever its framing says, a stream that ends inside an event is not complete.
-        if chunk.is_none() && !buffer.is_empty() {
-            let reason = format!("{}: the stream ended inside an event", permit.endpoint.id);
+        // Whatever its framing says, a stream that ends inside an event is not complete. A crash may also end it before its
+        // first event, which looks like an empty body if no end was stated.
+        let is_cut =
+            !buffer.is_empty() || exchange.framing == Framing::UntilClose && has_no_events(inbound, progress);
+        if chunk.is_none() && is_cut {
+            let reason =
+                format!("{}: the stream ended inside an event or before the first", permit.endpoint.id);
             permit.finish(Outcome::Failed);
             return Err(Interruption::EndpointFailed(reason));
         }
@@ -145,6 +150,11 @@
     }
 }
 
+/// Returns whether the caller has no event of a stream, from this gateway or before it took the stream up.
+fn has_no_events(inbound: &Inbound, progress: &Progress) -> bool {
+    progress.events == 0 && inbound.metadata.resume.is_none()
+}
+
 /// What happens next to a response.
 enum Step {
     /// The next chunk of the body; `None` at its regular end.
