Tell peers of stage changes that were not carried out

Cause: a gateway that orders an endpoint to change its stage tells its peers, which use the endpoint no more until its row shows the new stage or 25 s are over. If the endpoint refuses the order, only the gateway that gave it learned that.

Change: for 3 s, digests carry a change that was not carried out with no time left, which receivers of any version take as its end.

--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -39,6 +39,8 @@
 /// Time after which an unconfirmed change is dropped. Covers the longest run, the change itself and
 /// a delayed order.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(25);
+/// How long peers are told of a change that was not carried out; covers the loss of some digests.
+const CANCELLATION_SPAN: Duration = Duration::from_secs(3);
 /// Shortest time between two orders, so that the directory shows the first before the next is
 /// decided.
 const MIN_ORDER_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -120,6 +122,8 @@
     demand: BTreeMap<Arc<str>, Demand>,
     /// Changes ordered by this replica, with their timeout and the new stage.
     changing: BTreeMap<Arc<str>, (Time, Stage)>,
+    /// Changes ordered by this replica that were not carried out, with the time until which peers are told.
+    cancelled: BTreeMap<Arc<str>, (Time, Stage)>,
     /// Changes ordered by peers, likewise.
     peer_changing: BTreeMap<Arc<str>, (Time, Stage)>,
     last_order: Option<Time>,
@@ -160,13 +164,19 @@
             || self.peer_changing.get(endpoint).is_some_and(|(until, _)| *until > now)
     }
 
-    /// Returns the changes that this replica has ordered, for its digest.
+    /// Returns the changes that this replica has ordered, for its digest. No time remains for those that were not carried
+    /// out.
     pub fn changes(&self, now: Time) -> BTreeMap<Arc<str>, StageChange> {
-        let pending = self.changing.iter().filter(|(_, (until, _))| *until > now);
-        let changes = pending.map(|(endpoint, (until, stage))| {
+        let is_due = |(_, (until, _)): &(&Arc<str>, &(Time, Stage))| *until > now;
+        let cancelled = self.cancelled.iter().filter(is_due);
+        let cancelled = cancelled.map(|(endpoint, (_, stage))| {
+            (endpoint.clone(), StageChange { stage: *stage, remaining: Duration::ZERO })
+        });
+        let pending = self.changing.iter().filter(is_due);
+        let pending = pending.map(|(endpoint, (until, stage))| {
             (endpoint.clone(), StageChange { stage: *stage, remaining: until.since(now) })
         });
-        changes.collect()
+        cancelled.chain(pending).collect()
     }
 
     /// Records a change that a peer has ordered.
@@ -186,8 +196,10 @@
     }
 
     /// Drops a change whose order was rejected or could not be sent.
-    pub fn cancel(&mut self, endpoint: &str) {
-        self.changing.remove(endpoint);
+    pub fn cancel(&mut self, now: Time, endpoint: &str) {
+        if let Some((endpoint, (_, stage))) = self.changing.remove_entry(endpoint) {
+            self.cancelled.insert(endpoint, (now.plus(CANCELLATION_SPAN), stage));
+        }
     }
 
     /// Returns the next change that the split of a service requires. `rank` is the number of
@@ -203,6 +215,7 @@
     ) -> Option<Order> {
         let name = service.name;
         self.changing.retain(|_, (until, _)| *until > now);
+        self.cancelled.retain(|_, (until, _)| *until > now);
         self.peer_changing.retain(|_, (until, _)| *until > now);
         let endpoints: Vec<&Arc<Endpoint>> =
             directory.serving(name).filter(|endpoint| endpoint.stage != Stage::Whole).collect();
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -214,8 +214,8 @@
     }
 
     /// Drops an order that was not carried out.
-    pub fn cancel_order(&mut self, endpoint: &str) {
-        self.pools.cancel(endpoint);
+    pub fn cancel_order(&mut self, now: Time, endpoint: &str) {
+        self.pools.cancel(now, endpoint);
     }
 
     /// Returns whether the configuration and endpoints have been read, so that requests can be
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -164,7 +164,7 @@
             match change {
                 Change::Restarted(endpoint) => {
                     self.suspects.record_crash(now, &endpoint.id);
-                    self.pools.cancel(&endpoint.id);
+                    self.pools.cancel(now, &endpoint.id);
                     self.limits.remove(&endpoint.id);
                     // What was sent to the process before is lost.
                     self.budget.record_read(now, &endpoint.id, now);
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -134,10 +134,33 @@
     }
     assert!(other.is_changing(at(5_100), &order.endpoint.id));
     assert!(!other.is_changing(at(60_000), &order.endpoint.id));
-    pools.cancel(&order.endpoint.id);
+    pools.cancel(at(5_200), &order.endpoint.id);
     assert!(!pools.is_changing(at(5_200), &order.endpoint.id));
 }
 
+/// Guards against peers that use an endpoint no more although its order was refused.
+#[test]
+fn a_refused_order_is_told_to_peers() {
+    let directory = directory(1, 11);
+    let mut pools = Pools::default();
+    let order = (0..60_000).step_by(100).find_map(|now| {
+        record_request(&mut pools, now, 9_000, 50);
+        Some((now, next_order(&mut pools, now, &directory, 0)?))
+    });
+    let (ordered, order) = order.expect("an order");
+    let mut peer = Pools::default();
+    let mut tell = |pools: &Pools, now| {
+        for (endpoint, change) in pools.changes(at(now)) {
+            peer.record_peer_change(at(now), &endpoint, change);
+        }
+        peer.is_changing(at(now), &order.endpoint.id)
+    };
+    assert!(tell(&pools, ordered + 100));
+    pools.cancel(at(ordered + 200), &order.endpoint.id);
+    assert!(!tell(&pools, ordered + 300));
+    assert!(pools.changes(at(ordered + 3_200)).is_empty());
+}
+
 /// A change stops an endpoint's work for seconds, so a short slowdown must not trigger one.
 #[test]
 fn a_short_imbalance_moves_no_endpoint() {
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -212,7 +212,7 @@
             if let Some(order) = self.state.next_order(now)
                 && let Err(error) = self.outputs.orders.try_send(order)
             {
-                self.state.cancel_order(&error.into_inner().endpoint.id);
+                self.state.cancel_order(now, &error.into_inner().endpoint.id);
             }
             for (member, message) in self.state.take_retold(now) {
                 self.send_message(member, message);
@@ -453,7 +453,7 @@
             }
             Command::RecordCold(endpoint, span) => self.state.record_cold(now, &endpoint, span),
             Command::RecordLimit(endpoint, limit) => self.state.record_limit(now, &endpoint, limit),
-            Command::CancelOrder(endpoint) => self.state.cancel_order(&endpoint),
+            Command::CancelOrder(endpoint) => self.state.cancel_order(now, &endpoint),
             Command::Update(update) => self.update(now, update),
             Command::Bundle(bundle) => self.state.apply_bundle(now, &bundle),
             Command::Message(sender, message) => self.receive_message(now, sender, &message),
