Close connections of the soak's proxies when they end

The proxies kept both ends of every connection until they were reset. In runs with many connections the process ran out of file descriptors, accepting failed, and the proxy ended: endpoints could not be reached for the rest of the run.

--- a/crates/bench/src/soak/proxy.rs
+++ b/crates/bench/src/soak/proxy.rs
@@ -1,6 +1,7 @@
 //! A TCP proxy on loopback that holds bytes back or resets connections.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::{Shutdown, SocketAddr},
     sync::{
@@ -22,11 +23,15 @@
 /// Interval at which a connection that is held back checks whether it may go on.
 const HOLD_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Delay after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// State shared by the connections of a proxy.
 #[derive(Default)]
 struct Shared {
     is_held: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Both ends of each connection, by the order of their acceptance.
+    connections: Mutex<BTreeMap<u64, [TcpStream; 2]>>,
 }
 
 /// A running proxy, which is stopped when dropped.
@@ -44,8 +49,12 @@
         let shared = Arc::new(Shared::default());
         let state = shared.clone();
         let accept = task::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                task::spawn(relay(state.clone(), stream, target));
+            for number in 0.. {
+                match listener.accept().await {
+                    Ok((stream, _)) => drop(task::spawn(relay(state.clone(), number, stream, target))),
+                    // File descriptors may have run out for a moment.
+                    Err(_) => task::sleep(ACCEPT_RETRY_DELAY).await,
+                }
             }
         });
         Ok(Self { address, shared, accept: Some(accept) })
@@ -63,7 +72,8 @@
 
     /// Resets all connections.
     pub fn reset(&self) {
-        for stream in std::mem::take(&mut *lock(&self.shared.connections)) {
+        let connections = std::mem::take(&mut *lock(&self.shared.connections));
+        for stream in connections.into_values().flatten() {
             let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -78,15 +88,16 @@
     }
 }
 
-async fn relay(shared: Arc<Shared>, caller: TcpStream, target: SocketAddr) {
+async fn relay(shared: Arc<Shared>, number: u64, caller: TcpStream, target: SocketAddr) {
     let Ok(server) = TcpStream::connect(target).await else { return };
     for stream in [&caller, &server] {
         let _ = stream.set_nodelay(true);
     }
-    lock(&shared.connections).extend([caller.clone(), server.clone()]);
+    lock(&shared.connections).insert(number, [caller.clone(), server.clone()]);
     let requests = copy(&shared, caller.clone(), server.clone());
     let responses = copy(&shared, server, caller);
     future::zip(requests, responses).await;
+    lock(&shared.connections).remove(&number);
 }
 
 /// Copies bytes until the end of `from`, and then closes `to` for writing.
