Soak: two software versions, answers without length, and callers that resume elsewhere

With `--mixed`, the engines have two versions, half of the decode engines answer without a length, and callers ask for resumable streams and take them up at other gateways, naming the attempt that brought the first event. New disturbances: streams that end inside an event, with and without a stated end, and endpoints that start again under their id with the other version while their row is older.

Engines refuse to change their stage there, as the rows of the soak do not follow.

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -39,6 +39,8 @@
     /// Length of the window, seconds
     #[bpaf(long, argument("S"), fallback(10.0), display_fallback)]
     retry_window_s: f64,
+    /// Engines of two software versions, some of which answer without a length, and callers that take up broken streams
+    mixed: bool,
     /// Kind of disturbance; may be repeated; all kinds if there is none
     #[bpaf(long, argument("KIND"))]
     kind: Vec<Kind>,
@@ -63,6 +65,7 @@
             slack: options.retry_slack,
             window: Duration::from_secs_f64(options.retry_window_s),
         },
+        is_mixed: options.mixed,
     };
     let seeds: Vec<u64> = (options.seed..options.seed.saturating_add(options.seeds)).collect();
     let mut broken = 0;
@@ -77,7 +80,7 @@
     Ok(broken == 0)
 }
 
-/// Returns whether the retry budget was kept.
+/// Returns whether the rules were kept.
 fn print_history(history: &History) -> bool {
     let events: Vec<String> = history
         .plan
@@ -107,6 +110,16 @@
             "allowed": window.map(|window| window.allowed),
         });
     }
+    if !history.streams.is_empty() {
+        let faults = history.stream_faults();
+        let shares = history.stream_shares();
+        is_kept &= faults.is_empty() && shares.is_none_or(|(began, went_on)| went_on >= began / 2.0);
+        line["streams"] = json!({
+            "sent": history.streams.len(), "whole": history.streams.iter().filter(|stream| stream.is_whole()).count(),
+            "resumes": history.streams.iter().map(|stream| stream.resumes).sum::<u32>(),
+            "began": shares.map(|(began, _)| began), "went_on": shares.map(|(_, went_on)| went_on), "faults": faults,
+        });
+    }
     line["kept"] = is_kept.into();
     println!("{line}");
     is_kept
--- a/crates/bench/src/cmd/stand_in.rs
+++ b/crates/bench/src/cmd/stand_in.rs
@@ -46,6 +46,16 @@
     /// Id of an endpoint
     #[bpaf(long, argument("ID"), fallback("endpoint".into()))]
     id: String,
+    /// Software version that the events of an engine name
+    #[bpaf(long, argument("VERSION"), fallback(String::new()))]
+    software_version: String,
+    /// Start of the process that an endpoint reports [default: the number at the end of its id]
+    #[bpaf(long, argument("N"))]
+    born: Option<u64>,
+    /// Answer without a length and without chunks
+    unframed: bool,
+    /// Refuse orders to change the stage
+    fixed_stage: bool,
     /// Listen address
     #[bpaf(long, argument("IP:PORT"))]
     listen: SocketAddr,
@@ -83,6 +93,16 @@
         /// Number of requests.
         count: u32,
     },
+    /// The next `count` responses end inside an event, without a stated end.
+    Cut {
+        /// Number of requests.
+        count: u32,
+    },
+    /// The next `count` responses end inside an event as if they were complete.
+    End {
+        /// Number of requests.
+        count: u32,
+    },
 }
 
 /// A request that an endpoint got.
@@ -133,6 +153,17 @@
     let handles = KvHandles::Unknown;
     let endpoint = Endpoint::start(&options.id, role, options.listen, KV_CACHE_TOKENS, handles).await?;
     let endpoint = Arc::new(endpoint);
+    endpoint.set_version(&options.software_version);
+    endpoint.set_unframed(options.unframed);
+    if options.unframed {
+        endpoint.set_eager();
+    }
+    if options.fixed_stage {
+        endpoint.fix_role();
+    }
+    if let Some(born) = options.born {
+        endpoint.set_born(born);
+    }
     println!("{}", endpoint.address());
     let target = endpoint.clone();
     let orders = thread::spawn(move || follow_orders(&target));
@@ -166,6 +197,8 @@
             Ok(Order::Fail { count }) => endpoint.fail_next(Fault::Error, count),
             Ok(Order::Reset { count }) => endpoint.fail_next(Fault::ResetAfterRun, count),
             Ok(Order::Hang { count }) => endpoint.fail_next(Fault::Hang, count),
+            Ok(Order::Cut { count }) => endpoint.fail_next(Fault::CutInEvent, count),
+            Ok(Order::End { count }) => endpoint.fail_next(Fault::EndInEvent, count),
             Err(error) => eprintln!("invalid order {line:?}: {error}"),
         }
     }
--- a/crates/bench/src/platform/caller.rs
+++ b/crates/bench/src/platform/caller.rs
@@ -96,18 +96,27 @@
 
     /// Reads the next response until its end or the end of the connection.
     pub async fn read_response(&mut self) -> Result<Response, Error> {
+        let mut received = None;
+        self.read_response_into(&mut received).await?;
+        received.ok_or(Error::Closed)
+    }
+
+    /// Reads the next response like [`Self::read_response`]. What has arrived stays in `received` if this is cancelled.
+    pub async fn read_response_into(&mut self, received: &mut Option<Response>) -> Result<(), Error> {
         let head = self.connection.read_response(MAX_HEAD_BYTES).await?;
         let framing = head.framing("GET").unwrap_or(Framing::Empty);
         let mut decoder = Decoder::new(framing);
-        let mut body = Vec::new();
-        let is_complete = loop {
+        let response = received.insert(Response { head, body: Vec::new(), is_complete: false });
+        loop {
             match self.connection.read_part(&mut decoder).await {
-                Ok(Some(part)) => body.extend_from_slice(&part),
-                Ok(None) => break true,
-                Err(_) => break false,
+                Ok(Some(part)) => response.body.extend_from_slice(&part),
+                Ok(None) => {
+                    response.is_complete = true;
+                    return Ok(());
+                }
+                Err(_) => return Ok(()),
             }
-        };
-        Ok(Response { head, body, is_complete })
+        }
     }
 
     /// Reads the head of the next response and the first part of its body.
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -117,6 +117,11 @@
     born: Option<u64>,
     /// Whether responses have neither a length nor chunks and end with their connection.
     is_unframed: bool,
+    /// Software version that events name; none if it is empty.
+    version: String,
+    /// Whether a stream begins each event together with the end of the one before, so that its end shows whenever the process
+    /// is killed.
+    is_eager: bool,
     /// Name of a field without a meaning that all responses carry.
     extra_field: Option<&'static str>,
     /// End of the cold phase.
@@ -143,6 +148,8 @@
     held_streams: u32,
     /// Streams that ended because the caller disconnected.
     abandoned: u32,
+    /// Whether orders to change the role are refused.
+    has_fixed_role: bool,
     /// Role assigned by the last order; replaces the initial role.
     assigned_role: Option<Role>,
     /// Accepted orders: holder and fencing token.
@@ -297,6 +304,21 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Sets the software version that events name.
+    pub fn set_version(&self, version: &str) {
+        lock(&self.state).version = version.into();
+    }
+
+    /// Refuses all further orders to change the role.
+    pub fn fix_role(&self) {
+        lock(&self.state).has_fixed_role = true;
+    }
+
+    /// Makes streams begin each event together with the end of the one before.
+    pub fn set_eager(&self) {
+        lock(&self.state).is_eager = true;
+    }
+
     /// Sets when the process started, for reports.
     pub fn set_born(&self, born: u64) {
         lock(&self.state).born = Some(born);
@@ -487,7 +509,8 @@
         };
         let is_current = {
             let mut state = lock(&self.state);
-            let is_current = order["expected_revision"].as_u64() == Some(state.orders.len() as u64);
+            let is_expected = order["expected_revision"].as_u64() == Some(state.orders.len() as u64);
+            let is_current = is_expected && !state.has_fixed_role;
             if is_current {
                 state.orders.push((holder.into(), token));
                 state.assigned_role = Some(role);
@@ -609,7 +632,7 @@
         let last_id = self.head.fields.get("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let count = if fault == Fault::EndAtOnce { 0 } else { EVENT_COUNT };
         for id in last_id + 1..=count {
-            let event = format!("id: {id}\ndata: token-{id}\n\n");
+            let event = self.event(id, id > last_id + 1, id < count);
             let is_middle = id == EVENT_COUNT / 2;
             let mut is_disconnected = false;
             lock(&self.state).held_streams += u32::from(is_middle);
@@ -651,6 +674,15 @@
         (connection, if is_written || budget.is_none() { Action::Keep } else { Action::Reset })
     }
 
+    /// Returns what is sent for an event. `has_begun` tells whether its beginning was sent with the event before.
+    fn event(&self, id: u32, has_begun: bool, has_next: bool) -> String {
+        let state = lock(&self.state);
+        let version = if state.version.is_empty() { String::new() } else { format!("{} ", state.version) };
+        let begin = if state.is_eager && has_begun { String::new() } else { format!("id: {id}\n") };
+        let next = if state.is_eager && has_next { format!("id: {}\n", id + 1) } else { String::new() };
+        format!("{begin}data: {version}token-{id}\n\n{next}")
+    }
+
     /// Waits for one event interval; returns whether the caller disconnects meanwhile.
     async fn wait_for_disconnect(&self, connection: &mut Connection) -> bool {
         let interval = async {
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -4,6 +4,7 @@
 //! The seed determines the disturbances and the requests. Processes interleave differently in every run, so a run cannot
 //! be replayed exactly.
 
+mod order;
 mod plan;
 mod process;
 mod proxy;
@@ -20,6 +21,7 @@
 use tarragonhill_core::gateway::budget::Rule;
 
 pub use self::{
+    order::Stream,
     plan::{Event, Kind, Plan},
     run::{History, Service},
 };
@@ -51,12 +53,14 @@
     pub events: usize,
     /// Retry budget of each service.
     pub retries: Rule,
+    /// Whether engines have two software versions, some answer without a length, and callers take up broken streams.
+    pub is_mixed: bool,
 }
 
 impl Default for Shape {
     fn default() -> Self {
         let retries = Rule { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
-        Self { gateways: 4, duration: Duration::from_secs(40), events: 12, retries }
+        Self { gateways: 4, duration: Duration::from_secs(40), events: 12, retries, is_mixed: false }
     }
 }
 
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -50,6 +50,12 @@
     FailAll,
     /// All endpoints of a kind reset connections after they have run the request.
     LoseAll,
+    /// An endpoint breaks off streams inside an event.
+    Cut,
+    /// An endpoint ends streams inside an event as if they were complete.
+    End,
+    /// An endpoint is killed and starts again at once under its id, with another software version. Its row is written later.
+    SwapVersion,
     /// An endpoint takes long for each request.
     Slow,
     /// The store is paused.
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -24,6 +24,7 @@
 
 use super::{
     Programs, Shape,
+    order::Stream,
     plan::{Event, Kind, Plan},
     process::Process,
     proxy::Proxy,
@@ -54,6 +55,14 @@
 const COOL_DOWN: Duration = Duration::from_secs(12);
 /// Mean time between two requests.
 const REQUEST_INTERVAL_MS: f64 = 28.0;
+/// Mean time between two streams of callers that take them up again.
+const STREAM_INTERVAL_MS: f64 = 60.0;
+/// Software versions of the engines.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Time after which the row of an endpoint that has started again under its id is written.
+const ROW_DELAY: Duration = Duration::from_millis(1_500);
+/// Smallest number of resumes for which their share counts.
+const MIN_RESUMES: u32 = 12;
 /// Factor on the number of requests in a burst.
 const BURST_FACTOR: f64 = 3.0;
 /// Time until a killed process starts again.
@@ -100,13 +109,15 @@
     pub refused: usize,
     /// Number of requests without a response.
     pub unanswered: usize,
+    /// Streams that callers took up at other gateways if they broke.
+    pub streams: Vec<Stream>,
     rule: Rule,
     requests: BTreeMap<Service, Vec<Instant>>,
     received: BTreeMap<Service, Vec<ReceivedRequest>>,
 }
 
 impl History {
-    /// Writes what endpoints got and when callers sent requests beside the logs of the gateways, as JSON lines with times
+    /// Writes what endpoints got, when callers sent requests and what they got of streams beside the logs of the gateways, as JSON lines with times
     /// in milliseconds since the first request.
     pub fn save(&self) -> io::Result<()> {
         let origin = self.requests.values().flatten().min().copied().unwrap_or_else(Instant::now);
@@ -125,10 +136,26 @@
         for (service, requests) in &self.requests {
             lines.extend(requests.iter().map(|at| json!({"service": service.to_string(), "sent": ms(at)})));
         }
+        lines.extend(self.streams.iter().map(Stream::to_json));
         let text: Vec<String> = lines.iter().map(Value::to_string).collect();
         fs::write(self.logs.join("history.jsonl"), text.join("\n"))
     }
 
+    /// Returns what is wrong with streams.
+    pub fn stream_faults(&self) -> Vec<String> {
+        self.streams.iter().filter_map(Stream::fault).collect()
+    }
+
+    /// Returns the shares of new streams that began and of resumed ones that went on, at gateways that had been up for a while;
+    /// `None` if too few were resumed.
+    pub fn stream_shares(&self) -> Option<(f64, f64)> {
+        let sum = |count: fn(&Stream) -> u32| self.streams.iter().map(count).sum::<u32>();
+        let share = |part: u32, of: u32| f64::from(part) / f64::from(of.max(1));
+        let began = share(sum(|stream| stream.began), sum(|stream| stream.beginnings));
+        let resumes = sum(|stream| stream.resumes);
+        (resumes >= MIN_RESUMES).then(|| (began, share(sum(|stream| stream.went_on), resumes)))
+    }
+
     /// Returns the number of requests that callers sent.
     pub fn sent(&self, service: Service) -> usize {
         self.requests.get(&service).map_or(0, Vec::len)
@@ -166,14 +193,27 @@
 }
 
 /// A gateway, and the settings with which it is started again.
-struct Gateway {
-    address: SocketAddr,
+pub(super) struct Gateway {
+    pub(super) address: SocketAddr,
     admin: SocketAddr,
     arguments: Vec<String>,
     log: PathBuf,
     process: Mutex<Process>,
-    /// Whether it is down on purpose.
+    /// Whether it is down or paused on purpose.
     is_down: AtomicBool,
+    /// When it was last started, resumed or told to stop.
+    disturbed: Mutex<Instant>,
+}
+
+impl Gateway {
+    /// Returns whether the gateway has been up and undisturbed for a time.
+    pub(super) fn is_settled(&self, span: Duration) -> bool {
+        !self.is_down.load(Ordering::Relaxed) && lock(&self.disturbed).elapsed() >= span
+    }
+
+    fn disturb(&self) {
+        *lock(&self.disturbed) = Instant::now();
+    }
 }
 
 /// An endpoint behind a proxy.
@@ -181,8 +221,11 @@
     server: Server,
     proxy: Proxy,
     listen: SocketAddr,
-    /// Number of processes so far; part of the id.
+    /// Number of processes so far.
     starts: AtomicUsize,
+    /// Number of ids so far; part of the id.
+    ids: AtomicUsize,
+    software: Mutex<Software>,
     process: Mutex<Process>,
     /// Lines printed by processes that were killed.
     past: Mutex<Vec<String>>,
@@ -190,7 +233,14 @@
 
 impl Endpoint {
     fn id(&self) -> String {
-        endpoint_id(self.listen.ip(), self.starts.load(Ordering::Relaxed))
+        endpoint_id(self.listen.ip(), self.ids.load(Ordering::Relaxed))
+    }
+
+    /// Kills the process and keeps what it printed.
+    fn kill(&self) {
+        let mut process = lock(&self.process);
+        lock(&self.past).extend(process.take_lines());
+        process.kill();
     }
 
     fn order(&self, order: Order) {
@@ -200,15 +250,31 @@
     }
 }
 
+/// What the process of an endpoint runs.
+#[derive(Clone, Copy, Debug)]
+struct Software {
+    version: &'static str,
+    /// Whether it answers without a length and without chunks.
+    is_unframed: bool,
+    /// Whether it refuses orders to change its stage, which rows would have to tell.
+    has_fixed_stage: bool,
+}
+
+impl Software {
+    fn swapped(self) -> Self {
+        Self { version: if self.version == VERSIONS[0] { VERSIONS[1] } else { VERSIONS[0] }, ..self }
+    }
+}
+
 fn endpoint_id(ip: std::net::IpAddr, starts: usize) -> String {
     format!("endpoint-{ip}-{starts}")
 }
 
-struct Run {
+pub(super) struct Run {
     programs: Programs,
     store: Mutex<Process>,
     store_address: SocketAddr,
-    gateways: Vec<Gateway>,
+    pub(super) gateways: Vec<Gateway>,
     endpoints: Vec<Endpoint>,
     /// Source of `seq` and `born` in rows.
     counter: AtomicUsize,
@@ -217,6 +283,7 @@
     requests: Mutex<BTreeMap<Service, Vec<Instant>>>,
     idle: Mutex<BTreeMap<usize, Vec<Caller>>>,
     statuses: Mutex<Vec<Option<u16>>>,
+    pub(super) streams: Mutex<Vec<Stream>>,
 }
 
 /// Starts the processes, plays the plan and returns what endpoints and callers saw.
@@ -224,6 +291,7 @@
     fs::create_dir_all(logs)?;
     let run = Arc::new(Run::start(programs, shape, logs).await?);
     let callers = task::spawn(run.clone().send_requests(plan.seed));
+    let streams = shape.is_mixed.then(|| task::spawn(run.clone().fetch_streams(plan.seed)));
     let watch = task::spawn(run.clone().watch());
     task::sleep(WARM_UP).await;
     let played = plan.events.iter().map(|event| task::spawn(run.clone().play(*event)));
@@ -233,6 +301,9 @@
     task::sleep(COOL_DOWN).await;
     run.is_over.store(true, Ordering::Relaxed);
     callers.await;
+    if let Some(streams) = streams {
+        streams.await;
+    }
     watch.await;
     let statuses = lock(&run.statuses).clone();
     let count = |keep: fn(&Option<u16>) -> bool| statuses.iter().filter(|status| keep(status)).count();
@@ -242,6 +313,7 @@
         succeeded: count(|status| *status == Some(200)),
         refused: count(|status| status.is_some_and(|status| status != 200)),
         unanswered: count(Option::is_none),
+        streams: std::mem::take(&mut lock(&run.streams)),
         rule: shape.retries,
         requests: lock(&run.requests).clone(),
         received: run.received(),
@@ -251,15 +323,20 @@
 impl Run {
     async fn start(programs: &Programs, shape: Shape, logs: &Path) -> io::Result<Self> {
         let store_address = SocketAddr::from((unique_loopback_ip(), STORE_PORT));
-        let store = start_stand_in(programs, Server::Store, "store", store_address)?;
+        let store = start_store(programs, store_address)?;
         let mut endpoints = Vec::new();
         for (server, count) in [
             (Server::Prefill, PREFILL_ENGINES),
             (Server::Decode, DECODE_ENGINES),
             (Server::Plain, PLAIN_ENDPOINTS),
         ] {
-            for _ in 0..count {
-                endpoints.push(start_endpoint(programs, server).await?);
+            for number in 0..count {
+                let is_engine = shape.is_mixed && server != Server::Plain;
+                let version = VERSIONS[if is_engine { number % 2 } else { 0 }];
+                // Of each version, every other decode engine answers without a length.
+                let is_unframed = is_engine && server == Server::Decode && number % 4 < 2;
+                let software = Software { version, is_unframed, has_fixed_stage: shape.is_mixed };
+                endpoints.push(start_endpoint(programs, server, software).await?);
             }
         }
         let gateways = (0..shape.gateways).map(|number| {
@@ -277,6 +354,7 @@
             requests: Mutex::default(),
             idle: Mutex::default(),
             statuses: Mutex::default(),
+            streams: Mutex::default(),
         };
         wait_until(async || run.put("op", "config", Some(&soak_configuration())).await).await?;
         for endpoint in &run.endpoints {
@@ -309,7 +387,7 @@
         let is_plain = endpoint.server == Server::Plain;
         let mut row = json!({
             "service": if is_plain { "filing" } else { "models" }, "address": endpoint.proxy.address().to_string(),
-            "zone": ZONE, "version": "v1", "slots": 48, "state": "ready", "cold_remaining_ms": 0, "seq": count,
+            "zone": ZONE, "version": lock(&endpoint.software).version, "slots": 48, "state": "ready", "cold_remaining_ms": 0, "seq": count,
             "born": endpoint.starts.load(Ordering::Relaxed),
         });
         if !is_plain {
@@ -332,6 +410,7 @@
     }
 
     fn start_again(&self, gateway: &Gateway) {
+        gateway.disturb();
         if let Ok(process) = spawn_gateway(&self.programs.daemon, &gateway.arguments, &gateway.log) {
             *lock(&gateway.process) = process;
         }
@@ -376,10 +455,14 @@
             Kind::KillInSeries => self.kill_in_series(&self.gateways[gateway..=gateway], lasts).await,
             Kind::KillAllInSeries => self.kill_in_series(&self.gateways, lasts).await,
             Kind::RestartGateway => {
+                self.gateways[gateway].disturb();
                 lock(&self.gateways[gateway].process).terminate();
                 task::sleep(GRACE).await;
             }
             Kind::KillEndpoint => self.replace(endpoint, lasts).await,
+            Kind::SwapVersion => self.swap_version(endpoint).await,
+            Kind::Cut => endpoint.order(Order::Cut { count: FAULTS }),
+            Kind::End => endpoint.order(Order::End { count: FAULTS }),
             Kind::HoldEndpoint => {
                 endpoint.proxy.set_held(true);
                 task::sleep(lasts).await;
@@ -428,23 +511,56 @@
     /// Kills an endpoint and starts another one at its address.
     async fn replace(&self, endpoint: &Endpoint, lasts: Duration) {
         let old = endpoint.id();
-        {
-            let mut process = lock(&endpoint.process);
-            lock(&endpoint.past).extend(process.take_lines());
-            process.kill();
-        }
+        endpoint.kill();
         self.put("servers", &old, None).await;
         task::sleep(lasts).await;
-        let starts = endpoint.starts.load(Ordering::Relaxed) + 1;
-        let id = endpoint_id(endpoint.listen.ip(), starts);
-        if let Ok(process) = start_stand_in(&self.programs, endpoint.server, &id, endpoint.listen) {
-            *lock(&endpoint.process) = process;
-            endpoint.starts.store(starts, Ordering::Relaxed);
-            endpoint.order(Order::ServiceTime { ms: SERVICE_MS });
+        endpoint.ids.fetch_add(1, Ordering::Relaxed);
+        if self.start_endpoint_again(endpoint) {
             self.register(endpoint).await;
         }
     }
 
+    /// Kills an endpoint and starts it again under its id with the other software version. Its row is written later.
+    async fn swap_version(&self, endpoint: &Endpoint) {
+        endpoint.kill();
+        let swapped = lock(&endpoint.software).swapped();
+        *lock(&endpoint.software) = swapped;
+        if self.start_endpoint_again(endpoint) {
+            task::sleep(ROW_DELAY).await;
+            self.register(endpoint).await;
+        }
+    }
+
+    fn start_endpoint_again(&self, endpoint: &Endpoint) -> bool {
+        let starts = endpoint.starts.load(Ordering::Relaxed) + 1;
+        let software = *lock(&endpoint.software);
+        let arguments =
+            endpoint_arguments(endpoint.server, &endpoint.id(), starts, endpoint.listen, software);
+        let Ok(process) = Process::start(&self.programs.bench, &arguments) else { return false };
+        *lock(&endpoint.process) = process;
+        endpoint.starts.store(starts, Ordering::Relaxed);
+        endpoint.order(Order::ServiceTime { ms: SERVICE_MS });
+        true
+    }
+
+    /// Asks for streams at random times until the run is over, and waits for them.
+    async fn fetch_streams(self: Arc<Self>, seed: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(2));
+        let mut streams = Vec::new();
+        while !self.is_over.load(Ordering::Relaxed) {
+            let wait = STREAM_INTERVAL_MS * rng.random_range(0.0..2.0);
+            task::sleep(Duration::from_secs_f64(wait / 1_000.0)).await;
+            streams.push(task::spawn(self.clone().fetch_stream(streams.len(), seed)));
+        }
+        for stream in streams {
+            stream.await;
+        }
+    }
+
+    pub(super) fn record_request(&self, service: Service) {
+        lock(&self.requests).entry(service).or_default().push(Instant::now());
+    }
+
     /// Sends requests at random times until the run is over, and waits for the responses.
     async fn send_requests(self: Arc<Self>, seed: u64) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(1));
@@ -472,7 +588,7 @@
                 Some(caller) => caller,
                 None => Caller::open(self.gateways[gateway].address).await.ok()?,
             };
-            lock(&self.requests).entry(request.service).or_default().push(Instant::now());
+            self.record_request(request.service);
             let response = caller.request(request.head, &request.body).await.ok()?;
             if response.is_complete && response.header("Connection") != Some("close") {
                 lock(&self.idle).entry(gateway).or_default().push(caller);
@@ -547,9 +663,16 @@
 }
 
 async fn pause(gateways: &[Gateway], lasts: Duration) {
-    gateways.iter().for_each(|gateway| lock(&gateway.process).pause());
+    gateways.iter().for_each(|gateway| {
+        gateway.is_down.store(true, Ordering::Relaxed);
+        lock(&gateway.process).pause();
+    });
     task::sleep(lasts).await;
-    gateways.iter().for_each(|gateway| lock(&gateway.process).resume());
+    gateways.iter().for_each(|gateway| {
+        gateway.disturb();
+        gateway.is_down.store(false, Ordering::Relaxed);
+        lock(&gateway.process).resume();
+    });
 }
 
 async fn join_all(futures: impl Iterator<Item = impl Future<Output = ()>>) {
@@ -561,28 +684,47 @@
     .await;
 }
 
-fn start_stand_in(programs: &Programs, server: Server, id: &str, listen: SocketAddr) -> io::Result<Process> {
-    let arguments = [
+fn start_store(programs: &Programs, listen: SocketAddr) -> io::Result<Process> {
+    let arguments = ["stand-in".into(), format!("--listen={listen}"), Server::Store.to_string()];
+    Process::start(&programs.bench, &arguments)
+}
+
+fn endpoint_arguments(
+    server: Server,
+    id: &str,
+    born: usize,
+    listen: SocketAddr,
+    software: Software,
+) -> Vec<String> {
+    let mut arguments = vec![
         "stand-in".into(),
-        "--id".into(),
-        id.into(),
-        "--listen".into(),
-        listen.to_string(),
-        server.to_string(),
+        format!("--id={id}"),
+        format!("--born={born}"),
+        format!("--software-version={}", software.version),
+        format!("--listen={listen}"),
     ];
-    let arguments: Vec<String> = arguments.into();
-    Process::start(&programs.bench, &arguments)
+    if software.is_unframed {
+        arguments.push("--unframed".into());
+    }
+    if software.has_fixed_stage {
+        arguments.push("--fixed-stage".into());
+    }
+    arguments.push(server.to_string());
+    arguments
 }
 
-async fn start_endpoint(programs: &Programs, server: Server) -> io::Result<Endpoint> {
+async fn start_endpoint(programs: &Programs, server: Server, software: Software) -> io::Result<Endpoint> {
     let listen = SocketAddr::from((unique_loopback_ip(), ENDPOINT_PORT));
     let proxy = Proxy::start(SocketAddr::from((unique_loopback_ip(), ENDPOINT_PORT)), listen).await?;
-    let process = start_stand_in(programs, server, &endpoint_id(listen.ip(), 1), listen)?;
+    let arguments = endpoint_arguments(server, &endpoint_id(listen.ip(), 1), 1, listen, software);
+    let process = Process::start(&programs.bench, &arguments)?;
     Ok(Endpoint {
         server,
         proxy,
         listen,
         starts: AtomicUsize::new(1),
+        ids: AtomicUsize::new(1),
+        software: Mutex::new(software),
         process: Mutex::new(process),
         past: Mutex::default(),
     })
@@ -622,6 +764,7 @@
         log: log.to_owned(),
         process: Mutex::new(process),
         is_down: AtomicBool::new(false),
+        disturbed: Mutex::new(Instant::now()),
     })
 }
 
