--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -22,6 +22,22 @@
     Kind::PauseStore,
     Kind::PauseGateways,
 ];
+/// Seeds of streams at two versions; the first once led to resumes that were refused although their version served.
+const MIXED_SEEDS: [u64; 2] = [14, 16];
+/// Disturbances after which streams break and callers resume them elsewhere.
+const MIXED_KINDS: [Kind; 11] = [
+    Kind::KillInSeries,
+    Kind::KillInSeries,
+    Kind::KillGateway,
+    Kind::KillGateways,
+    Kind::RestartGateway,
+    Kind::PauseGateway,
+    Kind::KillEndpoint,
+    Kind::SwapVersion,
+    Kind::Cut,
+    Kind::End,
+    Kind::ResetEndpoint,
+];
 /// Selects the plain endpoints.
 const PLAIN: usize = 8;
 
@@ -47,6 +63,12 @@
     play(Shape { retries, ..shape }, vec![Plan { seed: 1, events }])
 });
 
+/// Runs with engines of two software versions, of which some answer without a length.
+static MIXED: LazyLock<Vec<History>> = LazyLock::new(|| {
+    let shape = Shape { duration: Duration::from_secs(30), events: 14, is_mixed: true, ..Shape::default() };
+    play(shape, MIXED_SEEDS.iter().map(|seed| Plan::random(*seed, shape, &MIXED_KINDS)).collect())
+});
+
 fn assert_kept(history: &History) {
     for service in Service::iter() {
         let tightest = history.tightest(service);
@@ -67,6 +89,29 @@
     LATE_REQUESTS.iter().for_each(assert_kept);
 }
 
+/// Guards against streams of two versions, and against parts of streams that are framed as complete.
+#[test]
+fn streams_are_of_one_version_and_whole_if_they_look_so() {
+    for history in MIXED.iter() {
+        let faults = history.stream_faults();
+        assert!(faults.is_empty(), "seed {}, logs in {:?}: {faults:#?}", history.plan.seed, history.logs);
+        assert_kept(history);
+    }
+}
+
+/// Guards against resumes that are refused because no gateway knows their version.
+#[test]
+fn streams_go_on_at_least_half_as_often_as_new_ones_begin() {
+    let shares: Vec<(u64, Option<(f64, f64)>)> =
+        MIXED.iter().map(|history| (history.plan.seed, history.stream_shares())).collect();
+    for (seed, shares) in &shares {
+        let is_kept = shares.is_none_or(|(began, went_on)| went_on >= began / 2.0);
+        assert!(is_kept, "seed {seed}: {shares:?}");
+    }
+    let resumed: u32 = MIXED.iter().flat_map(|history| &history.streams).map(|stream| stream.resumes).sum();
+    assert!(resumed > 0, "no stream was resumed");
+}
+
 /// Without retries, the other tests would show nothing.
 #[test]
 fn requests_are_served_and_retried_in_the_soak() {
