Soak: count resumes only while two engines of their version serve

The rule on resumes holds while two endpoints of their software version serve, and the check did not ask for that. Engines that are killed, paused, held back or not listed yet do not count as serving.

--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -226,6 +226,8 @@
     /// Number of ids so far; part of the id.
     ids: AtomicUsize,
     software: Mutex<Software>,
+    /// Whether it is listed, running and reachable.
+    is_up: AtomicBool,
     process: Mutex<Process>,
     /// Lines printed by processes that were killed.
     past: Mutex<Vec<String>>,
@@ -238,6 +240,7 @@
 
     /// Kills the process and keeps what it printed.
     fn kill(&self) {
+        self.is_up.store(false, Ordering::Relaxed);
         let mut process = lock(&self.process);
         lock(&self.past).extend(process.take_lines());
         process.kill();
@@ -464,9 +467,11 @@
             Kind::Cut => endpoint.order(Order::Cut { count: FAULTS }),
             Kind::End => endpoint.order(Order::End { count: FAULTS }),
             Kind::HoldEndpoint => {
+                endpoint.is_up.store(false, Ordering::Relaxed);
                 endpoint.proxy.set_held(true);
                 task::sleep(lasts).await;
                 endpoint.proxy.set_held(false);
+                endpoint.is_up.store(true, Ordering::Relaxed);
             }
             Kind::ResetEndpoint => endpoint.proxy.reset(),
             Kind::Reject => endpoint.order(Order::Reject { count: FAULTS }),
@@ -503,9 +508,15 @@
     }
 
     async fn pause_endpoints(&self, endpoints: &[&Endpoint], lasts: Duration) {
-        endpoints.iter().for_each(|endpoint| lock(&endpoint.process).pause());
+        endpoints.iter().for_each(|endpoint| {
+            endpoint.is_up.store(false, Ordering::Relaxed);
+            lock(&endpoint.process).pause();
+        });
         task::sleep(lasts).await;
-        endpoints.iter().for_each(|endpoint| lock(&endpoint.process).resume());
+        endpoints.iter().for_each(|endpoint| {
+            lock(&endpoint.process).resume();
+            endpoint.is_up.store(true, Ordering::Relaxed);
+        });
     }
 
     /// Kills an endpoint and starts another one at its address.
@@ -516,7 +527,8 @@
         task::sleep(lasts).await;
         endpoint.ids.fetch_add(1, Ordering::Relaxed);
         if self.start_endpoint_again(endpoint) {
-            self.register(endpoint).await;
+            let is_up = self.register(endpoint).await;
+            endpoint.is_up.store(is_up, Ordering::Relaxed);
         }
     }
 
@@ -527,10 +539,18 @@
         *lock(&endpoint.software) = swapped;
         if self.start_endpoint_again(endpoint) {
             task::sleep(ROW_DELAY).await;
-            self.register(endpoint).await;
+            let is_up = self.register(endpoint).await;
+            endpoint.is_up.store(is_up, Ordering::Relaxed);
         }
     }
 
+    /// Returns the number of decode engines of a software version that serve.
+    pub(super) fn serving(&self, version: &str) -> usize {
+        let engines = self.endpoints.iter().filter(|endpoint| endpoint.server == Server::Decode);
+        let up = engines.filter(|endpoint| endpoint.is_up.load(Ordering::Relaxed));
+        up.filter(|endpoint| lock(&endpoint.software).version == version).count()
+    }
+
     fn start_endpoint_again(&self, endpoint: &Endpoint) -> bool {
         let starts = endpoint.starts.load(Ordering::Relaxed) + 1;
         let software = *lock(&endpoint.software);
@@ -725,6 +745,7 @@
         starts: AtomicUsize::new(1),
         ids: AtomicUsize::new(1),
         software: Mutex::new(software),
+        is_up: AtomicBool::new(true),
         process: Mutex::new(process),
         past: Mutex::default(),
     })
