Pass on empty lines and comments after the last event of a stream

An empty line or a comment is no event, so a sound stream that ends with one was taken for broken off.

Callers would have seen it cut or resumed.

Change: only bytes that belong to an event, or an open line, count as its beginning; what is left over at a sound end is relayed.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -28,6 +28,8 @@
 const LATE_REFUSAL_DELAY: Duration = Duration::from_millis(700);
 /// Period in which requests to an endpoint that has named a limit are counted.
 pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// What [`Fault::Trailer`] sends after the last event.
+pub const STREAM_TRAILER: &[u8] = b"\n: end\n";
 /// Number of events in a complete stream.
 pub const EVENT_COUNT: u32 = 20;
 
@@ -76,6 +78,8 @@
     EndEarly,
     /// Ends the response before the first event as if it were complete.
     EndAtOnce,
+    /// Sends an empty line and a comment after the last event of a stream.
+    Trailer,
     /// Stops sending in the middle of a stream and keeps the connection open.
     Silent,
     /// Sends an additional response after the first one.
@@ -667,6 +671,9 @@
                 return (connection, Action::Close);
             }
         }
+        if fault == Fault::Trailer {
+            write_within(&mut connection, &frame(STREAM_TRAILER), &mut budget).await;
+        }
         if !is_chunked {
             return (connection, Action::Close);
         }
--- a/crates/bench/tests/framing.rs
+++ b/crates/bench/tests/framing.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use tarragonhill_bench::platform::{
     caller::{self, Caller, Response, completion_request, plain_request},
-    endpoint::{EVENT_COUNT, Endpoint, Fault, Role},
+    endpoint::{EVENT_COUNT, Endpoint, Fault, Role, STREAM_TRAILER},
     site::{KEY, Shape, Site, wait_until},
 };
 use tarragonhill_h1::{body::Framing, head::Request};
@@ -144,6 +144,19 @@
     });
 }
 
+/// Guards against sound streams that count as broken off because of an empty line or a comment at their end.
+#[test]
+fn a_stream_with_a_comment_after_its_last_event_passes_whole() {
+    task::block_on(async {
+        for style in [Style::Framed, Style::Unframed] {
+            let site = start_site(style, Fault::Trailer).await;
+            let response = request(&site, stream("r1")).await;
+            assert!(response.is_complete && response.body.ends_with(STREAM_TRAILER), "{style:?}");
+            assert_eq!(response.event_ids(), all_event_ids());
+        }
+    });
+}
+
 /// Guards against chunks around a body whose end the endpoint did not state.
 #[test]
 fn a_sound_stream_without_a_length_passes_whole_and_without_chunks() {
--- a/crates/gateway/src/stream/events.rs
+++ b/crates/gateway/src/stream/events.rs
@@ -7,6 +7,13 @@
     lf.max(crlf)
 }
 
+/// Returns whether bytes after the last complete event begin another one. Empty lines and comments do not.
+pub(super) fn is_inside_event(rest: &[u8]) -> bool {
+    let is_open = !rest.is_empty() && !rest.ends_with(b"\n");
+    let mut lines = rest.split(|byte| *byte == b'\n');
+    is_open || lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Counts complete events.
 pub(super) fn count_events(events: &[u8]) -> u64 {
     let lf = events.windows(2).filter(|pair| pair == b"\n\n").count();
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Interruption, Progress, Upstream,
-    events::{complete_length, count_events, last_id},
+    events::{complete_length, count_events, is_inside_event, last_id},
     log_cut,
     placement::{Placement, place},
 };
@@ -98,8 +98,8 @@
         }
         // Whatever its framing says, a stream that ends inside an event is not complete. A crash may also end it before its
         // first event, which looks like an empty body if no end was stated.
-        let is_cut =
-            !buffer.is_empty() || exchange.framing == Framing::UntilClose && has_no_events(inbound, progress);
+        let is_cut = is_inside_event(&buffer)
+            || exchange.framing == Framing::UntilClose && has_no_events(inbound, progress);
         if chunk.is_none() && is_cut {
             let reason =
                 format!("{}: the stream ended inside an event or before the first", permit.endpoint.id);
@@ -113,6 +113,7 @@
             written.map_err(Interruption::CallerDisconnected)?;
         }
         let Some(chunk) = chunk else {
+            writer.write_chunk(&buffer).await.map_err(Interruption::CallerDisconnected)?;
             let finished = writer.finish(exchange.framing).await;
             finished.map_err(Interruption::CallerDisconnected)?;
             if !writer.is_complete() {
