Keep the length that an endpoint names in a response to a HEAD request

Cause: the length of the answer was set to that of the body that was read, which a response to HEAD does not have.

Callers saw a length of 0, for a body that has one, or where the endpoint named none. Change: for HEAD, the length is that of the endpoint's response, if there is one.

--- a/crates/bench/src/platform/caller.rs
+++ b/crates/bench/src/platform/caller.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Reads the head of the next response, to a request whose response has no body.
+    pub async fn read_head(&mut self) -> Result<ResponseHead, Error> {
+        self.connection.read_response(MAX_HEAD_BYTES).await
+    }
+
     /// Reads the head of the next response and the first part of its body.
     pub async fn read_first_part(&mut self) -> Result<(ResponseHead, Option<Bytes>), Error> {
         let head = self.connection.read_response(MAX_HEAD_BYTES).await?;
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -707,6 +707,9 @@
         let body =
             format!("{} {} {}", self.head.method, self.head.target, String::from_utf8_lossy(&self.body));
         let success_head = self.new_head(200, fault != Fault::Unsigned);
+        if self.head.method == "HEAD" {
+            return send_head(connection, success_head, body.len(), self.is_unframed()).await;
+        }
         match fault {
             Fault::ResetAfterRun => (connection, Action::Reset),
             Fault::ResetAt(bytes) => {
@@ -839,6 +842,20 @@
     (connection, Action::Close)
 }
 
+/// Sends a response to a HEAD request.
+async fn send_head(
+    mut connection: Connection,
+    mut head: Response,
+    length: usize,
+    is_unframed: bool,
+) -> (Connection, Action) {
+    if !is_unframed {
+        head.fields.push("Content-Length", length.to_string());
+    }
+    let _ = connection.write(&head.encode()).await;
+    (connection, if is_unframed { Action::Close } else { Action::Keep })
+}
+
 /// Sends a response that ends with its connection.
 async fn send_unframed(mut connection: Connection, head: &Response, body: &[u8]) -> (Connection, Action) {
     let _ = connection.write(&[&head.encode(), body].concat()).await;
--- a/crates/bench/tests/framing.rs
+++ b/crates/bench/tests/framing.rs
@@ -235,6 +235,27 @@
     });
 }
 
+/// Guards against a length of zero in place of the one that the endpoint named, or named not.
+#[test]
+fn a_response_to_a_head_request_keeps_the_length_that_its_endpoint_named() {
+    task::block_on(async {
+        for (style, length) in [(Style::Framed, Some("HEAD /lookup/x ".len())), (Style::Unframed, None)] {
+            let site = start_site(style, Fault::None).await;
+            let mut caller = Caller::open(site.address()).await.expect("a connection");
+            for id in ["r1", "r2"] {
+                caller.send(plain_request("HEAD", "/lookup/x", KEY, id), b"").await.expect("sent");
+                let head = caller.read_head().await.expect("a response");
+                let stated = head.fields.get("content-length").map(str::to_owned);
+                assert_eq!(
+                    (head.status, stated),
+                    (200, length.map(|length| length.to_string())),
+                    "{style:?}"
+                );
+            }
+        }
+    });
+}
+
 /// Guards against parts of answers that pass as whole ones, and against repeating what may not be repeated.
 #[test]
 fn a_whole_answer_without_a_length_that_is_reset_is_retried_or_fails() {
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -114,9 +114,14 @@
     pub async fn write_whole(&mut self, mut head: Response, body: &[u8], framing: Framing) -> io::Result<()> {
         let end = if framing == Framing::UntilClose { End::Close } else { End::Length };
         self.close |= end == End::Close;
+        let length = match framing {
+            // Of a response to a HEAD request, the length of the body that it stands for, if the endpoint named it.
+            Framing::Empty if self.is_head => head.fields.get("content-length").map(str::to_owned),
+            _ => Some(body.len().to_string()),
+        };
         self.set_framing(&mut head);
         if end == End::Length && !matches!(head.status, 204 | 304) {
-            head.fields.set("Content-Length", body.len().to_string());
+            length.into_iter().for_each(|length| head.fields.set("Content-Length", length));
         }
         let mut bytes = head.encode();
         if !self.is_head {
