--- a/crates/bench/src/cmd/stand_in.rs
+++ b/crates/bench/src/cmd/stand_in.rs
@@ -154,6 +154,7 @@
     let endpoint = Endpoint::start(&options.id, role, options.listen, KV_CACHE_TOKENS, handles).await?;
     let endpoint = Arc::new(endpoint);
     endpoint.set_version(&options.software_version);
+    endpoint.set_relative_faults();
     endpoint.set_unframed(options.unframed);
     if options.unframed {
         endpoint.set_eager();
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -152,6 +152,8 @@
     held_streams: u32,
     /// Streams that ended because the caller disconnected.
     abandoned: u32,
+    /// Whether faults strike in the middle of what is left of a resumed stream, and not of the whole stream.
+    has_relative_faults: bool,
     /// Whether orders to change the role are refused.
     has_fixed_role: bool,
     /// Role assigned by the last order; replaces the initial role.
@@ -313,6 +315,11 @@
         lock(&self.state).version = version.into();
     }
 
+    /// Lets faults strike in the middle of what is left of a resumed stream.
+    pub fn set_relative_faults(&self) {
+        lock(&self.state).has_relative_faults = true;
+    }
+
     /// Refuses all further orders to change the role.
     pub fn fix_role(&self) {
         lock(&self.state).has_fixed_role = true;
@@ -635,9 +642,11 @@
         }
         let last_id = self.head.fields.get("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let count = if fault == Fault::EndAtOnce { 0 } else { EVENT_COUNT };
+        let start = if lock(&self.state).has_relative_faults { last_id.min(EVENT_COUNT) } else { 0 };
+        let middle = start + (EVENT_COUNT - start) / 2;
         for id in last_id + 1..=count {
             let event = self.event(id, id > last_id + 1, id < count);
-            let is_middle = id == EVENT_COUNT / 2;
+            let is_middle = id == middle;
             let mut is_disconnected = false;
             lock(&self.state).held_streams += u32::from(is_middle);
             while is_middle && !is_disconnected && lock(&self.state).is_paused {
