Ask for all metrics of a request in one response in their test

Since the test accepted each line from another response, which is less than it asked for before: a counter that goes on rising, or a dropped line of the log, could have passed. It waits until one response has all lines, and then asserts all of them of a further one, with the message of before. Found by reading; nothing failed.

--- a/crates/bench/tests/gateway.rs
+++ b/crates/bench/tests/gateway.rs
@@ -755,19 +755,25 @@
         let site = start_small_site().await;
         assert_eq!(request(&site, submit("r1"), b"case").await.head.status, 200);
         assert_eq!(request(&site, plain_request("GET", "/nowhere/x", KEY, "r2"), b"").await.head.status, 404);
-        for line in [
+        let expected = [
             "gateway_requests_total{kind=\"non_idempotent\",status=\"200\"} 1",
             "gateway_refusals_total{code=\"not_found\"} 1",
             "gateway_sends_total{outcome=\"answered\"} 1",
             "log_lines_dropped 0",
-        ] {
-            // A request is counted after its response.
-            wait_until(line, async || {
-                let head = plain_request("GET", "/metrics", KEY, "q");
-                let metrics = caller::request(site.gateways[0].admin(), head, b"").await.expect("a response");
-                metrics.text().lines().any(|exported| exported == line)
-            })
-            .await;
+        ];
+        let read = async || {
+            let head = plain_request("GET", "/metrics", KEY, "q");
+            caller::request(site.gateways[0].admin(), head, b"").await.expect("a response").text()
+        };
+        // A request is counted after its response.
+        wait_until("all requests are counted", async || {
+            let text = read().await;
+            expected.iter().all(|line| text.lines().any(|exported| exported == *line))
+        })
+        .await;
+        let text = read().await;
+        for line in expected {
+            assert!(text.lines().any(|exported| exported == line), "{line} is not in\n{text}");
         }
     });
 }
