--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -152,7 +152,7 @@
     held_streams: u32,
     /// Streams that ended because the caller disconnected.
     abandoned: u32,
-    /// Whether faults strike in the middle of what is left of a resumed stream, and not of the whole stream.
+    /// Whether faults occur in the middle of the remaining events of a resumed stream, not of all events.
     has_relative_faults: bool,
     /// Whether orders to change the role are refused.
     has_fixed_role: bool,
@@ -315,7 +315,7 @@
         lock(&self.state).version = version.into();
     }
 
-    /// Lets faults strike in the middle of what is left of a resumed stream.
+    /// Makes faults occur in the middle of the remaining events of a resumed stream.
     pub fn set_relative_faults(&self) {
         lock(&self.state).has_relative_faults = true;
     }
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -201,7 +201,7 @@
     process: Mutex<Process>,
     /// Whether it is down or paused on purpose.
     is_down: AtomicBool,
-    /// When it was last started, resumed or told to stop.
+    /// When it was last started, resumed or signalled to stop.
     disturbed: Mutex<Instant>,
 }
 
--- a/crates/bench/tests/versions.rs
+++ b/crates/bench/tests/versions.rs
@@ -154,7 +154,7 @@
     });
 }
 
-/// Guards against versions that a second resume cannot be told, because it names the first attempt.
+/// Guards against second resumes at another version, because they name the first attempt.
 #[test]
 fn a_caller_resumes_more_than_once_at_the_version_that_began_its_stream() {
     task::block_on(async {
--- a/crates/core/src/gateway/origin.rs
+++ b/crates/core/src/gateway/origin.rs
@@ -1,9 +1,9 @@
 //! Software versions that began streams.
 //!
 //! What endpoints of two software versions generate does not fit together, so a stream is resumed only at the version that began it.
-//! The replica that relays the first event of a stream keeps the version and tells the stream's owners: a few replicas, by
-//! rendezvous hashing of its id and their names. A replica that is to resume a stream it does not know asks these. All of
-//! this is in memory only.
+//! The replica that relays the first event of a stream keeps the version and announces it to the stream's owners: a few replicas,
+//! by rendezvous hashing of its id and their names. A replica that is to resume a stream it does not know queries these. All
+//! of this is in memory only.
 
 use std::{
     cmp::Reverse,
@@ -17,11 +17,11 @@
 use super::digest::Member;
 use crate::clock::Time;
 
-/// Number of replicas that are told of a stream, besides the one that relays it.
-pub const OWNERS: usize = 3;
-/// Number of replicas that are asked for a stream. More than are told, since replicas may know different peers.
-pub const ASKED: usize = 5;
-/// Time after which replicas that have not answered are asked again, since datagrams may be lost.
+/// Number of owners of a stream, besides the replica that relays it.
+pub const OWNER_COUNT: usize = 3;
+/// Number of replicas that are queried for a stream. More than own it, since replicas may know different peers.
+pub const QUERY_COUNT: usize = 5;
+/// Time after which replicas that have not answered are queried again, since datagrams may be lost.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which replicas that have not answered count as unreachable. A paused one would hold up callers.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(200);
@@ -72,19 +72,19 @@
     pub left: Duration,
 }
 
-/// What replicas tell and ask each other about streams.
+/// Announcements of streams between replicas, and queries for them with their answers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Message {
     /// Streams that the sender knows.
     pub origins: Vec<Origin>,
-    /// Streams that the sender asks for.
+    /// Streams that the sender queries.
     pub sought: Vec<Stream>,
-    /// Streams that the sender was asked for and does not know.
+    /// Streams for which the sender was queried and that it does not know.
     pub unknown: Vec<Stream>,
 }
 
 impl Message {
-    /// Returns whether the message says nothing.
+    /// Returns whether the message names no stream.
     pub fn is_empty(&self) -> bool {
         self.origins.is_empty() && self.sought.is_empty() && self.unknown.is_empty()
     }
@@ -111,7 +111,7 @@
     /// `None` if the stream was reported with two versions: its id is not unique.
     software_version: Option<Arc<str>>,
     expires: Time,
-    /// Whether this replica relayed events of the stream and tells the owners.
+    /// Whether this replica relayed events of the stream and announces it to the owners.
     is_own: bool,
 }
 
@@ -178,11 +178,11 @@
     waiting: Vec<T>,
     /// Replicas that have not answered.
     unanswered: BTreeMap<Arc<str>, Member>,
-    asked_at: Time,
+    queried_at: Time,
     ends: Time,
 }
 
-/// Streams that this replica asks others for.
+/// Streams for which this replica queries others.
 #[derive(Debug)]
 pub struct Searches<T>(BTreeMap<Stream, Search<T>>);
 
@@ -193,15 +193,15 @@
 }
 
 impl<T> Searches<T> {
-    /// Adds a search, or joins the one for the same stream. Returns whether the replicas have to be asked now.
-    pub fn add(&mut self, now: Time, stream: Stream, asked: &[Member], tag: T) -> bool {
+    /// Adds a search, or joins the one for the same stream. Returns whether the replicas have to be queried now.
+    pub fn add(&mut self, now: Time, stream: Stream, replicas: &[Member], tag: T) -> bool {
         if let Some(search) = self.0.get_mut(&stream) {
             search.waiting.push(tag);
             return false;
         }
-        let unanswered = asked.iter().map(|member| (member.name.clone(), member.clone())).collect();
+        let unanswered = replicas.iter().map(|member| (member.name.clone(), member.clone())).collect();
         let ends = now.plus(SEARCH_TIMEOUT);
-        self.0.insert(stream, Search { waiting: vec![tag], unanswered, asked_at: now, ends });
+        self.0.insert(stream, Search { waiting: vec![tag], unanswered, queried_at: now, ends });
         true
     }
 
@@ -229,12 +229,12 @@
         over.into_iter().map(|stream| (stream, self.finish(stream))).collect()
     }
 
-    /// Returns the replicas that have to be asked again, with the streams.
+    /// Returns the replicas that have to be queried again, with the streams.
     pub fn take_repeats(&mut self, now: Time) -> Vec<(Member, Vec<Stream>)> {
         let mut repeats: BTreeMap<Member, Vec<Stream>> = BTreeMap::new();
         for (stream, search) in &mut self.0 {
-            if now.since(search.asked_at) >= REPEAT_INTERVAL {
-                search.asked_at = now;
+            if now.since(search.queried_at) >= REPEAT_INTERVAL {
+                search.queried_at = now;
                 for member in search.unanswered.values() {
                     repeats.entry(member.clone()).or_default().push(*stream);
                 }
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -39,7 +39,7 @@
 /// Time after which an unconfirmed change is dropped. Covers the longest run, the change itself and
 /// a delayed order.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(25);
-/// How long peers are told of a change that was not carried out; covers the loss of some digests.
+/// How long digests carry a change that was not carried out, since some of them may be lost.
 const CANCELLATION_SPAN: Duration = Duration::from_secs(3);
 /// Shortest time between two orders, so that the directory shows the first before the next is
 /// decided.
@@ -122,7 +122,7 @@
     demand: BTreeMap<Arc<str>, Demand>,
     /// Changes ordered by this replica, with their timeout and the new stage.
     changing: BTreeMap<Arc<str>, (Time, Stage)>,
-    /// Changes ordered by this replica that were not carried out, with the time until which peers are told.
+    /// Changes ordered by this replica that were not carried out, with the time until which digests carry them.
     cancelled: BTreeMap<Arc<str>, (Time, Stage)>,
     /// Changes ordered by peers, likewise.
     peer_changing: BTreeMap<Arc<str>, (Time, Stage)>,
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -135,8 +135,8 @@
     outbox: Outbox,
     /// Versions that began streams.
     origins: Origins,
-    /// Live peers, with their incarnations, that have been told of the streams relayed here.
-    told_peers: BTreeMap<Arc<str>, u64>,
+    /// Live peers, with their incarnations, since the streams relayed here were last announced.
+    announced_to: BTreeMap<Arc<str>, u64>,
     /// Whether the next digest has to carry forecasts and software versions.
     is_full_digest_due: bool,
     history: History,
@@ -166,7 +166,7 @@
             topology: None,
             outbox: Outbox::default(),
             origins: Origins::default(),
-            told_peers: BTreeMap::new(),
+            announced_to: BTreeMap::new(),
             is_full_digest_due: false,
             history: History::default(),
         }
--- a/crates/core/src/gateway/state/streams.rs
+++ b/crates/core/src/gateway/state/streams.rs
@@ -7,25 +7,25 @@
     clock::Time,
     gateway::{
         digest::Member,
-        origin::{ASKED, Message, OWNERS, Origin, Stream},
+        origin::{Message, OWNER_COUNT, Origin, QUERY_COUNT, Stream},
     },
 };
 
 impl<T> State<T> {
-    /// Records that this replica relays a stream, and returns the replicas that have to be told.
+    /// Records that this replica relays a stream, and returns the replicas to which it has to be announced.
     pub fn record_origin(&mut self, now: Time, origin: &Origin) -> Vec<Member> {
         self.origins.record(now, origin, true);
-        self.told(now, origin.stream)
+        self.owners(now, origin.stream)
     }
 
-    /// Returns the replicas that are told of a stream: those that are alive, and others while too few are known to be.
-    fn told(&self, now: Time, stream: Stream) -> Vec<Member> {
-        let mut told = stream.owners(self.peers.live_members(now), OWNERS);
-        if told.len() < OWNERS {
-            let others = self.peers.members().filter(|member| !told.contains(member)).collect::<Vec<_>>();
-            told.extend(stream.owners(others, OWNERS - told.len()));
+    /// Returns the replicas that own a stream: those that are alive, and others while too few are known to be.
+    fn owners(&self, now: Time, stream: Stream) -> Vec<Member> {
+        let mut owners = stream.owners(self.peers.live_members(now), OWNER_COUNT);
+        if owners.len() < OWNER_COUNT {
+            let others = self.peers.members().filter(|member| !owners.contains(member)).collect::<Vec<_>>();
+            owners.extend(stream.owners(others, OWNER_COUNT - owners.len()));
         }
-        told
+        owners
     }
 
     /// Returns the version that began a stream, as far as this replica knows.
@@ -34,14 +34,14 @@
     }
 
     /// Returns the replicas that may know a stream.
-    pub fn asked(&self, now: Time, stream: Stream) -> Vec<Member> {
-        let mut asked = stream.owners(self.peers.members(), ASKED);
-        let live = stream.owners(self.peers.live_members(now), OWNERS);
-        asked.extend(live.into_iter().filter(|member| !asked.contains(member)).collect::<Vec<_>>());
-        asked
+    pub fn candidates(&self, now: Time, stream: Stream) -> Vec<Member> {
+        let mut candidates = stream.owners(self.peers.members(), QUERY_COUNT);
+        let live = stream.owners(self.peers.live_members(now), OWNER_COUNT);
+        candidates.extend(live.into_iter().filter(|member| !candidates.contains(member)).collect::<Vec<_>>());
+        candidates
     }
 
-    /// Records what a peer tells about streams, and returns the reply to what it asks for.
+    /// Records the streams that a peer announces, and returns the answer to its queries.
     pub fn apply_message(&mut self, now: Time, message: &Message) -> Message {
         for origin in &message.origins {
             self.origins.record(now, origin, false);
@@ -56,19 +56,19 @@
         reply
     }
 
-    /// Returns the streams that this replica relays, by the replicas that have to be told of them, if peers have started,
-    /// returned or stopped since the last call. Those that have started know nothing of streams that began before.
-    pub fn take_retold(&mut self, now: Time) -> Vec<(Member, Message)> {
+    /// Returns the streams that this replica relays, by their owners, if peers have started, returned or stopped since the
+    /// last call. Those that have started do not know streams that began before.
+    pub fn take_announcements(&mut self, now: Time) -> Vec<(Member, Message)> {
         let incarnations: BTreeMap<Arc<str>, u64> = self.peers.incarnations(now).collect();
-        if incarnations == self.told_peers {
+        if incarnations == self.announced_to {
             return Vec::new();
         }
-        self.told_peers = incarnations;
+        self.announced_to = incarnations;
         // Peers that have started learn the versions from it.
         self.is_full_digest_due = true;
         let mut messages: BTreeMap<Member, Message> = BTreeMap::new();
         for origin in self.origins.own(now) {
-            for member in self.told(now, origin.stream) {
+            for member in self.owners(now, origin.stream) {
                 messages.entry(member).or_default().origins.push(origin.clone());
             }
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -409,7 +409,7 @@
         self.send(Command::Bundle(Box::new(bundle)));
     }
 
-    /// Applies what a peer tells and asks about streams.
+    /// Applies a peer's announcements of streams and queries for them.
     pub fn receive_message(&self, sender: Member, message: Message) {
         self.send(Command::Message(sender, message));
     }
@@ -419,7 +419,7 @@
         self.send(Command::RecordOrigin(origin));
     }
 
-    /// Returns the software version that began a stream of a service; `None` if it cannot be told. The stream may not be
+    /// Returns the software version that began a stream of a service; `None` if it is not known. The stream may not be
     /// named, and may have lasted for `span`.
     pub async fn find_origin(
         &self,
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -66,7 +66,7 @@
     pub digests: Sender<Outgoing>,
     /// Orders for endpoints.
     pub orders: Sender<Order>,
-    /// What peers are told and asked about streams.
+    /// Announcements and queries of streams, for peers.
     pub messages: Sender<(Member, Message)>,
 }
 
@@ -140,7 +140,7 @@
 
 struct Worker {
     state: State<ReplySender<PermitsResult>>,
-    /// Streams that peers are asked for.
+    /// Streams for which peers are queried.
     searches: Searches<Seeker>,
     clock: Clock,
     weak_control: WeakControl,
@@ -214,7 +214,7 @@
             {
                 self.state.cancel_order(now, &error.into_inner().endpoint.id);
             }
-            for (member, message) in self.state.take_retold(now) {
+            for (member, message) in self.state.take_announcements(now) {
                 self.send_message(member, message);
             }
         }
@@ -263,7 +263,7 @@
         let _ = self.outputs.messages.try_send((member, message));
     }
 
-    /// Records that this replica relays a stream, and tells the others that have to know.
+    /// Records that this replica relays a stream, and announces it to the owners.
     fn record_origin(&mut self, now: Time, origin: Origin) {
         for member in self.state.record_origin(now, &origin) {
             self.send_message(member, Message { origins: vec![origin.clone()], ..Message::default() });
@@ -277,12 +277,12 @@
             let _ = seeker.reply.try_send(Some(origin.software_version));
             return;
         }
-        let asked = self.state.asked(now, stream);
-        if asked.is_empty() {
+        let candidates = self.state.candidates(now, stream);
+        if candidates.is_empty() {
             return self.give_up_search(now, Some(stream), vec![seeker]);
         }
-        if self.searches.add(now, stream, &asked, seeker) {
-            for member in asked {
+        if self.searches.add(now, stream, &candidates, seeker) {
+            for member in candidates {
                 self.send_message(member, Message { sought: vec![stream], ..Message::default() });
             }
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -231,7 +231,7 @@
 }
 
 /// Returns the software version at which a stream that its caller takes up must go on; `None` for a new stream. Refuses the
-/// request if the version cannot be told.
+/// request if the version is not known.
 async fn resumed_version(context: &Context, inbound: &Inbound) -> Result<Option<Arc<str>>, Refusal> {
     if inbound.metadata.resume.is_none() {
         return Ok(None);
--- a/crates/wire/src/origin.rs
+++ b/crates/wire/src/origin.rs
@@ -1,4 +1,4 @@
-//! Conversions of what replicas tell and ask each other about streams.
+//! Conversions of announcements of streams and queries for them.
 
 use std::time::Duration;
 
