Log requests that were interrupted, with the parts of their prompts

The hypotheses on the crashing part differ in what the interrupted requests have in common. The logs named the request and the endpoint only. Now a line tells the events that the caller had, the hash of the whole request and the shared parts of its prompt. No change of behaviour.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -27,6 +27,8 @@
     pub key: Option<Arc<str>>,
     /// Token counts of a completion; `None` for other requests.
     pub tokens: Option<Tokens>,
+    /// Names of the parts of a completion's prompt that other requests may share, in order.
+    pub parts: Vec<Arc<str>>,
     /// The stream that the request takes up; `None` for new ones.
     pub resume: Option<Resume>,
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -302,6 +302,11 @@
     progress.runs += 1;
     progress.avoid.push(endpoint.id.clone());
     context.control.record_interrupted(&endpoint.id, inbound.admission.fingerprint);
+    spdlog::info!("request interrupted", kv: {
+        request = inbound.id(), endpoint = &*endpoint.id, reason = reason.as_str(), events = progress.events,
+        fingerprint = format!("{:016x}", inbound.admission.fingerprint).as_str(),
+        parts = inbound.metadata.parts.join(",").as_str()
+    });
     if inbound.may_retry(progress.runs) {
         return Ok(Some(reason));
     }
