--- a/crates/bench/src/platform/caller.rs
+++ b/crates/bench/src/platform/caller.rs
@@ -10,6 +10,8 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Length of each part in [`request_with_parts`], in tokens.
+const PART_TOKENS: u64 = 50;
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 8 << 20;
 
@@ -66,6 +68,14 @@
     head
 }
 
+/// Creates a completion request whose prompt has these parts.
+pub fn request_with_parts(target: &str, key: &str, id: &str, parts: &[&str]) -> Request {
+    let mut head = completion_request(target, key, id, PART_TOKENS * parts.len() as u64);
+    let parts: Vec<String> = parts.iter().map(|part| format!("{part}:{PART_TOKENS}")).collect();
+    head.fields.set("Tarragonhill-Prompt-Prefix", parts.join(","));
+    head
+}
+
 /// Makes a request resume the stream that the attempt `resumes` began, after its event `last_event`.
 pub fn resume(mut head: Request, resumes: &str, last_event: u32) -> Request {
     head.fields.push("Resumes", resumes);
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -148,6 +148,8 @@
     reservations: BTreeMap<String, u64>,
     released: u64,
     active_streams: u32,
+    /// Number of plain requests that were executed and answered.
+    answered: usize,
     /// Streams that are held back in their middle.
     held_streams: u32,
     /// Streams that ended because the caller disconnected.
@@ -158,6 +160,10 @@
     has_fixed_role: bool,
     /// Role assigned by the last order; replaces the initial role.
     assigned_role: Option<Role>,
+    /// Ids of parts of prompts with which the process crashes as soon as it responds.
+    crashing_parts: Vec<String>,
+    /// When the process crashed.
+    crashed_at: Option<Instant>,
     /// Accepted orders: holder and fencing token.
     orders: Vec<(String, u64)>,
     last_id: u64,
@@ -390,6 +396,21 @@
         counts.max().unwrap_or(0)
     }
 
+    /// Makes the process crash when it begins the response to a prompt with one of these parts, unless it is the last one.
+    pub fn set_crashing_parts(&self, parts: &[&str]) {
+        lock(&self.state).crashing_parts = parts.iter().map(|part| (*part).into()).collect();
+    }
+
+    /// Crashes: all connections are reset, and nothing is read any more.
+    pub fn crash(&self) {
+        lock(&self.state).crashed_at.get_or_insert_with(Instant::now);
+    }
+
+    /// Returns when the process crashed.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        lock(&self.state).crashed_at
+    }
+
     /// Stops at once and closes all connections.
     pub async fn kill(&self) {
         self.server.kill().await;
@@ -415,6 +436,11 @@
         lock(&self.state).active_streams
     }
 
+    /// Returns the number of plain requests that were executed and answered.
+    pub fn answered(&self) -> usize {
+        lock(&self.state).answered
+    }
+
     /// Returns the number of streams that are held back in their middle.
     pub fn held_streams(&self) -> u32 {
         lock(&self.state).held_streams
@@ -454,6 +480,15 @@
 
 impl Exchange {
     async fn handle(self, connection: Connection) -> (Connection, Action) {
+        let state = self.state.clone();
+        if has_crashed(&state) {
+            return (connection, Action::Reset);
+        }
+        let (connection, action) = self.respond(connection).await;
+        (connection, if has_crashed(&state) { Action::Reset } else { action })
+    }
+
+    async fn respond(self, connection: Connection) -> (Connection, Action) {
         lock(&self.state).calls.push(self.head.clone());
         let expected = self.head.fields.get("Tarragonhill-Expected-Instance");
         let is_replaced = lock(&self.state).fault == Fault::Replaced;
@@ -640,6 +675,10 @@
         if !write_within(&mut connection, &head.encode(), &mut budget).await {
             return (connection, if budget.is_some() { Action::Reset } else { Action::Close });
         }
+        if self.has_crashing_part() {
+            lock(&self.state).crashed_at.get_or_insert_with(Instant::now);
+            return (connection, Action::Reset);
+        }
         let last_id = self.head.fields.get("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let count = if fault == Fault::EndAtOnce { 0 } else { EVENT_COUNT };
         let start = if lock(&self.state).has_relative_faults { last_id.min(EVENT_COUNT) } else { 0 };
@@ -671,6 +710,9 @@
                 break;
             }
             is_disconnected |= self.wait_for_disconnect(&mut connection).await;
+            if has_crashed(&self.state) {
+                return (connection, Action::Reset);
+            }
             is_disconnected |= !write_within(&mut connection, &frame(event.as_bytes()), &mut budget).await;
             if budget == Some(0) {
                 return (connection, Action::Reset);
@@ -690,6 +732,15 @@
         (connection, if is_written || budget.is_none() { Action::Keep } else { Action::Reset })
     }
 
+    /// Returns whether the prompt has the part that crashes the process.
+    fn has_crashing_part(&self) -> bool {
+        let parts = self.head.fields.get("Tarragonhill-Prompt-Prefix").unwrap_or_default().split(',');
+        let ids: Vec<&str> = parts.filter_map(|part| Some(part.split_once(':')?.0)).collect();
+        let state = lock(&self.state);
+        let is_crashing = |id: &&str| state.crashing_parts.iter().any(|part| part == id);
+        ids.split_last().is_some_and(|(_, shared)| shared.iter().any(is_crashing))
+    }
+
     /// Returns what is sent for an event. `has_begun` tells whether its beginning was sent with the event before.
     fn event(&self, id: u32, has_begun: bool, has_next: bool) -> String {
         let state = lock(&self.state);
@@ -713,6 +764,7 @@
         self.record(true);
         self.wait_while_paused().await;
         task::sleep(self.service_time()).await;
+        lock(&self.state).answered += 1;
         let body =
             format!("{} {} {}", self.head.method, self.head.target, String::from_utf8_lossy(&self.body));
         let success_head = self.new_head(200, fault != Fault::Unsigned);
@@ -837,6 +889,10 @@
     }
 }
 
+fn has_crashed(state: &Mutex<State>) -> bool {
+    lock(state).crashed_at.is_some()
+}
+
 /// Writes as many bytes as `budget` still allows; returns whether all were written.
 async fn write_within(connection: &mut Connection, bytes: &[u8], budget: &mut Option<usize>) -> bool {
     let allowed = budget.map_or(bytes.len(), |budget| budget.min(bytes.len()));
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -104,6 +104,8 @@
     /// Gateway replicas. A test may remove one to stop it.
     pub gateways: Vec<Gateway>,
     endpoints: Vec<Arc<Endpoint>>,
+    /// Endpoints that have crashed and were replaced.
+    replaced: Vec<Arc<Endpoint>>,
     kv_handles: KvHandles,
     /// Loopback address used by this site only. A port that becomes free cannot be reused by another site,
     /// whose endpoints would then get requests of this site.
@@ -151,6 +153,7 @@
             store,
             gateways: Vec::new(),
             endpoints: Vec::new(),
+            replaced: Vec::new(),
             kv_handles,
             ip,
             peer_ip: unique_loopback_ip(),
@@ -300,6 +303,28 @@
         Ok(restarted)
     }
 
+    /// Replaces endpoints that crashed at least `after` ago by new ones at their addresses. Must be called all the time, as it
+    /// also closes the sockets of those that have just crashed.
+    pub async fn replace_crashed(&mut self, after: Duration) -> Result<Vec<Arc<Endpoint>>, SiteError> {
+        let mut started = Vec::new();
+        for endpoint in self.endpoints.clone() {
+            let Some(crashed_at) = endpoint.crashed_at() else { continue };
+            endpoint.kill().await;
+            if crashed_at.elapsed() >= after {
+                self.endpoints.retain(|other| other.id() != endpoint.id());
+                self.store.remove("servers", endpoint.id());
+                started.push(self.add_endpoint_at(endpoint.role(), endpoint.address()).await?);
+                self.replaced.push(endpoint);
+            }
+        }
+        Ok(started)
+    }
+
+    /// Returns all endpoints that have served, including those that have crashed and were replaced.
+    pub fn all_endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.endpoints.iter().chain(&self.replaced)
+    }
+
     /// Writes the row of an endpoint, with this `state`.
     pub fn register(&mut self, endpoint: &Endpoint, state: &str) {
         self.register_incarnation(endpoint, state, start_number(endpoint.id()));
