--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -259,7 +259,7 @@
             customer: Some(Arc::new(customer_of(customer))),
             tokens,
             service: SERVICE.into(),
-            fingerprint: 0,
+            suspects: Arc::default(),
         };
         self.replicas[index].state.admit(self.now, &admission).is_ok()
     }
@@ -338,7 +338,7 @@
         if self.now >= replica.next_digest {
             replica.state.tick(self.now);
             let (mut digest, mut recipients) = replica.state.next_digest(self.now);
-            replica.next_digest = self.now.plus(replica.state.digest_interval());
+            replica.next_digest = self.now.plus(replica.state.digest_interval(self.now));
             if self.shape.is_direct {
                 recipients = replica.state.members();
                 digest.members.extend(recipients.iter().cloned());
@@ -415,7 +415,7 @@
                 customer: Some(Arc::new(customer_of(&customer_name(customer)))),
                 tokens: 5_000,
                 service: SERVICE.into(),
-                fingerprint: 0,
+                suspects: Arc::default(),
             };
             let _ = replica.state.admit(self.now, &admission);
             replica.state.enqueue(self.now, completion(self.now), ());
@@ -521,5 +521,6 @@
         priority: 1,
         avoid: Vec::new(),
         software_version: None,
+        suspects: Arc::default(),
     }
 }
--- a/crates/bench/tests/crashing_part.rs
+++ b/crates/bench/tests/crashing_part.rs
@@ -123,6 +123,7 @@
     if crashes.len() >= KNOWN_CRASHES * parts.len() {
         for part in parts {
             let late = reached(site, *part, known + CONTACT);
+            println!("{} crashes, {} requests with the part afterwards", crashes.len(), late.len());
             assert!(late.len() <= MOST_AFTER, "{} requests reached endpoints", late.len());
         }
     }
@@ -134,6 +135,7 @@
             served += usize::from(is_served);
         }
     }
+    println!("{} crashes, {served} of {sent} sound requests served afterwards", crashes.len());
     assert!(sent > 0, "no request was sent after the first crashes");
     assert!(2 * served >= sent, "{served} of {sent} sound requests were served");
 }
@@ -214,6 +216,7 @@
         count += 1;
         served += usize::from(response.await);
     }
+    println!("{served} of {count} repeated requests served");
     (served, count)
 }
 
--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -5,6 +5,7 @@
 use super::{
     forecast::{Forecast, Size, mean_memory},
     queue::Entry,
+    suspect::Suspect,
 };
 use crate::clock::Time;
 
@@ -54,6 +55,8 @@
     pub avoid: Vec<Arc<str>>,
     /// Software version that began the stream, which the endpoint must have; `None` for a new one.
     pub software_version: Option<Arc<str>>,
+    /// What of the request may crash endpoints; empty for a trial.
+    pub suspects: Arc<[Suspect]>,
 }
 
 impl Completion {
@@ -72,6 +75,7 @@
             priority,
             avoid,
             software_version,
+            suspects,
         } = self;
         let ttft_target = target_or_default(ttft_target);
         let size = size.after_events(events, forecast);
@@ -91,6 +95,7 @@
             ttft_target,
             avoid,
             software_version,
+            suspects,
         }
     }
 }
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -7,7 +7,7 @@
 
 use super::{
     directory::Stage, evacuation::Evacuations, forecast::Forecast, growth::Growth, interval::digest_interval,
-    limit, staleness::Versions,
+    limit, staleness::Versions, suspect,
 };
 use crate::clock::Time;
 
@@ -80,8 +80,8 @@
     pub failure_permille: BTreeMap<Arc<str>, u16>,
     /// Endpoints that the sender has ordered to change their stage.
     pub changing: BTreeMap<Arc<str>, StageChange>,
-    /// Crashes by request fingerprint, for requests that ran on an endpoint when it crashed.
-    pub suspects: BTreeMap<u64, u32>,
+    /// Requests and parts of prompts that may have crashed endpoints; not all of them in most digests.
+    pub suspects: Vec<suspect::Report>,
     /// Limits that endpoints named in responses to the sender.
     pub limits: BTreeMap<Arc<str>, limit::Report>,
     /// Versions of the sender's copy of the store.
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::forecast::Size;
+use super::{forecast::Size, suspect::Suspect};
 use crate::clock::Time;
 
 /// A queued request.
@@ -35,6 +35,8 @@
     pub avoid: Vec<Arc<str>>,
     /// Software version that the endpoint must have; `None` if any will do.
     pub software_version: Option<Arc<str>>,
+    /// What of the request may crash endpoints; empty for a trial.
+    pub suspects: Arc<[Suspect]>,
 }
 
 impl<T> Entry<T> {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -9,10 +9,14 @@
 mod progress;
 mod store;
 mod streams;
+mod suspects;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-pub use self::placing::{ENDPOINT_RETRY_AFTER, no_endpoint};
+pub use self::{
+    placing::{ENDPOINT_RETRY_AFTER, no_endpoint},
+    suspects::quarantined,
+};
 use super::{
     budget::{Budget, Rule},
     catalog::{Catalog, Customer, Engine},
@@ -29,7 +33,7 @@
     rate_limit::RateLimiter,
     relay::{Outbox, Topology},
     staleness::Staleness,
-    suspect::Suspects,
+    suspect::{Suspect, Suspects},
     throttle::{Gate, Roster},
 };
 use crate::clock::Time;
@@ -91,8 +95,17 @@
     pub tokens: u64,
     /// Name of the service.
     pub service: Arc<str>,
-    /// Hash of customer, path and body.
-    pub fingerprint: u64,
+    /// What of the request may crash endpoints.
+    pub suspects: Arc<[Suspect]>,
+}
+
+/// How a request is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admitted {
+    /// Like any other.
+    Freely,
+    /// As a trial of its suspects that are held off, which must end with [`State::end_trial`].
+    AsTrial,
 }
 
 /// The endpoints of a completion.
@@ -148,6 +161,7 @@
         Self {
             roster: Roster::new(identity.name.clone()),
             peers: Peers::new(identity.name.clone()),
+            suspects: Suspects::new(identity.name.clone()),
             identity,
             catalog: None,
             staleness: Staleness::default(),
@@ -159,7 +173,6 @@
             rate_limiter: RateLimiter::new(now),
             budget: Budget::new(retries),
             queue: Queue::default(),
-            suspects: Suspects::default(),
             pools: Pools::default(),
             forecasts: Forecasts::default(),
             serial: 0,
@@ -182,6 +195,7 @@
             self.suspects.remove_peer(peer);
             self.forecasts.remove_peer(peer);
         }
+        self.suspects.expire(now);
         self.budget.expire(now);
         self.gate.expire(now);
         self.limits.expire(now);
@@ -244,6 +258,11 @@
         &self.limits
     }
 
+    /// Returns the requests and parts of prompts that may crash endpoints.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Returns the load of all endpoints.
     pub fn loads(&self) -> &Loads {
         &self.loads
--- a/crates/core/src/gateway/state/admission.rs
+++ b/crates/core/src/gateway/state/admission.rs
@@ -2,18 +2,19 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use super::{Admission, State};
+use super::{Admission, Admitted, State, suspects::quarantined};
 use crate::{
     clock::Time,
-    gateway::{budget::Decision, catalog::Customer, ledger::Remainder},
+    gateway::{budget::Decision, catalog::Customer, ledger::Remainder, suspect::Verdict},
     refusal::{Code, Refusal},
 };
 
 impl<T> State<T> {
     /// Admits a request and charges its customer.
-    pub fn admit(&mut self, now: Time, admission: &Admission) -> Result<(), Refusal> {
-        if self.suspects.is_refused(now, admission.fingerprint) {
-            return Err(Refusal::not_run(Code::Quarantined, "the request has crashed endpoints"));
+    pub fn admit(&mut self, now: Time, admission: &Admission) -> Result<Admitted, Refusal> {
+        let verdict = self.suspects.verdict(now, &admission.suspects, self.settling_time());
+        if let Verdict::Held(wait) = verdict {
+            return Err(quarantined(wait));
         }
         if let Some(customer) = &admission.customer
             && let Err(delay) = self.rate_limiter.spend(now, &customer.name, admission.tokens)
@@ -27,7 +28,11 @@
             return Err(Refusal::not_run(Code::OverRate, message).with_retry_after(delay));
         }
         self.budget.record_request(now, &admission.service);
-        Ok(())
+        if verdict == Verdict::Free {
+            return Ok(Admitted::Freely);
+        }
+        self.suspects.begin_trial(now, &admission.suspects);
+        Ok(Admitted::AsTrial)
     }
 
     /// Gives back the tokens of a request that did not run.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -60,7 +60,7 @@
         self.extend_roster(names);
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
-        self.suspects.apply_digest(digest);
+        self.suspects.apply_digest(now, digest);
         self.apply_limits(now, &digest.limits);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
         if !digest.observed.is_zero() {
@@ -72,15 +72,15 @@
         true
     }
 
-    /// Returns whether peers should learn of this replica's spending soon.
-    fn is_digest_urgent(&self) -> bool {
-        self.rate_limiter.is_digest_urgent()
+    /// Returns whether peers should learn of this replica's spending or of crashes soon.
+    fn is_digest_urgent(&self, now: Time) -> bool {
+        self.rate_limiter.is_digest_urgent() || self.suspects.is_urgent(now)
     }
 
     /// Returns the time from one digest to the next.
-    pub fn digest_interval(&self) -> Duration {
+    pub fn digest_interval(&self, now: Time) -> Duration {
         let replicas = self.peers.count();
-        if self.is_digest_urgent() { urgent_interval(replicas) } else { digest_interval(replicas) }
+        if self.is_digest_urgent(now) { urgent_interval(replicas) } else { digest_interval(replicas) }
     }
 
     /// Returns the interval at which digests of other replicas are passed on; `None` if there are
@@ -99,7 +99,7 @@
     /// Returns the next digest and its recipients.
     pub fn next_digest(&mut self, now: Time) -> (Digest, Vec<Member>) {
         self.serial += 1;
-        let is_urgent = self.is_digest_urgent();
+        let is_urgent = self.is_digest_urgent(now);
         let Totals { spent, left, refused } = self.rate_limiter.take_totals(now);
         let own = self.identity.member();
         self.topology = Topology::new(now, &own, &self.peers);
@@ -123,7 +123,7 @@
             shares: self.loads.local(),
             failure_permille: self.loads.local_failure_permille(now),
             changing: self.pools.changes(now),
-            suspects: self.suspects.report(now),
+            suspects: self.suspects.report(now, is_full),
             limits: self.limits.report(now),
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().clone(),
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -100,7 +100,7 @@
             return Vec::new();
         }
         let mut queue = std::mem::take(&mut self.queue);
-        queue.expire(|entry| self.lacks_version(now, entry));
+        queue.expire(|entry| self.lacks_version(now, entry) || self.is_held_off(entry));
         if !self.directory.evacuations().is_empty() {
             let view = self.view(now);
             queue.expire(|entry| view.is_evacuated(&entry.service));
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -83,9 +83,4 @@
         let used = self.loads.get(&lease.endpoint).map_or(0, |load| load.total(now).memory);
         engine.is_some_and(|engine| used as f64 <= engine.memory as f64 * MAX_UNEXPECTED_LOAD)
     }
-
-    /// Records that a request was interrupted on an endpoint.
-    pub fn record_interrupted(&mut self, now: Time, endpoint: &Arc<str>, fingerprint: u64) {
-        self.suspects.record_interrupted(now, endpoint, fingerprint);
-    }
 }
--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -1,81 +1,370 @@
-//! Quarantine of requests that crash endpoints.
+//! Quarantine of requests, and of parts of prompts, that crash endpoints.
 //!
-//! A request that was interrupted on an endpoint shortly before the endpoint crashed is a suspect.
-//! After repeated crashes it is refused for a while. Replicas exchange crash counts in digests and
-//! add them up, since a caller may retry through another replica.
+//! A request that had no event yet when its endpoint crashed may be the cause, and so may each part of its prompt that other requests
+//! share. Replicas exchange this evidence in digests and keep it in the store. A suspect that occurs in several crashes,
+//! which no other suspect explains, is held off: requests with it are refused as not run. Whatever gets past its first event
+//! is cleared at all replicas.
+//!
+//! One replica at a time tries a request with a suspect that is held off, so that a suspect without guilt is cleared soon. Each
+//! trial that ends in a crash delays the next one.
+
+mod blame;
+mod evidence;
+mod trial;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use xxhash_rust::xxh3::Xxh3;
 
-use super::digest::Digest;
+pub use self::evidence::{Crash, Evidence, Report};
+use self::{
+    evidence::{Record, Stamp, age, stamp},
+    trial::Demand,
+};
+use super::{digest::Digest, directory::Endpoint};
 use crate::clock::Time;
 
-/// Number of crashes after which a request is refused. Two crashes in a row under one request are
-/// hardly a coincidence.
-const CRASH_LIMIT: u32 = 2;
-/// Time after the last crash until a suspect is forgotten.
-const SUSPECT_TTL: Duration = Duration::from_secs(120);
-/// Longest time from the interruption of a request to the detection of a crash that counts against
-/// it.
+/// How long the crashes of a suspect that is not held off are remembered.
+const CRASH_TTL: Duration = Duration::from_secs(120);
+/// The same for suspects that are held off, since their last crash.
+const HELD_TTL: Duration = Duration::from_secs(2 * 3_600);
+/// Age up to which crashes are reported. Shorter than [`HELD_TTL`], so that replicas do not keep evidence alive by
+/// reporting it to each other.
+const REPORT_TTL: Duration = Duration::from_secs(3_600);
+/// How long a suspect that was cleared is reported.
+const CLEARANCE_TTL: Duration = Duration::from_secs(10);
+/// Time after a change in which all suspects are reported, since digests may be lost.
+const CHANGE_TTL: Duration = Duration::from_secs(1);
+/// Time after a change in which peers should learn of it without delay.
+const URGENCY: Duration = Duration::from_millis(150);
+/// Longest time from the interruption of a request to the detection of a crash that counts against it.
 const CRASH_WINDOW: Duration = Duration::from_secs(5);
-/// Maximum number of suspects that a replica tracks; further ones are ignored.
-const MAX_SUSPECTS: usize = 200;
+/// Largest factor on the settling time for requests with several suspects that are held off.
+const MAX_SETTLING_FACTOR: u32 = 3;
+/// Maximum number of suspects that a replica tracks. Beyond it, those with the fewest and oldest crashes are dropped.
+const MAX_SUSPECTS: usize = 1_000;
+/// Maximum number of suspects in a digest, and in a row of the store.
+const MAX_REPORTS: usize = 128;
+/// Maximum number of suspects whose last success is remembered.
+const MAX_BEGUN: usize = 20_000;
+
+/// What may crash endpoints: a whole request, or a part of prompts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Suspect(pub u64);
+
+impl Suspect {
+    /// Returns the suspect for all requests that are equal in these fields.
+    pub fn request<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hash = Xxh3::new();
+        for field in fields {
+            hash.update(&(field.len() as u64).to_le_bytes());
+            hash.update(field);
+        }
+        Self(hash.digest())
+    }
+
+    /// Returns the suspect for all prompts of a service with this part.
+    pub fn part(service: &str, name: &str) -> Self {
+        Self::request(["part", service, name].map(str::as_bytes))
+    }
+}
+
+/// Requests that were interrupted on an endpoint, which may have crashed.
+#[derive(Clone, Debug)]
+struct Interruption {
+    at: Time,
+    crash: Crash,
+    suspects: Arc<[Suspect]>,
+    is_trial: bool,
+}
 
-#[derive(Clone, Copy, Debug)]
-struct Record {
-    crashes: u32,
-    last_crash: Time,
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is held against it.
+    Free,
+    /// It may run as a trial.
+    Trial,
+    /// It is refused; another one may be tried after this time.
+    Held(Duration),
 }
 
-/// Requests suspected of crashing endpoints, by fingerprint.
-#[derive(Clone, Debug, Default)]
+/// The suspects that a replica knows.
+#[derive(Clone, Debug)]
 pub struct Suspects {
-    own: BTreeMap<u64, Record>,
-    peers: BTreeMap<Arc<str>, BTreeMap<u64, u32>>,
+    own: Arc<str>,
+    records: BTreeMap<Suspect, Record>,
+    /// When requests with a suspect last got past their first event here.
+    begun: BTreeMap<Suspect, Stamp>,
     /// Requests that were interrupted recently, by endpoint.
-    interrupted: BTreeMap<Arc<str>, Vec<(Time, u64)>>,
+    interrupted: BTreeMap<Arc<str>, Vec<Interruption>>,
+    /// Suspects that are held off; follows from `records`.
+    held: BTreeSet<Suspect>,
+    /// Increases with each change of `held`.
+    generation: u64,
+    /// Callers' requests for suspects that are held off.
+    demand: Demand,
+    changed_at: Option<Time>,
+    /// Whether this replica has found evidence since its start.
+    has_found: bool,
+    /// Whether the store lacks evidence that this replica knows and has to write.
+    is_unsaved: bool,
 }
 
 impl Suspects {
-    /// Records that a request was interrupted on an endpoint.
-    pub fn record_interrupted(&mut self, now: Time, endpoint: &Arc<str>, fingerprint: u64) {
-        let interrupted = self.interrupted.entry(endpoint.clone()).or_default();
-        interrupted.retain(|(at, _)| now.since(*at) < CRASH_WINDOW);
-        interrupted.push((now, fingerprint));
-    }
-
-    /// Records that an endpoint has crashed: it is unreachable, removed or restarted.
-    pub fn record_crash(&mut self, now: Time, endpoint: &str) {
-        self.own.retain(|_, record| now.since(record.last_crash) < SUSPECT_TTL);
-        for (at, fingerprint) in self.interrupted.remove(endpoint).unwrap_or_default() {
-            if now.since(at) >= CRASH_WINDOW || self.own.len() >= MAX_SUSPECTS {
+    /// Creates an empty list; `own` is the name of this replica.
+    pub fn new(own: Arc<str>) -> Self {
+        Self {
+            own,
+            records: BTreeMap::new(),
+            begun: BTreeMap::new(),
+            interrupted: BTreeMap::new(),
+            held: BTreeSet::new(),
+            generation: 0,
+            demand: Demand::default(),
+            changed_at: None,
+            has_found: false,
+            is_unsaved: false,
+        }
+    }
+
+    /// Records that a request was interrupted on an endpoint before it got past its first event.
+    pub fn record_interrupted(
+        &mut self,
+        now: Time,
+        endpoint: &Endpoint,
+        suspects: &Arc<[Suspect]>,
+        is_trial: bool,
+    ) {
+        let interrupted = self.interrupted.entry(endpoint.id.clone()).or_default();
+        interrupted.retain(|interruption| now.since(interruption.at) < CRASH_WINDOW);
+        let crash = Crash::of(endpoint);
+        interrupted.push(Interruption { at: now, crash, suspects: suspects.clone(), is_trial });
+    }
+
+    /// Records that an endpoint had not crashed at `at`, so that interruptions there until then had other reasons.
+    pub fn record_alive(&mut self, endpoint: &str, at: Time) {
+        if let Some(interrupted) = self.interrupted.get_mut(endpoint) {
+            interrupted.retain(|interruption| interruption.at > at);
+        }
+    }
+
+    /// Records that an endpoint has crashed: it is unreachable, removed or restarted. Returns the number of suspects.
+    pub fn record_crash(&mut self, now: Time, endpoint: &str) -> usize {
+        let mut count = 0;
+        for interruption in self.interrupted.remove(endpoint).unwrap_or_default() {
+            let Interruption { at, crash, suspects, is_trial } = interruption;
+            if now.since(at) >= CRASH_WINDOW {
                 continue;
             }
-            let record = self.own.entry(fingerprint).or_insert(Record { crashes: 0, last_crash: now });
-            record.crashes += 1;
-            record.last_crash = now;
+            count += suspects.len();
+            for suspect in &*suspects {
+                // What else a trial contains is not tried.
+                let is_trial = is_trial && self.held.contains(suspect);
+                let begun = self.begun.get(suspect).copied();
+                let record = self.records.entry(*suspect).or_insert_with(|| Record::new(begun));
+                record.add(crash, Evidence { at: stamp(at), is_trial });
+            }
+        }
+        if count > 0 {
+            self.mark_unsaved();
+            self.drop_least();
+            self.update(now);
+        }
+        count
+    }
+
+    /// Records that a request got past its first event, or that a call was answered.
+    pub fn record_begun(&mut self, now: Time, suspects: &[Suspect]) {
+        let mut is_changed = false;
+        for suspect in suspects {
+            self.begun.insert(*suspect, stamp(now));
+            if let Some(record) = self.records.get_mut(suspect) {
+                is_changed |= record.clear(stamp(now));
+            }
+        }
+        if self.begun.len() > MAX_BEGUN {
+            self.drop_oldest_begun();
+        }
+        if is_changed {
+            self.mark_unsaved();
+            self.update(now);
+        }
+    }
+
+    fn mark_unsaved(&mut self) {
+        (self.has_found, self.is_unsaved) = (true, true);
+    }
+
+    fn drop_oldest_begun(&mut self) {
+        let mut times: Vec<Stamp> = self.begun.values().copied().collect();
+        let (_, limit, _) = times.select_nth_unstable(MAX_BEGUN / 10);
+        let limit = *limit;
+        self.begun.retain(|_, at| *at > limit);
+    }
+
+    /// Drops suspects that are too many.
+    fn drop_least(&mut self) {
+        if self.records.len() <= MAX_SUSPECTS {
+            return;
         }
+        let mut ranked: Vec<(usize, Option<Stamp>, Suspect)> =
+            self.records.iter().map(|(suspect, record)| record.rank(*suspect)).collect();
+        ranked.sort_unstable();
+        for (_, _, suspect) in &ranked[..ranked.len() - MAX_SUSPECTS] {
+            self.records.remove(suspect);
+        }
+    }
+
+    /// Recomputes which suspects are held off, after each change of the evidence.
+    fn update(&mut self, now: Time) {
+        self.changed_at = Some(now);
+        let held = blame::held(&self.records);
+        if held != self.held {
+            self.held = held;
+            self.generation += 1;
+        }
+    }
+
+    /// Drops old evidence; must be called several times a second.
+    pub fn expire(&mut self, now: Time) {
+        self.demand.expire(now, &self.held);
+        let mut is_changed = false;
+        for (suspect, record) in &mut self.records {
+            let ttl = if self.held.contains(suspect) { HELD_TTL } else { CRASH_TTL };
+            is_changed |= record.expire(now, ttl);
+        }
+        self.records.retain(|_, record| record.is_of_use(now, CLEARANCE_TTL));
+        if is_changed {
+            self.update(now);
+        }
+    }
+
+    /// Returns the suspects that are held off.
+    pub fn held(&self) -> &BTreeSet<Suspect> {
+        &self.held
     }
 
-    /// Returns whether a request is quarantined.
-    pub fn is_refused(&self, now: Time, fingerprint: u64) -> bool {
-        let own = self.own.get(&fingerprint).filter(|record| now.since(record.last_crash) < SUSPECT_TTL);
-        let peers = self.peers.values().filter_map(|reported| reported.get(&fingerprint));
-        own.map_or(0, |record| record.crashes) + peers.sum::<u32>() >= CRASH_LIMIT
+    /// Returns the generation of [`Self::held`], by which a copy of it tells whether it is outdated.
+    pub fn generation(&self) -> u64 {
+        self.generation
     }
 
-    /// Returns this replica's crash counts, for its digest.
-    pub fn report(&self, now: Time) -> BTreeMap<u64, u32> {
-        let recent = self.own.iter().filter(|(_, record)| now.since(record.last_crash) < SUSPECT_TTL);
-        recent.map(|(fingerprint, record)| (*fingerprint, record.crashes)).collect()
+    /// Returns whether any of these suspects is held off.
+    pub fn holds(&self, suspects: &[Suspect]) -> bool {
+        !self.held.is_empty() && suspects.iter().any(|suspect| self.held.contains(suspect))
     }
 
-    /// Applies the crash counts of a peer.
-    pub fn apply_digest(&mut self, digest: &Digest) {
-        self.peers.insert(digest.name.clone(), digest.suspects.clone());
+    /// Decides about a request. `settling_time` is the time in which replicas learn of each other's demand.
+    pub fn verdict(&mut self, now: Time, suspects: &[Suspect], settling_time: Duration) -> Verdict {
+        let held: Vec<Suspect> =
+            suspects.iter().filter(|suspect| self.held.contains(suspect)).copied().collect();
+        if held.is_empty() {
+            return Verdict::Free;
+        }
+        // A request with fewer suspects tells more, so it gets the trial if there is one.
+        let settling_time = settling_time * (held.len() as u32).min(MAX_SETTLING_FACTOR);
+        let turn = self.demand.ask(now, &held, &self.own, settling_time);
+        let records = held.iter().filter_map(|suspect| self.records.get(suspect));
+        let due = records.map(|record| record.trial_wait(now)).max().unwrap_or_default();
+        match turn.max(due) {
+            Duration::ZERO => Verdict::Trial,
+            wait => Verdict::Held(wait),
+        }
     }
 
-    /// Removes the crash counts of a peer.
+    /// Records that a request runs as a trial of its suspects that are held off.
+    pub fn begin_trial(&mut self, now: Time, suspects: &[Suspect]) {
+        for suspect in suspects.iter().filter(|suspect| self.held.contains(suspect)) {
+            self.demand.begin_trial(now, *suspect);
+        }
+        self.changed_at = Some(now);
+    }
+
+    /// Records that a trial has ended.
+    pub fn end_trial(&mut self, now: Time, suspects: &[Suspect]) {
+        suspects.iter().for_each(|suspect| self.demand.end_trial(now, *suspect));
+        self.changed_at = Some(now);
+    }
+
+    /// Returns whether peers should learn of a change soon.
+    pub fn is_urgent(&self, now: Time) -> bool {
+        self.has_changed_within(now, URGENCY)
+    }
+
+    fn has_changed_within(&self, now: Time, span: Duration) -> bool {
+        self.changed_at.is_some_and(|at| now.since(at) < span)
+    }
+
+    /// Returns what this replica knows, for a digest: the suspects that are asked for, and all of them after a change
+    /// and if `is_full`.
+    pub fn report(&self, now: Time, is_full: bool) -> Vec<Report> {
+        let is_full = is_full || self.has_changed_within(now, CHANGE_TTL);
+        let known =
+            self.records.iter().filter(|(suspect, _)| is_full || self.demand.is_wanted(now, **suspect));
+        let mut reports: Vec<Report> = known
+            .map(|(suspect, record)| Report {
+                is_wanted: self.demand.is_wanted(now, *suspect),
+                is_trying: self.demand.is_trying(*suspect),
+                // Not what peers have reported: each hop would make it seem later.
+                begun: self.begun.get(suspect).map(|at| age(now, *at)),
+                ..record.report(now, *suspect, REPORT_TTL)
+            })
+            .collect();
+        reports.sort_by_key(|report| std::cmp::Reverse(report.rank()));
+        reports.truncate(MAX_REPORTS);
+        reports
+    }
+
+    /// Returns what this replica knows if it has found evidence that is not in the store yet.
+    pub fn take_unsaved(&mut self, now: Time) -> Option<Vec<Report>> {
+        std::mem::take(&mut self.is_unsaved).then(|| self.report(now, true))
+    }
+
+    /// Applies the reports of a peer.
+    pub fn apply_digest(&mut self, now: Time, digest: &Digest) {
+        self.apply_reports(now, &digest.suspects);
+        self.demand.apply(now, &digest.name, &digest.suspects);
+    }
+
+    /// Applies what replicas have written to the store.
+    pub fn apply_stored(&mut self, now: Time, reports: &[Report]) {
+        // This replica may be about to replace a row that an earlier process wrote.
+        self.is_unsaved |= self.apply_reports(now, reports) && self.has_found;
+    }
+
+    /// Applies reports; returns whether they told anything new.
+    fn apply_reports(&mut self, now: Time, reports: &[Report]) -> bool {
+        let mut is_changed = false;
+        for report in reports {
+            let begun = self.begun.get(&report.suspect).copied();
+            let record = self.records.entry(report.suspect).or_insert_with(|| Record::new(begun));
+            is_changed |= record.merge(now, report);
+        }
+        if is_changed {
+            self.drop_least();
+            self.update(now);
+        }
+        is_changed
+    }
+
+    /// Forgets the demand of a peer.
     pub fn remove_peer(&mut self, peer: &str) {
-        self.peers.remove(peer);
+        self.demand.remove_peer(peer);
+    }
+
+    /// Returns the number of crashes and of failed trials of a suspect, and how long ago the last crash was.
+    pub fn describe(&self, now: Time, suspect: Suspect) -> (usize, usize, Duration) {
+        self.records.get(&suspect).map_or((0, 0, Duration::ZERO), |record| {
+            (
+                record.crashes.len(),
+                record.failed_trials(),
+                record.last_crash().map_or(Duration::ZERO, |at| age(now, at)),
+            )
+        })
     }
 }
--- a/crates/core/tests/gateway/fleet_budget.rs
+++ b/crates/core/tests/gateway/fleet_budget.rs
@@ -1,6 +1,6 @@
 //! Tests of the retry budget of a whole fleet, with replicas that are cut off and restarted.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use tarragonhill_core::{Time, gateway::state::Admission};
@@ -40,7 +40,8 @@
 
 /// Plays a day on which each replica retries as often as it may after each pause. Returns the times of requests and retries.
 fn play(day: &Day) -> (Vec<Time>, Vec<Time>) {
-    let admission = Admission { customer: None, tokens: 0, service: "notes".into(), fingerprint: 0 };
+    let admission =
+        Admission { customer: None, tokens: 0, service: "notes".into(), suspects: Arc::default() };
     let mut fleet = Fleet::new(day.plan.clone(), STEP_MS, |_, _| {});
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for now_ms in (0..DAY_MS).step_by(STEP_MS as usize) {
--- a/crates/core/tests/gateway/fleet_rate.rs
+++ b/crates/core/tests/gateway/fleet_rate.rs
@@ -40,7 +40,8 @@
     let plan = Plan { troubles: (0..24).flat_map(restarts).collect(), ..Plan::calm(24) };
     let mut fleet = Fleet::new(plan, STEP_MS, prepare);
     let customer = Some(Arc::new(customer("faculty", RATE, RATE)));
-    let admission = Admission { customer, tokens: REQUEST_TOKENS, service: "notes".into(), fingerprint: 0 };
+    let admission =
+        Admission { customer, tokens: REQUEST_TOKENS, service: "notes".into(), suspects: Arc::default() };
     let requests_per_step = DEMAND * RATE * STEP_MS / 1_000 / REQUEST_TOKENS;
     let mut spent = Vec::new();
     for now_ms in (0..DAY_MS).step_by(STEP_MS as usize) {
--- a/crates/core/tests/gateway/queue.rs
+++ b/crates/core/tests/gateway/queue.rs
@@ -27,6 +27,7 @@
         ttft_target: Duration::from_millis(900),
         avoid: Vec::new(),
         software_version: None,
+        suspects: [].into(),
     }
 }
 
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -17,6 +17,7 @@
         placement::Filter,
         queue::{Entry, Verdict},
         state::{Admission, Identity, Listing, State},
+        suspect::Suspect,
     },
     refusal::Code,
 };
@@ -66,6 +67,7 @@
         priority: 1,
         avoid: Vec::new(),
         software_version: None,
+        suspects: Arc::default(),
     }
 }
 
@@ -149,8 +151,12 @@
     let mut state = state();
     state.apply_catalog(at(0), 10, catalog(1, 1_000));
     let faculty = Arc::new(customer("faculty", 1_000, 1_000));
-    let admission =
-        Admission { customer: Some(faculty), tokens: 1_000, service: "drafting".into(), fingerprint: 1 };
+    let admission = Admission {
+        customer: Some(faculty),
+        tokens: 1_000,
+        service: "drafting".into(),
+        suspects: Arc::default(),
+    };
     assert!(state.admit(at(5_000), &admission).is_ok());
     let refusal = state.admit(at(5_500), &admission).expect_err("refused");
     assert_eq!((refusal.code, refusal.not_run), (Code::OverRate, true));
@@ -177,13 +183,14 @@
 #[test]
 fn removal_after_an_interrupted_request_counts_as_a_crash() {
     let mut state = ready_state();
+    let suspects: Arc<[Suspect]> = [Suspect(77)].into();
     for (now, id) in [(0, "d-1"), (1_000, "p-1")] {
-        state.record_interrupted(at(now), &id.into(), 77);
+        state.record_interrupted(at(now), &endpoint(id, Stage::Decode), &suspects, false);
         let listing =
             Listing { version: 10 + now, is_complete: false, rows: vec![removed_row(10 + now, id)] };
         state.apply_listing(at(now + 500), listing);
     }
-    let admission = Admission { customer: None, tokens: 1, service: "drafting".into(), fingerprint: 77 };
+    let admission = Admission { customer: None, tokens: 1, service: "drafting".into(), suspects };
     let refusal = state.admit(at(2_000), &admission).expect_err("refused");
     assert_eq!(refusal.code, Code::Quarantined);
 }
--- a/crates/core/tests/gateway/suspect.rs
+++ b/crates/core/tests/gateway/suspect.rs
@@ -1,54 +1,278 @@
-//! Tests of the quarantine for requests that crash endpoints.
+//! Tests of the quarantine for requests and parts of prompts that crash endpoints.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use tarragonhill_core::gateway::{digest::Digest, suspect::Suspects};
+use tarragonhill_core::gateway::{
+    digest::Digest,
+    directory::Stage,
+    suspect::{Suspect, Suspects, Verdict},
+};
 
-use crate::at;
+use crate::{at, endpoint};
 
-const CRASHING: u64 = 1;
-const HARMLESS: u64 = 2;
+const CRASHING: Suspect = Suspect(1);
+const HARMLESS: Suspect = Suspect(2);
+/// Part of many prompts.
+const POPULAR: Suspect = Suspect(3);
+const SETTLING_TIME: Duration = Duration::from_millis(600);
+/// Time in which all replicas must know what has happened.
+const CONTACT_MS: u64 = 3_000;
+/// Most requests with a crashing part that may run later than that after the fifth crash.
+const MOST_AFTER: usize = 3;
 
-fn crash(suspects: &mut Suspects, now: u64, endpoint: &str, running: &[u64]) {
-    let endpoint: Arc<str> = endpoint.into();
-    for fingerprint in running {
-        suspects.record_interrupted(at(now), &endpoint, *fingerprint);
+fn suspects(name: &str) -> Suspects {
+    Suspects::new(name.into())
+}
+
+/// Lets an endpoint crash while it runs requests with these suspects, each with others.
+fn crash(suspects: &mut Suspects, now: u64, id: &str, running: &[&[Suspect]]) {
+    let endpoint = endpoint(id, Stage::Decode);
+    for request in running {
+        suspects.record_interrupted(at(now), &endpoint, &Arc::from(*request), false);
     }
-    suspects.record_crash(at(now + 300), &endpoint);
+    suspects.record_crash(at(now + 30), id);
+}
+
+fn digest(name: &str, suspects: &Suspects, now: u64) -> Digest {
+    Digest { name: name.into(), suspects: suspects.report(at(now), true), ..Digest::default() }
+}
+
+fn tell(from: (&str, &Suspects), to: &mut Suspects, now: u64) {
+    to.apply_digest(at(now), &digest(from.0, from.1, now));
+}
+
+fn verdict(suspects: &mut Suspects, now: u64, request: &[Suspect]) -> Verdict {
+    suspects.verdict(at(now), request, SETTLING_TIME)
 }
 
 /// Guards against a request that is retried through several replicas and crashes an endpoint each
 /// time.
 #[test]
 fn a_request_that_crashed_two_endpoints_is_refused_by_every_replica() {
-    let (mut one, mut two) = (Suspects::default(), Suspects::default());
-    crash(&mut one, 0, "e-1", &[CRASHING, HARMLESS]);
-    assert!(!one.is_refused(at(400), CRASHING));
-    two.apply_digest(&Digest { name: "one".into(), suspects: one.report(at(500)), ..Digest::default() });
-    crash(&mut two, 1_000, "e-2", &[CRASHING]);
-    assert!(two.is_refused(at(1_500), CRASHING));
-    one.apply_digest(&Digest { name: "two".into(), suspects: two.report(at(1_500)), ..Digest::default() });
-    assert!(one.is_refused(at(1_600), CRASHING));
-    assert!(!one.is_refused(at(1_600), HARMLESS) && !two.is_refused(at(1_600), HARMLESS));
+    let (mut one, mut two) = (suspects("one"), suspects("two"));
+    crash(&mut one, 0, "e-1", &[&[CRASHING], &[HARMLESS]]);
+    assert_eq!(verdict(&mut one, 400, &[CRASHING]), Verdict::Free);
+    tell(("one", &one), &mut two, 500);
+    crash(&mut two, 1_000, "e-2", &[&[CRASHING]]);
+    assert!(two.holds(&[CRASHING]));
+    tell(("two", &two), &mut one, 1_500);
+    assert!(one.holds(&[CRASHING]));
+    assert!(!one.holds(&[HARMLESS]) && !two.holds(&[HARMLESS]));
+}
+
+/// Guards against one crash that counts at each replica that noticed it.
+#[test]
+fn a_crash_that_two_replicas_notice_counts_once() {
+    let (mut one, mut two) = (suspects("one"), suspects("two"));
+    crash(&mut one, 0, "e-1", &[&[CRASHING]]);
+    crash(&mut two, 10, "e-1", &[&[CRASHING]]);
+    tell(("one", &one), &mut two, 500);
+    assert!(!two.holds(&[CRASHING]));
 }
 
 #[test]
 fn an_interrupted_request_without_a_crash_is_not_a_suspect() {
-    let mut suspects = Suspects::default();
+    let mut suspects = suspects("one");
+    let e_1 = endpoint("e-1", Stage::Decode);
     for now in 0..5 {
-        suspects.record_interrupted(at(now), &"e-1".into(), CRASHING);
+        suspects.record_interrupted(at(now), &e_1, &[CRASHING].into(), false);
     }
-    assert!(!suspects.is_refused(at(10), CRASHING));
+    assert!(!suspects.holds(&[CRASHING]));
     // The endpoint crashes much later, with other requests running.
     suspects.record_crash(at(60_000), "e-1");
-    assert!(!suspects.is_refused(at(60_001), CRASHING));
+    // Others are found alive, and crash a moment later.
+    for (now, id) in [(70_000, "e-2"), (71_000, "e-3")] {
+        suspects.record_interrupted(at(now), &endpoint(id, Stage::Decode), &[CRASHING].into(), false);
+        suspects.record_alive(id, at(now + 10));
+        suspects.record_crash(at(now + 100), id);
+    }
+    assert_eq!(verdict(&mut suspects, 72_000, &[CRASHING]), Verdict::Free);
+}
+
+/// Guards against a suspect that is refused for good.
+#[test]
+fn a_suspect_is_tried_again_and_cleared_by_its_first_event_at_every_replica() {
+    let (mut one, mut two) = (suspects("one"), suspects("two"));
+    crash(&mut one, 0, "e-1", &[&[HARMLESS]]);
+    crash(&mut one, 1_000, "e-2", &[&[HARMLESS]]);
+    tell(("one", &one), &mut two, 1_100);
+    assert!(matches!(verdict(&mut one, 1_200, &[HARMLESS]), Verdict::Held(_)));
+    assert_eq!(verdict(&mut one, 1_900, &[HARMLESS]), Verdict::Trial);
+    one.begin_trial(at(1_900), &[HARMLESS]);
+    tell(("one", &one), &mut two, 2_000);
+    assert!(matches!(verdict(&mut two, 2_000, &[HARMLESS]), Verdict::Held(_)));
+    assert!(matches!(verdict(&mut two, 2_700, &[HARMLESS]), Verdict::Held(_)), "one trial at a time");
+    one.record_begun(at(2_800), &[HARMLESS]);
+    one.end_trial(at(2_800), &[HARMLESS]);
+    assert_eq!(verdict(&mut one, 2_810, &[HARMLESS]), Verdict::Free);
+    tell(("one", &one), &mut two, 2_900);
+    assert_eq!(verdict(&mut two, 2_910, &[HARMLESS]), Verdict::Free);
+}
+
+/// Guards against replicas that each come first for one suspect of a request, and wait for each other.
+#[test]
+fn a_request_with_several_suspects_is_tried_by_one_of_the_replicas() {
+    let request: Vec<Suspect> = (1..6).map(Suspect).collect();
+    let (mut one, mut two) = (suspects("one"), suspects("two"));
+    for number in 0..2 {
+        crash(&mut one, number * 1_000, &format!("e-{number}"), &[&request]);
+    }
+    let mut trials = 0;
+    for now in (2_000..9_000).step_by(100) {
+        tell(("one", &one), &mut two, now);
+        tell(("two", &two), &mut one, now);
+        for replica in [&mut one, &mut two] {
+            if verdict(replica, now, &request) == Verdict::Trial {
+                replica.begin_trial(at(now), &request);
+                trials += 1;
+            }
+        }
+    }
+    assert_eq!(trials, 1);
+}
+
+/// Guards against innocent parts of the same prompts, and against neighbours that ran beside them.
+#[test]
+fn only_the_part_that_is_in_all_crashes_is_held_off() {
+    let mut suspects = suspects("one");
+    let document = |number| Suspect(100 + number % 3);
+    for number in 0..6 {
+        let id = format!("e-{number}");
+        let guilty = [POPULAR, document(number), CRASHING];
+        let neighbour = [POPULAR, document(number + 1)];
+        crash(&mut suspects, number * 700, &id, &[&guilty, &neighbour]);
+        suspects.record_begun(at(number * 700 + 300), &[POPULAR]);
+    }
+    assert_eq!(suspects.held().iter().copied().collect::<Vec<_>>(), [CRASHING]);
+}
+
+/// Guards against the second of two crashing parts, whose crashes the first one does not explain.
+#[test]
+fn two_parts_that_crash_endpoints_are_both_held_off() {
+    let mut suspects = suspects("one");
+    let parts = [CRASHING, Suspect(9)];
+    for number in 0..6 {
+        crash(&mut suspects, number * 700, &format!("e-{number}"), &[&[POPULAR, parts[number as usize % 2]]]);
+        suspects.record_begun(at(number * 700 + 300), &[POPULAR]);
+    }
+    assert_eq!(suspects.held().iter().copied().collect::<Vec<_>>(), parts);
+}
+
+/// Guards against a popular part that is held off because it waits at all endpoints when some of them crash at once.
+#[test]
+fn a_part_of_answers_that_had_begun_is_not_held_off_after_a_wave_of_crashes() {
+    let (mut one, mut two) = (suspects("one"), suspects("two"));
+    two.record_begun(at(0), &[POPULAR]);
+    for number in 0..6 {
+        crash(&mut one, 1_000 + number, &format!("e-{number}"), &[&[POPULAR]]);
+    }
+    // It has begun at another replica only, which says so.
+    tell(("one", &one), &mut two, 1_100);
+    tell(("two", &two), &mut one, 1_200);
+    assert!(!one.holds(&[POPULAR]) && !two.holds(&[POPULAR]));
 }
 
+/// Guards against a list that is full of neighbours when the guilty part comes.
 #[test]
-fn a_suspect_is_admitted_again_after_its_ttl() {
-    let mut suspects = Suspects::default();
-    crash(&mut suspects, 0, "e-1", &[CRASHING]);
-    crash(&mut suspects, 1_000, "e-2", &[CRASHING]);
-    assert!(suspects.is_refused(at(2_000), CRASHING));
-    assert!(!suspects.is_refused(at(200_000), CRASHING));
+fn a_crashing_part_is_found_among_thousands_of_neighbours() {
+    let mut suspects = suspects("one");
+    for round in 0..4_u64 {
+        let neighbours: Vec<Suspect> =
+            (0..900).map(|number| Suspect(10_000 * (round + 1) + number)).collect();
+        let requests: Vec<&[Suspect]> = neighbours.chunks(3).collect();
+        crash(&mut suspects, round * 1_000, &format!("unrelated-{round}"), &requests);
+        crash(&mut suspects, round * 1_000 + 500, &format!("e-{round}"), &[&[CRASHING]]);
+    }
+    assert_eq!(suspects.held().iter().copied().collect::<Vec<_>>(), [CRASHING]);
+    assert!(suspects.report(at(4_000), true).iter().any(|report| report.suspect == CRASHING));
+}
+
+/// Guards against processes that forget what the fleet knew when all of them end at once.
+#[test]
+fn a_new_process_holds_off_what_an_earlier_one_wrote_to_the_store() {
+    let mut before = suspects("one");
+    for number in 0..5 {
+        crash(&mut before, number * 100, &format!("e-{number}"), &[&[CRASHING]]);
+    }
+    let stored = before.take_unsaved(at(500)).expect("new evidence");
+    assert!(before.take_unsaved(at(600)).is_none());
+    let mut after = suspects("one");
+    // Its clock has started anew, so that the crashes are older than the process.
+    after.apply_stored(at(1), &stored);
+    assert!(after.holds(&[CRASHING]));
+    // What it writes next replaces the row.
+    crash(&mut after, 10, "e-9", &[&[HARMLESS]]);
+    let stored = after.take_unsaved(at(50)).expect("new evidence");
+    assert!(stored.iter().any(|report| report.suspect == CRASHING));
+}
+
+/// Runs a fleet that is asked for the crashing part all the time, and returns when requests with it ran.
+fn ask_fleet(replicas: usize, span_ms: u64, is_connected: impl Fn(usize, usize, u64) -> bool) -> Vec<u64> {
+    const STEP_MS: u64 = 100;
+    let names: Vec<String> = (0..replicas).map(|number| format!("r-{number}")).collect();
+    let mut fleet: Vec<Suspects> = names.iter().map(|name| suspects(name)).collect();
+    let mut runs = Vec::new();
+    // The rows of the store, which replicas read when they have found something.
+    let mut store = vec![Vec::new(); replicas];
+    for now in (0..span_ms).step_by(STEP_MS as usize) {
+        for from in 0..replicas {
+            let digest = digest(&names[from], &fleet[from], now);
+            for to in (0..replicas).filter(|to| *to != from && is_connected(from, *to, now)) {
+                fleet[to].apply_digest(at(now), &digest);
+            }
+        }
+        for number in 0..replicas {
+            fleet[number].expire(at(now));
+            let verdict = verdict(&mut fleet[number], now, &[CRASHING]);
+            if matches!(verdict, Verdict::Held(_)) {
+                continue;
+            }
+            let is_trial = verdict == Verdict::Trial;
+            if is_trial {
+                fleet[number].begin_trial(at(now), &[CRASHING]);
+            }
+            runs.push(now);
+            let id = format!("e-{number}-{now}");
+            fleet[number].record_interrupted(
+                at(now),
+                &endpoint(&id, Stage::Decode),
+                &[CRASHING].into(),
+                is_trial,
+            );
+            fleet[number].end_trial(at(now), &[CRASHING]);
+            fleet[number].record_crash(at(now + 30), &id);
+            for row in &store {
+                fleet[number].apply_stored(at(now + 40), row);
+            }
+            if let Some(row) = fleet[number].take_unsaved(at(now + 50)) {
+                store[number] = row;
+            }
+        }
+    }
+    runs
+}
+
+fn assert_few_after_the_fifth(runs: &[u64], case: &str) {
+    let known = runs.get(4).map_or(u64::MAX, |fifth| fifth + CONTACT_MS);
+    let late = runs.iter().filter(|at| **at > known).count();
+    assert!(late <= MOST_AFTER, "{case}: {late} of {} requests ran late: {runs:?}", runs.len());
+}
+
+/// Guards against replicas that all try a suspect again at the same time.
+#[test]
+fn a_fleet_tries_a_crashing_part_few_times_in_ten_minutes() {
+    for (replicas, span_ms) in [(1, 600_000), (4, 600_000), (24, 60_000)] {
+        let runs = ask_fleet(replicas, span_ms, |_, _, _| true);
+        assert_few_after_the_fifth(&runs, &format!("{replicas} replicas"));
+    }
+}
+
+/// Guards against replicas that lose each other for some time and then try the suspect on their own.
+#[test]
+fn replicas_that_are_cut_off_from_each_other_try_a_crashing_part_few_times() {
+    for (from_ms, to_ms) in [(0, 20_000), (2_000, 30_000), (10_000, 100_000)] {
+        let is_cut = |now| (from_ms..to_ms).contains(&now);
+        let runs = ask_fleet(4, 110_000, |one, other, now| !is_cut(now) || (one < 3 && other < 3));
+        assert_few_after_the_fifth(&runs, &format!("one cut off from {from_ms} to {to_ms} ms"));
+    }
 }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,7 +8,7 @@
 use tarragonhill_core::{Clock, gateway::digest::Member};
 use tarragonhill_gateway::{Gateway, Settings, Status, Store};
 use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
-use tarragonhill_platform::{READINESS_PATH, claims::Claims, dialect::Dialect, store};
+use tarragonhill_platform::{READINESS_PATH, claims::Claims, dialect::Dialect, store, suspects};
 
 use crate::{StartError, admin, config::GatewaySettings, logging};
 
@@ -56,6 +56,7 @@
             zone: common.zone.clone(),
             millicores: settings.millicores,
         };
+        suspects::keep(common.table, common.name.clone(), gateway.unsaved_suspects(), updates.clone());
         store::follow(common.table, own, gateway.mirror(), updates);
         let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
         let server = server.map_err(|error| StartError::Listen {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicU32, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -18,14 +18,15 @@
         ledger::{self, Ledger, Plan},
         origin::{Origin, Stream},
         shutdown::Shutdown,
-        state::Admission,
+        state::{Admission, Admitted, quarantined},
+        suspect::Suspect,
     },
     refusal::Code,
 };
 use tarragonhill_h1::head::Request;
 
 use crate::{
-    control::Control,
+    control::{Block, Control},
     edge::{Dialect, Dispatch, Message, Metadata, Task},
     exchange::{Client, Exchange, Failure, Recipient},
     metrics::Metrics,
@@ -61,6 +62,21 @@
         self.shutdown.get().is_some()
     }
 
+    /// Checks in a background task whether an endpoint has crashed.
+    fn check_endpoint(self: &Arc<Self>, endpoint: &Arc<Endpoint>) {
+        let (context, endpoint) = (self.clone(), endpoint.clone());
+        async_std::task::spawn(async move {
+            let began = context.clock.now();
+            match context.client().is_alive(&endpoint).await {
+                Ok(()) => context.control.record_alive(&endpoint.id, began),
+                Err(failure) => {
+                    spdlog::info!("endpoint crashed", kv: { endpoint = &*endpoint.id, reason = failure.to_string().as_str() });
+                    context.control.record_crash(&endpoint.id);
+                }
+            }
+        });
+    }
+
     /// Sends a message to an endpoint in a background task and discards the response.
     pub(crate) fn send_detached(self: &Arc<Self>, endpoint: Arc<Endpoint>, message: Message) {
         let context = self.clone();
@@ -101,6 +117,8 @@
     /// Number of endpoints that may have run the request. A count and not a flag: a hedged request is at two
     /// endpoints, and one of them may report that it did not run it.
     runs: AtomicU32,
+    /// Whether the request runs as a trial of suspects that are held off.
+    is_trial: AtomicBool,
     /// Messages sent to endpoints, and what was charged for them.
     ledger: Mutex<Ledger>,
 }
@@ -125,10 +143,52 @@
             received,
             deadline,
             runs: AtomicU32::new(0),
+            is_trial: AtomicBool::new(false),
             ledger: Mutex::default(),
         }
     }
 
+    /// Records how the request was admitted.
+    pub(crate) fn record_admitted(&self, admitted: Admitted) {
+        self.is_trial.store(admitted == Admitted::AsTrial, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_trial(&self) -> bool {
+        self.is_trial.load(Ordering::Relaxed)
+    }
+
+    /// Ends the trial if the request is one. After that it may not be sent to another endpoint.
+    pub(crate) fn end_trial(&self, context: &Context) {
+        if self.is_trial.swap(false, Ordering::Relaxed) {
+            context.control.end_trial(&self.admission.suspects);
+        }
+    }
+
+    /// Returns what of the request may crash endpoints and is not being tried.
+    pub(crate) fn untried_suspects(&self) -> Arc<[Suspect]> {
+        if self.is_trial() { Arc::default() } else { self.admission.suspects.clone() }
+    }
+
+    /// Returns the refusal of the request if it has to be held off by now.
+    pub(crate) fn hold_off(&self, context: &Context) -> Option<Refusal> {
+        let is_held_off = !self.is_trial() && context.control.holds(&self.admission.suspects);
+        is_held_off.then(|| quarantined(Duration::ZERO))
+    }
+
+    /// Records that the request was interrupted on an endpoint before it got past its first event, and checks whether the
+    /// endpoint has crashed.
+    pub(crate) fn record_interrupted(&self, context: &Arc<Context>, endpoint: &Arc<Endpoint>, reason: &str) {
+        let suspects: Vec<String> =
+            self.admission.suspects.iter().map(|Suspect(id)| format!("{id:016x}")).collect();
+        spdlog::info!("request interrupted", kv: {
+            request = self.id(), endpoint = &*endpoint.id, reason, trial = self.is_trial(),
+            parts = self.metadata.parts.join(",").as_str(), suspects = suspects.join(",").as_str()
+        });
+        context.control.record_interrupted(endpoint, &self.admission.suspects, self.is_trial());
+        self.end_trial(context);
+        context.check_endpoint(endpoint);
+    }
+
     /// Returns the service that handles the request.
     pub(crate) fn service(&self) -> &Arc<str> {
         &self.admission.service
@@ -192,6 +252,9 @@
             Task::Prefill => (ledger::Message::Prefill, Plan::PrefillAndRun),
             Task::Whole | Task::Decode(_) => (ledger::Message::Run, Plan::Run),
         };
+        if self.hold_off(context).is_some() {
+            return Err(Failure::Blocked(Block::HeldOff));
+        }
         if !self.charge(context, plan).await {
             return Err(Failure::OverBudget);
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -31,7 +31,8 @@
         relay::{Bundle, Role},
         snapshot::Snapshot,
         staleness::Versions,
-        state::Admission,
+        state::{Admission, Admitted},
+        suspect::Suspect,
         throttle::{Cause, Gate},
     },
     refusal::Code,
@@ -54,7 +55,7 @@
 pub(crate) type PermitsResult = Result<Permits, Refusal>;
 
 pub(crate) enum Command {
-    Admit(Admission, ReplySender<Result<(), Refusal>>),
+    Admit(Admission, ReplySender<Result<Admitted, Refusal>>),
     Refund(Admission),
     ChargeRetries(Arc<str>, u32, ReplySender<Decision>),
     ConcludeRetries(Arc<str>, u32),
@@ -70,7 +71,11 @@
     RecordEvents(Lease, Arc<str>, u64),
     RecordResponse(Lease),
     Release(Lease, Outcome),
-    RecordInterrupted(Arc<str>, u64),
+    RecordInterrupted(Arc<Endpoint>, Arc<[Suspect]>, bool),
+    RecordAlive(Arc<str>, Time),
+    RecordCrash(Arc<str>),
+    RecordBegun(Arc<[Suspect]>),
+    EndTrial(Arc<[Suspect]>),
     RecordLeaving(Arc<str>, u64),
     RecordBackoff(Arc<str>, Time),
     RecordCold(Arc<str>, Duration),
@@ -101,6 +106,9 @@
     /// The endpoint is cold, and other replicas send to it, or this one has sent to it too often.
     #[strum(to_string = "the endpoint is cold")]
     Cold,
+    /// Endpoints crash under the request or a part of its prompt.
+    #[strum(to_string = "endpoints crash under the request")]
+    HeldOff,
     /// The endpoint has named a limit, and other replicas send to it, or this one has sent to it too often.
     #[strum(to_string = "the endpoint's limit is reached")]
     Limited,
@@ -185,6 +193,8 @@
     evacuations: Evacuations,
     /// Endpoints that take only few requests, and when requests were sent to them.
     gate: Gate,
+    /// Suspects that are held off, for requests that were admitted before.
+    held: BTreeSet<Suspect>,
     /// Endpoints that may still read messages of requests that have ended.
     awaited: BTreeSet<Arc<str>>,
     /// Names of response fields that the gateway does not know, in lowercase.
@@ -204,11 +214,13 @@
     initialized: Receiver<()>,
     /// Closed once the process has registered, likewise.
     registered: Receiver<()>,
+    /// Closed once the store's evidence on suspects has been read, likewise.
+    recalled: Receiver<()>,
     started: Time,
 }
 
 impl Control {
-    /// Waits until configuration and endpoints have been read and the process has registered, at most until
+    /// Waits until configuration, endpoints and suspects have been read and the process has registered, at most until
     /// `INITIAL_READ_TIMEOUT` after startup. Without the wait, requests that arrive during the first read would be refused, or
     /// charged to token buckets that are still empty.
     pub async fn wait_initialized(&self, clock: &Clock) {
@@ -216,6 +228,7 @@
         let read = async {
             let _ = self.initialized.recv().await;
             let _ = self.registered.recv().await;
+            let _ = self.recalled.recv().await;
         };
         read.or(clock.sleep(left)).await;
     }
@@ -242,7 +255,7 @@
     }
 
     /// Admits a request and charges its customer, or refuses it.
-    pub async fn admit(&self, admission: Admission) -> Result<(), Refusal> {
+    pub async fn admit(&self, admission: Admission) -> Result<Admitted, Refusal> {
         self.request(|reply| Command::Admit(admission, reply)).await.unwrap_or(Err(shutting_down()))
     }
 
@@ -317,9 +330,35 @@
         self.request(Command::Forecasts).await.unwrap_or_default()
     }
 
-    /// Records that a request was interrupted at an endpoint, which may have been running it.
-    pub fn record_interrupted(&self, endpoint: &Arc<str>, fingerprint: u64) {
-        self.send(Command::RecordInterrupted(endpoint.clone(), fingerprint));
+    /// Returns whether a request with any of these suspects is held off.
+    pub fn holds(&self, suspects: &[Suspect]) -> bool {
+        let shared = lock(&self.shared);
+        !shared.held.is_empty() && suspects.iter().any(|suspect| shared.held.contains(suspect))
+    }
+
+    /// Records that a request was interrupted at an endpoint, which may have been running it, before it got past its first event.
+    pub fn record_interrupted(&self, endpoint: &Arc<Endpoint>, suspects: &Arc<[Suspect]>, is_trial: bool) {
+        self.send(Command::RecordInterrupted(endpoint.clone(), suspects.clone(), is_trial));
+    }
+
+    /// Records that an endpoint was found alive by a check that began at `began`.
+    pub fn record_alive(&self, endpoint: &Arc<str>, began: Time) {
+        self.send(Command::RecordAlive(endpoint.clone(), began));
+    }
+
+    /// Records that an endpoint was found crashed.
+    pub fn record_crash(&self, endpoint: &Arc<str>) {
+        self.send(Command::RecordCrash(endpoint.clone()));
+    }
+
+    /// Records that a request got past its first event, or that a call was answered.
+    pub fn record_begun(&self, suspects: &Arc<[Suspect]>) {
+        self.send(Command::RecordBegun(suspects.clone()));
+    }
+
+    /// Records that a request that was admitted as a trial has ended or failed.
+    pub fn end_trial(&self, suspects: &Arc<[Suspect]>) {
+        self.send(Command::EndTrial(suspects.clone()));
     }
 
     /// Records that an endpoint said that it is leaving.
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -27,7 +27,8 @@
         queue::Verdict,
         relay::{Delivery, Role},
         snapshot::Snapshot,
-        state::{Assignment, ENDPOINT_RETRY_AFTER, Identity, Pair, State, no_endpoint},
+        state::{Assignment, ENDPOINT_RETRY_AFTER, Identity, Pair, State, no_endpoint, quarantined},
+        suspect::{Report, Suspect},
         throttle::{Throttle, Throttles},
     },
     refusal::Code,
@@ -68,6 +69,8 @@
     pub orders: Sender<Order>,
     /// Announcements and queries of streams, for peers.
     pub messages: Sender<(Member, Message)>,
+    /// What is known of suspects, for the store. Holds the newest only.
+    pub suspects: Sender<Vec<Report>>,
 }
 
 /// Starts the thread and returns a handle to it. The thread sends digests and orders to `outputs`.
@@ -81,14 +84,15 @@
     let (commands, received) = async_channel::unbounded();
     let (initializing, initialized) = async_channel::bounded(1);
     let (registering, registered) = async_channel::bounded(1);
+    let (recalling, recalled) = async_channel::bounded(1);
     let started = clock.now();
-    let control = Control { commands, shared: Arc::default(), initialized, registered, started };
+    let control = Control { commands, shared: Arc::default(), initialized, registered, recalled, started };
     let state = State::new(identity, retries, tolerance, started);
     // A weak handle, so that the thread ends once all other handles have been dropped.
     let commands = control.commands.downgrade();
     let (shared, initialized) = (control.shared.clone(), control.initialized.clone());
-    let registered = control.registered.clone();
-    let weak_control = WeakControl { commands, shared, initialized, registered, started };
+    let (registered, recalled) = (control.registered.clone(), control.recalled.clone());
+    let weak_control = WeakControl { commands, shared, initialized, registered, recalled, started };
     let mut worker = Worker {
         state,
         searches: Searches::default(),
@@ -96,6 +100,7 @@
         weak_control,
         source: None,
         registering: Some(registering),
+        recalling: Some(recalling),
         initializing: Some(initializing),
         outputs,
         awake_at: since_boot(),
@@ -103,6 +108,7 @@
         last_digest: Time::ZERO,
         last_forward: Time::ZERO,
         last_forecast_log: Time::ZERO,
+        held_generation: 0,
         role: (false, None),
     };
     thread::Builder::new()
@@ -117,15 +123,22 @@
     shared: Arc<Mutex<Shared>>,
     initialized: Receiver<()>,
     registered: Receiver<()>,
+    recalled: Receiver<()>,
     started: Time,
 }
 
 impl WeakControl {
     /// Returns a handle, or `None` once all other handles have been dropped.
     fn upgrade(&self) -> Option<Control> {
-        let Self { commands, shared, initialized, registered, started } = self;
-        let (shared, initialized, registered) = (shared.clone(), initialized.clone(), registered.clone());
-        Some(Control { commands: commands.upgrade()?, shared, initialized, registered, started: *started })
+        let Self { commands, shared, initialized, registered, recalled, started } = self;
+        Some(Control {
+            commands: commands.upgrade()?,
+            shared: shared.clone(),
+            initialized: initialized.clone(),
+            registered: registered.clone(),
+            recalled: recalled.clone(),
+            started: *started,
+        })
     }
 }
 
@@ -148,6 +161,8 @@
     source: Option<Arc<[u8]>>,
     /// Dropped once this process has written its row to the store.
     registering: Option<Sender<()>>,
+    /// Dropped once the store's evidence on suspects has been read.
+    recalling: Option<Sender<()>>,
     /// Dropped once configuration and endpoints have been read.
     initializing: Option<Sender<()>>,
     outputs: Outputs,
@@ -161,6 +176,8 @@
     last_forward: Time,
     /// When forecasts were last logged.
     last_forecast_log: Time,
+    /// Generation of the suspects that are held off which other threads know.
+    held_generation: u64,
     /// Whether this replica is a relay, and the relay that it follows.
     role: (bool, Option<Arc<str>>),
 }
@@ -180,6 +197,7 @@
                     self.publish_evacuations();
                     self.publish_gate();
                     self.publish_awaited();
+                    self.publish_suspects();
                 }
                 Ok(Err(_)) => return,
                 Err(_) => {}
@@ -225,7 +243,7 @@
             self.give_up_search(now, Some(stream), seekers);
         }
         // If the channel is full, digests are dropped; later ones supersede them.
-        if now.since(self.last_digest) >= self.state.digest_interval() {
+        if now.since(self.last_digest) >= self.state.digest_interval(now) {
             self.last_digest = now;
             let (digest, recipients) = self.state.next_digest(now);
             self.log_role();
@@ -251,6 +269,7 @@
                 {
                     Err(no_endpoint(ENDPOINT_RETRY_AFTER))
                 }
+                Verdict::Expired if self.state.is_held_off(&entry) => Err(quarantined(Duration::ZERO)),
                 Verdict::Expired => Err(self.overloaded(now, &entry.service)),
             };
             // If the request has been cancelled, the permits are dropped here and thereby released.
@@ -372,6 +391,30 @@
         }
     }
 
+    /// Makes changes of the suspects that are held off known to the threads that send to endpoints, and has the evidence
+    /// written to the store.
+    fn publish_suspects(&mut self) {
+        let now = self.clock.now();
+        if let Some(reports) = self.state.take_unsaved_suspects(now) {
+            // If the channel is full, the writer has not taken the last evidence yet, and reads the newest when it does.
+            let _ = self.outputs.suspects.force_send(reports);
+        }
+        let suspects = self.state.suspects();
+        if suspects.generation() == self.held_generation {
+            return;
+        }
+        self.held_generation = suspects.generation();
+        let previous = std::mem::replace(&mut lock(&self.weak_control.shared).held, suspects.held().clone());
+        for suspect in suspects.held().difference(&previous) {
+            let (crashes, trials, age) = suspects.describe(now, *suspect);
+            let age_ms = age.as_millis() as u64;
+            spdlog::warn!("suspect held off", kv: { suspect = hex(*suspect).as_str(), crashes, trials, age_ms });
+        }
+        for suspect in previous.difference(suspects.held()) {
+            spdlog::info!("suspect no longer held off", kv: { suspect = hex(*suspect).as_str() });
+        }
+    }
+
     /// Logs a change of this replica's part in the exchange of digests and endpoints.
     fn log_role(&mut self) {
         let role = (self.state.is_relay(), followed(&self.state.role()).cloned());
@@ -437,9 +480,16 @@
             }
             Command::RecordResponse(lease) => self.state.record_first_event(now, &lease),
             Command::Release(lease, outcome) => self.state.record_end(now, &lease, outcome),
-            Command::RecordInterrupted(endpoint, fingerprint) => {
-                self.state.record_interrupted(now, &endpoint, fingerprint)
+            Command::RecordInterrupted(endpoint, suspects, is_trial) => {
+                self.state.record_interrupted(now, &endpoint, &suspects, is_trial);
+            }
+            Command::RecordAlive(endpoint, began) => self.state.record_alive(&endpoint, began),
+            Command::RecordCrash(endpoint) => {
+                let suspects = self.state.record_crash(now, &endpoint);
+                spdlog::info!("crash recorded", kv: { endpoint = &*endpoint, suspects });
             }
+            Command::RecordBegun(suspects) => self.state.record_begun(now, &suspects),
+            Command::EndTrial(suspects) => self.state.end_trial(now, &suspects),
             Command::RecordLeaving(endpoint, started_ms) => {
                 if let Some(change) = self.state.record_leaving(&endpoint, started_ms) {
                     spdlog::info!("endpoint notice", kv: { endpoint = &*endpoint, leaving = true });
@@ -499,6 +549,10 @@
                 self.state.record_registered(since_previous);
                 self.registering = None;
             }
+            Update::Suspects(reports) => {
+                self.state.apply_stored_suspects(now, &reports);
+                self.recalling = None;
+            }
             Update::MembersRead => self.state.mark_members_read(now),
             Update::StoreLost { what, reason } => {
                 spdlog::warn!("store lost", kv: { what, reason = reason.as_str() });
@@ -584,6 +638,10 @@
     }
 }
 
+fn hex(Suspect(id): Suspect) -> String {
+    format!("{id:016x}")
+}
+
 fn log_forecasts(forecasts: &BTreeMap<Arc<str>, Forecast>) {
     for (service, forecast) in forecasts {
         let known = forecast_json(forecast).to_string();
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -12,6 +12,7 @@
         evacuation,
         lease::Status as LeaseStatus,
         state::Listing,
+        suspect,
     },
 };
 use tarragonhill_h1::head::{Request, Response};
@@ -264,6 +265,8 @@
         /// Time since an earlier process of this replica wrote the row; `None` if there was none.
         since_previous: Option<Duration>,
     },
+    /// What replicas have written to the store on suspects was read.
+    Suspects(Vec<suspect::Report>),
     /// All members that the store lists have been sent, at a time when all replicas that started before this one know
     /// it.
     MembersRead,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,10 @@
 use futures_lite::{AsyncWriteExt as _, future::poll_fn};
 use tarragonhill_core::{
     Clock,
-    gateway::{directory::Endpoint, health::Outcome},
+    gateway::{
+        directory::{Endpoint, Stage},
+        health::Outcome,
+    },
 };
 use tarragonhill_h1::{
     Connection, Error, Malformed,
@@ -224,6 +227,18 @@
         opened.map_err(Failure::Connect)
     }
 
+    /// Returns why an endpoint does not serve as the process that is listed, if it does not.
+    pub(crate) async fn is_alive(self, endpoint: &'a Endpoint) -> Result<(), Failure> {
+        let is_listed = endpoint.stage != Stage::Whole && endpoint.started_ms > 0;
+        let connection = if is_listed {
+            self.open_listed(endpoint, CONNECT_TIMEOUT).await?
+        } else {
+            self.open(endpoint, CONNECT_TIMEOUT).await?
+        };
+        self.pool.put(endpoint, connection, is_listed, None);
+        Ok(())
+    }
+
     /// Opens a connection to the process that is listed.
     async fn open_listed(self, endpoint: &'a Endpoint, limit: Duration) -> Result<Connection, Failure> {
         let connection = self.open(endpoint, limit).await?;
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -274,8 +274,9 @@
     };
     let expired = || context.phases.reached(Phase::Expired);
     let admitted = run_until(context.control.admit(inbound.admission.clone()), expired()).await;
-    if let Err(refusal) = admitted.unwrap_or_else(|| Err(ends_too_late())) {
-        return refuse(context, &refusal, id.as_deref(), writer).await;
+    match admitted.unwrap_or_else(|| Err(ends_too_late())) {
+        Ok(admitted) => inbound.record_admitted(admitted),
+        Err(refusal) => return refuse(context, &refusal, id.as_deref(), writer).await,
     }
     log_admission(&inbound, catalog.as_deref());
     let _retries = Retries { context, inbound: &inbound };
@@ -364,7 +365,7 @@
     }
     spdlog::info!("request admitted", kv: {
         request = inbound.id(), route = &*inbound.route.name, customer = inbound.customer_name().unwrap_or(""),
-        tokens = inbound.admission.tokens, version = catalog.map_or(0, Catalog::version),
+        tokens = inbound.admission.tokens, trial = inbound.is_trial(), version = catalog.map_or(0, Catalog::version),
         left_ms = inbound.deadline.since(inbound.received).as_millis() as u64
     });
 }
@@ -377,6 +378,7 @@
 
 impl Drop for Retries<'_> {
     fn drop(&mut self) {
+        self.inbound.end_trial(self.context);
         log_retries(self.context, self.inbound);
         let remainder = self.inbound.ledger().remainder();
         self.context.control.end_retries(self.inbound.service(), remainder);
--- a/crates/gateway/src/identify.rs
+++ b/crates/gateway/src/identify.rs
@@ -9,11 +9,11 @@
     gateway::{
         catalog::{Catalog, Customer, LookupError, Route},
         state::Admission,
+        suspect::Suspect,
     },
     refusal::Code,
 };
 use tarragonhill_h1::head::Request;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::{context::Inbound, edge::Metadata};
 
@@ -40,10 +40,12 @@
         }
     };
     let (route, customer) = resolved?;
+    let service = route.pick_service(rand::rng().random()).clone();
+    let customer_name = customer.as_ref().map_or("", |customer| &*customer.name);
     let admission = Admission {
         tokens: customer.as_ref().map_or(0, |customer| token_cost(customer, &metadata)),
-        service: route.pick_service(rand::rng().random()).clone(),
-        fingerprint: fingerprint(customer.as_ref().map_or("", |customer| &*customer.name), &head, &body),
+        suspects: suspects(customer_name, &head, &body),
+        service,
         customer,
     };
     Ok(Inbound::new(head, body, metadata, route, admission, received))
@@ -76,12 +78,8 @@
     }
 }
 
-/// Hashes customer, method, target and body. A repeated request has the same fingerprint.
-fn fingerprint(customer: &str, head: &Request, body: &[u8]) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in [customer.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body] {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    hash.digest()
+/// Returns what of a request may crash endpoints: the request as a whole, which callers may repeat.
+fn suspects(customer: &str, head: &Request, body: &[u8]) -> Arc<[Suspect]> {
+    let whole = Suspect::request([customer.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body]);
+    [whole].into()
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,7 +19,7 @@
 use prometheus::Registry;
 use tarragonhill_core::{
     Clock, Time,
-    gateway::{budget::Rule, cold::Tolerance, shutdown::Shutdown, state::Identity},
+    gateway::{budget::Rule, cold::Tolerance, shutdown::Shutdown, state::Identity, suspect::Report},
 };
 
 use crate::{
@@ -109,6 +109,7 @@
     context: Arc<Context>,
     settings: Settings,
     mirror: Mirror,
+    unsaved_suspects: Receiver<Vec<Report>>,
     tasks: Tasks,
     phases: Driver,
     /// Closed once all callers' connections have ended.
@@ -141,7 +142,8 @@
         let (digests, outgoing_digests) = async_channel::bounded(DIGEST_CAPACITY);
         let (orders, outgoing_orders) = async_channel::bounded(ORDER_CAPACITY);
         let (messages, outgoing_messages) = async_channel::bounded(MESSAGE_CAPACITY);
-        let outputs = Outputs { digests, orders, messages };
+        let (suspects, unsaved_suspects) = async_channel::bounded(1);
+        let outputs = Outputs { digests, orders, messages, suspects };
         let control =
             worker::start(identity, settings.retries, settings.cold_tolerance, clock.clone(), outputs);
         let control = control.map_err(StartError::Thread)?;
@@ -168,7 +170,7 @@
             task::spawn(sync::run(context.clone())),
             task::spawn(orders::run(context.clone(), settings.name.clone(), outgoing_orders, store.claims)),
         ]);
-        Ok(Self { address, peer, context, settings, mirror, tasks, phases, open })
+        Ok(Self { address, peer, context, settings, mirror, unsaved_suspects, tasks, phases, open })
     }
 
     /// Returns the bound address for callers.
@@ -186,6 +188,11 @@
         self.mirror.clone()
     }
 
+    /// Returns the channel with evidence on suspects that has to be written to the store.
+    pub fn unsaved_suspects(&self) -> Receiver<Vec<Report>> {
+        self.unsaved_suspects.clone()
+    }
+
     /// Returns the status for the admin address.
     pub fn status(&self) -> Status {
         Status(self.context.clone())
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -62,6 +62,8 @@
     runs: u32,
     /// Number of times that the request was sent.
     sends: u32,
+    /// Number of events that the current attempt has brought.
+    attempt_events: u64,
 }
 
 impl Progress {
@@ -74,9 +76,15 @@
             avoid: Vec::new(),
             runs: 0,
             sends: 0,
+            attempt_events: 0,
         }
     }
 
+    /// Returns whether the current attempt got past its first event, so that it is no cause of a crash.
+    fn is_past_first_event(&self) -> bool {
+        self.attempt_events > 1
+    }
+
     /// Returns whether the request may be retried if its current attempt, which may have run, fails.
     fn may_retry_after_failure(&self, inbound: &Inbound) -> bool {
         self.sends < MAX_SENDS && inbound.may_retry(self.runs + 1)
@@ -165,6 +173,10 @@
     let mut replacement = None;
     let mut prefilled: Option<Prefilled> = None;
     loop {
+        if let Some(refusal) = inbound.hold_off(context) {
+            return hold_off(context, inbound, writer, refusal);
+        }
+        progress.attempt_events = 0;
         let placement = match replacement.take() {
             Some(placement) => placement,
             None => place_in_time(context, inbound, &progress).await?,
@@ -292,7 +304,7 @@
 /// Handles an attempt that failed after it may have run. Returns the reason if the request may be retried,
 /// `None` if the stream was cut, or a refusal if the caller has not received a response.
 fn fail_attempt(
-    context: &Context,
+    context: &Arc<Context>,
     inbound: &Inbound,
     writer: &ResponseWriter,
     progress: &mut Progress,
@@ -301,12 +313,9 @@
 ) -> Result<Option<String>, Refusal> {
     progress.runs += 1;
     progress.avoid.push(endpoint.id.clone());
-    context.control.record_interrupted(&endpoint.id, inbound.admission.fingerprint);
-    spdlog::info!("request interrupted", kv: {
-        request = inbound.id(), endpoint = &*endpoint.id, reason = reason.as_str(), events = progress.events,
-        fingerprint = format!("{:016x}", inbound.admission.fingerprint).as_str(),
-        parts = inbound.metadata.parts.join(",").as_str()
-    });
+    if !progress.is_past_first_event() {
+        inbound.record_interrupted(context, endpoint, &reason);
+    }
     if inbound.may_retry(progress.runs) {
         return Ok(Some(reason));
     }
@@ -326,6 +335,19 @@
     cut(context, inbound, writer, reason).map(|_| ())
 }
 
+/// Ends a request that has to be held off.
+fn hold_off(
+    context: &Context,
+    inbound: &Inbound,
+    writer: &ResponseWriter,
+    refusal: Refusal,
+) -> Result<(), Refusal> {
+    if writer.is_unsent() && !inbound.may_have_run() {
+        return Err(refusal);
+    }
+    cut(context, inbound, writer, refusal.message).map(|_| ())
+}
+
 /// Returns a refusal if no response has been sent to the caller; otherwise logs that the stream is cut.
 fn cut(
     context: &Context,
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -110,6 +110,7 @@
         priority: inbound.priority(),
         avoid: avoid.to_vec(),
         software_version: progress.software_version.clone(),
+        suspects: inbound.untried_suspects(),
     }
 }
 
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -101,7 +101,7 @@
                 permit.observe(Observation::PrefillTimeout { tokens: permit.prefill_tokens, waited });
             }
             if !is_unsent {
-                context.control.record_interrupted(&endpoint.id, inbound.admission.fingerprint);
+                inbound.record_interrupted(context, endpoint, &failure.to_string());
             }
             permit.finish(if is_unsent { Outcome::Unreachable } else { Outcome::Failed });
             Err(failure)
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -120,6 +120,10 @@
                 log_cut(context, inbound, writer, "the endpoint of its last part stated no end");
             }
             exchange.recycle();
+            // A stream of a single event ends before it is past the first.
+            if progress.attempt_events > 0 && !progress.is_past_first_event() {
+                record_begun(context, inbound);
+            }
             let size = inbound.size();
             pending.flush(context.clock.now(), &permit);
             permit.observe(Observation::Completed {
@@ -139,6 +143,11 @@
             inbound.record_origin(context, &permit.endpoint.software_version);
         }
         let (now, count) = (context.clock.now(), count_events(&events));
+        let was_past_first_event = progress.is_past_first_event();
+        progress.attempt_events += count;
+        if progress.is_past_first_event() && !was_past_first_event {
+            record_begun(context, inbound);
+        }
         writer.timing.record(now, count);
         (progress.waiting_since, progress.events) = (now, writer.timing.events);
         if pending.since.is_none()
@@ -151,6 +160,12 @@
     }
 }
 
+/// Records that the response got past its first event.
+fn record_begun(context: &Context, inbound: &Inbound) {
+    context.control.record_begun(&inbound.admission.suspects);
+    inbound.end_trial(context);
+}
+
 /// Returns whether the caller has no event of a stream, from this gateway or before it took the stream up.
 fn has_no_events(inbound: &Inbound, progress: &Progress) -> bool {
     progress.events == 0 && inbound.metadata.resume.is_none()
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -52,6 +52,9 @@
         if !ends_in_time(context, inbound) {
             return give_up(inbound, writer, error_response, ends_too_late()).await;
         }
+        if let Some(refusal) = inbound.hold_off(context) {
+            return give_up(inbound, writer, error_response, refusal).await;
+        }
         let permit = match context.control.place(inbound.service(), &avoid, None).await {
             Ok(permit) => permit,
             Err(refusal) => return give_up(inbound, writer, error_response, refusal).await,
@@ -191,7 +194,7 @@
     inbound: &Inbound,
     exchanged: Result<Answer, Failure>,
     permit: Permit,
-    context: &Context,
+    context: &Arc<Context>,
 ) -> Attempt {
     let answer = match exchanged {
         Ok(answer) => answer,
@@ -206,12 +209,16 @@
         }
         Err(failure) => {
             let reason = format!("{}: {failure}", permit.endpoint.id);
-            context.control.record_interrupted(&permit.endpoint.id, inbound.admission.fingerprint);
+            inbound.record_interrupted(context, &permit.endpoint, &failure.to_string());
             permit.finish(Outcome::Failed);
             return Attempt::MayHaveRun(reason);
         }
     };
     let Answer { head, reply, .. } = &answer;
+    if !reply.not_run && head.status != MISDIRECTED {
+        context.control.record_begun(&inbound.admission.suspects);
+        inbound.end_trial(context);
+    }
     if reply.not_run || head.status == MISDIRECTED {
         let reason = format!("{} did not run the request, status {}", permit.endpoint.id, head.status);
         let outcome = not_run_outcome(head, reply, &permit.endpoint, Outcome::Refused);
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -16,6 +16,7 @@
         limit,
         relay::Parcel,
         staleness::Versions,
+        suspect::{Crash, Report, Suspect},
     },
 };
 
@@ -48,7 +49,6 @@
                 growth: share.growth.0.to_vec(),
             }
         });
-        let suspects = digest.suspects.iter();
         let changing = digest.changing.iter();
         Self {
             name: digest.name.to_string(),
@@ -58,9 +58,7 @@
             members: digest.members.iter().map(|member| encode_member(digest, member)).collect(),
             spending: spending.collect(),
             shares: shares.collect(),
-            suspects: suspects
-                .map(|(fingerprint, crashes)| proto::Suspect { fingerprint: *fingerprint, crashes: *crashes })
-                .collect(),
+            suspects: digest.suspects.iter().map(proto::Suspect::from).collect(),
             changing: changing
                 .map(|(endpoint, change)| proto::Changing {
                     endpoint: endpoint.to_string(),
@@ -158,6 +156,40 @@
     }
 }
 
+impl From<&Report> for proto::Suspect {
+    fn from(report: &Report) -> Self {
+        let crashes = report.crashes.iter();
+        Self {
+            id: report.suspect.0,
+            crashes: crashes
+                .map(|(crash, (age, trial))| proto::Crash {
+                    id: crash.0,
+                    age_us: micros(*age),
+                    trial: *trial,
+                })
+                .collect(),
+            begun_us: report.begun.map(micros),
+            wanted: report.is_wanted,
+            trying: report.is_trying,
+        }
+    }
+}
+
+impl From<proto::Suspect> for Report {
+    fn from(message: proto::Suspect) -> Self {
+        let crashes = message.crashes.into_iter();
+        Self {
+            suspect: Suspect(message.id),
+            crashes: crashes
+                .map(|crash| (Crash(crash.id), (Duration::from_micros(crash.age_us), crash.trial)))
+                .collect(),
+            begun: message.begun_us.map(Duration::from_micros),
+            is_wanted: message.wanted,
+            is_trying: message.trying,
+        }
+    }
+}
+
 /// An encoded digest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EncodedDigest(pub Vec<u8>);
@@ -227,11 +259,7 @@
             shares,
             failure_permille,
             changing: changing?,
-            suspects: digest
-                .suspects
-                .into_iter()
-                .map(|suspect| (suspect.fingerprint, suspect.crashes.min(MAX_COUNT)))
-                .collect(),
+            suspects: digest.suspects.into_iter().map(Report::from).collect(),
             forecasts: digest.forecasts.into_iter().map(decode_forecast).collect(),
             versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
             evacuations: decode_evacuations(digest.evacuations),
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -503,13 +503,32 @@
     #[prost(uint32, repeated, tag = "6")]
     pub growth: ::prost::alloc::vec::Vec<u32>,
 }
-/// Crash count of a request fingerprint.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+/// A request or a part of prompts that may crash endpoints.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Suspect {
     #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
-    #[prost(uint32, tag = "2")]
-    pub crashes: u32,
+    pub id: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<Crash>,
+    /// Time since a request with it got past its first event at the sender.
+    #[prost(uint64, optional, tag = "4")]
+    pub begun_us: ::core::option::Option<u64>,
+    /// Whether the sender has lately refused requests with it.
+    #[prost(bool, tag = "5")]
+    pub wanted: bool,
+    /// Whether the sender is trying a request with it.
+    #[prost(bool, tag = "6")]
+    pub trying: bool,
+}
+/// A crash that counts against a suspect, and whether a trial ended in it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Crash {
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    #[prost(uint64, tag = "2")]
+    pub age_us: u64,
+    #[prost(bool, tag = "3")]
+    pub trial: bool,
 }
 /// An endpoint that was ordered to change to `stage`; `left_us` is the time left to do so.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -14,6 +14,7 @@
         snapshot::Snapshot,
         staleness::Versions,
         state::Listing,
+        suspect::{self, Crash, Suspect},
     },
     message::{Event, FailureCause, Heartbeat, Load, Order, PeerReply, PeerRequest, Work},
     quarantine::CrashStatus,
@@ -188,7 +189,14 @@
         shares: [(name("d-1"), Share { running: 2, memory: 16_000, growth, ..Share::default() })].into(),
         failure_permille: [(name("d-2"), 400)].into(),
         limits: [("d-1".into(), limit::Report { limit: Some(2.9), age: Duration::from_millis(40) })].into(),
-        suspects: [(7, 2)].into(),
+        suspects: vec![suspect::Report {
+            suspect: Suspect(7),
+            crashes: [(Crash(3), (Duration::from_millis(40), true)), (Crash(4), (Duration::ZERO, false))]
+                .into(),
+            begun: Some(Duration::from_millis(900)),
+            is_wanted: true,
+            is_trying: false,
+        }],
         versions: Versions { configuration: 11, endpoints: 9 },
         forecasts: [(name("models"), forecast)].into(),
         ..Digest::default()
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -20,6 +20,7 @@
         relay::{Bundle, Parcel},
         staleness::Versions,
         state::{Identity, Listing, State},
+        suspect::{self, Crash, Suspect},
     },
 };
 use tarragonhill_wire::{digest::EncodedDigest, proto};
@@ -53,7 +54,14 @@
         failure_permille: [("d-1".into(), 40)].into(),
         changing: [("d-9".into(), StageChange { stage: Stage::Prefill, remaining: Duration::from_secs(1) })]
             .into(),
-        suspects: [(7, 2)].into(),
+        suspects: vec![suspect::Report {
+            suspect: Suspect(7),
+            crashes: [(Crash(3), (Duration::from_millis(40), true)), (Crash(4), (Duration::ZERO, false))]
+                .into(),
+            begun: Some(Duration::from_millis(900)),
+            is_wanted: true,
+            is_trying: false,
+        }],
         limits: [
             ("d-1".into(), limit::Report { limit: Some(1.6), age: Duration::from_millis(300) }),
             ("d-2".into(), limit::Report { limit: None, age: Duration::ZERO }),
@@ -134,6 +142,7 @@
             priority: 1,
             avoid: Vec::new(),
             software_version: None,
+            suspects: Arc::default(),
         },
         (),
     );
@@ -195,7 +204,10 @@
         changing.left_us = u64::MAX;
     }
     for suspect in &mut message.suspects {
-        suspect.crashes = u32::MAX;
+        suspect.begun_us = Some(u64::MAX);
+        suspect.crashes = (0..9)
+            .map(|id| proto::Crash { id, age_us: if id < 5 { u64::MAX } else { 0 }, trial: true })
+            .collect();
     }
     for forecast in &mut message.forecasts {
         forecast.memory = u64::MAX;
