Hold off parts of prompts that crash endpoints

Cause: the quarantine knew a request only by the hash of its customer, path and whole body. No two of these requests were alike, so no count reached two; the parts that the caller names were read nowhere.

Each part but the last is now a suspect of its own, beside the whole request, and goes the same way: evidence, explanation, trial and clearance. The first part, the documents and the customer of the crashing requests are cleared by the sound requests that share them, or explained by the part that is in more crashes.

--- a/crates/gateway/src/identify.rs
+++ b/crates/gateway/src/identify.rs
@@ -1,6 +1,6 @@
 //! Resolves a request to its route, customer and service.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, iter, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use rand::Rng as _;
@@ -44,7 +44,7 @@
     let customer_name = customer.as_ref().map_or("", |customer| &*customer.name);
     let admission = Admission {
         tokens: customer.as_ref().map_or(0, |customer| token_cost(customer, &metadata)),
-        suspects: suspects(customer_name, &head, &body),
+        suspects: suspects(customer_name, &service, &head, &body, &metadata),
         service,
         customer,
     };
@@ -78,8 +78,16 @@
     }
 }
 
-/// Returns what of a request may crash endpoints: the request as a whole, which callers may repeat.
-fn suspects(customer: &str, head: &Request, body: &[u8]) -> Arc<[Suspect]> {
+/// Returns what of a request may crash endpoints: the request as a whole, which callers may repeat, and each part of its
+/// prompt that other requests may share.
+fn suspects(
+    customer: &str,
+    service: &str,
+    head: &Request,
+    body: &[u8],
+    metadata: &Metadata,
+) -> Arc<[Suspect]> {
     let whole = Suspect::request([customer.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body]);
-    [whole].into()
+    let parts: BTreeSet<Suspect> = metadata.parts.iter().map(|part| Suspect::part(service, part)).collect();
+    iter::once(whole).chain(parts).collect()
 }
