Lend turns at throttled endpoints to gateways that lack some

Cause: each throttled endpoint belongs to a few gateways, drawn from all of them, and each owner keeps an interval. The turns of owners without callers were used by nobody, and a gateway that owns no turns sends nothing.

Now digests tell how many requests found no turn, and gateways with turns to spare lend them, endpoint by endpoint, to those that lack at least twice as many. A loan holds for a second at the borrower and 2.5 s at the lender, which has not used the turns for a second before, so that the limit holds also if the two lose each other or the lender is restarted.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -20,6 +20,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod load;
+pub mod loan;
 pub mod mirror;
 pub mod origin;
 pub mod placement;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -7,7 +7,7 @@
 
 use super::{
     directory::Stage, evacuation::Evacuations, forecast::Forecast, growth::Growth, interval::digest_interval,
-    limit, staleness::Versions, suspect,
+    limit, loan::Loan, staleness::Versions, suspect,
 };
 use crate::clock::Time;
 
@@ -84,6 +84,10 @@
     pub suspects: Vec<suspect::Report>,
     /// Limits that endpoints named in responses to the sender.
     pub limits: BTreeMap<Arc<str>, limit::Report>,
+    /// Requests by service that lately found no turn at throttled endpoints of the sender.
+    pub unmet: BTreeMap<Arc<str>, u32>,
+    /// Turns at throttled endpoints that the sender lends.
+    pub loans: Vec<Loan>,
     /// Versions of the sender's copy of the store.
     pub versions: Versions,
     /// Evacuated zones. Receivers act on them without reading the store.
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -4,7 +4,7 @@
 //! deadline. Serving by arrival would make every request late once the wait exceeds the target. A
 //! request that does not fit blocks later ones of its service, so that large requests don't starve.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use super::{forecast::Size, suspect::Suspect};
 use crate::clock::Time;
@@ -99,6 +99,11 @@
         self.0.retain(|entry| keep(&entry.tag));
     }
 
+    /// Returns the services for which requests are queued.
+    pub fn services(&self) -> BTreeSet<Arc<str>> {
+        self.0.iter().map(|entry| entry.service.clone()).collect()
+    }
+
     /// Sorts the requests by the order in which they are placed.
     pub fn sort(&mut self, now: Time) {
         self.0.sort_by_key(|entry| entry.rank(now));
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,6 +10,7 @@
 mod store;
 mod streams;
 mod suspects;
+mod throttling;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -27,6 +28,7 @@
     history::History,
     limit::Limits,
     load::{Lease, Loads},
+    loan::Loans,
     origin::Origins,
     pools::{Order, Pools, ServiceInfo},
     queue::{Entry, Queue, Verdict},
@@ -131,6 +133,8 @@
     /// Endpoints that take only few requests, and when this replica may send to them.
     gate: Gate,
     limits: Limits,
+    /// Turns at throttled endpoints that replicas lend to each other.
+    loans: Loans,
     /// What cold endpoints tolerate, by the operator.
     tolerance: Tolerance,
     roster: Roster,
@@ -168,6 +172,7 @@
             directory: Directory::default(),
             gate: Gate::default(),
             limits: Limits::default(),
+            loans: Loans::default(),
             tolerance,
             loads: Loads::default(),
             rate_limiter: RateLimiter::new(now),
@@ -193,13 +198,14 @@
             self.rate_limiter.remove_peer(peer);
             self.loads.remove_peer(peer);
             self.suspects.remove_peer(peer);
+            self.loans.remove_peer(peer);
             self.forecasts.remove_peer(peer);
         }
         self.suspects.expire(now);
         self.budget.expire(now);
         self.gate.expire(now);
         self.limits.expire(now);
-        self.update_limits(now);
+        self.update_throttles(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
         let changes = self.directory.expire_lapsed(now);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -19,7 +19,7 @@
 impl<T> State<T> {
     /// Adds a peer that is listed in the store.
     pub fn add_member(&mut self, now: Time, member: Member) {
-        self.extend_roster([&member.name]);
+        self.extend_roster(now, [&member.name]);
         self.peers.add(now, member);
     }
 
@@ -27,13 +27,13 @@
     pub fn mark_members_read(&mut self, now: Time) {
         self.roster.mark_read();
         self.budget.record_settled(now);
-        self.update_cold_intervals();
+        self.update_throttles(now);
     }
 
-    fn extend_roster<'a>(&mut self, names: impl IntoIterator<Item = &'a Arc<str>>) {
+    fn extend_roster<'a>(&mut self, now: Time, names: impl IntoIterator<Item = &'a Arc<str>>) {
         let added = names.into_iter().filter(|name| self.roster.add(name)).count();
         if added > 0 {
-            self.update_cold_intervals();
+            self.update_throttles(now);
         }
     }
 
@@ -57,10 +57,11 @@
         self.staleness.record_peer(now, digest.versions);
         self.merge_evacuations(now, &digest.evacuations);
         let names = digest.members.iter().map(|member| &member.name).chain([&digest.name]);
-        self.extend_roster(names);
+        self.extend_roster(now, names);
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
         self.suspects.apply_digest(now, digest);
+        self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
         if !digest.observed.is_zero() {
@@ -125,6 +126,8 @@
             changing: self.pools.changes(now),
             suspects: self.suspects.report(now, is_full),
             limits: self.limits.report(now),
+            unmet: self.loans.unmet(now),
+            loans: self.take_loans(now),
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().clone(),
             observed: if is_full { self.history.span(now) } else { Duration::ZERO },
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -49,9 +49,11 @@
         let share = Share { running: 1, ..Share::default() };
         let Some(endpoint) = found else {
             let view = self.view(now);
-            let backoff = view
-                .shortest_backoff(service, Stage::Whole)
-                .or_else(|| view.shortest_throttle_wait(service, Stage::Whole));
+            let throttle_wait = view.shortest_throttle_wait(service, Stage::Whole);
+            let backoff = view.shortest_backoff(service, Stage::Whole).or(throttle_wait);
+            if throttle_wait.is_some() {
+                self.loans.record_unmet(now, service, 1);
+            }
             let retry_after =
                 backoff.map_or(ENDPOINT_RETRY_AFTER, |backoff| backoff.max(MIN_BACKOFF_RETRY_AFTER));
             return Err(no_endpoint(retry_after));
@@ -117,6 +119,7 @@
         }
         let placed = queue.dispatch(now, |entry| self.place(now, entry));
         self.queue = queue;
+        self.record_unmet(now);
         placed
     }
 
@@ -126,10 +129,28 @@
         version.is_some_and(|version| !self.view(now).serves_version(&entry.service, Stage::Decode, version))
     }
 
+    /// Records the queued requests that wait for a turn at throttled endpoints.
+    fn record_unmet(&mut self, now: Time) {
+        if self.gate.is_empty() || self.queue.is_empty() {
+            return;
+        }
+        let view = self.view(now);
+        let is_throttled = |service: &str| {
+            let stages = [Stage::Decode, Stage::Prefill].into_iter();
+            stages.filter_map(|stage| view.shortest_throttle_wait(service, stage)).next().is_some()
+        };
+        let waiting: Vec<Arc<str>> =
+            self.queue.services().into_iter().filter(|service| is_throttled(service)).collect();
+        for service in waiting {
+            self.loans.record_unmet(now, &service, 1);
+        }
+    }
+
     /// Expires requests that cannot get a turn before their deadline, because all endpoints of their service are
     /// throttled and others come first.
-    fn expire_without_turn(&self, now: Time, queue: &mut Queue<T>) {
+    fn expire_without_turn(&mut self, now: Time, queue: &mut Queue<T>) {
         let view = self.view(now);
+        let mut unmet: BTreeMap<Arc<str>, u32> = BTreeMap::new();
         let mut taken: BTreeMap<Arc<str>, u64> = BTreeMap::new();
         queue.sort(now);
         queue.expire(|entry| {
@@ -139,8 +160,12 @@
             let taken = taken.entry(entry.service.clone()).or_default();
             let has_turn = *taken < turns;
             *taken += u64::from(has_turn);
+            *unmet.entry(entry.service.clone()).or_default() += u32::from(!has_turn);
             !has_turn
         });
+        for (service, count) in unmet.into_iter().filter(|(_, count)| *count > 0) {
+            self.loans.record_unmet(now, &service, count);
+        }
     }
 
     /// Assigns endpoints to a completion; `None` if it has to stay queued.
@@ -206,6 +231,9 @@
         output: Option<Estimate>,
     ) -> Assignment {
         // The endpoint is open by now, as a placement requires.
+        if self.gate.is_throttled(now, &endpoint.id) {
+            self.loans.record_used(now, &endpoint.service);
+        }
         let _ = self.gate.take(now, &endpoint.id, Duration::ZERO);
         let lease = self.loads.acquire_run(now, &endpoint.id, share, output);
         Assignment { endpoint, lease, prefill_tokens: 0, prefill_timeout: Duration::ZERO }
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -7,13 +7,12 @@
     clock::Time,
     gateway::{
         catalog::Catalog,
-        cold,
         digest::Member,
         directory::{Change, Row},
         evacuation::{self, Evacuations},
         limit::{Observation, Report},
         staleness::Versions,
-        throttle::Throttle,
+        throttle::{Cause, Throttle},
     },
 };
 
@@ -26,7 +25,7 @@
         self.rate_limiter.update_customers(now, catalog.customers());
         self.staleness.record_configuration(now, row_version);
         self.catalog = Some(catalog);
-        self.update_cold_intervals();
+        self.update_throttles(now);
         true
     }
 
@@ -69,34 +68,15 @@
     /// Records that an endpoint is cold for `span`.
     pub fn record_cold(&mut self, now: Time, endpoint: &Arc<str>, span: Duration) {
         let interval = self.cold_interval(endpoint);
+        let interval = self.loans.interval(now, Cause::Cold, endpoint, interval);
         self.gate.cold.extend(now, endpoint, Throttle { until: now.plus(span), interval });
     }
 
-    /// Returns the interval at which this replica may send to an endpoint while it is cold.
-    fn cold_interval(&self, endpoint: &str) -> Option<Duration> {
-        let service = self.directory.get(endpoint).map(|endpoint| &*endpoint.service);
-        let service = service.and_then(|service| self.catalog.as_ref()?.service(service));
-        let Some(warmup) = service.and_then(|service| service.warmup) else { return Some(Duration::ZERO) };
-        let share = cold::share(warmup.rate, self.tolerance)?;
-        self.roster.is_owner(endpoint, share.owners).then_some(share.interval)
-    }
-
-    /// Recomputes which cold endpoints this replica may send to. Must be called after each change of the roster and
-    /// of the configuration.
-    pub(super) fn update_cold_intervals(&mut self) {
-        if self.gate.cold.is_empty() {
-            return;
-        }
-        let mut cold = std::mem::take(&mut self.gate.cold);
-        cold.update_intervals(|endpoint| self.cold_interval(endpoint));
-        self.gate.cold = cold;
-    }
-
     /// Records the limit that an endpoint named in a response, or that it named none.
     pub fn record_limit(&mut self, now: Time, endpoint: &Arc<str>, limit: Option<f64>) {
         if self.directory.get(endpoint).is_some() {
             self.limits.record(endpoint, Observation { limit, at: now }, true);
-            self.update_limits(now);
+            self.update_throttles(now);
         }
     }
 
@@ -109,13 +89,7 @@
         for (endpoint, Report { limit, age }) in known {
             self.limits.record(endpoint, Observation { limit: *limit, at: now.minus(*age) }, false);
         }
-        self.update_limits(now);
-    }
-
-    /// Recomputes when this replica may send to endpoints that name a limit. Must be called several times a second, as
-    /// their owners change in time.
-    pub(super) fn update_limits(&mut self, now: Time) {
-        self.gate.limited.replace(self.limits.throttles(now, &self.roster));
+        self.update_throttles(now);
     }
 
     /// Applies a list of endpoints read from the store.
--- a/crates/core/src/gateway/throttle.rs
+++ b/crates/core/src/gateway/throttle.rs
@@ -213,7 +213,7 @@
 }
 
 /// Why an endpoint is throttled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
     /// The endpoint is cold.
     Cold,
--- a/crates/core/tests/gateway/fleet_limit.rs
+++ b/crates/core/tests/gateway/fleet_limit.rs
@@ -31,17 +31,19 @@
     limit: f64,
     /// When the endpoint no longer names a limit.
     limited_until_ms: u64,
+    /// Number of replicas to which callers come; the others have none.
+    asked: usize,
 }
 
 impl Arbitrary for Day {
     fn arbitrary(random: &mut Gen) -> Self {
         let limit = *random.choose(&[0.0, 0.4, 1.6, 2.9, 8.0, 30.0]).expect("a choice");
-        Self { plan: Plan::arbitrary(random), limit, limited_until_ms: DAY_MS }
+        Self { plan: Plan::arbitrary(random), limit, limited_until_ms: DAY_MS, asked: usize::MAX }
     }
 
     fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
-        let Self { limit, limited_until_ms, .. } = *self;
-        Box::new(self.plan.shrink().map(move |plan| Self { plan, limit, limited_until_ms }))
+        let Self { limit, limited_until_ms, asked, .. } = *self;
+        Box::new(self.plan.shrink().map(move |plan| Self { plan, limit, limited_until_ms, asked }))
     }
 }
 
@@ -66,7 +68,7 @@
         let now = at(now_ms);
         fleet.step(now_ms);
         let is_limited = (LIMITED_FROM_MS..day.limited_until_ms).contains(&now_ms);
-        for (index, replica) in fleet.alive() {
+        for (index, replica) in fleet.alive().filter(|(index, _)| *index < day.asked) {
             if replica.state.place_whole(now, SERVICE, Filter::default()).is_err() {
                 continue;
             }
@@ -107,12 +109,36 @@
         .quickcheck(keeps_limit as fn(Day) -> TestResult);
 }
 
+/// Guards against turns that a replica uses although it has lent them.
+#[test]
+fn replicas_that_lend_each_other_turns_keep_to_the_limit_of_an_endpoint() {
+    for asked in [1, 2] {
+        let keeps_limit = move |day: Day| keeps_limit(Day { asked, ..day });
+        for seed in 0..25 {
+            let day = Day::arbitrary(&mut Gen::from_size_and_seed(40, 100 + seed));
+            assert!(!keeps_limit(day.clone()).is_failure(), "{asked} replicas asked: {day:?}");
+        }
+    }
+}
+
+/// Guards against a replica with most of the callers and few of the turns.
+#[test]
+fn a_replica_with_all_callers_uses_most_of_the_limit_of_an_endpoint() {
+    for replicas in [4, 6, 24] {
+        let day = Day { plan: Plan::calm(replicas), limit: 8.0, limited_until_ms: DAY_MS, asked: 1 };
+        let from = at(LIMITED_FROM_MS + 2 * NOTICE_MS);
+        let served = play(&day).all.iter().filter(|arrived| **arrived >= from).count();
+        let seconds = (DAY_MS - LIMITED_FROM_MS - 2 * NOTICE_MS) as f64 / 1_000.0;
+        assert!(served as f64 > 0.5 * 8.0 * seconds, "{replicas} replicas: {served} in {seconds} s");
+    }
+}
+
 /// Guards against replicas that take the place of owners from which they are cut off, all at the same time.
 #[test]
 fn replicas_that_are_all_cut_off_from_each_other_keep_to_the_limit_of_an_endpoint() {
     for replicas in [4, 24, 68] {
         let plan = Plan::same(replicas, Trouble::Cut { from_ms: 9_000, until_ms: DAY_MS });
-        let day = Day { plan, limit: 1.6, limited_until_ms: DAY_MS };
+        let day = Day { plan, limit: 1.6, limited_until_ms: DAY_MS, asked: usize::MAX };
         assert!(!keeps_limit(day).is_failure(), "{replicas} replicas");
     }
 }
@@ -122,8 +148,12 @@
 fn a_limited_endpoint_is_used_also_when_its_owners_are_gone() {
     let count = |replicas: usize, ended: usize| {
         let troubles = (0..ended).map(|index| (index, Trouble::End { at_ms: 15_000 })).collect();
-        let day =
-            Day { plan: Plan { troubles, ..Plan::calm(replicas) }, limit: 2.0, limited_until_ms: DAY_MS };
+        let day = Day {
+            plan: Plan { troubles, ..Plan::calm(replicas) },
+            limit: 2.0,
+            limited_until_ms: DAY_MS,
+            asked: usize::MAX,
+        };
         let from = at(16_000);
         play(&day).all.iter().filter(|arrived| **arrived >= from).count()
     };
@@ -139,7 +169,7 @@
 #[test]
 fn all_replicas_forget_a_limit_once_one_of_them_sees_its_end() {
     let plan = Plan::calm(24);
-    let day = Day { plan, limit: 1.6, limited_until_ms: 20_000 };
+    let day = Day { plan, limit: 1.6, limited_until_ms: 20_000, asked: usize::MAX };
     let arrivals = play(&day);
     let later = arrivals.all.iter().filter(|arrived| **arrived >= at(25_000)).count();
     // Each replica sends once in each step.
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -14,9 +14,11 @@
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         limit,
+        loan::Loan,
         relay::Parcel,
         staleness::Versions,
         suspect::{Crash, Report, Suspect},
+        throttle::Cause,
     },
 };
 
@@ -68,6 +70,12 @@
                 .collect(),
             evacuations: encode_evacuations(&digest.evacuations),
             limits: digest.limits.iter().map(encode_limit).collect(),
+            unmet: digest
+                .unmet
+                .iter()
+                .map(|(service, count)| proto::Unmet { service: service.to_string(), count: *count })
+                .collect(),
+            loans: digest.loans.iter().map(proto::Loan::from).collect(),
             forecasts: digest.forecasts.iter().map(encode_forecast).collect(),
             observed_us: micros(digest.observed),
             mixed: digest
@@ -156,6 +164,28 @@
     }
 }
 
+impl From<&Loan> for proto::Loan {
+    fn from(loan: &Loan) -> Self {
+        Self {
+            borrower: loan.borrower.to_string(),
+            endpoint: loan.endpoint.to_string(),
+            cold: loan.cause == Cause::Cold,
+            interval_us: micros(loan.interval),
+        }
+    }
+}
+
+impl From<proto::Loan> for Loan {
+    fn from(message: proto::Loan) -> Self {
+        Self {
+            borrower: message.borrower.into(),
+            endpoint: message.endpoint.into(),
+            cause: if message.cold { Cause::Cold } else { Cause::Limited },
+            interval: Duration::from_micros(message.interval_us),
+        }
+    }
+}
+
 impl From<&Report> for proto::Suspect {
     fn from(report: &Report) -> Self {
         let crashes = report.crashes.iter();
@@ -264,6 +294,12 @@
             versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
             evacuations: decode_evacuations(digest.evacuations),
             limits: digest.limits.into_iter().map(decode_limit).collect(),
+            unmet: digest
+                .unmet
+                .into_iter()
+                .map(|unmet| (unmet.service.into(), unmet.count.min(MAX_COUNT)))
+                .collect(),
+            loans: digest.loans.into_iter().map(Loan::from).collect(),
             observed: Duration::from_micros(digest.observed_us),
             mixed: digest
                 .mixed
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -431,6 +431,32 @@
     pub observed_us: u64,
     #[prost(message, repeated, tag = "16")]
     pub mixed: ::prost::alloc::vec::Vec<Mixed>,
+    /// Requests that found no turn at throttled endpoints of the sender.
+    #[prost(message, repeated, tag = "17")]
+    pub unmet: ::prost::alloc::vec::Vec<Unmet>,
+    /// Turns at throttled endpoints that the sender lends.
+    #[prost(message, repeated, tag = "18")]
+    pub loans: ::prost::alloc::vec::Vec<Loan>,
+}
+/// Requests for a service that lately found no turn.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Unmet {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+/// Turns at a cold endpoint, or at one that names a limit, which only the borrower may use for a second.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Loan {
+    #[prost(string, tag = "1")]
+    pub borrower: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(bool, tag = "3")]
+    pub cold: bool,
+    #[prost(uint64, tag = "4")]
+    pub interval_us: u64,
 }
 /// A service that had endpoints of several software versions until `age_us` ago.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -11,10 +11,12 @@
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         limit,
+        loan::Loan,
         snapshot::Snapshot,
         staleness::Versions,
         state::Listing,
         suspect::{self, Crash, Suspect},
+        throttle::Cause,
     },
     message::{Event, FailureCause, Heartbeat, Load, Order, PeerReply, PeerRequest, Work},
     quarantine::CrashStatus,
@@ -189,6 +191,13 @@
         shares: [(name("d-1"), Share { running: 2, memory: 16_000, growth, ..Share::default() })].into(),
         failure_permille: [(name("d-2"), 400)].into(),
         limits: [("d-1".into(), limit::Report { limit: Some(2.9), age: Duration::from_millis(40) })].into(),
+        unmet: [("drafting".into(), 30)].into(),
+        loans: vec![Loan {
+            borrower: "other".into(),
+            endpoint: "d-1".into(),
+            cause: Cause::Cold,
+            interval: Duration::from_millis(250),
+        }],
         suspects: vec![suspect::Report {
             suspect: Suspect(7),
             crashes: [(Crash(3), (Duration::from_millis(40), true)), (Crash(4), (Duration::ZERO, false))]
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -16,11 +16,14 @@
         evacuation::Evacuations,
         forecast::{Forecast, Size, Trend},
         growth::Growth,
-        limit, origin,
+        limit,
+        loan::Loan,
+        origin,
         relay::{Bundle, Parcel},
         staleness::Versions,
         state::{Identity, Listing, State},
         suspect::{self, Crash, Suspect},
+        throttle::Cause,
     },
 };
 use tarragonhill_wire::{digest::EncodedDigest, proto};
@@ -54,6 +57,13 @@
         failure_permille: [("d-1".into(), 40)].into(),
         changing: [("d-9".into(), StageChange { stage: Stage::Prefill, remaining: Duration::from_secs(1) })]
             .into(),
+        unmet: [("drafting".into(), 30)].into(),
+        loans: vec![Loan {
+            borrower: "other".into(),
+            endpoint: "d-1".into(),
+            cause: Cause::Cold,
+            interval: Duration::from_millis(250),
+        }],
         suspects: vec![suspect::Report {
             suspect: Suspect(7),
             crashes: [(Crash(3), (Duration::from_millis(40), true)), (Crash(4), (Duration::ZERO, false))]
@@ -203,6 +213,9 @@
     for changing in &mut message.changing {
         changing.left_us = u64::MAX;
     }
+    for loan in &mut message.loans {
+        (loan.borrower, loan.interval_us) = ("own".into(), u64::MAX);
+    }
     for suspect in &mut message.suspects {
         suspect.begun_us = Some(u64::MAX);
         suspect.crashes = (0..9)
