Soak: parts of prompts that crash engines, waves of other crashes, and most connections at one gateway

Each run has one or two parts of prompts under which decode engines, which are processes, end as soon as they begin a response; sound requests share the first part, the documents and the customer, and one in four is the same as others. Engines are killed in waves, gateways one by one, in series and all at once, and most new connections go to one of them for a while. Checked: at most three requests with a part reach engines later than 3 s after the fifth crash (BUDGET), sound ones begin at least half as often as before (LOST) and, while most connections go to one gateway, three quarters as often (RECOVER).

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -41,6 +41,9 @@
     retry_window_s: f64,
     /// Engines of two software versions, some of which answer without a length, and callers that take up broken streams
     mixed: bool,
+    /// Number of parts of prompts that crash decode engines
+    #[bpaf(long, argument("N"), fallback(0), display_fallback)]
+    crashing_parts: usize,
     /// Kind of disturbance; may be repeated; all kinds if there is none
     #[bpaf(long, argument("KIND"))]
     kind: Vec<Kind>,
@@ -66,6 +69,7 @@
             window: Duration::from_secs_f64(options.retry_window_s),
         },
         is_mixed: options.mixed,
+        crashing_parts: options.crashing_parts,
     };
     let seeds: Vec<u64> = (options.seed..options.seed.saturating_add(options.seeds)).collect();
     let mut broken = 0;
@@ -120,6 +124,14 @@
             "began": shares.map(|(began, _)| began), "went_on": shares.map(|(_, went_on)| went_on), "faults": faults,
         });
     }
+    if let Some(figures) = history.crashes.figures() {
+        let faults = figures.faults();
+        is_kept &= faults.is_empty();
+        line["parts"] = json!({
+            "crashes": figures.crashes, "late": figures.late, "sound": figures.sound, "skewed": figures.skewed,
+            "faults": faults,
+        });
+    }
     line["kept"] = is_kept.into();
     println!("{line}");
     is_kept
--- a/crates/bench/src/cmd/stand_in.rs
+++ b/crates/bench/src/cmd/stand_in.rs
@@ -54,6 +54,9 @@
     born: Option<u64>,
     /// Answer without a length and without chunks
     unframed: bool,
+    /// Part of prompts under which an engine crashes; may be repeated
+    #[bpaf(long, argument("ID"))]
+    crashing_part: Vec<String>,
     /// Refuse orders to change the stage
     fixed_stage: bool,
     /// Listen address
@@ -162,6 +165,8 @@
     if options.fixed_stage {
         endpoint.fix_role();
     }
+    let crashing_parts: Vec<&str> = options.crashing_part.iter().map(String::as_str).collect();
+    endpoint.set_crashing_parts(&crashing_parts);
     if let Some(born) = options.born {
         endpoint.set_born(born);
     }
@@ -169,8 +174,10 @@
     let target = endpoint.clone();
     let orders = thread::spawn(move || follow_orders(&target));
     let mut printed = 0;
-    while !orders.is_finished() {
+    let mut has_crashed = false;
+    while !orders.is_finished() && !has_crashed {
         task::sleep(PRINT_INTERVAL).await;
+        has_crashed = endpoint.crashed_at().is_some();
         let received = endpoint.received();
         let mut output = io::stdout().lock();
         for request in &received[printed..] {
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -4,6 +4,8 @@
 //! The seed determines the disturbances and the requests. Processes interleave differently in every run, so a run cannot
 //! be replayed exactly.
 
+mod crash;
+mod fetch;
 mod order;
 mod plan;
 mod process;
@@ -21,6 +23,7 @@
 use tarragonhill_core::gateway::budget::Rule;
 
 pub use self::{
+    crash::{Crashes, Figures},
     order::Stream,
     plan::{Event, Kind, Plan},
     run::{History, Service},
@@ -55,12 +58,21 @@
     pub retries: Rule,
     /// Whether engines have two software versions, some answer without a length, and callers take up broken streams.
     pub is_mixed: bool,
+    /// Number of parts of prompts that crash decode engines.
+    pub crashing_parts: usize,
 }
 
 impl Default for Shape {
     fn default() -> Self {
         let retries = Rule { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
-        Self { gateways: 4, duration: Duration::from_secs(40), events: 12, retries, is_mixed: false }
+        Self {
+            gateways: 4,
+            duration: Duration::from_secs(40),
+            events: 12,
+            retries,
+            is_mixed: false,
+            crashing_parts: 0,
+        }
     }
 }
 
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -62,6 +62,10 @@
     PauseStore,
     /// Callers send several times as many requests.
     Burst,
+    /// Some of the decode engines are killed at once and start again with other ids.
+    CrashWave,
+    /// Most new connections go to one gateway.
+    Skew,
 }
 
 /// A disturbance.
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -24,6 +24,7 @@
 
 use super::{
     Programs, Shape,
+    crash::{Crashes, Sample, part_name},
     order::Stream,
     plan::{Event, Kind, Plan},
     process::Process,
@@ -42,7 +43,13 @@
 
 const PREFILL_ENGINES: usize = 2;
 const DECODE_ENGINES: usize = 4;
+/// Further decode engines for each part that crashes some.
+const ENGINES_PER_PART: usize = 4;
 const PLAIN_ENDPOINTS: usize = 3;
+/// Time until an engine that crashed by itself or in a wave starts again.
+const ENGINE_RESTART_DELAY: Duration = Duration::from_millis(1_500);
+/// Share of the decode engines that are killed in a wave.
+const WAVE_SHARE: f64 = 0.4;
 const ENDPOINT_PORT: u16 = 8080;
 const CALLER_PORT: u16 = 8221;
 const ADMIN_PORT: u16 = 8224;
@@ -81,6 +88,8 @@
 const PLAIN_DEADLINE: Duration = Duration::from_secs(1);
 /// Longest time a caller waits for a stream.
 const STREAM_DEADLINE: Duration = Duration::from_secs(8);
+/// Interval at which engines that have crashed are noticed.
+const ENGINE_WATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which processes that have ended are noticed.
 const WATCH_INTERVAL: Duration = Duration::from_millis(200);
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -111,6 +120,8 @@
     pub unanswered: usize,
     /// Streams that callers took up at other gateways if they broke.
     pub streams: Vec<Stream>,
+    /// Requests with parts that crash engines, and sound ones beside them.
+    pub crashes: Crashes,
     rule: Rule,
     requests: BTreeMap<Service, Vec<Instant>>,
     received: BTreeMap<Service, Vec<ReceivedRequest>>,
@@ -261,6 +272,8 @@
     is_unframed: bool,
     /// Whether it refuses orders to change its stage, which rows would have to tell.
     has_fixed_stage: bool,
+    /// Number of parts of prompts under which it crashes.
+    crashing_parts: usize,
 }
 
 impl Software {
@@ -283,6 +296,12 @@
     counter: AtomicUsize,
     is_over: AtomicBool,
     bursts: AtomicUsize,
+    /// The gateway that gets most connections, if there is one.
+    skewed_to: Mutex<Option<usize>>,
+    skews: Mutex<Vec<(Instant, Instant)>>,
+    /// When the store or endpoints were last disturbed, but for engines that crashed under a part.
+    disturbed: Mutex<Instant>,
+    pub(super) samples: Mutex<BTreeMap<String, Sample>>,
     requests: Mutex<BTreeMap<Service, Vec<Instant>>>,
     idle: Mutex<BTreeMap<usize, Vec<Caller>>>,
     statuses: Mutex<Vec<Option<u16>>>,
@@ -295,7 +314,10 @@
     let run = Arc::new(Run::start(programs, shape, logs).await?);
     let callers = task::spawn(run.clone().send_requests(plan.seed));
     let streams = shape.is_mixed.then(|| task::spawn(run.clone().fetch_streams(plan.seed)));
+    let parts = shape.crashing_parts;
+    let parts = (parts > 0).then(|| task::spawn(run.clone().send_parts(plan.seed, parts, WARM_UP)));
     let watch = task::spawn(run.clone().watch());
+    let watch_engines = task::spawn(run.clone().watch_engines());
     task::sleep(WARM_UP).await;
     let played = plan.events.iter().map(|event| task::spawn(run.clone().play(*event)));
     for event in played.collect::<Vec<_>>() {
@@ -307,7 +329,15 @@
     if let Some(streams) = streams {
         streams.await;
     }
+    if let Some(parts) = parts {
+        parts.await;
+    }
     watch.await;
+    watch_engines.await;
+    let received = run.received();
+    let models = received.get(&Service::Models).map_or(&[][..], Vec::as_slice);
+    let samples = std::mem::take(&mut *lock(&run.samples));
+    let crashes = Crashes::new(samples, models, lock(&run.skews).clone());
     let statuses = lock(&run.statuses).clone();
     let count = |keep: fn(&Option<u16>) -> bool| statuses.iter().filter(|status| keep(status)).count();
     Ok(History {
@@ -319,7 +349,8 @@
         streams: std::mem::take(&mut lock(&run.streams)),
         rule: shape.retries,
         requests: lock(&run.requests).clone(),
-        received: run.received(),
+        crashes,
+        received,
     })
 }
 
@@ -327,10 +358,11 @@
     async fn start(programs: &Programs, shape: Shape, logs: &Path) -> io::Result<Self> {
         let store_address = SocketAddr::from((unique_loopback_ip(), STORE_PORT));
         let store = start_store(programs, store_address)?;
+        let decode_engines = DECODE_ENGINES + shape.crashing_parts * ENGINES_PER_PART;
         let mut endpoints = Vec::new();
         for (server, count) in [
             (Server::Prefill, PREFILL_ENGINES),
-            (Server::Decode, DECODE_ENGINES),
+            (Server::Decode, decode_engines),
             (Server::Plain, PLAIN_ENDPOINTS),
         ] {
             for number in 0..count {
@@ -338,7 +370,9 @@
                 let version = VERSIONS[if is_engine { number % 2 } else { 0 }];
                 // Of each version, every other decode engine answers without a length.
                 let is_unframed = is_engine && server == Server::Decode && number % 4 < 2;
-                let software = Software { version, is_unframed, has_fixed_stage: shape.is_mixed };
+                let has_fixed_stage = shape.is_mixed || shape.crashing_parts > 0;
+                let crashing_parts = if server == Server::Decode { shape.crashing_parts } else { 0 };
+                let software = Software { version, is_unframed, has_fixed_stage, crashing_parts };
                 endpoints.push(start_endpoint(programs, server, software).await?);
             }
         }
@@ -354,6 +388,10 @@
             counter: AtomicUsize::new(0),
             is_over: AtomicBool::new(false),
             bursts: AtomicUsize::new(0),
+            skewed_to: Mutex::default(),
+            skews: Mutex::default(),
+            disturbed: Mutex::new(Instant::now()),
+            samples: Mutex::default(),
             requests: Mutex::default(),
             idle: Mutex::default(),
             statuses: Mutex::default(),
@@ -412,6 +450,79 @@
         }
     }
 
+    /// Starts engines that have crashed under a part again.
+    async fn watch_engines(self: Arc<Self>) {
+        while !self.is_over() {
+            task::sleep(ENGINE_WATCH_INTERVAL).await;
+            for number in 0..self.endpoints.len() {
+                let endpoint = &self.endpoints[number];
+                let is_up = endpoint.is_up.load(Ordering::Relaxed);
+                if is_up && lock(&endpoint.process).has_ended() {
+                    endpoint.is_up.store(false, Ordering::Relaxed);
+                    let run = self.clone();
+                    task::spawn(async move { run.replace_crashed(&run.endpoints[number]).await });
+                }
+            }
+        }
+    }
+
+    /// Starts an engine again under another id. The row of the one that crashed stays until then.
+    async fn replace_crashed(&self, endpoint: &Endpoint) {
+        let old = endpoint.id();
+        endpoint.kill();
+        task::sleep(ENGINE_RESTART_DELAY).await;
+        self.put("servers", &old, None).await;
+        endpoint.ids.fetch_add(1, Ordering::Relaxed);
+        if self.start_endpoint_again(endpoint) {
+            while !self.is_over() && !self.register(endpoint).await {
+                task::sleep(WATCH_INTERVAL).await;
+            }
+            endpoint.is_up.store(true, Ordering::Relaxed);
+        }
+    }
+
+    async fn crash_wave(&self, target: usize) {
+        let engines: Vec<&Endpoint> = self
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.server == Server::Decode && endpoint.is_up.load(Ordering::Relaxed))
+            .collect();
+        let count = (engines.len() as f64 * WAVE_SHARE).ceil() as usize;
+        let killed = engines.iter().cycle().skip(target % engines.len().max(1)).take(count);
+        self.disturb();
+        killed.clone().for_each(|endpoint| endpoint.kill());
+        join_all(killed.map(|endpoint| self.replace_crashed(endpoint))).await;
+        self.disturb();
+    }
+
+    fn disturb(&self) {
+        *lock(&self.disturbed) = Instant::now();
+    }
+
+    /// Returns whether a gateway, the store and the endpoints have been undisturbed for a time.
+    pub(super) fn is_settled(&self, gateway: usize, span: Duration) -> bool {
+        self.gateways[gateway].is_settled(span) && lock(&self.disturbed).elapsed() >= span
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Relaxed)
+    }
+
+    /// Returns the gateway that gets most connections at the moment.
+    pub(super) fn skewed_to(&self) -> Option<usize> {
+        *lock(&self.skewed_to)
+    }
+
+    async fn skew(&self, gateway: usize, lasts: Duration) {
+        let began = Instant::now();
+        if lock(&self.skewed_to).replace(gateway).is_some() {
+            return;
+        }
+        task::sleep(lasts).await;
+        *lock(&self.skewed_to) = None;
+        lock(&self.skews).push((began, Instant::now()));
+    }
+
     fn start_again(&self, gateway: &Gateway) {
         gateway.disturb();
         if let Ok(process) = spawn_gateway(&self.programs.daemon, &gateway.arguments, &gateway.log) {
@@ -487,10 +598,17 @@
                 endpoint.order(Order::ServiceTime { ms: SERVICE_MS });
             }
             Kind::PauseStore => {
+                self.disturb();
                 lock(&self.store).pause();
-                task::sleep(lasts).await;
+                let ends = Instant::now() + lasts;
+                while Instant::now() < ends {
+                    task::sleep(WATCH_INTERVAL).await;
+                    self.disturb();
+                }
                 lock(&self.store).resume();
             }
+            Kind::CrashWave => self.crash_wave(target).await,
+            Kind::Skew => self.skew(gateway, lasts).await,
             Kind::Burst => {
                 self.bursts.fetch_add(1, Ordering::Relaxed);
                 task::sleep(lasts).await;
@@ -729,6 +847,8 @@
     if software.has_fixed_stage {
         arguments.push("--fixed-stage".into());
     }
+    arguments
+        .extend((0..software.crashing_parts).map(|number| format!("--crashing-part={}", part_name(number))));
     arguments.push(server.to_string());
     arguments
 }
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -2,7 +2,7 @@
 //!
 //! Needs the `tarragonhilld` binary, which `cargo test --workspace` builds.
 
-use std::{path::Path, sync::LazyLock, time::Duration};
+use std::{path::Path, sync::LazyLock, thread, time::Duration};
 
 use strum::IntoEnumIterator as _;
 use tarragonhill_bench::soak::{Event, History, Kind, Plan, Programs, Service, Shape, run_all};
@@ -38,6 +38,19 @@
     Kind::End,
     Kind::ResetEndpoint,
 ];
+/// Seeds of parts of prompts that crash engines, one and two of them.
+const PART_SEEDS: [(u64, usize); 2] = [(2, 1), (6, 2)];
+/// Disturbances beside them: engines that crash for other reasons, gateways that forget, and connections to one gateway.
+const PART_KINDS: [Kind; 8] = [
+    Kind::CrashWave,
+    Kind::CrashWave,
+    Kind::KillInSeries,
+    Kind::KillGateways,
+    Kind::RestartGateway,
+    Kind::PauseGateway,
+    Kind::Skew,
+    Kind::Skew,
+];
 /// Selects the plain endpoints.
 const PLAIN: usize = 8;
 
@@ -69,6 +82,19 @@
     play(shape, MIXED_SEEDS.iter().map(|seed| Plan::random(*seed, shape, &MIXED_KINDS)).collect())
 });
 
+/// Runs with engines that crash under parts of prompts.
+static PARTS: LazyLock<Vec<History>> = LazyLock::new(|| {
+    let play = |(seed, crashing_parts)| {
+        let shape =
+            Shape { duration: Duration::from_secs(30), events: 10, crashing_parts, ..Shape::default() };
+        play(shape, vec![Plan::random(seed, shape, &PART_KINDS)])
+    };
+    thread::scope(|scope| {
+        let runs = PART_SEEDS.map(|case| scope.spawn(move || play(case)));
+        runs.into_iter().flat_map(|run| run.join().expect("a run does not panic")).collect()
+    })
+});
+
 fn assert_kept(history: &History) {
     for service in Service::iter() {
         let tightest = history.tightest(service);
@@ -112,6 +138,19 @@
     assert!(resumed > 0, "no stream was resumed");
 }
 
+/// Guards against parts that are forgotten, sound requests that are taken for the cause, and gateways that cannot serve alone.
+#[test]
+fn few_requests_with_crashing_parts_reach_engines_and_sound_ones_are_served() {
+    for history in PARTS.iter() {
+        let figures = history.crashes.figures().expect("requests with parts");
+        let faults = figures.faults();
+        let seed = history.plan.seed;
+        assert!(faults.is_empty(), "seed {seed}, logs in {:?}: {faults:#?}", history.logs);
+        assert!(figures.crashes.iter().all(|crashes| *crashes > 0), "seed {seed}: no engine crashed");
+        assert_kept(history);
+    }
+}
+
 /// Without retries, the other tests would show nothing.
 #[test]
 fn requests_are_served_and_retried_in_the_soak() {
