--- a/crates/core/tests/gateway/suspect.rs
+++ b/crates/core/tests/gateway/suspect.rs
@@ -255,6 +255,7 @@
 fn assert_few_after_the_fifth(runs: &[u64], case: &str) {
     let known = runs.get(4).map_or(u64::MAX, |fifth| fifth + CONTACT_MS);
     let late = runs.iter().filter(|at| **at > known).count();
+    println!("{case}: {} requests ran, {late} of them late: {runs:?} ms", runs.len());
     assert!(late <= MOST_AFTER, "{case}: {late} of {} requests ran late: {runs:?}", runs.len());
 }
 
