--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -195,6 +195,27 @@
     assert_eq!(refusal.code, Code::Quarantined);
 }
 
+/// Guards against requests that were admitted before a part of their prompts was held off, and wait for memory.
+#[test]
+fn a_queued_request_is_refused_once_a_part_of_its_prompt_is_held_off() {
+    let mut state = ready_state();
+    let suspects: Arc<[Suspect]> = [Suspect(1), Suspect(77)].into();
+    state.enqueue(at(0), completion(40_000), 1);
+    assert_eq!(state.dispatch(at(0)).len(), 1);
+    for (tag, suspects) in [(2, suspects.clone()), (3, [Suspect(2)].into())] {
+        state.enqueue(at(0), Completion { suspects, ..completion(40_000) }, tag);
+    }
+    assert!(state.dispatch(at(10)).is_empty());
+    for (now, id) in [(100, "d-2"), (800, "d-3")] {
+        state.record_interrupted(at(now), &endpoint(id, Stage::Decode), &[Suspect(77)].into(), false);
+        state.record_crash(at(now + 10), id);
+    }
+    let refused = state.dispatch(at(900));
+    assert!(
+        matches!(&refused[..], [(entry @ Entry { tag: 2, .. }, Verdict::Expired)] if state.is_held_off(entry))
+    );
+}
+
 /// Guards against forecasts that let requests expire although the endpoints are idle.
 #[test]
 fn idle_endpoints_get_requests_at_any_engine_speed() {
