Apply loans without ranking the owners of cold endpoints again

With loans, each tick and digest ranked all replicas for each cold endpoint: 342 hashes for each of 120 endpoints, some 20 times a second, at the size of the large fleet (worked out from the code, not measured). The turns that a replica owns are now kept beside the interval with loans, are ranked again only when the roster or the configuration changes, and loans are computed only while some replica lacks turns. Interruptions that are older than the crash window are dropped.

--- a/crates/core/src/gateway/limit.rs
+++ b/crates/core/src/gateway/limit.rs
@@ -105,7 +105,7 @@
             let round = now.since(at).div_duration_f64(delay) as usize;
             let is_owner = roster.is_owner_in_round(endpoint, owners, round);
             let until = at.plus(MAX_DURATION);
-            (endpoint.clone(), Throttle { until, interval: is_owner.then_some(interval) })
+            (endpoint.clone(), Throttle::new(until, is_owner.then_some(interval)))
         });
         throttles.collect()
     }
--- a/crates/core/src/gateway/loan.rs
+++ b/crates/core/src/gateway/loan.rs
@@ -147,6 +147,12 @@
         self.peers.remove(peer);
     }
 
+    /// Returns whether there are loans, or peers that lack turns.
+    pub fn is_needed(&self, now: Time) -> bool {
+        let is_lacking = |(at, unmet): &(Time, Unmet)| now.since(*at) < PEER_TTL && !unmet.is_empty();
+        !self.given.is_empty() || !self.taken.is_empty() || self.peers.values().any(is_lacking)
+    }
+
     /// Decides which of this replica's turns are lent.
     pub fn update(&mut self, now: Time, owned: Vec<Turns>) {
         self.taken.retain(|_, lenders| {
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -27,13 +27,13 @@
     pub fn mark_members_read(&mut self, now: Time) {
         self.roster.mark_read();
         self.budget.record_settled(now);
-        self.update_throttles(now);
+        self.update_cold_owners(now);
     }
 
     fn extend_roster<'a>(&mut self, now: Time, names: impl IntoIterator<Item = &'a Arc<str>>) {
         let added = names.into_iter().filter(|name| self.roster.add(name)).count();
         if added > 0 {
-            self.update_throttles(now);
+            self.update_cold_owners(now);
         }
     }
 
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -25,7 +25,7 @@
         self.rate_limiter.update_customers(now, catalog.customers());
         self.staleness.record_configuration(now, row_version);
         self.catalog = Some(catalog);
-        self.update_throttles(now);
+        self.update_cold_owners(now);
         true
     }
 
@@ -67,9 +67,10 @@
 
     /// Records that an endpoint is cold for `span`.
     pub fn record_cold(&mut self, now: Time, endpoint: &Arc<str>, span: Duration) {
-        let interval = self.cold_interval(endpoint);
-        let interval = self.loans.interval(now, Cause::Cold, endpoint, interval);
-        self.gate.cold.extend(now, endpoint, Throttle { until: now.plus(span), interval });
+        let own = self.cold_interval(endpoint);
+        let interval = self.loans.interval(now, Cause::Cold, endpoint, own);
+        let throttle = Throttle { interval, ..Throttle::new(now.plus(span), own) };
+        self.gate.cold.extend(now, endpoint, throttle);
     }
 
     /// Records the limit that an endpoint named in a response, or that it named none.
--- a/crates/core/src/gateway/state/throttling.rs
+++ b/crates/core/src/gateway/state/throttling.rs
@@ -1,6 +1,6 @@
 //! When this replica may send to endpoints that take only few requests.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use super::State;
 use crate::{
@@ -13,21 +13,28 @@
 };
 
 impl<T> State<T> {
-    /// Recomputes when this replica may send to throttled endpoints. Must be called several times a second, as owners and loans
-    /// change in time, and after each change of the roster and of the configuration.
+    /// Recomputes when this replica may send to throttled endpoints. Must be called several times a second, as owners of limited
+    /// endpoints and loans change in time.
     pub(super) fn update_throttles(&mut self, now: Time) {
-        let mut limited = self.limits.throttles(now, &self.roster);
+        let Self { limits, loans, gate, roster, .. } = self;
+        let mut limited = limits.throttles(now, roster);
         for (endpoint, throttle) in &mut limited {
-            throttle.interval = self.loans.interval(now, Cause::Limited, endpoint, throttle.interval);
+            throttle.interval = loans.interval(now, Cause::Limited, endpoint, throttle.own);
         }
-        self.gate.limited.replace(limited);
-        if !self.gate.cold.is_empty() {
-            let mut cold = std::mem::take(&mut self.gate.cold);
-            cold.update_intervals(|endpoint| {
-                self.loans.interval(now, Cause::Cold, endpoint, self.cold_interval(endpoint))
-            });
-            self.gate.cold = cold;
+        gate.limited.replace(limited);
+        gate.cold.update_intervals(|endpoint, own| loans.interval(now, Cause::Cold, endpoint, own));
+    }
+
+    /// Recomputes which turns this replica owns at cold endpoints. Must be called after each change of the roster and of the
+    /// configuration.
+    pub(super) fn update_cold_owners(&mut self, now: Time) {
+        if self.gate.cold.is_empty() {
+            return;
         }
+        let mut cold = std::mem::take(&mut self.gate.cold);
+        cold.update_owners(|endpoint| self.cold_interval(endpoint));
+        self.gate.cold = cold;
+        self.update_throttles(now);
     }
 
     /// Returns the interval at which this replica may send to an endpoint while it is cold, without loans.
@@ -41,29 +48,21 @@
 
     /// Decides which turns this replica lends, and returns the loans for its next digest.
     pub(super) fn take_loans(&mut self, now: Time) -> Vec<Loan> {
-        let mut owned = Vec::new();
-        if !self.gate.is_empty() {
-            let cold = self.gate.cold.all(now).map(|(endpoint, _)| (endpoint, self.cold_interval(endpoint)));
-            let limits = self.limits.throttles(now, &self.roster);
-            let limited = limits.iter().map(|(endpoint, throttle)| (endpoint, throttle.interval));
-            owned.extend(self.turns(Cause::Cold, cold));
-            owned.extend(self.turns(Cause::Limited, limited));
+        if !self.loans.is_needed(now) {
+            return Vec::new();
         }
-        self.loans.update(now, owned);
+        let Self { loans, gate, directory, .. } = self;
+        let all = [(Cause::Cold, &gate.cold), (Cause::Limited, &gate.limited)];
+        let throttled = all.into_iter().flat_map(|(cause, throttles)| {
+            throttles.all(now).map(move |(endpoint, throttle)| (cause, endpoint, throttle.own))
+        });
+        let owned = throttled.filter_map(|(cause, endpoint, own)| {
+            let interval = own.filter(|interval| !interval.is_zero())?;
+            let service = directory.get(endpoint)?.service.clone();
+            Some(Turns { service, endpoint: endpoint.clone(), cause, interval })
+        });
+        loans.update(now, owned.collect());
         self.update_throttles(now);
         self.loans.offers(now)
     }
-
-    fn turns<'a>(
-        &'a self,
-        cause: Cause,
-        intervals: impl Iterator<Item = (&'a Arc<str>, Option<Duration>)> + 'a,
-    ) -> impl Iterator<Item = Turns> + 'a {
-        let owned =
-            intervals.filter_map(|(id, interval)| Some((id, interval.filter(|span| !span.is_zero())?)));
-        owned.filter_map(move |(id, interval)| {
-            let service = self.directory.get(id)?.service.clone();
-            Some(Turns { service, endpoint: id.clone(), cause, interval })
-        })
-    }
 }
--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -233,6 +233,10 @@
     /// Drops old evidence; must be called several times a second.
     pub fn expire(&mut self, now: Time) {
         self.demand.expire(now, &self.held);
+        self.interrupted.retain(|_, interrupted| {
+            interrupted.retain(|interruption| now.since(interruption.at) < CRASH_WINDOW);
+            !interrupted.is_empty()
+        });
         let mut is_changed = false;
         for (suspect, record) in &mut self.records {
             let ttl = if self.held.contains(suspect) { HELD_TTL } else { CRASH_TTL };
--- a/crates/core/src/gateway/throttle.rs
+++ b/crates/core/src/gateway/throttle.rs
@@ -98,10 +98,19 @@
 pub struct Throttle {
     /// End of the throttling, as far as known.
     pub until: Time,
-    /// Minimum interval between two requests of this replica; `None` if it must not send any.
+    /// Minimum interval between two requests by the turns that this replica owns; `None` if it owns none.
+    pub own: Option<Duration>,
+    /// The same with the turns that replicas lend to each other; `None` if this replica must not send any.
     pub interval: Option<Duration>,
 }
 
+impl Throttle {
+    /// Creates a throttle before any loans.
+    pub fn new(until: Time, own: Option<Duration>) -> Self {
+        Self { until, own, interval: own }
+    }
+}
+
 /// The throttled endpoints, and when this replica may send to them.
 #[derive(Clone, Debug, Default)]
 pub struct Throttles {
@@ -135,12 +144,22 @@
         }
     }
 
-    /// Replaces the intervals of all throttled endpoints.
-    pub fn update_intervals(&mut self, interval: impl Fn(&Arc<str>) -> Option<Duration>) {
+    /// Recomputes which turns this replica owns at all throttled endpoints.
+    pub fn update_owners(&mut self, own: impl Fn(&Arc<str>) -> Option<Duration>) {
         for (endpoint, throttle) in &mut self.endpoints {
-            throttle.interval = interval(endpoint);
+            throttle.own = own(endpoint);
         }
-        self.generation += 1;
+    }
+
+    /// Recomputes the intervals from the turns that this replica owns. Must follow each change of those and of loans.
+    pub fn update_intervals(&mut self, interval: impl Fn(&Arc<str>, Option<Duration>) -> Option<Duration>) {
+        let mut is_changed = false;
+        for (endpoint, throttle) in &mut self.endpoints {
+            let interval = interval(endpoint, throttle.own);
+            is_changed |= throttle.interval != interval;
+            throttle.interval = interval;
+        }
+        self.generation += u64::from(is_changed);
     }
 
     /// Returns the generation of the list, by which a copy of it tells whether it is outdated.
--- a/crates/core/tests/gateway/cold.rs
+++ b/crates/core/tests/gateway/cold.rs
@@ -35,7 +35,7 @@
 }
 
 fn cold(until: Time, interval: Option<Duration>) -> Throttle {
-    Throttle { until, interval }
+    Throttle::new(until, interval)
 }
 
 /// Returns the most requests that arrive in any second if each replica sends whenever its list allows.
@@ -175,8 +175,8 @@
     let interval = Duration::from_millis(500);
     endpoints.extend(at(0), &id, cold(at(3_000), Some(interval)));
     assert_eq!(endpoints.take(at(0), &id), Some(at(0)));
-    endpoints.update_intervals(|_| None);
+    endpoints.update_intervals(|_, _| None);
     assert_eq!(endpoints.take(at(10), &id), None);
-    endpoints.update_intervals(|_| Some(interval));
+    endpoints.update_intervals(|_, _| Some(interval));
     assert_eq!(endpoints.wait(at(10), ENDPOINT), Some(Duration::from_millis(490)));
 }
