--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -20,9 +20,9 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-pub use self::evidence::{Crash, Evidence, Report};
+pub use self::evidence::{Crash, Report, Sighting};
 use self::{
-    evidence::{Record, Stamp, age, stamp},
+    evidence::{Evidence, Record, Stamp, age, stamp},
     trial::Demand,
 };
 use super::{digest::Digest, directory::Endpoint};
@@ -93,6 +93,17 @@
     Held(Duration),
 }
 
+/// What counts against a suspect, for logs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Summary {
+    /// Number of crashes, of the newest ones.
+    pub crashes: usize,
+    /// Number of them that ended a trial.
+    pub failed_trials: usize,
+    /// Time since the last one.
+    pub since_last: Duration,
+}
+
 /// The suspects that a replica knows.
 #[derive(Clone, Debug)]
 pub struct Suspects {
@@ -361,14 +372,14 @@
         self.demand.remove_peer(peer);
     }
 
-    /// Returns the number of crashes and of failed trials of a suspect, and how long ago the last crash was.
-    pub fn describe(&self, now: Time, suspect: Suspect) -> (usize, usize, Duration) {
-        self.records.get(&suspect).map_or((0, 0, Duration::ZERO), |record| {
-            (
-                record.crashes.len(),
-                record.failed_trials(),
-                record.last_crash().map_or(Duration::ZERO, |at| age(now, at)),
-            )
-        })
+    /// Summarizes what counts against a suspect.
+    pub fn summary(&self, now: Time, suspect: Suspect) -> Summary {
+        let Some(record) = self.records.get(&suspect) else { return Summary::default() };
+        let last_crash = record.last_crash();
+        Summary {
+            crashes: record.crashes.len(),
+            failed_trials: record.failed_trials(),
+            since_last: last_crash.map_or(Duration::ZERO, |at| age(now, at)),
+        }
     }
 }
--- a/crates/core/src/gateway/suspect/evidence.rs
+++ b/crates/core/src/gateway/suspect/evidence.rs
@@ -45,21 +45,29 @@
 
 /// How a crash counts against a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Evidence {
+pub(super) struct Evidence {
     /// When it was noticed first.
     pub(super) at: Stamp,
     /// Whether a trial of the suspect ended in it.
     pub(super) is_trial: bool,
 }
 
+/// A crash as a replica reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// Time since the crash was noticed first.
+    pub age: Duration,
+    /// Whether a trial of the suspect ended in it.
+    pub is_trial: bool,
+}
+
 /// What a replica knows of a suspect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
     /// The suspect.
     pub suspect: Suspect,
-    /// Crashes since a request with it last got past its first event: the time since then, and whether a trial ended in
-    /// it.
-    pub crashes: BTreeMap<Crash, (Duration, bool)>,
+    /// Crashes since a request with it last got past its first event.
+    pub crashes: BTreeMap<Crash, Sighting>,
     /// Time since a request with it got past its first event at the sender, if any did.
     pub begun: Option<Duration>,
     /// Whether callers have lately sent requests with it to the sender, which refused them.
@@ -71,7 +79,7 @@
 impl Report {
     /// Returns the order in which suspects are reported, the highest first.
     pub(super) fn rank(&self) -> (bool, usize, std::cmp::Reverse<Duration>) {
-        let newest = self.crashes.values().map(|(age, _)| *age).min().unwrap_or_default();
+        let newest = self.crashes.values().map(|sighting| sighting.age).min().unwrap_or_default();
         (self.is_wanted || self.is_trying, self.crashes.len(), std::cmp::Reverse(newest))
     }
 }
@@ -136,7 +144,7 @@
     /// Applies the report of a peer; returns whether that changes anything.
     pub(super) fn merge(&mut self, now: Time, report: &Report) -> bool {
         let mut is_changed = report.begun.is_some_and(|age| self.clear(before(now, age)));
-        for (crash, (age, is_trial)) in &report.crashes {
+        for (crash, Sighting { age, is_trial }) in &report.crashes {
             let evidence = Evidence { at: before(now, *age), is_trial: *is_trial };
             if self.begun.is_some_and(|begun| evidence.at <= begun) {
                 // The peer has to learn that the suspect was cleared.
@@ -181,11 +189,12 @@
     }
 
     pub(super) fn report(&self, now: Time, suspect: Suspect, ttl: Duration) -> Report {
-        let ages =
-            self.crashes.iter().map(|(crash, evidence)| (*crash, (age(now, evidence.at), evidence.is_trial)));
+        let sightings = self.crashes.iter().map(|(crash, evidence)| {
+            (*crash, Sighting { age: age(now, evidence.at), is_trial: evidence.is_trial })
+        });
         Report {
             suspect,
-            crashes: ages.filter(|(_, (age, _))| *age < ttl).collect(),
+            crashes: sightings.filter(|(_, sighting)| sighting.age < ttl).collect(),
             begun: None,
             is_wanted: false,
             is_trying: false,
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -28,7 +28,7 @@
         relay::{Delivery, Role},
         snapshot::Snapshot,
         state::{Assignment, ENDPOINT_RETRY_AFTER, Identity, Pair, State, no_endpoint, quarantined},
-        suspect::{Report, Suspect},
+        suspect::{Report, Summary, Suspect},
         throttle::{Throttle, Throttles},
     },
     refusal::Code,
@@ -197,7 +197,8 @@
                     self.publish_evacuations();
                     self.publish_gate();
                     self.publish_awaited();
-                    self.publish_suspects();
+                    self.save_suspects();
+                    self.publish_held();
                 }
                 Ok(Err(_)) => return,
                 Err(_) => {}
@@ -391,14 +392,17 @@
         }
     }
 
-    /// Makes changes of the suspects that are held off known to the threads that send to endpoints, and has the evidence
-    /// written to the store.
-    fn publish_suspects(&mut self) {
-        let now = self.clock.now();
-        if let Some(reports) = self.state.take_unsaved_suspects(now) {
-            // If the channel is full, the writer has not taken the last evidence yet, and reads the newest when it does.
+    /// Has new evidence on suspects written to the store.
+    fn save_suspects(&mut self) {
+        if let Some(reports) = self.state.take_unsaved_suspects(self.clock.now()) {
+            // Replaces what the writer has not taken yet.
             let _ = self.outputs.suspects.force_send(reports);
         }
+    }
+
+    /// Makes changes of the suspects that are held off known to the threads that send to endpoints.
+    fn publish_held(&mut self) {
+        let now = self.clock.now();
         let suspects = self.state.suspects();
         if suspects.generation() == self.held_generation {
             return;
@@ -406,9 +410,11 @@
         self.held_generation = suspects.generation();
         let previous = std::mem::replace(&mut lock(&self.weak_control.shared).held, suspects.held().clone());
         for suspect in suspects.held().difference(&previous) {
-            let (crashes, trials, age) = suspects.describe(now, *suspect);
-            let age_ms = age.as_millis() as u64;
-            spdlog::warn!("suspect held off", kv: { suspect = hex(*suspect).as_str(), crashes, trials, age_ms });
+            let Summary { crashes, failed_trials, since_last } = suspects.summary(now, *suspect);
+            let age_ms = since_last.as_millis() as u64;
+            spdlog::warn!("suspect held off", kv: {
+                suspect = hex(*suspect).as_str(), crashes, trials = failed_trials, age_ms
+            });
         }
         for suspect in previous.difference(suspects.held()) {
             spdlog::info!("suspect no longer held off", kv: { suspect = hex(*suspect).as_str() });
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -17,7 +17,7 @@
         loan::Loan,
         relay::Parcel,
         staleness::Versions,
-        suspect::{Crash, Report, Suspect},
+        suspect::{Crash, Report, Sighting, Suspect},
         throttle::Cause,
     },
 };
@@ -192,10 +192,10 @@
         Self {
             id: report.suspect.0,
             crashes: crashes
-                .map(|(crash, (age, trial))| proto::Crash {
+                .map(|(crash, Sighting { age, is_trial })| proto::Crash {
                     id: crash.0,
                     age_us: micros(*age),
-                    trial: *trial,
+                    trial: *is_trial,
                 })
                 .collect(),
             begun_us: report.begun.map(micros),
@@ -211,7 +211,9 @@
         Self {
             suspect: Suspect(message.id),
             crashes: crashes
-                .map(|crash| (Crash(crash.id), (Duration::from_micros(crash.age_us), crash.trial)))
+                .map(|proto::Crash { id, age_us, trial }| {
+                    (Crash(id), Sighting { age: Duration::from_micros(age_us), is_trial: trial })
+                })
                 .collect(),
             begun: message.begun_us.map(Duration::from_micros),
             is_wanted: message.wanted,
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -15,7 +15,7 @@
         snapshot::Snapshot,
         staleness::Versions,
         state::Listing,
-        suspect::{self, Crash, Suspect},
+        suspect::{self, Crash, Sighting, Suspect},
         throttle::Cause,
     },
     message::{Event, FailureCause, Heartbeat, Load, Order, PeerReply, PeerRequest, Work},
@@ -200,8 +200,11 @@
         }],
         suspects: vec![suspect::Report {
             suspect: Suspect(7),
-            crashes: [(Crash(3), (Duration::from_millis(40), true)), (Crash(4), (Duration::ZERO, false))]
-                .into(),
+            crashes: [
+                (Crash(3), Sighting { age: Duration::from_millis(40), is_trial: true }),
+                (Crash(4), Sighting { age: Duration::ZERO, is_trial: false }),
+            ]
+            .into(),
             begun: Some(Duration::from_millis(900)),
             is_wanted: true,
             is_trying: false,
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -22,7 +22,7 @@
         relay::{Bundle, Parcel},
         staleness::Versions,
         state::{Identity, Listing, State},
-        suspect::{self, Crash, Suspect},
+        suspect::{self, Crash, Sighting, Suspect},
         throttle::Cause,
     },
 };
@@ -66,8 +66,11 @@
         }],
         suspects: vec![suspect::Report {
             suspect: Suspect(7),
-            crashes: [(Crash(3), (Duration::from_millis(40), true)), (Crash(4), (Duration::ZERO, false))]
-                .into(),
+            crashes: [
+                (Crash(3), Sighting { age: Duration::from_millis(40), is_trial: true }),
+                (Crash(4), Sighting { age: Duration::ZERO, is_trial: false }),
+            ]
+            .into(),
             begun: Some(Duration::from_millis(900)),
             is_wanted: true,
             is_trying: false,
