Report crashes of neighbours only by those that noticed them

Each gateway passed on every crash that it knew, also against suspects that are not held off, which all peers know from those that noticed it. After a wave of crashes in a fleet of 68 gateways that would be up to 128 suspects of some 30 bytes in one of ten digests of each, for two minutes (worked out, not measured). What is held off is still passed on by all, so that it outlasts those that noticed it, and rows of the store hold everything that is known.

--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -178,7 +178,7 @@
                 let is_trial = is_trial && self.held.contains(suspect);
                 let begun = self.begun.get(suspect).copied();
                 let record = self.records.entry(*suspect).or_insert_with(|| Record::new(begun));
-                record.add(crash, Evidence { at: stamp(at), is_trial });
+                record.add(crash, Evidence { at: stamp(at), is_trial, is_own: true });
             }
         }
         if count > 0 {
@@ -319,16 +319,27 @@
     /// and if `is_full`.
     pub fn report(&self, now: Time, is_full: bool) -> Vec<Report> {
         let is_full = is_full || self.has_changed_within(now, CHANGE_TTL);
-        let known =
-            self.records.iter().filter(|(suspect, _)| is_full || self.demand.is_wanted(now, **suspect));
+        let is_reported = |suspect: &Suspect| is_full || self.demand.is_wanted(now, *suspect);
+        // Those that noticed the crashes of a neighbour report them; what is held off has to outlast them.
+        self.reports(now, is_reported, |suspect| !self.held.contains(suspect))
+    }
+
+    fn reports(
+        &self,
+        now: Time,
+        is_reported: impl Fn(&Suspect) -> bool,
+        is_own_only: impl Fn(&Suspect) -> bool,
+    ) -> Vec<Report> {
+        let known = self.records.iter().filter(|(suspect, _)| is_reported(suspect));
         let mut reports: Vec<Report> = known
             .map(|(suspect, record)| Report {
                 is_wanted: self.demand.is_wanted(now, *suspect),
                 is_trying: self.demand.is_trying(*suspect),
                 // Not what peers have reported: each hop would make it seem later.
                 begun: self.begun.get(suspect).map(|at| age(now, *at)),
-                ..record.report(now, *suspect, REPORT_TTL)
+                ..record.report(now, *suspect, REPORT_TTL, is_own_only(suspect))
             })
+            .filter(|report| !report.is_empty())
             .collect();
         reports.sort_by_key(|report| std::cmp::Reverse(report.rank()));
         reports.truncate(MAX_REPORTS);
@@ -337,7 +348,7 @@
 
     /// Returns what this replica knows if it has found evidence that is not in the store yet.
     pub fn take_unsaved(&mut self, now: Time) -> Option<Vec<Report>> {
-        std::mem::take(&mut self.is_unsaved).then(|| self.report(now, true))
+        std::mem::take(&mut self.is_unsaved).then(|| self.reports(now, |_| true, |_| false))
     }
 
     /// Applies the reports of a peer.
--- a/crates/core/src/gateway/suspect/evidence.rs
+++ b/crates/core/src/gateway/suspect/evidence.rs
@@ -50,6 +50,8 @@
     pub(super) at: Stamp,
     /// Whether a trial of the suspect ended in it.
     pub(super) is_trial: bool,
+    /// Whether this replica has noticed it itself.
+    pub(super) is_own: bool,
 }
 
 /// A crash as a replica reports it.
@@ -77,6 +79,11 @@
 }
 
 impl Report {
+    /// Returns whether the report says nothing.
+    pub(super) fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.begun.is_none() && !self.is_wanted && !self.is_trying
+    }
+
     /// Returns the order in which suspects are reported, the highest first.
     pub(super) fn rank(&self) -> (bool, usize, std::cmp::Reverse<Duration>) {
         let newest = self.crashes.values().map(|sighting| sighting.age).min().unwrap_or_default();
@@ -114,6 +121,7 @@
         let merged = known.map_or(evidence, |known| Evidence {
             at: known.at.min(evidence.at),
             is_trial: known.is_trial || evidence.is_trial,
+            is_own: known.is_own || evidence.is_own,
         });
         self.crashes.insert(crash, merged);
         if self.crashes.len() > MAX_CRASHES
@@ -145,7 +153,7 @@
     pub(super) fn merge(&mut self, now: Time, report: &Report) -> bool {
         let mut is_changed = report.begun.is_some_and(|age| self.clear(before(now, age)));
         for (crash, Sighting { age, is_trial }) in &report.crashes {
-            let evidence = Evidence { at: before(now, *age), is_trial: *is_trial };
+            let evidence = Evidence { at: before(now, *age), is_trial: *is_trial, is_own: false };
             if self.begun.is_some_and(|begun| evidence.at <= begun) {
                 // The peer has to learn that the suspect was cleared.
                 is_changed |= self.cleared != self.begun;
@@ -188,8 +196,10 @@
         (self.crashes.len(), self.last_crash(), suspect)
     }
 
-    pub(super) fn report(&self, now: Time, suspect: Suspect, ttl: Duration) -> Report {
-        let sightings = self.crashes.iter().map(|(crash, evidence)| {
+    /// Returns the crashes up to an age of `ttl`, of which peers know all but the own ones if `is_own_only`.
+    pub(super) fn report(&self, now: Time, suspect: Suspect, ttl: Duration, is_own_only: bool) -> Report {
+        let reported = self.crashes.iter().filter(|(_, evidence)| evidence.is_own || !is_own_only);
+        let sightings = reported.map(|(crash, evidence)| {
             (*crash, Sighting { age: age(now, evidence.at), is_trial: evidence.is_trial })
         });
         Report {
