--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -363,7 +363,7 @@
         self.is_unsaved |= self.apply_reports(now, reports) && self.has_found;
     }
 
-    /// Applies reports; returns whether they told anything new.
+    /// Applies reports; returns whether they changed the evidence.
     fn apply_reports(&mut self, now: Time, reports: &[Report]) -> bool {
         let mut is_changed = false;
         for report in reports {
