--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -5,7 +5,7 @@
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
     time::Duration,
@@ -28,6 +28,7 @@
     endpoint::{Endpoint, KvHandles, Role, start_number},
     store::Store,
 };
+use crate::sim::lock;
 
 /// API key of the customer with a high rate limit.
 pub const KEY: &str = "key-faculty";
@@ -121,6 +122,10 @@
     zones: BTreeMap<Arc<str>, &'static str>,
     /// Software versions of endpoints that do not have the default one.
     versions: BTreeMap<Arc<str>, &'static str>,
+    /// What endpoints last wrote.
+    registrations: BTreeMap<Arc<str>, Value>,
+    /// What the operator last wrote; `None` for rows that it removed.
+    operator_rows: Mutex<BTreeMap<String, Option<Value>>>,
     /// Source of endpoint numbers and of `seq` values.
     counter: u64,
 }
@@ -161,6 +166,8 @@
             retries: DEFAULT_RETRIES,
             zones: BTreeMap::new(),
             versions: BTreeMap::new(),
+            registrations: BTreeMap::new(),
+            operator_rows: Mutex::default(),
             counter: 0,
         })
     }
@@ -312,7 +319,7 @@
             endpoint.kill().await;
             if crashed_at.elapsed() >= after {
                 self.endpoints.retain(|other| other.id() != endpoint.id());
-                self.store.remove("servers", endpoint.id());
+                self.unregister(&endpoint);
                 started.push(self.add_endpoint_at(endpoint.role(), endpoint.address()).await?);
                 self.replaced.push(endpoint);
             }
@@ -344,6 +351,41 @@
             row["stage"] = endpoint.role().to_string().into();
         }
         self.store.put("servers", endpoint.id(), &row);
+        self.registrations.insert(endpoint.id().clone(), row);
+    }
+
+    /// Removes the row of an endpoint that has left.
+    pub fn unregister(&mut self, endpoint: &Endpoint) {
+        self.registrations.remove(endpoint.id());
+        self.store.remove("servers", endpoint.id());
+    }
+
+    /// Writes the rows of the operator and of the endpoints again, as they do after the store has come back from a copy.
+    pub fn write_again(&mut self) {
+        self.write_operator_rows_again();
+        for (id, row) in &mut self.registrations {
+            self.counter += 1;
+            row["seq"] = self.counter.into();
+            self.store.put("servers", id, row);
+        }
+    }
+
+    /// Writes the rows of the operator again.
+    pub fn write_operator_rows_again(&self) {
+        for (key, row) in &*lock(&self.operator_rows) {
+            match row {
+                Some(row) => self.store.put("op", key, row),
+                None => self.store.remove("op", key),
+            }
+        }
+    }
+
+    fn write_operator_row(&self, key: &str, row: Option<Value>) {
+        match &row {
+            Some(row) => self.store.put("op", key, row),
+            None => self.store.remove("op", key),
+        }
+        lock(&self.operator_rows).insert(key.to_owned(), row);
     }
 
     /// Returns the endpoints with this role, in the order of their start.
@@ -353,7 +395,7 @@
 
     /// Writes the operator's configuration.
     pub fn configure(&self, configuration: &Value) {
-        self.store.put("op", "config", configuration);
+        self.write_operator_row("config", Some(configuration.clone()));
     }
 
     /// Returns the software version of an endpoint.
@@ -368,12 +410,12 @@
 
     /// Evacuates an availability zone.
     pub fn evacuate(&self, zone: &str) {
-        self.store.put("op", &format!("evacuate/{zone}"), &json!({}));
+        self.write_operator_row(&format!("evacuate/{zone}"), Some(json!({})));
     }
 
     /// Lifts the evacuation of an availability zone.
     pub fn lift_evacuation(&self, zone: &str) {
-        self.store.remove("op", &format!("evacuate/{zone}"));
+        self.write_operator_row(&format!("evacuate/{zone}"), None);
     }
 
     /// Waits until a replica has exactly these zones evacuated.
@@ -426,7 +468,6 @@
     Ipv4Addr::new(127, part(std::process::id()) + 2, part(number / 250), part(number) + 1)
 }
 
-/// Returns the number in the id of an endpoint.
 /// Returns the `/state` dump of the replica at an admin address; null if it does not respond.
 pub async fn state(admin: SocketAddr) -> Value {
     let mut head = tarragonhill_h1::head::Request::new("GET", "/state");
--- a/crates/bench/src/platform/store.rs
+++ b/crates/bench/src/platform/store.rs
@@ -27,6 +27,8 @@
 const FEED_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Chunks per second in which a rate-limited response is written.
 const CHUNKS_PER_S: u64 = 20;
+/// Era of a store that has never come back from a copy.
+const FIRST_ERA: u64 = 1;
 
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
@@ -52,13 +54,22 @@
     is_removed: bool,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What a store holds.
+#[derive(Clone, Debug, Default)]
+pub struct Contents {
     version: u64,
     /// Rows by table and key; removed rows stay as tombstones.
     rows: BTreeMap<(String, String), Row>,
     /// Changes before this version are no longer available.
     oldest_version: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    contents: Contents,
+    era: u64,
+    /// Whether responses name the era.
+    names_era: bool,
     fault: Fault,
     /// Rate at which responses are written, in bytes per second; `None` is unlimited.
     rate: Option<u64>,
@@ -67,7 +78,21 @@
     feed_calls: BTreeMap<String, u64>,
 }
 
-impl State {
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            contents: Contents::default(),
+            era: FIRST_ERA,
+            names_era: true,
+            fault: Fault::None,
+            rate: None,
+            calls: 0,
+            feed_calls: BTreeMap::new(),
+        }
+    }
+}
+
+impl Contents {
     fn write(&mut self, table: &str, key: &str, value: Option<String>) {
         self.version += 1;
         let row =
@@ -131,25 +156,47 @@
         let fork = Self::start(SocketAddr::from((self.address().ip(), 0))).await?;
         {
             let (own, mut other) = (lock(&self.state), lock(&fork.state));
-            other.version = own.version;
-            other.rows = own.rows.clone();
+            other.contents = Contents { oldest_version: 0, ..own.contents.clone() };
+            other.era = own.era;
         }
         Ok(fork)
     }
 
+    /// Returns a copy of the contents.
+    pub fn contents(&self) -> Contents {
+        lock(&self.state).contents.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone, and a new era begins.
+    pub fn restore(&self, copy: &Contents) {
+        let mut state = lock(&self.state);
+        state.contents = copy.clone();
+        state.era += 1;
+    }
+
+    /// Sets whether responses name the era.
+    pub fn set_names_era(&self, names_era: bool) {
+        lock(&self.state).names_era = names_era;
+    }
+
+    /// Returns the version of the newest transaction.
+    pub fn version(&self) -> u64 {
+        lock(&self.state).contents.version
+    }
+
     /// Writes a row.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
-        lock(&self.state).write(table, key, Some(STANDARD.encode(value.to_string())));
+        lock(&self.state).contents.write(table, key, Some(STANDARD.encode(value.to_string())));
     }
 
     /// Writes a row whose value is not valid JSON.
     pub fn put_invalid(&self, table: &str, key: &str) {
-        lock(&self.state).write(table, key, Some(STANDARD.encode([0xff, 0, 0x7b])));
+        lock(&self.state).contents.write(table, key, Some(STANDARD.encode([0xff, 0, 0x7b])));
     }
 
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
-        lock(&self.state).write(table, key, None);
+        lock(&self.state).contents.write(table, key, None);
     }
 
     /// Sets the fault of all further calls.
@@ -164,15 +211,15 @@
 
     /// Discards the change history. Feeds that continue from an older version get status 410.
     pub fn discard_history(&self) {
-        let mut state = lock(&self.state);
-        state.version += 1;
-        state.oldest_version = state.version;
+        let contents = &mut lock(&self.state).contents;
+        contents.version += 1;
+        contents.oldest_version = contents.version;
     }
 
     /// Returns whether a row exists.
     pub fn has(&self, table: &str, key: &str) -> bool {
-        let state = lock(&self.state);
-        state.rows.get(&(table.into(), key.into())).is_some_and(|row| !row.is_removed)
+        let contents = &lock(&self.state).contents;
+        contents.rows.get(&(table.into(), key.into())).is_some_and(|row| !row.is_removed)
     }
 
     /// Returns the number of calls received.
@@ -214,11 +261,13 @@
     }
     let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let (status, value) = match head.path() {
-        "/v1/rows-get" => (200, get(&lock(&state), table, query.get("from").copied().unwrap_or_default())),
+        "/v1/rows-get" => {
+            (200, get(&lock(&state).contents, table, query.get("from").copied().unwrap_or_default()))
+        }
         "/v1/rows-feed" => {
             feed(&state, table, number("after"), Duration::from_millis(number("wait_ms"))).await
         }
-        "/v1/rows-tx" => transact(&mut lock(&state), &body),
+        "/v1/rows-tx" => transact(&mut lock(&state).contents, &body),
         _ => (404, json!({})),
     };
     if lock(&state).fault == Fault::Reset {
@@ -227,10 +276,10 @@
     reply(&state, connection, status, &value).await
 }
 
-fn get(state: &State, table: &str, from: &str) -> Value {
+fn get(contents: &Contents, table: &str, from: &str) -> Value {
     // Pages continue from the last key with a zero byte appended, which is encoded as `%00`.
     let from = from.replace("%00", "\0");
-    let rows = state
+    let rows = contents
         .rows
         .iter()
         .filter(|((row_table, key), row)| row_table == table && !row.is_removed && *key >= from);
@@ -238,7 +287,7 @@
         rows.take(PAGE_ROWS + 1).map(|((table, key), row)| encode(table, key, row)).collect();
     let truncated = rows.len() > PAGE_ROWS;
     rows.truncate(PAGE_ROWS);
-    let mut response = state.rows_response(rows);
+    let mut response = contents.rows_response(rows);
     response["truncated"] = truncated.into();
     response
 }
@@ -247,14 +296,14 @@
     let started_at = Instant::now();
     loop {
         {
-            let state = lock(state);
-            if after < state.oldest_version {
+            let State { contents, fault, .. } = &*lock(state);
+            if after < contents.oldest_version || after > contents.version {
                 return (410, json!({}));
             }
-            let rows = state.select(table, |_, row| row.version > after);
-            let is_failing = !matches!(state.fault, Fault::None | Fault::Stalled);
+            let rows = contents.select(table, |_, row| row.version > after);
+            let is_failing = !matches!(fault, Fault::None | Fault::Stalled);
             if !rows.is_empty() || started_at.elapsed() >= wait || is_failing {
-                return (200, state.rows_response(rows));
+                return (200, contents.rows_response(rows));
             }
         }
         task::sleep(FEED_POLL_INTERVAL).await;
@@ -291,23 +340,23 @@
     value: String,
 }
 
-fn transact(state: &mut State, body: &[u8]) -> (u16, Value) {
+fn transact(contents: &mut Contents, body: &[u8]) -> (u16, Value) {
     let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else { return (400, json!({})) };
     let is_met = |expected: &Expected| {
         let row =
-            state.rows.get(&(expected.table.clone(), expected.key.clone())).filter(|row| !row.is_removed);
+            contents.rows.get(&(expected.table.clone(), expected.key.clone())).filter(|row| !row.is_removed);
         row.map_or(0, |row| row.version) == expected.row_version
     };
     if !transaction.expected_revision.iter().all(is_met) {
         return (412, json!({"rows": []}));
     }
     for put in transaction.puts {
-        state.write(&put.table, &put.key, Some(put.value));
+        contents.write(&put.table, &put.key, Some(put.value));
     }
     for row in transaction.remove {
-        state.write(&row.table, &row.key, None);
+        contents.write(&row.table, &row.key, None);
     }
-    (200, json!({"row_version": state.version, "now_ms": now_ms()}))
+    (200, json!({"row_version": contents.version, "now_ms": now_ms()}))
 }
 
 async fn reply(
@@ -320,9 +369,12 @@
     let mut head = Response::new(status);
     head.fields.push("Content-Type", "application/json");
     head.fields.push("Content-Length", body.len().to_string());
+    let State { rate, fault, era, names_era, .. } = *lock(state);
+    if names_era {
+        head.fields.push("Store-Era", era.to_string());
+    }
     let mut bytes = head.encode();
     bytes.extend_from_slice(body.as_bytes());
-    let State { rate, fault, .. } = *lock(state);
     if fault == Fault::Stalled {
         // Fails only if the peer has closed the connection.
         let _ = connection.write(&bytes[..bytes.len() / 2]).await;
