--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -22,6 +22,7 @@
         directory::{Endpoint, Row, Stage},
         forecast::Size,
         health::Outcome,
+        position::Position,
         queue::Verdict,
         relay::{Bundle, Parcel, Role},
         state::{Admission, Identity, Listing, Pair, State},
@@ -455,9 +456,12 @@
     let identity = Identity { name, zone, incarnation, address, millicores };
     let retries = Rule { ratio: 0.2, slack: 50.0, window: Duration::from_secs(10) };
     let mut state = State::new(identity, retries, Tolerance::default(), Time::ZERO);
-    state.apply_catalog(Time::ZERO, 1, catalog.clone());
+    state.apply_catalog(Time::ZERO, Position::new(0, 1), catalog.clone());
     let rows = (0..shape.endpoints).map(|index| row(index, shape.zones)).collect();
-    state.apply_listing(Time::ZERO, Listing { version: shape.endpoints as u64, is_complete: true, rows });
+    state.apply_listing(
+        Time::ZERO,
+        Listing { position: Position::new(0, shape.endpoints as u64), is_complete: true, rows },
+    );
     state
 }
 
@@ -476,7 +480,7 @@
     };
     Row {
         id,
-        version: index as u64 + 1,
+        position: Position::new(0, index as u64 + 1),
         sequence: 1,
         cold: Duration::ZERO,
         endpoint: Some(Arc::new(endpoint)),
--- a/crates/bench/tests/store_return.rs
+++ b/crates/bench/tests/store_return.rs
@@ -47,12 +47,18 @@
     response.expect("a response").head.status
 }
 
+/// Waits until a replica has a configuration, and knows of no newer one: until then, it asks callers with unknown keys to come back.
+async fn wait_for_version_at(site: &Site, gateway: usize, version: u64) {
+    wait_until("the configuration is in force at the replica", async || {
+        let state = site.state(gateway).await;
+        state["version"].as_u64() == Some(version) && state["behind"] == false
+    })
+    .await;
+}
+
 async fn wait_for_version(site: &Site, version: u64) {
     for gateway in 0..site.gateways.len() {
-        wait_until("the configuration is in force at the replica", async || {
-            site.state(gateway).await["version"].as_u64() == Some(version)
-        })
-        .await;
+        wait_for_version_at(site, gateway, version).await;
     }
 }
 
@@ -190,10 +196,7 @@
         withdraw_key(&site, 2).await;
         lose_and_restore(&site, &copy).await;
         site.add_gateway().await.expect("a gateway");
-        wait_until("the started replica has the newest configuration", async || {
-            site.state(2).await["version"].as_u64() == Some(2)
-        })
-        .await;
+        wait_for_version_at(&site, 2, 2).await;
         assert_eq!(status(&site, 2, SMALL_KEY).await, 401);
         site.write_again();
         withdraw_key(&site, 3).await;
@@ -246,10 +249,7 @@
         withdraw_key(&site, 7).await;
         // A process that starts hears both.
         site.add_gateway().await.expect("a gateway");
-        wait_until("the started replica has the newest configuration", async || {
-            site.state(3).await["version"].as_u64() == Some(7)
-        })
-        .await;
+        wait_for_version_at(&site, 3, 7).await;
         assert_eq!(status(&site, 3, SMALL_KEY).await, 401);
     });
 }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod origin;
 pub mod placement;
 pub mod pools;
+pub mod position;
 pub mod queue;
 pub mod rate_limit;
 pub mod relay;
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -6,8 +6,15 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    directory::Stage, evacuation::Evacuations, forecast::Forecast, growth::Growth, interval::digest_interval,
-    limit, loan::Loan, staleness::Versions, suspect,
+    directory::{Departure, Stage},
+    evacuation::Evacuations,
+    forecast::Forecast,
+    growth::Growth,
+    interval::digest_interval,
+    limit,
+    loan::Loan,
+    staleness::Versions,
+    suspect,
 };
 use crate::clock::Time;
 
@@ -92,6 +99,8 @@
     pub versions: Versions,
     /// Evacuated zones. Receivers act on them without reading the store.
     pub evacuations: Evacuations,
+    /// Endpoints that have left although the store still lists them.
+    pub departures: Vec<Departure>,
     /// How long the sender has known all changes of the endpoints; zero while it cannot read the store, and in most digests.
     pub observed: Duration,
     /// Services that had endpoints of several software versions, with the time since then; complete if `observed` is not zero.
@@ -258,6 +267,12 @@
         })
     }
 
+    /// Returns whether the copy of the store at any live peer meets a condition.
+    pub fn any_live(&self, now: Time, is_met: impl Fn(Versions) -> bool) -> bool {
+        self.live_members(now)
+            .any(|member| self.peers.get(&member.name).is_some_and(|peer| is_met(peer.versions)))
+    }
+
     /// Returns the number of replicas, including this one.
     pub fn count(&self) -> u32 {
         1 + self.peers.len() as u32
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -9,7 +9,7 @@
 
 use strum::{Display, EnumString, IntoStaticStr};
 
-use super::evacuation::Evacuations;
+use super::{evacuation::Evacuations, position::Position};
 use crate::clock::Time;
 
 /// How long endpoints whose rows lapsed in a store outage stay in use once the store is reachable
@@ -58,8 +58,8 @@
 pub struct Row {
     /// Name of the endpoint.
     pub id: Arc<str>,
-    /// Version of the list at which the row was written; increases.
-    pub version: u64,
+    /// Where the row was written.
+    pub position: Position,
     /// Number of the write, counted by the endpoint from its start.
     pub sequence: u64,
     /// How much longer the endpoint is cold, by what it wrote.
@@ -83,9 +83,20 @@
     Removed(Arc<Endpoint>),
 }
 
-#[derive(Clone, Debug)]
+/// An endpoint that has left, by its newest write that is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Name of the endpoint.
+    pub id: Arc<str>,
+    /// Start of its process, Unix milliseconds.
+    pub started_ms: u64,
+    /// Number of the write, counted by the endpoint from its start.
+    pub sequence: u64,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Record {
-    version: u64,
+    position: Position,
     /// Start time and sequence of the endpoint's newest write.
     last_write: (u64, u64),
     endpoint: Option<Arc<Endpoint>>,
@@ -93,6 +104,8 @@
     leaving_incarnation: Option<u64>,
     /// End of the grace period, if the row has lapsed.
     expires: Option<Time>,
+    /// Whether the store shows an older write, from a copy.
+    is_contradicted: bool,
 }
 
 impl Record {
@@ -109,10 +122,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     records: BTreeMap<Arc<str>, Record>,
-    /// Newest version of the list.
-    version: u64,
-    /// Version of the newest row.
-    newest_row: u64,
+    /// Newest position of the list.
+    position: Position,
+    /// Position of the newest row.
+    newest_row: Position,
     /// When the store became reachable again after an outage.
     store_recovered: Option<Time>,
     is_store_unreachable: bool,
@@ -145,13 +158,20 @@
 
     /// Returns whether a list has been read.
     pub fn is_loaded(&self) -> bool {
-        self.version > 0
+        !self.position.is_start()
     }
 
     /// Applies changed rows.
-    pub fn update(&mut self, now: Time, version: u64, rows: Vec<Row>) -> Vec<Change> {
-        self.version = self.version.max(version);
-        let newest_row = rows.iter().map(|row| row.version).max().unwrap_or(0);
+    pub fn update(&mut self, now: Time, position: Position, rows: Vec<Row>) -> Vec<Change> {
+        if self.position.is_later_era_than(position) {
+            return Vec::new();
+        }
+        if position.is_later_era_than(self.position) {
+            // Endpoints whose registration the store has lost write it again.
+            self.store_recovered = Some(now);
+        }
+        self.position = self.position.max(position);
+        let newest_row = rows.iter().map(|row| row.position).max().unwrap_or_default();
         self.newest_row = self.newest_row.max(newest_row);
         let mut changes: Vec<Change> = rows.into_iter().filter_map(|row| self.apply_row(now, row)).collect();
         changes.extend(self.remove_replaced());
@@ -179,16 +199,22 @@
 
     /// Applies a complete list: endpoints that are missing from it are removed. A list that is
     /// older than the directory, from a stale read of the store, removes nothing.
-    pub fn replace(&mut self, now: Time, version: u64, rows: Vec<Row>) -> Vec<Change> {
+    pub fn replace(&mut self, now: Time, position: Position, rows: Vec<Row>) -> Vec<Change> {
         let listed: BTreeSet<&Arc<str>> = rows.iter().map(|row| &row.id).collect();
         let missing: Vec<Row> = self
             .records
             .iter()
-            .filter(|(id, record)| record.version <= version && !listed.contains(id))
-            .map(|(id, _)| Row { id: id.clone(), version, sequence: 0, cold: Duration::ZERO, endpoint: None })
+            .filter(|(id, record)| record.position <= position && !listed.contains(id))
+            .map(|(id, _)| Row {
+                id: id.clone(),
+                position,
+                sequence: 0,
+                cold: Duration::ZERO,
+                endpoint: None,
+            })
             .collect();
-        let is_current = version >= self.version;
-        let mut changes = self.update(now, version, rows);
+        let is_current = position >= self.position;
+        let mut changes = self.update(now, position, rows);
         if is_current {
             changes.extend(missing.into_iter().filter_map(|row| self.apply_row(now, row)));
         }
@@ -211,27 +237,33 @@
 
     fn apply_row(&mut self, now: Time, row: Row) -> Option<Change> {
         let record = self.records.get(&row.id);
-        if record.is_some_and(|record| record.version >= row.version) {
+        if record.is_some_and(|record| record.position >= row.position) {
             return None;
         }
         let previous = record.and_then(|record| record.endpoint.clone());
         let last_write = record.map_or((0, 0), |record| record.last_write);
         let leaving_incarnation = record.and_then(|record| record.leaving_incarnation);
         let Some(endpoint) = row.endpoint else {
-            return self.remove_row(now, row.id, row.version, last_write, previous);
+            return self.remove_row(now, row.id, row.position, last_write, previous);
         };
         let endpoint = Record::with_notice(leaving_incarnation, endpoint);
         let write = (endpoint.started_ms, row.sequence);
-        // The store may apply writes out of order, so an older write must not replace a newer one.
-        if write < last_write {
+        // The store may apply writes out of order, so an older write must not replace a newer one. Nor does a row of the copy
+        // that the store came back from bring back an endpoint that has left since.
+        let is_copy = record.is_some_and(|record| {
+            record.endpoint.is_none() && write == last_write && !row.position.continues(record.position)
+        });
+        if write < last_write || is_copy {
+            self.contradict(&row.id, row.position);
             return None;
         }
         let record = Record {
-            version: row.version,
+            position: row.position,
             last_write: write,
             endpoint: Some(endpoint.clone()),
             leaving_incarnation,
             expires: None,
+            is_contradicted: false,
         };
         self.records.insert(row.id, record);
         match previous {
@@ -242,11 +274,44 @@
         }
     }
 
+    /// Records that the store shows a write of an endpoint at `position` that is older than what is known.
+    fn contradict(&mut self, id: &str, position: Position) {
+        if let Some(record) = self.records.get_mut(id) {
+            let is_gone = record.endpoint.as_ref().is_none_or(|endpoint| endpoint.is_draining);
+            record.is_contradicted |= is_gone && position.is_later_era_than(record.position);
+        }
+    }
+
+    /// Returns the endpoints that have left although the store, which has come back from a copy, still lists them.
+    pub fn departures(&self) -> impl Iterator<Item = Departure> {
+        let contradicted = self.records.iter().filter(|(_, record)| record.is_contradicted);
+        contradicted.map(|(id, record)| {
+            let (started_ms, sequence) = record.last_write;
+            Departure { id: id.clone(), started_ms, sequence }
+        })
+    }
+
+    /// Removes endpoints that a peer knows to have left.
+    pub fn apply_departures(&mut self, departures: &[Departure]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for Departure { id, started_ms, sequence } in departures {
+            let last_write = (*started_ms, *sequence);
+            let record = self.records.entry(id.clone()).or_default();
+            let is_known_gone = record.endpoint.is_none() && !record.position.is_start();
+            if record.last_write > last_write || record.is_contradicted || is_known_gone {
+                continue;
+            }
+            (record.last_write, record.is_contradicted, record.expires) = (last_write, true, None);
+            changes.extend(record.endpoint.take().map(Change::Removed));
+        }
+        changes
+    }
+
     fn remove_row(
         &mut self,
         now: Time,
         id: Arc<str>,
-        version: u64,
+        position: Position,
         last_write: (u64, u64),
         previous: Option<Arc<Endpoint>>,
     ) -> Option<Change> {
@@ -258,7 +323,15 @@
         let record = self.records.get(&id);
         let is_change = expires.is_none() || record.is_none_or(|record| record.expires.is_none());
         let leaving_incarnation = record.and_then(|record| record.leaving_incarnation);
-        self.records.insert(id, Record { version, last_write, endpoint: kept, leaving_incarnation, expires });
+        let removed = Record {
+            position,
+            last_write,
+            endpoint: kept,
+            leaving_incarnation,
+            expires,
+            is_contradicted: false,
+        };
+        self.records.insert(id, removed);
         let previous = previous.filter(|_| is_change)?;
         Some(if expires.is_some() { Change::Lapsed(previous) } else { Change::Removed(previous) })
     }
@@ -289,20 +362,20 @@
         })
     }
 
-    /// Returns the list version and rows, for a peer that cannot read the store. Lapsed endpoints
+    /// Returns the list's position and rows, for a peer that cannot read the store. Lapsed endpoints
     /// are left out.
-    pub fn versioned_rows(&self) -> (u64, Vec<Row>) {
+    pub fn rows(&self) -> (Position, Vec<Row>) {
         let current = self.records.iter().filter(|(_, record)| record.expires.is_none());
         let rows = current.filter_map(|(id, record)| {
             let endpoint = Some(record.endpoint.clone()?);
-            let (version, sequence) = (record.version, record.last_write.1);
-            Some(Row { id: id.clone(), version, sequence, cold: Duration::ZERO, endpoint })
+            let (position, sequence) = (record.position, record.last_write.1);
+            Some(Row { id: id.clone(), position, sequence, cold: Duration::ZERO, endpoint })
         });
-        (self.version, rows.collect())
+        (self.position, rows.collect())
     }
 
-    /// Returns the version of the newest row; zero before the first.
-    pub fn newest_row(&self) -> u64 {
+    /// Returns the position of the newest row.
+    pub fn newest_row(&self) -> Position {
         self.newest_row
     }
 
--- a/crates/core/src/gateway/lease.rs
+++ b/crates/core/src/gateway/lease.rs
@@ -1,7 +1,7 @@
 //! Lease on the right to change the stages of endpoints.
 //!
 //! Endpoints accept orders from any replica, so only one replica at a time may send them. The lease
-//! is a row of the store, written conditionally before each order; the version of that write is the
+//! is a row of the store, written conditionally before each order; the position of that write gives the
 //! order's fencing token. The holder may act for [`LEASE_DURATION`] after a write. Another replica
 //! waits for a further [`HANDOVER_DELAY`]. Expiry is judged by the store's clock, so replicas'
 //! clocks are never compared with each other.
@@ -21,8 +21,10 @@
     pub holder: Arc<str>,
     /// Time of the store's clock when the holder read the lease before the write, in milliseconds.
     pub asked_ms: u64,
-    /// Version of the row; the fencing token of orders.
+    /// Version of the row.
     pub version: u64,
+    /// Era in which the holder read the lease before the write; `None` if the row does not tell.
+    pub era: Option<u64>,
 }
 
 /// The lease as read from the store.
@@ -32,12 +34,19 @@
     pub claim: Option<Claim>,
     /// The store's clock, in milliseconds.
     pub now_ms: u64,
+    /// Era of the store.
+    pub era: u64,
 }
 
 /// Returns the row version that a write must be conditional on, or `None` while another replica
-/// holds the lease.
-pub fn claimable_version(status: &Status, replica: &str) -> Option<u64> {
-    let Some(claim) = &status.claim else { return Some(0) };
+/// holds the lease. The caller has known the store's era for `era_age`.
+pub fn claimable_version(status: &Status, replica: &str, era_age: Duration) -> Option<u64> {
+    let version = status.claim.as_ref().map_or(0, |claim| claim.version);
+    let is_current = |_: &&Claim| true;
+    let Some(claim) = status.claim.as_ref().filter(is_current) else {
+        // The store may have come back from a copy that lacks the newest holder.
+        return (era_age >= LEASE_DURATION + HANDOVER_DELAY).then_some(version);
+    };
     let expires_ms = claim.asked_ms + (LEASE_DURATION + HANDOVER_DELAY).as_millis() as u64;
-    (&*claim.holder == replica || status.now_ms >= expires_ms).then_some(claim.version)
+    (&*claim.holder == replica || status.now_ms >= expires_ms).then_some(version)
 }
--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -5,6 +5,8 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use super::position::Position;
+
 /// A row, or the removal of one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -12,19 +14,25 @@
     pub key: Arc<str>,
     /// Value as encoded by the store; empty if the row was removed.
     pub value: Arc<str>,
-    /// Version of the transaction that wrote or removed the row.
+    /// Version, in the era of the batch or table, of the transaction that wrote or removed the row.
     pub version: u64,
     /// Whether the row was removed.
     pub is_removed: bool,
 }
 
+impl Row {
+    fn is_after(&self, position: Position) -> bool {
+        Position::new(position.era(), self.version) > position
+    }
+}
+
 /// Rows read from the store or from a copy of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Batch {
     /// The rows.
     pub rows: Vec<Row>,
-    /// Version of the store as of which they were read.
-    pub version: u64,
+    /// Position of the store as of which they were read.
+    pub position: Position,
     /// Whether they are the whole table.
     pub is_complete: bool,
 }
@@ -34,24 +42,28 @@
 pub struct Table {
     /// Includes removed rows whose removal was read.
     rows: BTreeMap<Arc<str>, Row>,
-    /// Version of the newest batch; `None` before the first complete one. An empty store has version 0.
-    version: Option<u64>,
-    /// Version from which all removals are in `rows`.
-    complete_since: u64,
+    /// Position of the newest batch, in whose era all rows are; `None` before the first complete one. An empty store is at
+    /// version 0.
+    position: Option<Position>,
+    /// Position from which all removals are in `rows`.
+    complete_since: Position,
     is_available: bool,
 }
 
 impl Table {
     /// Applies rows that were read from the store.
     pub fn apply(&mut self, batch: &Batch) {
+        let is_older_era = self.position.is_some_and(|own| own.is_later_era_than(batch.position));
+        let continues = self.position.is_some_and(|own| batch.position.continues(own));
+        if is_older_era || !(batch.is_complete || continues) {
+            return;
+        }
         if batch.is_complete {
             self.rows.clear();
-            self.complete_since = batch.version;
-        } else if self.version.is_none() {
-            return;
+            self.complete_since = batch.position;
         }
         self.is_available = true;
-        self.version = self.version.max(Some(batch.version));
+        self.position = self.position.max(Some(batch.position));
         for row in &batch.rows {
             self.rows.insert(row.key.clone(), row.clone());
         }
@@ -64,27 +76,38 @@
 
     /// Returns whether readers may be answered from the copy.
     pub fn is_available(&self) -> bool {
-        self.is_available && self.version.is_some()
+        self.is_available && self.position.is_some()
+    }
+
+    /// Returns the era of the copy; zero if the store names none.
+    pub fn era(&self) -> u64 {
+        self.position.unwrap_or_default().era()
+    }
+
+    /// Returns whether the copy is of an older era than a reader's.
+    pub fn is_behind_era_of(&self, reader: Position) -> bool {
+        self.position.is_some_and(|own| reader.is_later_era_than(own))
     }
 
     /// Returns whether there is anything newer than `after`.
-    pub fn has_changes(&self, after: u64) -> bool {
-        self.version > Some(after)
+    pub fn has_changes(&self, after: Position) -> bool {
+        self.position > Some(after)
     }
 
-    /// Returns the rows that changed after a version, or all rows if the removals since then are
-    /// unknown or `after` is `None`.
-    pub fn read(&self, after: Option<u64>) -> Batch {
-        let version = self.version.unwrap_or(0);
-        match after.filter(|after| *after >= self.complete_since) {
+    /// Returns the rows that changed after a position, or all rows if the removals since then are
+    /// unknown or `after` is `None` or in another era.
+    pub fn read(&self, after: Option<Position>) -> Batch {
+        let position = self.position.unwrap_or_default();
+        let known = after.filter(|after| after.continues(position) && *after >= self.complete_since);
+        match known {
             Some(after) => Batch {
-                rows: self.rows.values().filter(|row| row.version > after).cloned().collect(),
-                version: version.max(after),
+                rows: self.rows.values().filter(|row| row.is_after(after)).cloned().collect(),
+                position: position.max(after),
                 is_complete: false,
             },
             None => Batch {
                 rows: self.rows.values().filter(|row| !row.is_removed).cloned().collect(),
-                version,
+                position,
                 is_complete: true,
             },
         }
--- a/crates/core/src/gateway/snapshot.rs
+++ b/crates/core/src/gateway/snapshot.rs
@@ -4,7 +4,7 @@
 
 use super::{evacuation::Evacuations, staleness::Versions, state::Listing};
 
-/// Store contents that a replica has read. The store assigns the versions, so snapshots of
+/// Store contents that a replica has read. The store assigns the positions, so snapshots of
 /// different replicas can be compared.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Snapshot {
--- a/crates/core/src/gateway/staleness.rs
+++ b/crates/core/src/gateway/staleness.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::position::{Edition, Position};
 use crate::clock::Time;
 
 /// Time after which a version that a peer has, but this replica lacks, is overdue. Large rows take
@@ -11,10 +12,10 @@
 /// Versions of a copy of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Versions {
-    /// Version of the configuration's row in the store; zero if there is none.
-    pub configuration: u64,
-    /// Version of the newest endpoint row; zero if there is none.
-    pub endpoints: u64,
+    /// The configuration.
+    pub configuration: Edition,
+    /// Position of the newest endpoint row.
+    pub endpoints: Position,
 }
 
 impl Versions {
@@ -26,24 +27,24 @@
 
 /// Versions of one part of the copy.
 #[derive(Clone, Copy, Debug, Default)]
-struct Part {
-    /// Newest version that this replica has read completely.
-    own: u64,
-    /// Newest version that a peer has.
-    newest_peer: u64,
+struct Part<T> {
+    /// The newest that this replica has read completely.
+    own: T,
+    /// The newest that a peer has.
+    newest_peer: T,
     /// When this replica fell behind; set exactly while `own` is smaller than `newest_peer`.
     behind_since: Option<Time>,
 }
 
-impl Part {
-    fn record_peer(&mut self, now: Time, version: u64) {
+impl<T: Copy + Ord> Part<T> {
+    fn record_peer(&mut self, now: Time, version: T) {
         self.newest_peer = self.newest_peer.max(version);
         if self.own < self.newest_peer {
             self.behind_since.get_or_insert(now);
         }
     }
 
-    fn record_own(&mut self, now: Time, version: u64) {
+    fn record_own(&mut self, now: Time, version: T) {
         if version > self.own {
             self.own = version;
             self.behind_since = (self.own < self.newest_peer).then_some(now);
@@ -58,8 +59,8 @@
 /// Versions that this replica has read, and versions that its peers have.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Staleness {
-    configuration: Part,
-    endpoints: Part,
+    configuration: Part<Edition>,
+    endpoints: Part<Position>,
 }
 
 impl Staleness {
@@ -70,13 +71,13 @@
     }
 
     /// Records that this replica has read a configuration.
-    pub fn record_configuration(&mut self, now: Time, version: u64) {
-        self.configuration.record_own(now, version);
+    pub fn record_configuration(&mut self, now: Time, edition: Edition) {
+        self.configuration.record_own(now, edition);
     }
 
-    /// Records that this replica has read all endpoint rows up to a version.
-    pub fn record_endpoints(&mut self, now: Time, version: u64) {
-        self.endpoints.record_own(now, version);
+    /// Records that this replica has read all endpoint rows up to a position.
+    pub fn record_endpoints(&mut self, now: Time, position: Position) {
+        self.endpoints.record_own(now, position);
     }
 
     /// Returns the versions that this replica has.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -31,6 +31,7 @@
     loan::Loans,
     origin::Origins,
     pools::{Order, Pools, ServiceInfo},
+    position::Position,
     queue::{Entry, Queue, Verdict},
     rate_limit::RateLimiter,
     relay::{Outbox, Topology},
@@ -80,8 +81,8 @@
 /// A complete or partial list of endpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
-    /// Version of the list.
-    pub version: u64,
+    /// Position of the store as of which it was read.
+    pub position: Position,
     /// Whether the list has all endpoints, so that those missing from it were removed.
     pub is_complete: bool,
     /// The rows.
@@ -208,6 +209,7 @@
         self.update_throttles(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
+        self.change_evacuations(now, |evacuations| evacuations.expire(now));
         let changes = self.directory.expire_lapsed(now);
         self.apply_changes(now, &changes);
         self.origins.expire(now);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -56,6 +56,7 @@
         }
         self.staleness.record_peer(now, digest.versions);
         self.merge_evacuations(now, &digest.evacuations);
+        self.apply_departures(now, &digest.departures);
         let names = digest.members.iter().map(|member| &member.name).chain([&digest.name]);
         self.extend_roster(now, names);
         self.rate_limiter.apply_digest(now, digest);
@@ -130,6 +131,7 @@
             loans: self.take_loans(now),
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().clone(),
+            departures: self.directory.departures().collect(),
             observed: if is_full { self.history.span(now) } else { Duration::ZERO },
             mixed: if is_full { self.history.mixed(now) } else { BTreeMap::new() },
             forecasts: if is_full { self.forecasts.local() } else { BTreeMap::new() },
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -8,9 +8,10 @@
     gateway::{
         catalog::Catalog,
         digest::Member,
-        directory::{Change, Row},
+        directory::{Change, Departure, Row},
         evacuation::{self, Evacuations},
         limit::{Observation, Report},
+        position::{Edition, Position},
         staleness::Versions,
         throttle::{Cause, Throttle},
     },
@@ -18,12 +19,13 @@
 
 impl<T> State<T> {
     /// Applies a configuration; returns false if it is not newer than the current one.
-    pub fn apply_catalog(&mut self, now: Time, row_version: u64, catalog: Arc<Catalog>) -> bool {
-        if self.catalog.is_some() && row_version <= self.staleness.own().configuration {
+    pub fn apply_catalog(&mut self, now: Time, position: Position, catalog: Arc<Catalog>) -> bool {
+        let edition = Edition { version: catalog.version(), position };
+        if self.catalog.is_some() && edition <= self.staleness.own().configuration {
             return false;
         }
         self.rate_limiter.update_customers(now, catalog.customers());
-        self.staleness.record_configuration(now, row_version);
+        self.staleness.record_configuration(now, edition);
         self.catalog = Some(catalog);
         self.update_cold_owners(now);
         true
@@ -31,23 +33,24 @@
 
     /// Applies evacuations read from the store.
     pub fn apply_evacuations(&mut self, now: Time, batch: evacuation::Batch) {
-        self.change_evacuations(now, |evacuations| evacuations.apply(batch));
+        self.change_evacuations(now, |evacuations| evacuations.apply(now, batch));
     }
 
     /// Takes over the evacuations of a peer if they are newer.
     pub fn merge_evacuations(&mut self, now: Time, evacuations: &Evacuations) {
-        // Each digest carries the evacuations, and nearly all are known.
-        if evacuations.version() > self.directory.evacuations().version() {
-            self.change_evacuations(now, |own| own.merge(evacuations));
-        }
+        self.change_evacuations(now, |own| own.merge(now, evacuations));
     }
 
     /// Changes the evacuations. Endpoints of zones that are no longer evacuated count as cold: they may have been
     /// restarted, and their rows may arrive later than the end of the evacuation.
-    fn change_evacuations(&mut self, now: Time, change: impl FnOnce(&mut Evacuations)) {
+    pub(super) fn change_evacuations(&mut self, now: Time, change: impl FnOnce(&mut Evacuations)) {
         let previous = self.directory.evacuations().clone();
         change(self.directory.evacuations_mut());
         let evacuations = self.directory.evacuations();
+        // Each digest carries the evacuations, and nearly all are known.
+        if *evacuations == previous {
+            return;
+        }
         let is_back = |zone: &str| previous.contains(zone) && !evacuations.contains(zone);
         let back = self.directory.all().filter(|endpoint| is_back(&endpoint.zone));
         let back: Vec<Arc<str>> = back.map(|endpoint| endpoint.id.clone()).collect();
@@ -107,8 +110,8 @@
         is_read_again || listing.rows.iter().any(is_unknown)
     }
 
-    /// Applies the list of a peer whose newest row is `newest`.
-    pub fn apply_peer_listing(&mut self, now: Time, mut listing: Listing, newest: u64) -> Vec<Change> {
+    /// Applies the list of a peer whose newest row is at `newest`.
+    pub fn apply_peer_listing(&mut self, now: Time, mut listing: Listing, newest: Position) -> Vec<Change> {
         // Once a list has been read, rows that the peer lacks are kept: they may only have lapsed
         // during a store outage.
         listing.is_complete &= !self.directory.is_loaded();
@@ -121,9 +124,9 @@
         let cold = listing.rows.iter().filter(|row| !row.cold.is_zero());
         let cold: Vec<(Arc<str>, Duration)> = cold.map(|row| (row.id.clone(), row.cold)).collect();
         let changes = if listing.is_complete {
-            self.directory.replace(now, listing.version, listing.rows)
+            self.directory.replace(now, listing.position, listing.rows)
         } else {
-            self.directory.update(now, listing.version, listing.rows)
+            self.directory.update(now, listing.position, listing.rows)
         };
         self.staleness.record_endpoints(now, self.directory.newest_row());
         self.history.record(now, &self.directory);
@@ -162,6 +165,17 @@
         self.directory.mark_leaving(endpoint, started_ms)
     }
 
+    /// Removes endpoints that a peer knows to have left.
+    pub(super) fn apply_departures(&mut self, now: Time, departures: &[Departure]) {
+        let changes = self.directory.apply_departures(departures);
+        self.apply_changes(now, &changes);
+    }
+
+    /// Records that the store has come back from a copy, so that what this replica wrote there is gone.
+    pub fn record_store_return(&mut self) {
+        self.suspects.mark_lost();
+    }
+
     /// Records that the store is unreachable.
     pub fn mark_store_unreachable(&mut self) {
         self.directory.mark_store_unreachable();
@@ -175,8 +189,8 @@
 
     /// Returns whether a peer has a newer configuration than this replica.
     pub fn is_configuration_stale(&self, now: Time) -> bool {
-        let own = Versions { endpoints: u64::MAX, ..self.staleness.own() };
-        self.peers.ahead_of(now, own).next().is_some()
+        let own = self.staleness.own().configuration;
+        self.peers.any_live(now, |versions| versions.configuration > own)
     }
 
     /// Returns the peers that have data which the store should have delivered to this replica by
@@ -190,10 +204,10 @@
 
     /// Returns the list of endpoints, for a peer that cannot read the store.
     pub fn listing(&self, now: Time) -> Listing {
-        let (version, mut rows) = self.directory.versioned_rows();
+        let (position, mut rows) = self.directory.rows();
         for row in &mut rows {
             row.cold = self.gate.cold.get(now, &row.id).map_or(Duration::ZERO, |cold| cold.until.since(now));
         }
-        Listing { version, is_complete: true, rows }
+        Listing { position, is_complete: true, rows }
     }
 }
--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -207,6 +207,11 @@
         }
     }
 
+    /// Records that the store has lost what was written there.
+    pub fn mark_lost(&mut self) {
+        self.is_unsaved = self.has_found;
+    }
+
     fn mark_unsaved(&mut self) {
         (self.has_found, self.is_unsaved) = (true, true);
     }
--- a/crates/core/tests/gateway/directory.rs
+++ b/crates/core/tests/gateway/directory.rs
@@ -4,7 +4,7 @@
 
 use tarragonhill_core::gateway::directory::{Change, Directory, Endpoint, Row, Stage};
 
-use crate::{at, endpoint, removed_row, row};
+use crate::{at, endpoint, position, removed_row, row};
 
 fn draining(id: &str) -> Endpoint {
     Endpoint { is_draining: true, ..endpoint(id, Stage::Whole) }
@@ -18,9 +18,9 @@
 #[test]
 fn a_draining_endpoint_gets_no_new_requests() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Whole))]);
     assert_eq!(serving_ids(&directory), ["e-1".into()]);
-    let changes = directory.update(at(1), 2, vec![row(2, draining("e-1"))]);
+    let changes = directory.update(at(1), position(2), vec![row(2, draining("e-1"))]);
     assert!(matches!(changes[..], [Change::Draining(_)]), "{changes:?}");
     assert!(serving_ids(&directory).is_empty());
 }
@@ -29,9 +29,9 @@
 #[test]
 fn an_older_list_does_not_restore_endpoints() {
     let mut directory = Directory::default();
-    directory.update(at(0), 5, vec![row(5, endpoint("e-1", Stage::Whole))]);
-    directory.update(at(1), 9, vec![removed_row(9, "e-1"), row(8, endpoint("e-2", Stage::Whole))]);
-    directory.replace(at(2), 6, vec![row(5, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(0), position(5), vec![row(5, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(1), position(9), vec![removed_row(9, "e-1"), row(8, endpoint("e-2", Stage::Whole))]);
+    directory.replace(at(2), position(6), vec![row(5, endpoint("e-1", Stage::Whole))]);
     assert_eq!(serving_ids(&directory), ["e-2".into()]);
 }
 
@@ -40,10 +40,10 @@
     let mut directory = Directory::default();
     directory.update(
         at(0),
-        5,
+        position(5),
         vec![row(4, endpoint("e-1", Stage::Whole)), row(5, endpoint("e-2", Stage::Whole))],
     );
-    let changes = directory.replace(at(1), 7, vec![row(5, endpoint("e-2", Stage::Whole))]);
+    let changes = directory.replace(at(1), position(7), vec![row(5, endpoint("e-2", Stage::Whole))]);
     assert!(matches!(&changes[..], [Change::Removed(endpoint)] if &*endpoint.id == "e-1"), "{changes:?}");
     assert_eq!(serving_ids(&directory), ["e-2".into()]);
 }
@@ -53,9 +53,9 @@
 fn a_late_write_does_not_undo_draining() {
     let mut directory = Directory::default();
     let written = |version, sequence, endpoint| Row { sequence, ..row(version, endpoint) };
-    directory.update(at(0), 1, vec![written(1, 4, endpoint("e-1", Stage::Whole))]);
-    directory.update(at(1), 2, vec![written(2, 6, draining("e-1"))]);
-    directory.update(at(2), 3, vec![written(3, 5, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(0), position(1), vec![written(1, 4, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(1), position(2), vec![written(2, 6, draining("e-1"))]);
+    directory.update(at(2), position(3), vec![written(3, 5, endpoint("e-1", Stage::Whole))]);
     assert!(serving_ids(&directory).is_empty());
 }
 
@@ -65,16 +65,17 @@
     let mut directory = Directory::default();
     directory.update(
         at(0),
-        1,
+        position(1),
         vec![row(1, endpoint("e-1", Stage::Whole)), row(1, endpoint("e-2", Stage::Whole))],
     );
     directory.mark_store_unreachable();
     directory.mark_store_reachable(at(6_000));
-    let changes = directory.update(at(6_000), 5, vec![removed_row(4, "e-1"), removed_row(5, "e-2")]);
+    let changes =
+        directory.update(at(6_000), position(5), vec![removed_row(4, "e-1"), removed_row(5, "e-2")]);
     assert!(matches!(changes[..], [Change::Lapsed(_), Change::Lapsed(_)]), "{changes:?}");
     assert_eq!(serving_ids(&directory).len(), 2);
 
-    directory.update(at(7_500), 6, vec![row(6, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(7_500), position(6), vec![row(6, endpoint("e-1", Stage::Whole))]);
     let changes = directory.expire_lapsed(at(9_000));
     assert!(matches!(&changes[..], [Change::Removed(endpoint)] if &*endpoint.id == "e-2"), "{changes:?}");
     assert_eq!(serving_ids(&directory), ["e-1".into()]);
@@ -83,8 +84,8 @@
 #[test]
 fn a_row_removed_while_the_store_is_reachable_is_removed_at_once() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
-    let changes = directory.update(at(9_000), 2, vec![removed_row(2, "e-1")]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Whole))]);
+    let changes = directory.update(at(9_000), position(2), vec![removed_row(2, "e-1")]);
     assert!(matches!(changes[..], [Change::Removed(_)]), "{changes:?}");
     assert!(serving_ids(&directory).is_empty());
 }
@@ -92,9 +93,9 @@
 #[test]
 fn a_restart_under_the_same_name_is_reported() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Decode))]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Decode))]);
     let restarted = Endpoint { started_ms: 2, ..endpoint("e-1", Stage::Decode) };
-    let changes = directory.update(at(1), 2, vec![Row { sequence: 0, ..row(2, restarted) }]);
+    let changes = directory.update(at(1), position(2), vec![Row { sequence: 0, ..row(2, restarted) }]);
     assert!(matches!(changes[..], [Change::Restarted(_)]), "{changes:?}");
 }
 
@@ -102,16 +103,16 @@
 #[test]
 fn a_newer_endpoint_at_the_same_address_replaces_the_older() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("old", Stage::Decode))]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("old", Stage::Decode))]);
     let newer = Endpoint { started_ms: 2, ..endpoint("new", Stage::Decode) };
-    let changes = directory.update(at(1), 2, vec![row(2, newer)]);
+    let changes = directory.update(at(1), position(2), vec![row(2, newer)]);
     assert!(
         changes.iter().any(|change| matches!(change, Change::Removed(endpoint) if &*endpoint.id == "old")),
         "{changes:?}"
     );
     assert_eq!(serving_ids(&directory), ["new".into()]);
     // A late write of the replaced endpoint is ignored.
-    directory.update(at(2), 3, vec![row(3, endpoint("old", Stage::Decode))]);
+    directory.update(at(2), position(3), vec![row(3, endpoint("old", Stage::Decode))]);
     assert_eq!(serving_ids(&directory), ["new".into()]);
 }
 
@@ -119,25 +120,25 @@
 #[test]
 fn a_ready_row_does_not_undo_what_a_leaving_endpoint_said() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Whole))]);
     assert!(matches!(directory.mark_leaving("e-1", 1), Some(Change::Draining(_))));
     assert!(directory.mark_leaving("e-1", 1).is_none());
-    directory.update(at(1), 2, vec![row(2, endpoint("e-1", Stage::Whole))]);
-    directory.replace(at(2), 3, vec![row(3, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(1), position(2), vec![row(2, endpoint("e-1", Stage::Whole))]);
+    directory.replace(at(2), position(3), vec![row(3, endpoint("e-1", Stage::Whole))]);
     assert!(serving_ids(&directory).is_empty());
     // The row returns after it has lapsed.
-    directory.update(at(3), 4, vec![removed_row(4, "e-1")]);
-    directory.update(at(4), 5, vec![row(5, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(3), position(4), vec![removed_row(4, "e-1")]);
+    directory.update(at(4), position(5), vec![row(5, endpoint("e-1", Stage::Whole))]);
     assert!(serving_ids(&directory).is_empty());
 }
 
 #[test]
 fn a_new_incarnation_of_a_leaving_endpoint_gets_requests() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Whole))]);
     directory.mark_leaving("e-1", 1);
     let restarted = Endpoint { started_ms: 2, ..endpoint("e-1", Stage::Whole) };
-    directory.update(at(1), 2, vec![row(2, restarted)]);
+    directory.update(at(1), position(2), vec![row(2, restarted)]);
     assert_eq!(serving_ids(&directory), ["e-1".into()]);
     // A late response of the previous incarnation.
     assert!(directory.mark_leaving("e-1", 1).is_none());
@@ -148,10 +149,10 @@
 #[test]
 fn a_leaving_endpoint_whose_row_is_away_gets_no_requests_when_it_returns() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
-    directory.update(at(1), 2, vec![removed_row(2, "e-1")]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(1), position(2), vec![removed_row(2, "e-1")]);
     directory.mark_leaving("e-1", 1);
-    directory.update(at(2), 3, vec![row(3, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(2), position(3), vec![row(3, endpoint("e-1", Stage::Whole))]);
     assert!(serving_ids(&directory).is_empty());
 }
 
@@ -159,12 +160,12 @@
 #[test]
 fn a_lapsed_endpoint_that_leaves_is_reported_as_removed() {
     let mut directory = Directory::default();
-    directory.update(at(0), 1, vec![row(1, endpoint("e-1", Stage::Whole))]);
+    directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Whole))]);
     directory.mark_store_unreachable();
     directory.mark_store_reachable(at(10));
-    let changes = directory.update(at(11), 2, vec![removed_row(2, "e-1")]);
+    let changes = directory.update(at(11), position(2), vec![removed_row(2, "e-1")]);
     assert!(matches!(changes[..], [Change::Lapsed(_)]), "{changes:?}");
     directory.mark_leaving("e-1", 1);
-    let changes = directory.update(at(12), 3, vec![removed_row(3, "e-1")]);
+    let changes = directory.update(at(12), position(3), vec![removed_row(3, "e-1")]);
     assert!(matches!(changes[..], [Change::Removed(_)]), "{changes:?}");
 }
--- a/crates/core/tests/gateway/evacuation.rs
+++ b/crates/core/tests/gateway/evacuation.rs
@@ -5,10 +5,12 @@
 use quickcheck::{Gen, QuickCheck};
 use tarragonhill_core::gateway::evacuation::{Batch, Change, Evacuations};
 
+use crate::{at, position};
+
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 fn change(version: u64, zone: &str, is_evacuated: bool) -> Change {
-    Change { zone: zone.into(), version, is_evacuated }
+    Change { zone: zone.into(), position: position(version), is_evacuated }
 }
 
 fn zones(evacuations: &Evacuations) -> Vec<&str> {
@@ -18,28 +20,28 @@
 /// Guards against an evacuation that ends when a replica that reads late reports what it knows.
 #[test]
 fn older_evacuations_of_a_peer_or_of_the_store_are_ignored() {
-    let mut evacuations = Evacuations::new(10, []);
-    evacuations.apply(Batch::Changes(vec![change(12, "zone-a", true)]));
-    evacuations.merge(&Evacuations::new(11, []));
-    evacuations.apply(Batch::Complete(Evacuations::new(11, [])));
-    evacuations.apply(Batch::Changes(vec![change(11, "zone-a", false)]));
-    assert_eq!((zones(&evacuations), evacuations.version()), (vec!["zone-a"], 12));
+    let mut evacuations = Evacuations::new(position(10), []);
+    evacuations.apply(at(0), Batch::Changes(vec![change(12, "zone-a", true)]));
+    evacuations.merge(at(0), &Evacuations::new(position(11), []));
+    evacuations.apply(at(0), Batch::Complete(Evacuations::new(position(11), [])));
+    evacuations.apply(at(0), Batch::Changes(vec![change(11, "zone-a", false)]));
+    assert_eq!((zones(&evacuations), evacuations.position()), (vec!["zone-a"], position(12)));
 }
 
 /// Guards against a second evacuation that replaces the first.
 #[test]
 fn the_evacuation_of_a_second_zone_keeps_the_first() {
     let mut evacuations = Evacuations::default();
-    evacuations.apply(Batch::Complete(Evacuations::new(5, ["zone-a".into()])));
-    evacuations.apply(Batch::Changes(vec![change(6, "zone-b", true), change(7, "zone-a", false)]));
+    evacuations.apply(at(0), Batch::Complete(Evacuations::new(position(5), ["zone-a".into()])));
+    evacuations.apply(at(0), Batch::Changes(vec![change(6, "zone-b", true), change(7, "zone-a", false)]));
     assert_eq!(zones(&evacuations), ["zone-b"]);
 }
 
 /// Guards against an evacuation whose end was lost with the history of the store.
 #[test]
 fn a_complete_read_lifts_evacuations_that_it_lacks() {
-    let mut evacuations = Evacuations::new(5, ["zone-a".into(), "zone-b".into()]);
-    evacuations.apply(Batch::Complete(Evacuations::new(9, ["zone-b".into()])));
+    let mut evacuations = Evacuations::new(position(5), ["zone-a".into(), "zone-b".into()]);
+    evacuations.apply(at(0), Batch::Complete(Evacuations::new(position(9), ["zone-b".into()])));
     assert_eq!(zones(&evacuations), ["zone-b"]);
 }
 
@@ -66,7 +68,7 @@
                     zones.remove(&change.zone);
                 }
             }
-            Evacuations::new(changes.len() as u64, zones)
+            Evacuations::new(position(changes.len() as u64), zones)
         };
         let mut holds = true;
         for (kind, first, second) in steps {
@@ -80,20 +82,20 @@
                     let read = replicas[one].read;
                     let batch = Batch::Changes(changes[read..].to_vec());
                     replicas[one].read = changes.len();
-                    replicas[one].evacuations.apply(batch);
+                    replicas[one].evacuations.apply(at(0), batch);
                 }
                 2 => {
                     replicas[one].read = changes.len();
-                    replicas[one].evacuations.apply(Batch::Complete(truth(&changes)));
+                    replicas[one].evacuations.apply(at(0), Batch::Complete(truth(&changes)));
                 }
                 _ => {
                     let reported = replicas[other].evacuations.clone();
-                    replicas[one].evacuations.merge(&reported);
+                    replicas[one].evacuations.merge(at(0), &reported);
                 }
             }
             // What a replica holds is what the store held at that version.
             holds &= replicas.iter().all(|replica| {
-                replica.evacuations == truth(&changes[..replica.evacuations.version() as usize])
+                replica.evacuations == truth(&changes[..replica.evacuations.position().version() as usize])
             });
         }
         holds
--- a/crates/core/tests/gateway/fleet_limit.rs
+++ b/crates/core/tests/gateway/fleet_limit.rs
@@ -11,7 +11,7 @@
 use crate::{
     at, endpoint,
     fleet::{DAY_MS, Fleet, Plan, Trouble, busiest},
-    row,
+    position, row,
 };
 
 const STEP_MS: u64 = 100;
@@ -59,7 +59,7 @@
 fn play(day: &Day) -> Arrivals {
     let mut fleet = Fleet::new(day.plan.clone(), STEP_MS, |state, now| {
         let rows = vec![row(1, endpoint(ENDPOINT, Stage::Whole))];
-        state.apply_listing(now, Listing { version: 1, is_complete: true, rows });
+        state.apply_listing(now, Listing { position: position(1), is_complete: true, rows });
     });
     let mut arrivals = Arrivals::default();
     // When each process first read the limit in a response.
--- a/crates/core/tests/gateway/fleet_rate.rs
+++ b/crates/core/tests/gateway/fleet_rate.rs
@@ -13,6 +13,7 @@
 use crate::{
     at, customer,
     fleet::{DAY_MS, Fleet, Plan, Trouble, busiest},
+    position,
 };
 
 const STEP_MS: u64 = 100;
@@ -29,7 +30,7 @@
 fn prepare(state: &mut State<u32>, now: Time) {
     let mut catalog = Catalog::new(1, Limits::default());
     catalog.add_customer(customer("faculty", RATE, RATE), ["key".into()]);
-    state.apply_catalog(now, 1, Arc::new(catalog));
+    state.apply_catalog(now, position(1), Arc::new(catalog));
 }
 
 /// Guards against a part of each burst that every process of a series uses anew.
--- a/crates/core/tests/gateway/history.rs
+++ b/crates/core/tests/gateway/history.rs
@@ -7,7 +7,7 @@
     history::History,
 };
 
-use crate::{at, endpoint, row};
+use crate::{at, endpoint, position, row};
 
 const SPAN: Duration = Duration::from_secs(14);
 
@@ -18,7 +18,7 @@
         let endpoint = endpoint(&format!("d-{index}"), Stage::Decode);
         row(index as u64 + 1, Endpoint { software_version: (*version).into(), ..endpoint })
     });
-    directory.update(at(0), versions.len() as u64, rows.collect());
+    directory.update(at(0), position(versions.len() as u64), rows.collect());
     directory
 }
 
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -33,6 +33,7 @@
         catalog::{Customer, Engine, Kind, Route, Target},
         directory::{Endpoint, Row, Stage},
         forecast::{Forecasts, Observation},
+        position::Position,
     },
 };
 
@@ -55,10 +56,15 @@
     }
 }
 
+/// Returns a position in a store that names no era.
+fn position(version: u64) -> Position {
+    Position::new(0, version)
+}
+
 fn row(version: u64, endpoint: Endpoint) -> Row {
     Row {
         id: endpoint.id.clone(),
-        version,
+        position: position(version),
         sequence: version,
         cold: Duration::ZERO,
         endpoint: Some(Arc::new(endpoint)),
@@ -66,7 +72,7 @@
 }
 
 fn removed_row(version: u64, id: &str) -> Row {
-    Row { id: id.into(), version, sequence: 0, cold: Duration::ZERO, endpoint: None }
+    Row { id: id.into(), position: position(version), sequence: 0, cold: Duration::ZERO, endpoint: None }
 }
 
 fn engine() -> Engine {
--- a/crates/core/tests/gateway/mirror.rs
+++ b/crates/core/tests/gateway/mirror.rs
@@ -2,6 +2,8 @@
 
 use tarragonhill_core::gateway::mirror::{Batch, Row, Table};
 
+use crate::position;
+
 fn row(key: &str, version: u64) -> Row {
     Row { key: key.into(), value: "value".into(), version, is_removed: false }
 }
@@ -12,17 +14,20 @@
 
 fn table() -> Table {
     let mut table = Table::default();
-    table.apply(&Batch { rows: vec![row("a", 3), row("b", 5)], version: 6, is_complete: true });
+    table.apply(&Batch { rows: vec![row("a", 3), row("b", 5)], position: position(6), is_complete: true });
     table
 }
 
 #[test]
 fn readers_get_changes_and_removals_after_their_version() {
     let mut table = table();
-    table.apply(&Batch { rows: vec![removed("a", 8)], version: 8, is_complete: false });
-    table.apply(&Batch { rows: vec![row("c", 9)], version: 9, is_complete: false });
-    let changes = table.read(Some(7));
-    assert_eq!(changes, Batch { rows: vec![removed("a", 8), row("c", 9)], version: 9, is_complete: false });
+    table.apply(&Batch { rows: vec![removed("a", 8)], position: position(8), is_complete: false });
+    table.apply(&Batch { rows: vec![row("c", 9)], position: position(9), is_complete: false });
+    let changes = table.read(Some(position(7)));
+    assert_eq!(
+        changes,
+        Batch { rows: vec![removed("a", 8), row("c", 9)], position: position(9), is_complete: false }
+    );
     assert_eq!(table.read(None).rows, [row("b", 5), row("c", 9)]);
 }
 
@@ -30,16 +35,19 @@
 #[test]
 fn a_reader_older_than_the_known_removals_gets_the_whole_table() {
     let table = table();
-    assert!(table.read(Some(5)).is_complete);
-    assert!(!table.read(Some(6)).is_complete);
+    assert!(table.read(Some(position(5))).is_complete);
+    assert!(!table.read(Some(position(6))).is_complete);
 }
 
 /// Guards against a reader whose version goes back when its relay is behind.
 #[test]
 fn a_reader_ahead_of_the_relay_keeps_its_version() {
     let table = table();
-    assert!(!table.has_changes(10));
-    assert_eq!(table.read(Some(10)), Batch { rows: vec![], version: 10, is_complete: false });
+    assert!(!table.has_changes(position(10)));
+    assert_eq!(
+        table.read(Some(position(10))),
+        Batch { rows: vec![], position: position(10), is_complete: false }
+    );
 }
 
 /// Guards against a relay that answers for a store it has lost.
@@ -49,7 +57,7 @@
     assert!(table.is_available());
     table.mark_unavailable();
     assert!(!table.is_available());
-    table.apply(&Batch { rows: vec![], version: 7, is_complete: false });
+    table.apply(&Batch { rows: vec![], position: position(7), is_complete: false });
     assert!(table.is_available());
     assert!(!Table::default().is_available());
 }
@@ -58,9 +66,9 @@
 #[test]
 fn a_copy_of_an_empty_store_follows_its_first_changes() {
     let mut table = Table::default();
-    table.apply(&Batch { rows: Vec::new(), version: 0, is_complete: true });
+    table.apply(&Batch { rows: Vec::new(), position: position(0), is_complete: true });
     assert!(table.is_available());
-    table.apply(&Batch { rows: vec![row("a", 1)], version: 1, is_complete: false });
-    assert!(table.has_changes(0));
-    assert_eq!(table.read(Some(0)).rows, [row("a", 1)]);
+    table.apply(&Batch { rows: vec![row("a", 1)], position: position(1), is_complete: false });
+    assert!(table.has_changes(position(0)));
+    assert_eq!(table.read(Some(position(0))).rows, [row("a", 1)]);
 }
--- a/crates/core/tests/gateway/placement.rs
+++ b/crates/core/tests/gateway/placement.rs
@@ -18,7 +18,7 @@
     throttle::Gate,
 };
 
-use crate::{SMALL, at, endpoint, engine, row, trained};
+use crate::{SMALL, at, endpoint, engine, position, row, trained};
 
 /// Target for the time to the first token.
 const TTFT: Duration = Duration::from_millis(900);
@@ -26,7 +26,7 @@
 fn directory(endpoints: Vec<Endpoint>) -> Directory {
     let mut directory = Directory::default();
     let rows = endpoints.into_iter().enumerate().map(|(index, endpoint)| row(index as u64 + 1, endpoint));
-    directory.update(at(0), 100, rows.collect());
+    directory.update(at(0), position(100), rows.collect());
     directory
 }
 
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -8,9 +8,10 @@
     lease::{Claim, HANDOVER_DELAY, LEASE_DURATION, Status, claimable_version},
     load::Loads,
     pools::{Order, Pools, ServiceInfo},
+    position::Position,
 };
 
-use crate::{SMALL, Speed, at, endpoint, engine, removed_row, row, trained};
+use crate::{SMALL, Speed, at, endpoint, engine, position, removed_row, row, trained};
 
 fn directory(prefill: usize, decode: usize) -> Directory {
     let mut directory = Directory::default();
@@ -20,7 +21,7 @@
         let address = format!("127.0.0.1:{}", index + 1).parse().expect("an address");
         row(index as u64 + 1, Endpoint { address, ..endpoint(&format!("e-{index:02}"), stage) })
     });
-    directory.update(at(0), 100, rows.collect());
+    directory.update(at(0), position(100), rows.collect());
     directory
 }
 
@@ -60,7 +61,7 @@
         record_request(&mut pools, now, prompt, expected_output);
         let Some(order) = next_order(&mut pools, now, directory, 0) else { continue };
         let changed = Endpoint { stage: order.stage, ..Endpoint::clone(&order.endpoint) };
-        directory.update(at(now), 1_000 + now, vec![row(1_000 + now, changed.clone())]);
+        directory.update(at(now), position(1_000 + now), vec![row(1_000 + now, changed.clone())]);
         pools.confirm(&changed);
         orders.push(order);
     }
@@ -183,8 +184,10 @@
     for now in (0..20_000).step_by(100) {
         record_request(&mut pools, now, 5_000, 700);
         match now {
-            10_000 => drop(directory.update(at(now), 200, vec![removed_row(200, &removed.id)])),
-            13_000 => drop(directory.update(at(now), 300, vec![row(300, Endpoint::clone(&removed))])),
+            10_000 => drop(directory.update(at(now), position(200), vec![removed_row(200, &removed.id)])),
+            13_000 => {
+                drop(directory.update(at(now), position(300), vec![row(300, Endpoint::clone(&removed))]))
+            }
             _ => {}
         }
         directory.expire_lapsed(at(now));
@@ -192,19 +195,52 @@
     }
 }
 
+fn claim(holder: &str, asked_ms: u64, era: Option<u64>) -> Claim {
+    Claim { holder: holder.into(), asked_ms, version: 7, era }
+}
+
+/// Returns the lease as read in era 2.
+fn status(claim: Option<Claim>, now_ms: u64) -> Status {
+    Status { claim, now_ms, era: 2 }
+}
+
 /// If another replica took over too early, a suspended holder that resumes could send orders too.
 #[test]
 fn the_lease_passes_to_another_replica_only_after_it_has_expired() {
-    let claim = |holder: &str, asked_ms| Claim { holder: holder.into(), asked_ms, version: 7 };
-    let status = |claim, now_ms| Status { claim, now_ms };
-    assert_eq!(claimable_version(&status(None, 50), "a"), Some(0));
-    assert_eq!(claimable_version(&status(Some(claim("a", 1_000)), 1_001), "a"), Some(7));
+    let claim = |holder: &str, asked_ms| claim(holder, asked_ms, Some(2));
+    assert_eq!(claimable_version(&status(Some(claim("a", 1_000)), 1_001), "a", Duration::ZERO), Some(7));
     let expiry = 1_000 + (LEASE_DURATION + HANDOVER_DELAY).as_millis() as u64;
-    assert_eq!(claimable_version(&status(Some(claim("a", 1_000)), expiry - 1), "b"), None);
-    assert_eq!(claimable_version(&status(Some(claim("a", 1_000)), expiry), "b"), Some(7));
+    let claimable = |now_ms| claimable_version(&status(Some(claim("a", 1_000)), now_ms), "b", Duration::ZERO);
+    assert_eq!(claimable(expiry - 1), None);
+    assert_eq!(claimable(expiry), Some(7));
     assert!(HANDOVER_DELAY > Duration::from_secs(3));
 }
 
+/// Guards against a second holder because the store has come back from a copy that lacks the first.
+#[test]
+fn a_lease_that_a_copy_may_lack_is_taken_only_after_it_has_expired() {
+    let expiry = LEASE_DURATION + HANDOVER_DELAY;
+    let just_before = expiry - Duration::from_millis(1);
+    for (found, version) in
+        [(None, 0), (Some(claim("a", 1_000, Some(1))), 7), (Some(claim("b", 1_000, Some(1))), 7)]
+    {
+        let status = status(found, 90_000);
+        assert_eq!(claimable_version(&status, "b", just_before), None, "{status:?}");
+        assert_eq!(claimable_version(&status, "b", expiry), Some(version), "{status:?}");
+    }
+    // Replicas that know nothing of eras write none.
+    let unnamed = status(Some(claim("a", 1_000, None)), 1_001);
+    assert_eq!(claimable_version(&unnamed, "b", expiry), None);
+}
+
+/// Guards against orders of a new era that endpoints refuse because of lower fencing tokens.
+#[test]
+fn fencing_tokens_grow_from_era_to_era() {
+    let positions = [(0, 900), (1, 901), (2, 30), (2, 31), (3, 1)];
+    let tokens = positions.map(|(era, version)| Position::new(era, version).fencing_token());
+    assert!(tokens.is_sorted_by(|one, next| one < next), "{tokens:?}");
+}
+
 /// Two replicas must not both move an endpoint because of the same imbalance.
 #[test]
 fn changes_ordered_by_other_replicas_count() {
@@ -251,7 +287,7 @@
         let endpoint = endpoint(&format!("e-{index:02}"), stage);
         row(index as u64 + 1, Endpoint { address, software_version: version.into(), ..endpoint })
     });
-    directory.update(at(0), 100, rows.collect());
+    directory.update(at(0), position(100), rows.collect());
     directory
 }
 
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -22,7 +22,7 @@
     refusal::Code,
 };
 
-use crate::{SMALL, Speed, at, customer, endpoint, engine, removed_row, route, row};
+use crate::{SMALL, Speed, at, customer, endpoint, engine, position, removed_row, route, row};
 
 fn state() -> State<u32> {
     let identity = Identity {
@@ -47,9 +47,9 @@
 /// Returns a state with a configuration, a prefill endpoint and a decode endpoint.
 fn ready_state() -> State<u32> {
     let mut state = state();
-    state.apply_catalog(at(0), 10, catalog(1, 0));
+    state.apply_catalog(at(0), position(10), catalog(1, 0));
     let rows = vec![row(1, endpoint("p-1", Stage::Prefill)), row(2, endpoint("d-1", Stage::Decode))];
-    state.apply_listing(at(0), Listing { version: 2, is_complete: true, rows });
+    state.apply_listing(at(0), Listing { position: position(2), is_complete: true, rows });
     state
 }
 
@@ -75,11 +75,11 @@
 #[test]
 fn an_older_configuration_is_rejected() {
     let mut state = state();
-    assert!(state.apply_catalog(at(0), 10, catalog(5, 0)));
-    assert!(!state.apply_catalog(at(1), 8, catalog(4, 0)));
-    assert!(!state.apply_catalog(at(1), 10, catalog(5, 0)));
+    assert!(state.apply_catalog(at(0), position(10), catalog(5, 0)));
+    assert!(!state.apply_catalog(at(1), position(8), catalog(4, 0)));
+    assert!(!state.apply_catalog(at(1), position(10), catalog(5, 0)));
     assert_eq!(state.catalog().map(|catalog| catalog.version()), Some(5));
-    assert!(state.apply_catalog(at(2), 11, catalog(6, 0)));
+    assert!(state.apply_catalog(at(2), position(11), catalog(6, 0)));
 }
 
 /// Guards against deadlines that count from the reception of the request although the caller has events.
@@ -149,7 +149,7 @@
 #[test]
 fn a_request_over_the_rate_is_refused_with_a_retry_delay() {
     let mut state = state();
-    state.apply_catalog(at(0), 10, catalog(1, 1_000));
+    state.apply_catalog(at(0), position(10), catalog(1, 1_000));
     let faculty = Arc::new(customer("faculty", 1_000, 1_000));
     let admission = Admission {
         customer: Some(faculty),
@@ -186,8 +186,11 @@
     let suspects: Arc<[Suspect]> = [Suspect(77)].into();
     for (now, id) in [(0, "d-1"), (1_000, "p-1")] {
         state.record_interrupted(at(now), &endpoint(id, Stage::Decode), &suspects, false);
-        let listing =
-            Listing { version: 10 + now, is_complete: false, rows: vec![removed_row(10 + now, id)] };
+        let listing = Listing {
+            position: position(10 + now),
+            is_complete: false,
+            rows: vec![removed_row(10 + now, id)],
+        };
         state.apply_listing(at(now + 500), listing);
     }
     let admission = Admission { customer: None, tokens: 1, service: "drafting".into(), suspects };
@@ -308,7 +311,7 @@
     let mut state = ready_state();
     observe_requests(&mut state, 0, SMALL);
     let before = state.forecast("drafting");
-    let listing = Listing { version: 10, is_complete: false, rows: vec![removed_row(10, "d-1")] };
+    let listing = Listing { position: position(10), is_complete: false, rows: vec![removed_row(10, "d-1")] };
     state.apply_listing(at(1_000), listing);
     observe_requests(&mut state, 1_000, Speed { token_us: 40_000, ..SMALL });
     state.tick(at(1_100));
@@ -321,7 +324,7 @@
 fn an_idle_endpoint_that_refuses_reservations_is_tried_less_and_less() {
     let mut state = ready_state();
     let rows = vec![row(3, endpoint("d-2", Stage::Decode))];
-    state.apply_listing(at(0), Listing { version: 3, is_complete: false, rows });
+    state.apply_listing(at(0), Listing { position: position(3), is_complete: false, rows });
     // The other endpoint has less free memory.
     state.enqueue(at(0), completion(20_000), 0);
     let busy = place(&mut state, 0).expect("a placement");
@@ -408,7 +411,7 @@
     let mut state = ready_state();
     state.record_backoff(at(10), &"d-1".into(), at(1_010));
     let apply = |state: &mut State<u32>, row: Row| {
-        let listing = Listing { version: row.version, is_complete: false, rows: vec![row] };
+        let listing = Listing { position: row.position, is_complete: false, rows: vec![row] };
         state.apply_listing(at(20), listing);
     };
     apply(&mut state, row(3, Endpoint { started_ms: 2, ..endpoint("d-1", Stage::Decode) }));
@@ -424,12 +427,15 @@
     let mut state = ready_state();
     let in_zone_b = |id, stage| Endpoint { zone: "zone-b".into(), ..endpoint(id, stage) };
     let rows = vec![row(3, in_zone_b("p-2", Stage::Prefill)), row(4, in_zone_b("d-2", Stage::Decode))];
-    state.apply_listing(at(0), Listing { version: 4, is_complete: false, rows });
+    state.apply_listing(at(0), Listing { position: position(4), is_complete: false, rows });
     state
 }
 
 fn evacuate(state: &mut State<u32>, version: u64, zone: &str, is_evacuated: bool) {
-    state.apply_evacuations(at(0), Batch::Changes(vec![Change { zone: zone.into(), version, is_evacuated }]));
+    state.apply_evacuations(
+        at(0),
+        Batch::Changes(vec![Change { zone: zone.into(), position: position(version), is_evacuated }]),
+    );
 }
 
 /// Returns the zones of the endpoints that `count` completions get.
@@ -477,7 +483,10 @@
     state.enqueue(at(10), completion(59_000), 2);
     state.enqueue(at(10), completion(59_000), 3);
     assert_eq!(state.dispatch(at(10)).len(), 2);
-    state.apply_evacuations(at(0), Batch::Complete(Evacuations::new(20, ["zone-a".into(), "zone-b".into()])));
+    state.apply_evacuations(
+        at(0),
+        Batch::Complete(Evacuations::new(position(20), ["zone-a".into(), "zone-b".into()])),
+    );
     assert!(matches!(state.dispatch(at(20)).as_slice(), [(_, Verdict::Expired)]));
     assert!(state.is_evacuated(at(20), "drafting"));
     assert_eq!(
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,7 +8,9 @@
 use tarragonhill_core::{Clock, gateway::digest::Member};
 use tarragonhill_gateway::{Gateway, Settings, Status, Store};
 use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
-use tarragonhill_platform::{READINESS_PATH, claims::Claims, dialect::Dialect, store, suspects};
+use tarragonhill_platform::{
+    READINESS_PATH, claims::Claims, client::Client, dialect::Dialect, era::Eras, store, suspects,
+};
 
 use crate::{StartError, admin, config::GatewaySettings, logging};
 
@@ -46,7 +48,8 @@
             drain_delay: DEREGISTRATION_DELAY,
             grace: settings.grace.saturating_sub(EXIT_RESERVE),
         };
-        let claims = Box::new(Claims::new(common.table));
+        let eras = Eras::default();
+        let claims = Box::new(Claims::new(common.table, eras.clone()));
         let store = Store { updates: received, claims };
         let result = Gateway::start(gateway, clock, Arc::new(Dialect), store, &registry).await;
         let gateway = result.map_err(StartError::Gateway)?;
@@ -56,8 +59,9 @@
             zone: common.zone.clone(),
             millicores: settings.millicores,
         };
-        suspects::keep(common.table, common.name.clone(), gateway.unsaved_suspects(), updates.clone());
-        store::follow(common.table, own, gateway.mirror(), updates);
+        let client = Client::new(common.table, eras.clone());
+        suspects::keep(client, common.name.clone(), gateway.unsaved_suspects(), updates.clone());
+        store::follow(common.table, &eras, own, gateway.mirror(), updates);
         let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
         let server = server.map_err(|error| StartError::Listen {
             setting: "admin",
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -185,6 +185,8 @@
 struct Shared {
     /// `None` before the first configuration.
     catalog: Option<Arc<Catalog>>,
+    /// Era of the store, and since when it is known.
+    era: Option<(u64, Time)>,
     /// Whether a peer has a newer configuration.
     is_stale: bool,
     /// Backoffs of endpoints, for requests that were placed before an endpoint asked for one.
@@ -238,6 +240,12 @@
         lock(&self.shared).catalog.clone()
     }
 
+    /// Returns for how long an era of the store has been known to be the newest.
+    pub fn era_age(&self, now: Time, era: u64) -> Duration {
+        let known = lock(&self.shared).era.filter(|(known, _)| *known == era);
+        known.map_or(Duration::ZERO, |(_, since)| now.since(since))
+    }
+
     /// Returns whether a peer has a newer configuration.
     pub fn is_stale(&self) -> bool {
         lock(&self.shared).is_stale
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -24,6 +24,7 @@
         origin::{Message, Origin, Searches, Stream},
         placement::Filter,
         pools::Order,
+        position::Position,
         queue::Verdict,
         relay::{Delivery, Role},
         snapshot::Snapshot,
@@ -341,7 +342,7 @@
     fn publish_evacuations(&self) {
         let evacuations = self.state.directory().evacuations();
         let mut shared = lock(&self.weak_control.shared);
-        if shared.evacuations.version() == evacuations.version() {
+        if shared.evacuations == *evacuations {
             return;
         }
         let previous = std::mem::replace(&mut shared.evacuations, evacuations.clone());
@@ -350,7 +351,10 @@
             let zones = evacuations.zones().map(|zone| &**zone).collect::<Vec<&str>>().join(",");
             let listed = self.state.directory().all();
             let endpoints = listed.filter(|endpoint| evacuations.contains(&endpoint.zone)).count();
-            spdlog::info!("evacuations in force", kv: { zones = zones.as_str(), order = evacuations.version(), endpoints });
+            spdlog::info!("evacuations in force", kv: {
+                zones = zones.as_str(), era = evacuations.position().era(), order = evacuations.position().version(),
+                endpoints
+            });
         }
     }
 
@@ -535,7 +539,7 @@
 
     fn update(&mut self, now: Time, update: Update) {
         match update {
-            Update::Catalog { row_version, catalog, source } => self.adopt(now, row_version, catalog, source),
+            Update::Catalog { position, catalog, source } => self.adopt(now, position, catalog, source),
             Update::Evacuations(batch) => self.state.apply_evacuations(now, batch),
             Update::PeerEvacuations(evacuations) => self.state.merge_evacuations(now, &evacuations),
             Update::Listing(listing) => log_changes(&self.state.apply_listing(now, listing)),
@@ -560,6 +564,7 @@
                 self.recalling = None;
             }
             Update::MembersRead => self.state.mark_members_read(now),
+            Update::Era(era) => self.record_era(now, era),
             Update::StoreLost { what, reason } => {
                 spdlog::warn!("store lost", kv: { what, reason = reason.as_str() });
                 self.state.mark_store_unreachable();
@@ -579,15 +584,31 @@
     }
 
     /// Activates a configuration, unless it is not newer than the active one.
-    fn adopt(&mut self, now: Time, row_version: u64, catalog: Arc<Catalog>, source: Arc<[u8]>) {
+    fn adopt(&mut self, now: Time, position: Position, catalog: Arc<Catalog>, source: Arc<[u8]>) {
         let (version, routes) = (catalog.version(), catalog.route_count());
-        if !self.state.apply_catalog(now, row_version, catalog.clone()) {
-            spdlog::info!("outdated configuration ignored", kv: { version, order = row_version });
+        let (era, order) = (position.era(), position.version());
+        if !self.state.apply_catalog(now, position, catalog.clone()) {
+            let active = self.state.versions().configuration.version;
+            spdlog::info!("outdated configuration ignored", kv: { version, active, era, order });
             return;
         }
         self.source = Some(source);
         lock(&self.weak_control.shared).catalog = Some(catalog);
-        spdlog::info!("configuration in force", kv: { version, order = row_version, routes });
+        spdlog::info!("configuration in force", kv: { version, era, order, routes });
+    }
+
+    /// Records the era of the store's answers.
+    fn record_era(&mut self, now: Time, era: u64) {
+        let previous = lock(&self.weak_control.shared).era.map(|(era, _)| era);
+        if previous >= Some(era) {
+            return;
+        }
+        lock(&self.weak_control.shared).era = Some((era, now));
+        let Some(previous) = previous else {
+            spdlog::info!("store era", kv: { era });
+            return;
+        };
+        spdlog::warn!("store came back from a copy", kv: { era, previous });
     }
 
     fn dump(&mut self, now: Time) -> serde_json::Value {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -11,6 +11,7 @@
         directory::{Endpoint, Stage},
         evacuation,
         lease::Status as LeaseStatus,
+        position::Position,
         state::Listing,
         suspect,
     },
@@ -214,14 +215,15 @@
     /// Reads the lease.
     fn read(&mut self) -> BoxFuture<'_, Result<LeaseStatus, String>>;
 
-    /// Writes the row if it still has `version` (0 if there is no row). `asked_ms` is the store's clock before
-    /// the write. Returns the new version, or `None` if another replica wrote the row first.
+    /// Writes the row if it still has `version` (0 if there is no row). `status` is what was read before the write.
+    /// Returns the position of the write, or `None` if another replica wrote the row first, or the store has come back
+    /// from a copy since the read.
     fn write<'a>(
         &'a mut self,
         holder: &'a str,
-        asked_ms: u64,
+        status: &'a LeaseStatus,
         version: u64,
-    ) -> BoxFuture<'a, Result<Option<u64>, String>>;
+    ) -> BoxFuture<'a, Result<Option<Position>, String>>;
 }
 
 /// Update of the local copy of the store.
@@ -229,8 +231,8 @@
 pub enum Update {
     /// A configuration was read.
     Catalog {
-        /// Version of the configuration's row in the store; larger is newer.
-        row_version: u64,
+        /// Where the configuration was written.
+        position: Position,
         /// Decoded configuration.
         catalog: Arc<Catalog>,
         /// Configuration encoded as in the store, for peers that cannot reach the store.
@@ -246,8 +248,8 @@
     PeerListing {
         /// The peer's endpoint list.
         listing: Listing,
-        /// Version of the newest row that the peer has read.
-        newest: u64,
+        /// Position of the newest row that the peer has read.
+        newest: Position,
     },
     /// A row of the store could not be decoded.
     InvalidRow {
@@ -270,6 +272,8 @@
     /// All members that the store lists have been sent, at a time when all replicas that started before this one know
     /// it.
     MembersRead,
+    /// The era of the store was read: the first one, or a new one, in which the store has come back from a copy.
+    Era(u64),
     /// The store became unreachable.
     StoreLost {
         /// Part of the store that could not be read.
--- a/crates/gateway/src/mirror.rs
+++ b/crates/gateway/src/mirror.rs
@@ -16,6 +16,7 @@
     Clock, Time,
     gateway::{
         mirror::{Batch, Table},
+        position::Position,
         relay::Role,
     },
 };
@@ -85,14 +86,20 @@
         (copy.changing, copy.changed) = async_channel::bounded(1);
     }
 
+    /// Returns whether the store that was copied names its era.
+    pub(crate) fn names_era(&self) -> bool {
+        lock(&self.0.table).table.era() > 0
+    }
+
     /// Returns rows for a reader, as soon as there are any newer than `after` or the wait is over. `None` if
     /// the copy must not be used.
-    pub(crate) async fn serve(&self, after: Option<u64>, wait: Duration) -> Option<Batch> {
+    pub(crate) async fn serve(&self, after: Option<Position>, wait: Duration) -> Option<Batch> {
         let deadline = self.0.clock.now().plus(wait.min(MAX_WAIT));
         loop {
             let changed = {
                 let copy = lock(&self.0.table);
-                if !copy.table.is_available() {
+                let is_behind = after.is_some_and(|after| copy.table.is_behind_era_of(after));
+                if !copy.table.is_available() || is_behind {
                     return None;
                 }
                 let left = deadline.since(self.0.clock.now());
@@ -113,7 +120,7 @@
 
     /// Reads from the relay that this replica follows. `None` if it follows none, or the relay did not answer;
     /// then the store is to be read.
-    pub async fn follow(&self, after: Option<u64>) -> Option<Batch> {
+    pub async fn follow(&self, after: Option<Position>) -> Option<Batch> {
         let Role::Follower(relay) = self.role().await else { return None };
         let now = self.0.clock.now();
         if lock(&self.0.relay).failed.is_some_and(|at| now.since(at) < RELAY_BACKOFF) {
@@ -129,18 +136,25 @@
         }
     }
 
-    async fn read(&self, address: SocketAddr, after: Option<u64>) -> Result<Batch, String> {
+    async fn read(&self, address: SocketAddr, after: Option<Position>) -> Result<Batch, String> {
         let mut client = EntryClient::new(self.connect(address).await?);
         let position = proto::Position {
             has_table: after.is_some(),
-            after: after.unwrap_or(0),
+            after: after.unwrap_or_default().version(),
             wait_ms: LONG_POLL.as_millis() as u64,
+            era: Some(after.unwrap_or_default().era()),
         };
         let response = timeout(LONG_POLL + STEP_TIMEOUT, client.follow(position)).await;
         let response = response.map_err(|_| "request timed out")?.map_err(|status| status.to_string())?;
         let bytes = collect(response.into_inner()).await?;
         let batch = proto::Batch::decode(bytes.as_slice()).map_err(|error| error.to_string())?;
-        Batch::try_from(batch).map_err(|error| error.to_string())
+        let batch = Batch::try_from(batch).map_err(|error| error.to_string())?;
+        let is_older_era = after.is_some_and(|after| after.is_later_era_than(batch.position));
+        let continues = after.is_some_and(|after| batch.position.continues(after));
+        if is_older_era || !(batch.is_complete || continues) {
+            return Err("the relay is in another era of the store".into());
+        }
+        Ok(batch)
     }
 
     /// Returns the open connection to the relay, or opens one.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -68,7 +68,7 @@
         return Delivery::Dropped("the endpoint has changed its stage or is changing it".into());
     }
     let began = Instant::now();
-    let fencing_token = match acquire_lease(holder, claims).await {
+    let fencing_token = match acquire_lease(context, holder, claims).await {
         Ok(fencing_token) => fencing_token,
         Err(reason) => return Delivery::Dropped(reason),
     };
@@ -87,11 +87,14 @@
 }
 
 /// Acquires or renews the lease and returns the fencing token.
-async fn acquire_lease(holder: &str, claims: &mut dyn Claims) -> Result<u64, String> {
+async fn acquire_lease(context: &Context, holder: &str, claims: &mut dyn Claims) -> Result<u64, String> {
     let status = claims.read().await?;
-    let version = claimable_version(&status, holder).ok_or("another replica holds the lease")?;
-    let written = claims.write(holder, status.now_ms, version).await?;
-    written.ok_or_else(|| "another replica acquired the lease first".into())
+    let era_age = context.control.era_age(context.clock.now(), status.era);
+    let version = claimable_version(&status, holder, era_age)
+        .ok_or("another replica holds the lease, or may hold it")?;
+    let written = claims.write(holder, &status, version).await?;
+    let position = written.ok_or("another replica acquired the lease first")?;
+    Ok(position.version())
 }
 
 async fn report(context: &Context, order: &Order) -> Result<Report, String> {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -8,7 +8,11 @@
 use async_std::task::{self, JoinHandle};
 use prost::Message as _;
 use rand::seq::IndexedRandom as _;
-use tarragonhill_core::gateway::{digest::Member, snapshot::Snapshot};
+use tarragonhill_core::gateway::{
+    digest::Member,
+    position::{Edition, Position},
+    snapshot::Snapshot,
+};
 use tarragonhill_wire::proto::{self, entry_client::EntryClient, entry_server};
 use tonic::{
     Request, Response, Status,
@@ -54,15 +58,21 @@
         let snapshot = self.control.snapshot().await;
         let mut snapshot = snapshot.ok_or_else(|| Status::unavailable("nothing has been read yet"))?;
         // The peer already has this configuration, so it is left out.
-        if snapshot.versions.configuration <= question.into_inner().configuration {
+        if snapshot.versions.configuration <= Edition::from(question.into_inner()) {
             snapshot.configuration = Arc::default();
         }
         Ok(chunked(&proto::Knowledge::from(&snapshot).encode_to_vec()))
     }
 
     async fn follow(&self, position: Request<proto::Position>) -> Result<Response<Chunks>, Status> {
-        let proto::Position { has_table, after, wait_ms } = position.into_inner();
-        let batch = self.mirror.serve(has_table.then_some(after), Duration::from_millis(wait_ms)).await;
+        let proto::Position { has_table, after, wait_ms, era } = position.into_inner();
+        // A reader that knows nothing of eras would mistake one history for the other.
+        let is_understood = era.is_some() || !self.mirror.names_era();
+        let after = has_table.then(|| Position::new(era.unwrap_or(0), after));
+        let batch = match is_understood {
+            true => self.mirror.serve(after, Duration::from_millis(wait_ms)).await,
+            false => None,
+        };
         let batch = batch.ok_or_else(|| Status::unavailable("the store cannot be read"))?;
         Ok(chunked(&proto::Batch::from(&batch).encode_to_vec()))
     }
@@ -99,7 +109,7 @@
 
 /// Fetches and applies a peer's snapshot. Returns whether the peer sent one.
 async fn fetch(context: &Context, member: &Member) -> bool {
-    let question = proto::Question { configuration: context.control.versions().await.configuration };
+    let question = proto::Question::from(context.control.versions().await.configuration);
     match request_snapshot(member, question).await {
         Ok(snapshot) => {
             apply(context, member, snapshot);
@@ -125,16 +135,16 @@
 
 fn apply(context: &Context, member: &Member, snapshot: Snapshot) {
     let Snapshot { versions, configuration, evacuations, listing } = snapshot;
-    let row_version = versions.configuration;
+    let Edition { version, position } = versions.configuration;
     spdlog::info!("snapshot fetched from a peer", kv: {
-        peer = &*member.name, order = row_version, configuration = configuration.len(), endpoints = listing.rows.len()
+        peer = &*member.name, version, era = position.era(), order = position.version(), configuration = configuration.len(), endpoints = listing.rows.len()
     });
     context.control.update(Update::PeerEvacuations(evacuations));
     if !configuration.is_empty() {
         match context.dialect.decode_catalog(&configuration) {
             Ok(catalog) => {
                 let catalog = Arc::new(catalog);
-                context.control.update(Update::Catalog { row_version, catalog, source: configuration });
+                context.control.update(Update::Catalog { position, catalog, source: configuration });
             }
             Err(reason) => {
                 spdlog::warn!("invalid configuration ignored", kv: { peer = &*member.name, reason = reason.as_str() });
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -10,11 +10,13 @@
     clock::micros,
     gateway::{
         digest::{Digest, Member, Share, StageChange},
-        evacuation::Evacuations,
+        directory::Departure,
+        evacuation::{Evacuations, Former},
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         limit,
         loan::Loan,
+        position::{Edition, Position},
         relay::Parcel,
         staleness::Versions,
         suspect::{Crash, Report, Sighting, Suspect},
@@ -83,8 +85,12 @@
                 .iter()
                 .map(|(service, age)| proto::Mixed { service: service.to_string(), age_us: micros(*age) })
                 .collect(),
-            configuration: digest.versions.configuration,
-            endpoints: digest.versions.endpoints,
+            configuration: digest.versions.configuration.position.version(),
+            endpoints: digest.versions.endpoints.version(),
+            configuration_number: digest.versions.configuration.version,
+            configuration_era: digest.versions.configuration.position.era(),
+            endpoints_era: digest.versions.endpoints.era(),
+            departures: digest.departures.iter().map(proto::Departure::from).collect(),
         }
     }
 }
@@ -100,14 +106,43 @@
 
 /// Encodes evacuations; absent if none have been read.
 pub(crate) fn encode_evacuations(evacuations: &Evacuations) -> Option<proto::Evacuations> {
-    let zones = evacuations.zones().map(|zone| zone.to_string()).collect();
-    (evacuations.version() > 0).then(|| proto::Evacuations { version: evacuations.version(), zones })
+    let (position, former) = (evacuations.position(), evacuations.former());
+    let former = (!former.position.is_start())
+        .then(|| Box::new(encode_zones(former.position, former.zones.iter(), None)));
+    (!position.is_start()).then(|| encode_zones(position, evacuations.stored_zones(), former))
 }
 
-/// Decodes evacuations. Absent ones get version 0, which is older than any other.
+fn encode_zones<'a>(
+    position: Position,
+    zones: impl Iterator<Item = &'a Arc<str>>,
+    former: Option<Box<proto::Evacuations>>,
+) -> proto::Evacuations {
+    let zones = zones.map(|zone| zone.to_string()).collect();
+    proto::Evacuations { version: position.version(), zones, era: position.era(), former }
+}
+
+/// Decodes evacuations. Absent ones get the first position, which is older than any other.
 pub(crate) fn decode_evacuations(message: Option<proto::Evacuations>) -> Evacuations {
-    let proto::Evacuations { version, zones } = message.unwrap_or_default();
-    Evacuations::new(version, zones.into_iter().map(Arc::from))
+    let proto::Evacuations { version, zones, era, former } = message.unwrap_or_default();
+    let former = former.map(|former| *former).unwrap_or_default();
+    let former = Former {
+        position: Position::new(former.era, former.version),
+        zones: former.zones.into_iter().map(Arc::from).collect(),
+    };
+    Evacuations::new(Position::new(era, version), zones.into_iter().map(Arc::from)).with_former(former)
+}
+
+impl From<&Departure> for proto::Departure {
+    fn from(departure: &Departure) -> Self {
+        let Departure { id, started_ms, sequence } = departure;
+        Self { endpoint: id.to_string(), born: *started_ms, sequence: *sequence }
+    }
+}
+
+impl From<proto::Departure> for Departure {
+    fn from(message: proto::Departure) -> Self {
+        Self { id: message.endpoint.into(), started_ms: message.born, sequence: message.sequence }
+    }
 }
 
 fn encode_limit((endpoint, report): (&Arc<str>, &limit::Report)) -> proto::Limit {
@@ -293,7 +328,14 @@
             changing: changing?,
             suspects: digest.suspects.into_iter().map(Report::from).collect(),
             forecasts: digest.forecasts.into_iter().map(decode_forecast).collect(),
-            versions: Versions { configuration: digest.configuration, endpoints: digest.endpoints },
+            versions: Versions {
+                configuration: Edition {
+                    version: digest.configuration_number,
+                    position: Position::new(digest.configuration_era, digest.configuration),
+                },
+                endpoints: Position::new(digest.endpoints_era, digest.endpoints),
+            },
+            departures: digest.departures.into_iter().map(Departure::from).collect(),
             evacuations: decode_evacuations(digest.evacuations),
             limits: digest.limits.into_iter().map(decode_limit).collect(),
             unmet: digest
--- a/crates/wire/src/mirror.rs
+++ b/crates/wire/src/mirror.rs
@@ -1,6 +1,9 @@
 //! Conversions of the table rows that relays serve to the replicas of their zone.
 
-use tarragonhill_core::gateway::mirror::{Batch, Row};
+use tarragonhill_core::gateway::{
+    mirror::{Batch, Row},
+    position::Position,
+};
 
 use crate::{DecodeError, proto};
 
@@ -12,7 +15,8 @@
             version: row.version,
             removed: row.is_removed,
         });
-        Self { rows: rows.collect(), version: batch.version, complete: batch.is_complete }
+        let (version, era) = (batch.position.version(), batch.position.era());
+        Self { rows: rows.collect(), version, complete: batch.is_complete, era }
     }
 }
 
@@ -33,6 +37,7 @@
             }),
         });
         let rows: Result<Vec<Row>, DecodeError> = rows.collect();
-        Ok(Self { rows: rows?, version: batch.version, is_complete: batch.complete })
+        let position = Position::new(batch.era, batch.version);
+        Ok(Self { rows: rows?, position, is_complete: batch.complete })
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -413,7 +413,7 @@
     /// Empty in most digests.
     #[prost(message, repeated, tag = "9")]
     pub forecasts: ::prost::alloc::vec::Vec<Forecast>,
-    /// Store versions of the sender's configuration and endpoints.
+    /// Store versions of the sender's configuration and endpoints; their eras follow below.
     #[prost(uint64, tag = "10")]
     pub configuration: u64,
     #[prost(uint64, tag = "11")]
@@ -437,6 +437,26 @@
     /// Turns at throttled endpoints that the sender lends.
     #[prost(message, repeated, tag = "18")]
     pub loans: ::prost::alloc::vec::Vec<Loan>,
+    /// Number that the operator gave the sender's configuration.
+    #[prost(uint64, tag = "19")]
+    pub configuration_number: u64,
+    #[prost(uint64, tag = "20")]
+    pub configuration_era: u64,
+    #[prost(uint64, tag = "21")]
+    pub endpoints_era: u64,
+    /// Endpoints that have left although the store still lists them.
+    #[prost(message, repeated, tag = "22")]
+    pub departures: ::prost::alloc::vec::Vec<Departure>,
+}
+/// An endpoint that has left, by its newest write that the sender knows.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Departure {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
 }
 /// Requests for a service that lately found no turn.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -476,13 +496,18 @@
     #[prost(uint64, tag = "3")]
     pub age_us: u64,
 }
-/// Evacuated availability zones as of a version of the store.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+/// Evacuated availability zones as of a position of the store.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Evacuations {
     #[prost(uint64, tag = "1")]
     pub version: u64,
     #[prost(string, repeated, tag = "2")]
     pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
+    /// Evacuations that were in force when the store came back from a copy; absent if there were none.
+    #[prost(message, optional, boxed, tag = "4")]
+    pub former: ::core::option::Option<::prost::alloc::boxed::Box<Evacuations>>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -612,9 +637,14 @@
 /// Request for a peer's snapshot of the store.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Question {
-    /// Version of the configuration that the sender has. Only a newer one is returned.
+    /// Version of the configuration's row that the sender has. Only a newer one is returned.
     #[prost(uint64, tag = "1")]
     pub configuration: u64,
+    /// Number that the operator gave the configuration; zero if the sender has none.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Chunk {
@@ -632,6 +662,9 @@
     /// How long the relay waits for a change.
     #[prost(uint64, tag = "3")]
     pub wait_ms: u64,
+    /// Absent from readers that know nothing of eras.
+    #[prost(uint64, optional, tag = "4")]
+    pub era: ::core::option::Option<u64>,
 }
 /// Rows of a table.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -644,6 +677,9 @@
     /// Whether the rows are the whole table.
     #[prost(bool, tag = "3")]
     pub complete: bool,
+    /// Era of all versions in the batch.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Stored {
@@ -675,6 +711,14 @@
     pub newest: u64,
     #[prost(message, optional, tag = "6")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// Number that the operator gave the configuration.
+    #[prost(uint64, tag = "7")]
+    pub number: u64,
+    #[prost(uint64, tag = "8")]
+    pub order_era: u64,
+    /// Era of the list and of its newest row.
+    #[prost(uint64, tag = "9")]
+    pub list_era: u64,
 }
 /// An endpoint row.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -707,6 +751,9 @@
     pub cold_us: u64,
     #[prost(string, tag = "12")]
     pub software_version: ::prost::alloc::string::String,
+    /// Era of the row's version.
+    #[prost(uint64, tag = "13")]
+    pub era: u64,
 }
 /// Generated client implementations.
 pub mod agent_client {
--- a/crates/wire/src/snapshot.rs
+++ b/crates/wire/src/snapshot.rs
@@ -11,6 +11,7 @@
     clock::micros,
     gateway::{
         directory::{Endpoint, Row},
+        position::{Edition, Position},
         snapshot::Snapshot,
         staleness::Versions,
         state::Listing,
@@ -55,7 +56,7 @@
             let endpoint = row.endpoint.as_ref()?;
             Some(proto::Listed {
                 id: row.id.to_string(),
-                version: row.version,
+                version: row.position.version(),
                 sequence: row.sequence,
                 born: endpoint.started_ms,
                 service: endpoint.service.to_string(),
@@ -66,14 +67,18 @@
                 slots: endpoint.slots,
                 leaving: endpoint.is_draining,
                 cold_us: micros(row.cold),
+                era: row.position.era(),
             })
         });
         Self {
-            order: snapshot.versions.configuration,
+            order: snapshot.versions.configuration.position.version(),
+            number: snapshot.versions.configuration.version,
+            order_era: snapshot.versions.configuration.position.era(),
+            list_era: snapshot.listing.position.era(),
             configuration: compress(&snapshot.configuration),
-            list: snapshot.listing.version,
+            list: snapshot.listing.position.version(),
             endpoints: endpoints.collect(),
-            newest: snapshot.versions.endpoints,
+            newest: snapshot.versions.endpoints.version(),
             evacuations: encode_evacuations(&snapshot.evacuations),
         }
     }
@@ -87,15 +92,36 @@
         let configuration = decompress(&snapshot.configuration);
         let configuration =
             configuration.map_err(|error| DecodeError::Invalid("configuration", error.to_string()))?;
+        let configuration_position = Position::new(snapshot.order_era, snapshot.order);
         Ok(Self {
-            versions: Versions { configuration: snapshot.order, endpoints: snapshot.newest },
+            versions: Versions {
+                configuration: Edition { version: snapshot.number, position: configuration_position },
+                endpoints: Position::new(snapshot.list_era, snapshot.newest),
+            },
             configuration: configuration.into(),
             evacuations: decode_evacuations(snapshot.evacuations),
-            listing: Listing { version: snapshot.list, is_complete: true, rows: rows? },
+            listing: Listing {
+                position: Position::new(snapshot.list_era, snapshot.list),
+                is_complete: true,
+                rows: rows?,
+            },
         })
     }
 }
 
+impl From<Edition> for proto::Question {
+    fn from(Edition { version, position }: Edition) -> Self {
+        Self { configuration: position.version(), number: version, era: position.era() }
+    }
+}
+
+impl From<proto::Question> for Edition {
+    fn from(question: proto::Question) -> Self {
+        let proto::Question { configuration, number, era } = question;
+        Self { version: number, position: Position::new(era, configuration) }
+    }
+}
+
 impl TryFrom<proto::Listed> for Row {
     type Error = DecodeError;
 
@@ -118,8 +144,8 @@
             slots: listed.slots,
             is_draining: listed.leaving,
         };
-        let (version, sequence) = (listed.version, listed.sequence);
+        let (position, sequence) = (Position::new(listed.era, listed.version), listed.sequence);
         let cold = Duration::from_micros(listed.cold_us);
-        Ok(Self { id, version, sequence, cold, endpoint: Some(Arc::new(endpoint)) })
+        Ok(Self { id, position, sequence, cold, endpoint: Some(Arc::new(endpoint)) })
     }
 }
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -7,11 +7,12 @@
     gateway::{
         digest::{Digest, Share},
         directory::{Endpoint, Row, Stage},
-        evacuation::Evacuations,
+        evacuation::{Evacuations, Former},
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         limit,
         loan::Loan,
+        position::{Edition, Position},
         snapshot::Snapshot,
         staleness::Versions,
         state::Listing,
@@ -26,6 +27,16 @@
 
 const SPAN: Duration = Duration::from_micros(1_234_567);
 
+fn versions() -> Versions {
+    let configuration = Edition { version: 53, position: Position::new(2, 11) };
+    Versions { configuration, endpoints: Position::new(2, 9) }
+}
+
+fn evacuations() -> Evacuations {
+    let former = Former { position: Position::new(1, 40), zones: ["zone-c".into()].into() };
+    Evacuations::new(Position::new(2, 12), ["zone-b".into()]).with_former(former)
+}
+
 fn attempt() -> Attempt {
     Attempt { request: Request(u128::MAX - 5), number: 3 }
 }
@@ -147,7 +158,7 @@
     };
     Row {
         id: name(id),
-        version: 7,
+        position: Position::new(2, 7),
         sequence: 9,
         cold: Duration::from_millis(1_500),
         endpoint: Some(Arc::new(endpoint)),
@@ -156,10 +167,14 @@
 
 #[test]
 fn store_snapshot_round_trips() {
-    let listing = Listing { version: 12, is_complete: true, rows: vec![listed("i-1"), listed("i-2")] };
+    let listing = Listing {
+        position: Position::new(2, 12),
+        is_complete: true,
+        rows: vec![listed("i-1"), listed("i-2")],
+    };
     let snapshot = Snapshot {
-        evacuations: Evacuations::new(3, ["zone-b".into()]),
-        versions: Versions { configuration: 11, endpoints: 9 },
+        evacuations: evacuations(),
+        versions: versions(),
         configuration: b"{\xff}".to_vec().into(),
         listing,
     };
@@ -209,7 +224,7 @@
             is_wanted: true,
             is_trying: false,
         }],
-        versions: Versions { configuration: 11, endpoints: 9 },
+        versions: versions(),
         forecasts: [(name("models"), forecast)].into(),
         ..Digest::default()
     }
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -12,13 +12,14 @@
         cold::Tolerance,
         completion::Completion,
         digest::{Digest, Member, Share, StageChange},
-        directory::{Endpoint, Row, Stage},
-        evacuation::Evacuations,
+        directory::{Departure, Endpoint, Row, Stage},
+        evacuation::{Evacuations, Former},
         forecast::{Forecast, Size, Trend},
         growth::Growth,
         limit,
         loan::Loan,
         origin,
+        position::{Edition, Position},
         relay::{Bundle, Parcel},
         staleness::Versions,
         state::{Identity, Listing, State},
@@ -28,6 +29,16 @@
 };
 use tarragonhill_wire::{digest::EncodedDigest, proto};
 
+fn versions() -> Versions {
+    let configuration = Edition { version: 53, position: Position::new(2, 11) };
+    Versions { configuration, endpoints: Position::new(2, 9) }
+}
+
+fn evacuations() -> Evacuations {
+    let former = Former { position: Position::new(1, 40), zones: ["zone-c".into()].into() };
+    Evacuations::new(Position::new(2, 12), ["zone-b".into()]).with_former(former)
+}
+
 fn at(millis: u64) -> Time {
     Time::ZERO.plus(Duration::from_millis(millis))
 }
@@ -44,7 +55,7 @@
     let share = Share { running: 2, memory: 16_000, growth: Growth([16_000; 8]), ..Share::default() };
     let trend = Some(Trend { base: 0.01, slope: 1e-5 });
     Digest {
-        evacuations: Evacuations::new(12, ["zone-b".into()]),
+        evacuations: evacuations(),
         name: name.into(),
         incarnation: 9,
         serial,
@@ -80,7 +91,8 @@
             ("d-2".into(), limit::Report { limit: None, age: Duration::ZERO }),
         ]
         .into(),
-        versions: Versions { configuration: 11, endpoints: 9 },
+        versions: versions(),
+        departures: vec![Departure { id: "d-7".into(), started_ms: 5, sequence: 8 }],
         observed: Duration::from_secs(14),
         mixed: [("drafting".into(), Duration::from_millis(250))].into(),
         forecasts: [("drafting".into(), Forecast { prefill: trend, ..Forecast::default() })].into(),
@@ -126,14 +138,17 @@
     };
     let rows = [endpoint("d-1", Stage::Decode), endpoint("p-1", Stage::Prefill)].map(|endpoint| Row {
         id: endpoint.id.clone(),
-        version: 1,
+        position: Position::new(2, 1),
         sequence: 1,
         cold: Duration::ZERO,
         endpoint: Some(Arc::new(endpoint)),
     });
     let mut state = State::new(identity, retries, Tolerance::default(), at(0));
-    state.apply_catalog(at(0), 1, Arc::new(catalog));
-    state.apply_listing(at(0), Listing { version: 1, is_complete: true, rows: rows.into() });
+    state.apply_catalog(at(0), Position::new(2, 1), Arc::new(catalog));
+    state.apply_listing(
+        at(0),
+        Listing { position: Position::new(2, 1), is_complete: true, rows: rows.into() },
+    );
     state
 }
 
