Write evidence on suspects again in each era of the store

What gateways had found of requests that crash endpoints was gone with the store's return from a copy, so that a fleet that started anew after it would let them crash as many again.

--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -609,6 +609,7 @@
             return;
         };
         spdlog::warn!("store came back from a copy", kv: { era, previous });
+        self.state.record_store_return();
     }
 
     fn dump(&mut self, now: Time) -> serde_json::Value {
