Lease on orders: tell the eras of the store apart

A copy may lack the row of the newest holder, and versions, which were fencing tokens, are given out again. A second gateway could take the lease at once while the first still gave orders, and its orders bore lower tokens, which endpoints that check them refuse.

--- a/crates/core/src/gateway/lease.rs
+++ b/crates/core/src/gateway/lease.rs
@@ -42,7 +42,7 @@
 /// holds the lease. The caller has known the store's era for `era_age`.
 pub fn claimable_version(status: &Status, replica: &str, era_age: Duration) -> Option<u64> {
     let version = status.claim.as_ref().map_or(0, |claim| claim.version);
-    let is_current = |_: &&Claim| true;
+    let is_current = |claim: &&Claim| claim.era.is_none_or(|era| era == status.era);
     let Some(claim) = status.claim.as_ref().filter(is_current) else {
         // The store may have come back from a copy that lacks the newest holder.
         return (era_age >= LEASE_DURATION + HANDOVER_DELAY).then_some(version);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -94,7 +94,7 @@
         .ok_or("another replica holds the lease, or may hold it")?;
     let written = claims.write(holder, &status, version).await?;
     let position = written.ok_or("another replica acquired the lease first")?;
-    Ok(position.version())
+    Ok(position.fencing_token())
 }
 
 async fn report(context: &Context, order: &Order) -> Result<Report, String> {
