Break three circles between modules

The soak's callers move out of the module that checks what they saw, evidence on suspects is applied without the digest that carries it, and the delay before a trial stands on its own.

--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -11,6 +11,7 @@
 mod process;
 mod proxy;
 mod run;
+mod sample;
 
 use std::{
     io,
--- a/crates/bench/src/soak/crash.rs
+++ b/crates/bench/src/soak/crash.rs
@@ -2,27 +2,17 @@
 
 use std::{
     collections::BTreeMap,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
-use async_std::{future::timeout, task};
-use rand::{Rng as _, SeedableRng as _};
+use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use tarragonhill_h1::head::Request;
 
-use super::run::{Run, Service};
-use crate::{
-    platform::{
-        caller::{Caller, request_with_parts},
-        endpoint::ReceivedRequest,
-        site::KEY,
-    },
-    sim::lock,
-};
+use crate::platform::{caller::request_with_parts, endpoint::ReceivedRequest, site::KEY};
 
 /// Time that everything must have been undisturbed for a request to count, and in which gateways learn of crashes.
-const CONTACT: Duration = Duration::from_secs(3);
+pub(super) const CONTACT: Duration = Duration::from_secs(3);
 /// Number of crashes after which gateways must know a part.
 const KNOWN_CRASHES: usize = 5;
 /// Most requests with such a part that may reach endpoints later.
@@ -35,15 +25,10 @@
 const BEFORE_SKEW: Duration = Duration::from_secs(10);
 /// Smallest number of requests for which a share counts.
 const MIN_REQUESTS: usize = 20;
-/// Mean time between two requests.
-const SOUND_INTERVAL_MS: f64 = 50.0;
-const CRASHING_INTERVAL_MS: f64 = 300.0;
 /// One in this many sound requests is the same as others.
 const POPULAR_ONE_IN: u32 = 4;
 const DOCUMENTS: u32 = 6;
-const DEADLINE: Duration = Duration::from_secs(5);
-/// Share of requests that go to one gateway during a skew.
-const SKEWED_SHARE: f64 = 0.85;
+pub(super) const DEADLINE: Duration = Duration::from_secs(5);
 
 /// Returns the name of a part that crashes engines.
 pub(super) fn part_name(number: usize) -> String {
@@ -54,13 +39,13 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Sample {
     /// The part that crashes engines; `None` for a sound request.
-    part: Option<usize>,
-    sent_at: Instant,
-    has_begun: bool,
+    pub(super) part: Option<usize>,
+    pub(super) sent_at: Instant,
+    pub(super) has_begun: bool,
     /// Whether gateway, store and endpoints were undisturbed, but for engines that crashed under a part.
-    is_settled: bool,
+    pub(super) is_settled: bool,
     /// Whether the connection was a new one to the gateway that got most.
-    is_skewed: bool,
+    pub(super) is_skewed: bool,
 }
 
 /// The requests of a run, and what engines got of them.
@@ -168,56 +153,8 @@
     }
 }
 
-impl Run {
-    /// Sends sound requests from now on, and after the warm-up also requests with parts that crash engines, until the run is over.
-    pub(super) async fn send_parts(self: Arc<Self>, seed: u64, parts: usize, warm_up: Duration) {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(3));
-        let (began, mut requests) = (Instant::now(), Vec::new());
-        let crashing_share = SOUND_INTERVAL_MS / (SOUND_INTERVAL_MS + CRASHING_INTERVAL_MS);
-        while !self.is_over() {
-            let interval = SOUND_INTERVAL_MS * (1.0 - crashing_share);
-            task::sleep(Duration::from_secs_f64(interval * rng.random_range(0.0..2.0) / 1_000.0)).await;
-            let is_crashing = began.elapsed() > warm_up && rng.random_bool(crashing_share);
-            let part = is_crashing.then(|| rng.random_range(0..parts));
-            let number = requests.len();
-            let skewed_to = self.skewed_to();
-            let any = rng.random_range(0..self.gateways.len());
-            let is_skewed = skewed_to.is_some() && rng.random_bool(SKEWED_SHARE);
-            let gateway = skewed_to.filter(|_| is_skewed).unwrap_or(any);
-            let (id, head, body) = request(&mut rng, number, part);
-            requests.push(task::spawn(self.clone().sample(gateway, id, head, body, part, is_skewed)));
-        }
-        for request in requests {
-            request.await;
-        }
-    }
-
-    async fn sample(
-        self: Arc<Self>,
-        gateway: usize,
-        id: String,
-        head: Request,
-        body: String,
-        part: Option<usize>,
-        is_skewed: bool,
-    ) {
-        let sent_at = Instant::now();
-        let settled = || self.is_settled(gateway, CONTACT);
-        let was_settled = settled();
-        let call = async {
-            let mut caller = Caller::open(self.gateways[gateway].address).await.ok()?;
-            self.record_request(Service::Models);
-            caller.request(head, body.as_bytes()).await.ok()
-        };
-        let response = timeout(DEADLINE, call).await.ok().flatten();
-        let has_begun = response.is_some_and(|response| !response.event_ids().is_empty());
-        let is_settled = was_settled && settled();
-        lock(&self.samples).insert(id, Sample { part, sent_at, has_begun, is_settled, is_skewed });
-    }
-}
-
 /// Returns a request with its id and body.
-fn request(rng: &mut ChaCha8Rng, number: usize, part: Option<usize>) -> (String, Request, String) {
+pub(super) fn request(rng: &mut ChaCha8Rng, number: usize, part: Option<usize>) -> (String, Request, String) {
     let id = format!("p{number}");
     let document = format!("document{}", rng.random_range(0..DOCUMENTS));
     let is_popular = part.is_none() && rng.random_ratio(1, POPULAR_ONE_IN);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -61,7 +61,7 @@
         self.extend_roster(now, names);
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
-        self.suspects.apply_digest(now, digest);
+        self.suspects.apply_peer(now, &digest.name, &digest.suspects);
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -9,6 +9,7 @@
 //! trial that ends in a crash delays the next one.
 
 mod blame;
+mod delay;
 mod evidence;
 mod trial;
 
@@ -25,7 +26,7 @@
     evidence::{Evidence, Record, Stamp, age, stamp},
     trial::Demand,
 };
-use super::{digest::Digest, directory::Endpoint};
+use super::directory::Endpoint;
 use crate::clock::Time;
 
 /// How long the crashes of a suspect that is not held off are remembered.
@@ -357,9 +358,9 @@
     }
 
     /// Applies the reports of a peer.
-    pub fn apply_digest(&mut self, now: Time, digest: &Digest) {
-        self.apply_reports(now, &digest.suspects);
-        self.demand.apply(now, &digest.name, &digest.suspects);
+    pub fn apply_peer(&mut self, now: Time, peer: &Arc<str>, reports: &[Report]) {
+        self.apply_reports(now, reports);
+        self.demand.apply(now, peer, reports);
     }
 
     /// Applies what replicas have written to the store.
--- a/crates/core/src/gateway/suspect/evidence.rs
+++ b/crates/core/src/gateway/suspect/evidence.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{Suspect, trial};
+use super::{Suspect, delay};
 use crate::{
     clock::{Time, micros},
     gateway::directory::Endpoint,
@@ -187,7 +187,7 @@
 
     /// Returns how long the next trial has to wait for the crashes so far.
     pub(super) fn trial_wait(&self, now: Time) -> Duration {
-        let delay = trial::delay(self.crashes.len(), self.failed_trials());
+        let delay = delay::before_trial(self.crashes.len(), self.failed_trials());
         delay.saturating_sub(self.last_crash().map_or(Duration::MAX, |at| age(now, at)))
     }
 
--- a/crates/core/tests/gateway/suspect.rs
+++ b/crates/core/tests/gateway/suspect.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use tarragonhill_core::gateway::{
-    digest::Digest,
     directory::Stage,
     suspect::{Suspect, Suspects, Verdict},
 };
@@ -33,12 +32,8 @@
     suspects.record_crash(at(now + 30), id);
 }
 
-fn digest(name: &str, suspects: &Suspects, now: u64) -> Digest {
-    Digest { name: name.into(), suspects: suspects.report(at(now), true), ..Digest::default() }
-}
-
 fn tell(from: (&str, &Suspects), to: &mut Suspects, now: u64) {
-    to.apply_digest(at(now), &digest(from.0, from.1, now));
+    to.apply_peer(at(now), &from.0.into(), &from.1.report(at(now), true));
 }
 
 fn verdict(suspects: &mut Suspects, now: u64, request: &[Suspect]) -> Verdict {
@@ -216,9 +211,9 @@
     let mut store = vec![Vec::new(); replicas];
     for now in (0..span_ms).step_by(STEP_MS as usize) {
         for from in 0..replicas {
-            let digest = digest(&names[from], &fleet[from], now);
+            let (name, reports) = (Arc::from(names[from].as_str()), fleet[from].report(at(now), true));
             for to in (0..replicas).filter(|to| *to != from && is_connected(from, *to, now)) {
-                fleet[to].apply_digest(at(now), &digest);
+                fleet[to].apply_peer(at(now), &name, &reports);
             }
         }
         for number in 0..replicas {
