Evacuations outlast a return until the store has been read late enough; model of a fleet and its store

Former evacuations now end only by a read of the store, or by a peer that has made one, once the era is 10 s old, and the age of an era is told in digests; a lapsed endpoint stays lapsed until it writes.

The test of unknown routes sends the digest of a newer configuration in its new form, with the operator's number.

--- a/crates/bench/src/cmd/soak.rs
+++ b/crates/bench/src/cmd/soak.rs
@@ -44,6 +44,8 @@
     /// Number of parts of prompts that crash decode engines
     #[bpaf(long, argument("N"), fallback(0), display_fallback)]
     crashing_parts: usize,
+    /// An operator that withdraws keys all the time, and a customer above its limit
+    operator: bool,
     /// Kind of disturbance; may be repeated; all kinds if there is none
     #[bpaf(long, argument("KIND"))]
     kind: Vec<Kind>,
@@ -70,6 +72,7 @@
         },
         is_mixed: options.mixed,
         crashing_parts: options.crashing_parts,
+        has_operator: options.operator,
     };
     let seeds: Vec<u64> = (options.seed..options.seed.saturating_add(options.seeds)).collect();
     let mut broken = 0;
@@ -132,6 +135,15 @@
             "faults": faults,
         });
     }
+    if history.changes.probes() > 0 {
+        let faults = history.changes.faults();
+        is_kept &= faults.is_empty();
+        let (refused, served) = history.changes.decided();
+        line["changes"] = json!({
+            "returns": history.changes.returns, "probes": history.changes.probes(), "had_to_be_refused": refused,
+            "had_to_be_served": served, "limited": history.changes.most_used().next(), "faults": faults,
+        });
+    }
     line["kept"] = is_kept.into();
     println!("{line}");
     is_kept
--- a/crates/bench/src/cmd/stand_in.rs
+++ b/crates/bench/src/cmd/stand_in.rs
@@ -4,9 +4,10 @@
 //! [`Order`]s as JSON lines from its standard input.
 
 use std::{
+    collections::VecDeque,
     io::{self, BufRead as _, Write as _},
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -16,13 +17,19 @@
 use serde::{Deserialize, Serialize};
 use strum::EnumString;
 
-use crate::platform::{
-    endpoint::{Endpoint, Fault, KvHandles, ReceivedRequest, Role},
-    store::Store,
+use crate::{
+    platform::{
+        endpoint::{Endpoint, Fault, KvHandles, ReceivedRequest, Role},
+        store::{self, Contents, Store},
+    },
+    sim::lock,
 };
 
 /// Memory of an engine, in tokens.
 const KV_CACHE_TOKENS: u64 = 1_000_000;
+/// Interval at which the store copies its contents, and how long it keeps the copies.
+const COPY_INTERVAL: Duration = Duration::from_millis(250);
+const MAX_COPY_AGE: Duration = Duration::from_secs(15);
 /// Interval at which received requests are printed.
 const PRINT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -108,6 +115,19 @@
     },
 }
 
+/// Change of the store's behaviour.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreOrder {
+    /// Connections are reset.
+    Away,
+    /// The store comes back from a copy.
+    Return {
+        /// Age of the copy, milliseconds.
+        age_ms: u64,
+    },
+}
+
 /// A request that an endpoint got.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Arrival {
@@ -190,12 +210,46 @@
 }
 
 async fn run_store(listen: SocketAddr) -> io::Result<bool> {
-    let store = Store::start(listen).await?;
+    let store = Arc::new(Store::start(listen).await?);
     println!("{}", store.address());
-    async_std::task::spawn_blocking(|| io::stdin().lines().for_each(drop)).await;
+    let copies: Arc<Mutex<VecDeque<(Instant, Contents)>>> = Arc::default();
+    let (source, kept) = (store.clone(), copies.clone());
+    task::spawn(async move {
+        loop {
+            {
+                let mut kept = lock(&kept);
+                kept.push_back((Instant::now(), source.contents()));
+                kept.retain(|(at, _)| at.elapsed() < MAX_COPY_AGE);
+            }
+            task::sleep(COPY_INTERVAL).await;
+        }
+    });
+    task::spawn_blocking(move || {
+        for line in io::stdin().lines().map_while(Result::ok) {
+            match serde_json::from_str(&line) {
+                Ok(StoreOrder::Away) => store.set_fault(store::Fault::Reset),
+                Ok(StoreOrder::Return { age_ms }) => return_from_copy(&store, &mut lock(&copies), age_ms),
+                Err(error) => eprintln!("invalid order {line:?}: {error}"),
+            }
+        }
+    })
+    .await;
     Ok(true)
 }
 
+/// Makes the store come back from the newest copy that is at least as old as given, or from the oldest one.
+fn return_from_copy(store: &Store, copies: &mut VecDeque<(Instant, Contents)>, age_ms: u64) {
+    let is_old_enough = |at: &Instant| at.elapsed() >= Duration::from_millis(age_ms);
+    let newer = copies.iter().rev().take_while(|(at, _)| !is_old_enough(at)).count();
+    let index = copies.len().saturating_sub(newer + 1);
+    if let Some((_, copy)) = copies.get(index) {
+        store.restore(copy);
+        // What was copied since is of a history that is gone.
+        copies.truncate(index + 1);
+    }
+    store.set_fault(store::Fault::None);
+}
+
 /// Carries out orders until the standard input ends.
 fn follow_orders(endpoint: &Endpoint) {
     for line in io::stdin().lock().lines().map_while(Result::ok) {
--- a/crates/bench/src/soak.rs
+++ b/crates/bench/src/soak.rs
@@ -4,8 +4,10 @@
 //! The seed determines the disturbances and the requests. Processes interleave differently in every run, so a run cannot
 //! be replayed exactly.
 
+mod configuration;
 mod crash;
 mod fetch;
+mod operator;
 mod order;
 mod plan;
 mod process;
@@ -24,12 +26,16 @@
 use tarragonhill_core::gateway::budget::Rule;
 
 pub use self::{
+    configuration::Changes,
     crash::{Crashes, Figures},
     order::Stream,
     plan::{Event, Kind, Plan},
     run::{History, Service},
 };
 
+/// Time that everything must have been undisturbed for a request to count, and in which gateways learn of what happens.
+const CONTACT: Duration = Duration::from_secs(3);
+
 /// Programs that are started as processes.
 #[derive(Clone, Debug)]
 pub struct Programs {
@@ -61,6 +67,8 @@
     pub is_mixed: bool,
     /// Number of parts of prompts that crash decode engines.
     pub crashing_parts: usize,
+    /// Whether an operator withdraws keys all the time, and a customer sends more than its limit allows.
+    pub has_operator: bool,
 }
 
 impl Default for Shape {
@@ -73,6 +81,7 @@
             retries,
             is_mixed: false,
             crashing_parts: 0,
+            has_operator: false,
         }
     }
 }
--- a/crates/bench/src/soak/crash.rs
+++ b/crates/bench/src/soak/crash.rs
@@ -9,10 +9,9 @@
 use rand_chacha::ChaCha8Rng;
 use tarragonhill_h1::head::Request;
 
+use super::CONTACT;
 use crate::platform::{caller::request_with_parts, endpoint::ReceivedRequest, site::KEY};
 
-/// Time that everything must have been undisturbed for a request to count, and in which gateways learn of crashes.
-pub(super) const CONTACT: Duration = Duration::from_secs(3);
 /// Number of crashes after which gateways must know a part.
 const KNOWN_CRASHES: usize = 5;
 /// Most requests with such a part that may reach endpoints later.
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -60,6 +60,12 @@
     Slow,
     /// The store is paused.
     PauseStore,
+    /// The store is away for a while and comes back from a copy.
+    ReturnStore,
+    /// The store comes back from copies again and again.
+    ReturnInSeries,
+    /// Connections of a gateway to the store transfer nothing.
+    CutStore,
     /// Callers send several times as many requests.
     Burst,
     /// Some of the decode engines are killed at once and start again with other ids.
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -24,6 +24,7 @@
 
 use super::{
     Programs, Shape,
+    configuration::Changes,
     crash::{Crashes, Sample, part_name},
     order::Stream,
     plan::{Event, Kind, Plan},
@@ -31,7 +32,7 @@
     proxy::Proxy,
 };
 use crate::{
-    cmd::stand_in::{Arrival, Order, Server},
+    cmd::stand_in::{Arrival, Order, Server, StoreOrder},
     platform::{
         caller::{self, Caller, completion_request, plain_request},
         endpoint::ReceivedRequest,
@@ -122,6 +123,8 @@
     pub streams: Vec<Stream>,
     /// Requests with parts that crash engines, and sound ones beside them.
     pub crashes: Crashes,
+    /// Configurations and requests with their keys.
+    pub changes: Changes,
     rule: Rule,
     requests: BTreeMap<Service, Vec<Instant>>,
     received: BTreeMap<Service, Vec<ReceivedRequest>>,
@@ -206,6 +209,8 @@
 /// A gateway, and the settings with which it is started again.
 pub(super) struct Gateway {
     pub(super) address: SocketAddr,
+    /// Its connections to the store.
+    store_link: Proxy,
     admin: SocketAddr,
     arguments: Vec<String>,
     log: PathBuf,
@@ -225,10 +230,15 @@
     fn disturb(&self) {
         *lock(&self.disturbed) = Instant::now();
     }
+
+    /// Returns when it was last started, resumed or signalled to stop, or reached the store again.
+    pub(super) fn disturbed_at(&self) -> Instant {
+        *lock(&self.disturbed)
+    }
 }
 
 /// An endpoint behind a proxy.
-struct Endpoint {
+pub(super) struct Endpoint {
     server: Server,
     proxy: Proxy,
     listen: SocketAddr,
@@ -238,7 +248,7 @@
     ids: AtomicUsize,
     software: Mutex<Software>,
     /// Whether it is listed, running and reachable.
-    is_up: AtomicBool,
+    pub(super) is_up: AtomicBool,
     process: Mutex<Process>,
     /// Lines printed by processes that were killed.
     past: Mutex<Vec<String>>,
@@ -291,7 +301,7 @@
     store: Mutex<Process>,
     store_address: SocketAddr,
     pub(super) gateways: Vec<Gateway>,
-    endpoints: Vec<Endpoint>,
+    pub(super) endpoints: Vec<Endpoint>,
     /// Source of `seq` and `born` in rows.
     counter: AtomicUsize,
     is_over: AtomicBool,
@@ -306,6 +316,9 @@
     idle: Mutex<BTreeMap<usize, Vec<Caller>>>,
     statuses: Mutex<Vec<Option<u16>>>,
     pub(super) streams: Mutex<Vec<Stream>>,
+    pub(super) changes: Mutex<Changes>,
+    /// Version of the newest configuration that the operator has written; held while it writes.
+    pub(super) newest_version: async_std::sync::Mutex<u64>,
 }
 
 /// Starts the processes, plays the plan and returns what endpoints and callers saw.
@@ -316,6 +329,13 @@
     let streams = shape.is_mixed.then(|| task::spawn(run.clone().fetch_streams(plan.seed)));
     let parts = shape.crashing_parts;
     let parts = (parts > 0).then(|| task::spawn(run.clone().send_parts(plan.seed, parts, WARM_UP)));
+    let operator = shape.has_operator.then(|| {
+        [
+            task::spawn(run.clone().change_configuration(plan.seed)),
+            task::spawn(run.clone().probe_keys(plan.seed)),
+            task::spawn(run.clone().exceed_limit(plan.seed)),
+        ]
+    });
     let watch = task::spawn(run.clone().watch());
     let watch_engines = task::spawn(run.clone().watch_engines());
     task::sleep(WARM_UP).await;
@@ -332,9 +352,14 @@
     if let Some(parts) = parts {
         parts.await;
     }
+    for task in operator.into_iter().flatten() {
+        task.await;
+    }
     watch.await;
     watch_engines.await;
     let received = run.received();
+    let mut changes = std::mem::take(&mut *lock(&run.changes));
+    changes.limited = limited_runs(&received, &changes.limited_sent);
     let models = received.get(&Service::Models).map_or(&[][..], Vec::as_slice);
     let samples = std::mem::take(&mut *lock(&run.samples));
     let crashes = Crashes::new(samples, models, lock(&run.skews).clone());
@@ -350,6 +375,7 @@
         rule: shape.retries,
         requests: lock(&run.requests).clone(),
         crashes,
+        changes,
         received,
     })
 }
@@ -376,14 +402,16 @@
                 endpoints.push(start_endpoint(programs, server, software).await?);
             }
         }
-        let gateways = (0..shape.gateways).map(|number| {
-            start_gateway(programs, shape, number, store_address, &logs.join(format!("gateway-{number}.log")))
-        });
+        let mut gateways = Vec::new();
+        for number in 0..shape.gateways {
+            let log = logs.join(format!("gateway-{number}.log"));
+            gateways.push(start_gateway(programs, shape, number, store_address, &log).await?);
+        }
         let run = Self {
             programs: programs.clone(),
             store: Mutex::new(store),
             store_address,
-            gateways: gateways.collect::<io::Result<_>>()?,
+            gateways,
             endpoints,
             counter: AtomicUsize::new(0),
             is_over: AtomicBool::new(false),
@@ -396,6 +424,8 @@
             idle: Mutex::default(),
             statuses: Mutex::default(),
             streams: Mutex::default(),
+            changes: Mutex::default(),
+            newest_version: async_std::sync::Mutex::default(),
         };
         wait_until(async || run.put("op", "config", Some(&soak_configuration())).await).await?;
         for endpoint in &run.endpoints {
@@ -409,7 +439,7 @@
     }
 
     /// Writes a row to the store, or removes it; returns whether that was acknowledged.
-    async fn put(&self, table: &str, key: &str, value: Option<&Value>) -> bool {
+    pub(super) async fn put(&self, table: &str, key: &str, value: Option<&Value>) -> bool {
         let body = match value {
             Some(value) => {
                 json!({"puts": [{"table": table, "part": "", "key": key, "value": STANDARD.encode(value.to_string())}]})
@@ -423,7 +453,7 @@
         matches!(timeout(PLAIN_DEADLINE, call).await, Ok(Ok(response)) if response.head.status == 200)
     }
 
-    async fn register(&self, endpoint: &Endpoint) -> bool {
+    pub(super) async fn register(&self, endpoint: &Endpoint) -> bool {
         let count = self.counter.fetch_add(1, Ordering::Relaxed) + 1;
         let is_plain = endpoint.server == Server::Plain;
         let mut row = json!({
@@ -495,10 +525,28 @@
         self.disturb();
     }
 
-    fn disturb(&self) {
+    pub(super) fn disturb(&self) {
         *lock(&self.disturbed) = Instant::now();
     }
 
+    pub(super) fn order_store(&self, order: &StoreOrder) {
+        let line = serde_json::to_string(order).expect("an order can be encoded");
+        // Fails only if the process has been killed.
+        let _ = lock(&self.store).write_line(&line);
+    }
+
+    /// Cuts a gateway off from the store.
+    async fn cut_store(&self, gateway: &Gateway, lasts: Duration) {
+        gateway.store_link.set_held(true);
+        let ends = Instant::now() + lasts;
+        while Instant::now() < ends {
+            gateway.disturb();
+            task::sleep(WATCH_INTERVAL).await;
+        }
+        gateway.store_link.set_held(false);
+        gateway.disturb();
+    }
+
     /// Returns whether a gateway, the store and the endpoints have been undisturbed for a time.
     pub(super) fn is_settled(&self, gateway: usize, span: Duration) -> bool {
         self.gateways[gateway].is_settled(span) && lock(&self.disturbed).elapsed() >= span
@@ -607,6 +655,9 @@
                 }
                 lock(&self.store).resume();
             }
+            Kind::ReturnStore => self.return_store(target, lasts, false).await,
+            Kind::ReturnInSeries => self.return_store(target, lasts, true).await,
+            Kind::CutStore => self.cut_store(&self.gateways[gateway], lasts).await,
             Kind::CrashWave => self.crash_wave(target).await,
             Kind::Skew => self.skew(gateway, lasts).await,
             Kind::Burst => {
@@ -749,6 +800,20 @@
     }
 }
 
+/// Returns when those requests that ran were sent and arrived.
+fn limited_runs(
+    received: &BTreeMap<Service, Vec<ReceivedRequest>>,
+    sent: &BTreeMap<String, Instant>,
+) -> Vec<(Instant, Instant)> {
+    let plain = received.get(&Service::Filing).into_iter().flatten();
+    let ran = plain.filter(|message| message.was_executed);
+    let times = |message: &ReceivedRequest| {
+        let id = message.head.fields.get("Tarragonhill-Request-Id")?;
+        Some((*sent.get(id)?, message.received_at))
+    };
+    ran.filter_map(times).collect()
+}
+
 fn received_request(arrival: Arrival) -> ReceivedRequest {
     let mut head = Request::new("POST", "/");
     head.fields.push("Tarragonhill-Request-Id", &*arrival.request);
@@ -789,7 +854,7 @@
     Outgoing { service, head, body, deadline }
 }
 
-fn soak_configuration() -> Value {
+pub(super) fn soak_configuration() -> Value {
     let mut configuration = configuration(1);
     for route in configuration["routes"].as_array_mut().expect("a list of routes") {
         if route["name"] == "lookup" {
@@ -871,7 +936,7 @@
     })
 }
 
-fn start_gateway(
+async fn start_gateway(
     programs: &Programs,
     shape: Shape,
     number: usize,
@@ -880,6 +945,7 @@
 ) -> io::Result<Gateway> {
     let ip: Ipv4Addr = unique_loopback_ip();
     let at = |port: u16| SocketAddr::from((ip, port));
+    let store_link = Proxy::start(at(STORE_PORT), store).await?;
     let Rule { ratio, slack, window } = shape.retries;
     let arguments: Vec<String> = [
         "gateway".to_owned(),
@@ -888,7 +954,7 @@
         format!("--listen={}", at(CALLER_PORT)),
         format!("--admin={}", at(ADMIN_PORT)),
         format!("--peer={}", at(PEER_PORT)),
-        format!("--table={store}"),
+        format!("--table={}", store_link.address()),
         format!("--grace-s={}", GRACE.as_secs()),
         format!("--retry-ratio={ratio}"),
         format!("--retry-slack={slack}"),
@@ -900,6 +966,7 @@
     let process = spawn_gateway(&programs.daemon, &arguments, log)?;
     Ok(Gateway {
         address: at(CALLER_PORT),
+        store_link,
         admin: at(ADMIN_PORT),
         arguments,
         log: log.to_owned(),
--- a/crates/bench/src/soak/sample.rs
+++ b/crates/bench/src/soak/sample.rs
@@ -11,7 +11,8 @@
 use tarragonhill_h1::head::Request;
 
 use super::{
-    crash::{CONTACT, DEADLINE, Sample, request},
+    CONTACT,
+    crash::{DEADLINE, Sample, request},
     run::{Run, Service},
 };
 use crate::{platform::caller::Caller, sim::lock};
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -138,6 +138,7 @@
             incarnation: 1,
             serial: 1,
             configuration: u64::MAX,
+            configuration_number: u64::MAX,
             ..proto::Digest::default()
         };
         let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -51,6 +51,18 @@
     Kind::Skew,
     Kind::Skew,
 ];
+/// Seeds of stores that come back from copies.
+const RETURN_SEEDS: [u64; 2] = [2, 6];
+/// Disturbances beside them.
+const RETURN_KINDS: [Kind; 7] = [
+    Kind::ReturnStore,
+    Kind::ReturnInSeries,
+    Kind::CutStore,
+    Kind::KillGateway,
+    Kind::KillGateways,
+    Kind::PauseGateway,
+    Kind::PauseGateways,
+];
 /// Selects the plain endpoints.
 const PLAIN: usize = 8;
 
@@ -95,6 +107,13 @@
     })
 });
 
+/// Runs with a store that comes back from copies while an operator withdraws keys.
+static RETURNS: LazyLock<Vec<History>> = LazyLock::new(|| {
+    let shape =
+        Shape { duration: Duration::from_secs(30), events: 8, has_operator: true, ..Shape::default() };
+    play(shape, RETURN_SEEDS.iter().map(|seed| Plan::random(*seed, shape, &RETURN_KINDS)).collect())
+});
+
 fn assert_kept(history: &History) {
     for service in Service::iter() {
         let tightest = history.tightest(service);
@@ -164,3 +183,20 @@
         );
     }
 }
+
+/// Guards against withdrawn keys that work on, and limits that are exceeded, after the store has come back from copies.
+#[test]
+fn changes_are_in_force_in_time_while_the_store_comes_back_from_copies() {
+    for history in RETURNS.iter() {
+        let faults = history.changes.faults();
+        let seed = history.plan.seed;
+        assert!(faults.is_empty(), "seed {seed}, logs in {:?}: {faults:#?}", history.logs);
+        let (refused, served) = history.changes.decided();
+        assert!(
+            refused > 0 && served > 0,
+            "seed {seed}: {refused} requests had to be refused, {served} to be served"
+        );
+        assert!(history.changes.returns > 0, "seed {seed}: the store never came back");
+        assert_kept(history);
+    }
+}
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -7,7 +7,7 @@
 
 use super::{
     directory::{Departure, Stage},
-    evacuation::Evacuations,
+    evacuation,
     forecast::Forecast,
     growth::Growth,
     interval::digest_interval,
@@ -98,7 +98,7 @@
     /// Versions of the sender's copy of the store.
     pub versions: Versions,
     /// Evacuated zones. Receivers act on them without reading the store.
-    pub evacuations: Evacuations,
+    pub evacuations: evacuation::Report,
     /// Endpoints that have left although the store still lists them.
     pub departures: Vec<Departure>,
     /// How long the sender has known all changes of the endpoints; zero while it cannot read the store, and in most digests.
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -249,12 +249,13 @@
         let endpoint = Record::with_notice(leaving_incarnation, endpoint);
         let write = (endpoint.started_ms, row.sequence);
         // The store may apply writes out of order, so an older write must not replace a newer one. Nor does a row of the copy
-        // that the store came back from bring back an endpoint that has left since.
+        // that the store came back from bring back an endpoint that has left since, or may have.
         let is_copy = record.is_some_and(|record| {
-            record.endpoint.is_none() && write == last_write && !row.position.continues(record.position)
+            let is_gone = record.endpoint.is_none() || record.expires.is_some();
+            is_gone && write == last_write && !row.position.continues(record.position)
         });
         if write < last_write || is_copy {
-            self.contradict(&row.id, row.position);
+            self.contradict(now, &row.id, row.position);
             return None;
         }
         let record = Record {
@@ -275,8 +276,11 @@
     }
 
     /// Records that the store shows a write of an endpoint at `position` that is older than what is known.
-    fn contradict(&mut self, id: &str, position: Position) {
+    fn contradict(&mut self, now: Time, id: &str, position: Position) {
+        let grace = self.lapse_grace(now);
         if let Some(record) = self.records.get_mut(id) {
+            // A running endpoint writes its row again after each return.
+            record.expires = record.expires.map(|until| until.max(grace.unwrap_or(until)));
             let is_gone = record.endpoint.as_ref().is_none_or(|endpoint| endpoint.is_draining);
             record.is_contradicted |= is_gone && position.is_later_era_than(record.position);
         }
@@ -307,6 +311,11 @@
         changes
     }
 
+    /// Returns until when endpoints whose rows lapse now stay in use; `None` if they do not.
+    fn lapse_grace(&self, now: Time) -> Option<Time> {
+        self.store_recovered.map(|recovered| recovered.plus(LAPSE_GRACE)).filter(|until| *until > now)
+    }
+
     fn remove_row(
         &mut self,
         now: Time,
@@ -315,8 +324,7 @@
         last_write: (u64, u64),
         previous: Option<Arc<Endpoint>>,
     ) -> Option<Change> {
-        let grace =
-            self.store_recovered.map(|recovered| recovered.plus(LAPSE_GRACE)).filter(|until| *until > now);
+        let grace = self.lapse_grace(now);
         let may_return = previous.as_ref().is_some_and(|endpoint| !endpoint.is_draining);
         let expires = grace.filter(|_| may_return);
         let kept = previous.clone().filter(|_| expires.is_some());
--- a/crates/core/src/gateway/evacuation.rs
+++ b/crates/core/src/gateway/evacuation.rs
@@ -6,8 +6,8 @@
 use super::position::Position;
 use crate::clock::Time;
 
-/// How long evacuations outlast the return of the store from a copy that lacks them. By then, the operator has written again those
-/// that are still meant.
+/// Least time for which evacuations outlast the return of the store from a copy that lacks them. By then, the operator has written
+/// again those that are still meant.
 const FORMER_GRACE: Duration = Duration::from_secs(10);
 
 /// The evacuation of a zone, or its end.
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Batch {
     /// All evacuations as of a position of the store.
-    Complete(Evacuations),
+    Complete(Report),
     /// Changes that follow on what was read before, in order.
     Changes(Vec<Change>),
 }
@@ -39,6 +39,26 @@
     pub zones: BTreeSet<Arc<str>>,
 }
 
+/// Evacuations as the store or a peer reports them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Position of the store up to which all changes are included.
+    pub position: Position,
+    /// Zones that are evacuated by what the store held there.
+    pub zones: BTreeSet<Arc<str>>,
+    /// Evacuations of an earlier era that may still have to be written again.
+    pub former: Former,
+    /// How long the era has been known; zero in what the store reports.
+    pub era_age: Duration,
+}
+
+impl Report {
+    /// Creates a report of what the store held at a position.
+    pub fn new(position: Position, zones: impl IntoIterator<Item = Arc<str>>) -> Self {
+        Self { position, zones: zones.into_iter().collect(), ..Self::default() }
+    }
+}
+
 /// The evacuated zones.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evacuations {
@@ -47,22 +67,13 @@
     position: Position,
     /// Zones that are evacuated by what the store holds.
     zones: BTreeSet<Arc<str>>,
+    /// Kept until the store, or a peer that has done so, is read when the era has been known for [`FORMER_GRACE`].
     former: Former,
-    /// When the former evacuations end; `None` in what a peer reports.
-    former_until: Option<Time>,
+    /// When the era of the position was first read, here or at a peer; `None` before the first one.
+    era_since: Option<Time>,
 }
 
 impl Evacuations {
-    /// Creates the evacuations as of a position of the store.
-    pub fn new(position: Position, zones: impl IntoIterator<Item = Arc<str>>) -> Self {
-        Self { position, zones: zones.into_iter().collect(), ..Self::default() }
-    }
-
-    /// Adds evacuations of an earlier era.
-    pub fn with_former(self, former: Former) -> Self {
-        Self { former, ..self }
-    }
-
     /// Returns the position up to which changes are included.
     pub fn position(&self) -> Position {
         self.position
@@ -73,16 +84,6 @@
         self.zones.union(&self.former.zones)
     }
 
-    /// Returns the zones that are evacuated by what the store holds.
-    pub fn stored_zones(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.zones.iter()
-    }
-
-    /// Returns the evacuations of an earlier era.
-    pub fn former(&self) -> &Former {
-        &self.former
-    }
-
     /// Returns whether no zone is evacuated.
     pub fn is_empty(&self) -> bool {
         self.zones.is_empty() && self.former.zones.is_empty()
@@ -93,6 +94,17 @@
         self.zones.contains(zone) || self.former.zones.contains(zone)
     }
 
+    /// Returns what peers have to know.
+    pub fn report(&self, now: Time) -> Report {
+        let Self { position, zones, former, era_since } = self.clone();
+        Report {
+            position,
+            zones,
+            former,
+            era_age: era_since.map_or(Duration::ZERO, |since| now.since(since)),
+        }
+    }
+
     /// Applies what was read from the store. Whatever is older than these evacuations is ignored, since a peer may
     /// have reported later changes.
     pub fn apply(&mut self, now: Time, batch: Batch) {
@@ -100,6 +112,7 @@
             Batch::Complete(complete) => self.merge(now, &complete),
             Batch::Changes(changes) => changes.into_iter().for_each(|change| self.apply_change(change)),
         }
+        self.expire(now);
     }
 
     fn apply_change(&mut self, Change { zone, position, is_evacuated }: Change) {
@@ -115,39 +128,46 @@
         }
     }
 
-    /// Takes over the evacuations of a peer, or all that the store holds, if they are newer.
-    pub fn merge(&mut self, now: Time, other: &Self) {
+    /// Takes over the evacuations that a peer or the store reports if they are newer.
+    pub fn merge(&mut self, now: Time, other: &Report) {
         if self.position.is_later_era_than(other.position) {
-            let zones = other.zones().cloned().collect();
-            return self.keep(now, &Former { position: other.position, zones });
-        }
-        if other.position.is_later_era_than(self.position) {
-            let zones = self.zones().cloned().collect();
-            self.keep(now, &Former { position: self.position, zones });
-        }
-        if other.position >= self.position {
+            let zones = other.zones.union(&other.former.zones).cloned().collect();
+            self.keep(&Former { position: other.position, zones });
+        } else if other.position >= self.position {
+            self.enter_era_of(now, other);
             self.position = other.position;
             self.zones.clone_from(&other.zones);
             if other.former.position == self.former.position {
                 // The other replica may have read what the operator has changed since.
                 self.former.zones.retain(|zone| other.former.zones.contains(zone));
             }
-            self.keep(now, &other.former);
+            self.keep(&other.former);
+        }
+    }
+
+    /// Learns how long an era has been known. If it is a later one, what was in force before stays so for a while.
+    fn enter_era_of(&mut self, now: Time, other: &Report) {
+        let since = now.minus(other.era_age);
+        if self.era_since.is_none() || !other.position.continues(self.position) {
+            if other.position.is_later_era_than(self.position) {
+                let zones = self.zones().cloned().collect();
+                self.keep(&Former { position: self.position, zones });
+            }
+            self.era_since = Some(since);
         }
+        self.era_since = self.era_since.map(|known| known.min(since));
     }
 
-    /// Keeps evacuations of an earlier era in force for a while, unless newer ones of it are known.
-    fn keep(&mut self, now: Time, former: &Former) {
+    /// Keeps evacuations of an earlier era in force, unless newer ones of it are known.
+    fn keep(&mut self, former: &Former) {
         if former.position > self.former.position {
             self.former.clone_from(former);
-            self.former_until = Some(now.plus(FORMER_GRACE));
         }
     }
 
-    /// Ends evacuations of an earlier era that the operator has not written again.
-    pub fn expire(&mut self, now: Time) {
-        if self.former_until.is_some_and(|until| until <= now) {
-            self.former_until = None;
+    /// Ends evacuations of an earlier era that the operator has not written again in time, as the store was read just now.
+    fn expire(&mut self, now: Time) {
+        if self.era_since.is_some_and(|since| now.since(since) >= FORMER_GRACE) {
             self.former.zones.clear();
         }
     }
--- a/crates/core/src/gateway/snapshot.rs
+++ b/crates/core/src/gateway/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{evacuation::Evacuations, staleness::Versions, state::Listing};
+use super::{evacuation, staleness::Versions, state::Listing};
 
 /// Store contents that a replica has read. The store assigns the positions, so snapshots of
 /// different replicas can be compared.
@@ -13,7 +13,7 @@
     /// The configuration, encoded as in the store.
     pub configuration: Arc<[u8]>,
     /// The evacuated zones.
-    pub evacuations: Evacuations,
+    pub evacuations: evacuation::Report,
     /// The endpoint list.
     pub listing: Listing,
 }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -209,7 +209,6 @@
         self.update_throttles(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
-        self.change_evacuations(now, |evacuations| evacuations.expire(now));
         let changes = self.directory.expire_lapsed(now);
         self.apply_changes(now, &changes);
         self.origins.expire(now);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -130,7 +130,7 @@
             unmet: self.loans.unmet(now),
             loans: self.take_loans(now),
             versions: self.staleness.own(),
-            evacuations: self.directory.evacuations().clone(),
+            evacuations: self.directory.evacuations().report(now),
             departures: self.directory.departures().collect(),
             observed: if is_full { self.history.span(now) } else { Duration::ZERO },
             mixed: if is_full { self.history.mixed(now) } else { BTreeMap::new() },
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -37,7 +37,7 @@
     }
 
     /// Takes over the evacuations of a peer if they are newer.
-    pub fn merge_evacuations(&mut self, now: Time, evacuations: &Evacuations) {
+    pub fn merge_evacuations(&mut self, now: Time, evacuations: &evacuation::Report) {
         self.change_evacuations(now, |own| own.merge(now, evacuations));
     }
 
--- a/crates/core/tests/gateway/evacuation.rs
+++ b/crates/core/tests/gateway/evacuation.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use quickcheck::{Gen, QuickCheck};
-use tarragonhill_core::gateway::evacuation::{Batch, Change, Evacuations};
+use tarragonhill_core::gateway::evacuation::{Batch, Change, Evacuations, Report};
 
 use crate::{at, position};
 
@@ -13,6 +13,14 @@
     Change { zone: zone.into(), position: position(version), is_evacuated }
 }
 
+/// Returns evacuations as of a version.
+fn holding(version: u64, zones: &[&str]) -> Evacuations {
+    let mut evacuations = Evacuations::default();
+    let zones = zones.iter().map(|zone| Arc::from(*zone));
+    evacuations.apply(at(0), Batch::Complete(Report::new(position(version), zones)));
+    evacuations
+}
+
 fn zones(evacuations: &Evacuations) -> Vec<&str> {
     evacuations.zones().map(|zone| &**zone).collect()
 }
@@ -20,10 +28,10 @@
 /// Guards against an evacuation that ends when a replica that reads late reports what it knows.
 #[test]
 fn older_evacuations_of_a_peer_or_of_the_store_are_ignored() {
-    let mut evacuations = Evacuations::new(position(10), []);
+    let mut evacuations = holding(10, &[]);
     evacuations.apply(at(0), Batch::Changes(vec![change(12, "zone-a", true)]));
-    evacuations.merge(at(0), &Evacuations::new(position(11), []));
-    evacuations.apply(at(0), Batch::Complete(Evacuations::new(position(11), [])));
+    evacuations.merge(at(0), &Report::new(position(11), []));
+    evacuations.apply(at(0), Batch::Complete(Report::new(position(11), [])));
     evacuations.apply(at(0), Batch::Changes(vec![change(11, "zone-a", false)]));
     assert_eq!((zones(&evacuations), evacuations.position()), (vec!["zone-a"], position(12)));
 }
@@ -32,7 +40,7 @@
 #[test]
 fn the_evacuation_of_a_second_zone_keeps_the_first() {
     let mut evacuations = Evacuations::default();
-    evacuations.apply(at(0), Batch::Complete(Evacuations::new(position(5), ["zone-a".into()])));
+    evacuations.apply(at(0), Batch::Complete(Report::new(position(5), ["zone-a".into()])));
     evacuations.apply(at(0), Batch::Changes(vec![change(6, "zone-b", true), change(7, "zone-a", false)]));
     assert_eq!(zones(&evacuations), ["zone-b"]);
 }
@@ -40,8 +48,8 @@
 /// Guards against an evacuation whose end was lost with the history of the store.
 #[test]
 fn a_complete_read_lifts_evacuations_that_it_lacks() {
-    let mut evacuations = Evacuations::new(position(5), ["zone-a".into(), "zone-b".into()]);
-    evacuations.apply(at(0), Batch::Complete(Evacuations::new(position(9), ["zone-b".into()])));
+    let mut evacuations = holding(5, &["zone-a", "zone-b"]);
+    evacuations.apply(at(0), Batch::Complete(Report::new(position(9), ["zone-b".into()])));
     assert_eq!(zones(&evacuations), ["zone-b"]);
 }
 
@@ -68,7 +76,7 @@
                     zones.remove(&change.zone);
                 }
             }
-            Evacuations::new(position(changes.len() as u64), zones)
+            Report::new(position(changes.len() as u64), zones)
         };
         let mut holds = true;
         for (kind, first, second) in steps {
@@ -89,13 +97,14 @@
                     replicas[one].evacuations.apply(at(0), Batch::Complete(truth(&changes)));
                 }
                 _ => {
-                    let reported = replicas[other].evacuations.clone();
+                    let reported = replicas[other].evacuations.report(at(0));
                     replicas[one].evacuations.merge(at(0), &reported);
                 }
             }
             // What a replica holds is what the store held at that version.
             holds &= replicas.iter().all(|replica| {
-                replica.evacuations == truth(&changes[..replica.evacuations.position().version() as usize])
+                replica.evacuations.report(at(0))
+                    == truth(&changes[..replica.evacuations.position().version() as usize])
             });
         }
         holds
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod fleet_budget;
 mod fleet_limit;
 mod fleet_rate;
+mod fleet_store;
 mod forecast;
 mod growth;
 mod health;
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -10,7 +10,7 @@
         completion::Completion,
         digest::Digest,
         directory::{Endpoint, Row, Stage},
-        evacuation::{Batch, Change, Evacuations},
+        evacuation::{Batch, Change, Report},
         forecast::{Observation, Size},
         health::Outcome,
         load::Lease,
@@ -485,7 +485,7 @@
     assert_eq!(state.dispatch(at(10)).len(), 2);
     state.apply_evacuations(
         at(0),
-        Batch::Complete(Evacuations::new(position(20), ["zone-a".into(), "zone-b".into()])),
+        Batch::Complete(Report::new(position(20), ["zone-a".into(), "zone-b".into()])),
     );
     assert!(matches!(state.dispatch(at(20)).as_slice(), [(_, Verdict::Expired)]));
     assert!(state.is_evacuated(at(20), "drafting"));
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -579,7 +579,7 @@
     fn snapshot(&self, now: Time) -> Option<Snapshot> {
         let configuration = self.source.clone()?;
         let versions = self.state.versions();
-        let evacuations = self.state.directory().evacuations().clone();
+        let evacuations = self.state.directory().evacuations().report(now);
         Some(Snapshot { versions, configuration, evacuations, listing: self.state.listing(now) })
     }
 
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -241,7 +241,7 @@
     /// Evacuations were read from the store. Sent before the configuration that was read with them.
     Evacuations(evacuation::Batch),
     /// Evacuations were fetched from a peer.
-    PeerEvacuations(evacuation::Evacuations),
+    PeerEvacuations(evacuation::Report),
     /// Endpoints were read from the store.
     Listing(Listing),
     /// Endpoints were fetched from a peer; unlike `Listing`, not a sign that the store is reachable.
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -11,7 +11,7 @@
     gateway::{
         digest::{Digest, Member, Share, StageChange},
         directory::Departure,
-        evacuation::{Evacuations, Former},
+        evacuation,
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         limit,
@@ -105,31 +105,34 @@
 }
 
 /// Encodes evacuations; absent if none have been read.
-pub(crate) fn encode_evacuations(evacuations: &Evacuations) -> Option<proto::Evacuations> {
-    let (position, former) = (evacuations.position(), evacuations.former());
-    let former = (!former.position.is_start())
-        .then(|| Box::new(encode_zones(former.position, former.zones.iter(), None)));
-    (!position.is_start()).then(|| encode_zones(position, evacuations.stored_zones(), former))
-}
-
-fn encode_zones<'a>(
-    position: Position,
-    zones: impl Iterator<Item = &'a Arc<str>>,
-    former: Option<Box<proto::Evacuations>>,
-) -> proto::Evacuations {
-    let zones = zones.map(|zone| zone.to_string()).collect();
-    proto::Evacuations { version: position.version(), zones, era: position.era(), former }
+pub(crate) fn encode_evacuations(evacuations: &evacuation::Report) -> Option<proto::Evacuations> {
+    let evacuation::Report { position, zones, former, era_age } = evacuations;
+    let former = (!former.position.is_start()).then(|| proto::FormerEvacuations {
+        version: former.position.version(),
+        zones: former.zones.iter().map(|zone| zone.to_string()).collect(),
+        era: former.position.era(),
+    });
+    let zones = zones.iter().map(|zone| zone.to_string()).collect();
+    (!position.is_start()).then(|| proto::Evacuations {
+        version: position.version(),
+        zones,
+        era: position.era(),
+        former,
+        era_age_us: micros(*era_age),
+    })
 }
 
 /// Decodes evacuations. Absent ones get the first position, which is older than any other.
-pub(crate) fn decode_evacuations(message: Option<proto::Evacuations>) -> Evacuations {
-    let proto::Evacuations { version, zones, era, former } = message.unwrap_or_default();
-    let former = former.map(|former| *former).unwrap_or_default();
-    let former = Former {
+pub(crate) fn decode_evacuations(message: Option<proto::Evacuations>) -> evacuation::Report {
+    let proto::Evacuations { version, zones, era, former, era_age_us } = message.unwrap_or_default();
+    let former = former.unwrap_or_default();
+    let era_age = Duration::from_micros(era_age_us);
+    let former = evacuation::Former {
         position: Position::new(former.era, former.version),
         zones: former.zones.into_iter().map(Arc::from).collect(),
     };
-    Evacuations::new(Position::new(era, version), zones.into_iter().map(Arc::from)).with_former(former)
+    let zones = zones.into_iter().map(Arc::from).collect();
+    evacuation::Report { position: Position::new(era, version), zones, former, era_age }
 }
 
 impl From<&Departure> for proto::Departure {
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -497,7 +497,7 @@
     pub age_us: u64,
 }
 /// Evacuated availability zones as of a position of the store.
-#[derive(Clone, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Evacuations {
     #[prost(uint64, tag = "1")]
     pub version: u64,
@@ -505,9 +505,22 @@
     pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(uint64, tag = "3")]
     pub era: u64,
-    /// Evacuations that were in force when the store came back from a copy; absent if there were none.
-    #[prost(message, optional, boxed, tag = "4")]
-    pub former: ::core::option::Option<::prost::alloc::boxed::Box<Evacuations>>,
+    /// Absent unless the store has come back from a copy.
+    #[prost(message, optional, tag = "4")]
+    pub former: ::core::option::Option<FormerEvacuations>,
+    /// How long the era has been known.
+    #[prost(uint64, tag = "5")]
+    pub era_age_us: u64,
+}
+/// Evacuations that were in force when the store came back from a copy.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FormerEvacuations {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub zones: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -7,7 +7,7 @@
     gateway::{
         digest::{Digest, Share},
         directory::{Endpoint, Row, Stage},
-        evacuation::{Evacuations, Former},
+        evacuation::{self, Former},
         forecast::{Forecast, OutputLength, Trend},
         growth::Growth,
         limit,
@@ -32,9 +32,11 @@
     Versions { configuration, endpoints: Position::new(2, 9) }
 }
 
-fn evacuations() -> Evacuations {
+fn evacuations() -> evacuation::Report {
     let former = Former { position: Position::new(1, 40), zones: ["zone-c".into()].into() };
-    Evacuations::new(Position::new(2, 12), ["zone-b".into()]).with_former(former)
+    let era_age = Duration::from_secs(4);
+    let report = evacuation::Report::new(Position::new(2, 12), ["zone-b".into()]);
+    evacuation::Report { former, era_age, ..report }
 }
 
 fn attempt() -> Attempt {
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -13,7 +13,7 @@
         completion::Completion,
         digest::{Digest, Member, Share, StageChange},
         directory::{Departure, Endpoint, Row, Stage},
-        evacuation::{Evacuations, Former},
+        evacuation::{self, Former},
         forecast::{Forecast, Size, Trend},
         growth::Growth,
         limit,
@@ -34,9 +34,11 @@
     Versions { configuration, endpoints: Position::new(2, 9) }
 }
 
-fn evacuations() -> Evacuations {
+fn evacuations() -> evacuation::Report {
     let former = Former { position: Position::new(1, 40), zones: ["zone-c".into()].into() };
-    Evacuations::new(Position::new(2, 12), ["zone-b".into()]).with_former(former)
+    let era_age = Duration::from_secs(4);
+    let report = evacuation::Report::new(Position::new(2, 12), ["zone-b".into()]);
+    evacuation::Report { former, era_age, ..report }
 }
 
 fn at(millis: u64) -> Time {
