Compare evacuated zones before looking for endpoints that return

Each digest brings the age of the era, so that evacuations nearly always differed in that and all endpoints were searched for zones that are back.

--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -1,6 +1,10 @@
 //! What was read from the store: configuration and endpoints.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::{Listing, State};
 use crate::{
@@ -44,11 +48,11 @@
     /// Changes the evacuations. Endpoints of zones that are no longer evacuated count as cold: they may have been
     /// restarted, and their rows may arrive later than the end of the evacuation.
     pub(super) fn change_evacuations(&mut self, now: Time, change: impl FnOnce(&mut Evacuations)) {
-        let previous = self.directory.evacuations().clone();
+        let previous: BTreeSet<Arc<str>> = self.directory.evacuations().zones().cloned().collect();
         change(self.directory.evacuations_mut());
         let evacuations = self.directory.evacuations();
         // Each digest carries the evacuations, and nearly all are known.
-        if *evacuations == previous {
+        if previous.iter().eq(evacuations.zones()) {
             return;
         }
         let is_back = |zone: &str| previous.contains(zone) && !evacuations.contains(zone);
