--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -800,18 +800,19 @@
     }
 }
 
-/// Returns when those requests that ran were sent and arrived.
+/// Returns when those requests that ran were sent, and first arrived: a request that is sent to several endpoints counts once.
 fn limited_runs(
     received: &BTreeMap<Service, Vec<ReceivedRequest>>,
     sent: &BTreeMap<String, Instant>,
 ) -> Vec<(Instant, Instant)> {
     let plain = received.get(&Service::Filing).into_iter().flatten();
-    let ran = plain.filter(|message| message.was_executed);
-    let times = |message: &ReceivedRequest| {
-        let id = message.head.fields.get("Tarragonhill-Request-Id")?;
-        Some((*sent.get(id)?, message.received_at))
-    };
-    ran.filter_map(times).collect()
+    let mut arrived: BTreeMap<&str, Instant> = BTreeMap::new();
+    for message in plain.filter(|message| message.was_executed) {
+        let id = message.head.fields.get("Tarragonhill-Request-Id").unwrap_or_default();
+        let first = arrived.entry(id).or_insert(message.received_at);
+        *first = message.received_at.min(*first);
+    }
+    arrived.into_iter().filter_map(|(id, at)| Some((*sent.get(id)?, at))).collect()
 }
 
 fn received_request(arrival: Arrival) -> ReceivedRequest {
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -69,7 +69,9 @@
 fn play(shape: Shape, plans: Vec<Plan>) -> Vec<History> {
     let programs = Programs::beside(Path::new(env!("CARGO_BIN_EXE_tarragonhill-bench")));
     assert!(programs.daemon.exists(), "cargo build -p tarragonhill-daemon builds the daemon");
-    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    // Runs of one seed in several shapes must not share their logs.
+    let directory = if shape.has_operator { "soak-operator" } else { "soak" };
+    let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join(directory);
     run_all(&programs, shape, plans, &logs).expect("the processes start")
 }
 
