--- a/crates/core/src/gateway/evacuation.rs
+++ b/crates/core/src/gateway/evacuation.rs
@@ -132,7 +132,7 @@
     pub fn merge(&mut self, now: Time, other: &Report) {
         if self.position.is_later_era_than(other.position) {
             let zones = other.zones.union(&other.former.zones).cloned().collect();
-            self.keep(&Former { position: other.position, zones });
+            self.keep(now, &Former { position: other.position, zones });
         } else if other.position >= self.position {
             self.enter_era_of(now, other);
             self.position = other.position;
@@ -141,7 +141,7 @@
                 // The other replica may have read what the operator has changed since.
                 self.former.zones.retain(|zone| other.former.zones.contains(zone));
             }
-            self.keep(&other.former);
+            self.keep(now, &other.former);
         }
     }
 
@@ -151,21 +151,24 @@
         if self.era_since.is_none() || !other.position.continues(self.position) {
             if other.position.is_later_era_than(self.position) {
                 let zones = self.zones().cloned().collect();
-                self.keep(&Former { position: self.position, zones });
+                self.former = Former { position: self.position, zones };
             }
             self.era_since = Some(since);
         }
         self.era_since = self.era_since.map(|known| known.min(since));
     }
 
-    /// Keeps evacuations of an earlier era in force, unless newer ones of it are known.
-    fn keep(&mut self, former: &Former) {
-        if former.position > self.former.position {
-            self.former.clone_from(former);
+    /// Keeps evacuations of an earlier era in force, unless newer ones of it are known. What is told once the era is old comes from
+    /// a replica that was out of touch.
+    fn keep(&mut self, now: Time, former: &Former) {
+        if former.position <= self.former.position {
+            return;
         }
+        self.former.clone_from(former);
+        self.expire(now);
     }
 
-    /// Ends evacuations of an earlier era that the operator has not written again in time, as the store was read just now.
+    /// Ends evacuations of an earlier era once the operator has had the time to write them again.
     fn expire(&mut self, now: Time) {
         if self.era_since.is_some_and(|since| now.since(since) >= FORMER_GRACE) {
             self.former.zones.clear();
--- a/crates/core/src/gateway/staleness.rs
+++ b/crates/core/src/gateway/staleness.rs
@@ -37,8 +37,8 @@
 }
 
 impl<T: Copy + Ord> Part<T> {
-    fn record_peer(&mut self, now: Time, version: T) {
-        self.newest_peer = self.newest_peer.max(version);
+    fn record_peer(&mut self, now: Time, known: T) {
+        self.newest_peer = self.newest_peer.max(known);
         if self.own < self.newest_peer {
             self.behind_since.get_or_insert(now);
         }
