Digest fields, settings and profiles for mechanisms under hard load

Each mechanism gets its report in digests and can be switched off by name. No decision changes yet. The priority of a request is logged at its admission.

--- a/crates/bench/src/gossip.rs
+++ b/crates/bench/src/gossip.rs
@@ -515,6 +515,7 @@
 fn completion(now: Time) -> Completion {
     Completion {
         service: SERVICE.into(),
+        customer: "faculty".into(),
         size: Size { prompt: 5_000, expected_output: 750, max_output: 1_900 },
         waiting_since: now,
         events: 0,
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use tarragonhill_core::{
     Clock,
-    gateway::{budget::Rule, cold::Tolerance},
+    gateway::{budget::Rule, cold::Tolerance, mechanism::Mechanisms},
 };
 use tarragonhill_daemon::{
     StartError,
@@ -228,6 +228,7 @@
             grace: self.grace,
             retries: self.retries,
             cold_tolerance: COLD_TOLERANCE,
+            mechanisms: Mechanisms::default(),
         }
     }
 
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -207,6 +207,11 @@
         self.limits
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -34,6 +34,8 @@
 pub struct Completion {
     /// Service that the request is for.
     pub service: Arc<str>,
+    /// Name of the caller; empty if it is not known.
+    pub customer: Arc<str>,
     /// Prompt and output size.
     pub size: Size,
     /// Since when the caller waits for an event: when the request was received completely or, if the stream
@@ -65,6 +67,7 @@
     pub(super) fn into_entry<T>(self, forecast: &Forecast, tag: T) -> Entry<T> {
         let Self {
             service,
+            customer,
             size,
             waiting_since,
             events,
@@ -86,6 +89,7 @@
         Entry {
             tag,
             service,
+            customer,
             size,
             memory: mean_memory(size.prompt, size.expected_output),
             soft_deadline: waiting_since.plus(ttft_target).minus(first_event),
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -7,12 +7,13 @@
 
 use super::{
     directory::{Departure, Stage},
-    evacuation,
+    evacuation, fairness,
     forecast::Forecast,
     growth::Growth,
     interval::digest_interval,
     limit,
     loan::Loan,
+    order, outage, pace, pools, speed,
     staleness::Versions,
     suspect,
 };
@@ -101,6 +102,18 @@
     pub evacuations: evacuation::Report,
     /// Endpoints that have left although the store still lists them.
     pub departures: Vec<Departure>,
+    /// Requests that wait for memory at the sender.
+    pub waiting: order::Report,
+    /// Memory of customers at the sender.
+    pub holdings: fairness::Report,
+    /// Endpoints that refused connections of the sender.
+    pub outages: outage::Report,
+    /// Paces of endpoints that have just started or recovered.
+    pub paces: pace::Report,
+    /// Speeds of endpoints as the sender observed them; empty in most digests.
+    pub speeds: speed::Report,
+    /// Demand at the sender by service; empty in most digests.
+    pub demands: BTreeMap<Arc<str>, pools::Demand>,
     /// How long the sender has known all changes of the endpoints; zero while it cannot read the store, and in most digests.
     pub observed: Duration,
     /// Services that had endpoints of several software versions, with the time since then; complete if `observed` is not zero.
--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -41,6 +41,9 @@
 /// the size, so any value gives the same median.
 const REFERENCE_PROMPT_TOKENS: u64 = 1_000;
 
+/// Number of endpoints with observations that are needed to compare their speeds.
+const MIN_COMPARED_ENDPOINTS: usize = 5;
+
 /// Age at which an endpoint's own observations are ignored and the service forecast is used
 /// instead. Otherwise, an endpoint that was slow would get no requests again.
 const ENDPOINT_DATA_TTL: Duration = Duration::from_secs(10);
@@ -361,6 +364,21 @@
         }
     }
 
+    /// Returns the ratio between the event intervals of slow and fast endpoints of a service, each a fifth of those known;
+    /// `None` with fewer than five.
+    pub fn speed_ratio(&self, service: &str) -> Option<f64> {
+        let service = self.0.get(service)?;
+        let memory = service.typical.memory;
+        let trends = service.endpoints.values().filter_map(|speed| speed.event_interval.trend());
+        let mut intervals: Vec<f64> = trends.map(|trend| trend.at(memory).as_secs_f64()).collect();
+        if intervals.len() < MIN_COMPARED_ENDPOINTS {
+            return None;
+        }
+        intervals.sort_by(f64::total_cmp);
+        let rank = intervals.len() / MIN_COMPARED_ENDPOINTS;
+        Some(intervals[intervals.len() - 1 - rank] / intervals[rank].max(f64::MIN_POSITIVE))
+    }
+
     /// Returns the forecasts of all services.
     pub fn typical(&self) -> BTreeMap<Arc<str>, Forecast> {
         self.0.iter().map(|(name, service)| (name.clone(), service.typical)).collect()
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -57,27 +57,24 @@
 
 /// Exponentially decaying demand of one service. Stored as sizes and converted to times when used,
 /// so that newer forecasts apply to older requests too.
-#[derive(Clone, Copy, Debug, Default)]
-struct Demand {
-    requests: f64,
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Number of requests.
+    pub requests: f64,
     /// Prompt tokens.
-    prompt: f64,
+    pub prompt: f64,
     /// Fraction of a decode endpoint that each request occupies, by memory or by slots, summed.
-    endpoints: f64,
+    pub endpoints: f64,
     /// The same, weighted by the expected output tokens.
-    endpoint_tokens: f64,
-    /// Time up to which the sums have decayed.
-    decayed_at: Time,
+    pub endpoint_tokens: f64,
 }
 
 impl Demand {
-    fn decay(&mut self, now: Time) {
-        let factor = decay_factor(now.since(self.decayed_at), HALF_LIFE);
+    fn scale(&mut self, factor: f64) {
         self.requests *= factor;
         self.prompt *= factor;
         self.endpoints *= factor;
         self.endpoint_tokens *= factor;
-        self.decayed_at = now;
     }
 
     /// Returns the fraction of endpoints needed for prefill, or `None` while forecasts lack data.
@@ -119,7 +116,8 @@
 /// Demand of all services, and the stage changes in progress.
 #[derive(Clone, Debug, Default)]
 pub struct Pools {
-    demand: BTreeMap<Arc<str>, Demand>,
+    /// Demand by service, with the time up to which it has decayed.
+    demand: BTreeMap<Arc<str>, (Time, Demand)>,
     /// Changes ordered by this replica, with their timeout and the new stage.
     changing: BTreeMap<Arc<str>, (Time, Stage)>,
     /// Changes ordered by this replica that were not carried out, with the time until which digests carry them.
@@ -135,8 +133,9 @@
     /// Records a request.
     pub fn record_request(&mut self, now: Time, service: &Arc<str>, engine: &Engine, size: Size) {
         let Size { prompt, expected_output, .. } = size;
-        let demand = self.demand.entry(service.clone()).or_default();
-        demand.decay(now);
+        let (decayed_at, demand) = self.demand.entry(service.clone()).or_default();
+        demand.scale(decay_factor(now.since(*decayed_at), HALF_LIFE));
+        *decayed_at = now;
         let runs = engine.memory as f64 * USABLE_MEMORY / mean_memory(prompt, expected_output).max(1) as f64;
         let endpoints = 1.0 / runs.clamp(1.0, f64::from(engine.slots.max(1)));
         demand.requests += 1.0;
@@ -149,8 +148,9 @@
     /// enough data.
     pub fn prefill_target(&mut self, now: Time, service: &ServiceInfo<'_>, count: usize) -> Option<f64> {
         let ServiceInfo { name, engine, forecast } = service;
-        let demand = self.demand.get_mut(*name)?;
-        demand.decay(now);
+        let (decayed_at, demand) = self.demand.get_mut(*name)?;
+        demand.scale(decay_factor(now.since(*decayed_at), HALF_LIFE));
+        *decayed_at = now;
         if demand.requests < MIN_REQUESTS || count < 2 {
             return None;
         }
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -16,6 +16,8 @@
     pub tag: T,
     /// Service that the request is for.
     pub service: Arc<str>,
+    /// Name of the caller; empty if it is not known.
+    pub customer: Arc<str>,
     /// Prompt and output size.
     pub size: Size,
     /// Mean KV cache use, in tokens.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -29,9 +29,11 @@
     limit::Limits,
     load::{Lease, Loads},
     loan::Loans,
+    mechanism::{Mechanism, Mechanisms},
     origin::Origins,
     pools::{Order, Pools, ServiceInfo},
     position::Position,
+    profile::Profile,
     queue::{Entry, Queue, Verdict},
     rate_limit::RateLimiter,
     relay::{Outbox, Topology},
@@ -158,6 +160,9 @@
     /// Whether the next digest has to carry forecasts and software versions.
     is_full_digest_due: bool,
     history: History,
+    mechanisms: Mechanisms,
+    /// What the services call for, by name; recomputed in each tick.
+    profiles: BTreeMap<Arc<str>, Profile>,
 }
 
 impl<T> State<T> {
@@ -188,9 +193,33 @@
             announced_to: BTreeMap::new(),
             is_full_digest_due: false,
             history: History::default(),
+            mechanisms: Mechanisms::default(),
+            profiles: BTreeMap::new(),
         }
     }
 
+    /// Sets the mechanisms in use; all of them by default.
+    pub fn with_mechanisms(self, mechanisms: Mechanisms) -> Self {
+        Self { mechanisms, ..self }
+    }
+
+    /// Returns what a service calls for.
+    pub fn profile(&self, service: &str) -> Profile {
+        self.profiles.get(service).copied().unwrap_or_default()
+    }
+
+    /// Returns whether a mechanism acts on a service: the service calls for it, and it is not switched off.
+    pub fn uses(&self, service: &str, mechanism: Mechanism) -> bool {
+        self.mechanisms.has(mechanism) && self.profile(service).calls_for(mechanism)
+    }
+
+    fn update_profiles(&mut self) {
+        let Some(catalog) = &self.catalog else { return };
+        let split = catalog.services().filter(|service| service.engine.is_some());
+        let profile = |name| Profile::of(name, catalog, &self.forecasts);
+        self.profiles = split.map(|service| (service.name.clone(), profile(&service.name))).collect();
+    }
+
     /// Applies timeouts and recomputes the forecasts; must be called several times a second.
     /// Returns changed endpoints and expired peers.
     pub fn tick(&mut self, now: Time) -> (Vec<Change>, Vec<Arc<str>>) {
@@ -209,6 +238,7 @@
         self.update_throttles(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
+        self.update_profiles();
         let changes = self.directory.expire_lapsed(now);
         self.apply_changes(now, &changes);
         self.origins.expire(now);
--- a/crates/core/tests/gateway/queue.rs
+++ b/crates/core/tests/gateway/queue.rs
@@ -18,6 +18,7 @@
     Entry {
         tag,
         service: "drafting".into(),
+        customer: "faculty".into(),
         size: Size { prompt: 5_000, expected_output: 0, max_output: 0 },
         memory: 5_000,
         soft_deadline: at(soft_deadline),
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -57,6 +57,7 @@
 fn completion(memory: u64) -> Completion {
     Completion {
         service: "drafting".into(),
+        customer: "faculty".into(),
         size: Size { prompt: memory, expected_output: 0, max_output: 0 },
         waiting_since: at(0),
         events: 0,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -8,7 +8,11 @@
 use bpaf::Bpaf;
 use spdlog::LevelFilter;
 use tarragonhill_core::{
-    gateway::{budget::Rule, cold::Tolerance},
+    gateway::{
+        budget::Rule,
+        cold::Tolerance,
+        mechanism::{Mechanism, Mechanisms},
+    },
     placement::Policy,
 };
 use tarragonhill_http::server::Limits;
@@ -171,6 +175,9 @@
     /// Requests a second that cold endpoints tolerate in addition; empty for the default
     #[bpaf(long, env("TARRAGONHILL_COLD_SLACK"), argument("N"), fallback("0.0".into()), display_fallback)]
     pub cold_slack: String,
+    /// Mechanisms to switch off, separated by commas, to see what each is worth
+    #[bpaf(long, env("TARRAGONHILL_WITHOUT"), argument("NAMES"), fallback(String::new()))]
+    pub without: String,
 }
 
 /// An invalid setting.
@@ -262,6 +269,8 @@
     pub retries: Rule,
     /// What cold endpoints tolerate beyond the rate that the operator declares.
     pub cold_tolerance: Tolerance,
+    /// Mechanisms in use.
+    pub mechanisms: Mechanisms,
 }
 
 /// Validated settings of a daemon.
@@ -379,10 +388,23 @@
             grace: Duration::from_secs_f64(number("grace-s", gateway.grace_s, 0.0, 3_600.0)?),
             retries,
             cold_tolerance,
+            mechanisms: mechanisms("without", &gateway.without)?,
         })
     }
 }
 
+/// Parses the names of mechanisms that are switched off.
+fn mechanisms(setting: &str, text: &str) -> Result<Mechanisms, ConfigError> {
+    let names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
+    let parse = |name: &str| {
+        name.parse::<Mechanism>().map_err(|_| {
+            let known: Vec<&str> = Mechanism::names().collect();
+            invalid(setting, format!("{name:?} is not one of {}", known.join(", ")))
+        })
+    };
+    Ok(Mechanisms::without(names.map(parse).collect::<Result<Vec<_>, _>>()?))
+}
+
 fn name(setting: &str, text: &str) -> Result<Arc<str>, ConfigError> {
     let has_valid_characters =
         text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
@@ -430,7 +452,7 @@
 }
 
 /// Names of all settings: flags without the leading dashes.
-pub const SETTING_NAMES: [&str; 27] = [
+pub const SETTING_NAMES: [&str; 28] = [
     "name",
     "zone",
     "listen",
@@ -458,6 +480,7 @@
     "retry-window-s",
     "cold-overage",
     "cold-slack",
+    "without",
 ];
 
 /// Variable that the platform sets; it has the prefix but is not a setting of the daemon.
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -45,6 +45,7 @@
             incarnation: rand::random(),
             retries: settings.retries,
             cold_tolerance: settings.cold_tolerance,
+            mechanisms: settings.mechanisms,
             drain_delay: DEREGISTRATION_DELAY,
             grace: settings.grace.saturating_sub(EXIT_RESERVE),
         };
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -14,9 +14,7 @@
 use tarragonhill_core::{
     Clock, Refusal, Time,
     gateway::{
-        budget::Rule,
         catalog::Catalog,
-        cold::Tolerance,
         digest::{Digest, Member},
         directory::Change,
         forecast::Forecast,
@@ -28,7 +26,7 @@
         queue::Verdict,
         relay::{Delivery, Role},
         snapshot::Snapshot,
-        state::{Assignment, ENDPOINT_RETRY_AFTER, Identity, Pair, State, no_endpoint, quarantined},
+        state::{Assignment, ENDPOINT_RETRY_AFTER, Pair, State, no_endpoint, quarantined},
         suspect::{Report, Summary, Suspect},
         throttle::{Throttle, Throttles},
     },
@@ -76,9 +74,7 @@
 
 /// Starts the thread and returns a handle to it. The thread sends digests and orders to `outputs`.
 pub fn start(
-    identity: Identity,
-    retries: Rule,
-    tolerance: Tolerance,
+    state: State<ReplySender<PermitsResult>>,
     clock: Clock,
     outputs: Outputs,
 ) -> io::Result<Control> {
@@ -88,7 +84,6 @@
     let (recalling, recalled) = async_channel::bounded(1);
     let started = clock.now();
     let control = Control { commands, shared: Arc::default(), initialized, registered, recalled, started };
-    let state = State::new(identity, retries, tolerance, started);
     // A weak handle, so that the thread ends once all other handles have been dropped.
     let commands = control.commands.downgrade();
     let (shared, initialized) = (control.shared.clone(), control.initialized.clone());
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -365,7 +365,7 @@
     }
     spdlog::info!("request admitted", kv: {
         request = inbound.id(), route = &*inbound.route.name, customer = inbound.customer_name().unwrap_or(""),
-        tokens = inbound.admission.tokens, trial = inbound.is_trial(), version = catalog.map_or(0, Catalog::version),
+        priority = inbound.priority(), tokens = inbound.admission.tokens, trial = inbound.is_trial(), version = catalog.map_or(0, Catalog::version),
         left_ms = inbound.deadline.since(inbound.received).as_millis() as u64
     });
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,7 +19,14 @@
 use prometheus::Registry;
 use tarragonhill_core::{
     Clock, Time,
-    gateway::{budget::Rule, cold::Tolerance, shutdown::Shutdown, state::Identity, suspect::Report},
+    gateway::{
+        budget::Rule,
+        cold::Tolerance,
+        mechanism::Mechanisms,
+        shutdown::Shutdown,
+        state::{Identity, State},
+        suspect::Report,
+    },
 };
 
 use crate::{
@@ -76,6 +83,8 @@
     pub retries: Rule,
     /// What cold endpoints tolerate beyond the rate that the operator declares.
     pub cold_tolerance: Tolerance,
+    /// Mechanisms in use.
+    pub mechanisms: Mechanisms,
     /// How long new connections are still accepted after shutdown has begun and the gateway reports not ready.
     pub drain_delay: Duration,
     /// Maximum duration of a shutdown, including `drain_delay`.
@@ -144,8 +153,9 @@
         let (messages, outgoing_messages) = async_channel::bounded(MESSAGE_CAPACITY);
         let (suspects, unsaved_suspects) = async_channel::bounded(1);
         let outputs = Outputs { digests, orders, messages, suspects };
-        let control =
-            worker::start(identity, settings.retries, settings.cold_tolerance, clock.clone(), outputs);
+        let state = State::new(identity, settings.retries, settings.cold_tolerance, clock.now());
+        let state = state.with_mechanisms(settings.mechanisms.clone());
+        let control = worker::start(state, clock.clone(), outputs);
         let control = control.map_err(StartError::Thread)?;
         let mirror = Mirror::new(clock.clone(), control.clone());
         let (phases, monitor) = phases();
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -100,6 +100,7 @@
 fn completion(inbound: &Inbound, progress: &Progress, avoid: &[Arc<str>]) -> Completion {
     Completion {
         service: inbound.service().clone(),
+        customer: inbound.customer_name().unwrap_or_default().into(),
         size: inbound.size(),
         waiting_since: progress.waiting_since,
         events: progress.events,
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -26,11 +26,11 @@
 
 use prost::Message as _;
 
-use crate::{DecodeError, proto};
+use crate::{DecodeError, proto, scarcity};
 
 /// Largest tokens and counts that are accepted from a peer, so that sums over all peers do not overflow.
-const MAX_TOKENS: u64 = 1 << 40;
-const MAX_COUNT: u32 = 1 << 20;
+pub(crate) const MAX_TOKENS: u64 = 1 << 40;
+pub(crate) const MAX_COUNT: u32 = 1 << 20;
 
 impl From<&Digest> for proto::Digest {
     fn from(digest: &Digest) -> Self {
@@ -91,6 +91,12 @@
             configuration_era: digest.versions.configuration.position.era(),
             endpoints_era: digest.versions.endpoints.era(),
             departures: digest.departures.iter().map(proto::Departure::from).collect(),
+            waiting: scarcity::encode_waiting(&digest.waiting),
+            holdings: scarcity::encode_holdings(&digest.holdings),
+            outages: digest.outages.iter().map(scarcity::encode_outage).collect(),
+            paces: digest.paces.iter().map(scarcity::encode_pace).collect(),
+            speeds: digest.speeds.iter().map(scarcity::encode_speed).collect(),
+            demands: digest.demands.iter().map(scarcity::encode_demand).collect(),
         }
     }
 }
@@ -347,6 +353,12 @@
                 .map(|unmet| (unmet.service.into(), unmet.count.min(MAX_COUNT)))
                 .collect(),
             loans: digest.loans.into_iter().map(Loan::from).collect(),
+            waiting: scarcity::decode_waiting(digest.waiting),
+            holdings: scarcity::decode_holdings(digest.holdings),
+            outages: scarcity::decode_outages(digest.outages),
+            paces: scarcity::decode_paces(digest.paces),
+            speeds: scarcity::decode_speeds(digest.speeds),
+            demands: scarcity::decode_demands(digest.demands),
             observed: Duration::from_micros(digest.observed_us),
             mixed: digest
                 .mixed
@@ -384,7 +396,7 @@
 }
 
 /// Replaces negative and non-finite numbers by zero, since comparisons with NaN are always false.
-fn sanitize(value: f64) -> f64 {
+pub(crate) fn sanitize(value: f64) -> f64 {
     if value.is_finite() { value.max(0.0) } else { 0.0 }
 }
 
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -447,6 +447,100 @@
     /// Endpoints that have left although the store still lists them.
     #[prost(message, repeated, tag = "22")]
     pub departures: ::prost::alloc::vec::Vec<Departure>,
+    /// Requests that wait for memory at the sender.
+    #[prost(message, repeated, tag = "23")]
+    pub waiting: ::prost::alloc::vec::Vec<Waiting>,
+    /// Memory of customers at the sender.
+    #[prost(message, repeated, tag = "24")]
+    pub holdings: ::prost::alloc::vec::Vec<Holding>,
+    /// Endpoints that refused connections of the sender.
+    #[prost(message, repeated, tag = "25")]
+    pub outages: ::prost::alloc::vec::Vec<Outage>,
+    /// Paces of endpoints that have just started or recovered.
+    #[prost(message, repeated, tag = "26")]
+    pub paces: ::prost::alloc::vec::Vec<Pace>,
+    /// Empty in most digests.
+    #[prost(message, repeated, tag = "27")]
+    pub speeds: ::prost::alloc::vec::Vec<EndpointSpeed>,
+    /// Empty in most digests.
+    #[prost(message, repeated, tag = "28")]
+    pub demands: ::prost::alloc::vec::Vec<Demand>,
+}
+/// Requests of one service and urgency that wait for memory. `due_us` is the time until the first of them has to start.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Waiting {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub late: bool,
+    #[prost(uint32, tag = "3")]
+    pub priority: u32,
+    #[prost(uint32, tag = "4")]
+    pub count: u32,
+    #[prost(uint64, tag = "5")]
+    pub memory: u64,
+    #[prost(uint64, tag = "6")]
+    pub due_us: u64,
+}
+/// Memory that a customer's runs hold and its queued requests want, in tokens.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Holding {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub customer: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub held: u64,
+    #[prost(uint64, tag = "4")]
+    pub wanted: u64,
+}
+/// An endpoint whose process that started at `born` refused connections or, if `over`, has answered since.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Outage {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    #[prost(uint64, tag = "3")]
+    pub age_us: u64,
+    #[prost(bool, tag = "4")]
+    pub over: bool,
+}
+/// Memory that all replicas together may use at an endpoint, in tokens.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Pace {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    #[prost(uint64, tag = "3")]
+    pub limit: u64,
+    #[prost(uint64, tag = "4")]
+    pub age_us: u64,
+}
+/// Time between two events of a run at an endpoint.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointSpeed {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub event_us: u64,
+    #[prost(uint32, tag = "3")]
+    pub weight: u32,
+}
+/// Recent demand for a service, with older requests counting less.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Demand {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub requests: f64,
+    #[prost(double, tag = "3")]
+    pub prompt: f64,
+    #[prost(double, tag = "4")]
+    pub endpoints: f64,
+    #[prost(double, tag = "5")]
+    pub endpoint_tokens: f64,
 }
 /// An endpoint that has left, by its newest write that the sender knows.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -14,13 +14,19 @@
         digest::{Digest, Member, Share, StageChange},
         directory::{Departure, Endpoint, Row, Stage},
         evacuation::{self, Former},
+        fairness::Holding,
         forecast::{Forecast, Size, Trend},
         growth::Growth,
         limit,
         loan::Loan,
+        order::{Urgency, Waiting},
         origin,
+        outage::Notice,
+        pace::Finding,
+        pools::Demand,
         position::{Edition, Position},
         relay::{Bundle, Parcel},
+        speed::Sample,
         staleness::Versions,
         state::{Identity, Listing, State},
         suspect::{self, Crash, Sighting, Suspect},
@@ -95,6 +101,27 @@
         .into(),
         versions: versions(),
         departures: vec![Departure { id: "d-7".into(), started_ms: 5, sequence: 8 }],
+        waiting: [(
+            "drafting".into(),
+            [(
+                Urgency { is_late: true, priority: 2 },
+                Waiting { count: 3, memory: 16_000, due_in: Duration::ZERO },
+            )]
+            .into(),
+        )]
+        .into(),
+        holdings: [("drafting".into(), [("faculty".into(), Holding { held: 11_000, wanted: 5_000 })].into())]
+            .into(),
+        outages: [("d-3".into(), Notice { started_ms: 6, age: Duration::from_millis(40), is_over: true })]
+            .into(),
+        paces: [("d-4".into(), Finding { started_ms: 7, limit: 9_000, age: Duration::from_millis(10) })]
+            .into(),
+        speeds: [("d-1".into(), Sample { event_interval: Duration::from_millis(45), weight: 6 })].into(),
+        demands: [(
+            "drafting".into(),
+            Demand { requests: 20.0, prompt: 1e5, endpoints: 2.5, endpoint_tokens: 900.0 },
+        )]
+        .into(),
         observed: Duration::from_secs(14),
         mixed: [("drafting".into(), Duration::from_millis(250))].into(),
         forecasts: [("drafting".into(), Forecast { prefill: trend, ..Forecast::default() })].into(),
@@ -162,6 +189,7 @@
         at(10),
         Completion {
             service: "drafting".into(),
+            customer: "faculty".into(),
             size: Size { prompt: 5_000, expected_output: 500, max_output: 1_000 },
             waiting_since: at(10),
             events: 0,
