Compute the split of the pools from the demand of all gateways

Change: demand travels in one digest in ten and is summed; where it is, up to an eighth of the endpoints move to decode at once.

--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -54,6 +54,13 @@
 const TO_PREFILL_DELAY: Duration = Duration::from_secs(4);
 /// Maximum number of changes in progress.
 const MAX_CHANGES: usize = 2;
+/// Divisor of the number of endpoints that gives the number of changes to decode in progress where the demand of the
+/// whole fleet is known. Prefill endpoints are free to change within a prompt, and only those beyond the target do.
+const ENDPOINTS_PER_CHANGE: usize = 8;
+/// Shortest time between two orders where the demand of the whole fleet is known.
+const MIN_FLEET_ORDER_INTERVAL: Duration = Duration::from_millis(250);
+/// Age at which the demand in a peer's digest no longer counts. Digests carry it about once a second.
+const PEER_DEMAND_TTL: Duration = Duration::from_secs(5);
 
 /// Exponentially decaying demand of one service. Stored as sizes and converted to times when used,
 /// so that newer forecasts apply to older requests too.
@@ -77,6 +84,13 @@
         self.endpoint_tokens *= factor;
     }
 
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.prompt += other.prompt;
+        self.endpoints += other.endpoints;
+        self.endpoint_tokens += other.endpoint_tokens;
+    }
+
     /// Returns the fraction of endpoints needed for prefill, or `None` while forecasts lack data.
     fn prefill_fraction(&self, engine: &Engine, forecast: &Forecast) -> Option<f64> {
         forecast
@@ -102,6 +116,16 @@
     pub stage: Stage,
 }
 
+/// Whose demand a split is computed from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// That of this replica, which takes a while to be known where callers spread over many replicas.
+    #[default]
+    Replica,
+    /// That of all replicas.
+    Fleet,
+}
+
 /// Inputs about a service for computing its split.
 #[derive(Clone, Copy, Debug)]
 pub struct ServiceInfo<'a> {
@@ -111,6 +135,8 @@
     pub engine: &'a Engine,
     /// Forecast of its prefill and decode times.
     pub forecast: &'a Forecast,
+    /// Whose demand counts.
+    pub scope: Scope,
 }
 
 /// Demand of all services, and the stage changes in progress.
@@ -118,6 +144,8 @@
 pub struct Pools {
     /// Demand by service, with the time up to which it has decayed.
     demand: BTreeMap<Arc<str>, (Time, Demand)>,
+    /// Demand at peers by service, with the time of each report.
+    peer_demands: BTreeMap<Arc<str>, (Time, BTreeMap<Arc<str>, Demand>)>,
     /// Changes ordered by this replica, with their timeout and the new stage.
     changing: BTreeMap<Arc<str>, (Time, Stage)>,
     /// Changes ordered by this replica that were not carried out, with the time until which digests carry them.
@@ -144,13 +172,41 @@
         demand.endpoint_tokens += endpoints * expected_output as f64;
     }
 
+    /// Returns the demand at this replica, for its digest.
+    pub fn demands(&self, now: Time) -> BTreeMap<Arc<str>, Demand> {
+        let decayed = |(decayed_at, demand): &(Time, Demand)| {
+            let mut demand = *demand;
+            demand.scale(decay_factor(now.since(*decayed_at), HALF_LIFE));
+            demand
+        };
+        self.demand.iter().map(|(service, demand)| (service.clone(), decayed(demand))).collect()
+    }
+
+    /// Records the demand that a peer reports.
+    pub fn record_peer_demands(&mut self, now: Time, peer: &Arc<str>, demands: &BTreeMap<Arc<str>, Demand>) {
+        self.peer_demands.insert(peer.clone(), (now, demands.clone()));
+    }
+
+    /// Removes the demand that an expired peer reported.
+    pub fn remove_peer(&mut self, peer: &str) {
+        self.peer_demands.remove(peer);
+    }
+
+    /// Returns the demand for a service in a scope.
+    fn demand(&self, now: Time, service: &str, scope: Scope) -> Demand {
+        let mut sum = self.demands(now).get(service).copied().unwrap_or_default();
+        if scope == Scope::Fleet {
+            let fresh = self.peer_demands.values().filter(|(at, _)| now.since(*at) < PEER_DEMAND_TTL);
+            fresh.filter_map(|(_, demands)| demands.get(service)).for_each(|demand| sum.add(demand));
+        }
+        sum
+    }
+
     /// Returns how many of `count` endpoints prefill needs, as a fractional number. `None` without
     /// enough data.
-    pub fn prefill_target(&mut self, now: Time, service: &ServiceInfo<'_>, count: usize) -> Option<f64> {
-        let ServiceInfo { name, engine, forecast } = service;
-        let (decayed_at, demand) = self.demand.get_mut(*name)?;
-        demand.scale(decay_factor(now.since(*decayed_at), HALF_LIFE));
-        *decayed_at = now;
+    pub fn prefill_target(&self, now: Time, service: &ServiceInfo<'_>, count: usize) -> Option<f64> {
+        let ServiceInfo { name, engine, forecast, scope } = service;
+        let demand = self.demand(now, name, *scope);
         if demand.requests < MIN_REQUESTS || count < 2 {
             return None;
         }
@@ -237,8 +293,9 @@
         if rank > 0 || now.since(imbalance.0) < delay {
             return None;
         }
-        let is_due = self.last_order.is_none_or(|at| now.since(at) >= MIN_ORDER_INTERVAL);
-        if !is_due || self.changing.len() + self.peer_changing.len() >= MAX_CHANGES {
+        let (interval, most) = pace(service.scope, to, endpoints.len());
+        let is_due = self.last_order.is_none_or(|at| now.since(at) >= interval);
+        if !is_due || self.changing.len() + self.peer_changing.len() >= most {
             return None;
         }
         // Prefill and decode have the same software version, so no version loses its last endpoint of a stage, and one
@@ -268,6 +325,16 @@
     }
 }
 
+/// Returns the shortest time between two orders, and the maximum number of changes in progress.
+fn pace(scope: Scope, to: Stage, endpoints: usize) -> (Duration, usize) {
+    match (scope, to) {
+        (Scope::Fleet, Stage::Decode) => {
+            (MIN_FLEET_ORDER_INTERVAL, MAX_CHANGES.max(endpoints / ENDPOINTS_PER_CHANGE))
+        }
+        (Scope::Fleet | Scope::Replica, _) => (MIN_ORDER_INTERVAL, MAX_CHANGES),
+    }
+}
+
 /// Returns the tokens that an endpoint must finish before it can change.
 fn pending_work(now: Time, loads: &Loads, endpoint: &Endpoint) -> u64 {
     loads.get(&endpoint.id).map_or(0, |load| {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -31,7 +31,7 @@
     loan::Loans,
     mechanism::{Mechanism, Mechanisms},
     origin::Origins,
-    pools::{Order, Pools, ServiceInfo},
+    pools::{Order, Pools, Scope, ServiceInfo},
     position::Position,
     profile::Profile,
     queue::{Entry, Queue, Verdict},
@@ -229,6 +229,7 @@
             self.loads.remove_peer(peer);
             self.suspects.remove_peer(peer);
             self.loans.remove_peer(peer);
+            self.pools.remove_peer(peer);
             self.forecasts.remove_peer(peer);
         }
         self.suspects.expire(now);
@@ -255,15 +256,23 @@
     pub fn next_order(&mut self, now: Time) -> Option<Order> {
         let catalog = self.catalog.clone()?;
         let rank = self.peers.rank(now);
+        let scopes: BTreeMap<Arc<str>, Scope> =
+            catalog.services().map(|service| (service.name.clone(), self.scope(&service.name))).collect();
         let Self { pools, directory, loads, forecasts, .. } = self;
         catalog.services().find_map(|service| {
             let forecast = forecasts.service(&service.name);
             let engine = service.engine.as_ref()?;
-            let info = ServiceInfo { name: &service.name, engine, forecast: &forecast };
+            let scope = scopes.get(&service.name).copied().unwrap_or_default();
+            let info = ServiceInfo { name: &service.name, engine, forecast: &forecast, scope };
             pools.next_order(now, &info, directory, loads, rank)
         })
     }
 
+    /// Returns whose demand the split of a service is computed from.
+    fn scope(&self, service: &str) -> Scope {
+        if self.uses(service, Mechanism::Demand) { Scope::Fleet } else { Scope::Replica }
+    }
+
     /// Drops an order that was not carried out.
     pub fn cancel_order(&mut self, now: Time, endpoint: &str) {
         self.pools.cancel(now, endpoint);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -8,6 +8,8 @@
     gateway::{
         digest::{Digest, Member},
         interval::{digest_interval, forward_interval, urgent_interval},
+        mechanism::Mechanism,
+        pools::Demand,
         rate_limit::Totals,
         relay::{Bundle, Delivery, Role, Topology},
     },
@@ -68,6 +70,9 @@
         if !digest.observed.is_zero() {
             self.history.apply_peer(now, digest.observed, &digest.mixed);
         }
+        if !digest.demands.is_empty() {
+            self.pools.record_peer_demands(now, &digest.name, &digest.demands);
+        }
         for (endpoint, change) in &digest.changing {
             self.pools.record_peer_change(now, endpoint, *change);
         }
@@ -134,7 +139,7 @@
             outages: BTreeMap::new(),
             paces: BTreeMap::new(),
             speeds: BTreeMap::new(),
-            demands: BTreeMap::new(),
+            demands: if is_full { self.demands(now) } else { BTreeMap::new() },
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().report(now),
             departures: self.directory.departures().collect(),
@@ -145,6 +150,13 @@
         (digest, recipients)
     }
 
+    /// Returns the demand at this replica for services whose split is computed from that of the fleet.
+    fn demands(&self, now: Time) -> BTreeMap<Arc<str>, Demand> {
+        let mut demands = self.pools.demands(now);
+        demands.retain(|service, _| self.uses(service, Mechanism::Demand));
+        demands
+    }
+
     /// Returns the known peers.
     pub fn members(&self) -> Vec<Member> {
         self.peers.members().collect()
--- a/crates/core/tests/gateway/pools.rs
+++ b/crates/core/tests/gateway/pools.rs
@@ -1,18 +1,24 @@
 //! Tests of the split between prefill and decode endpoints, and of the lease on stage changes.
 
-use std::{sync::LazyLock, time::Duration};
+use std::{
+    sync::{Arc, LazyLock},
+    time::Duration,
+};
 
 use tarragonhill_core::gateway::{
+    catalog::Engine,
     directory::{Directory, Endpoint, Stage},
-    forecast::{Forecasts, Size},
+    forecast::{Forecast, Forecasts, Size},
     lease::{Claim, HANDOVER_DELAY, LEASE_DURATION, Status, claimable_version},
     load::Loads,
-    pools::{Order, Pools, ServiceInfo},
+    pools::{Demand, Order, Pools, Scope, ServiceInfo},
     position::Position,
 };
 
 use crate::{SMALL, Speed, at, endpoint, engine, position, removed_row, row, trained};
 
+static ENGINE: LazyLock<Engine> = LazyLock::new(engine);
+
 fn directory(prefill: usize, decode: usize) -> Directory {
     let mut directory = Directory::default();
     let stages =
@@ -48,10 +54,15 @@
     forecasts: &Forecasts,
 ) -> Option<Order> {
     let forecast = forecasts.service("drafting");
-    let info = ServiceInfo { name: &"drafting".into(), engine: &engine(), forecast: &forecast };
+    let name = "drafting".into();
+    let info = info(&name, &forecast, Scope::Replica);
     pools.next_order(at(now), &info, directory, &Loads::default(), rank)
 }
 
+fn info<'a>(name: &'a Arc<str>, forecast: &'a Forecast, scope: Scope) -> ServiceInfo<'a> {
+    ServiceInfo { name, engine: &ENGINE, forecast, scope }
+}
+
 /// Simulates 60 s of requests of one size and carries out every order. Returns the final number of
 /// prefill endpoints, and the orders.
 fn simulate(directory: &mut Directory, prompt: u64, expected_output: u64) -> (usize, Vec<Order>) {
@@ -268,7 +279,8 @@
     loads.backoffs.record(at(0), &"e-00".into(), at(60_000));
     let forecasts = trained(SMALL);
     let forecast = forecasts.service("drafting");
-    let info = ServiceInfo { name: &"drafting".into(), engine: &engine(), forecast: &forecast };
+    let name = "drafting".into();
+    let info = info(&name, &forecast, Scope::Replica);
     let mut pools = Pools::default();
     let order = (0..20_000).step_by(100).find_map(|now| {
         record_request(&mut pools, now, 500, 5_000);
@@ -320,3 +332,52 @@
     let (_, orders) = simulate(&mut directory, 9_000, 50);
     assert_eq!(orders.first().map(|order| &*order.endpoint.software_version), Some("v2"));
 }
+
+/// Plays requests of which this replica gets one in 27, every 700 ms, and returns when the orders were given.
+fn play_fleet(scope: Scope, directory: &mut Directory) -> Vec<u64> {
+    let (forecasts, name) = (trained(SMALL), "drafting".into());
+    let forecast = forecasts.service("drafting");
+    let (mut pools, mut peer) = (Pools::default(), Pools::default());
+    let mut ordered = Vec::new();
+    for now in (0..20_000).step_by(100) {
+        if now % 700 == 0 {
+            record_request(&mut pools, now, 5_000, 860);
+            (0..26).for_each(|_| record_request(&mut peer, now, 5_000, 860));
+        }
+        if now % 1_000 == 0 {
+            pools.record_peer_demands(at(now), &"peer".into(), &peer.demands(at(now)));
+        }
+        let info = info(&name, &forecast, scope);
+        let Some(order) = pools.next_order(at(now), &info, directory, &Loads::default(), 0) else { continue };
+        let changed = Endpoint { stage: order.stage, ..Endpoint::clone(&order.endpoint) };
+        directory.update(at(now), position(1_000 + now), vec![row(1_000 + now, changed.clone())]);
+        pools.confirm(&changed);
+        ordered.push(now);
+    }
+    ordered
+}
+
+/// Guards against a fleet in which no replica sees enough requests to correct the split before a burst is over.
+#[test]
+fn a_split_follows_the_demand_of_the_fleet_long_before_that_of_one_replica() {
+    let fleet = play_fleet(Scope::Fleet, &mut directory(17, 33));
+    let replica = play_fleet(Scope::Replica, &mut directory(17, 33));
+    assert!(fleet.len() >= 4, "{fleet:?}");
+    assert!(fleet.first() < Some(&5_000) && replica.first() > Some(&8_000), "{fleet:?}, {replica:?}");
+}
+
+/// Guards against demand of peers that have gone or were cut off long ago.
+#[test]
+fn demand_of_silent_and_expired_peers_does_not_count() {
+    let (forecasts, name) = (trained(SMALL), "drafting".into());
+    let forecast = forecasts.service("drafting");
+    let info = info(&name, &forecast, Scope::Fleet);
+    let mut pools = Pools::default();
+    let demand = Demand { requests: 30.0, prompt: 150_000.0, endpoints: 3.0, endpoint_tokens: 2_000.0 };
+    pools.record_peer_demands(at(0), &"peer".into(), &[(name.clone(), demand)].into());
+    assert!(pools.prefill_target(at(4_900), &info, 12).is_some());
+    assert!(pools.prefill_target(at(5_100), &info, 12).is_none());
+    pools.record_peer_demands(at(6_000), &"peer".into(), &[(name.clone(), demand)].into());
+    pools.remove_peer("peer");
+    assert!(pools.prefill_target(at(6_100), &info, 12).is_none());
+}
