Order across gateways: requests yield to more urgent ones that wait at peers

Replicas report what waits by service and urgency. A request that could be placed yields while the free memory of the decode endpoints does not suffice for what more urgent ones at peers need. An endpoint that nobody uses for 0.3 s and two digest intervals is taken nevertheless.

--- a/crates/core/src/gateway/order.rs
+++ b/crates/core/src/gateway/order.rs
@@ -1,6 +1,27 @@
 //! Order in which the requests of all replicas get memory that becomes free.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+//!
+//! Each replica reports what waits in its queue. A request that could be placed yields while more urgent ones wait
+//! at peers and what is free does not suffice for all of them. A peer's report counts only while it is fresh, and an
+//! endpoint whose memory nobody takes is no longer yielded, so that wrong reports never leave memory idle for long.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::AddAssign,
+    sync::Arc,
+    time::Duration,
+};
+
+use super::queue::Entry;
+use crate::clock::Time;
+
+/// Age, in addition to the digest interval, at which a peer's report no longer counts.
+const STALE_AFTER: Duration = Duration::from_secs(1);
+/// Time for which requests yield the memory of an endpoint, in addition to two digest intervals: more urgent ones at
+/// peers learn within one that it is free.
+const MAX_YIELD: Duration = Duration::from_millis(300);
+/// Time without a decision after which an endpoint counts as not observed, so that it was perhaps used meanwhile.
+const MAX_UNOBSERVED: Duration = Duration::from_millis(200);
 
 /// Urgency of a waiting request; the least comes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,3 +45,172 @@
 
 /// What waits at one replica, by service.
 pub type Report = BTreeMap<Arc<str>, BTreeMap<Urgency, Waiting>>;
+
+impl AddAssign for Waiting {
+    fn add_assign(&mut self, other: Self) {
+        let due_in = if self.count == 0 { other.due_in } else { self.due_in.min(other.due_in) };
+        *self = Self {
+            count: self.count.saturating_add(other.count),
+            memory: self.memory.saturating_add(other.memory),
+            due_in,
+        };
+    }
+}
+
+impl Waiting {
+    /// Returns the mean memory of a request, in tokens.
+    pub fn mean_memory(&self) -> u64 {
+        self.memory / u64::from(self.count.max(1))
+    }
+}
+
+impl Urgency {
+    /// Returns the urgency of a queued request.
+    pub fn of<T>(now: Time, entry: &Entry<T>) -> Self {
+        Self { is_late: entry.is_late(now), priority: entry.priority }
+    }
+}
+
+/// Summarizes queued requests by service and urgency.
+pub fn report<'a, T: 'a>(now: Time, entries: impl Iterator<Item = &'a Entry<T>>) -> Report {
+    let mut report = Report::new();
+    for entry in entries {
+        let waiting = Waiting { count: 1, memory: entry.memory, due_in: entry.soft_deadline.since(now) };
+        let service = report.entry(entry.service.clone()).or_default();
+        *service.entry(Urgency::of(now, entry)).or_default() += waiting;
+    }
+    report
+}
+
+/// What waits at the peers.
+#[derive(Clone, Debug, Default)]
+pub struct Peers(BTreeMap<Arc<str>, (Time, Report)>);
+
+impl Peers {
+    /// Replaces what a peer reported before.
+    pub fn apply(&mut self, now: Time, peer: &Arc<str>, report: &Report) {
+        if report.is_empty() {
+            self.0.remove(peer);
+        } else {
+            self.0.insert(peer.clone(), (now, report.clone()));
+        }
+    }
+
+    /// Removes the report of an expired peer.
+    pub fn remove(&mut self, peer: &str) {
+        self.0.remove(peer);
+    }
+
+    /// Returns what waits at all peers for a service, by urgency, as far as the reports are fresh.
+    pub fn waiting(&self, now: Time, digest_interval: Duration, service: &str) -> BTreeMap<Urgency, Waiting> {
+        let fresh = self.0.values().filter(|(at, _)| now.since(*at) < STALE_AFTER + digest_interval);
+        let mut sum: BTreeMap<Urgency, Waiting> = BTreeMap::new();
+        for (urgency, waiting) in fresh.filter_map(|(_, report)| report.get(service)).flatten() {
+            *sum.entry(*urgency).or_default() += *waiting;
+        }
+        sum
+    }
+}
+
+/// Free memory of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// ID of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Memory that is free at peak use, in tokens.
+    pub memory: u64,
+    /// Number of further runs that the endpoint may have.
+    pub slots: u32,
+}
+
+/// Returns how many requests of a size fit into the endpoints.
+pub fn places(rooms: &[Room], memory: u64) -> u64 {
+    rooms.iter().map(|room| (room.memory / memory.max(1)).min(room.slots.into())).sum()
+}
+
+/// Returns whether a request of `memory` tokens has to leave what is free to more urgent ones.
+pub fn must_yield(
+    rooms: &[Room],
+    urgency: Urgency,
+    memory: u64,
+    waiting: &BTreeMap<Urgency, Waiting>,
+) -> bool {
+    let mut ahead = Waiting::default();
+    let mut is_on_time_waiting = false;
+    for (other, waiting) in waiting.range(..urgency) {
+        ahead += *waiting;
+        is_on_time_waiting |= !other.is_late;
+    }
+    if ahead.count == 0 {
+        return false;
+    }
+    if urgency.is_late && is_on_time_waiting {
+        return true;
+    }
+    let unit = ahead.mean_memory().max(1);
+    places(rooms, unit) < u64::from(ahead.count) + memory.div_ceil(unit)
+}
+
+/// What the first request of a service leaves to more urgent ones at peers.
+#[derive(Clone, Debug)]
+struct Yield {
+    /// Since when each endpoint has had room for it.
+    free: BTreeMap<Arc<str>, Time>,
+    /// Time of the newest decision.
+    observed: Time,
+    is_yielding: bool,
+}
+
+/// Memory that requests here leave to more urgent ones at peers.
+#[derive(Clone, Debug, Default)]
+pub struct Yields {
+    services: BTreeMap<Arc<str>, Yield>,
+    /// Number of times that a request began to yield.
+    count: u64,
+}
+
+impl Yields {
+    /// Records the endpoints that have room for a request of `service` that yields, and returns whether it may use
+    /// `endpoint` nevertheless, because nobody took the memory.
+    pub fn record(
+        &mut self,
+        now: Time,
+        digest_interval: Duration,
+        service: &Arc<str>,
+        rooms: impl Iterator<Item = Room>,
+        endpoint: &Arc<str>,
+    ) -> bool {
+        let known = self.services.remove(service);
+        let known = known.filter(|known| now.since(known.observed) < MAX_UNOBSERVED);
+        let since = |id: &str| known.as_ref().and_then(|known| known.free.get(id)).copied().unwrap_or(now);
+        let mut free: BTreeMap<Arc<str>, Time> =
+            rooms.map(|room| (room.endpoint.clone(), since(&room.endpoint))).collect();
+        let first_free = since(endpoint);
+        free.insert(endpoint.clone(), first_free);
+        let is_unused = now.since(first_free) >= MAX_YIELD + digest_interval * 2;
+        if is_unused {
+            free.insert(endpoint.clone(), now);
+        } else if known.as_ref().is_none_or(|known| !known.is_yielding) {
+            self.count += 1;
+        }
+        self.services.insert(service.clone(), Yield { free, observed: now, is_yielding: !is_unused });
+        is_unused
+    }
+
+    /// Records that the first request of a service does not yield, or that no endpoint has room for it.
+    pub fn end(&mut self, service: &str) {
+        self.services.remove(service);
+    }
+
+    /// Returns the services whose first request yields.
+    pub fn services(&self, now: Time) -> BTreeSet<Arc<str>> {
+        let is_yielding = |known: &Yield| known.is_yielding && now.since(known.observed) < MAX_UNOBSERVED;
+        let yielding = self.services.iter().filter(|(_, known)| is_yielding(known));
+        yielding.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Returns the number of times that a request began to yield.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+}
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -10,6 +10,7 @@
     forecast::Forecasts,
     growth::Growth,
     load::{Load, Loads},
+    order::Room,
     pools::Pools,
     throttle::Gate,
 };
@@ -380,6 +381,20 @@
         self.load(endpoint).is_none_or(|load| load.is_ready_for_prefill(self.now))
     }
 
+    /// Returns the free memory of the endpoints that may take a run, without those that are full.
+    pub fn rooms(&self, service: &str, stage: Stage, engine: &Engine, filter: Filter<'_>) -> Vec<Room> {
+        let room = |endpoint: &Arc<Endpoint>| {
+            let load = self.load(endpoint);
+            let is_full = load.is_some_and(|load| load.is_full(self.now));
+            let current = load.map(|load| load.total(self.now)).unwrap_or_default();
+            let memory = engine.memory.saturating_sub(current.growth.peak() + headroom(engine, false));
+            let slots = engine.slots.saturating_sub(current.running);
+            let has_room = !is_full && memory > 0 && slots > 0;
+            has_room.then(|| Room { endpoint: endpoint.id.clone(), memory, slots })
+        };
+        self.candidates(service, stage, filter).into_iter().filter_map(room).collect()
+    }
+
     fn most_free(
         &self,
         endpoints: Vec<&Arc<Endpoint>>,
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -95,6 +95,11 @@
         self.0.is_empty()
     }
 
+    /// Returns the queued requests.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry<T>> {
+        self.0.iter()
+    }
+
     /// Removes the requests for whose tags `keep` returns false, such as those of disconnected
     /// callers.
     pub fn retain(&mut self, keep: impl Fn(&T) -> bool) {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 //! gets the result.
 
 mod admission;
+mod ordering;
 mod peers;
 mod placing;
 mod progress;
@@ -30,6 +31,7 @@
     load::{Lease, Loads},
     loan::Loans,
     mechanism::{Mechanism, Mechanisms},
+    order,
     origin::Origins,
     pools::{Order, Pools, ServiceInfo},
     position::Position,
@@ -146,6 +148,9 @@
     budget: Budget,
     peers: Peers,
     queue: Queue<T>,
+    /// What waits for memory at the peers.
+    waiting_peers: order::Peers,
+    yields: order::Yields,
     suspects: Suspects,
     pools: Pools,
     forecasts: Forecasts,
@@ -184,6 +189,8 @@
             rate_limiter: RateLimiter::new(now),
             budget: Budget::new(retries),
             queue: Queue::default(),
+            waiting_peers: order::Peers::default(),
+            yields: order::Yields::default(),
             pools: Pools::default(),
             forecasts: Forecasts::default(),
             serial: 0,
@@ -227,6 +234,7 @@
         for peer in &expired {
             self.rate_limiter.remove_peer(peer);
             self.loads.remove_peer(peer);
+            self.waiting_peers.remove(peer);
             self.suspects.remove_peer(peer);
             self.loans.remove_peer(peer);
             self.forecasts.remove_peer(peer);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -61,6 +61,7 @@
         self.extend_roster(now, names);
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
+        self.waiting_peers.apply(now, &digest.name, &digest.waiting);
         self.suspects.apply_peer(now, &digest.name, &digest.suspects);
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
@@ -129,7 +130,7 @@
             limits: self.limits.report(now),
             unmet: self.loans.unmet(now),
             loans: self.take_loans(now),
-            waiting: BTreeMap::new(),
+            waiting: self.waiting(now),
             holdings: BTreeMap::new(),
             outages: BTreeMap::new(),
             paces: BTreeMap::new(),
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -181,7 +181,13 @@
             ttft_target: *ttft_target,
             filter: Filter { avoid: &entry.avoid, software_version: entry.software_version.as_deref() },
         };
-        let Placement { endpoint, prefill } = self.view(now).pick_pair(service, &engine, &run)?;
+        let Some(Placement { endpoint, prefill }) = self.view(now).pick_pair(service, &engine, &run) else {
+            self.yields.end(service);
+            return None;
+        };
+        if self.must_yield(now, entry, &engine, &run, &endpoint) {
+            return None;
+        }
         let prefill_tokens = if prefill.is_some() { 0 } else { size.prompt };
         let share = Share { running: 1, memory: *memory, prefill_tokens, ..Share::default() };
         let decode = self.assign(now, endpoint, share, Some(Estimate { size: *size, spread }));
@@ -205,7 +211,7 @@
         self.queue.len()
     }
 
-    fn view(&self, now: Time) -> View<'_> {
+    pub(super) fn view(&self, now: Time) -> View<'_> {
         View {
             now,
             directory: &self.directory,
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod health;
 mod history;
 mod mirror;
+mod order;
 mod origin;
 mod placement;
 mod pools;
