--- a/crates/core/src/gateway/order.rs
+++ b/crates/core/src/gateway/order.rs
@@ -13,7 +13,7 @@
 };
 
 use super::queue::Entry;
-use crate::clock::Time;
+use crate::clock::{Time, decay_factor};
 
 /// Age, in addition to the digest interval, at which a peer's report no longer counts.
 const STALE_AFTER: Duration = Duration::from_secs(1);
@@ -22,6 +22,10 @@
 const MAX_YIELD: Duration = Duration::from_millis(300);
 /// Time without a decision after which an endpoint counts as not observed, so that it was perhaps used meanwhile.
 const MAX_UNOBSERVED: Duration = Duration::from_millis(200);
+/// Half-life of the mix of priorities; a replica gets few requests.
+const MIX_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Number of requests that count as of the lowest priority, so that the first ones do not decide.
+const MIX_PRIOR: f64 = 2.0;
 
 /// Urgency of a waiting request; the least comes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -128,12 +132,49 @@
     rooms.iter().map(|room| (room.memory / memory.max(1)).min(room.slots.into())).sum()
 }
 
-/// Returns whether a request of `memory` tokens has to leave what is free to more urgent ones.
+/// Recent requests of a service here, by priority.
+#[derive(Clone, Debug, Default)]
+pub struct Mix {
+    counts: BTreeMap<u8, f64>,
+    updated: Time,
+}
+
+impl Mix {
+    /// Records a request.
+    pub fn record(&mut self, now: Time, priority: u8) {
+        let factor = decay_factor(now.since(self.updated), MIX_HALF_LIFE);
+        self.counts.values_mut().for_each(|count| *count *= factor);
+        self.updated = now;
+        *self.counts.entry(priority).or_default() += 1.0;
+    }
+
+    /// Returns the share of requests that come before those of an urgency when they arrive.
+    pub fn share_before(&self, urgency: Urgency) -> f64 {
+        if urgency.is_late {
+            return 1.0;
+        }
+        let before = self.counts.range(..urgency.priority).map(|(_, count)| count).sum::<f64>();
+        before / (self.counts.values().sum::<f64>() + MIX_PRIOR)
+    }
+}
+
+/// More urgent requests that are expected to arrive before replicas learn of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Expected {
+    /// Number of requests.
+    pub count: f64,
+    /// Memory of each, in tokens.
+    pub memory: u64,
+}
+
+/// Returns whether a request of `memory` tokens has to leave what is free to more urgent ones, which wait at peers or are
+/// expected.
 pub fn must_yield(
     rooms: &[Room],
     urgency: Urgency,
     memory: u64,
     waiting: &BTreeMap<Urgency, Waiting>,
+    expected: Expected,
 ) -> bool {
     let mut ahead = Waiting::default();
     let mut is_on_time_waiting = false;
@@ -141,14 +182,16 @@
         ahead += *waiting;
         is_on_time_waiting |= !other.is_late;
     }
-    if ahead.count == 0 {
-        return false;
-    }
     if urgency.is_late && is_on_time_waiting {
         return true;
     }
-    let unit = ahead.mean_memory().max(1);
-    places(rooms, unit) < u64::from(ahead.count) + memory.div_ceil(unit)
+    // The cast saturates.
+    let count = u64::from(ahead.count) + expected.count.round() as u64;
+    if count == 0 {
+        return false;
+    }
+    let unit = if ahead.count > 0 { ahead.mean_memory() } else { expected.memory }.max(1);
+    places(rooms, unit) < count + memory.div_ceil(unit)
 }
 
 /// What the first request of a service leaves to more urgent ones at peers.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -151,6 +151,8 @@
     /// What waits for memory at the peers.
     waiting_peers: order::Peers,
     yields: order::Yields,
+    /// Recent requests by service.
+    mixes: BTreeMap<Arc<str>, order::Mix>,
     suspects: Suspects,
     pools: Pools,
     forecasts: Forecasts,
@@ -191,6 +193,7 @@
             queue: Queue::default(),
             waiting_peers: order::Peers::default(),
             yields: order::Yields::default(),
+            mixes: BTreeMap::new(),
             pools: Pools::default(),
             forecasts: Forecasts::default(),
             serial: 0,
--- a/crates/core/src/gateway/state/ordering.rs
+++ b/crates/core/src/gateway/state/ordering.rs
@@ -10,12 +10,15 @@
         directory::{Endpoint, Stage},
         interval::digest_interval,
         mechanism::Mechanism,
-        order::{Report, Urgency, Waiting, Yields, must_yield, report},
+        order::{Expected, Report, Urgency, Waiting, Yields, must_yield, report},
         placement::Run,
         queue::Entry,
     },
 };
 
+/// Digest intervals after which replicas know of a request that waits.
+const NEWS_INTERVALS: u32 = 2;
+
 impl<T> State<T> {
     /// Returns what waits here, for the services whose requests are ordered across replicas.
     pub fn waiting(&self, now: Time) -> Report {
@@ -50,12 +53,29 @@
         }
         let waiting = self.waiting_at_peers(now, service);
         let rooms = self.view(now).rooms(service, Stage::Decode, engine, run.filter);
-        if !must_yield(&rooms, Urgency::of(now, entry), entry.memory, &waiting) {
+        let urgency = Urgency::of(now, entry);
+        let expected = self.expected_before(now, service, urgency);
+        if !must_yield(&rooms, urgency, entry.memory, &waiting, expected) {
             self.yields.end(service);
             return false;
         }
-        let interval = digest_interval(self.peers.count());
         let fitting = rooms.into_iter().filter(|room| room.memory >= entry.memory);
-        !self.yields.record(now, interval, service, fitting, &endpoint.id)
+        !self.yields.record(now, digest_interval(self.peers.count()), service, fitting, &endpoint.id)
+    }
+
+    /// Returns the requests of the fleet before those of an urgency that are expected to arrive before replicas learn of
+    /// them. Replicas know the runs in progress well, and the mix of priorities only by their own requests.
+    fn expected_before(&self, now: Time, service: &str, urgency: Urgency) -> Expected {
+        let Some(half) = self.forecasts.service(service).half_decode_time() else {
+            return Expected::default();
+        };
+        let share = self.mixes.get(service).map_or(0.0, |mix| mix.share_before(urgency));
+        let decodes = self.directory.serving(service).filter(|endpoint| endpoint.stage == Stage::Decode);
+        let loads = decodes.filter_map(|endpoint| self.loads.get(&endpoint.id)).map(|load| load.total(now));
+        let (running, memory) =
+            loads.fold((0, 0), |(running, memory), load| (running + load.running, memory + load.memory));
+        let rate = f64::from(running) / (half * 2).as_secs_f64().max(f64::MIN_POSITIVE);
+        let window = digest_interval(self.peers.count()) * NEWS_INTERVALS;
+        Expected { count: rate * share * window.as_secs_f64(), memory: memory / u64::from(running.max(1)) }
     }
 }
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -81,6 +81,7 @@
         if let Some(engine) = &engine {
             self.pools.record_request(now, &completion.service, engine, completion.size);
         }
+        self.mixes.entry(completion.service.clone()).or_default().record(now, completion.priority);
         let mut entry = completion.into_entry(&forecast, tag);
         // A request that needs more than an endpoint's memory reserves all of it and runs alone.
         entry.memory = entry.memory.min(engine.map_or(u64::MAX, |engine| engine.memory));
