Replicas tell each other which endpoints have ended

After a crash each replica found out alone: an endpoint that has ended has the most free memory and draws the queue. A refused connection or a crash now takes an endpoint out at all replicas with the next digest, until an answer, a new write of its row or a newer process shows that it is back. One replica tries it for all; a request that has met one tries no other. A replica with a later answer keeps it and says that the outage is over.

A request to which no connection could be made (refused, or another process than the one that is listed) was counted as sent and charged; four of these ended in a refusal. Nothing was sent, so it is placed again, with its prefill result. So is one that is rejected as misdirected, but that is still charged.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -392,6 +392,11 @@
         self.records.contains_key(id)
     }
 
+    /// Returns the start of a listed endpoint's process and the number of its newest known write.
+    pub fn last_write(&self, id: &str) -> Option<(u64, u64)> {
+        self.records.get(id).filter(|record| record.endpoint.is_some()).map(|record| record.last_write)
+    }
+
     /// Returns an endpoint by name.
     pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.records.get(id).and_then(|record| record.endpoint.as_ref())
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -34,6 +34,8 @@
     Failed,
     /// No connection could be made; nothing was sent.
     Unreachable,
+    /// The endpoint did not answer a message that needs no work, or not as expected.
+    Unresponsive,
     /// Another endpoint now listens at the address.
     Replaced,
     /// The endpoint refused a whole request without running it.
@@ -82,7 +84,7 @@
                 self.response_time = moving_average(self.response_time, time);
             }
             Outcome::Failed | Outcome::Refused => self.record_result(now, 1.0),
-            Outcome::Unreachable => {
+            Outcome::Unreachable | Outcome::Unresponsive => {
                 self.record_result(now, 1.0);
                 self.ejected_until = now.plus(ejection_time(self.consecutive_unreachable));
                 self.consecutive_unreachable += 1;
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -8,6 +8,7 @@
     forecast::Size,
     growth::Growth,
     health::{Health, Outcome},
+    outage::Outages,
 };
 use crate::clock::Time;
 
@@ -140,6 +141,8 @@
     reported: BTreeMap<Arc<str>, Vec<Arc<str>>>,
     /// Backoffs of endpoints. Not part of [`Load`], because they must outlast its removal.
     pub backoffs: Backoffs,
+    /// Endpoints that have ended; must outlast the removal of [`Load`] likewise.
+    pub outages: Outages,
 }
 
 impl Loads {
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -10,6 +10,7 @@
     forecast::Forecasts,
     growth::Growth,
     load::{Load, Loads},
+    outage::Access,
     pools::Pools,
     throttle::Gate,
 };
@@ -166,7 +167,37 @@
         let stable = admitted.filter(|endpoint| !self.pools.is_changing(self.now, &endpoint.id));
         let open = stable.filter(|endpoint| self.gate.wait(self.now, &endpoint.id) == Some(Duration::ZERO));
         let available = open.filter(|endpoint| self.backoff(endpoint).is_zero());
-        available.filter(|endpoint| !self.is_ejected(endpoint)).collect()
+        let healthy = available.filter(|endpoint| !self.is_ejected(endpoint)).collect();
+        self.without_outages(service, stage, healthy, filter)
+    }
+
+    /// Removes endpoints that have ended, unless one is due for a try. A request that has met one tries no other. If all
+    /// have ended, those that only peers noticed are kept: the peers may be cut off.
+    fn without_outages(
+        &self,
+        service: &str,
+        stage: Stage,
+        endpoints: Vec<&'a Arc<Endpoint>>,
+        filter: Filter<'_>,
+    ) -> Vec<&'a Arc<Endpoint>> {
+        let outages = &self.loads.outages;
+        if outages.out().next().is_none() {
+            return endpoints;
+        }
+        let has_tried = filter.avoid.iter().any(|endpoint| outages.is_out(endpoint));
+        let access = |endpoint: &Endpoint| outages.access(self.now, &endpoint.id, self.preference(endpoint));
+        let is_open = |endpoint: &Endpoint| match access(endpoint) {
+            Access::Open => true,
+            Access::Try => !has_tried,
+            Access::Closed { .. } => false,
+        };
+        let open: Vec<_> = endpoints.iter().copied().filter(|endpoint| is_open(endpoint)).collect();
+        let mut pool = self.directory.serving(service).filter(|endpoint| endpoint.stage == stage);
+        if pool.any(|endpoint| access(endpoint) == Access::Open) || has_tried {
+            return open;
+        }
+        let is_hearsay = |endpoint: &Endpoint| access(endpoint) == Access::Closed { is_hearsay: true };
+        endpoints.into_iter().filter(|endpoint| is_open(endpoint) || is_hearsay(endpoint)).collect()
     }
 
     /// Returns the reachable endpoints, without those that fail more often than the others.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 //! gets the result.
 
 mod admission;
+mod outages;
 mod peers;
 mod placing;
 mod progress;
@@ -236,6 +237,7 @@
         self.gate.expire(now);
         self.limits.expire(now);
         self.update_throttles(now);
+        self.update_outages(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
         self.update_profiles();
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -64,6 +64,7 @@
         self.suspects.apply_peer(now, &digest.name, &digest.suspects);
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
+        self.apply_outages(now, &digest.name, &digest.outages);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
         if !digest.observed.is_zero() {
             self.history.apply_peer(now, digest.observed, &digest.mixed);
@@ -74,9 +75,9 @@
         true
     }
 
-    /// Returns whether peers should learn of this replica's spending or of crashes soon.
+    /// Returns whether peers should learn of this replica's spending, of crashes or of outages soon.
     fn is_digest_urgent(&self, now: Time) -> bool {
-        self.rate_limiter.is_digest_urgent() || self.suspects.is_urgent(now)
+        self.rate_limiter.is_digest_urgent() || self.suspects.is_urgent(now) || self.loads.outages.is_urgent()
     }
 
     /// Returns the time from one digest to the next.
@@ -131,7 +132,7 @@
             loans: self.take_loans(now),
             waiting: BTreeMap::new(),
             holdings: BTreeMap::new(),
-            outages: BTreeMap::new(),
+            outages: self.loads.outages.report(now),
             paces: BTreeMap::new(),
             speeds: BTreeMap::new(),
             demands: BTreeMap::new(),
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -235,6 +235,7 @@
             self.loans.record_used(now, &endpoint.service);
         }
         let _ = self.gate.take(now, &endpoint.id, Duration::ZERO);
+        self.loads.outages.record_sent(now, &endpoint.id);
         let lease = self.loads.acquire_run(now, &endpoint.id, share, output);
         Assignment { endpoint, lease, prefill_tokens: 0, prefill_timeout: Duration::ZERO }
     }
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -10,6 +10,7 @@
         forecast::{Forecast, Observation},
         health::Outcome,
         load::Lease,
+        outage::Reason,
     },
 };
 
@@ -32,6 +33,9 @@
         if self.directory.get(&endpoint.id).is_none() {
             return;
         }
+        if matches!(observation, Observation::Events { .. }) {
+            self.record_answer(now, &endpoint.id);
+        }
         let memory = self.loads.get(&endpoint.id).map_or(0, |load| load.total(now).memory);
         self.forecasts.record(now, &endpoint.service, &endpoint.id, memory, observation);
     }
@@ -58,6 +62,7 @@
         let forecast = endpoint.map(|endpoint| self.forecasts.endpoint(now, &endpoint.service, &endpoint.id));
         let pause = forecast.unwrap_or_default().typical_event_interval() * PREFILL_PAUSE_EVENTS;
         self.loads.record_first_event(now, lease, pause);
+        self.record_answer(now, &lease.endpoint);
     }
 
     /// Records the end of a request at its endpoint.
@@ -67,10 +72,19 @@
         if is_unexpected {
             self.loads.record_unexpected_refusal(now, &lease.endpoint);
         }
-        if outcome == Outcome::Unreachable {
+        if matches!(outcome, Outcome::Unreachable | Outcome::Unresponsive) {
             self.suspects.record_crash(now, &lease.endpoint);
             self.record_restart(now, &lease.endpoint);
         }
+        match outcome {
+            Outcome::Unreachable | Outcome::Replaced => {
+                self.record_outage(now, &lease.endpoint, Reason::Unreachable);
+            }
+            Outcome::Responded(_) | Outcome::Refused | Outcome::ReservationRejected | Outcome::Full => {
+                self.record_answer(now, &lease.endpoint);
+            }
+            Outcome::Failed | Outcome::Unresponsive | Outcome::Abandoned => {}
+        }
         if self.directory.get(&lease.endpoint).is_none() {
             self.loads.remove_if_idle(&lease.endpoint);
         }
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -138,6 +138,7 @@
             self.record_cold(now, &endpoint, span);
         }
         self.apply_changes(now, &changes);
+        self.update_outages(now);
         changes
     }
 
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -8,6 +8,7 @@
     gateway::{
         directory::Endpoint,
         interval::digest_interval,
+        outage::Reason,
         queue::Entry,
         suspect::{Report, Suspect},
     },
@@ -45,6 +46,7 @@
 
     /// Records that an endpoint has crashed. Returns the number of suspects.
     pub fn record_crash(&mut self, now: Time, endpoint: &str) -> usize {
+        self.record_outage(now, endpoint, Reason::Crashed);
         self.suspects.record_crash(now, endpoint)
     }
 
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod history;
 mod mirror;
 mod origin;
+mod outage;
 mod placement;
 mod pools;
 mod queue;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -201,6 +201,8 @@
     awaited: BTreeSet<Arc<str>>,
     /// Names of response fields that the gateway does not know, in lowercase.
     unknown_fields: BTreeSet<String>,
+    /// Number of endpoints that have ended as far as this replica knows.
+    out_count: usize,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -402,6 +404,11 @@
         lock(&self.shared).gate.cold.all(now).count()
     }
 
+    /// Returns the number of endpoints that have ended as far as this replica knows.
+    pub fn out_count(&self) -> usize {
+        lock(&self.shared).out_count
+    }
+
     /// Returns the number of endpoints that name a limit.
     pub fn limited_count(&self, now: Time) -> usize {
         lock(&self.shared).gate.limited.all(now).count()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -20,6 +20,7 @@
         forecast::Forecast,
         health::Outcome,
         origin::{Message, Origin, Searches, Stream},
+        outage::Event,
         placement::Filter,
         pools::Order,
         position::Position,
@@ -192,6 +193,7 @@
                     self.execute(command);
                     self.publish_evacuations();
                     self.publish_gate();
+                    self.publish_outages();
                     self.publish_awaited();
                     self.save_suspects();
                     self.publish_held();
@@ -229,6 +231,7 @@
             {
                 self.state.cancel_order(now, &error.into_inner().endpoint.id);
             }
+            self.publish_outages();
             for (member, message) in self.state.take_announcements(now) {
                 self.send_message(member, message);
             }
@@ -382,6 +385,26 @@
         }
     }
 
+    /// Logs changes of outages, and makes their number known to the threads that serve metrics.
+    fn publish_outages(&mut self) {
+        let events = self.state.take_outage_events();
+        if events.is_empty() {
+            return;
+        }
+        lock(&self.weak_control.shared).out_count = self.state.outages().out().count();
+        for event in events {
+            match event {
+                Event::Out { endpoint, reason, noticed_by, age } => spdlog::info!("endpoint out", kv: {
+                    endpoint = &*endpoint, reason = <&'static str>::from(reason), noticed_by = &*noticed_by,
+                    age_ms = age.as_millis() as u64
+                }),
+                Event::Back { endpoint, sign, after } => spdlog::info!("endpoint back", kv: {
+                    endpoint = &*endpoint, sign = <&'static str>::from(sign), after_ms = after.as_millis() as u64
+                }),
+            }
+        }
+    }
+
     /// Makes the endpoints that may still read messages of ended requests known to the threads that read responses.
     fn publish_awaited(&self) {
         let awaited = self.state.awaited_endpoints();
@@ -620,6 +643,7 @@
                     "stage": endpoint.stage.to_string(), "leaving": endpoint.is_draining,
                     "running": all.running, "memory": all.memory, "reading": all.prefill_tokens,
                     "cold_ms": self.state.gate().cold.get(now, &endpoint.id).map(|cold| cold.until.since(now).as_millis() as u64),
+                    "out": self.state.outages().is_out(&endpoint.id),
                     "limit": self.state.limits().get(&endpoint.id),
                     "failing": load.map(|load| load.health.failure_ratio(now)),
                 })
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -144,6 +144,9 @@
     OverBudget,
     /// The request has not run.
     NotRun(String),
+    /// The endpoint was not the intended one, so that the request has not run. The prompt may have been prefilled
+    /// elsewhere.
+    Misdirected { reason: String, prefilled: Option<Prefilled> },
     /// The request has not run and would not end before the gateway does.
     EndsTooLate,
     /// The request may have run.
@@ -224,13 +227,19 @@
                 progress.avoid.push(endpoint.id.clone());
                 Some(reason)
             }
+            Err(Abort::Misdirected { reason, prefilled: kept }) => {
+                prefilled = kept;
+                progress.sends -= 1;
+                progress.avoid.push(endpoint.id.clone());
+                Some(reason)
+            }
         };
         // The stream was cut: the caller's connection closes without the end of the body.
         let Some(reason) = reason else { return Ok(()) };
         // A replacement has been charged to the retry budget already.
         let may_retry = replacement.is_some()
             || progress.sends < MAX_SENDS
-                && inbound.charge(context, retry_plan(context, inbound).await).await;
+                && inbound.charge(context, retry_plan(context, inbound, prefilled.is_some()).await).await;
         if !may_retry {
             return give_up(context, inbound, writer, reason);
         }
@@ -257,9 +266,9 @@
 }
 
 /// Returns the messages by which a request is retried, before its placement is known.
-async fn retry_plan(context: &Context, inbound: &Inbound) -> Plan {
+async fn retry_plan(context: &Context, inbound: &Inbound, is_prefilled: bool) -> Plan {
     let is_split = context.control.is_split(inbound.service()).await;
-    if is_split { Plan::PrefillAndRun } else { Plan::Run }
+    if is_split && !is_prefilled { Plan::PrefillAndRun } else { Plan::Run }
 }
 
 /// Waits for a placement. Refuses a new stream as soon as it is not expected to end before the gateway does:
@@ -421,6 +430,9 @@
             let started = send(context, inbound, decode, endpoint, Task::Decode(inputs)).await;
             match started {
                 Err(Abort::NotSent { reason, .. }) => return Err(Abort::NotSent { reason, prefilled }),
+                Err(Abort::Misdirected { reason, .. }) => {
+                    return Err(Abort::Misdirected { reason, prefilled });
+                }
                 Err(Abort::OverBudget | Abort::NotRun(_)) => {}
                 Ok(_) | Err(_) => {
                     let results = prefilled.iter_mut().map(|prefilled| &mut prefilled.result);
@@ -457,7 +469,8 @@
         Err(Failure::Connect(error)) => {
             inbound.mark_not_run();
             permit.finish(Outcome::Unreachable);
-            return Err(Abort::NotRun(format!("{} is unreachable: {error}", endpoint.id)));
+            let reason = format!("{} is unreachable: {error}", endpoint.id);
+            return Err(Abort::NotSent { reason, prefilled: None });
         }
         Err(failure) => {
             permit.finish(Outcome::Failed);
@@ -476,7 +489,11 @@
         ));
         // Reading the body allows the connection to be reused.
         let _ = exchange.read_whole().await;
-        return Err(Abort::NotRun(reason));
+        return Err(if status == MISDIRECTED {
+            Abort::Misdirected { reason, prefilled: None }
+        } else {
+            Abort::NotRun(reason)
+        });
     }
     if status == 200 && exchange.reply.is_signed && !exchange.reply.is_encoded {
         permit.record_response();
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -77,12 +77,12 @@
                 avoid.push(decode.endpoint.id.clone());
                 decode.finish(Outcome::Replaced);
             }
-            Err(ReserveError::Unreachable(reason)) => {
+            Err(ReserveError::Failed { outcome, reason }) => {
                 spdlog::info!("reservation failed", kv: {
                     request = inbound.id(), endpoint = &*decode.endpoint.id, reason = reason.as_str()
                 });
                 avoid.push(decode.endpoint.id.clone());
-                decode.finish(Outcome::Unreachable);
+                decode.finish(outcome);
             }
         }
     }
@@ -126,7 +126,10 @@
     let sent = context.client().send_message(endpoint, &message, RESERVE_TIMEOUT).await;
     let unreachable = |failure: Failure| match failure {
         Failure::Blocked(_) => ReserveError::Blocked,
-        failure => ReserveError::Unreachable(failure.to_string()),
+        Failure::Connect(_) => {
+            ReserveError::Failed { outcome: Outcome::Unreachable, reason: failure.to_string() }
+        }
+        failure => ReserveError::Failed { outcome: Outcome::Unresponsive, reason: failure.to_string() },
     };
     let exchange = sent.map_err(unreachable)?;
     if exchange.is_replaced() {
@@ -138,7 +141,9 @@
             Ok(Some(Guard { context: context.clone(), endpoint: endpoint.clone(), kind: Kind::Memory(name) }))
         }
         (503, _) => Ok(None),
-        (status, _) => Err(ReserveError::Unreachable(format!("status {status}"))),
+        (status, _) => {
+            Err(ReserveError::Failed { outcome: Outcome::Unresponsive, reason: format!("status {status}") })
+        }
     }
 }
 
@@ -148,6 +153,6 @@
     Blocked,
     /// A different endpoint now listens at the address.
     Replaced,
-    /// The endpoint did not respond, or not as expected.
-    Unreachable(String),
+    /// No connection could be made, or the endpoint did not respond as expected.
+    Failed { outcome: Outcome, reason: String },
 }
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -29,7 +29,8 @@
 ) -> Result<Guard, Abort> {
     let mut avoid = Vec::new();
     let mut permit = first;
-    for attempts in 1.. {
+    let mut attempts = 0;
+    loop {
         avoid.push(permit.endpoint.id.clone());
         let endpoint = permit.endpoint.clone();
         let reason = match prefill_at(context, inbound, permit, &endpoint).await {
@@ -38,7 +39,11 @@
                 return Ok(Guard { context: context.clone(), endpoint, kind });
             }
             Err(Failure::OverBudget) => return Err(Abort::OverBudget),
-            Err(failure) => format!("{}: {failure}", endpoint.id),
+            Err(failure) => {
+                // Nothing was sent, and each endpoint is tried once.
+                attempts += u32::from(!matches!(failure, Failure::Connect(_)));
+                format!("{}: {failure}", endpoint.id)
+            }
         };
         spdlog::info!("prefill failed", kv: { request = inbound.id(), reason = reason.as_str() });
         if attempts >= MAX_ATTEMPTS {
@@ -58,7 +63,6 @@
         let Some(new) = context.control.place_prompt(prompt).await else { return Err(Abort::NotRun(reason)) };
         permit = new;
     }
-    unreachable!("the loop ends by a return")
 }
 
 /// Prefills the prompt at one endpoint and returns the name of the result.
