--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod mirror;
 mod order;
 mod origin;
+mod outage;
 mod placement;
 mod pools;
 mod queue;
