Placement by an endpoint's speed as well as its free memory, in uneven services

A run holds its memory up to three times as long at a slow endpoint, but decode endpoints are picked by free memory only, and a gateway of a large fleet sees each endpoint too rarely to know its speed. Gateways now share in full digests what they have observed since the last one, and runs of uneven services go where memory in use times the relative interval is least. Not tested yet.

--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -94,6 +94,7 @@
             memory: mean_memory(size.prompt, size.expected_output),
             soft_deadline: waiting_since.plus(ttft_target).minus(first_event),
             hard_deadline: by_deadline.min(by_stall),
+            deadline,
             priority,
             target_gap,
             ttft_target,
--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -17,6 +17,7 @@
     output::{OutputLengths, weighted_mean},
     rate::Rate,
 };
+use super::speed::{self, Sample, Speeds};
 use crate::clock::Time;
 
 /// Factor on the forecast prefill time after which a prefill times out. Reports of other replicas'
@@ -41,8 +42,8 @@
 /// the size, so any value gives the same median.
 const REFERENCE_PROMPT_TOKENS: u64 = 1_000;
 
-/// Number of endpoints with observations that are needed to compare their speeds.
-const MIN_COMPARED_ENDPOINTS: usize = 5;
+/// Largest factor by which an observed time is corrected for the load under which it was observed.
+const MAX_LOAD_CORRECTION: f64 = 2.0;
 
 /// Age at which an endpoint's own observations are ignored and the service forecast is used
 /// instead. Otherwise, an endpoint that was slow would get no requests again.
@@ -185,7 +186,8 @@
         self.event_interval_at(self.memory)
     }
 
-    fn event_interval_at(&self, memory: u64) -> Duration {
+    /// Returns the time between two events with `memory` KV cache tokens in use.
+    pub fn event_interval_at(&self, memory: u64) -> Duration {
         self.event_interval.unwrap_or(Trend { base: DEFAULT_EVENT_INTERVAL_SECS, slope: 0.0 }).at(memory)
     }
 
@@ -207,6 +209,15 @@
         Duration::from_secs_f64((interval * events).min(MAX_DECODE_SECS))
     }
 
+    /// Returns the forecast of an endpoint whose event interval is this multiple of the forecast one.
+    pub fn slowed(self, relative_interval: f64) -> Self {
+        let slow = |Trend { base, slope }| Trend {
+            base: base * relative_interval,
+            slope: slope * relative_interval,
+        };
+        Self { event_interval: self.event_interval.map(slow), ..self }
+    }
+
     /// Returns whether enough runs were observed to forecast decode times.
     pub fn has_decode_data(&self) -> bool {
         self.event_interval.is_some() && self.output_length.is_some()
@@ -259,6 +270,8 @@
 #[derive(Clone, Debug, Default)]
 struct Service {
     endpoints: BTreeMap<Arc<str>, Speed>,
+    /// Speeds of the endpoints, as observed by all replicas.
+    speeds: Speeds,
     output_lengths: OutputLengths,
     /// Median over the endpoints, as of the last [`Forecasts::recompute`].
     typical: Forecast,
@@ -274,7 +287,15 @@
         self.endpoints.entry(endpoint.clone()).or_default()
     }
 
+    /// Returns an event interval observed with `memory` KV cache tokens in use, as it would be at the typical use.
+    fn at_typical_load(&self, memory: u64, interval: Duration) -> Duration {
+        let typical = self.typical.typical_event_interval().as_secs_f64();
+        let ratio = typical / self.typical.event_interval_at(memory).as_secs_f64().max(f64::MIN_POSITIVE);
+        interval.mul_f64(ratio.clamp(1.0 / MAX_LOAD_CORRECTION, MAX_LOAD_CORRECTION))
+    }
+
     fn recompute(&mut self) {
+        self.speeds.recompute();
         // Leaves unresponsive endpoints out of the median unless all are unresponsive.
         let rate = |of: fn(&Speed) -> &Rate| {
             let rates = || self.endpoints.values().map(of);
@@ -328,7 +349,9 @@
                 service.speed(id).local_prefill.add(now, prompt, prefill);
             }
             Observation::Events { events, span } => {
-                service.speed(id).event_interval.add(now, memory, span.div_f64(events.max(1) as f64));
+                let interval = span.div_f64(events.max(1) as f64);
+                service.speed(id).event_interval.add(now, memory, interval);
+                service.speeds.record(now, id, service.at_typical_load(memory, interval));
             }
             Observation::Completed { expected, events } => service.output_lengths.add(expected, events),
         }
@@ -364,19 +387,30 @@
         }
     }
 
-    /// Returns the ratio between the event intervals of slow and fast endpoints of a service, each a fifth of those known;
-    /// `None` with fewer than five.
+    /// Returns the ratio between the event intervals of slow and fast endpoints of a service; `None` with too few
+    /// observations.
     pub fn speed_ratio(&self, service: &str) -> Option<f64> {
-        let service = self.0.get(service)?;
-        let memory = service.typical.memory;
-        let trends = service.endpoints.values().filter_map(|speed| speed.event_interval.trend());
-        let mut intervals: Vec<f64> = trends.map(|trend| trend.at(memory).as_secs_f64()).collect();
-        if intervals.len() < MIN_COMPARED_ENDPOINTS {
-            return None;
-        }
-        intervals.sort_by(f64::total_cmp);
-        let rank = intervals.len() / MIN_COMPARED_ENDPOINTS;
-        Some(intervals[intervals.len() - 1 - rank] / intervals[rank].max(f64::MIN_POSITIVE))
+        self.speeds(service)?.ratio()
+    }
+
+    /// Returns the speeds of a service's endpoints; `None` without observations.
+    pub fn speeds(&self, service: &str) -> Option<&Speeds> {
+        self.0.get(service).map(|service| &service.speeds)
+    }
+
+    /// Returns the event interval of a service's fastest endpoints as a multiple of the typical one, at most one.
+    pub fn fastest(&self, now: Time, service: &str) -> f64 {
+        self.speeds(service).and_then(|speeds| speeds.summary(now)).map_or(1.0, |summary| summary.min)
+    }
+
+    /// Returns the speeds that this replica has observed since it last reported them.
+    pub fn take_speeds(&mut self, now: Time) -> speed::Report {
+        speed::take_report(now, self.0.values_mut().map(|service| &mut service.speeds))
+    }
+
+    /// Applies the speed of an endpoint that a peer reported.
+    pub fn apply_peer_speed(&mut self, now: Time, service: &Arc<str>, endpoint: &Arc<str>, sample: Sample) {
+        self.0.entry(service.clone()).or_default().speeds.add(now, endpoint, sample);
     }
 
     /// Returns the forecasts of all services.
@@ -420,6 +454,7 @@
     pub fn remove_endpoint(&mut self, service: &str, endpoint: &str) {
         if let Some(service) = self.0.get_mut(service) {
             service.endpoints.remove(endpoint);
+            service.speeds.remove(endpoint);
         }
     }
 }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 use super::{
     catalog::Engine,
     directory::{Directory, Endpoint, Stage},
-    forecast::Forecasts,
+    forecast::{Forecasts, Size},
     growth::Growth,
     load::{Load, Loads},
     pools::Pools,
@@ -43,6 +43,9 @@
 /// it, replicas that do not know each other's newest runs would all pick the same endpoint.
 const PREFERENCE_BONUS: f64 = 0.2;
 
+/// Bounds of the exponent by which a run's claim grows with its output.
+const OUTPUT_EXPONENTS: (f64, f64) = (0.5, 1.5);
+
 /// Retry delay while all endpoints have named limits that belong to other replicas. A caller that comes back may reach
 /// one of these.
 const OWNER_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -76,6 +79,15 @@
     }
 }
 
+/// How long a run may hold its memory, at endpoints that differ in speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Expected output, in tokens.
+    pub output: u64,
+    /// When the caller disconnects.
+    pub deadline: Time,
+}
+
 /// A run to be placed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Run<'a> {
@@ -89,6 +101,8 @@
     pub target_gap: Duration,
     /// Target for the time to the first event.
     pub ttft_target: Duration,
+    /// What it claims of an endpoint's time; `None` if only memory decides.
+    pub claim: Option<Claim>,
     /// Decode endpoints that it may use.
     pub filter: Filter<'a>,
 }
@@ -301,7 +315,8 @@
         }
     }
 
-    /// Picks the decode endpoint with the most free memory.
+    /// Picks the decode endpoint with the most free memory or, if the run has a claim, with the least memory in use over
+    /// the endpoint's speed.
     pub fn pick_decode(&self, service: &str, engine: &Engine, run: &Run<'_>) -> Option<Arc<Endpoint>> {
         self.pick_decode_where(service, engine, run, |_| true)
     }
@@ -389,11 +404,18 @@
         let candidates = endpoints.into_iter();
         let fitting =
             candidates.filter_map(|endpoint| Some((self.free_memory(endpoint, engine, run)?, endpoint)));
-        fitting.max_by_key(|(free, _)| *free).map(|(_, endpoint)| endpoint.clone())
+        let best = match &run.claim {
+            Some(claim) => self.least_claimed(fitting, engine, run, claim),
+            None => {
+                let bonus = |endpoint| (engine.memory as f64 * self.bonus(endpoint)) as u64;
+                let most = fitting.max_by_key(|(free, endpoint)| free + bonus(endpoint));
+                most.map(|(_, endpoint)| endpoint)
+            }
+        };
+        best.cloned()
     }
 
-    /// Returns the memory that stays free at peak use after placing a run, plus the bonuses for the
-    /// endpoint; `None` if the run does not fit.
+    /// Returns the memory that stays free at peak use after placing a run; `None` if the run does not fit.
     fn free_memory(&self, endpoint: &Endpoint, engine: &Engine, run: &Run<'_>) -> Option<u64> {
         let load = self.load(endpoint);
         if load.is_some_and(|load| load.is_full(self.now)) {
@@ -406,14 +428,66 @@
         let peak = (current.growth + run.growth).peak();
         // A run too large to leave the headroom free may still run alone.
         let is_alone = current.running == 0 && u64::from(run.growth.0[0]) <= engine.memory;
-        let remaining = if is_alone {
-            engine.memory.saturating_sub(peak)
+        if is_alone {
+            Some(engine.memory.saturating_sub(peak))
         } else {
-            engine.memory.checked_sub(peak + run.headroom)?
-        };
+            engine.memory.checked_sub(peak + run.headroom)
+        }
+    }
+
+    /// Returns the fraction of an endpoint's memory by which it is preferred to others.
+    fn bonus(&self, endpoint: &Endpoint) -> f64 {
         let zone_bonus = if self.is_in_zone(endpoint, self.zone) { LOCAL_ZONE_BONUS } else { 0.0 };
-        let bonus = zone_bonus + PREFERENCE_BONUS * self.preference(endpoint);
-        Some(remaining + (engine.memory as f64 * bonus) as u64)
+        zone_bonus + PREFERENCE_BONUS * self.preference(endpoint)
+    }
+
+    /// Picks the endpoint at which a run claims the least, with its free memory in tokens. One where it would miss a
+    /// target is used only if no other has room.
+    fn least_claimed<'e>(
+        &self,
+        fitting: impl Iterator<Item = (u64, &'e Arc<Endpoint>)>,
+        engine: &Engine,
+        run: &Run<'_>,
+        claim: &Claim,
+    ) -> Option<&'e Arc<Endpoint>> {
+        let costs = fitting.map(|(free, endpoint)| {
+            let relative = self.relative_interval(endpoint);
+            let cost = self.cost(endpoint, engine, free, relative, claim);
+            ((self.misses_target(endpoint, run, claim, relative), cost), endpoint)
+        });
+        let (_, endpoint) = costs.min_by(|((misses, cost), _), ((other_misses, other), _)| {
+            misses.cmp(other_misses).then(cost.total_cmp(other))
+        })?;
+        Some(endpoint)
+    }
+
+    fn relative_interval(&self, endpoint: &Endpoint) -> f64 {
+        let speeds = self.forecasts.speeds(&endpoint.service);
+        speeds.map_or(1.0, |speeds| speeds.relative_interval(self.now, &endpoint.id))
+    }
+
+    /// Returns the fraction of an endpoint's memory in use after placing a run, times the time for which the run holds it
+    /// there. Endpoints so get work in proportion to their speed, and long outputs go to fast ones.
+    fn cost(&self, endpoint: &Endpoint, engine: &Engine, free: u64, relative: f64, claim: &Claim) -> f64 {
+        let used = 1.0 - free as f64 / engine.memory.max(1) as f64;
+        let output = self.forecasts.service(&endpoint.service).output_length_or_default();
+        let mean = (output.events * output.event_tokens).max(1.0);
+        let (least, most) = OUTPUT_EXPONENTS;
+        let exponent = (claim.output as f64 / mean).clamp(least, most);
+        used * relative.powf(exponent) * (1.0 - self.bonus(endpoint))
+    }
+
+    /// Returns whether a run would pause longer than its target at an endpoint, or not finish before its deadline.
+    fn misses_target(&self, endpoint: &Endpoint, run: &Run<'_>, claim: &Claim, relative: f64) -> bool {
+        let forecast = self.forecasts.service(&endpoint.service);
+        if !forecast.has_decode_data() {
+            return false;
+        }
+        let used = self.load(endpoint).map_or(0, |load| load.total(self.now).memory);
+        let pause = forecast.event_interval_at(used + run.prompt).mul_f64(relative);
+        let size = Size { prompt: run.prompt, expected_output: claim.output, max_output: claim.output };
+        let total = forecast.slowed(relative).known_total_time(size);
+        (!run.target_gap.is_zero() && pause > run.target_gap) || self.now.plus(total) > claim.deadline
     }
 
     /// Returns this replica's preference for an endpoint, from 0 to 1: a hash that is stable over
--- a/crates/core/src/gateway/profile.rs
+++ b/crates/core/src/gateway/profile.rs
@@ -4,11 +4,9 @@
     catalog::{Catalog, Kind},
     forecast::Forecasts,
     mechanism::Mechanism,
+    speed::Speeds,
 };
 
-/// Ratio between the event intervals of slow and fast endpoints above which a service counts as uneven.
-const UNEVEN_RATIO: f64 = 1.6;
-
 /// Properties of a service that switch mechanisms on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Profile {
@@ -26,7 +24,7 @@
         let mut priorities = own.map(|route| route.priority);
         let first = priorities.next();
         let has_priorities = priorities.any(|priority| Some(priority) != first);
-        let is_uneven = forecasts.speed_ratio(service).is_some_and(|ratio| ratio >= UNEVEN_RATIO);
+        let is_uneven = forecasts.speeds(service).is_some_and(Speeds::is_uneven);
         Self { has_priorities, is_uneven }
     }
 
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -27,6 +27,8 @@
     /// Latest start with which the request can finish before its caller disconnects, by the
     /// forecast.
     pub hard_deadline: Time,
+    /// When the caller disconnects or the route times out.
+    pub deadline: Time,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Target for the longest pause between events; zero if none is declared.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -65,6 +65,11 @@
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
+        for (id, sample) in &digest.speeds {
+            if let Some(endpoint) = self.directory.get(id) {
+                self.forecasts.apply_peer_speed(now, &endpoint.service, id, *sample);
+            }
+        }
         if !digest.observed.is_zero() {
             self.history.apply_peer(now, digest.observed, &digest.mixed);
         }
@@ -133,7 +138,7 @@
             holdings: BTreeMap::new(),
             outages: BTreeMap::new(),
             paces: BTreeMap::new(),
-            speeds: BTreeMap::new(),
+            speeds: if is_full { self.forecasts.take_speeds(now) } else { BTreeMap::new() },
             demands: BTreeMap::new(),
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().report(now),
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -11,7 +11,8 @@
         directory::{Endpoint, Stage},
         growth::Growth,
         load::Estimate,
-        placement::{Filter, Partition, Placement, Prefill, Run, View, headroom},
+        mechanism::Mechanism,
+        placement::{Claim, Filter, Partition, Placement, Prefill, Run, View, headroom},
         queue::{Entry, Queue},
     },
     refusal::{Code, Refusal},
@@ -81,6 +82,11 @@
         if let Some(engine) = &engine {
             self.pools.record_request(now, &completion.service, engine, completion.size);
         }
+        let forecast = if self.uses(&completion.service, Mechanism::Speed) {
+            forecast.slowed(self.forecasts.fastest(now, &completion.service))
+        } else {
+            forecast
+        };
         let mut entry = completion.into_entry(&forecast, tag);
         // A request that needs more than an endpoint's memory reserves all of it and runs alone.
         entry.memory = entry.memory.min(engine.map_or(u64::MAX, |engine| engine.memory));
@@ -173,12 +179,14 @@
         let Entry { service, size, memory, target_gap, ttft_target, .. } = entry;
         let engine = self.engine(service)?;
         let spread = self.forecasts.service(service).output_length_or_default().spread;
+        let claim = Some(Claim { output: size.expected_output, deadline: entry.deadline });
         let run = Run {
             prompt: size.prompt,
             growth: Growth::for_run(*size, 0, spread),
             headroom: headroom(&engine, entry.is_late(now)),
             target_gap: *target_gap,
             ttft_target: *ttft_target,
+            claim: claim.filter(|_| self.uses(service, Mechanism::Speed)),
             filter: Filter { avoid: &entry.avoid, software_version: entry.software_version.as_deref() },
         };
         let Placement { endpoint, prefill } = self.view(now).pick_pair(service, &engine, &run)?;
