--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -69,6 +69,11 @@
         self.apply_limits(now, &digest.limits);
         self.apply_outages(now, &digest.name, &digest.outages);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
+        for (id, sample) in &digest.speeds {
+            if let Some(endpoint) = self.directory.get(id) {
+                self.forecasts.apply_peer_speed(now, &endpoint.service, id, *sample);
+            }
+        }
         if !digest.observed.is_zero() {
             self.history.apply_peer(now, digest.observed, &digest.mixed);
         }
@@ -140,7 +145,7 @@
             holdings: BTreeMap::new(),
             outages: self.loads.outages.report(now),
             paces: BTreeMap::new(),
-            speeds: BTreeMap::new(),
+            speeds: if is_full { self.forecasts.take_speeds(now) } else { BTreeMap::new() },
             demands: if is_full { self.demands(now) } else { BTreeMap::new() },
             versions: self.staleness.own(),
             evacuations: self.directory.evacuations().report(now),
