--- a/crates/core/src/gateway/order.rs
+++ b/crates/core/src/gateway/order.rs
@@ -22,6 +22,8 @@
 const MAX_YIELD: Duration = Duration::from_millis(300);
 /// Time without a decision after which an endpoint counts as not observed, so that it was perhaps used meanwhile.
 const MAX_UNOBSERVED: Duration = Duration::from_millis(200);
+/// Time from a refused reservation to the next attempt of a request that comes after all others, while no peers are heard.
+const BLIND_HOLD: Duration = Duration::from_millis(500);
 /// Half-life of the mix of priorities; a replica gets few requests.
 const MIX_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Number of requests that count as of the lowest priority, so that the first ones do not decide.
@@ -93,11 +95,7 @@
 impl Peers {
     /// Replaces what a peer reported before.
     pub fn apply(&mut self, now: Time, peer: &Arc<str>, report: &Report) {
-        if report.is_empty() {
-            self.0.remove(peer);
-        } else {
-            self.0.insert(peer.clone(), (now, report.clone()));
-        }
+        self.0.insert(peer.clone(), (now, report.clone()));
     }
 
     /// Removes the report of an expired peer.
@@ -107,13 +105,23 @@
 
     /// Returns what waits at all peers for a service, by urgency, as far as the reports are fresh.
     pub fn waiting(&self, now: Time, digest_interval: Duration, service: &str) -> BTreeMap<Urgency, Waiting> {
-        let fresh = self.0.values().filter(|(at, _)| now.since(*at) < STALE_AFTER + digest_interval);
         let mut sum: BTreeMap<Urgency, Waiting> = BTreeMap::new();
-        for (urgency, waiting) in fresh.filter_map(|(_, report)| report.get(service)).flatten() {
+        let fresh = self.fresh(now, digest_interval);
+        for (urgency, waiting) in fresh.filter_map(|report| report.get(service)).flatten() {
             *sum.entry(*urgency).or_default() += *waiting;
         }
         sum
     }
+
+    /// Returns whether most of `count` peers are not heard, so that what waits there is not known.
+    pub fn is_blind(&self, now: Time, digest_interval: Duration, count: usize) -> bool {
+        self.fresh(now, digest_interval).count() * 2 < count
+    }
+
+    fn fresh(&self, now: Time, digest_interval: Duration) -> impl Iterator<Item = &Report> {
+        let fresh = self.0.values().filter(move |(at, _)| now.since(*at) < STALE_AFTER + digest_interval);
+        fresh.map(|(_, report)| report)
+    }
 }
 
 /// Free memory of an endpoint.
@@ -208,11 +216,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Yields {
     services: BTreeMap<Arc<str>, Yield>,
+    /// When an endpoint last refused a reservation, by service.
+    refused: BTreeMap<Arc<str>, Time>,
     /// Number of times that a request began to yield.
     count: u64,
 }
 
 impl Yields {
+    /// Records a refused reservation.
+    pub fn record_refusal(&mut self, now: Time, service: &Arc<str>) {
+        self.refused.insert(service.clone(), now);
+    }
+
+    /// Returns whether a replica that hears no peers should not ask for memory yet. A refusal is all that tells it that
+    /// memory is scarce. `share` is the share of requests that come before this one.
+    pub fn is_held(&self, now: Time, service: &str, share: f64) -> bool {
+        self.refused.get(service).is_some_and(|at| now.since(*at) < BLIND_HOLD.mul_f64(share))
+    }
+
     /// Records the endpoints that have room for a request of `service` that yields, and returns whether it may use
     /// `endpoint` nevertheless, because nobody took the memory.
     pub fn record(
--- a/crates/core/src/gateway/state/ordering.rs
+++ b/crates/core/src/gateway/state/ordering.rs
@@ -51,10 +51,14 @@
         if !self.uses(service, Mechanism::Order) {
             return false;
         }
+        let urgency = Urgency::of(now, entry);
+        let share = self.mixes.get(service).map_or(0.0, |mix| mix.share_before(urgency));
+        if self.is_blind(now) {
+            return self.yields.is_held(now, service, share);
+        }
         let waiting = self.waiting_at_peers(now, service);
         let rooms = self.view(now).rooms(service, Stage::Decode, engine, run.filter);
-        let urgency = Urgency::of(now, entry);
-        let expected = self.expected_before(now, service, urgency);
+        let expected = self.expected(now, service, share);
         if !must_yield(&rooms, urgency, entry.memory, &waiting, expected) {
             self.yields.end(service);
             return false;
@@ -63,13 +67,18 @@
         !self.yields.record(now, digest_interval(self.peers.count()), service, fitting, &endpoint.id)
     }
 
-    /// Returns the requests of the fleet before those of an urgency that are expected to arrive before replicas learn of
-    /// them. Replicas know the runs in progress well, and the mix of priorities only by their own requests.
-    fn expected_before(&self, now: Time, service: &str, urgency: Urgency) -> Expected {
+    /// Returns whether this replica hears few of its peers.
+    fn is_blind(&self, now: Time) -> bool {
+        let count = self.peers.count();
+        self.waiting_peers.is_blind(now, digest_interval(count), count as usize - 1)
+    }
+
+    /// Returns the requests of the fleet that are expected to arrive before replicas learn of them. Replicas know the runs
+    /// in progress well, and the mix of priorities only by their own requests; `share` is the part that counts.
+    fn expected(&self, now: Time, service: &str, share: f64) -> Expected {
         let Some(half) = self.forecasts.service(service).half_decode_time() else {
             return Expected::default();
         };
-        let share = self.mixes.get(service).map_or(0.0, |mix| mix.share_before(urgency));
         let decodes = self.directory.serving(service).filter(|endpoint| endpoint.stage == Stage::Decode);
         let loads = decodes.filter_map(|endpoint| self.loads.get(&endpoint.id)).map(|load| load.total(now));
         let (running, memory) =
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -63,6 +63,11 @@
     /// Records the end of a request at its endpoint.
     pub fn record_end(&mut self, now: Time, lease: &Lease, outcome: Outcome) {
         let is_unexpected = outcome == Outcome::Full && self.seems_free(now, lease);
+        if outcome == Outcome::Full
+            && let Some(endpoint) = self.directory.get(&lease.endpoint)
+        {
+            self.yields.record_refusal(now, &endpoint.service);
+        }
         self.loads.release(now, lease, outcome);
         if is_unexpected {
             self.loads.record_unexpected_refusal(now, &lease.endpoint);
