--- a/crates/core/src/gateway/order.rs
+++ b/crates/core/src/gateway/order.rs
@@ -12,6 +12,8 @@
     time::Duration,
 };
 
+use xxhash_rust::xxh3::Xxh3;
+
 use super::queue::Entry;
 use crate::clock::{Time, decay_factor};
 
@@ -24,6 +26,12 @@
 const MAX_UNOBSERVED: Duration = Duration::from_millis(200);
 /// Time from a refused reservation to the next attempt of a request that comes after all others, while no peers are heard.
 const BLIND_HOLD: Duration = Duration::from_millis(500);
+/// Upper bound of computed waits.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+/// Longest retry delay for callers that found no free memory; with a longer one, most give up.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Part of the longest retry delay over which callers are spread who would have to wait for longer.
+const RETRY_SPREAD: f64 = 0.4;
 /// Half-life of the mix of priorities; a replica gets few requests.
 const MIX_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Number of requests that count as of the lowest priority, so that the first ones do not decide.
@@ -202,6 +210,71 @@
     places(rooms, unit) < count + memory.div_ceil(unit)
 }
 
+/// Memory of a service and the pace at which runs free it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Supply {
+    /// Memory that is free now, in tokens.
+    pub free: u64,
+    /// Memory that becomes free in a second, in tokens.
+    pub rate: f64,
+}
+
+impl Supply {
+    /// Returns the time until this much memory, in tokens, has become free.
+    pub fn wait(&self, memory: u64) -> Duration {
+        let secs = memory.saturating_sub(self.free) as f64 / self.rate.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(secs.min(MAX_WAIT.as_secs_f64()))
+    }
+}
+
+/// Returns the memory of waiting requests that come before those of an urgency, in tokens.
+pub fn memory_before(waiting: &BTreeMap<Urgency, Waiting>, urgency: Urgency) -> u64 {
+    waiting.range(..urgency).map(|(_, waiting)| waiting.memory).sum()
+}
+
+/// When callers that were refused are told to come back.
+#[derive(Clone, Debug, Default)]
+pub struct Returns {
+    /// The latest return by service and priority.
+    latest: BTreeMap<(Arc<str>, u8), Time>,
+    count: u64,
+}
+
+impl Returns {
+    /// Returns the time after which a caller should come back. `wait` is the time until there is room for its urgency;
+    /// callers of this replica follow at intervals of `spacing`, and of other replicas in between.
+    pub fn next(
+        &mut self,
+        now: Time,
+        replica: &str,
+        service: &Arc<str>,
+        priority: u8,
+        wait: Duration,
+        spacing: Duration,
+    ) -> Duration {
+        self.count += 1;
+        let fraction = hash_fraction(replica, self.count);
+        let latest = self.latest.entry((service.clone(), priority)).or_default();
+        let first = now.plus(wait + spacing.mul_f64(fraction));
+        let slot = first.max(latest.plus(spacing));
+        let last = now.plus(MAX_RETRY_AFTER);
+        if slot > last {
+            // Later callers share the end of the range, since few would wait for longer.
+            return MAX_RETRY_AFTER.mul_f64(1.0 - RETRY_SPREAD * fraction);
+        }
+        *latest = slot;
+        slot.since(now)
+    }
+}
+
+/// Returns a number from 0 to 1 that differs between replicas and calls.
+fn hash_fraction(replica: &str, count: u64) -> f64 {
+    let mut hash = Xxh3::new();
+    hash.update(replica.as_bytes());
+    hash.update(&count.to_le_bytes());
+    hash.digest() as f64 / u64::MAX as f64
+}
+
 /// What the first request of a service leaves to more urgent ones at peers.
 #[derive(Clone, Debug)]
 struct Yield {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -151,6 +151,7 @@
     /// What waits for memory at the peers.
     waiting_peers: order::Peers,
     yields: order::Yields,
+    returns: order::Returns,
     /// Recent requests by service.
     mixes: BTreeMap<Arc<str>, order::Mix>,
     suspects: Suspects,
@@ -193,6 +194,7 @@
             queue: Queue::default(),
             waiting_peers: order::Peers::default(),
             yields: order::Yields::default(),
+            returns: order::Returns::default(),
             mixes: BTreeMap::new(),
             pools: Pools::default(),
             forecasts: Forecasts::default(),
--- a/crates/core/src/gateway/state/ordering.rs
+++ b/crates/core/src/gateway/state/ordering.rs
@@ -1,23 +1,26 @@
 //! Order of the requests of all replicas.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use super::State;
+use super::{State, placing::MIN_MEMORY_RETRY_AFTER};
 use crate::{
     clock::Time,
     gateway::{
         catalog::Engine,
+        digest::Share,
         directory::{Endpoint, Stage},
         interval::digest_interval,
         mechanism::Mechanism,
-        order::{Expected, Report, Urgency, Waiting, Yields, must_yield, report},
-        placement::Run,
-        queue::Entry,
+        order::{Expected, Report, Supply, Urgency, Waiting, Yields, memory_before, must_yield, report},
+        placement::{Filter, Run},
+        queue::{Entry, Queue},
     },
 };
 
 /// Digest intervals after which replicas know of a request that waits.
 const NEWS_INTERVALS: u32 = 2;
+/// Smallest part of the memory that becomes free which counts as left by more urgent requests.
+const MIN_RATE_SHARE: f64 = 0.2;
 
 impl<T> State<T> {
     /// Returns what waits here, for the services whose requests are ordered across replicas.
@@ -27,6 +30,11 @@
         report
     }
 
+    /// Returns the services whose requests are ordered across replicas.
+    pub fn ordered_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.profiles.keys().filter(|service| self.uses(service, Mechanism::Order))
+    }
+
     /// Returns what waits at peers for a service.
     pub fn waiting_at_peers(&self, now: Time, service: &str) -> BTreeMap<Urgency, Waiting> {
         self.waiting_peers.waiting(now, digest_interval(self.peers.count()), service)
@@ -67,6 +75,67 @@
         !self.yields.record(now, digest_interval(self.peers.count()), service, fitting, &endpoint.id)
     }
 
+    /// Returns the memory of a service and the pace at which runs free it; `None` without forecasts or runs.
+    fn supply(&self, now: Time, service: &str) -> Option<Supply> {
+        let engine = self.engine(service)?;
+        let half = self.forecasts.service(service).half_decode_time()?;
+        let in_use = self.in_use(now, service).memory;
+        let rooms = self.view(now).rooms(service, Stage::Decode, &engine, Filter::default());
+        let free = rooms.iter().map(|room| room.memory).sum();
+        let rate = in_use as f64 / (half * 2).as_secs_f64().max(f64::MIN_POSITIVE);
+        (in_use > 0).then_some(Supply { free, rate })
+    }
+
+    /// Expires requests that cannot start before their callers disconnect, because what comes before them at any replica
+    /// needs the memory that becomes free until then. Further requests are not foreseen, so that none is refused that
+    /// could be served.
+    pub(super) fn expire_out_of_reach(&mut self, now: Time, queue: &mut Queue<T>) {
+        let services = queue.services().into_iter().filter(|service| self.uses(service, Mechanism::Order));
+        let supplies = services.filter_map(|service| Some((service.clone(), self.supply(now, &service)?)));
+        let supplies: BTreeMap<Arc<str>, Supply> = supplies.collect();
+        if supplies.is_empty() || self.is_blind(now) {
+            return;
+        }
+        let mut own: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        queue.sort(now);
+        queue.expire(|entry| {
+            let Some(supply) = supplies.get(&entry.service) else { return false };
+            let own = own.entry(entry.service.clone()).or_default();
+            let before = memory_before(&self.waiting_at_peers(now, &entry.service), Urgency::of(now, entry));
+            let wait = supply.wait(before + *own + entry.memory);
+            let is_out_of_reach = now.plus(wait) > entry.hard_deadline;
+            if !is_out_of_reach {
+                *own += entry.memory;
+            }
+            is_out_of_reach
+        });
+    }
+
+    /// Returns the retry delay for the caller of a request that found no free memory: when there will be room for it, so
+    /// that callers come back in their order and not all at once.
+    pub fn retry_after(&mut self, now: Time, entry: &Entry<T>) -> Duration {
+        let service = &entry.service;
+        let usual = self.memory_retry_after(now, service);
+        let has_backoff = self.view(now).shortest_backoff(service, Stage::Decode).is_some();
+        if has_backoff || !self.uses(service, Mechanism::Order) {
+            return usual;
+        }
+        let Some(supply) = self.supply(now, service) else { return usual };
+        // A caller that comes back is on time again, and comes after those of its priority that wait.
+        let urgency = Urgency { is_late: false, priority: entry.priority.saturating_add(1) };
+        let own = self.waiting(now).remove(service).unwrap_or_default();
+        let before =
+            memory_before(&own, urgency) + memory_before(&self.waiting_at_peers(now, service), urgency);
+        let share = self.mixes.get(service).map_or(0.0, |mix| mix.share_before(urgency));
+        let rate = supply.rate * (1.0 - share).max(MIN_RATE_SHARE);
+        let supply = Supply { rate, ..supply };
+        let wait = supply.wait(before + entry.memory).max(MIN_MEMORY_RETRY_AFTER);
+        let everyone = entry.memory * u64::from(self.peers.count());
+        let spacing = Supply { free: 0, ..supply }.wait(everyone);
+        let name = self.identity.name.clone();
+        self.returns.next(now, &name, service, entry.priority, wait, spacing)
+    }
+
     /// Returns whether this replica hears few of its peers.
     fn is_blind(&self, now: Time) -> bool {
         let count = self.peers.count();
@@ -79,12 +148,23 @@
         let Some(half) = self.forecasts.service(service).half_decode_time() else {
             return Expected::default();
         };
+        let in_use = self.in_use(now, service);
+        let rate = f64::from(in_use.running) / (half * 2).as_secs_f64().max(f64::MIN_POSITIVE);
+        let window = digest_interval(self.peers.count()) * NEWS_INTERVALS;
+        Expected {
+            count: rate * share * window.as_secs_f64(),
+            memory: in_use.memory / u64::from(in_use.running.max(1)),
+        }
+    }
+
+    /// Returns the load of all decode endpoints of a service.
+    fn in_use(&self, now: Time, service: &str) -> Share {
         let decodes = self.directory.serving(service).filter(|endpoint| endpoint.stage == Stage::Decode);
         let loads = decodes.filter_map(|endpoint| self.loads.get(&endpoint.id)).map(|load| load.total(now));
-        let (running, memory) =
-            loads.fold((0, 0), |(running, memory), load| (running + load.running, memory + load.memory));
-        let rate = f64::from(running) / (half * 2).as_secs_f64().max(f64::MIN_POSITIVE);
-        let window = digest_interval(self.peers.count()) * NEWS_INTERVALS;
-        Expected { count: rate * share * window.as_secs_f64(), memory: memory / u64::from(running.max(1)) }
+        loads.fold(Share::default(), |sum, load| Share {
+            running: sum.running + load.running,
+            memory: sum.memory + load.memory,
+            ..sum
+        })
     }
 }
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -23,7 +23,7 @@
 const MIN_BACKOFF_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Bounds of the retry delay for callers that found no free memory. A shorter delay would find the
 /// same runs in memory; with a longer one, many callers give up.
-const MIN_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(super) const MIN_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 const MAX_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(3_000);
 
 impl<T> State<T> {
@@ -118,6 +118,7 @@
         if !self.gate.is_empty() {
             self.expire_without_turn(now, &mut queue);
         }
+        self.expire_out_of_reach(now, &mut queue);
         let placed = queue.dispatch(now, |entry| self.place(now, entry));
         self.queue = queue;
         self.record_unmet(now);
--- a/crates/core/tests/gateway/order.rs
+++ b/crates/core/tests/gateway/order.rs
@@ -71,6 +71,9 @@
     cut: Count,
     connected: Count,
     refused_reservations: u32,
+    /// Callers that came back when told to, and those of them that were served.
+    returned: u32,
+    served_again: u32,
     /// Fraction of the memory that was free while a request waited anywhere.
     idle: f64,
 }
@@ -81,6 +84,7 @@
     output: u64,
     kind: usize,
     replica: usize,
+    is_return: bool,
 }
 
 /// What happens at a time.
@@ -88,6 +92,7 @@
     Prefilled(usize, Lease),
     Started(usize, Lease),
     Ended(usize, Lease),
+    Returned(usize),
 }
 
 struct Model {
@@ -230,13 +235,29 @@
             suspects: Arc::default(),
         };
         let replica = random.random_range(0..self.plan.replicas);
-        self.requests.push(Request { completion: completion.clone(), output, kind, replica });
+        let request = Request { completion: completion.clone(), output, kind, replica, is_return: false };
+        self.requests.push(request);
         let number = self.requests.len() - 1;
         self.states[replica].enqueue(at(now_ms), completion, number);
         self.count(number, |count| count.offered += 1);
     }
 
+    /// Lets the caller of a refused request come back once, at another replica.
+    fn come_back(&mut self, now_ms: u64, number: usize) {
+        let mut request = self.requests[number].clone();
+        request.is_return = true;
+        request.replica = (request.replica + 1) % self.plan.replicas;
+        request.completion.waiting_since = at(now_ms);
+        request.completion.deadline = at(now_ms + 30_000);
+        self.result.returned += 1;
+        self.states[request.replica].enqueue(at(now_ms), request.completion.clone(), self.requests.len());
+        self.requests.push(request);
+    }
+
     fn count(&mut self, number: usize, add: impl Fn(&mut Count)) {
+        if self.requests[number].is_return {
+            return;
+        }
         let Request { completion, kind, replica, .. } = &self.requests[number];
         add(&mut self.result.counts[*kind]);
         if completion.size.prompt > 8_000 {
@@ -264,7 +285,13 @@
             for (entry, verdict) in self.states[index].dispatch(now) {
                 match verdict {
                     Verdict::Placed(pair) => self.place(now_ms, index, entry.tag, pair),
-                    Verdict::Expired => self.count(entry.tag, |count| count.refused += 1),
+                    Verdict::Expired => {
+                        let back_ms = now_ms + self.states[index].retry_after(now, &entry).as_millis() as u64;
+                        if !self.requests[entry.tag].is_return {
+                            self.schedule(back_ms, Event::Returned(entry.tag));
+                        }
+                        self.count(entry.tag, |count| count.refused += 1);
+                    }
                 }
             }
         }
@@ -280,6 +307,7 @@
             Event::Prefilled(replica, lease) => {
                 self.states[replica].record_end(now, &lease, Outcome::Responded(Duration::from_millis(300)));
             }
+            Event::Returned(number) => self.come_back(now_ms, number),
             Event::Started(replica, lease) => self.states[replica].record_first_event(now, &lease),
             Event::Ended(replica, lease) => {
                 *self.used.get_mut(&lease.endpoint).expect("an endpoint") -= lease.share.memory;
@@ -318,6 +346,7 @@
         self.schedule(first_ms, Event::Started(replica, decode.lease.clone()));
         self.schedule(first_ms + output * TOKEN_US / 1_000, Event::Ended(replica, decode.lease));
         let took = at(first_ms).since(completion.waiting_since);
+        self.result.served_again += u32::from(self.requests[number].is_return);
         self.count(number, |count| {
             count.served += u32::from(took <= completion.stall_timeout);
             count.on_time += u32::from(took <= completion.ttft_target);
@@ -363,7 +392,7 @@
                     )
                 });
                 println!(
-                    "{replicas} {delay_ms} cut {cut} {is_ordered}: {shares:?} long {:.2}/{:.2} cut {:.2} conn {:.2} refused res {} idle {:.3} {:?}",
+                    "{replicas} {delay_ms} cut {cut} {is_ordered}: {shares:?} long {:.2}/{:.2} cut {:.2} conn {:.2} refused res {} ret, again, idle {:.3?} {:?}",
                     result.long.on_time_share(),
                     result.long.served_share(),
                     result.cut.served_share(),
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -1,7 +1,7 @@
 //! Control thread: owns the routing state, executes commands and runs periodic work.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io,
     sync::{Arc, Mutex},
     thread,
@@ -19,11 +19,12 @@
         directory::Change,
         forecast::Forecast,
         health::Outcome,
+        order::{Urgency, Waiting},
         origin::{Message, Origin, Searches, Stream},
         placement::Filter,
         pools::Order,
         position::Position,
-        queue::Verdict,
+        queue::{Entry, Verdict},
         relay::{Delivery, Role},
         snapshot::Snapshot,
         state::{Assignment, ENDPOINT_RETRY_AFTER, Pair, State, no_endpoint, quarantined},
@@ -106,6 +107,7 @@
         last_forecast_log: Time::ZERO,
         held_generation: 0,
         role: (false, None),
+        yielding: BTreeSet::new(),
     };
     thread::Builder::new()
         .name("control".into())
@@ -176,6 +178,8 @@
     held_generation: u64,
     /// Whether this replica is a relay, and the relay that it follows.
     role: (bool, Option<Arc<str>>),
+    /// Services whose first request leaves memory to more urgent ones at peers, as logged.
+    yielding: BTreeSet<Arc<str>>,
 }
 
 impl Worker {
@@ -232,6 +236,7 @@
             for (member, message) in self.state.take_announcements(now) {
                 self.send_message(member, message);
             }
+            self.log_yields(now);
         }
         for (member, sought) in self.searches.take_repeats(now) {
             self.send_message(member, Message { sought, ..Message::default() });
@@ -267,7 +272,7 @@
                     Err(no_endpoint(ENDPOINT_RETRY_AFTER))
                 }
                 Verdict::Expired if self.state.is_held_off(&entry) => Err(quarantined(Duration::ZERO)),
-                Verdict::Expired => Err(self.overloaded(now, &entry.service)),
+                Verdict::Expired => Err(self.overloaded(now, &entry)),
             };
             // If the request has been cancelled, the permits are dropped here and thereby released.
             let _ = entry.tag.try_send(result);
@@ -431,6 +436,22 @@
         self.role = role;
     }
 
+    /// Logs the services whose requests begin or cease to leave memory to more urgent ones at peers.
+    fn log_yields(&mut self, now: Time) {
+        let yielding = self.state.yields().services(now);
+        let yields = self.state.yields().count();
+        for service in yielding.difference(&self.yielding) {
+            let waiting = self.state.waiting_at_peers(now, service);
+            let waiting = waiting.values().map(|waiting| waiting.count).sum::<u32>();
+            spdlog::info!("yielding memory", kv: { service = &**service, waiting, yields });
+        }
+        for service in self.yielding.difference(&yielding) {
+            spdlog::info!("no longer yielding memory", kv: { service = &**service, yields });
+        }
+        lock(&self.weak_control.shared).yields = yields;
+        self.yielding = yielding;
+    }
+
     /// Returns `None` once all handles have been dropped; then no request waits for the permit.
     fn permit(&self, assignment: Assignment) -> Option<Permit> {
         let Assignment { endpoint, lease, prefill_tokens, prefill_timeout } = assignment;
@@ -525,11 +546,10 @@
         }
     }
 
-    fn overloaded(&self, now: Time, service: &str) -> Refusal {
-        let why = self.state.describe(now, service);
+    fn overloaded(&mut self, now: Time, entry: &Entry<ReplySender<PermitsResult>>) -> Refusal {
+        let why = self.state.describe(now, &entry.service);
         let message = format!("no endpoint memory becomes free before the deadline: {why}");
-        Refusal::not_run(Code::Overloaded, message)
-            .with_retry_after(self.state.memory_retry_after(now, service))
+        Refusal::not_run(Code::Overloaded, message).with_retry_after(self.state.retry_after(now, entry))
     }
 
     fn update(&mut self, now: Time, update: Update) {
@@ -607,6 +627,18 @@
         self.state.record_store_return();
     }
 
+    /// Returns what waits here and at peers, for the services whose requests are ordered across replicas.
+    fn dump_waiting(&self, now: Time) -> serde_json::Value {
+        let own = self.state.waiting(now);
+        let ordered = self.state.ordered_services();
+        let all = ordered.map(|service| {
+            let here = own.get(service).map(waiting_json);
+            let at_peers = waiting_json(&self.state.waiting_at_peers(now, service));
+            (service.to_string(), serde_json::json!({ "here": here, "at_peers": at_peers }))
+        });
+        all.collect::<serde_json::Map<_, _>>().into()
+    }
+
     fn dump(&mut self, now: Time) -> serde_json::Value {
         let endpoints: Vec<serde_json::Value> = self
             .state
@@ -642,11 +674,23 @@
             "sharers": self.state.replica_count(),
             "registered": self.registering.is_none(),
             "waiting": self.state.queue_length(),
+            "waiting_by_urgency": self.dump_waiting(now),
+            "yields": self.state.yields().count(),
             "forecasts": forecasts,
         })
     }
 }
 
+fn waiting_json(waiting: &BTreeMap<Urgency, Waiting>) -> serde_json::Value {
+    let all = waiting.iter().map(|(urgency, waiting)| {
+        serde_json::json!({
+            "late": urgency.is_late, "priority": urgency.priority, "count": waiting.count,
+            "memory": waiting.memory, "due_ms": waiting.due_in.as_millis() as u64,
+        })
+    });
+    all.collect()
+}
+
 /// Returns the time since the host's boot, with the time in which it was suspended.
 fn since_boot() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub cold_endpoints: IntGauge,
     /// Number of endpoints that name a limit.
     pub limited_endpoints: IntGauge,
+    /// Number of times that a request began to leave memory to more urgent ones at peers.
+    pub yields: IntGauge,
     /// 1 for each response field of endpoints that the gateway does not know.
     pub unknown_fields: GaugeVec,
     /// Version of the active configuration; 0 before the first.
@@ -76,6 +78,7 @@
             evacuated: gauges("gateway_evacuated", "Evacuated availability zones", &["zone"]),
             cold_endpoints: gauge("gateway_cold_endpoints", "Endpoints that are cold"),
             limited_endpoints: gauge("gateway_limited_endpoints", "Endpoints that name a limit"),
+            yields: gauge("gateway_yields", "Times that a request began to yield memory to peers"),
             unknown_fields: gauges(
                 "gateway_unknown_response_fields",
                 "Response fields of endpoints that the gateway does not know",
@@ -84,7 +87,7 @@
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 17] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -98,6 +101,7 @@
             Box::new(metrics.evacuated.clone()),
             Box::new(metrics.cold_endpoints.clone()),
             Box::new(metrics.limited_endpoints.clone()),
+            Box::new(metrics.yields.clone()),
             Box::new(metrics.unknown_fields.clone()),
             Box::new(metrics.version.clone()),
             Box::new(metrics.forecasts.clone()),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -304,6 +304,7 @@
         }
         let limited_endpoints = self.0.control.limited_count(self.0.clock.now());
         self.0.metrics.limited_endpoints.set(i64::try_from(limited_endpoints).unwrap_or(i64::MAX));
+        self.0.metrics.yields.set(i64::try_from(self.0.control.yields()).unwrap_or(i64::MAX));
         for field in self.0.control.unknown_fields() {
             self.0.metrics.unknown_fields.with_label_values(&[&*field]).set(1.0);
         }
