--- a/crates/core/src/gateway/order.rs
+++ b/crates/core/src/gateway/order.rs
@@ -12,6 +12,8 @@
     time::Duration,
 };
 
+use xxhash_rust::xxh3::Xxh3;
+
 use super::queue::Entry;
 use crate::clock::{Time, decay_factor};
 
@@ -22,6 +24,14 @@
 const MAX_YIELD: Duration = Duration::from_millis(300);
 /// Time without a decision after which an endpoint counts as not observed, so that it was perhaps used meanwhile.
 const MAX_UNOBSERVED: Duration = Duration::from_millis(200);
+/// Time from a refused reservation to the next attempt of a request that comes after all others, while no peers are heard.
+const BLIND_HOLD: Duration = Duration::from_millis(500);
+/// Upper bound of computed waits.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+/// Longest retry delay for callers that found no free memory; with a longer one, most give up.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Part of the longest retry delay over which callers are spread who would have to wait for longer.
+const RETRY_SPREAD: f64 = 0.4;
 /// Half-life of the mix of priorities; a replica gets few requests.
 const MIX_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Number of requests that count as of the lowest priority, so that the first ones do not decide.
@@ -93,11 +103,7 @@
 impl Peers {
     /// Replaces what a peer reported before.
     pub fn apply(&mut self, now: Time, peer: &Arc<str>, report: &Report) {
-        if report.is_empty() {
-            self.0.remove(peer);
-        } else {
-            self.0.insert(peer.clone(), (now, report.clone()));
-        }
+        self.0.insert(peer.clone(), (now, report.clone()));
     }
 
     /// Removes the report of an expired peer.
@@ -107,13 +113,23 @@
 
     /// Returns what waits at all peers for a service, by urgency, as far as the reports are fresh.
     pub fn waiting(&self, now: Time, digest_interval: Duration, service: &str) -> BTreeMap<Urgency, Waiting> {
-        let fresh = self.0.values().filter(|(at, _)| now.since(*at) < STALE_AFTER + digest_interval);
         let mut sum: BTreeMap<Urgency, Waiting> = BTreeMap::new();
-        for (urgency, waiting) in fresh.filter_map(|(_, report)| report.get(service)).flatten() {
+        let fresh = self.fresh(now, digest_interval);
+        for (urgency, waiting) in fresh.filter_map(|report| report.get(service)).flatten() {
             *sum.entry(*urgency).or_default() += *waiting;
         }
         sum
     }
+
+    /// Returns whether most of `count` peers are not heard, so that what waits there is not known.
+    pub fn is_blind(&self, now: Time, digest_interval: Duration, count: usize) -> bool {
+        self.fresh(now, digest_interval).count() * 2 < count
+    }
+
+    fn fresh(&self, now: Time, digest_interval: Duration) -> impl Iterator<Item = &Report> {
+        let fresh = self.0.values().filter(move |(at, _)| now.since(*at) < STALE_AFTER + digest_interval);
+        fresh.map(|(_, report)| report)
+    }
 }
 
 /// Free memory of an endpoint.
@@ -194,6 +210,71 @@
     places(rooms, unit) < count + memory.div_ceil(unit)
 }
 
+/// Memory of a service and the pace at which runs free it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Supply {
+    /// Memory that is free now, in tokens.
+    pub free: u64,
+    /// Memory that becomes free in a second, in tokens.
+    pub rate: f64,
+}
+
+impl Supply {
+    /// Returns the time until this much memory, in tokens, has become free.
+    pub fn wait(&self, memory: u64) -> Duration {
+        let secs = memory.saturating_sub(self.free) as f64 / self.rate.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(secs.min(MAX_WAIT.as_secs_f64()))
+    }
+}
+
+/// Returns the memory of waiting requests that come before those of an urgency, in tokens.
+pub fn memory_before(waiting: &BTreeMap<Urgency, Waiting>, urgency: Urgency) -> u64 {
+    waiting.range(..urgency).map(|(_, waiting)| waiting.memory).sum()
+}
+
+/// When callers that were refused are told to come back.
+#[derive(Clone, Debug, Default)]
+pub struct Returns {
+    /// The latest return by service and priority.
+    latest: BTreeMap<(Arc<str>, u8), Time>,
+    count: u64,
+}
+
+impl Returns {
+    /// Returns the time after which a caller should come back. `wait` is the time until there is room for its urgency;
+    /// callers of this replica follow at intervals of `spacing`, and of other replicas in between.
+    pub fn next(
+        &mut self,
+        now: Time,
+        replica: &str,
+        service: &Arc<str>,
+        priority: u8,
+        wait: Duration,
+        spacing: Duration,
+    ) -> Duration {
+        self.count += 1;
+        let fraction = hash_fraction(replica, self.count);
+        let latest = self.latest.entry((service.clone(), priority)).or_default();
+        let first = now.plus(wait + spacing.mul_f64(fraction));
+        let slot = first.max(latest.plus(spacing));
+        let last = now.plus(MAX_RETRY_AFTER);
+        if slot > last {
+            // Later callers share the end of the range, since few would wait for longer.
+            return MAX_RETRY_AFTER.mul_f64(1.0 - RETRY_SPREAD * fraction);
+        }
+        *latest = slot;
+        slot.since(now)
+    }
+}
+
+/// Returns a number from 0 to 1 that differs between replicas and calls.
+fn hash_fraction(replica: &str, count: u64) -> f64 {
+    let mut hash = Xxh3::new();
+    hash.update(replica.as_bytes());
+    hash.update(&count.to_le_bytes());
+    hash.digest() as f64 / u64::MAX as f64
+}
+
 /// What the first request of a service leaves to more urgent ones at peers.
 #[derive(Clone, Debug)]
 struct Yield {
@@ -208,11 +289,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Yields {
     services: BTreeMap<Arc<str>, Yield>,
+    /// When an endpoint last refused a reservation, by service.
+    refused: BTreeMap<Arc<str>, Time>,
     /// Number of times that a request began to yield.
     count: u64,
 }
 
 impl Yields {
+    /// Records a refused reservation.
+    pub fn record_refusal(&mut self, now: Time, service: &Arc<str>) {
+        self.refused.insert(service.clone(), now);
+    }
+
+    /// Returns whether a replica that hears no peers should not ask for memory yet. A refusal is all that tells it that
+    /// memory is scarce. `share` is the share of requests that come before this one.
+    pub fn is_held(&self, now: Time, service: &str, share: f64) -> bool {
+        self.refused.get(service).is_some_and(|at| now.since(*at) < BLIND_HOLD.mul_f64(share))
+    }
+
     /// Records the endpoints that have room for a request of `service` that yields, and returns whether it may use
     /// `endpoint` nevertheless, because nobody took the memory.
     pub fn record(
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -203,6 +203,8 @@
     unknown_fields: BTreeSet<String>,
     /// Number of endpoints that have ended as far as this replica knows.
     out_count: usize,
+    /// Number of times that a request began to leave memory to more urgent ones at peers.
+    yields: u64,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -399,6 +401,11 @@
         lock(&self.shared).gate.take(now, &endpoint.id, limit).map_err(Block::from)
     }
 
+    /// Returns the number of times that a request began to leave memory to more urgent ones at peers.
+    pub fn yields(&self) -> u64 {
+        lock(&self.shared).yields
+    }
+
     /// Returns the number of cold endpoints.
     pub fn cold_count(&self, now: Time) -> usize {
         lock(&self.shared).gate.cold.all(now).count()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub out_endpoints: IntGauge,
     /// Number of endpoints that name a limit.
     pub limited_endpoints: IntGauge,
+    /// Number of times that a request began to leave memory to more urgent ones at peers.
+    pub yields: IntGauge,
     /// 1 for each response field of endpoints that the gateway does not know.
     pub unknown_fields: GaugeVec,
     /// Version of the active configuration; 0 before the first.
@@ -79,6 +81,7 @@
             cold_endpoints: gauge("gateway_cold_endpoints", "Endpoints that are cold"),
             out_endpoints: gauge("gateway_out_endpoints", "Endpoints that have ended"),
             limited_endpoints: gauge("gateway_limited_endpoints", "Endpoints that name a limit"),
+            yields: gauge("gateway_yields", "Times that a request began to yield memory to peers"),
             unknown_fields: gauges(
                 "gateway_unknown_response_fields",
                 "Response fields of endpoints that the gateway does not know",
@@ -102,6 +105,7 @@
             Box::new(metrics.cold_endpoints.clone()),
             Box::new(metrics.out_endpoints.clone()),
             Box::new(metrics.limited_endpoints.clone()),
+            Box::new(metrics.yields.clone()),
             Box::new(metrics.unknown_fields.clone()),
             Box::new(metrics.version.clone()),
             Box::new(metrics.forecasts.clone()),
