Pace of endpoints that have just started or recovered

An endpoint that has just started is the one with the most free memory, so that all replicas flood it. All replicas together now use only as much of it as its answers allow: room for two typical runs at first, one more with each answer that is about as fast as its own and its neighbours' past, half after failures, refusals and slow answers. One that comes and goes often begins with one run and grows slower. Findings travel in digests; the newest reduction counts, or else the largest limit.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -397,6 +397,11 @@
         self.records.get(id).filter(|record| record.endpoint.is_some()).map(|record| record.last_write)
     }
 
+    /// Returns the newest known start of a process with this name, listed or not.
+    pub fn newest_start(&self, id: &str) -> Option<u64> {
+        self.records.get(id).map(|record| record.last_write.0)
+    }
+
     /// Returns an endpoint by name.
     pub fn get(&self, id: &str) -> Option<&Arc<Endpoint>> {
         self.records.get(id).and_then(|record| record.endpoint.as_ref())
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -9,6 +9,7 @@
     growth::Growth,
     health::{Health, Outcome},
     outage::Outages,
+    pace::Paces,
 };
 use crate::clock::Time;
 
@@ -143,6 +144,8 @@
     pub backoffs: Backoffs,
     /// Endpoints that have ended; must outlast the removal of [`Load`] likewise.
     pub outages: Outages,
+    /// Paces of endpoints that have just started or recovered.
+    pub paces: Paces,
 }
 
 impl Loads {
--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -162,6 +162,8 @@
     answers: BTreeMap<Arc<str>, Time>,
     is_urgent: bool,
     events: VecDeque<Event>,
+    /// Ends of endpoints, and returns with the length of the outage.
+    turns: Vec<(Arc<str>, Option<Duration>)>,
 }
 
 impl Outages {
@@ -250,6 +252,7 @@
         };
         self.is_urgent |= is_own;
         self.known.insert(endpoint.id.clone(), outage);
+        self.turns.push((endpoint.id.clone(), None));
         self.log(Event::Out {
             endpoint: endpoint.id.clone(),
             reason,
@@ -313,6 +316,9 @@
         self.is_urgent |= sign == Sign::Answered;
         outage.is_refuted = sign == Sign::Peer && outage.is_own;
         (outage.is_over, outage.is_own, outage.at) = (true, sign == Sign::Answered, at);
+        if !matches!(sign, Sign::Replaced) {
+            self.turns.push((endpoint.clone(), Some(after)));
+        }
         self.log(Event::Back { endpoint: endpoint.clone(), sign, after });
     }
 
@@ -373,6 +379,16 @@
         own.into_iter().map(|(endpoint, outage)| (endpoint.clone(), notice(outage))).collect()
     }
 
+    /// Returns whether an endpoint is out, or was until a moment ago.
+    pub fn is_known(&self, endpoint: &str) -> bool {
+        self.known.contains_key(endpoint)
+    }
+
+    /// Returns the endpoints that have ended or, with the length of the outage, returned since the last call.
+    pub fn take_turns(&mut self) -> Vec<(Arc<str>, Option<Duration>)> {
+        std::mem::take(&mut self.turns)
+    }
+
     /// Returns the changes since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         self.events.drain(..).collect()
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -296,6 +296,13 @@
         if candidates.iter().any(|endpoint| !self.is_stalled(endpoint, ttft_target)) {
             candidates.retain(|endpoint| !self.is_stalled(endpoint, ttft_target));
         }
+        let is_within_pace = |endpoint: &Endpoint| {
+            let queued = self.load(endpoint).map_or(0, |load| load.total(self.now).prefill_tokens);
+            self.is_within_pace(endpoint, queued, prompt)
+        };
+        if candidates.iter().any(|endpoint| is_within_pace(endpoint)) {
+            candidates.retain(|endpoint| is_within_pace(endpoint));
+        }
         let timed = candidates.into_iter().map(|endpoint| (self.prefill_times(endpoint, prompt), endpoint));
         let best = timed.min_by_key(|((_, end), endpoint)| {
             let zone_penalty = if self.is_in_zone(endpoint, zone) { Duration::ZERO } else { penalty };
@@ -435,6 +442,9 @@
             return None;
         }
         let peak = (current.growth + run.growth).peak();
+        if !self.is_within_pace(endpoint, current.growth.peak(), peak - current.growth.peak()) {
+            return None;
+        }
         // A run too large to leave the headroom free may still run alone.
         let is_alone = current.running == 0 && u64::from(run.growth.0[0]) <= engine.memory;
         let remaining = if is_alone {
@@ -447,6 +457,12 @@
         Some(remaining + (engine.memory as f64 * bonus) as u64)
     }
 
+    /// Returns whether a request fits within the limit of an endpoint that has just started or recovered.
+    fn is_within_pace(&self, endpoint: &Endpoint, used: u64, added: u64) -> bool {
+        let replica = (self.preference(endpoint), self.partition.count);
+        self.loads.paces.admits(&endpoint.id, used, added, replica)
+    }
+
     /// Returns this replica's preference for an endpoint, from 0 to 1: a hash that is stable over
     /// time and differs between replicas.
     fn preference(&self, endpoint: &Endpoint) -> f64 {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod outages;
+mod paces;
 mod peers;
 mod placing;
 mod progress;
@@ -238,6 +239,7 @@
         self.limits.expire(now);
         self.update_throttles(now);
         self.update_outages(now);
+        self.expire_paces(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
         self.update_profiles();
--- a/crates/core/src/gateway/state/outages.rs
+++ b/crates/core/src/gateway/state/outages.rs
@@ -28,6 +28,7 @@
         let service = self.directory.get(endpoint).map(|endpoint| endpoint.service.clone());
         if service.is_some_and(|service| self.uses(&service, Mechanism::Outages)) {
             self.loads.outages.record_answer(now, endpoint);
+            self.pace_recovered(now);
         }
     }
 
@@ -51,6 +52,7 @@
         let live: Vec<Arc<str>> = peers.live_members(now).map(|member| member.name).collect();
         loads.outages.review(now, |endpoint| directory.last_write(endpoint));
         loads.outages.update(now, &identity.name, &live, |endpoint| directory.get(endpoint).is_some());
+        self.pace_recovered(now);
     }
 
     /// Returns the outages.
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -65,6 +65,7 @@
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
         self.apply_outages(now, &digest.name, &digest.outages);
+        self.apply_paces(now, &digest.paces);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
         if !digest.observed.is_zero() {
             self.history.apply_peer(now, digest.observed, &digest.mixed);
@@ -133,7 +134,7 @@
             waiting: BTreeMap::new(),
             holdings: BTreeMap::new(),
             outages: self.loads.outages.report(now),
-            paces: BTreeMap::new(),
+            paces: self.loads.paces.report(now),
             speeds: BTreeMap::new(),
             demands: BTreeMap::new(),
             versions: self.staleness.own(),
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -36,6 +36,7 @@
         if matches!(observation, Observation::Events { .. }) {
             self.record_answer(now, &endpoint.id);
         }
+        self.record_pace(now, endpoint, &observation);
         let memory = self.loads.get(&endpoint.id).map_or(0, |load| load.total(now).memory);
         self.forecasts.record(now, &endpoint.service, &endpoint.id, memory, observation);
     }
@@ -76,6 +77,7 @@
             self.suspects.record_crash(now, &lease.endpoint);
             self.record_restart(now, &lease.endpoint);
         }
+        self.record_pace_end(now, &lease.endpoint, outcome);
         match outcome {
             Outcome::Unreachable | Outcome::Replaced => {
                 self.record_outage(now, &lease.endpoint, Reason::Unreachable);
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -127,6 +127,7 @@
     fn update_directory(&mut self, now: Time, listing: Listing) -> Vec<Change> {
         let cold = listing.rows.iter().filter(|row| !row.cold.is_zero());
         let cold: Vec<(Arc<str>, Duration)> = cold.map(|row| (row.id.clone(), row.cold)).collect();
+        let new = self.newly_listed(&listing.rows);
         let changes = if listing.is_complete {
             self.directory.replace(now, listing.position, listing.rows)
         } else {
@@ -138,6 +139,7 @@
             self.record_cold(now, &endpoint, span);
         }
         self.apply_changes(now, &changes);
+        self.pace_started(now, &changes, &new);
         self.update_outages(now);
         changes
     }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod mirror;
 mod origin;
 mod outage;
+mod pace;
 mod placement;
 mod pools;
 mod queue;
--- a/crates/core/tests/gateway/outage.rs
+++ b/crates/core/tests/gateway/outage.rs
@@ -6,7 +6,7 @@
     catalog::{Catalog, Kind, Limits, Route, Service},
     cold::Tolerance,
     completion::Completion,
-    directory::Stage,
+    directory::{Endpoint, Stage},
     forecast::Size,
     health::Outcome,
     load::Lease,
@@ -20,6 +20,12 @@
 
 const MEMORY: u64 = 5_000;
 
+/// Returns an endpoint with an address of its own.
+pub fn listed(id: &str, stage: Stage) -> Endpoint {
+    let port = id.bytes().fold(0, |port: u16, byte| port.wrapping_mul(31).wrapping_add(byte.into()));
+    Endpoint { address: ([127, 0, 0, 1], port).into(), ..endpoint(id, stage) }
+}
+
 /// Returns the replicas of a fleet that know each other, with `decodes` decode endpoints.
 pub fn fleet(replicas: usize, decodes: u64, mechanisms: &Mechanisms) -> Vec<State<u32>> {
     let mut catalog = Catalog::new(1, Limits::default());
@@ -40,7 +46,7 @@
         state.apply_catalog(at(0), position(10), catalog.clone());
         let prefills = (1..=4).map(|index| (index, format!("p-{index}"), Stage::Prefill));
         let decodes = (1..=decodes).map(|index| (10 + index, format!("d-{index}"), Stage::Decode));
-        let rows = prefills.chain(decodes).map(|(version, id, stage)| row(version, endpoint(&id, stage)));
+        let rows = prefills.chain(decodes).map(|(version, id, stage)| row(version, listed(&id, stage)));
         let rows = rows.collect();
         state.apply_listing(at(0), Listing { position: position(100), is_complete: true, rows });
         state.tick(at(0));
@@ -156,10 +162,8 @@
         exchange(&mut fleet, 1_010);
         assert_eq!(out(&fleet, "d-1"), 3);
         let write = |started_ms, version| {
-            let mut row = row(version, endpoint("d-1", Stage::Decode));
-            row.endpoint = row.endpoint.map(|one| {
-                Arc::new(tarragonhill_core::gateway::directory::Endpoint { started_ms, ..(*one).clone() })
-            });
+            let mut row = row(version, listed("d-1", Stage::Decode));
+            row.endpoint = row.endpoint.map(|one| Arc::new(Endpoint { started_ms, ..(*one).clone() }));
             Listing { position: position(version), is_complete: false, rows: vec![row] }
         };
         match sign {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -203,6 +203,8 @@
     unknown_fields: BTreeSet<String>,
     /// Number of endpoints that have ended as far as this replica knows.
     out_count: usize,
+    /// Number of endpoints that do not take their full share yet.
+    paced_count: usize,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -409,6 +411,11 @@
         lock(&self.shared).out_count
     }
 
+    /// Returns the number of endpoints that do not take their full share yet.
+    pub fn paced_count(&self) -> usize {
+        lock(&self.shared).paced_count
+    }
+
     /// Returns the number of endpoints that name a limit.
     pub fn limited_count(&self, now: Time) -> usize {
         lock(&self.shared).gate.limited.all(now).count()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -21,6 +21,7 @@
         health::Outcome,
         origin::{Message, Origin, Searches, Stream},
         outage::Event,
+        pace,
         placement::Filter,
         pools::Order,
         position::Position,
@@ -193,7 +194,8 @@
                     self.execute(command);
                     self.publish_evacuations();
                     self.publish_gate();
-                    self.publish_outages();
+                    self.log_outages();
+                    self.log_paces();
                     self.publish_awaited();
                     self.save_suspects();
                     self.publish_held();
@@ -231,7 +233,12 @@
             {
                 self.state.cancel_order(now, &error.into_inner().endpoint.id);
             }
-            self.publish_outages();
+            self.log_outages();
+            self.log_paces();
+            let mut shared = lock(&self.weak_control.shared);
+            shared.out_count = self.state.outages().out().count();
+            shared.paced_count = self.state.paces().all().count();
+            drop(shared);
             for (member, message) in self.state.take_announcements(now) {
                 self.send_message(member, message);
             }
@@ -385,14 +392,9 @@
         }
     }
 
-    /// Logs changes of outages, and makes their number known to the threads that serve metrics.
-    fn publish_outages(&mut self) {
-        let events = self.state.take_outage_events();
-        if events.is_empty() {
-            return;
-        }
-        lock(&self.weak_control.shared).out_count = self.state.outages().out().count();
-        for event in events {
+    /// Logs changes of outages.
+    fn log_outages(&mut self) {
+        for event in self.state.take_outage_events() {
             match event {
                 Event::Out { endpoint, reason, noticed_by, age } => spdlog::info!("endpoint out", kv: {
                     endpoint = &*endpoint, reason = <&'static str>::from(reason), noticed_by = &*noticed_by,
@@ -405,6 +407,22 @@
         }
     }
 
+    /// Logs changes of paces.
+    fn log_paces(&mut self) {
+        for event in self.state.take_pace_events() {
+            match event {
+                pace::Event::Paced { endpoint, limit } => {
+                    spdlog::info!("endpoint paced", kv: { endpoint = &*endpoint, limit });
+                }
+                pace::Event::Full { endpoint, answers, after } => {
+                    spdlog::info!("endpoint at full pace", kv: {
+                        endpoint = &*endpoint, answers, after_ms = after.as_millis() as u64
+                    })
+                }
+            }
+        }
+    }
+
     /// Makes the endpoints that may still read messages of ended requests known to the threads that read responses.
     fn publish_awaited(&self) {
         let awaited = self.state.awaited_endpoints();
@@ -644,6 +662,7 @@
                     "running": all.running, "memory": all.memory, "reading": all.prefill_tokens,
                     "cold_ms": self.state.gate().cold.get(now, &endpoint.id).map(|cold| cold.until.since(now).as_millis() as u64),
                     "out": self.state.outages().is_out(&endpoint.id),
+                    "pace": self.state.paces().limit(&endpoint.id),
                     "limit": self.state.limits().get(&endpoint.id),
                     "failing": load.map(|load| load.health.failure_ratio(now)),
                 })
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub cold_endpoints: IntGauge,
     /// Number of endpoints that have ended.
     pub out_endpoints: IntGauge,
+    /// Number of endpoints that have just started or recovered and do not take their full share.
+    pub paced_endpoints: IntGauge,
     /// Number of endpoints that name a limit.
     pub limited_endpoints: IntGauge,
     /// 1 for each response field of endpoints that the gateway does not know.
@@ -78,6 +80,7 @@
             evacuated: gauges("gateway_evacuated", "Evacuated availability zones", &["zone"]),
             cold_endpoints: gauge("gateway_cold_endpoints", "Endpoints that are cold"),
             out_endpoints: gauge("gateway_out_endpoints", "Endpoints that have ended"),
+            paced_endpoints: gauge("gateway_paced_endpoints", "Endpoints below their full share"),
             limited_endpoints: gauge("gateway_limited_endpoints", "Endpoints that name a limit"),
             unknown_fields: gauges(
                 "gateway_unknown_response_fields",
@@ -87,7 +90,7 @@
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 17] = [
+        let collectors: [Box<dyn Collector>; 18] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -101,6 +104,7 @@
             Box::new(metrics.evacuated.clone()),
             Box::new(metrics.cold_endpoints.clone()),
             Box::new(metrics.out_endpoints.clone()),
+            Box::new(metrics.paced_endpoints.clone()),
             Box::new(metrics.limited_endpoints.clone()),
             Box::new(metrics.unknown_fields.clone()),
             Box::new(metrics.version.clone()),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -309,6 +309,8 @@
         }
         let out_endpoints = self.0.control.out_count();
         self.0.metrics.out_endpoints.set(i64::try_from(out_endpoints).unwrap_or(i64::MAX));
+        let paced_endpoints = self.0.control.paced_count();
+        self.0.metrics.paced_endpoints.set(i64::try_from(paced_endpoints).unwrap_or(i64::MAX));
         let cold_endpoints = self.0.control.cold_count(self.0.clock.now());
         self.0.metrics.cold_endpoints.set(i64::try_from(cold_endpoints).unwrap_or(i64::MAX));
         for (service, forecast) in self.0.control.forecasts().await {
