--- a/crates/core/tests/gateway/pace.rs
+++ b/crates/core/tests/gateway/pace.rs
@@ -19,7 +19,7 @@
 use crate::{
     at, endpoint,
     outage::{exchange, fleet, listed, place},
-    position, removed_row, row,
+    removed_row, row,
 };
 
 const PROMPT: u64 = 5_000;
@@ -144,8 +144,6 @@
         if now % ARRIVAL_MS == 0 {
             play.arrive(now, (now / ARRIVAL_MS) as usize % REPLICAS);
         }
-        for e in play.fleet[0].take_pace_events() {}
-        for e in play.fleet[0].take_outage_events() {}
         if now % 100 == 0 {
             exchange(&mut play.fleet, now);
         }
@@ -169,7 +167,6 @@
     let turns = [(4_000, ids('d', 1..=2), false), (6_000, ids('d', 1..=2), true)];
     let paced = play(&Mechanisms::default(), 6_000, &turns, 14_000);
     let flooded = play(&Mechanisms::without([Mechanism::Pace]), 6_000, &turns, 14_000);
-    eprintln!("FIG crash of a quarter: {paced:?} {flooded:?}");
     assert!(paced.late < flooded.late, "{paced:?} {flooded:?}");
     assert!(paced.share_after_ms.is_some_and(|after| after <= 4_000), "{paced:?} {flooded:?}");
 }
@@ -184,7 +181,6 @@
     let turns: Vec<Turn> = (1..=ENDPOINTS).flat_map(step).collect();
     let paced = play(&Mechanisms::default(), 1, &turns, 34_000);
     let unpaced = play(&Mechanisms::without([Mechanism::Pace]), 1, &turns, 34_000);
-    eprintln!("FIG rolling: {paced:?} {unpaced:?}");
     assert!(paced.unplaced <= unpaced.unplaced + 8, "{paced:?} {unpaced:?}");
 }
 
@@ -195,7 +191,6 @@
         (0..16).map(|index| (4_000 + 1_400 * index, ids('d', 1..=1), index % 2 == 1)).collect();
     let paced = play(&Mechanisms::default(), 1, &turns, 28_000);
     let unpaced = play(&Mechanisms::without([Mechanism::Pace]), 1, &turns, 28_000);
-    eprintln!("FIG flapping: {paced:?} {unpaced:?}");
     assert!(paced.lost_tokens * 2 < unpaced.lost_tokens, "{paced:?} {unpaced:?}");
 }
 
@@ -264,3 +259,21 @@
     }
     assert_eq!(judge(&took(9.0), &Forecast::default(), &Forecast::default()), Verdict::Prompt);
 }
+
+/// Guards against a pace that replaces the limit that an endpoint names, or the operator's for cold ones.
+#[test]
+fn limits_of_endpoints_hold_on_top() {
+    let mut fleet = fleet(1, 4, &Mechanisms::default());
+    let others = ["d-2", "d-3", "d-4"].map(Arc::from);
+    let started = Row { ..row(200, Endpoint { started_ms: 200, ..listed("d-1", Stage::Decode) }) };
+    let listing = Listing { position: started.position, is_complete: false, rows: vec![started] };
+    fleet[0].apply_listing(at(1_000), listing);
+    assert_eq!(fleet[0].paces().all().count(), 1);
+    fleet[0].record_limit(at(1_000), &"d-1".into(), Some(1.0));
+    let placed = (1_010..2_000).step_by(10).filter_map(|now| {
+        let lease = place(&mut fleet[0], now, &others)?;
+        fleet[0].record_end(at(now), &lease, Outcome::Abandoned);
+        Some(now)
+    });
+    assert!(placed.count() <= 2);
+}
