--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod ordering;
 mod outages;
+mod paces;
 mod peers;
 mod placing;
 mod progress;
@@ -252,6 +253,7 @@
         self.limits.expire(now);
         self.update_throttles(now);
         self.update_outages(now);
+        self.expire_paces(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
         self.update_profiles();
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -68,6 +68,7 @@
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
         self.apply_outages(now, &digest.name, &digest.outages);
+        self.apply_paces(now, &digest.paces);
         self.forecasts.apply_peer_forecasts(&digest.name, &digest.forecasts);
         for (id, sample) in &digest.speeds {
             if let Some(endpoint) = self.directory.get(id) {
@@ -144,7 +145,7 @@
             waiting: self.waiting(now),
             holdings: BTreeMap::new(),
             outages: self.loads.outages.report(now),
-            paces: BTreeMap::new(),
+            paces: self.loads.paces.report(now),
             speeds: if is_full { self.forecasts.take_speeds(now) } else { BTreeMap::new() },
             demands: if is_full { self.demands(now) } else { BTreeMap::new() },
             versions: self.staleness.own(),
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod order;
 mod origin;
 mod outage;
+mod pace;
 mod placement;
 mod pools;
 mod queue;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -205,6 +205,8 @@
     out_count: usize,
     /// Number of times that a request began to leave memory to more urgent ones at peers.
     yields: u64,
+    /// Number of endpoints that do not take their full share yet.
+    paced_count: usize,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -416,6 +418,11 @@
         lock(&self.shared).out_count
     }
 
+    /// Returns the number of endpoints that do not take their full share yet.
+    pub fn paced_count(&self) -> usize {
+        lock(&self.shared).paced_count
+    }
+
     /// Returns the number of endpoints that name a limit.
     pub fn limited_count(&self, now: Time) -> usize {
         lock(&self.shared).gate.limited.all(now).count()
