Test placement by speed with a model of 36 uneven endpoints; long outputs weigh the interval more

A model of 12 gateways, 36 decode and 18 prefill endpoints (factors 0.6, 1.0, 1.6; one in seven slow for 0.6 s at times; digests lost in one plan; waves between zones in another). Of the exponents tried for the interval (one, half and the whole of the expected output over the mean, its root), the root keeps runs by third in proportion while few answers are late. The field added to Entry is set in the queue's tests.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -43,7 +43,7 @@
 /// it, replicas that do not know each other's newest runs would all pick the same endpoint.
 const PREFERENCE_BONUS: f64 = 0.2;
 
-/// Bounds of the exponent by which a run's claim grows with its output.
+/// Bounds of the exponent by which the interval counts more for a longer output. The output is only estimated.
 const OUTPUT_EXPONENTS: (f64, f64) = (0.5, 1.5);
 
 /// Retry delay while all endpoints have named limits that belong to other replicas. A caller that comes back may reach
@@ -473,7 +473,7 @@
         let output = self.forecasts.service(&endpoint.service).output_length_or_default();
         let mean = (output.events * output.event_tokens).max(1.0);
         let (least, most) = OUTPUT_EXPONENTS;
-        let exponent = (claim.output as f64 / mean).clamp(least, most);
+        let exponent = (claim.output as f64 / mean).sqrt().clamp(least, most);
         used * relative.powf(exponent) * (1.0 - self.bonus(endpoint))
     }
 
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -10,6 +10,7 @@
         forecast::{Forecast, Observation},
         health::Outcome,
         load::Lease,
+        speed::Speeds,
     },
 };
 
@@ -52,6 +53,11 @@
         self.forecasts.typical()
     }
 
+    /// Returns the speeds of a service's endpoints; `None` without observations.
+    pub fn speeds(&self, service: &str) -> Option<&Speeds> {
+        self.forecasts.speeds(service)
+    }
+
     /// Records the first event of a response.
     pub fn record_first_event(&mut self, now: Time, lease: &Lease) {
         let endpoint = self.directory.get(&lease.endpoint);
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod rate_limit;
 mod shutdown;
+mod speed;
 mod staleness;
 mod state;
 mod suspect;
--- a/crates/core/tests/gateway/queue.rs
+++ b/crates/core/tests/gateway/queue.rs
@@ -23,6 +23,7 @@
         memory: 5_000,
         soft_deadline: at(soft_deadline),
         hard_deadline: at(hard_deadline),
+        deadline: at(hard_deadline),
         priority: 1,
         target_gap: Duration::from_millis(300),
         ttft_target: Duration::from_millis(900),
