Fair shares between customers while requests wait for memory

Memory went to whoever asked at the right moment, so a customer at six times its usual made the others late. Gateways now tell each other what each customer's runs hold and its queued requests want, only while somebody waits or lately did. The held memory is divided max-min by weight (the customer's rate). Requests of customers over their share come last within their lateness and priority, and leave free memory to fresh requests of others that wait elsewhere, until a quarter of their target is left.

`Entry` has a new field, so the queue's test fills it. `State::view` can be used by the new module of the state.

--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -100,6 +100,7 @@
             avoid,
             software_version,
             suspects,
+            is_over_share: false,
         }
     }
 }
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -5,6 +5,7 @@
 use super::{
     backoff::Backoffs,
     digest::{Digest, Share},
+    fairness::{Holdings, Owner},
     forecast::Size,
     growth::Growth,
     health::{Health, Outcome},
@@ -26,7 +27,7 @@
 const MIN_REPORTED_FAILURE_RATIO: f64 = 0.05;
 
 /// A run that occupies KV cache memory.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Run {
     /// KV cache reserved for the run, in tokens.
     memory: u64,
@@ -34,6 +35,8 @@
     output: Option<Estimate>,
     /// Output tokens generated so far.
     generated: u64,
+    /// Whom it is for, if that is known.
+    owner: Option<Owner>,
 }
 
 impl Run {
@@ -138,6 +141,8 @@
     endpoints: BTreeMap<Arc<str>, Load>,
     /// The endpoints in the newest digest of each peer.
     reported: BTreeMap<Arc<str>, Vec<Arc<str>>>,
+    /// Memory of this replica's runs whose owners are known: for each owner the sum over all [`Load::runs`].
+    holdings: Holdings,
     /// Backoffs of endpoints. Not part of [`Load`], because they must outlast its removal.
     pub backoffs: Backoffs,
 }
@@ -150,7 +155,7 @@
 
     /// Records a request that is sent now.
     pub fn acquire(&mut self, now: Time, endpoint: &Arc<str>, share: Share) -> Lease {
-        self.acquire_run(now, endpoint, share, None)
+        self.acquire_run(now, endpoint, share, None, None)
     }
 
     /// Records a run that is sent now. With an output estimate, its memory grows over time.
@@ -160,6 +165,7 @@
         endpoint: &Arc<str>,
         share: Share,
         output: Option<Estimate>,
+        owner: Option<Owner>,
     ) -> Lease {
         let load = self.endpoints.entry(endpoint.clone()).or_default();
         load.local.running += share.running;
@@ -167,7 +173,10 @@
         load.local.prefill_tokens += share.prefill_tokens;
         let number = load.health.record_start(now);
         if share.memory > 0 {
-            load.runs.insert(number, Run { memory: share.memory, output, generated: 0 });
+            if let Some(owner) = &owner {
+                self.holdings.add(owner, share.memory);
+            }
+            load.runs.insert(number, Run { memory: share.memory, output, generated: 0, owner });
             load.update_growth();
         }
         Lease { endpoint: endpoint.clone(), share, number, sent_at: now }
@@ -203,8 +212,11 @@
         load.local.memory = load.local.memory.saturating_sub(lease.share.memory);
         load.local.prefill_tokens = load.local.prefill_tokens.saturating_sub(lease.share.prefill_tokens);
         load.health.record_end(now, lease.number, outcome);
-        if load.runs.remove(&lease.number).is_some() {
+        if let Some(run) = load.runs.remove(&lease.number) {
             load.update_growth();
+            if let Some(owner) = &run.owner {
+                self.holdings.remove(owner, run.memory);
+            }
         }
         if matches!(outcome, Outcome::Full | Outcome::Refused | Outcome::ReservationRejected) {
             load.full_until = now.plus(FULL_DURATION);
@@ -253,6 +265,11 @@
         }
     }
 
+    /// Returns the memory of this replica's runs by service and customer.
+    pub fn holdings(&self) -> &Holdings {
+        &self.holdings
+    }
+
     /// Returns this replica's shares by endpoint, without idle endpoints.
     pub fn local(&self) -> BTreeMap<Arc<str>, Share> {
         let busy = self.endpoints.iter().filter(|(_, load)| load.local != Share::default());
@@ -270,7 +287,13 @@
     /// Removes the record of an endpoint, unless requests are still in flight there.
     pub fn remove_if_idle(&mut self, endpoint: &str) {
         if self.endpoints.get(endpoint).is_some_and(|load| load.local == Share::default()) {
-            self.endpoints.remove(endpoint);
+            let removed = self.endpoints.remove(endpoint);
+            let runs = removed.into_iter().flat_map(|load| load.runs.into_values());
+            for Run { memory, owner, .. } in runs {
+                if let Some(owner) = &owner {
+                    self.holdings.remove(owner, memory);
+                }
+            }
         }
     }
 }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -392,6 +392,12 @@
         fitting.max_by_key(|(free, _)| *free).map(|(_, endpoint)| endpoint.clone())
     }
 
+    /// Returns the number of decode endpoints where a run fits.
+    pub fn room(&self, service: &str, engine: &Engine, run: &Run<'_>) -> usize {
+        let candidates = self.candidates(service, Stage::Decode, run.filter).into_iter();
+        candidates.filter(|endpoint| self.free_memory(endpoint, engine, run).is_some()).count()
+    }
+
     /// Returns the memory that stays free at peak use after placing a run, plus the bonuses for the
     /// endpoint; `None` if the run does not fit.
     fn free_memory(&self, endpoint: &Endpoint, engine: &Engine, run: &Run<'_>) -> Option<u64> {
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -1,7 +1,7 @@
 //! Queue of requests waiting for memory at a decode endpoint.
 //!
-//! Requests that can still meet their time-to-first-token target come first, then by priority and
-//! deadline. Serving by arrival would make every request late once the wait exceeds the target. A
+//! Requests that can still meet their time-to-first-token target come first, then by priority,
+//! share of their customer and deadline. Serving by arrival would make every request late once the wait exceeds the target. A
 //! request that does not fit blocks later ones of its service, so that large requests don't starve.
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
@@ -39,6 +39,8 @@
     pub software_version: Option<Arc<str>>,
     /// What of the request may crash endpoints; empty for a trial.
     pub suspects: Arc<[Suspect]>,
+    /// Whether its customer holds more than its share of scarce memory.
+    pub is_over_share: bool,
 }
 
 impl<T> Entry<T> {
@@ -55,8 +57,8 @@
         })
     }
 
-    fn rank(&self, now: Time) -> (bool, u8, Time) {
-        (self.is_late(now), self.priority, self.soft_deadline)
+    fn rank(&self, now: Time) -> (bool, u8, bool, Time) {
+        (self.is_late(now), self.priority, self.is_over_share, self.soft_deadline)
     }
 }
 
@@ -106,6 +108,18 @@
         self.0.iter().map(|entry| entry.service.clone()).collect()
     }
 
+    /// Returns the queued requests.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry<T>> {
+        self.0.iter()
+    }
+
+    /// Marks the requests whose customers hold more than their share.
+    pub fn mark_over_share(&mut self, is_over: impl Fn(&Entry<T>) -> bool) {
+        for entry in &mut self.0 {
+            entry.is_over_share = is_over(entry);
+        }
+    }
+
     /// Sorts the requests by the order in which they are placed.
     pub fn sort(&mut self, now: Time) {
         self.0.sort_by_key(|entry| entry.rank(now));
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod placing;
 mod progress;
+mod sharing;
 mod store;
 mod streams;
 mod suspects;
@@ -24,6 +25,7 @@
     cold::Tolerance,
     digest::{Member, Peers},
     directory::{Change, Directory, Endpoint, Row},
+    fairness::Fairness,
     forecast::Forecasts,
     history::History,
     limit::Limits,
@@ -161,6 +163,7 @@
     is_full_digest_due: bool,
     history: History,
     mechanisms: Mechanisms,
+    fairness: Fairness,
     /// What the services call for, by name; recomputed in each tick.
     profiles: BTreeMap<Arc<str>, Profile>,
 }
@@ -194,6 +197,7 @@
             is_full_digest_due: false,
             history: History::default(),
             mechanisms: Mechanisms::default(),
+            fairness: Fairness::default(),
             profiles: BTreeMap::new(),
         }
     }
@@ -203,6 +207,11 @@
         Self { mechanisms, ..self }
     }
 
+    /// Replaces the mechanisms in use.
+    pub fn set_mechanisms(&mut self, mechanisms: Mechanisms) {
+        self.mechanisms = mechanisms;
+    }
+
     /// Returns what a service calls for.
     pub fn profile(&self, service: &str) -> Profile {
         self.profiles.get(service).copied().unwrap_or_default()
@@ -230,11 +239,13 @@
             self.suspects.remove_peer(peer);
             self.loans.remove_peer(peer);
             self.forecasts.remove_peer(peer);
+            self.fairness.remove_peer(peer);
         }
         self.suspects.expire(now);
         self.budget.expire(now);
         self.gate.expire(now);
         self.limits.expire(now);
+        self.fairness.expire(now);
         self.update_throttles(now);
         self.rate_limiter.charge_silent_peers(now, &self.peers);
         self.forecasts.recompute();
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -61,6 +61,7 @@
         self.extend_roster(now, names);
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
+        self.apply_holdings(now, digest);
         self.suspects.apply_peer(now, &digest.name, &digest.suspects);
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
@@ -130,7 +131,7 @@
             unmet: self.loans.unmet(now),
             loans: self.take_loans(now),
             waiting: BTreeMap::new(),
-            holdings: BTreeMap::new(),
+            holdings: self.fairness.report(now, self.loads.holdings()),
             outages: BTreeMap::new(),
             paces: BTreeMap::new(),
             speeds: BTreeMap::new(),
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -9,6 +9,7 @@
         completion::{Completion, Prompt, target_or_default},
         digest::Share,
         directory::{Endpoint, Stage},
+        fairness::Owner,
         growth::Growth,
         load::Estimate,
         placement::{Filter, Partition, Placement, Prefill, Run, View, headroom},
@@ -117,8 +118,10 @@
         if !self.gate.is_empty() {
             self.expire_without_turn(now, &mut queue);
         }
+        self.mark_over_share(now, &mut queue);
         let placed = queue.dispatch(now, |entry| self.place(now, entry));
         self.queue = queue;
+        self.record_waiting(now);
         self.record_unmet(now);
         placed
     }
@@ -181,10 +184,15 @@
             ttft_target: *ttft_target,
             filter: Filter { avoid: &entry.avoid, software_version: entry.software_version.as_deref() },
         };
+        if self.yields_to_others(now, entry, &engine, &run) {
+            return None;
+        }
         let Placement { endpoint, prefill } = self.view(now).pick_pair(service, &engine, &run)?;
         let prefill_tokens = if prefill.is_some() { 0 } else { size.prompt };
         let share = Share { running: 1, memory: *memory, prefill_tokens, ..Share::default() };
-        let decode = self.assign(now, endpoint, share, Some(Estimate { size: *size, spread }));
+        let owner = Owner { service: service.clone(), customer: entry.customer.clone() };
+        let estimate = Estimate { size: *size, spread };
+        let decode = self.assign(now, endpoint, share, Some((estimate, owner)));
         let prefill = prefill.map(|prefill| self.assign_prefill(now, prefill, size.prompt, *ttft_target));
         Some(Pair { decode, prefill })
     }
@@ -205,7 +213,7 @@
         self.queue.len()
     }
 
-    fn view(&self, now: Time) -> View<'_> {
+    pub(super) fn view(&self, now: Time) -> View<'_> {
         View {
             now,
             directory: &self.directory,
@@ -228,14 +236,15 @@
         now: Time,
         endpoint: Arc<Endpoint>,
         share: Share,
-        output: Option<Estimate>,
+        run: Option<(Estimate, Owner)>,
     ) -> Assignment {
         // The endpoint is open by now, as a placement requires.
         if self.gate.is_throttled(now, &endpoint.id) {
             self.loans.record_used(now, &endpoint.service);
         }
         let _ = self.gate.take(now, &endpoint.id, Duration::ZERO);
-        let lease = self.loads.acquire_run(now, &endpoint.id, share, output);
+        let (output, owner) = run.unzip();
+        let lease = self.loads.acquire_run(now, &endpoint.id, share, output, owner);
         Assignment { endpoint, lease, prefill_tokens: 0, prefill_timeout: Duration::ZERO }
     }
 
--- a/crates/core/tests/gateway/fleet.rs
+++ b/crates/core/tests/gateway/fleet.rs
@@ -186,6 +186,11 @@
         self.alive().for_each(|(_, replica)| drop(replica.state.tick(now)));
     }
 
+    /// Returns the states of the replicas that have not ended.
+    pub fn into_states(self) -> Vec<State<u32>> {
+        self.replicas.into_iter().flatten().map(|replica| replica.state).collect()
+    }
+
     /// Returns the replicas that have not ended, with their index.
     pub fn alive(&mut self) -> impl Iterator<Item = (usize, &mut Replica)> {
         let replicas = self.replicas.iter_mut().enumerate();
--- a/crates/core/tests/gateway/queue.rs
+++ b/crates/core/tests/gateway/queue.rs
@@ -29,6 +29,7 @@
         avoid: Vec::new(),
         software_version: None,
         suspects: [].into(),
+        is_over_share: false,
     }
 }
 
@@ -55,6 +56,17 @@
     assert_eq!(placed(queue.dispatch(at(20), |_| Some(()))), [2, 1]);
 }
 
+#[test]
+fn customers_over_their_share_come_last_within_a_priority() {
+    let mut queue = Queue::default();
+    queue.push(Entry { customer: "over".into(), ..entry(1, 500, 9_000) });
+    queue.push(entry(2, 700, 9_000));
+    queue.push(Entry { customer: "over".into(), priority: 0, ..entry(3, 900, 9_000) });
+    queue.push(entry(4, 100, 9_000));
+    queue.mark_over_share(|entry| &*entry.customer == "over");
+    assert_eq!(placed(queue.dispatch(at(200), |_| Some(()))), [3, 2, 1, 4]);
+}
+
 /// Guards against resumes of one version that hold up new streams and resumes of other versions.
 #[test]
 fn a_request_that_waits_for_its_version_holds_up_only_those_of_that_version() {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -201,6 +201,8 @@
     awaited: BTreeSet<Arc<str>>,
     /// Names of response fields that the gateway does not know, in lowercase.
     unknown_fields: BTreeSet<String>,
+    /// Number of times that a request left memory to customers within their shares.
+    yields: u64,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -397,6 +399,11 @@
         lock(&self.shared).gate.take(now, &endpoint.id, limit).map_err(Block::from)
     }
 
+    /// Returns the number of times that a request left memory to customers within their shares.
+    pub fn yields(&self) -> u64 {
+        lock(&self.shared).yields
+    }
+
     /// Returns the number of cold endpoints.
     pub fn cold_count(&self, now: Time) -> usize {
         lock(&self.shared).gate.cold.all(now).count()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -16,7 +16,8 @@
     gateway::{
         catalog::Catalog,
         digest::{Digest, Member},
-        directory::Change,
+        directory::Change as EndpointChange,
+        fairness::{Change, Holding, Part},
         forecast::Forecast,
         health::Outcome,
         origin::{Message, Origin, Searches, Stream},
@@ -229,6 +230,7 @@
             {
                 self.state.cancel_order(now, &error.into_inner().endpoint.id);
             }
+            self.publish_shares();
             for (member, message) in self.state.take_announcements(now) {
                 self.send_message(member, message);
             }
@@ -382,6 +384,16 @@
         }
     }
 
+    /// Logs which customers have begun or ceased to hold more than their share, and makes the number of yields known.
+    fn publish_shares(&mut self) {
+        for Change { owner, is_over, held, share } in self.state.take_share_changes() {
+            spdlog::info!("customer share", kv: {
+                service = &*owner.service, customer = &*owner.customer, is_over, held, share
+            });
+        }
+        lock(&self.weak_control.shared).yields = self.state.fairness().yields();
+    }
+
     /// Makes the endpoints that may still read messages of ended requests known to the threads that read responses.
     fn publish_awaited(&self) {
         let awaited = self.state.awaited_endpoints();
@@ -631,6 +643,12 @@
             .iter()
             .map(|(service, forecast)| (service.to_string(), forecast_json(forecast)))
             .collect();
+        let shares: serde_json::Map<String, serde_json::Value> = self
+            .state
+            .fairness()
+            .divisions()
+            .map(|(service, parts)| (service.to_string(), shares_json(parts)))
+            .collect();
         serde_json::json!({
             "version": self.state.catalog().map(|catalog| catalog.version()),
             "behind": lock(&self.weak_control.shared).is_stale,
@@ -642,6 +660,8 @@
             "sharers": self.state.replica_count(),
             "registered": self.registering.is_none(),
             "waiting": self.state.queue_length(),
+            "shares": shares,
+            "yields": self.state.fairness().yields(),
             "forecasts": forecasts,
         })
     }
@@ -672,6 +692,13 @@
     }
 }
 
+fn shares_json(parts: &BTreeMap<Arc<str>, Part>) -> serde_json::Value {
+    let customers = parts.iter().map(|(customer, Part { holding: Holding { held, wanted }, share })| {
+        (customer.to_string(), serde_json::json!({ "held": held, "wanted": wanted, "share": share }))
+    });
+    serde_json::Value::Object(customers.collect())
+}
+
 fn forecast_json(forecast: &Forecast) -> serde_json::Value {
     let output_length = forecast.output_length_or_default();
     serde_json::json!({
@@ -697,14 +724,14 @@
     throttle.interval.map_or(0, |interval| interval.as_millis() as u64)
 }
 
-fn log_changes(changes: &[Change]) {
+fn log_changes(changes: &[EndpointChange]) {
     for change in changes {
         let (what, endpoint) = match change {
-            Change::Updated(endpoint) => ("seen", endpoint),
-            Change::Restarted(endpoint) => ("restarted", endpoint),
-            Change::Draining(endpoint) => ("leaving", endpoint),
-            Change::Lapsed(endpoint) => ("lapsed", endpoint),
-            Change::Removed(endpoint) => ("gone", endpoint),
+            EndpointChange::Updated(endpoint) => ("seen", endpoint),
+            EndpointChange::Restarted(endpoint) => ("restarted", endpoint),
+            EndpointChange::Draining(endpoint) => ("leaving", endpoint),
+            EndpointChange::Lapsed(endpoint) => ("lapsed", endpoint),
+            EndpointChange::Removed(endpoint) => ("gone", endpoint),
         };
         let stage: &'static str = endpoint.stage.into();
         spdlog::info!("endpoint", kv: {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of the gateway.
 
 use prometheus::{
-    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     core::Collector,
 };
 
@@ -35,6 +35,8 @@
     pub evacuated: GaugeVec,
     /// Number of cold endpoints.
     pub cold_endpoints: IntGauge,
+    /// Times that a request left memory to customers within their shares.
+    pub yields: IntCounter,
     /// Number of endpoints that name a limit.
     pub limited_endpoints: IntGauge,
     /// 1 for each response field of endpoints that the gateway does not know.
@@ -75,6 +77,10 @@
             invalid_rows: counter("gateway_invalid_rows_total", "Invalid rows of the store", &["what"]),
             evacuated: gauges("gateway_evacuated", "Evacuated availability zones", &["zone"]),
             cold_endpoints: gauge("gateway_cold_endpoints", "Endpoints that are cold"),
+            yields: unlabeled_counter(
+                "gateway_yields_total",
+                "Times that a request left memory to other customers",
+            ),
             limited_endpoints: gauge("gateway_limited_endpoints", "Endpoints that name a limit"),
             unknown_fields: gauges(
                 "gateway_unknown_response_fields",
@@ -84,7 +90,7 @@
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 17] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -97,6 +103,7 @@
             Box::new(metrics.invalid_rows.clone()),
             Box::new(metrics.evacuated.clone()),
             Box::new(metrics.cold_endpoints.clone()),
+            Box::new(metrics.yields.clone()),
             Box::new(metrics.limited_endpoints.clone()),
             Box::new(metrics.unknown_fields.clone()),
             Box::new(metrics.version.clone()),
@@ -115,6 +122,10 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("name and labels are valid constants")
 }
 
+fn unlabeled_counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("the name is a valid constant")
+}
+
 fn histogram(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
     HistogramVec::new(options, labels).expect("name and labels are valid constants")
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -307,6 +307,8 @@
         for field in self.0.control.unknown_fields() {
             self.0.metrics.unknown_fields.with_label_values(&[&*field]).set(1.0);
         }
+        let yields = &self.0.metrics.yields;
+        yields.inc_by(self.0.control.yields().saturating_sub(yields.get()));
         let cold_endpoints = self.0.control.cold_count(self.0.clock.now());
         self.0.metrics.cold_endpoints.set(i64::try_from(cold_endpoints).unwrap_or(i64::MAX));
         for (service, forecast) in self.0.control.forecasts().await {
