--- a/crates/core/tests/gateway/fairness.rs
+++ b/crates/core/tests/gateway/fairness.rs
@@ -371,7 +371,9 @@
                 outcomes.served.entry(name).or_default().asked += 1;
             }
         }
-        for (replica, state) in states.iter_mut().enumerate() {
+        for turn in 0..replicas {
+            let replica = (turn + (now_ms / STEP_MS) as usize) % replicas;
+            let state = &mut states[replica];
             for (entry, verdict) in state.dispatch(now) {
                 let Verdict::Placed(pair) = verdict else { continue };
                 let lease = pair.decode.lease;
