--- a/crates/core/src/gateway/completion.rs
+++ b/crates/core/src/gateway/completion.rs
@@ -101,6 +101,7 @@
             avoid,
             software_version,
             suspects,
+            is_over_share: false,
         }
     }
 }
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -113,7 +113,7 @@
     /// Speeds of endpoints as the sender observed them; empty in most digests.
     pub speeds: speed::Report,
     /// Demand at the sender by service; empty in most digests.
-    pub demands: BTreeMap<Arc<str>, pools::Demand>,
+    pub demands: pools::Demands,
     /// How long the sender has known all changes of the endpoints; zero while it cannot read the store, and in most digests.
     pub observed: Duration,
     /// Services that had endpoints of several software versions, with the time since then; complete if `observed` is not zero.
--- a/crates/core/src/gateway/pools.rs
+++ b/crates/core/src/gateway/pools.rs
@@ -76,6 +76,9 @@
     pub endpoint_tokens: f64,
 }
 
+/// Demand by service.
+pub type Demands = BTreeMap<Arc<str>, Demand>;
+
 impl Demand {
     fn scale(&mut self, factor: f64) {
         self.requests *= factor;
@@ -145,7 +148,7 @@
     /// Demand by service, with the time up to which it has decayed.
     demand: BTreeMap<Arc<str>, (Time, Demand)>,
     /// Demand at peers by service, with the time of each report.
-    peer_demands: BTreeMap<Arc<str>, (Time, BTreeMap<Arc<str>, Demand>)>,
+    peer_demands: BTreeMap<Arc<str>, (Time, Demands)>,
     /// Changes ordered by this replica, with their timeout and the new stage.
     changing: BTreeMap<Arc<str>, (Time, Stage)>,
     /// Changes ordered by this replica that were not carried out, with the time until which digests carry them.
@@ -173,7 +176,7 @@
     }
 
     /// Returns the demand at this replica, for its digest.
-    pub fn demands(&self, now: Time) -> BTreeMap<Arc<str>, Demand> {
+    pub fn demands(&self, now: Time) -> Demands {
         let decayed = |(decayed_at, demand): &(Time, Demand)| {
             let mut demand = *demand;
             demand.scale(decay_factor(now.since(*decayed_at), HALF_LIFE));
@@ -183,7 +186,7 @@
     }
 
     /// Records the demand that a peer reports.
-    pub fn record_peer_demands(&mut self, now: Time, peer: &Arc<str>, demands: &BTreeMap<Arc<str>, Demand>) {
+    pub fn record_peer_demands(&mut self, now: Time, peer: &Arc<str>, demands: &Demands) {
         self.peer_demands.insert(peer.clone(), (now, demands.clone()));
     }
 
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod placing;
 mod progress;
+mod sharing;
 mod store;
 mod streams;
 mod suspects;
@@ -27,6 +28,7 @@
     cold::Tolerance,
     digest::{Member, Peers},
     directory::{Change, Directory, Endpoint, Row},
+    fairness::Fairness,
     forecast::Forecasts,
     history::History,
     limit::Limits,
@@ -171,6 +173,7 @@
     is_full_digest_due: bool,
     history: History,
     mechanisms: Mechanisms,
+    fairness: Fairness,
     /// What the services call for, by name; recomputed in each tick.
     profiles: BTreeMap<Arc<str>, Profile>,
 }
@@ -208,6 +211,7 @@
             is_full_digest_due: false,
             history: History::default(),
             mechanisms: Mechanisms::default(),
+            fairness: Fairness::default(),
             profiles: BTreeMap::new(),
         }
     }
@@ -217,6 +221,11 @@
         Self { mechanisms, ..self }
     }
 
+    /// Replaces the mechanisms in use.
+    pub fn set_mechanisms(&mut self, mechanisms: Mechanisms) {
+        self.mechanisms = mechanisms;
+    }
+
     /// Returns what a service calls for.
     pub fn profile(&self, service: &str) -> Profile {
         self.profiles.get(service).copied().unwrap_or_default()
@@ -246,11 +255,13 @@
             self.loans.remove_peer(peer);
             self.pools.remove_peer(peer);
             self.forecasts.remove_peer(peer);
+            self.fairness.remove_peer(peer);
         }
         self.suspects.expire(now);
         self.budget.expire(now);
         self.gate.expire(now);
         self.limits.expire(now);
+        self.fairness.expire(now);
         self.update_throttles(now);
         self.update_outages(now);
         self.expire_paces(now);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -9,7 +9,7 @@
         digest::{Digest, Member},
         interval::{digest_interval, forward_interval, urgent_interval},
         mechanism::Mechanism,
-        pools::Demand,
+        pools::Demands,
         rate_limit::Totals,
         relay::{Bundle, Delivery, Role, Topology},
     },
@@ -64,6 +64,7 @@
         self.rate_limiter.apply_digest(now, digest);
         self.loads.apply_digest(now, digest);
         self.waiting_peers.apply(now, &digest.name, &digest.waiting);
+        self.apply_holdings(now, digest);
         self.suspects.apply_peer(now, &digest.name, &digest.suspects);
         self.loans.apply(now, &self.identity.name, &digest.name, &digest.unmet, &digest.loans);
         self.apply_limits(now, &digest.limits);
@@ -143,7 +144,7 @@
             unmet: self.loans.unmet(now),
             loans: self.take_loans(now),
             waiting: self.waiting(now),
-            holdings: BTreeMap::new(),
+            holdings: self.fairness.report(now, self.loads.holdings()),
             outages: self.loads.outages.report(now),
             paces: self.loads.paces.report(now),
             speeds: if is_full { self.forecasts.take_speeds(now) } else { BTreeMap::new() },
@@ -159,7 +160,7 @@
     }
 
     /// Returns the demand at this replica for services whose split is computed from that of the fleet.
-    fn demands(&self, now: Time) -> BTreeMap<Arc<str>, Demand> {
+    fn demands(&self, now: Time) -> Demands {
         let mut demands = self.pools.demands(now);
         demands.retain(|service, _| self.uses(service, Mechanism::Demand));
         demands
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -180,6 +180,15 @@
     pub prefill: Option<Permit>,
 }
 
+/// How often requests left memory to others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Yields {
+    /// To more urgent requests at peers.
+    pub to_urgent: u64,
+    /// To customers within their shares.
+    pub to_customers: u64,
+}
+
 /// State that other threads read directly.
 #[derive(Default)]
 struct Shared {
@@ -203,10 +212,10 @@
     unknown_fields: BTreeSet<String>,
     /// Number of endpoints that have ended as far as this replica knows.
     out_count: usize,
-    /// Number of times that a request began to leave memory to more urgent ones at peers.
-    yields: u64,
     /// Number of endpoints that do not take their full share yet.
     paced_count: usize,
+    /// How often requests left memory to others.
+    yields: Yields,
 }
 
 fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
@@ -403,8 +412,8 @@
         lock(&self.shared).gate.take(now, &endpoint.id, limit).map_err(Block::from)
     }
 
-    /// Returns the number of times that a request began to leave memory to more urgent ones at peers.
-    pub fn yields(&self) -> u64 {
+    /// Returns how often requests left memory to others.
+    pub fn yields(&self) -> Yields {
         lock(&self.shared).yields
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,8 +41,8 @@
     pub paced_endpoints: IntGauge,
     /// Number of endpoints that name a limit.
     pub limited_endpoints: IntGauge,
-    /// Number of times that a request began to leave memory to more urgent ones at peers.
-    pub yields: IntGauge,
+    /// How often requests left memory to others, by whom they left it to.
+    pub yields: IntCounterVec,
     /// 1 for each response field of endpoints that the gateway does not know.
     pub unknown_fields: GaugeVec,
     /// Version of the active configuration; 0 before the first.
@@ -84,7 +84,7 @@
             out_endpoints: gauge("gateway_out_endpoints", "Endpoints that have ended"),
             paced_endpoints: gauge("gateway_paced_endpoints", "Endpoints below their full share"),
             limited_endpoints: gauge("gateway_limited_endpoints", "Endpoints that name a limit"),
-            yields: gauge("gateway_yields", "Times that a request began to yield memory to peers"),
+            yields: counter("gateway_yields_total", "Times that requests left memory to others", &["to"]),
             unknown_fields: gauges(
                 "gateway_unknown_response_fields",
                 "Response fields of endpoints that the gateway does not know",
@@ -93,7 +93,7 @@
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 18] = [
+        let collectors: [Box<dyn Collector>; 19] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -32,7 +32,7 @@
 use crate::{
     context::Context,
     control::{
-        FORECAST_PROMPT_TOKENS,
+        FORECAST_PROMPT_TOKENS, Yields,
         worker::{self, Outputs},
     },
     edge::{Claims, Dialect, Update},
@@ -304,7 +304,6 @@
         }
         let limited_endpoints = self.0.control.limited_count(self.0.clock.now());
         self.0.metrics.limited_endpoints.set(i64::try_from(limited_endpoints).unwrap_or(i64::MAX));
-        self.0.metrics.yields.set(i64::try_from(self.0.control.yields()).unwrap_or(i64::MAX));
         for field in self.0.control.unknown_fields() {
             self.0.metrics.unknown_fields.with_label_values(&[&*field]).set(1.0);
         }
@@ -312,6 +311,11 @@
         self.0.metrics.out_endpoints.set(i64::try_from(out_endpoints).unwrap_or(i64::MAX));
         let paced_endpoints = self.0.control.paced_count();
         self.0.metrics.paced_endpoints.set(i64::try_from(paced_endpoints).unwrap_or(i64::MAX));
+        let Yields { to_urgent, to_customers } = self.0.control.yields();
+        for (to, count) in [("urgent", to_urgent), ("customers", to_customers)] {
+            let counter = self.0.metrics.yields.with_label_values(&[to]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
         let cold_endpoints = self.0.control.cold_count(self.0.clock.now());
         self.0.metrics.cold_endpoints.set(i64::try_from(cold_endpoints).unwrap_or(i64::MAX));
         for (service, forecast) in self.0.control.forecasts().await {
