Count and bound what a gateway holds for callers and endpoints that read slowly

Cause: whatever a daemon holds for slow peers counts toward its memory (88 MB on the smallest hosts). The gateway held bodies of up to 4 MiB and plain responses of up to 16 MiB without a sum, copied each body for each send, kept events that had not ended without a limit, and kept an endpoint waiting as soon as its caller paused; endpoints cut off what stays unread for some seconds. A request whose endpoint stopped reading it was only ended by its deadline.

Change: core::gateway::held decides by purpose how much of a quarter of the new setting memory-mb may be held; guards count it. A body that would exceed the bound is refused before it is read (503, Retry-After, not run). Streams keep up to 64 KiB for a caller that pauses, then wait as before. Writes have progress timeouts: 10 s to callers, 3 s to endpoints (counts as may have run). The future of a request is boxed: debug builds overflowed their stack with the additional states.

No existing test was changed.

--- a/crates/bench/src/platform/caller.rs
+++ b/crates/bench/src/platform/caller.rs
@@ -2,7 +2,9 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use async_std::net::TcpStream;
 use bytes::Bytes;
+use socket2::{Domain, Socket, Type};
 use tarragonhill_h1::{
     Connection, Error,
     body::{Decoder, Framing},
@@ -10,6 +12,9 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Receive buffer and segment size of [`Caller::open_narrow`], bytes.
+const NARROW_BUFFER: usize = 4_096;
+const NARROW_SEGMENT: u32 = 1_000;
 /// Length of each part in [`request_with_parts`], in tokens.
 const PART_TOKENS: u64 = 50;
 /// Maximum size of a response head.
@@ -89,6 +94,15 @@
         Ok(Self { connection: Connection::open(address, CONNECT_TIMEOUT, CONNECT_TIMEOUT).await? })
     }
 
+    /// Opens a connection for which the operating systems of both sides keep only little that is unread.
+    pub async fn open_narrow(address: SocketAddr) -> io::Result<Self> {
+        let socket = narrow_socket()?;
+        socket.connect(&address.into())?;
+        socket.set_nonblocking(true)?;
+        let stream = TcpStream::from(std::net::TcpStream::from(socket));
+        Ok(Self { connection: Connection::new(stream, CONNECT_TIMEOUT) })
+    }
+
     /// Sends a request.
     pub async fn send(&mut self, mut head: Request, body: &[u8]) -> io::Result<()> {
         if !body.is_empty() || head.method == "POST" {
@@ -149,6 +163,14 @@
     }
 }
 
+/// Creates a socket for connections for which the operating systems of both sides keep only little that is unread.
+pub fn narrow_socket() -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_recv_buffer_size(NARROW_BUFFER)?;
+    socket.set_tcp_mss(NARROW_SEGMENT)?;
+    Ok(socket)
+}
+
 /// Sends a request over a new connection and reads its response.
 pub async fn request(address: SocketAddr, head: Request, body: &[u8]) -> Result<Response, Error> {
     Caller::open(address).await?.request(head, body).await
--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -126,6 +126,8 @@
     /// Whether a stream begins each event together with the end of the one before, so that its end shows whenever the process
     /// is killed.
     is_eager: bool,
+    /// Bytes by which each event is longer.
+    padding: usize,
     /// Name of a field without a meaning that all responses carry.
     extra_field: Option<&'static str>,
     /// End of the cold phase.
@@ -336,6 +338,11 @@
         lock(&self.state).is_eager = true;
     }
 
+    /// Makes each event of a stream longer by this many bytes.
+    pub fn set_padding(&self, bytes: usize) {
+        lock(&self.state).padding = bytes;
+    }
+
     /// Sets when the process started, for reports.
     pub fn set_born(&self, born: u64) {
         lock(&self.state).born = Some(born);
@@ -747,7 +754,8 @@
         let version = if state.version.is_empty() { String::new() } else { format!("{} ", state.version) };
         let begin = if state.is_eager && has_begun { String::new() } else { format!("id: {id}\n") };
         let next = if state.is_eager && has_next { format!("id: {}\n", id + 1) } else { String::new() };
-        format!("{begin}data: {version}token-{id}\n\n{next}")
+        let padding = ".".repeat(state.padding);
+        format!("{begin}data: {version}token-{id}{padding}\n\n{next}")
     }
 
     /// Waits for one event interval; returns whether the caller disconnects meanwhile.
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -118,6 +118,8 @@
     grace: Duration,
     /// Retry budget of gateways that are started.
     retries: Rule,
+    /// Memory of gateways that are started.
+    memory: Option<u64>,
     /// Availability zones of endpoints that are not in the default one.
     zones: BTreeMap<Arc<str>, &'static str>,
     /// Software versions of endpoints that do not have the default one.
@@ -164,6 +166,7 @@
             peer_ip: unique_loopback_ip(),
             grace: DEFAULT_GRACE,
             retries: DEFAULT_RETRIES,
+            memory: None,
             zones: BTreeMap::new(),
             versions: BTreeMap::new(),
             registrations: BTreeMap::new(),
@@ -182,6 +185,11 @@
         self.retries = retries;
     }
 
+    /// Sets the memory of gateways that are started later, bytes.
+    pub fn set_memory(&mut self, memory: u64) {
+        self.memory = Some(memory);
+    }
+
     /// Starts a replica without adding it to `gateways`.
     pub async fn start_gateway(&self, number: usize) -> Result<Gateway, SiteError> {
         let settings = self.settings(number, SocketAddr::from((self.peer_ip, 0)));
@@ -229,6 +237,7 @@
             retries: self.retries,
             cold_tolerance: COLD_TOLERANCE,
             mechanisms: Mechanisms::default(),
+            memory: self.memory,
         }
     }
 
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod forecast;
 pub mod growth;
 pub mod health;
+pub mod held;
 pub mod history;
 pub mod interval;
 pub mod lease;
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod forecast;
 mod growth;
 mod health;
+mod held;
 mod history;
 mod mirror;
 mod origin;
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -21,6 +21,7 @@
 
 /// Prefix of the environment variables.
 const ENV_PREFIX: &str = "TARRAGONHILL_";
+const MAX_MEMORY_MB: f64 = 1e9;
 
 /// Command line before validation.
 #[derive(Clone, Debug, Bpaf)]
@@ -175,6 +176,9 @@
     /// Requests a second that cold endpoints tolerate in addition; empty for the default
     #[bpaf(long, env("TARRAGONHILL_COLD_SLACK"), argument("N"), fallback("0.0".into()), display_fallback)]
     pub cold_slack: String,
+    /// Memory of the host, MB, a part of which may be held for slow callers and endpoints; empty or 0 for no bound
+    #[bpaf(long, env("TARRAGONHILL_MEMORY_MB"), argument("MB"), fallback(String::new()))]
+    pub memory_mb: String,
     /// Mechanisms to switch off, separated by commas, to see what each is worth
     #[bpaf(long, env("TARRAGONHILL_WITHOUT"), argument("NAMES"), fallback(String::new()))]
     pub without: String,
@@ -271,6 +275,8 @@
     pub cold_tolerance: Tolerance,
     /// Mechanisms in use.
     pub mechanisms: Mechanisms,
+    /// Memory of the host, bytes; `None` if it is not known.
+    pub memory: Option<u64>,
 }
 
 /// Validated settings of a daemon.
@@ -381,6 +387,7 @@
                 .unwrap_or(declared.factor),
             slack: optional_number("cold-slack", &gateway.cold_slack, 0.0, 1e6)?.unwrap_or(declared.slack),
         };
+        let memory = optional_number("memory-mb", &gateway.memory_mb, 0.0, MAX_MEMORY_MB)?;
         Ok(Self {
             common: common.try_into()?,
             peer: address("peer", &gateway.peer)?,
@@ -389,6 +396,7 @@
             retries,
             cold_tolerance,
             mechanisms: mechanisms("without", &gateway.without)?,
+            memory: memory.filter(|memory| *memory > 0.0).map(|memory| (memory * 1e6) as u64),
         })
     }
 }
@@ -452,7 +460,7 @@
 }
 
 /// Names of all settings: flags without the leading dashes.
-pub const SETTING_NAMES: [&str; 28] = [
+pub const SETTING_NAMES: [&str; 29] = [
     "name",
     "zone",
     "listen",
@@ -480,6 +488,7 @@
     "retry-window-s",
     "cold-overage",
     "cold-slack",
+    "memory-mb",
     "without",
 ];
 
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -46,6 +46,7 @@
             retries: settings.retries,
             cold_tolerance: settings.cold_tolerance,
             mechanisms: settings.mechanisms,
+            memory: settings.memory,
             drain_delay: DEREGISTRATION_DELAY,
             grace: settings.grace.saturating_sub(EXIT_RESERVE),
         };
--- a/crates/daemon/tests/config.rs
+++ b/crates/daemon/tests/config.rs
@@ -52,6 +52,26 @@
     }
 }
 
+/// A host whose memory is not known has no bound on what the gateway holds.
+#[test]
+fn memory_of_a_gateway_may_be_unknown() {
+    let parse = |memory: &str| {
+        let flag = format!("--memory-mb={memory}");
+        let mut arguments: Vec<&str> = ENTRY.to_vec();
+        arguments[0] = "gateway";
+        arguments.push(&flag);
+        Settings::try_from(config::options().run_inner(arguments.as_slice()).expect("the flags are known"))
+    };
+    for (text, memory) in [("", None), ("0", None), ("88", Some(88_000_000)), ("0.5", Some(500_000))] {
+        let settings = parse(text).expect("valid");
+        assert!(matches!(settings, Settings::Gateway(gateway) if gateway.memory == memory), "{text:?}");
+    }
+    for text in ["much", "-1", "NaN", "inf"] {
+        let problem = parse(text).expect_err("refused").to_string();
+        assert!(problem.starts_with("--memory-mb"), "{problem}");
+    }
+}
+
 #[test]
 fn unknown_flag_is_refused() {
     let arguments: Vec<&str> = ENTRY.iter().copied().chain(["--colour", "red"]).collect();
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,29 +1,40 @@
 //! Responses on callers' connections.
 
 use std::{
+    future::Future,
     io,
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::{future::timeout, net::TcpStream};
-use futures_lite::AsyncWriteExt as _;
+use bytes::{Buf as _, BytesMut};
+use futures_lite::{AsyncWriteExt as _, future};
 use socket2::SockRef;
+use tarragonhill_core::gateway::held::Purpose;
 use tarragonhill_h1::{
     body::{self, Framing},
     head::{Request, Response},
 };
 
 use crate::{
+    exchange::write_all,
+    held::{Guard, Held},
     shutdown::{Monitor, Phase},
     timing::Timing,
 };
 
 /// A caller that accepts no bytes for this long counts as disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest part of a stream that is kept for a caller that reads slowly. Endpoints cut off responses that remain unread, so
+/// they are not kept waiting for what fits here.
+const MAX_BACKLOG_BYTES: usize = 64 << 10;
+/// Shorter bodies are written together with their head.
+const MIN_SEPARATE_BODY_BYTES: usize = 16 << 10;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
@@ -55,6 +66,12 @@
     /// Whether the head has been written, at least in part.
     begun: Arc<AtomicBool>,
     progress: Progress,
+    /// What the caller has not accepted yet of a body in parts.
+    backlog: BytesMut,
+    /// Counts the backlog; `None` if the response is not in parts.
+    guard: Option<Guard>,
+    /// Since when the caller has accepted nothing of the backlog.
+    stalled_since: Instant,
     /// Status that was sent; 0 before the head is written.
     pub status: u16,
     /// Timing of the stream's events, for logs and metrics.
@@ -64,12 +81,13 @@
 impl ResponseWriter {
     /// Creates a writer for the response to a request. The connection closes after it if the caller asks for
     /// that, or if the gateway is shutting down by then.
-    pub(crate) fn new(stream: TcpStream, request: &Request, phases: Monitor) -> Self {
+    pub(crate) fn new(stream: TcpStream, request: &Request, phases: Monitor, held: &Arc<Held>) -> Self {
         Self {
             minor: request.minor,
             is_head: request.method == "HEAD",
             close: !request.keeps_alive(),
             phases: Some(phases),
+            guard: Some(held.guard(Purpose::Backlog)),
             ..Self::closing(stream)
         }
     }
@@ -84,6 +102,9 @@
             phases: None,
             begun: Arc::default(),
             progress: Progress::NotStarted,
+            backlog: BytesMut::new(),
+            guard: None,
+            stalled_since: Instant::now(),
             status: 0,
             timing: Timing::default(),
         }
@@ -124,11 +145,13 @@
             length.into_iter().for_each(|length| head.fields.set("Content-Length", length));
         }
         let mut bytes = head.encode();
-        if !self.is_head {
-            bytes.extend_from_slice(body);
-        }
+        let body = if self.is_head { &[] } else { body };
+        let (joined, separate) =
+            if body.len() < MIN_SEPARATE_BODY_BYTES { (body, &[][..]) } else { (&[][..], body) };
+        bytes.extend_from_slice(joined);
         self.begin(end);
         self.write(&bytes).await?;
+        self.write(separate).await?;
         self.complete();
         Ok(())
     }
@@ -147,18 +170,79 @@
         self.write(&head.encode()).await
     }
 
-    /// Writes a chunk of the body.
+    /// Writes a chunk of the body, and keeps what the caller does not accept at once if that is not too much. Otherwise waits.
     pub async fn write_chunk(&mut self, data: &[u8]) -> io::Result<()> {
         match self.progress {
-            Progress::Started(End::LastChunk) if !data.is_empty() => self.write(&body::chunk(data)).await,
-            Progress::Started(_) => self.write(data).await,
+            Progress::Started(End::LastChunk) if !data.is_empty() => self.queue(&body::chunk(data)).await,
+            Progress::Started(_) => self.queue(data).await,
             Progress::NotStarted | Progress::Complete => Ok(()),
         }
     }
 
+    /// Runs `work` while what is kept is written to the caller. Fails if that fails.
+    pub(crate) async fn while_writing<T>(
+        &mut self,
+        work: Pin<&mut impl Future<Output = T>>,
+    ) -> io::Result<T> {
+        if self.backlog.is_empty() {
+            return Ok(work.await);
+        }
+        let writing = async {
+            self.flush().await?;
+            future::pending().await
+        };
+        future::or(async { Ok(work.await) }, writing).await
+    }
+
+    /// Writes all that is kept.
+    pub(crate) async fn flush(&mut self) -> io::Result<()> {
+        self.flush_to(0).await
+    }
+
+    /// Writes what is kept until at most `limit` bytes are left. Cancel safe.
+    async fn flush_to(&mut self, limit: usize) -> io::Result<()> {
+        while self.backlog.len() > limit {
+            let left = WRITE_TIMEOUT.saturating_sub(self.stalled_since.elapsed());
+            let written = timeout(left, self.stream.write(&self.backlog)).await;
+            let count = written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            if count == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            self.backlog.advance(count);
+            self.stalled_since = Instant::now();
+            self.count_backlog();
+        }
+        Ok(())
+    }
+
+    async fn queue(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        if self.backlog.is_empty() {
+            if let Some(written) = future::poll_once(self.stream.write(bytes)).await {
+                bytes = &bytes[written?..];
+            }
+            self.stalled_since = Instant::now();
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.backlog.extend_from_slice(bytes);
+        let limit = if self.count_backlog() { MAX_BACKLOG_BYTES } else { 0 };
+        self.flush_to(limit).await
+    }
+
+    /// Counts the backlog as held, and releases its memory once it is empty. Returns whether it may be kept.
+    fn count_backlog(&mut self) -> bool {
+        if self.backlog.is_empty() {
+            self.backlog = BytesMut::new();
+        }
+        let length = self.backlog.len();
+        self.guard.as_mut().is_some_and(|guard| guard.set(length).is_ok())
+    }
+
     /// Ends the body. A body that is not ended is truncated, which the caller detects. `framing` is that of the response that
     /// has ended: without a stated end, a body in chunks stays truncated.
     pub async fn finish(&mut self, framing: Framing) -> io::Result<()> {
+        self.flush().await?;
         if self.progress == Progress::Started(End::LastChunk) {
             if framing == Framing::UntilClose {
                 return Ok(());
@@ -205,7 +289,6 @@
     }
 
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)).await;
-        written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+        write_all(&mut self.stream, bytes, WRITE_TIMEOUT).await
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -29,6 +29,7 @@
     control::{Block, Control},
     edge::{Dialect, Dispatch, Message, Metadata, Task},
     exchange::{Client, Exchange, Failure, Recipient},
+    held::Held,
     metrics::Metrics,
     pool::Pool,
     shutdown::Monitor,
@@ -43,6 +44,8 @@
     pub(crate) control: Control,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) pool: Pool,
+    /// Bytes held for callers and endpoints.
+    pub(crate) held: Arc<Held>,
     pub(crate) metrics: Metrics,
     /// Set when the shutdown begins.
     pub(crate) shutdown: OnceLock<Shutdown>,
@@ -54,8 +57,8 @@
 
 impl Context {
     pub(crate) fn client(&self) -> Client<'_> {
-        let Self { pool, dialect, control, clock, .. } = self;
-        Client { pool, dialect: &**dialect, control, clock }
+        let Self { pool, dialect, control, clock, held, .. } = self;
+        Client { pool, dialect: &**dialect, control, clock, held }
     }
 
     pub(crate) fn is_shutting_down(&self) -> bool {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,19 +5,23 @@
     future::Future,
     io,
     pin::{Pin, pin},
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context as TaskContext, Poll},
     time::{Duration, Instant},
 };
 
 use async_std::{future::timeout, net::TcpStream};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::{AsyncWriteExt as _, future::poll_fn};
 use tarragonhill_core::{
     Clock,
     gateway::{
         directory::{Endpoint, Stage},
         health::Outcome,
+        held::Purpose,
     },
 };
 use tarragonhill_h1::{
@@ -29,6 +33,7 @@
 use crate::{
     control::{Block, Control},
     edge::{Dialect, Message, Reply},
+    held::{Guard, Held},
     pool::Pool,
 };
 
@@ -45,9 +50,17 @@
 /// Maximum responses skipped on one connection because they belong to other requests or are informational.
 const MAX_SKIPPED_RESPONSES: u32 = 2;
 
+/// An endpoint that accepts no byte of a request for this long counts as hanging.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shorter bodies are written together with their head.
+const MIN_SEPARATE_BODY_BYTES: usize = 16 << 10;
+
 /// Reason of refusals for lack of a retry.
 pub(crate) const OVER_BUDGET: &str = "the retry budget is used up";
 
+/// Reason of failures for lack of memory.
+pub(crate) const OVER_BOUND: &str = "more is held than the memory of the gateway allows";
+
 /// Why an exchange failed.
 #[derive(Debug)]
 pub(crate) enum Failure {
@@ -97,6 +110,8 @@
     pub(crate) body: Bytes,
     /// Framing of the body.
     pub(crate) framing: Framing,
+    /// Counts the body as held.
+    _guard: Guard,
 }
 
 /// Exchange whose response head has been read.
@@ -115,6 +130,7 @@
     is_sent: bool,
     endpoint: &'a Endpoint,
     pool: &'a Pool,
+    held: &'a Arc<Held>,
 }
 
 impl Exchange<'_> {
@@ -130,17 +146,32 @@
 
     /// Reads the whole body and returns the connection to the pool.
     pub(crate) async fn read_whole(mut self) -> Result<Answer, Failure> {
-        let body = self
-            .connection
-            .read_body(&mut self.decoder, MAX_BODY_BYTES)
-            .await
-            .map_err(Failure::Connection)?;
-        let answer =
-            Answer { head: self.head.clone(), reply: self.reply.clone(), body, framing: self.framing };
+        let mut guard = self.held.guard(Purpose::Response);
+        let mut body = BytesMut::new();
+        while let Some(part) = self.next_chunk().await? {
+            let length = body.len() + part.len();
+            if length > MAX_BODY_BYTES {
+                return Err(Failure::Connection(Error::TooLarge));
+            }
+            guard.set(length).map_err(|_| Failure::InvalidResponse(OVER_BOUND))?;
+            body.extend_from_slice(&part);
+        }
+        let answer = Answer {
+            head: self.head.clone(),
+            reply: self.reply.clone(),
+            body: body.freeze(),
+            framing: self.framing,
+            _guard: guard,
+        };
         self.recycle();
         Ok(answer)
     }
 
+    /// Returns a guard for what is held of the response.
+    pub(crate) fn guard(&self) -> Guard {
+        self.held.guard(Purpose::Response)
+    }
+
     /// Returns the connection to the pool if it can carry another request.
     pub(crate) fn recycle(self) {
         if self.is_sent && self.decoder.is_done() && self.head.keeps_alive() {
@@ -173,6 +204,7 @@
     pub(crate) dialect: &'a dyn Dialect,
     pub(crate) control: &'a Control,
     pub(crate) clock: &'a Clock,
+    pub(crate) held: &'a Arc<Held>,
 }
 
 impl<'a> Client<'a> {
@@ -303,9 +335,9 @@
         body: &[u8],
         id: Option<&str>,
     ) -> Result<Exchange<'a>, Failure> {
-        let bytes = encode(head, body);
+        let (bytes, rest) = encode(head, body);
         let stream = connection.stream().clone();
-        let mut writing = PendingWrite::new(stream, &bytes);
+        let mut writing = PendingWrite::new(stream, &bytes, rest);
         for _ in 0..=MAX_SKIPPED_RESPONSES {
             let response =
                 read_while_writing(&mut connection, &mut writing).await.map_err(Failure::Connection)?;
@@ -339,6 +371,7 @@
                 is_sent,
                 endpoint,
                 pool: self.pool,
+                held: self.held,
             });
         }
         Err(Failure::InvalidResponse("too many responses to other requests"))
@@ -378,15 +411,19 @@
 /// Longest part of an unknown field's value that is logged.
 const MAX_LOGGED_VALUE_CHARS: usize = 80;
 
-/// Encodes head and body. The body is sent with `Content-Length`, even if it was received in chunks.
-fn encode(head: &Request, body: &[u8]) -> Vec<u8> {
+/// Encodes the head, with the body unless that is long, and returns what is left of the body. The body is sent with
+/// `Content-Length`, even if it was received in chunks.
+fn encode<'a>(head: &Request, body: &'a [u8]) -> (Vec<u8>, &'a [u8]) {
     let mut head = head.clone();
     if !body.is_empty() || head.fields.count("content-length") > 0 {
         head.fields.set("Content-Length", body.len().to_string());
     }
     let mut bytes = head.encode();
+    if body.len() >= MIN_SEPARATE_BODY_BYTES {
+        return (bytes, body);
+    }
     bytes.extend_from_slice(body);
-    bytes
+    (bytes, &[])
 }
 
 fn is_replaced(head: &Response, reply: &Reply, endpoint: &Endpoint) -> bool {
@@ -416,6 +453,18 @@
     Failure::InvalidResponse(why.0)
 }
 
+/// Writes all of `bytes`. Fails if the peer accepts nothing for `limit`.
+pub(crate) async fn write_all(stream: &mut TcpStream, mut bytes: &[u8], limit: Duration) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let written = timeout(limit, stream.write(bytes)).await;
+        match written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            count => bytes = &bytes[count..],
+        }
+    }
+    Ok(())
+}
+
 /// A write that continues while the response is read, because an endpoint may respond before it has read a
 /// long body.
 struct PendingWrite<'a> {
@@ -424,16 +473,21 @@
     is_done: bool,
     /// Whether the write has ended, successfully or not.
     is_over: bool,
+    /// Whether the endpoint accepted nothing for [`WRITE_TIMEOUT`].
+    is_stalled: bool,
 }
 
 impl<'a> PendingWrite<'a> {
-    fn new(mut stream: TcpStream, bytes: &'a [u8]) -> Self {
-        let future = Box::pin(async move { stream.write_all(bytes).await });
-        Self { future, is_done: false, is_over: false }
+    fn new(mut stream: TcpStream, head: &'a [u8], body: &'a [u8]) -> Self {
+        let future = Box::pin(async move {
+            write_all(&mut stream, head, WRITE_TIMEOUT).await?;
+            write_all(&mut stream, body, WRITE_TIMEOUT).await
+        });
+        Self { future, is_done: false, is_over: false, is_stalled: false }
     }
 
-    /// Continues the write. A write error is not reported: the response may still be readable, and otherwise
-    /// the read fails too.
+    /// Continues the write. A write error other than a stall is not reported: the response may still be readable, and
+    /// otherwise the read fails too.
     fn poll(&mut self, cx: &mut TaskContext<'_>) {
         if self.is_over {
             return;
@@ -441,6 +495,7 @@
         if let Poll::Ready(result) = self.future.as_mut().poll(cx) {
             self.is_over = true;
             self.is_done = result.is_ok();
+            self.is_stalled = result.is_err_and(|error| error.kind() == io::ErrorKind::TimedOut);
         }
     }
 }
@@ -452,7 +507,13 @@
     let mut reading = pin!(connection.read_response(MAX_HEAD_BYTES));
     poll_fn(|cx| {
         writing.poll(cx);
-        reading.as_mut().poll(cx)
+        match reading.as_mut().poll(cx) {
+            // The endpoint may have begun to run the request, although it has read only a part of it.
+            Poll::Pending if writing.is_stalled => {
+                Poll::Ready(Err(Error::Io(io::ErrorKind::TimedOut.into())))
+            }
+            read => read,
+        }
     })
     .await
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -11,11 +11,14 @@
     net::{TcpListener, TcpStream},
     task,
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::{FutureExt as _, future};
 use tarragonhill_core::{
     Refusal, Time,
-    gateway::catalog::{Catalog, Kind, Limits},
+    gateway::{
+        catalog::{Catalog, Kind, Limits},
+        held::Purpose,
+    },
     refusal::Code,
 };
 use tarragonhill_h1::{
@@ -26,8 +29,10 @@
 
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound, ends_too_late},
+    context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late},
     edge::Metadata,
+    exchange::OVER_BOUND,
+    held::Guard,
     identify::identify,
     shutdown::Phase,
     stream, unary,
@@ -39,6 +44,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum unread bytes buffered while a request is served.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+/// Maximum bytes discarded after the last response.
+const MAX_DISCARDED_BYTES: usize = 4 << 20;
 /// How long incoming bytes are discarded after the last response. Closing a connection with unread bytes
 /// resets it, and the caller may lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -95,19 +102,21 @@
             Err(Some(status)) => return reject(&mut connection, status).await,
             Err(None) => return,
         };
-        let body = match read_body(&mut connection, &head, limits).await {
+        let metadata = context.dialect.decode_metadata(&head);
+        let id = metadata.id.clone();
+        let mut guard = context.held.guard(Purpose::Request);
+        let body = match read_body(&mut connection, &head, limits, &mut guard).await {
             Ok(body) => body,
-            Err(Some(status)) => return reject(&mut connection, status).await,
-            Err(None) => return,
+            Err(Unread::Rejected(status)) => return reject(&mut connection, status).await,
+            Err(Unread::OverBound) => return refuse_body(context, &mut connection, id.as_deref()).await,
+            Err(Unread::Disconnected) => return,
         };
         let phases = context.phases.clone();
-        let mut writer = ResponseWriter::new(connection.stream().clone(), &head, phases);
-        let metadata = context.dialect.decode_metadata(&head);
-        let id = metadata.id.clone();
+        let mut writer = ResponseWriter::new(connection.stream().clone(), &head, phases, &context.held);
         let cut_guard = CutGuard { context, id: id.clone(), began: context.clock.now(), is_finished: false };
-        let served =
-            run_until(serve(context, head, body, metadata, &mut writer), wait_for_close(&mut connection))
-                .await;
+        // Boxed, as it is large and an idle connection needs none of it.
+        let serving = Box::pin(serve(context, head, body, metadata, &mut writer));
+        let served = run_until(serving, wait_for_close(context, &mut connection)).await;
         cut_guard.finish();
         in_flight = None;
         if served.is_none() {
@@ -207,18 +216,68 @@
     }
 }
 
-async fn read_body(connection: &mut Connection, head: &Request, limits: Limits) -> Result<Bytes, Rejection> {
-    let framing = head.framing().map_err(|_| Some(400))?;
-    if matches!(framing, Framing::Length(length) if length > limits.max_body_bytes as u64) {
-        return Err(Some(413));
+/// Why a body was not read.
+enum Unread {
+    /// Status to respond with.
+    Rejected(u16),
+    /// More would be held than memory allows.
+    OverBound,
+    /// The connection failed.
+    Disconnected,
+}
+
+impl From<Rejection> for Unread {
+    fn from(rejection: Rejection) -> Self {
+        rejection.map_or(Self::Disconnected, Self::Rejected)
+    }
+}
+
+async fn read_body(
+    connection: &mut Connection,
+    head: &Request,
+    limits: Limits,
+    guard: &mut Guard,
+) -> Result<Bytes, Unread> {
+    let framing = head.framing().map_err(|_| Unread::Rejected(400))?;
+    if let Framing::Length(length) = framing {
+        if length > limits.max_body_bytes as u64 {
+            return Err(Unread::Rejected(413));
+        }
+        guard.set(length as usize).map_err(|_| Unread::OverBound)?;
     }
     if framing != Framing::Empty && head.fields.has_token("expect", "100-continue") {
         let written = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        written.map_err(|_| None)?;
+        written.map_err(|_| Unread::Disconnected)?;
+    }
+    let read = read_parts(connection, Decoder::new(framing), limits, guard);
+    timeout(BODY_TIMEOUT, read).await.map_err(|_| Unread::Rejected(408))?
+}
+
+async fn read_parts(
+    connection: &mut Connection,
+    mut decoder: Decoder,
+    limits: Limits,
+    guard: &mut Guard,
+) -> Result<Bytes, Unread> {
+    let mut body = BytesMut::new();
+    while let Some(part) = connection.read_part(&mut decoder).await.map_err(rejection(413))? {
+        let length = body.len() + part.len();
+        if length > limits.max_body_bytes {
+            return Err(Unread::Rejected(413));
+        }
+        guard.grow(length).map_err(|_| Unread::OverBound)?;
+        body.extend_from_slice(&part);
     }
-    let mut decoder = Decoder::new(framing);
-    let read = timeout(BODY_TIMEOUT, connection.read_body(&mut decoder, limits.max_body_bytes)).await;
-    read.map_err(|_| Some(408))?.map_err(rejection(413))
+    Ok(body.freeze())
+}
+
+/// Refuses a request whose body would take too much memory, and closes the connection.
+async fn refuse_body(context: &Context, connection: &mut Connection, id: Option<&str>) {
+    context.metrics.held_refusals.inc();
+    let refusal = Refusal::not_run(Code::Overloaded, OVER_BOUND).with_retry_after(RETRY_ELSEWHERE);
+    let mut writer = ResponseWriter::closing(connection.stream().clone());
+    refuse(context, &refusal, id, &mut writer).await;
+    linger(connection).await;
 }
 
 /// Responds to an invalid request and closes the connection.
@@ -235,18 +294,21 @@
 async fn linger(connection: &mut Connection) {
     let _ = connection.stream().shutdown(std::net::Shutdown::Write);
     let drain = async {
-        while connection.buffered() < MAX_READ_AHEAD_BYTES
-            && matches!(connection.fill().await, Ok(read) if read > 0)
-        {}
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES && matches!(connection.fill().await, Ok(read) if read > 0) {
+            discarded += connection.discard();
+        }
     };
     let _ = timeout(LINGER_TIMEOUT, drain).await;
 }
 
 /// Completes once the caller has closed its connection. Pipelined requests are buffered up to a limit, beyond
 /// which a disconnection is no longer detected.
-async fn wait_for_close(connection: &mut Connection) {
+async fn wait_for_close(context: &Context, connection: &mut Connection) {
+    let mut guard = context.held.guard(Purpose::ReadAhead);
     loop {
-        if connection.buffered() > MAX_READ_AHEAD_BYTES {
+        let buffered = connection.buffered();
+        if buffered > MAX_READ_AHEAD_BYTES || guard.set(buffered).is_err() {
             return std::future::pending().await;
         }
         match connection.fill().await {
@@ -289,7 +351,7 @@
             std::future::pending::<()>().await;
         }
     };
-    let handled = run_until(handle(context, &inbound, writer), failing);
+    let handled = run_until(Box::pin(handle(context, &inbound, writer)), failing);
     let served = timeout(limit, handled).await;
     let refusal = match served {
         Ok(Some(Ok(()))) => None,
@@ -323,7 +385,12 @@
     writer: &mut ResponseWriter,
 ) -> Result<(), Refusal> {
     match inbound.route.kind {
-        Kind::Streaming => stream::serve(context, inbound, writer).await,
+        Kind::Streaming => {
+            let served = stream::serve(context, inbound, writer).await;
+            // What was kept of a stream that is cut is still good.
+            let _ = writer.flush().await;
+            served
+        }
         Kind::Idempotent | Kind::NonIdempotent => unary::serve(context, inbound, writer).await,
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 mod frontend;
 mod gossip;
+mod held;
 mod identify;
 pub mod metrics;
 pub mod mirror;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of the gateway.
 
 use prometheus::{
-    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     core::Collector,
 };
 
@@ -39,6 +39,10 @@
     pub limited_endpoints: IntGauge,
     /// 1 for each response field of endpoints that the gateway does not know.
     pub unknown_fields: GaugeVec,
+    /// Bytes held for callers and endpoints.
+    pub held_bytes: IntGauge,
+    /// Requests refused because too many bytes were held.
+    pub held_refusals: IntCounter,
     /// Version of the active configuration; 0 before the first.
     pub version: IntGauge,
     /// Forecast durations of the parts of a completion, seconds, by service and part.
@@ -81,10 +85,15 @@
                 "Response fields of endpoints that the gateway does not know",
                 &["field"],
             ),
+            held_bytes: gauge("gateway_held_bytes", "Bytes held for callers and endpoints"),
+            held_refusals: unlabeled_counter(
+                "gateway_held_refusals_total",
+                "Requests refused because too many bytes were held",
+            ),
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
         };
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 18] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -99,6 +108,8 @@
             Box::new(metrics.cold_endpoints.clone()),
             Box::new(metrics.limited_endpoints.clone()),
             Box::new(metrics.unknown_fields.clone()),
+            Box::new(metrics.held_bytes.clone()),
+            Box::new(metrics.held_refusals.clone()),
             Box::new(metrics.version.clone()),
             Box::new(metrics.forecasts.clone()),
         ];
@@ -115,6 +126,10 @@
     IntCounterVec::new(Opts::new(name, help), labels).expect("name and labels are valid constants")
 }
 
+fn unlabeled_counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("the name is a valid constant")
+}
+
 fn histogram(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
     HistogramVec::new(options, labels).expect("name and labels are valid constants")
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -37,6 +37,7 @@
     },
     edge::{Claims, Dialect, Update},
     frontend, gossip,
+    held::Held,
     metrics::Metrics,
     mirror::Mirror,
     orders,
@@ -85,6 +86,8 @@
     pub cold_tolerance: Tolerance,
     /// Mechanisms in use.
     pub mechanisms: Mechanisms,
+    /// Memory of the host, bytes; `None` if it is not known.
+    pub memory: Option<u64>,
     /// How long new connections are still accepted after shutdown has begun and the gateway reports not ready.
     pub drain_delay: Duration,
     /// Maximum duration of a shutdown, including `drain_delay`.
@@ -161,6 +164,7 @@
         let (phases, monitor) = phases();
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
+            held: Held::new(settings.memory),
             clock,
             control: control.clone(),
             dialect,
@@ -307,6 +311,7 @@
         for field in self.0.control.unknown_fields() {
             self.0.metrics.unknown_fields.with_label_values(&[&*field]).set(1.0);
         }
+        self.0.metrics.held_bytes.set(i64::try_from(self.0.held.bytes()).unwrap_or(i64::MAX));
         let cold_endpoints = self.0.control.cold_count(self.0.clock.now());
         self.0.metrics.cold_endpoints.set(i64::try_from(cold_endpoints).unwrap_or(i64::MAX));
         for (service, forecast) in self.0.control.forecasts().await {
@@ -324,7 +329,11 @@
 
     /// Returns the routing state.
     pub async fn dump(&self) -> serde_json::Value {
-        self.0.control.dump().await
+        let mut state = self.0.control.dump().await;
+        if let Some(state) = state.as_object_mut() {
+            state.insert("held_bytes".into(), self.0.held.bytes().into());
+        }
+        state
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,7 +10,7 @@
 mod relay;
 mod resource;
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
@@ -179,17 +179,22 @@
         progress.attempt_events = 0;
         let placement = match replacement.take() {
             Some(placement) => placement,
-            None => place_in_time(context, inbound, &progress).await?,
+            None => match writer.while_writing(pin!(place_in_time(context, inbound, &progress))).await {
+                Ok(placed) => placed?,
+                Err(error) => return disconnected(inbound, &error),
+            },
         };
         progress.sends += 1;
         let endpoint = placement.endpoint().clone();
-        let reason = match start(context, inbound, &progress, placement, prefilled.take(), &endpoint).await {
+        let started = start(context, inbound, &progress, placement, prefilled.take(), &endpoint);
+        let started = match writer.while_writing(pin!(started)).await {
+            Ok(started) => started,
+            Err(error) => return disconnected(inbound, &error),
+        };
+        let reason = match started {
             Ok(upstream) => match relay(context, inbound, upstream, writer, &mut progress).await {
                 Ok(()) => return Ok(()),
-                Err(Interruption::CallerDisconnected(error)) => {
-                    spdlog::info!("caller disconnected", kv: { request = inbound.id(), reason = error.to_string().as_str() });
-                    return Ok(());
-                }
+                Err(Interruption::CallerDisconnected(error)) => return disconnected(inbound, &error),
                 Err(Interruption::EndpointFailed(reason)) => {
                     fail_attempt(context, inbound, writer, &mut progress, &endpoint, reason)?
                 }
@@ -242,6 +247,12 @@
     }
 }
 
+/// Ends a request whose caller has disconnected.
+fn disconnected(inbound: &Inbound, error: &std::io::Error) -> Result<(), Refusal> {
+    spdlog::info!("caller disconnected", kv: { request = inbound.id(), reason = error.to_string().as_str() });
+    Ok(())
+}
+
 /// Returns the software version at which a stream that its caller takes up must go on; `None` for a new stream. Refuses the
 /// request if the version is not known.
 async fn resumed_version(context: &Context, inbound: &Inbound) -> Result<Option<Arc<str>>, Refusal> {
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -1,6 +1,6 @@
 //! Relays the events of an endpoint's response to the caller.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use async_std::future::timeout;
 use bytes::{Bytes, BytesMut};
@@ -21,7 +21,7 @@
     caller::ResponseWriter,
     context::{Context, Inbound},
     control::Permit,
-    exchange::{Exchange, Failure},
+    exchange::{Exchange, Failure, OVER_BOUND},
 };
 
 /// A resumable stream without an event for this many times the route's target gap counts as stalled and is
@@ -76,9 +76,12 @@
 ) -> Result<(), Interruption> {
     let Upstream { mut exchange, permit, sent, start } = upstream;
     let mut buffer = BytesMut::new();
+    let mut guard = exchange.guard();
     let mut pending = PendingEvents { since: None, events: 0 };
     loop {
-        let chunk = match next_step(context, inbound, &mut exchange, progress, &permit).await {
+        let next = next_step(context, inbound, &mut exchange, progress, &permit);
+        let step = writer.while_writing(pin!(next)).await;
+        let chunk = match step.map_err(Interruption::CallerDisconnected)? {
             Step::Chunk(chunk) => chunk,
             Step::Failed(failure) => {
                 let reason = format!("{}: {failure}", permit.endpoint.id);
@@ -113,12 +116,7 @@
             written.map_err(Interruption::CallerDisconnected)?;
         }
         let Some(chunk) = chunk else {
-            writer.write_chunk(&buffer).await.map_err(Interruption::CallerDisconnected)?;
-            let finished = writer.finish(exchange.framing).await;
-            finished.map_err(Interruption::CallerDisconnected)?;
-            if !writer.is_complete() {
-                log_cut(context, inbound, writer, "the endpoint of its last part stated no end");
-            }
+            let framing = exchange.framing;
             exchange.recycle();
             // A stream of a single event ends before it is past the first.
             if progress.attempt_events > 0 && !progress.is_past_first_event() {
@@ -130,9 +128,20 @@
                 expected: size.expected_output,
                 events: writer.timing.events,
             });
+            // The endpoint is done with the stream, however slowly its end is read.
+            drop(permit);
+            writer.write_chunk(&buffer).await.map_err(Interruption::CallerDisconnected)?;
+            writer.finish(framing).await.map_err(Interruption::CallerDisconnected)?;
+            if !writer.is_complete() {
+                log_cut(context, inbound, writer, "the endpoint of its last part stated no end");
+            }
             return Ok(());
         };
         buffer.extend_from_slice(&chunk);
+        if guard.set(buffer.len()).is_err() {
+            let reason = format!("{}: {OVER_BOUND}", permit.endpoint.id);
+            return Err(Interruption::EndpointFailed(reason));
+        }
         let Some(length) = complete_length(&buffer) else { continue };
         let events = buffer.split_to(length);
         if let Some(id) = last_id(&events) {
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -96,6 +96,13 @@
         self.buffer.len()
     }
 
+    /// Discards what was read but not consumed; returns the number of bytes.
+    pub fn discard(&mut self) -> usize {
+        let discarded = self.buffer.len();
+        self.buffer.clear();
+        discarded
+    }
+
     /// Returns whether the connection is open and has no unread data, so that it can be reused.
     pub async fn is_idle(&self) -> bool {
         let mut byte = [0];
