Pace: half a run of slack, and more replicas with time

Limits are means of runs, but a placement counts its peak, so that one run fitted where two should. Of 27 replicas, the few that may use an endpoint with room for one run could be none.

--- a/crates/core/src/gateway/pace.rs
+++ b/crates/core/src/gateway/pace.rs
@@ -37,8 +37,8 @@
 const REPORT_END_FOR: Duration = Duration::from_secs(3);
 /// Difference up to which two replicas' times of one reduction agree; digests take some time.
 const SAME_REDUCTION_WITHIN: Duration = Duration::from_millis(250);
-/// Replicas that may use an endpoint for each run for which it has room. All replicas see the same free memory and learn of
-/// each other's runs late.
+/// Replicas that may use an endpoint at first for each run for which it has room; as many again with each second. All replicas
+/// see the same free memory and learn of each other's runs late.
 const REPLICAS_PER_RUN: f64 = 4.0;
 /// Parts of an engine's memory that a typical run takes if none is known, and bounds of those.
 const DEFAULT_RUNS: u64 = 8;
@@ -173,14 +173,23 @@
     }
 
     /// Returns whether a request fits within an endpoint's limit, where `used` and `added` are in tokens. `preference` from
-    /// 0 to 1 tells the replicas apart: few of many may use an endpoint that has little room.
-    pub fn admits(&self, endpoint: &str, used: u64, added: u64, (preference, replicas): (f64, u32)) -> bool {
+    /// 0 to 1 tells the replicas apart: at first, few of many may use an endpoint that has little room.
+    pub fn admits(
+        &self,
+        now: Time,
+        endpoint: &str,
+        (used, added): (u64, u64),
+        (preference, replicas): (f64, u32),
+    ) -> bool {
         let Some(pace) = self.paces.get(endpoint).filter(|pace| pace.full_at.is_none()) else {
             return true;
         };
         let runs = pace.limit as f64 / pace.run as f64;
-        let is_chosen = 1.0 - preference <= runs * REPLICAS_PER_RUN / f64::from(replicas.max(1));
-        is_chosen && (used == 0 || used + added <= pace.limit)
+        let waited = now.since(pace.reduced_at).as_secs_f64();
+        let chosen = runs * REPLICAS_PER_RUN * (1.0 + waited) / f64::from(replicas.max(1));
+        // Runs are larger at their peak than on average.
+        let slack = pace.run / 2;
+        1.0 - preference <= chosen && (used == 0 || used + added <= pace.limit + slack)
     }
 
     /// Returns the endpoints that do not take their full share yet, with their limits.
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -460,7 +460,7 @@
     /// Returns whether a request fits within the limit of an endpoint that has just started or recovered.
     fn is_within_pace(&self, endpoint: &Endpoint, used: u64, added: u64) -> bool {
         let replica = (self.preference(endpoint), self.partition.count);
-        self.loads.paces.admits(&endpoint.id, used, added, replica)
+        self.loads.paces.admits(self.now, &endpoint.id, (used, added), replica)
     }
 
     /// Returns this replica's preference for an endpoint, from 0 to 1: a hash that is stable over
--- a/crates/core/tests/gateway/pace.rs
+++ b/crates/core/tests/gateway/pace.rs
@@ -213,8 +213,17 @@
         limits.push(paces.limit("d-1").expect("a limit"));
     }
     assert_eq!(limits, [15_000, 20_000, 20_000, 10_000, 10_000, 5_000]);
-    assert!(paces.admits("d-1", 0, 9_000, (1.0, 27)) && !paces.admits("d-1", 1, 5_000, (1.0, 27)));
-    assert!(!paces.admits("d-1", 0, 5_000, (0.5, 27)) && paces.admits("d-1", 0, 5_000, (0.5, 4)));
+    let cases = [
+        ("a request that runs alone", 0, 9_000, 1.0, 27, true),
+        ("a second run", 5_000, 5_000, 1.0, 27, false),
+        ("a replica that is not chosen", 0, 5_000, 0.5, 27, false),
+        ("one of few replicas", 0, 5_000, 0.5, 4, true),
+    ];
+    for (name, used, added, preference, replicas, expected) in cases {
+        let admits = |now| paces.admits(at(now), "d-1", (used, added), (preference, replicas));
+        assert_eq!(admits(600), expected, "{name}");
+        assert_eq!(admits(9_000), used == 0, "{name}, later");
+    }
     for step in 0..7 {
         paces.record_answer(at(700 + step), "d-1", Verdict::Prompt);
     }
