Outages: a request that met two ended endpoints waits for 100 ms

Right after a crash of many endpoints no notice is known yet, and the next most free endpoint has ended too. The other replicas find out about the rest in that time.

--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -35,6 +35,10 @@
 const WRITE_DELAY: Duration = Duration::from_millis(700);
 /// Notices that differ by less are about the same failure: transit times vary.
 const SAME_NOTICE_WITHIN: Duration = Duration::from_millis(200);
+/// Endpoints that have ended which a request may meet before it waits for the notices of others.
+const MAX_MET: usize = 2;
+/// How long it waits: after a crash of many endpoints, the others find out about the rest meanwhile.
+const SETTLING_TIME: Duration = Duration::from_millis(100);
 /// Largest number of notices in a digest; the newest come first.
 const MAX_REPORTED: usize = 32;
 /// Largest number of events that wait to be logged.
@@ -172,6 +176,13 @@
         self.known.get(endpoint).is_some_and(|outage| !outage.is_over)
     }
 
+    /// Returns whether a request that has met these endpoints has to wait, because several of them have just ended.
+    pub fn is_settling(&self, now: Time, met: &[Arc<str>]) -> bool {
+        let out = met.iter().filter_map(|endpoint| self.known.get(endpoint).filter(|outage| !outage.is_over));
+        let ends: Vec<Time> = out.map(|outage| outage.since).collect();
+        ends.len() >= MAX_MET && ends.iter().any(|since| now.since(*since) < SETTLING_TIME)
+    }
+
     /// Returns the endpoints that are out.
     pub fn out(&self) -> impl Iterator<Item = &Arc<str>> {
         self.known.iter().filter(|(_, outage)| !outage.is_over).map(|(endpoint, _)| endpoint)
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -171,7 +171,8 @@
         self.without_outages(service, stage, healthy, filter)
     }
 
-    /// Removes endpoints that have ended, unless one is due for a try. A request that has met one tries no other. If all
+    /// Removes endpoints that have ended, unless one is due for a try. A request that has met one tries no other, and one that
+    /// has just met several waits. If all
     /// have ended, those that only peers noticed are kept: the peers may be cut off.
     fn without_outages(
         &self,
@@ -184,6 +185,9 @@
         if outages.out().next().is_none() {
             return endpoints;
         }
+        if stage == Stage::Decode && outages.is_settling(self.now, filter.avoid) {
+            return Vec::new();
+        }
         let has_tried = filter.avoid.iter().any(|endpoint| outages.is_out(endpoint));
         let access = |endpoint: &Endpoint| outages.access(self.now, &endpoint.id, self.preference(endpoint));
         let is_open = |endpoint: &Endpoint| match access(endpoint) {
--- a/crates/core/tests/gateway/outage.rs
+++ b/crates/core/tests/gateway/outage.rs
@@ -264,3 +264,18 @@
     assert_eq!(out(&fleet, "d-1"), 0);
     assert!(place(&mut fleet[1], 1_020, &["d-2".into()]).is_some());
 }
+
+/// Guards against a request that tries each of many endpoints that have ended at the same time.
+#[test]
+fn a_request_that_met_two_ended_endpoints_waits_for_notices() {
+    let mut fleet = fleet(1, 8, &Mechanisms::default());
+    let (mut avoid, mut placed) = (Vec::new(), Vec::new());
+    for now in (1_000..1_250).step_by(10) {
+        if let Some(lease) = place(&mut fleet[0], now, &avoid) {
+            avoid.push(lease.endpoint.clone());
+            placed.push(now);
+            fleet[0].record_end(at(now), &lease, Outcome::Unreachable);
+        }
+    }
+    assert_eq!(placed, [1_000, 1_010, 1_110, 1_210]);
+}
