--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -13,7 +13,7 @@
 use strum::{Display, IntoStaticStr};
 use xxhash_rust::xxh3::Xxh3;
 
-use super::directory::Endpoint;
+use super::{digest::Member, directory::Endpoint};
 use crate::clock::Time;
 
 /// Time from a notice to the first try of the replica that tries for all; doubles with each failure.
@@ -171,6 +171,11 @@
 }
 
 impl Outages {
+    /// Returns whether no outage is known, not even one that is over.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Returns whether an endpoint is out.
     pub fn is_out(&self, endpoint: &str) -> bool {
         self.known.get(endpoint).is_some_and(|outage| !outage.is_over)
@@ -356,7 +361,7 @@
 
     /// Removes what is out of date and what is known of endpoints that are not listed, and recomputes for which endpoints
     /// this replica tries first; `live` are the other live replicas.
-    pub fn update(&mut self, now: Time, own: &str, live: &[Arc<str>], is_listed: impl Fn(&str) -> bool) {
+    pub fn update(&mut self, now: Time, own: &str, live: &[Member], is_listed: impl Fn(&str) -> bool) {
         let is_lapsed = |outage: &Outage| !outage.is_over && now.since(outage.at) >= LAPSE_AFTER;
         let lapsed = self.known.iter().filter(|(_, outage)| is_lapsed(outage));
         let lapsed: Vec<Arc<str>> = lapsed.map(|(endpoint, _)| endpoint.clone()).collect();
@@ -367,7 +372,7 @@
         self.answers.retain(|endpoint, at| now.since(*at) < LAPSE_AFTER && is_listed(endpoint));
         for (endpoint, outage) in &mut self.known {
             let weight = weight(own, endpoint);
-            outage.is_first = live.iter().all(|replica| self::weight(replica, endpoint) < weight);
+            outage.is_first = live.iter().all(|replica| self::weight(&replica.name, endpoint) < weight);
         }
     }
 
--- a/crates/core/src/gateway/state/outages.rs
+++ b/crates/core/src/gateway/state/outages.rs
@@ -19,7 +19,7 @@
             let sequence = self.directory.last_write(&endpoint.id).map_or(0, |(_, sequence)| sequence);
             let own = &self.identity.name;
             self.loads.outages.record_failure(now, own, &endpoint, sequence, reason);
-            self.update_outages(now);
+            self.pace_recovered(now);
         }
     }
 
@@ -44,12 +44,12 @@
                 self.loads.outages.apply(now, peer, &endpoint, sequence, *notice);
             }
         }
-        self.update_outages(now);
+        self.pace_recovered(now);
     }
 
     pub(super) fn update_outages(&mut self, now: Time) {
         let Self { loads, directory, peers, identity, .. } = self;
-        let live: Vec<Arc<str>> = peers.live_members(now).map(|member| member.name).collect();
+        let live = if loads.outages.is_empty() { Vec::new() } else { peers.live_members(now).collect() };
         loads.outages.review(now, |endpoint| directory.last_write(endpoint));
         loads.outages.update(now, &identity.name, &live, |endpoint| directory.get(endpoint).is_some());
         self.pace_recovered(now);
--- a/crates/core/tests/gateway/outage.rs
+++ b/crates/core/tests/gateway/outage.rs
@@ -6,6 +6,7 @@
     catalog::{Catalog, Kind, Limits, Route, Service},
     cold::Tolerance,
     completion::Completion,
+    digest::Member,
     directory::{Endpoint, Stage},
     forecast::Size,
     health::Outcome,
@@ -231,13 +232,19 @@
 fn others_try_late_and_spread() {
     let mut outages = Outages::default();
     outages.record_failure(at(0), &"own".into(), &endpoint("d-1", Stage::Decode), 1, Reason::Unreachable);
-    let tries = |outages: &mut Outages, live: &[Arc<str>], preference| {
+    let tries = |outages: &mut Outages, live: &[Member], preference| {
         outages.update(at(0), "own", live, |_| true);
         let due = (0..6_000).step_by(50);
         due.into_iter().find(|now| outages.access(at(*now), "d-1", preference) == Access::Try)
     };
     assert_eq!(tries(&mut outages, &[], 0.5), Some(250));
-    let live: Vec<Arc<str>> = (0..64).map(|index| format!("r-{index}").into()).collect();
+    let member = |index| Member {
+        name: format!("r-{index}").into(),
+        address: ([127, 0, 0, 1], 7).into(),
+        zone: "zone-a".into(),
+        millicores: 0,
+    };
+    let live: Vec<Member> = (0..64).map(member).collect();
     assert_eq!(tries(&mut outages, &live, 1.0), Some(3_000));
     assert_eq!(tries(&mut outages, &live, 0.0), Some(4_000));
 }
