--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -13,7 +13,7 @@
 use strum::{Display, IntoStaticStr};
 use xxhash_rust::xxh3::Xxh3;
 
-use super::directory::Endpoint;
+use super::{digest::Member, directory::Endpoint};
 use crate::clock::Time;
 
 /// Time from a notice to the first try of the replica that tries for all; doubles with each failure.
@@ -35,6 +35,10 @@
 const WRITE_DELAY: Duration = Duration::from_millis(700);
 /// Notices that differ by less are about the same failure: transit times vary.
 const SAME_NOTICE_WITHIN: Duration = Duration::from_millis(200);
+/// Endpoints that have ended which a request may meet before it waits for the notices of others.
+const MAX_MET: usize = 2;
+/// How long it waits: after a crash of many endpoints, the others find out about the rest meanwhile.
+const SETTLING_TIME: Duration = Duration::from_millis(100);
 /// Largest number of notices in a digest; the newest come first.
 const MAX_REPORTED: usize = 32;
 /// Largest number of events that wait to be logged.
@@ -167,11 +171,23 @@
 }
 
 impl Outages {
+    /// Returns whether no outage is known, not even one that is over.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Returns whether an endpoint is out.
     pub fn is_out(&self, endpoint: &str) -> bool {
         self.known.get(endpoint).is_some_and(|outage| !outage.is_over)
     }
 
+    /// Returns whether a request that has met these endpoints has to wait, because several of them have just ended.
+    pub fn is_settling(&self, now: Time, met: &[Arc<str>]) -> bool {
+        let out = met.iter().filter_map(|endpoint| self.known.get(endpoint).filter(|outage| !outage.is_over));
+        let ends: Vec<Time> = out.map(|outage| outage.since).collect();
+        ends.len() >= MAX_MET && ends.iter().any(|since| now.since(*since) < SETTLING_TIME)
+    }
+
     /// Returns the endpoints that are out.
     pub fn out(&self) -> impl Iterator<Item = &Arc<str>> {
         self.known.iter().filter(|(_, outage)| !outage.is_over).map(|(endpoint, _)| endpoint)
@@ -345,7 +361,7 @@
 
     /// Removes what is out of date and what is known of endpoints that are not listed, and recomputes for which endpoints
     /// this replica tries first; `live` are the other live replicas.
-    pub fn update(&mut self, now: Time, own: &str, live: &[Arc<str>], is_listed: impl Fn(&str) -> bool) {
+    pub fn update(&mut self, now: Time, own: &str, live: &[Member], is_listed: impl Fn(&str) -> bool) {
         let is_lapsed = |outage: &Outage| !outage.is_over && now.since(outage.at) >= LAPSE_AFTER;
         let lapsed = self.known.iter().filter(|(_, outage)| is_lapsed(outage));
         let lapsed: Vec<Arc<str>> = lapsed.map(|(endpoint, _)| endpoint.clone()).collect();
@@ -356,7 +372,7 @@
         self.answers.retain(|endpoint, at| now.since(*at) < LAPSE_AFTER && is_listed(endpoint));
         for (endpoint, outage) in &mut self.known {
             let weight = weight(own, endpoint);
-            outage.is_first = live.iter().all(|replica| self::weight(replica, endpoint) < weight);
+            outage.is_first = live.iter().all(|replica| self::weight(&replica.name, endpoint) < weight);
         }
     }
 
