Speeds in metrics, logs and the state dump; a prompt may take as long as at the slowest endpoint

A gateway sees each prefill endpoint about once in 12 s, so that its timeout is mostly that of a typical one, and a slow endpoint's prompt is read twice. The timeout at an endpoint without own observations now assumes the slowest.

--- a/crates/core/src/gateway/forecast.rs
+++ b/crates/core/src/gateway/forecast.rs
@@ -211,11 +211,8 @@
 
     /// Returns the forecast of an endpoint whose event interval is this multiple of the forecast one.
     pub fn slowed(self, relative_interval: f64) -> Self {
-        let slow = |Trend { base, slope }| Trend {
-            base: base * relative_interval,
-            slope: slope * relative_interval,
-        };
-        Self { event_interval: self.event_interval.map(slow), ..self }
+        let event_interval = self.event_interval.map(|trend| trend.slowed(relative_interval));
+        Self { event_interval, ..self }
     }
 
     /// Returns whether enough runs were observed to forecast decode times.
@@ -398,6 +395,27 @@
         self.0.get(service).map(|service| &service.speeds)
     }
 
+    /// Returns the speeds of the endpoints of each service.
+    pub fn all_speeds(&self) -> impl Iterator<Item = (&Arc<str>, &Speeds)> {
+        self.0.iter().map(|(name, service)| (name, &service.speeds))
+    }
+
+    /// Returns an endpoint's event interval as a multiple of the typical one.
+    pub fn relative_interval(&self, now: Time, service: &str, endpoint: &str) -> f64 {
+        self.speeds(service).map_or(1.0, |speeds| speeds.relative_interval(now, endpoint))
+    }
+
+    /// Returns the forecast of the longest time that a prompt may take at an endpoint of an uneven service. One whose
+    /// prompts this replica did not observe may be as slow as the slowest.
+    pub fn longest_prefill(&self, now: Time, service: &str, endpoint: &str) -> Forecast {
+        let forecast = self.endpoint(now, service, endpoint);
+        let is_observed = forecast.prefill != self.service(service).prefill;
+        let slowest =
+            self.speeds(service).and_then(|speeds| speeds.summary(now)).map_or(1.0, |summary| summary.max);
+        let slowed = forecast.prefill.map(|trend| trend.slowed(slowest));
+        Forecast { prefill: if is_observed { forecast.prefill } else { slowed }, ..forecast }
+    }
+
     /// Returns the event interval of a service's fastest endpoints as a multiple of the typical one, at most one.
     pub fn fastest(&self, now: Time, service: &str) -> f64 {
         self.speeds(service).and_then(|speeds| speeds.summary(now)).map_or(1.0, |summary| summary.min)
--- a/crates/core/src/gateway/forecast/fit.rs
+++ b/crates/core/src/gateway/forecast/fit.rs
@@ -32,6 +32,11 @@
         Duration::from_secs_f64(self.seconds(size as f64))
     }
 
+    /// Returns the trend of an endpoint that takes this many times as long.
+    pub fn slowed(self, factor: f64) -> Self {
+        Self { base: self.base * factor, slope: self.slope * factor }
+    }
+
     fn seconds(&self, size: f64) -> f64 {
         let seconds = self.base + self.slope * size;
         if seconds.is_finite() { seconds.clamp(0.0, MAX_SECS) } else { 0.0 }
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -451,7 +451,7 @@
         claim: &Claim,
     ) -> Option<&'e Arc<Endpoint>> {
         let costs = fitting.map(|(free, endpoint)| {
-            let relative = self.relative_interval(endpoint);
+            let relative = self.forecasts.relative_interval(self.now, &endpoint.service, &endpoint.id);
             let cost = self.cost(endpoint, engine, free, relative, claim);
             ((self.misses_target(endpoint, run, claim, relative), cost), endpoint)
         });
@@ -461,11 +461,6 @@
         Some(endpoint)
     }
 
-    fn relative_interval(&self, endpoint: &Endpoint) -> f64 {
-        let speeds = self.forecasts.speeds(&endpoint.service);
-        speeds.map_or(1.0, |speeds| speeds.relative_interval(self.now, &endpoint.id))
-    }
-
     /// Returns the fraction of an endpoint's memory in use after placing a run, times the time for which the run holds it
     /// there. Endpoints so get work in proportion to their speed, and long outputs go to fast ones.
     fn cost(&self, endpoint: &Endpoint, engine: &Engine, free: u64, relative: f64, claim: &Claim) -> f64 {
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -255,7 +255,12 @@
         ttft_target: Duration,
     ) -> Assignment {
         let queued = self.loads.get(&endpoint.id).map_or(0, |load| load.total(now).prefill_tokens);
-        let forecast = self.forecasts.endpoint(now, &endpoint.service, &endpoint.id);
+        let (service, id) = (&endpoint.service, &endpoint.id);
+        let forecast = if self.uses(service, Mechanism::Speed) {
+            self.forecasts.longest_prefill(now, service, id)
+        } else {
+            self.forecasts.endpoint(now, service, id)
+        };
         let prefill_tokens = queued + prompt;
         let prefill_timeout = forecast.prefill_timeout(prefill_tokens, ttft_target);
         let share = Share { prefill_tokens: prompt, ..Share::default() };
--- a/crates/core/src/gateway/state/progress.rs
+++ b/crates/core/src/gateway/state/progress.rs
@@ -53,9 +53,14 @@
         self.forecasts.typical()
     }
 
-    /// Returns the speeds of a service's endpoints; `None` without observations.
-    pub fn speeds(&self, service: &str) -> Option<&Speeds> {
-        self.forecasts.speeds(service)
+    /// Returns the speeds of the endpoints of each service.
+    pub fn speeds(&self) -> impl Iterator<Item = (&Arc<str>, &Speeds)> {
+        self.forecasts.all_speeds()
+    }
+
+    /// Returns an endpoint's event interval as a multiple of the typical one.
+    pub fn relative_interval(&self, now: Time, endpoint: &Endpoint) -> f64 {
+        self.forecasts.relative_interval(now, &endpoint.service, &endpoint.id)
     }
 
     /// Records the first event of a response.
--- a/crates/core/tests/gateway/speed.rs
+++ b/crates/core/tests/gateway/speed.rs
@@ -9,17 +9,22 @@
     catalog::{Catalog, Engine, Kind, Limits, Service},
     cold::Tolerance,
     completion::Completion,
-    digest::Member,
-    directory::{Endpoint, Stage},
-    forecast::{Observation, Size},
+    digest::{Member, Share},
+    directory::{Directory, Endpoint, Stage},
+    forecast::{Forecast, Observation, Size},
+    growth::Growth,
     health::Outcome,
+    load::Loads,
     mechanism::{Mechanism, Mechanisms},
+    placement::{self, Claim, Partition, View},
+    pools::Pools,
     queue::Verdict,
-    speed::{Sample, Speeds},
+    speed::{Sample, Speeds, take_report},
     state::{Assignment, Identity, Listing, Pair, State},
+    throttle::Gate,
 };
 
-use crate::{at, endpoint, position, route, row};
+use crate::{SMALL, at, endpoint, position, route, row, trained};
 
 const DECODE: u64 = 36;
 const PREFILL: u64 = 18;
@@ -30,8 +35,6 @@
 const STEP_MS: u64 = 20;
 const DIGEST_MS: u64 = 100;
 const EVENT_TOKENS: u64 = 8;
-/// Prefill time per token of a common engine, ms.
-const PROMPT_MS_PER_TOKEN: f64 = 0.018;
 /// Time before which callers are not counted.
 const WARM_UP_MS: u64 = 10_000;
 const END_MS: u64 = 40_000;
@@ -43,6 +46,8 @@
 struct Plan {
     /// Event intervals and prefill times of the endpoints of each third, as multiples of those of a common engine.
     factors: [f64; 3],
+    /// Prefill time per token of a common engine, in microseconds.
+    prompt_us: f64,
     /// Requests a second at all replicas.
     rate: f64,
     /// Each zone in turn gets most requests for this long; zero if all get the same.
@@ -56,8 +61,16 @@
 }
 
 const UNEVEN: [f64; 3] = [0.6, 1.0, 1.6];
-const PLAN: Plan =
-    Plan { factors: UNEVEN, rate: 40.0, wave_ms: 0, slow: None, loss: 0.0, is_enabled: true, seed: 1 };
+const PLAN: Plan = Plan {
+    factors: UNEVEN,
+    prompt_us: 18.0,
+    rate: 40.0,
+    wave_ms: 0,
+    slow: None,
+    loss: 0.0,
+    is_enabled: true,
+    seed: 1,
+};
 
 /// A request, and the number of events that it will have.
 #[derive(Clone, Copy)]
@@ -336,7 +349,7 @@
             Some(prefill) => self.begin_prefill(now_ms, replica, prompt, prefill),
             None => {
                 let factor = 2.0 * self.plan.factors[(number % 3) as usize];
-                now_ms + (prompt as f64 * PROMPT_MS_PER_TOKEN * factor) as u64
+                now_ms + (prompt as f64 * self.plan.prompt_us / 1e3 * factor) as u64
             }
         } + 30;
         *self.summary.runs.entry((number, now_ms / 1_000)).or_default() += 1;
@@ -349,7 +362,9 @@
     /// Begins a prefill, and returns when it ends.
     fn begin_prefill(&mut self, now_ms: u64, replica: usize, prompt: u64, prefill: Assignment) -> u64 {
         let index = index_of(&prefill.endpoint) as usize;
-        let took_ms = prompt as f64 * PROMPT_MS_PER_TOKEN * self.plan.factors[index % 3];
+        let is_slow = self.plan.slow == Some(index as u64) && SLOW_MS.contains(&now_ms);
+        let factor = self.plan.factors[index % 3] * if is_slow { 4.0 } else { 1.0 };
+        let took_ms = prompt as f64 * self.plan.prompt_us / 1e3 * factor;
         let end_ms = self.prefill_free_ms[index].max(now_ms) + took_ms as u64;
         self.prefill_free_ms[index] = end_ms;
         self.summary.prompts[index] += 1;
@@ -380,7 +395,7 @@
 #[test]
 fn runs_are_placed_in_proportion_to_speed_and_fewer_are_late() {
     let plans = [
-        PLAN,
+        Plan { prompt_us: 50.0, ..PLAN },
         Plan { rate: 50.0, seed: 2, ..PLAN },
         Plan { rate: 48.0, loss: 0.3, seed: 3, ..PLAN },
         Plan { rate: 46.0, wave_ms: 4_000, seed: 4, ..PLAN },
@@ -446,3 +461,82 @@
     assert!(ratios.is_sorted_by(|earlier, later| earlier > later), "{ratios:?}");
     assert!(ratios[0] > 5.0 && ratios[0] < 8.0 && ratios[3] < 1.5 && ratios[4] < 1.01, "{ratios:?}");
 }
+
+/// Guards against a lost digest that takes the history of an endpoint with it, and against reports that grow with the fleet.
+#[test]
+fn a_report_has_what_was_observed_since_the_last_one_at_the_newest_endpoints() {
+    let mut speeds = Speeds::default();
+    let interval = Duration::from_millis(40);
+    for index in 0..100_u64 {
+        speeds.record(at(index * 10), &format!("d-{index}").into(), interval);
+    }
+    let report = take_report(at(1_000), [&mut speeds].into_iter());
+    assert_eq!(report.len(), 32);
+    assert_eq!(report.get("d-99"), Some(&Sample { event_interval: interval, weight: 1 }));
+    assert!(take_report(at(1_000), [&mut speeds].into_iter()).is_empty());
+    speeds.record(at(1_000), &"d-0".into(), interval);
+    assert!(take_report(at(5_000), [&mut speeds].into_iter()).is_empty());
+}
+
+/// Guards against a run that pauses too long or ends after its deadline at an endpoint that is slow, but idle.
+#[test]
+fn an_endpoint_that_would_miss_a_target_is_used_only_if_no_other_fits() {
+    let mut forecasts = trained(SMALL);
+    let service: Arc<str> = "drafting".into();
+    let mut directory = Directory::default();
+    let rows =
+        [(1, "d-1"), (2, "d-2"), (3, "d-3")].map(|(index, id)| row(index, endpoint(id, Stage::Decode)));
+    directory.update(at(0), position(9), rows.into());
+    for (id, ms) in [("d-1", 110), ("d-2", 55), ("d-3", 55)] {
+        let sample = Sample { event_interval: Duration::from_millis(ms), weight: 30 };
+        forecasts.apply_peer_speed(at(0), &service, &id.into(), sample);
+    }
+    forecasts.recompute();
+    let mut loads = Loads::default();
+    let growth = Growth::flat(40_000);
+    for id in ["d-2", "d-3"] {
+        loads.acquire(at(0), &id.into(), Share { running: 1, memory: 40_000, growth, ..Share::default() });
+    }
+    let run = |target_gap_ms, deadline_ms| placement::Run {
+        prompt: 5_000,
+        growth: Growth::flat(5_000),
+        target_gap: Duration::from_millis(target_gap_ms),
+        claim: Some(Claim { output: 1_100, deadline: at(deadline_ms) }),
+        ..placement::Run::default()
+    };
+    let slots = |slots| Engine { slots, ..ENGINE };
+    let view = View {
+        now: at(0),
+        directory: &directory,
+        gate: &Gate::default(),
+        loads: &loads,
+        pools: &Pools::default(),
+        forecasts: &forecasts,
+        zone: "zone-a",
+        replica: "own",
+        partition: Partition { index: 0, count: 1 },
+    };
+    let is_slow_used = |engine: Engine, run| {
+        view.pick_decode("drafting", &engine, &run).is_some_and(|found| &*found.id == "d-1")
+    };
+    assert!(is_slow_used(slots(48), run(300, 14_000)));
+    assert!(!is_slow_used(slots(48), run(80, 14_000)));
+    assert!(!is_slow_used(slots(48), run(300, 9_000)));
+    assert!(is_slow_used(slots(1), run(80, 9_000)));
+}
+
+/// Guards against a prompt that is read twice because its endpoint is slower than the replica has seen others be.
+#[test]
+fn a_prompt_may_take_as_long_as_at_the_slowest_endpoint_where_none_was_observed() {
+    let mut forecasts = trained(SMALL);
+    for index in 0..6 {
+        let sample =
+            Sample { event_interval: Duration::from_millis(if index < 4 { 55 } else { 110 }), weight: 30 };
+        forecasts.apply_peer_speed(at(0), &"drafting".into(), &format!("d-{index}").into(), sample);
+    }
+    forecasts.recompute();
+    let time = |forecast: Forecast| forecast.prefill_time(5_000).as_secs_f64();
+    let typical = time(forecasts.endpoint(at(0), "drafting", "p-new"));
+    let longest = time(forecasts.longest_prefill(at(0), "drafting", "p-new"));
+    assert!(longest > typical * 1.5 && longest < typical * 2.1, "{longest} and {typical} seconds");
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -30,6 +30,7 @@
         origin::{Message, Origin, Stream},
         relay::{Bundle, Role},
         snapshot::Snapshot,
+        speed::Summary,
         staleness::Versions,
         state::{Admission, Admitted},
         suspect::Suspect,
@@ -67,6 +68,7 @@
     Enqueue(Completion, ReplySender<PermitsResult>),
     Forecast(Arc<str>, ReplySender<Forecast>),
     Forecasts(ReplySender<BTreeMap<Arc<str>, Forecast>>),
+    Speeds(ReplySender<BTreeMap<Arc<str>, Summary>>),
     Observe(Arc<Endpoint>, Observation),
     RecordEvents(Lease, Arc<str>, u64),
     RecordResponse(Lease),
@@ -338,6 +340,11 @@
         self.request(Command::Forecasts).await.unwrap_or_default()
     }
 
+    /// Returns how the speeds of each service's decode endpoints differ.
+    pub async fn speeds(&self) -> BTreeMap<Arc<str>, Summary> {
+        self.request(Command::Speeds).await.unwrap_or_default()
+    }
+
     /// Returns whether a request with any of these suspects is held off.
     pub fn holds(&self, suspects: &[Suspect]) -> bool {
         let shared = lock(&self.shared);
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -1,7 +1,7 @@
 //! Control thread: owns the routing state, executes commands and runs periodic work.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io,
     sync::{Arc, Mutex},
     thread,
@@ -26,6 +26,7 @@
         queue::Verdict,
         relay::{Delivery, Role},
         snapshot::Snapshot,
+        speed::Speeds,
         state::{Assignment, ENDPOINT_RETRY_AFTER, Pair, State, no_endpoint, quarantined},
         suspect::{Report, Summary, Suspect},
         throttle::{Throttle, Throttles},
@@ -104,6 +105,7 @@
         last_digest: Time::ZERO,
         last_forward: Time::ZERO,
         last_forecast_log: Time::ZERO,
+        uneven: BTreeSet::new(),
         held_generation: 0,
         role: (false, None),
     };
@@ -172,6 +174,8 @@
     last_forward: Time,
     /// When forecasts were last logged.
     last_forecast_log: Time,
+    /// Services whose endpoints differ much in speed.
+    uneven: BTreeSet<Arc<str>>,
     /// Generation of the suspects that are held off which other threads know.
     held_generation: u64,
     /// Whether this replica is a relay, and the relay that it follows.
@@ -221,6 +225,7 @@
             lock(&self.weak_control.shared).is_stale = self.state.is_configuration_stale(now);
             let (changes, expired) = self.state.tick(now);
             log_changes(&changes);
+            self.log_uneven();
             for peer in expired {
                 spdlog::info!("peer expired", kv: { peer = &*peer });
             }
@@ -420,6 +425,20 @@
         }
     }
 
+    /// Logs when a service becomes uneven or even.
+    fn log_uneven(&mut self) {
+        let uneven = self.state.speeds().filter(|(_, speeds)| speeds.is_uneven());
+        let uneven: BTreeSet<Arc<str>> = uneven.map(|(service, _)| service.clone()).collect();
+        for service in uneven.symmetric_difference(&self.uneven) {
+            let ratio =
+                self.state.speeds().find(|(name, _)| *name == service).and_then(|(_, speeds)| speeds.ratio());
+            spdlog::info!("endpoint speeds", kv: {
+                service = &**service, uneven = uneven.contains(service), ratio = ratio.unwrap_or(0.0)
+            });
+        }
+        self.uneven = uneven;
+    }
+
     /// Logs a change of this replica's part in the exchange of digests and endpoints.
     fn log_role(&mut self) {
         let role = (self.state.is_relay(), followed(&self.state.role()).cloned());
@@ -516,6 +535,11 @@
             Command::FindOrigin(stream, service, span, reply) => {
                 self.find_origin(now, stream, Seeker { service, span, reply });
             }
+            Command::Speeds(reply) => {
+                let summary =
+                    |(service, speeds): (&Arc<str>, &Speeds)| Some((service.clone(), speeds.summary(now)?));
+                drop(reply.try_send(self.state.speeds().filter_map(summary).collect()));
+            }
             Command::Snapshot(reply) => drop(reply.try_send(self.snapshot(now))),
             Command::NewerPeers(reply) => drop(reply.try_send(self.state.catch_up_peers(now))),
             Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
@@ -621,6 +645,7 @@
                     "running": all.running, "memory": all.memory, "reading": all.prefill_tokens,
                     "cold_ms": self.state.gate().cold.get(now, &endpoint.id).map(|cold| cold.until.since(now).as_millis() as u64),
                     "limit": self.state.limits().get(&endpoint.id),
+                    "relative_interval": self.state.relative_interval(now, endpoint),
                     "failing": load.map(|load| load.health.failure_ratio(now)),
                 })
             })
@@ -642,6 +667,7 @@
             "sharers": self.state.replica_count(),
             "registered": self.registering.is_none(),
             "waiting": self.state.queue_length(),
+            "uneven": self.uneven,
             "forecasts": forecasts,
         })
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     pub version: IntGauge,
     /// Forecast durations of the parts of a completion, seconds, by service and part.
     pub forecasts: GaugeVec,
+    /// Event intervals of the fastest, middle and slowest endpoint as multiples of the typical one, by service and rank.
+    pub speeds: GaugeVec,
 }
 
 impl Metrics {
@@ -83,8 +85,13 @@
             ),
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
+            speeds: gauges(
+                "gateway_relative_intervals",
+                "Event intervals of endpoints as multiples of the typical one",
+                &["service", "rank"],
+            ),
         };
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 17] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -101,6 +108,7 @@
             Box::new(metrics.unknown_fields.clone()),
             Box::new(metrics.version.clone()),
             Box::new(metrics.forecasts.clone()),
+            Box::new(metrics.speeds.clone()),
         ];
         for collector in collectors {
             if let Err(error) = registry.register(collector) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,6 +24,7 @@
         cold::Tolerance,
         mechanism::Mechanisms,
         shutdown::Shutdown,
+        speed::Summary,
         state::{Identity, State},
         suspect::Report,
     },
@@ -320,6 +321,11 @@
                 gauge.set(time.as_secs_f64());
             }
         }
+        for (service, Summary { min, median, max }) in self.0.control.speeds().await {
+            for (rank, value) in [("min", min), ("median", median), ("max", max)] {
+                self.0.metrics.speeds.with_label_values(&[&*service, rank]).set(value);
+            }
+        }
     }
 
     /// Returns the routing state.
