Holdings are reported only for services that call for fair shares

A peer's news of waiting requests, which also come with the order across gateways, made a replica report holdings of services to which fairness does not apply there. The report is now limited to services that use it.

--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -131,7 +131,7 @@
             unmet: self.loans.unmet(now),
             loans: self.take_loans(now),
             waiting: BTreeMap::new(),
-            holdings: self.fairness.report(now, self.loads.holdings()),
+            holdings: self.holdings(now),
             outages: BTreeMap::new(),
             paces: BTreeMap::new(),
             speeds: BTreeMap::new(),
--- a/crates/core/src/gateway/state/sharing.rs
+++ b/crates/core/src/gateway/state/sharing.rs
@@ -6,7 +6,7 @@
     gateway::{
         catalog::Engine,
         digest::Digest,
-        fairness::{Change, Fairness, Owner, Waiter},
+        fairness::{Change, Fairness, Owner, Report, Waiter},
         mechanism::Mechanism,
         order::Urgency,
         placement::Run,
@@ -29,6 +29,13 @@
         self.fairness.take_changes()
     }
 
+    /// Returns what customers hold and want at this replica, for peers.
+    pub(super) fn holdings(&self, now: Time) -> Report {
+        let mut report = self.fairness.report(now, self.loads.holdings());
+        report.retain(|service, _| self.uses(service, Mechanism::Fairness));
+        report
+    }
+
     /// Records what customers hold and want at a peer.
     pub(super) fn apply_holdings(&mut self, now: Time, digest: &Digest) {
         if self.mechanisms.has(Mechanism::Fairness) {
