--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -144,7 +144,7 @@
             unmet: self.loans.unmet(now),
             loans: self.take_loans(now),
             waiting: self.waiting(now),
-            holdings: self.fairness.report(now, self.loads.holdings()),
+            holdings: self.holdings(now),
             outages: self.loads.outages.report(now),
             paces: self.loads.paces.report(now),
             speeds: if is_full { self.forecasts.take_speeds(now) } else { BTreeMap::new() },
