Explain where a request would go now: tarragonhill explain

Cause: an operator who saw a request wait or refused had the state dump and the logs of requests before it, but nothing that told where the next one would go, and which figure or condition kept it from the other endpoints.

Change: GET /explain at a gateway's admin address (core state/explain.rs) asks the functions that place, without recording anything: where a request would go, how many come first, or the refusal with its Retry-After; each endpoint with its figures and the first reason that excludes it (placement/candidate.rs); and the tokens left, from a copy of the account. `tarragonhill explain` prints it as text or JSON; input that makes no sense gives one line and status 2.

No existing test was changed.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -1,5 +1,7 @@
 //! Selection of the endpoints for a request.
 
+pub mod candidate;
+
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use xxhash_rust::xxh3::Xxh3;
@@ -230,15 +232,18 @@
 
     /// Picks an endpoint for a whole request: the one with the shortest expected response time.
     pub fn pick_whole(&self, service: &str, filter: Filter<'_>) -> Option<Arc<Endpoint>> {
-        let expected = |endpoint: &Endpoint| {
-            let Some(load) = self.load(endpoint) else { return 0 };
-            let in_flight = f64::from(load.total(self.now).running + 1);
-            let zone_factor = if self.is_in_zone(endpoint, self.zone) { 1.0 } else { CROSS_ZONE_FACTOR };
-            micros(load.health.response_time(self.now).mul_f64(in_flight * zone_factor))
-        };
         let is_full = |endpoint: &Endpoint| self.load(endpoint).is_some_and(|load| load.is_full(self.now));
         let candidates = self.candidates(service, Stage::Whole, filter).into_iter();
-        candidates.min_by_key(|endpoint| (is_full(endpoint), expected(endpoint))).cloned()
+        candidates.min_by_key(|endpoint| (is_full(endpoint), self.expected_response(endpoint))).cloned()
+    }
+
+    /// Returns the expected response time of an endpoint for one more request, in microseconds, with an allowance for another
+    /// zone.
+    fn expected_response(&self, endpoint: &Endpoint) -> u64 {
+        let Some(load) = self.load(endpoint) else { return 0 };
+        let in_flight = f64::from(load.total(self.now).running + 1);
+        let zone_factor = if self.is_in_zone(endpoint, self.zone) { 1.0 } else { CROSS_ZONE_FACTOR };
+        micros(load.health.response_time(self.now).mul_f64(in_flight * zone_factor))
     }
 
     /// Returns the time until an endpoint's backlog is processed, without and with `prompt` further
--- a/crates/core/src/gateway/queue.rs
+++ b/crates/core/src/gateway/queue.rs
@@ -111,6 +111,12 @@
         self.0.sort_by_key(|entry| entry.rank(now));
     }
 
+    /// Returns the number of requests of the same service that would be placed before this one.
+    pub fn count_ahead<U>(&self, now: Time, entry: &Entry<U>) -> usize {
+        let rank = entry.rank(now);
+        self.0.iter().filter(|other| other.service == entry.service && other.rank(now) <= rank).count()
+    }
+
     /// Expires the requests for which `cannot_start` returns true, which is asked in their order.
     pub fn expire(&mut self, mut cannot_start: impl FnMut(&Entry<T>) -> bool) {
         for entry in self.0.iter_mut().filter(|entry| cannot_start(entry)) {
--- a/crates/core/src/gateway/rate_limit.rs
+++ b/crates/core/src/gateway/rate_limit.rs
@@ -422,6 +422,18 @@
         self.accounts.get(customer).map_or(0, |account| account.level / MICROTOKENS_PER_TOKEN)
     }
 
+    /// Returns the tokens left to a customer, and with which delay a request for `tokens` would be refused, if it would be,
+    /// without spending anything; `None` if the customer has no limit.
+    pub fn peek(&self, now: Time, customer: &str, tokens: u64) -> Option<(i64, Option<Duration>)> {
+        let mut account = self.accounts.get(customer)?.clone();
+        account.refill(now);
+        let needed = (signed(tokens) * MICROTOKENS_PER_TOKEN).min(account.burst.max(1));
+        let required = account.required(needed);
+        let left = account.level / MICROTOKENS_PER_TOKEN;
+        let delay = (account.level < required).then(|| account.schedule_retry(required));
+        Some((left, delay))
+    }
+
     /// Returns the tokens left by customer, as this replica knows them.
     pub fn tokens_left(&mut self, now: Time) -> BTreeMap<Arc<str>, i64> {
         let mut left = BTreeMap::new();
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 //! gets the result.
 
 mod admission;
+pub mod explain;
 mod peers;
 mod placing;
 mod progress;
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -48,19 +48,23 @@
         let found = self.view(now).pick_whole(service, filter);
         let share = Share { running: 1, ..Share::default() };
         let Some(endpoint) = found else {
-            let view = self.view(now);
-            let throttle_wait = view.shortest_throttle_wait(service, Stage::Whole);
-            let backoff = view.shortest_backoff(service, Stage::Whole).or(throttle_wait);
-            if throttle_wait.is_some() {
+            let refusal = self.no_whole_endpoint(now, service);
+            if self.view(now).shortest_throttle_wait(service, Stage::Whole).is_some() {
                 self.loans.record_unmet(now, service, 1);
             }
-            let retry_after =
-                backoff.map_or(ENDPOINT_RETRY_AFTER, |backoff| backoff.max(MIN_BACKOFF_RETRY_AFTER));
-            return Err(no_endpoint(retry_after));
+            return Err(refusal);
         };
         Ok(self.assign(now, endpoint, share, None))
     }
 
+    /// Returns the refusal of a whole request for which there is no endpoint at the moment.
+    pub(super) fn no_whole_endpoint(&self, now: Time, service: &str) -> Refusal {
+        let view = self.view(now);
+        let throttle_wait = view.shortest_throttle_wait(service, Stage::Whole);
+        let backoff = view.shortest_backoff(service, Stage::Whole).or(throttle_wait);
+        no_endpoint(backoff.map_or(ENDPOINT_RETRY_AFTER, |backoff| backoff.max(MIN_BACKOFF_RETRY_AFTER)))
+    }
+
     /// Assigns another prefill endpoint to a prompt; `None` if none is available.
     pub fn place_prefill(&mut self, now: Time, prompt: &Prompt) -> Option<Assignment> {
         let Prompt { service, tokens, ttft_target, zone, avoid, software_version } = prompt;
@@ -205,7 +209,7 @@
         self.queue.len()
     }
 
-    fn view(&self, now: Time) -> View<'_> {
+    pub(super) fn view(&self, now: Time) -> View<'_> {
         View {
             now,
             directory: &self.directory,
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod digest;
 mod directory;
 mod evacuation;
+mod explain;
 mod fleet;
 mod fleet_budget;
 mod fleet_limit;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,7 +12,7 @@
     READINESS_PATH, claims::Claims, client::Client, dialect::Dialect, era::Eras, store, suspects,
 };
 
-use crate::{StartError, admin, config::GatewaySettings, logging};
+use crate::{StartError, admin, config::GatewaySettings, explain, logging};
 
 /// How long new connections still arrive after the readiness check starts to fail: the load balancer
 /// checks once a second and removes the process after the second failure.
@@ -142,6 +142,9 @@
     if inbound.path == "/state" {
         return Outbound::json(200, &admin.status.dump().await);
     }
+    if inbound.path == explain::PATH {
+        return explain::handle(&inbound, &admin.status).await;
+    }
     admin.status.update_metrics().await;
     admin.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
     admin::handle_common(&inbound, &admin.registry, is_ready).unwrap_or_else(|| admin::not_found(&inbound))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod config;
 pub mod entry;
 mod error;
+mod explain;
 pub mod gateway;
 pub mod logging;
 mod settings;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -31,7 +31,10 @@
         relay::{Bundle, Role},
         snapshot::Snapshot,
         staleness::Versions,
-        state::{Admission, Admitted},
+        state::{
+            Admission, Admitted,
+            explain::{Explanation, Query, Unknown},
+        },
         suspect::Suspect,
         throttle::{Cause, Gate},
     },
@@ -91,6 +94,7 @@
     Versions(ReplySender<Versions>),
     Members(ReplySender<Vec<Member>>),
     Role(ReplySender<Role>),
+    Explain(Query, ReplySender<Result<Explanation, Unknown>>),
     Dump(ReplySender<serde_json::Value>),
 }
 
@@ -507,6 +511,11 @@
         self.initialized.is_closed()
     }
 
+    /// Explains where a request would go now; `None` if the control thread has ended.
+    pub async fn explain(&self, query: Query) -> Option<Result<Explanation, Unknown>> {
+        self.request(|reply| Command::Explain(query, reply)).await
+    }
+
     /// Returns the routing state for the admin address.
     pub async fn dump(&self) -> serde_json::Value {
         self.request(Command::Dump).await.unwrap_or_default()
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -521,6 +521,7 @@
             Command::Versions(reply) => drop(reply.try_send(self.state.versions())),
             Command::Members(reply) => drop(reply.try_send(self.state.members())),
             Command::Role(reply) => drop(reply.try_send(self.state.role())),
+            Command::Explain(query, reply) => drop(reply.try_send(self.state.explain(now, &query))),
             Command::Dump(reply) => drop(reply.try_send(self.dump(now))),
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -24,7 +24,10 @@
         cold::Tolerance,
         mechanism::Mechanisms,
         shutdown::Shutdown,
-        state::{Identity, State},
+        state::{
+            Identity, State,
+            explain::{Explanation, Query, Unknown},
+        },
         suspect::Report,
     },
 };
@@ -327,6 +330,11 @@
         }
     }
 
+    /// Explains where a request would go now, without sending it; `None` while the gateway ends.
+    pub async fn explain(&self, query: Query) -> Option<Result<Explanation, Unknown>> {
+        self.0.control.explain(query).await
+    }
+
     /// Returns the routing state.
     pub async fn dump(&self) -> serde_json::Value {
         let mut state = self.0.control.dump().await;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -41,6 +41,13 @@
         Self::new(Method::Get, path, Vec::new(), true)
     }
 
+    /// Creates a GET request with a query, which may reuse an idle connection.
+    pub fn get_with<'a>(path: &str, parameters: impl IntoIterator<Item = (&'a str, String)>) -> Self {
+        let mut url = Url::parse("http://host").expect("a valid constant");
+        url.query_pairs_mut().extend_pairs(parameters);
+        Self::get(format!("{path}?{}", url.query().unwrap_or_default()))
+    }
+
     /// Creates a DELETE request, which may reuse an idle connection.
     pub fn delete(path: impl Into<String>) -> Self {
         Self::new(Method::Delete, path, Vec::new(), true)
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,7 @@
 //! HTTP server that bounds connections and every part of a request, and shuts down gracefully.
 
 use std::{
+    collections::BTreeMap,
     future::Future,
     io,
     net::SocketAddr,
@@ -91,6 +92,11 @@
         self.headers.header(name).map(|values| values.as_str())
     }
 
+    /// Returns the decoded parameters of the query. Of several with one name, the last counts.
+    pub fn parameters(&self) -> BTreeMap<String, String> {
+        self.headers.url().query_pairs().into_owned().collect()
+    }
+
     /// Returns a watch for the client's disconnection, which may outlive the request.
     pub fn watch(&self) -> Watch {
         Watch(self.stream.clone())
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -22,7 +22,10 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use tarragonhill_core::plan::{Intent, Plan};
+use tarragonhill_core::{
+    gateway::state::explain::Explanation,
+    plan::{Intent, Plan},
+};
 use tarragonhill_http::client::{Error, Pool, Request};
 
 /// Timeout of a request. Longer than the entry's own timeout for the table.
@@ -73,7 +76,7 @@
     pub digest: String,
 }
 
-/// Client of one entry's admin address.
+/// Client of the admin address of one entry or gateway.
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
@@ -124,6 +127,15 @@
         self.send(Request::get("/settings")).await
     }
 
+    /// Explains where a request would go now at a gateway. The parameters are those of its `/explain`.
+    pub async fn explain<'a>(
+        &self,
+        parameters: impl IntoIterator<Item = (&'a str, String)>,
+    ) -> Result<Explanation, OperatorError> {
+        let body = self.send(Request::get_with("/explain", parameters)).await?;
+        serde_json::from_value(body).map_err(|error| Error::Unexpected(error.to_string()).into())
+    }
+
     /// Returns the internal state of the daemon.
     pub async fn dump(&self) -> Result<Value, OperatorError> {
         self.send(Request::get("/dump")).await
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -2,13 +2,14 @@
 
 pub(crate) mod confirm;
 pub(crate) mod dump;
+pub(crate) mod explain;
 pub(crate) mod failures;
 pub(crate) mod plan;
 pub(crate) mod resolve;
 pub(crate) mod show;
 pub(crate) mod story;
 
-use std::{fmt, fs, io, net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{fmt, fs, io, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc};
 
 use bpaf::{Parser, construct, long};
 use serde_json::Value;
@@ -22,6 +23,7 @@
     Resolve(resolve::Options),
     Show(show::Options),
     Dump(dump::Options),
+    Explain(explain::Options),
     Story(story::Options),
     Failures(failures::Options),
 }
@@ -35,6 +37,7 @@
             Self::Resolve(options) => resolve::execute(options).await,
             Self::Show(options) => show::execute(options).await,
             Self::Dump(options) => dump::execute(options).await,
+            Self::Explain(options) => explain::execute(options).await,
             Self::Story(options) => story::execute(&options),
             Self::Failures(options) => failures::execute(&options),
         }
@@ -48,6 +51,18 @@
     File(PathBuf, io::Error),
     NotAPlan(PathBuf, serde_json::Error),
     NotFound(String),
+    /// The request to be explained makes no sense, or not at this gateway.
+    BadInput(String),
+}
+
+impl CommandError {
+    /// Returns the exit status of the process.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::BadInput(_) => ExitCode::from(2),
+            Self::Operator(_) | Self::File(..) | Self::NotAPlan(..) | Self::NotFound(_) => ExitCode::FAILURE,
+        }
+    }
 }
 
 impl fmt::Display for CommandError {
@@ -56,6 +71,7 @@
             Self::Operator(error) => write!(f, "{error}"),
             Self::File(path, error) => write!(f, "{}: {error}", path.display()),
             Self::NotAPlan(path, error) => write!(f, "{} is not a valid plan: {error}", path.display()),
+            Self::BadInput(problem) => f.write_str(problem),
             Self::NotFound(request) => write!(f, "no log line names the request {request}"),
         }
     }
