--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 //! gets the result.
 
 mod admission;
+pub mod explain;
 mod ordering;
 mod outages;
 mod paces;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,7 +25,10 @@
         mechanism::Mechanisms,
         shutdown::Shutdown,
         speed::Summary,
-        state::{Identity, State},
+        state::{
+            Identity, State,
+            explain::{Explanation, Query, Unknown},
+        },
         suspect::Report,
     },
 };
@@ -342,6 +345,11 @@
         }
     }
 
+    /// Explains where a request would go now, without sending it; `None` while the gateway ends.
+    pub async fn explain(&self, query: Query) -> Option<Result<Explanation, Unknown>> {
+        self.0.control.explain(query).await
+    }
+
     /// Returns the routing state.
     pub async fn dump(&self) -> serde_json::Value {
         let mut state = self.0.control.dump().await;
