--- a/crates/core/src/gateway/placement/candidate.rs
+++ b/crates/core/src/gateway/placement/candidate.rs
@@ -30,6 +30,9 @@
     /// It has asked for a backoff.
     #[strum(to_string = "backing off")]
     BackingOff,
+    /// This replica or a peer noticed that it has ended.
+    #[strum(to_string = "has ended")]
+    Ended,
     /// It was unreachable or rejected requests several times.
     #[strum(to_string = "ejected")]
     Ejected,
@@ -144,6 +147,7 @@
             (self.pools.is_changing(self.now, &endpoint.id), Exclusion::ChangingStage),
             (self.gate.wait(self.now, &endpoint.id) != Some(Duration::ZERO), Exclusion::Throttled),
             (!self.backoff(endpoint).is_zero(), Exclusion::BackingOff),
+            (self.loads.outages.is_out(&endpoint.id), Exclusion::Ended),
             (self.is_ejected(endpoint), Exclusion::Ejected),
         ];
         reasons.into_iter().find(|(applies, _)| *applies).map(|(_, reason)| reason)
--- a/crates/core/src/gateway/state/explain.rs
+++ b/crates/core/src/gateway/state/explain.rs
@@ -11,8 +11,7 @@
         catalog::{Customer, Engine, Kind, Route},
         completion::Completion,
         forecast::Size,
-        growth::Growth,
-        placement::{Filter, Placement, Run, candidate::Candidate, headroom},
+        placement::{Filter, Placement, Run, candidate::Candidate},
     },
     refusal::{Code, Refusal},
 };
@@ -221,7 +220,7 @@
         priority: u8,
     ) -> (Outcome, Vec<Candidate>) {
         let view = self.view(now);
-        let forecast = self.forecasts.service(service);
+        let forecast = self.start_forecast(now, service);
         let size = Size { prompt: query.prompt, expected_output: query.output, max_output: query.output };
         let completion = Completion {
             service: service.clone(),
@@ -239,15 +238,7 @@
             suspects: Arc::default(),
         };
         let entry = completion.into_entry(&forecast, ());
-        let spread = forecast.output_length_or_default().spread;
-        let run = Run {
-            prompt: entry.size.prompt,
-            growth: Growth::for_run(entry.size, 0, spread),
-            headroom: headroom(engine, entry.is_late(now)),
-            target_gap: entry.target_gap,
-            ttft_target: entry.ttft_target,
-            filter: Filter::default(),
-        };
+        let run = self.run(now, engine, &entry);
         let endpoints = view.describe_candidates(service, Some(engine), &run);
         let retry_after = self.memory_retry_after(now, service);
         let longest = entry.hard_deadline.since(now);
--- a/crates/core/src/gateway/state/placing.rs
+++ b/crates/core/src/gateway/state/placing.rs
@@ -6,10 +6,12 @@
 use crate::{
     clock::Time,
     gateway::{
+        catalog::Engine,
         completion::{Completion, Prompt, target_or_default},
         digest::Share,
         directory::{Endpoint, Stage},
         fairness::Owner,
+        forecast::Forecast,
         growth::Growth,
         load::Estimate,
         mechanism::Mechanism,
@@ -82,17 +84,12 @@
 
     /// Queues a completion; [`Self::dispatch`] returns it once it is placed or has expired.
     pub fn enqueue(&mut self, now: Time, completion: Completion, tag: T) {
-        let forecast = self.forecasts.service(&completion.service);
+        let forecast = self.start_forecast(now, &completion.service);
         let engine = self.engine(&completion.service);
         if let Some(engine) = &engine {
             self.pools.record_request(now, &completion.service, engine, completion.size);
         }
         self.mixes.entry(completion.service.clone()).or_default().record(now, completion.priority);
-        let forecast = if self.uses(&completion.service, Mechanism::Speed) {
-            forecast.slowed(self.forecasts.fastest(now, &completion.service))
-        } else {
-            forecast
-        };
         let mut entry = completion.into_entry(&forecast, tag);
         // A request that needs more than an endpoint's memory reserves all of it and runs alone.
         entry.memory = entry.memory.min(engine.map_or(u64::MAX, |engine| engine.memory));
@@ -185,19 +182,10 @@
 
     /// Assigns endpoints to a completion; `None` if it has to stay queued.
     fn place(&mut self, now: Time, entry: &Entry<T>) -> Option<Pair> {
-        let Entry { service, size, memory, target_gap, ttft_target, .. } = entry;
+        let Entry { service, size, memory, ttft_target, .. } = entry;
         let engine = self.engine(service)?;
         let spread = self.forecasts.service(service).output_length_or_default().spread;
-        let claim = Some(Claim { output: size.expected_output, deadline: entry.deadline });
-        let run = Run {
-            prompt: size.prompt,
-            growth: Growth::for_run(*size, 0, spread),
-            headroom: headroom(&engine, entry.is_late(now)),
-            target_gap: *target_gap,
-            ttft_target: *ttft_target,
-            claim: claim.filter(|_| self.uses(service, Mechanism::Speed)),
-            filter: Filter { avoid: &entry.avoid, software_version: entry.software_version.as_deref() },
-        };
+        let run = self.run(now, &engine, entry);
         if self.yields_to_others(now, entry, &engine, &run) {
             return None;
         }
@@ -217,6 +205,33 @@
         Some(Pair { decode, prefill })
     }
 
+    /// Returns the run that a queued request needs.
+    pub(super) fn run<'e, U>(&self, now: Time, engine: &Engine, entry: &'e Entry<U>) -> Run<'e> {
+        let Entry { service, size, target_gap, ttft_target, deadline, .. } = entry;
+        let spread = self.forecasts.service(service).output_length_or_default().spread;
+        let claim = Claim { output: size.expected_output, deadline: *deadline };
+        Run {
+            prompt: size.prompt,
+            growth: Growth::for_run(*size, 0, spread),
+            headroom: headroom(engine, entry.is_late(now)),
+            target_gap: *target_gap,
+            ttft_target: *ttft_target,
+            claim: self.uses(service, Mechanism::Speed).then_some(claim),
+            filter: Filter { avoid: &entry.avoid, software_version: entry.software_version.as_deref() },
+        }
+    }
+
+    /// Returns the forecast by which the start deadlines of a service's requests are computed: that of the fastest endpoints,
+    /// if they differ much.
+    pub(super) fn start_forecast(&self, now: Time, service: &str) -> Forecast {
+        let forecast = self.forecasts.service(service);
+        if self.uses(service, Mechanism::Speed) {
+            forecast.slowed(self.forecasts.fastest(now, service))
+        } else {
+            forecast
+        }
+    }
+
     /// Summarizes the queue and the decode pool of a service on one line, for logs of refusals.
     pub fn describe(&self, now: Time, service: &str) -> String {
         let queued = self.queue.len();
