Fair shares: requests yield to those at other replicas only in fleets without relays

Cause: in a fleet of 27 gateways what a request leaves to other customers stays idle until they learn of it.

--- a/crates/core/src/gateway/state/sharing.rs
+++ b/crates/core/src/gateway/state/sharing.rs
@@ -17,6 +17,9 @@
 /// Part of the time-to-first-token target at whose end a request no longer leaves memory to others, so that it can still be
 /// on time.
 const LAST_PART_OF_TARGET: u32 = 4;
+/// Largest fleet in which requests leave memory to those at other replicas. In a larger one, digests pass through relays, and
+/// the memory would stay idle until the others learn of it.
+const MAX_YIELDING_REPLICAS: u32 = 8;
 
 impl<T> State<T> {
     /// Returns what is known of customers' shares.
@@ -81,7 +84,7 @@
         run: &Run<'_>,
     ) -> bool {
         let latest = entry.soft_deadline.minus(entry.ttft_target / LAST_PART_OF_TARGET);
-        if !entry.is_over_share || now >= latest {
+        if !entry.is_over_share || now >= latest || self.peers.count() > MAX_YIELDING_REPLICAS {
             return false;
         }
         let urgency = Urgency { is_late: entry.is_late(now), priority: entry.priority };
