Fair shares: compare equal decisions with all mechanisms off

The test compared a service that calls for shares, with only these switched off, to one that calls for nothing.

--- a/crates/core/src/gateway/mechanism.rs
+++ b/crates/core/src/gateway/mechanism.rs
@@ -25,6 +25,11 @@
 }
 
 impl Mechanism {
+    /// Returns all mechanisms.
+    pub fn all() -> impl Iterator<Item = Self> {
+        Self::iter()
+    }
+
     /// Returns the names of all mechanisms.
     pub fn names() -> impl Iterator<Item = &'static str> {
         Self::iter().map(Into::into)
--- a/crates/core/tests/gateway/fairness.rs
+++ b/crates/core/tests/gateway/fairness.rs
@@ -275,6 +275,19 @@
     state.set_mechanisms(Mechanisms::without([Mechanism::Fairness]));
 }
 
+/// Prepares a replica that uses no mechanism, although the service calls for some.
+fn prepare_without_any(state: &mut State<u32>, now: Time) {
+    prepare(state, now);
+    state.set_mechanisms(Mechanisms::without(Mechanism::all()));
+}
+
+/// Prepares a replica that uses no mechanism but fair shares.
+fn prepare_alone(state: &mut State<u32>, now: Time) {
+    prepare(state, now);
+    let others = Mechanism::all().filter(|mechanism| *mechanism != Mechanism::Fairness);
+    state.set_mechanisms(Mechanisms::without(others));
+}
+
 /// What became of a customer's requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Served {
@@ -462,7 +475,7 @@
     let few = DEMANDS.map(|(name, rate, per_second)| (name, rate, per_second * 0.3));
     let idle = play(calm.clone(), 1, &few, prepare);
     assert_eq!(idle, play(calm.clone(), 1, &few, prepare_without));
-    let off = play(calm.clone(), 1, &DEMANDS, prepare_without);
+    let off = play(calm.clone(), 1, &DEMANDS, prepare_without_any);
     assert_eq!(off, play(calm.clone(), 1, &DEMANDS, prepare_plain));
-    assert_ne!(off, play(calm, 1, &DEMANDS, prepare));
+    assert_ne!(off, play(calm, 1, &DEMANDS, prepare_alone));
 }
