Test what switches mechanisms on, and that each is switched off by name

No test named the profile of a service; the two new ones play routes of one and of several priorities, endpoints of one and of two speeds, and each mechanism's name.

--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod placement;
 mod pools;
+mod profile;
 mod queue;
 mod rate_limit;
 mod shutdown;
