--- a/crates/core/tests/gateway/fairness.rs
+++ b/crates/core/tests/gateway/fairness.rs
@@ -10,7 +10,7 @@
     gateway::{
         catalog::{Catalog, Kind, Limits, Route, Service},
         completion::Completion,
-        digest::{Digest, Share},
+        digest::{Digest, Member, Share},
         directory::Stage,
         fairness::{Change, Claim, Fairness, Holding, Holdings, Owner, Waiter, Weights, divide},
         forecast::Size,
@@ -226,6 +226,22 @@
     }
 }
 
+/// Guards against memory that stays idle in a fleet whose digests pass through relays.
+#[test]
+fn free_memory_is_left_to_others_only_where_replicas_hear_each_other_directly() {
+    for (peers, is_placed) in [(1, false), (7, false), (8, true)] {
+        let mut state = crowded();
+        let address = "127.0.0.1:8".parse().expect("an address");
+        for index in 1..peers {
+            let name = format!("peer-{index}").into();
+            state.add_member(at(40), Member { name, address, zone: "zone-a".into(), millicores: 90 });
+        }
+        state.apply_digest(at(50), &Digest { serial: 1, ..news(&[("a", 0, 6_000)], &[]) }, address);
+        state.enqueue(at(50), completion(at(0), "large", 6_000), 9);
+        assert_eq!(state.dispatch(at(100)).len() == 1, is_placed, "{peers} peers");
+    }
+}
+
 /// Time of a step of the model; digests are exchanged in every fourth.
 const STEP_MS: u64 = 25;
 const DIGEST_MS: u64 = 4 * STEP_MS;
