--- a/crates/bench/tests/slow_readers.rs
+++ b/crates/bench/tests/slow_readers.rs
@@ -137,7 +137,7 @@
     Slow,
 }
 
-/// Replaces an endpoint by one that reads as told, and responds once it has read the whole request.
+/// Replaces an endpoint by one that reads slowly, and responds once it has read the whole request.
 async fn replace(endpoint: &Endpoint, reading: Reading) -> task::JoinHandle<()> {
     endpoint.kill().await;
     let socket = narrow_socket().expect("a socket");
--- a/crates/core/src/gateway/order.rs
+++ b/crates/core/src/gateway/order.rs
@@ -2,7 +2,7 @@
 //!
 //! Each replica reports what waits in its queue. A request that could be placed yields while more urgent ones wait
 //! at peers and what is free does not suffice for all of them. A peer's report counts only while it is fresh, and an
-//! endpoint whose memory nobody takes is no longer yielded, so that wrong reports never leave memory idle for long.
+//! endpoint whose memory stays free is used after a timeout, so that wrong reports never leave memory idle for long.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -120,7 +120,7 @@
         sum
     }
 
-    /// Returns whether most of `count` peers are not heard, so that what waits there is not known.
+    /// Returns whether there are no fresh reports from most of `count` peers.
     pub fn is_blind(&self, now: Time, digest_interval: Duration, count: usize) -> bool {
         self.fresh(now, digest_interval).count() * 2 < count
     }
@@ -231,7 +231,7 @@
     waiting.range(..urgency).map(|(_, waiting)| waiting.memory).sum()
 }
 
-/// When callers that were refused are told to come back.
+/// Retry delays of refused callers.
 #[derive(Clone, Debug, Default)]
 pub struct Returns {
     /// The latest return by service and priority.
@@ -307,7 +307,7 @@
     }
 
     /// Records the endpoints that have room for a request of `service` that yields, and returns whether it may use
-    /// `endpoint` nevertheless, because nobody took the memory.
+    /// `endpoint` nevertheless, because its memory stayed free.
     pub fn record(
         &mut self,
         now: Time,
--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -27,7 +27,7 @@
 const OTHERS_TRY_SPREAD: Duration = Duration::from_secs(1);
 /// Time after which a try without a result no longer prevents others.
 const TRY_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which a notice that nobody repeats lapses.
+/// Age at which a notice expires unless a replica sends a newer one.
 const LAPSE_AFTER: Duration = Duration::from_secs(6);
 /// How long the end of an outage is reported, and how long a replica whose notice was refuted makes no other.
 const REPORT_END_FOR: Duration = Duration::from_secs(3);
@@ -303,7 +303,7 @@
         }
     }
 
-    /// Has peers told that an endpoint answered after their notice.
+    /// Reports to peers that an endpoint answered after their notice.
     fn refute(&mut self, endpoint: &Endpoint, answered: Time) {
         let entry = self.known.entry(endpoint.id.clone());
         let outage = entry.or_insert_with(|| {
--- a/crates/core/src/gateway/state/explain.rs
+++ b/crates/core/src/gateway/state/explain.rs
@@ -83,7 +83,7 @@
         ahead: usize,
         /// How long it would wait before it is refused, in milliseconds.
         longest_ms: u64,
-        /// When its caller would then be told to come back, in milliseconds.
+        /// Retry delay that its caller would then get, in milliseconds.
         retry_after_ms: u64,
     },
     /// It would be refused.
