--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -109,6 +109,22 @@
     pub received_at: Instant,
 }
 
+/// Where in a response an endpoint crashes. Calls have no events; there, those points are in the middle of the body.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// Before the first byte.
+    BeforeHead,
+    /// Between the head and the body.
+    #[default]
+    AfterHead,
+    /// In the middle of the event with this number, counted from where the response begins.
+    InsideEvent(u32),
+    /// Right after the event with this number.
+    AfterEvent(u32),
+    /// After the last byte.
+    AtEnd,
+}
+
 #[derive(Debug, Default)]
 struct State {
     fault: Fault,
@@ -162,8 +178,12 @@
     has_fixed_role: bool,
     /// Role assigned by the last order; replaces the initial role.
     assigned_role: Option<Role>,
-    /// Ids of parts of prompts with which the process crashes as soon as it responds.
+    /// Ids of parts of prompts with which the process crashes when it responds.
     crashing_parts: Vec<String>,
+    /// Body of requests with which it does.
+    crashing_body: Option<Vec<u8>>,
+    /// Where in the response it crashes.
+    crash_point: CrashPoint,
     /// When the process crashed.
     crashed_at: Option<Instant>,
     /// Accepted orders: holder and fencing token.
@@ -403,11 +423,21 @@
         counts.max().unwrap_or(0)
     }
 
-    /// Makes the process crash when it begins the response to a prompt with one of these parts, unless it is the last one.
+    /// Makes the process crash in the response to a prompt with one of these parts, unless it is the last one.
     pub fn set_crashing_parts(&self, parts: &[&str]) {
         lock(&self.state).crashing_parts = parts.iter().map(|part| (*part).into()).collect();
     }
 
+    /// Makes the process crash in the response to requests with this body.
+    pub fn set_crashing_body(&self, body: &[u8]) {
+        lock(&self.state).crashing_body = Some(body.into());
+    }
+
+    /// Sets where in a response the process crashes.
+    pub fn set_crash_point(&self, point: CrashPoint) {
+        lock(&self.state).crash_point = point;
+    }
+
     /// Crashes: all connections are reset, and nothing is read any more.
     pub fn crash(&self) {
         lock(&self.state).crashed_at.get_or_insert_with(Instant::now);
@@ -492,7 +522,8 @@
             return (connection, Action::Reset);
         }
         let (connection, action) = self.respond(connection).await;
-        (connection, if has_crashed(&state) { Action::Reset } else { action })
+        let is_reset = has_crashed(&state) && !matches!(action, Action::Exit { .. });
+        (connection, if is_reset { Action::Reset } else { action })
     }
 
     async fn respond(self, connection: Connection) -> (Connection, Action) {
@@ -668,6 +699,9 @@
             Fault::Error => return send(connection, self.new_head(500, true), b"failed", Action::Keep).await,
             _ => {}
         }
+        if self.crash_point() == Some(CrashPoint::BeforeHead) {
+            return self.crash(connection, CrashPoint::BeforeHead);
+        }
         let mut head = self.new_head(200, fault != Fault::Unsigned);
         head.fields.push("Content-Type", "text/event-stream");
         let is_chunked = !self.is_unframed();
@@ -682,9 +716,9 @@
         if !write_within(&mut connection, &head.encode(), &mut budget).await {
             return (connection, if budget.is_some() { Action::Reset } else { Action::Close });
         }
-        if self.has_crashing_part() {
-            lock(&self.state).crashed_at.get_or_insert_with(Instant::now);
-            return (connection, Action::Reset);
+        let crash_point = self.crash_point();
+        if crash_point == Some(CrashPoint::AfterHead) {
+            return self.crash(connection, CrashPoint::AfterHead);
         }
         let last_id = self.head.fields.get("Last-Event-Id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let count = if fault == Fault::EndAtOnce { 0 } else { EVENT_COUNT };
@@ -720,7 +754,14 @@
             if has_crashed(&self.state) {
                 return (connection, Action::Reset);
             }
+            if crash_point == Some(CrashPoint::InsideEvent(id - last_id)) {
+                let _ = connection.write(&frame(&event.as_bytes()[..event.len() / 2])).await;
+                return self.crash(connection, CrashPoint::InsideEvent(id - last_id));
+            }
             is_disconnected |= !write_within(&mut connection, &frame(event.as_bytes()), &mut budget).await;
+            if crash_point == Some(CrashPoint::AfterEvent(id - last_id)) {
+                return self.crash(connection, CrashPoint::AfterEvent(id - last_id));
+            }
             if budget == Some(0) {
                 return (connection, Action::Reset);
             }
@@ -732,6 +773,10 @@
         if fault == Fault::Trailer {
             write_within(&mut connection, &frame(STREAM_TRAILER), &mut budget).await;
         }
+        if crash_point == Some(CrashPoint::AtEnd) {
+            let _ = connection.write(if is_chunked { LAST_CHUNK } else { b"" }).await;
+            return self.crash(connection, CrashPoint::AtEnd);
+        }
         if !is_chunked {
             return (connection, Action::Close);
         }
@@ -739,6 +784,21 @@
         (connection, if is_written || budget.is_none() { Action::Keep } else { Action::Reset })
     }
 
+    /// Returns where in the response the process crashes; `None` if the request does not crash it.
+    fn crash_point(&self) -> Option<CrashPoint> {
+        let state = lock(&self.state);
+        let has_crashing_body = state.crashing_body.as_deref().is_some_and(|body| body == &*self.body);
+        let point = state.crash_point;
+        drop(state);
+        (has_crashing_body || self.has_crashing_part()).then_some(point)
+    }
+
+    /// Ends the process. Unless the response was written whole, the other side sees an error.
+    fn crash(&self, connection: Connection, point: CrashPoint) -> (Connection, Action) {
+        lock(&self.state).crashed_at.get_or_insert_with(Instant::now);
+        (connection, Action::Exit { is_reset: point != CrashPoint::AtEnd })
+    }
+
     /// Returns whether the prompt has the part that crashes the process.
     fn has_crashing_part(&self) -> bool {
         let parts = self.head.fields.get("Tarragonhill-Prompt-Prefix").unwrap_or_default().split(',');
@@ -776,6 +836,9 @@
         let body =
             format!("{} {} {}", self.head.method, self.head.target, String::from_utf8_lossy(&self.body));
         let success_head = self.new_head(200, fault != Fault::Unsigned);
+        if let Some(point) = self.crash_point() {
+            return self.crash_in_answer(connection, point, &success_head, body.as_bytes()).await;
+        }
         if self.head.method == "HEAD" {
             return send_head(connection, success_head, body.len(), self.is_unframed()).await;
         }
@@ -825,6 +888,30 @@
         }
     }
 
+    /// Crashes in the response to a call, which has no events.
+    async fn crash_in_answer(
+        &self,
+        mut connection: Connection,
+        point: CrashPoint,
+        head: &Response,
+        body: &[u8],
+    ) -> (Connection, Action) {
+        let mut head = head.clone();
+        if !self.is_unframed() {
+            head.fields.push("Content-Length", body.len().to_string());
+        }
+        let written = match point {
+            CrashPoint::BeforeHead => Vec::new(),
+            CrashPoint::AfterHead => head.encode(),
+            CrashPoint::InsideEvent(_) | CrashPoint::AfterEvent(_) => {
+                [&head.encode(), &body[..body.len() / 2]].concat()
+            }
+            CrashPoint::AtEnd => [&head.encode(), body].concat(),
+        };
+        let _ = connection.write(&written).await;
+        self.crash(connection, point)
+    }
+
     async fn wait_while_paused(&self) {
         while lock(&self.state).is_paused {
             task::sleep(EVENT_INTERVAL).await;
--- a/crates/bench/src/platform/server.rs
+++ b/crates/bench/src/platform/server.rs
@@ -31,6 +31,8 @@
     Close,
     /// Reset the connection.
     Reset,
+    /// End the process: listen no more, and close the connection or reset it.
+    Exit { is_reset: bool },
 }
 
 /// A running server, which is stopped when dropped.
@@ -51,13 +53,13 @@
         socket.bind(&address.into())?;
         socket.listen(256)?;
         socket.set_nonblocking(true)?;
-        let listener = TcpListener::from(std::net::TcpListener::from(socket));
+        let listener = Arc::new(TcpListener::from(std::net::TcpListener::from(socket)));
         let address = listener.local_addr()?;
         let tasks: Arc<Mutex<Vec<JoinHandle<()>>>> = Arc::default();
         let connections = tasks.clone();
         let accept_task = task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let task = task::spawn(serve_connection(stream, handler.clone()));
+                let task = task::spawn(serve_connection(stream, listener.clone(), handler.clone()));
                 lock(&connections).push(task);
             }
         });
@@ -87,7 +89,7 @@
     }
 }
 
-async fn serve_connection<F, Fut>(stream: TcpStream, handler: F)
+async fn serve_connection<F, Fut>(stream: TcpStream, listener: Arc<TcpListener>, handler: F)
 where
     F: Fn(Request, Bytes, Connection) -> Fut,
     Fut: Future<Output = (Connection, Action)>,
@@ -102,6 +104,13 @@
             Action::Keep => {}
             Action::Close => return,
             Action::Reset => return reset_on_close(&connection),
+            Action::Exit { is_reset } => {
+                let _ = socket2::SockRef::from(&*listener).shutdown(std::net::Shutdown::Both);
+                if is_reset {
+                    reset_on_close(&connection);
+                }
+                return;
+            }
         }
     }
 }
--- a/crates/bench/tests/crashing_part.rs
+++ b/crates/bench/tests/crashing_part.rs
@@ -8,7 +8,7 @@
 use async_std::task::{self, JoinHandle};
 use tarragonhill_bench::platform::{
     caller::{self, Caller, plain_request, request_with_parts},
-    endpoint::{Endpoint, Role},
+    endpoint::{CrashPoint, EVENT_COUNT, Endpoint, Role},
     site::{KEY, Shape, Site, wait_until},
 };
 use tarragonhill_h1::head::Request;
@@ -71,11 +71,23 @@
 /// Sends requests to all gateways in turn: a sound one every other step, and crashing ones every fifth step with each of
 /// the `parts`. Returns the sound ones.
 async fn send_load(site: &mut Site, lasts: Duration, parts: &[usize], from: usize) -> Vec<Sound> {
+    send_load_at(site, lasts, parts, from, &[CrashPoint::default()]).await
+}
+
+/// The same to endpoints that crash at these points.
+async fn send_load_at(
+    site: &mut Site,
+    lasts: Duration,
+    parts: &[usize],
+    from: usize,
+    points: &[CrashPoint],
+) -> Vec<Sound> {
     let (began, mut sound) = (Instant::now(), Vec::new());
     let mut step = from;
     while began.elapsed() < lasts {
         site.replace_crashed(RESTART_DELAY).await.expect("endpoints start");
         set_crashing_parts(site);
+        set_crash_points(site, points);
         let address = |number: usize| site.gateways[number % site.gateways.len()].address();
         let send = |kind, number| {
             let (address, head) = (address(number), request(kind, number));
@@ -160,6 +172,130 @@
     });
 }
 
+/// Points of a response at which endpoints crash.
+const CRASH_POINTS: [CrashPoint; 7] = [
+    CrashPoint::BeforeHead,
+    CrashPoint::AfterHead,
+    CrashPoint::InsideEvent(1),
+    CrashPoint::AfterEvent(1),
+    CrashPoint::AfterEvent(2),
+    CrashPoint::AfterEvent(10),
+    CrashPoint::AfterEvent(EVENT_COUNT),
+];
+
+/// Makes the endpoints crash at these points, each at another one.
+fn set_crash_points(site: &Site, points: &[CrashPoint]) {
+    for (endpoint, point) in site.all_endpoints().zip(points.iter().cycle()) {
+        endpoint.set_crash_point(*point);
+    }
+}
+
+/// Guards against a part that is never found because some bytes of a response get out before each crash.
+#[test]
+fn few_requests_with_a_part_that_crashes_endpoints_after_the_second_event_reach_them() {
+    run(async {
+        let mut site = start_site(3, 8).await;
+        let sound =
+            send_load_at(&mut site, Duration::from_secs(16), &[0], 0, &[CrashPoint::AfterEvent(2)]).await;
+        assert_held_off(&site, &[0], sound).await;
+    });
+}
+
+/// The same for crashes at different points.
+#[test]
+fn few_requests_with_a_part_that_crashes_endpoints_at_any_point_reach_them() {
+    run(async {
+        let mut site = start_site(3, 8).await;
+        let sound = send_load_at(&mut site, Duration::from_secs(16), &[0], 0, &CRASH_POINTS).await;
+        assert_held_off(&site, &[0], sound).await;
+    });
+}
+
+/// Number of crashes after which the gateways must know a request that callers repeat.
+const KNOWN_REPEATED: usize = 3;
+
+/// Repeats a request that crashes each endpoint at one of the points, and checks how many endpoints it still reaches once the
+/// gateways must know it.
+async fn assert_repeated_is_held_off(
+    role: Role,
+    points: &[CrashPoint],
+    is_unframed: bool,
+    head: fn(&str) -> Request,
+) {
+    const BODY: &[u8] = b"crashes endpoints";
+    let shape = Shape { gateways: 2, prefill: 2, decode: 6, plain: 6 };
+    let mut site = Site::start(shape).await.expect("the site starts");
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < Duration::from_secs(12) {
+        site.replace_crashed(RESTART_DELAY).await.expect("endpoints start");
+        set_crash_points(&site, points);
+        for endpoint in site.endpoints(role) {
+            endpoint.set_crashing_body(BODY);
+            endpoint.set_unframed(is_unframed);
+        }
+        if number % 10 == 0 {
+            let (address, head) =
+                (site.gateways[number / 10 % 2].address(), head(&format!("repeated-{number}")));
+            drop(task::spawn(async move { caller::request(address, head, BODY).await }));
+        }
+        number += 1;
+        task::sleep(STEP).await;
+    }
+    let crashes = crashes(&site);
+    assert!(crashes.len() >= KNOWN_REPEATED, "{} crashes at {points:?}", crashes.len());
+    let known = crashes[KNOWN_REPEATED - 1] + CONTACT;
+    let received = site.all_endpoints().filter(|endpoint| endpoint.role() == role);
+    let late =
+        received.flat_map(|endpoint| endpoint.received()).filter(|request| request.received_at > known);
+    let late = late.count();
+    println!("{points:?}: {} crashes, {late} requests afterwards", crashes.len());
+    assert!(late <= MOST_AFTER, "{late} requests reached endpoints that crash at {points:?}");
+}
+
+fn stream(id: &str) -> Request {
+    request_with_parts("/stream/x", KEY, id, &[FIRST_PART, "same"])
+}
+
+fn resumable(id: &str) -> Request {
+    request_with_parts("/resumable/x", KEY, id, &[FIRST_PART, "same"])
+}
+
+fn submission(id: &str) -> Request {
+    plain_request("POST", "/submit/same", KEY, id)
+}
+
+/// Guards against a stream that crashes one endpoint after the other because events of it get out before each crash.
+#[test]
+fn a_repeated_stream_that_crashes_endpoints_in_its_middle_is_held_off() {
+    run(assert_repeated_is_held_off(Role::Decode, &[CrashPoint::AfterEvent(2)], false, stream));
+}
+
+/// The same for crashes at different points.
+#[test]
+fn a_repeated_stream_that_crashes_endpoints_at_any_point_is_held_off() {
+    run(assert_repeated_is_held_off(Role::Decode, &CRASH_POINTS, false, stream));
+}
+
+/// The same for crashes after the last byte.
+#[test]
+fn a_repeated_stream_that_crashes_endpoints_at_its_end_is_held_off() {
+    run(assert_repeated_is_held_off(Role::Decode, &[CrashPoint::AtEnd], false, stream));
+}
+
+/// The same for a stream that is resumed after each crash.
+#[test]
+fn a_repeated_stream_that_crashes_endpoints_and_is_resumed_is_held_off() {
+    run(assert_repeated_is_held_off(Role::Decode, &[CrashPoint::AfterEvent(2)], false, resumable));
+}
+
+/// The same for calls, whose responses are cut or end with their connections.
+#[test]
+fn a_repeated_call_that_crashes_endpoints_at_any_point_is_held_off() {
+    run(assert_repeated_is_held_off(Role::Plain, &CRASH_POINTS, false, submission));
+    run(assert_repeated_is_held_off(Role::Plain, &[CrashPoint::AtEnd], true, submission));
+}
+
 /// Guards against a part that is forgotten with the processes that knew it.
 #[test]
 fn a_part_that_crashes_endpoints_is_held_off_after_all_gateways_were_killed() {
@@ -254,24 +390,30 @@
     });
 }
 
-/// Guards against a stream that counts as the cause of a crash although its events had been coming.
+/// Lets endpoints crash while a stream is in its middle, whose caller repeats it.
+async fn crash_under_events(site: &mut Site, crashes: usize) -> fn(&str) -> Request {
+    let head = |id: &str| request_with_parts("/stream/x", KEY, id, &[FIRST_PART, "d1", "same"]);
+    for number in 0..crashes {
+        site.endpoints(Role::Decode).iter().for_each(|endpoint| endpoint.set_paused(true));
+        let mut caller = Caller::open(site.address()).await.expect("a connection");
+        caller.send(head(&format!("crash-{number}")), b"the same").await.expect("sent");
+        wait_until("the stream is in its middle", async || {
+            site.endpoints(Role::Decode).iter().any(|endpoint| endpoint.held_streams() > 0)
+        })
+        .await;
+        crash_one(site, Role::Decode).await;
+    }
+    site.endpoints(Role::Decode).iter().for_each(|endpoint| endpoint.set_paused(false));
+    site.wait_until_synced().await;
+    head
+}
+
+/// Guards against a stream that is refused because its events had been coming when two endpoints crashed.
 #[test]
-fn a_stream_past_its_first_event_is_no_cause_of_a_crash() {
+fn a_stream_past_its_first_event_at_two_unrelated_crashes_is_not_held_off() {
     run(async {
         let mut site = start_site(1, 6).await;
-        let head = |id: &str| request_with_parts("/stream/x", KEY, id, &[FIRST_PART, "d1", "same"]);
-        for number in 0..3 {
-            site.endpoints(Role::Decode).iter().for_each(|endpoint| endpoint.set_paused(true));
-            let mut caller = Caller::open(site.address()).await.expect("a connection");
-            caller.send(head(&format!("crash-{number}")), b"the same").await.expect("sent");
-            wait_until("the stream is in its middle", async || {
-                site.endpoints(Role::Decode).iter().any(|endpoint| endpoint.held_streams() > 0)
-            })
-            .await;
-            crash_one(&mut site, Role::Decode).await;
-        }
-        site.endpoints(Role::Decode).iter().for_each(|endpoint| endpoint.set_paused(false));
-        site.wait_until_synced().await;
+        let head = crash_under_events(&mut site, 2).await;
         for number in 0..5 {
             let response =
                 caller::request(site.address(), head(&format!("after-{number}")), b"the same").await;
@@ -279,3 +421,14 @@
         }
     });
 }
+
+/// Guards against a stream that is refused for good because its events had been coming when three endpoints crashed.
+#[test]
+fn a_stream_past_its_first_event_at_three_unrelated_crashes_is_served_again() {
+    run(async {
+        let mut site = start_site(2, 6).await;
+        let head = crash_under_events(&mut site, 3).await;
+        let (served, sent) = repeat(&site, head).await;
+        assert_eq!(served, sent);
+    });
+}
--- a/crates/core/src/gateway/state/suspects.rs
+++ b/crates/core/src/gateway/state/suspects.rs
@@ -10,7 +10,7 @@
         interval::digest_interval,
         outage::Reason,
         queue::Entry,
-        suspect::{Report, Suspect},
+        suspect::{Report, Run, Suspect},
     },
     refusal::{Code, Refusal},
 };
@@ -28,20 +28,33 @@
         MIN_SETTLING_TIME.max(digest_interval(self.peers.count()) * SETTLING_INTERVALS)
     }
 
-    /// Records that a request was interrupted on an endpoint before it got past its first event.
+    /// Records that a run was interrupted on an endpoint.
     pub fn record_interrupted(
         &mut self,
         now: Time,
         endpoint: &Endpoint,
         suspects: &Arc<[Suspect]>,
+        run: Run,
         is_trial: bool,
     ) {
-        self.suspects.record_interrupted(now, endpoint, suspects, is_trial);
+        self.suspects.record_interrupted(now, endpoint, suspects, run, is_trial);
     }
 
-    /// Records that an endpoint on which requests were interrupted had not crashed at `at`.
-    pub fn record_alive(&mut self, endpoint: &str, at: Time) {
-        self.suspects.record_alive(endpoint, at);
+    /// Records that a run from the beginning of a request, which was sent at `sent`, has brought its whole response.
+    pub fn record_completed(
+        &mut self,
+        now: Time,
+        endpoint: &Endpoint,
+        suspects: &Arc<[Suspect]>,
+        sent: Time,
+        is_trial: bool,
+    ) {
+        self.suspects.record_completed(now, endpoint, suspects, sent, is_trial);
+    }
+
+    /// Records that an endpoint had not crashed at `at`.
+    pub fn record_alive(&mut self, now: Time, endpoint: &str, at: Time) {
+        self.suspects.record_alive(now, endpoint, at);
     }
 
     /// Records that an endpoint has crashed. Returns the number of suspects.
@@ -50,11 +63,6 @@
         self.suspects.record_crash(now, endpoint)
     }
 
-    /// Records that a request got past its first event, or that a call was answered.
-    pub fn record_begun(&mut self, now: Time, suspects: &[Suspect]) {
-        self.suspects.record_begun(now, suspects);
-    }
-
     /// Records that a request that was admitted as a trial has ended or failed.
     pub fn end_trial(&mut self, now: Time, suspects: &[Suspect]) {
         self.suspects.end_trial(now, suspects);
--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -1,9 +1,10 @@
 //! Quarantine of requests, and of parts of prompts, that crash endpoints.
 //!
-//! A request that had no event yet when its endpoint crashed may be the cause, and so may each part of its prompt that other requests
+//! A request that ran at an endpoint when it crashed may be the cause, and so may each part of its prompt that other requests
 //! share. Replicas exchange this evidence in digests and keep it in the store. A suspect that occurs in several crashes,
-//! which no other suspect explains, is held off: requests with it are refused as not run. Whatever gets past its first event
-//! is cleared at all replicas.
+//! which no other suspect explains, is held off: requests with it are refused as not run. A suspect is cleared at all replicas by
+//! a response that is complete and that its endpoint outlives. A response that has only begun says nothing: how much of it
+//! gets out before the process ends is chance.
 //!
 //! One replica at a time tries a request with a suspect that is held off, so that a suspect without guilt is cleared soon. Each
 //! trial that ends in a crash delays the next one.
@@ -21,7 +22,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-pub use self::evidence::{Crash, Report, Sighting};
+pub use self::evidence::{Crash, Report, Run, Sighting};
 use self::{
     evidence::{Evidence, Record, Stamp, age, stamp},
     trial::Demand,
@@ -42,7 +43,7 @@
 const CHANGE_TTL: Duration = Duration::from_secs(1);
 /// Time after a change in which peers should learn of it without delay.
 const URGENCY: Duration = Duration::from_millis(150);
-/// Longest time from the interruption of a request to the detection of a crash that counts against it.
+/// Longest time from the end of a run to the detection of a crash that counts against it.
 const CRASH_WINDOW: Duration = Duration::from_secs(5);
 /// Largest factor on the settling time for requests with several suspects that are held off.
 const MAX_SETTLING_FACTOR: u32 = 3;
@@ -50,8 +51,8 @@
 const MAX_SUSPECTS: usize = 1_000;
 /// Maximum number of suspects in a digest, and in a row of the store.
 const MAX_REPORTS: usize = 128;
-/// Maximum number of suspects whose last success is remembered.
-const MAX_BEGUN: usize = 20_000;
+/// Maximum number of suspects whose last completion is remembered.
+const MAX_COMPLETED: usize = 20_000;
 
 /// What may crash endpoints: a whole request, or a part of prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -74,12 +75,22 @@
     }
 }
 
-/// Requests that were interrupted on an endpoint, which may have crashed.
+/// Why a run ended whose endpoint may have crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// It was interrupted.
+    Interrupted(Run),
+    /// Its response was complete, or seemed so: a crash may also end a response that states no length.
+    Completed,
+}
+
+/// The end of a run on an endpoint, which may have crashed.
 #[derive(Clone, Debug)]
-struct Interruption {
+struct Ended {
     at: Time,
     crash: Crash,
     suspects: Arc<[Suspect]>,
+    ending: Ending,
     is_trial: bool,
 }
 
@@ -110,10 +121,10 @@
 pub struct Suspects {
     own: Arc<str>,
     records: BTreeMap<Suspect, Record>,
-    /// When requests with a suspect last got past their first event here.
-    begun: BTreeMap<Suspect, Stamp>,
-    /// Requests that were interrupted recently, by endpoint.
-    interrupted: BTreeMap<Arc<str>, Vec<Interruption>>,
+    /// When requests with a suspect were last completed here.
+    completed: BTreeMap<Suspect, Stamp>,
+    /// Runs that ended recently, by endpoint, which is not known to have outlived them.
+    ended: BTreeMap<Arc<str>, Vec<Ended>>,
     /// Suspects that are held off; follows from `records`.
     held: BTreeSet<Suspect>,
     /// Increases with each change of `held`.
@@ -133,8 +144,8 @@
         Self {
             own,
             records: BTreeMap::new(),
-            begun: BTreeMap::new(),
-            interrupted: BTreeMap::new(),
+            completed: BTreeMap::new(),
+            ended: BTreeMap::new(),
             held: BTreeSet::new(),
             generation: 0,
             demand: Demand::default(),
@@ -144,67 +155,115 @@
         }
     }
 
-    /// Records that a request was interrupted on an endpoint before it got past its first event.
+    /// Records that a run was interrupted on an endpoint.
     pub fn record_interrupted(
         &mut self,
         now: Time,
         endpoint: &Endpoint,
         suspects: &Arc<[Suspect]>,
+        run: Run,
         is_trial: bool,
     ) {
-        let interrupted = self.interrupted.entry(endpoint.id.clone()).or_default();
-        interrupted.retain(|interruption| now.since(interruption.at) < CRASH_WINDOW);
-        let crash = Crash::of(endpoint);
-        interrupted.push(Interruption { at: now, crash, suspects: suspects.clone(), is_trial });
+        self.record_ended(now, endpoint, suspects, Ending::Interrupted(run), is_trial);
     }
 
-    /// Records that an endpoint had not crashed at `at`, so that interruptions there until then had other reasons.
-    pub fn record_alive(&mut self, endpoint: &str, at: Time) {
-        if let Some(interrupted) = self.interrupted.get_mut(endpoint) {
-            interrupted.retain(|interruption| interruption.at > at);
+    /// Records that a run from the beginning of a request, which was sent at `sent`, has brought its whole response. That clears
+    /// its suspects unless the endpoint turns out to have crashed.
+    pub fn record_completed(
+        &mut self,
+        now: Time,
+        endpoint: &Endpoint,
+        suspects: &Arc<[Suspect]>,
+        sent: Time,
+        is_trial: bool,
+    ) {
+        self.take_outlived(now, &endpoint.id, |ended| ended.ending == Ending::Completed && ended.at <= sent);
+        self.record_ended(now, endpoint, suspects, Ending::Completed, is_trial);
+    }
+
+    fn record_ended(
+        &mut self,
+        now: Time,
+        endpoint: &Endpoint,
+        suspects: &Arc<[Suspect]>,
+        ending: Ending,
+        is_trial: bool,
+    ) {
+        let (crash, suspects) = (Crash::of(endpoint), suspects.clone());
+        let ended = Ended { at: now, crash, suspects, ending, is_trial };
+        self.ended.entry(endpoint.id.clone()).or_default().push(ended);
+    }
+
+    /// Records that an endpoint had not crashed at `at`, so that it has outlived the runs that ended there until then.
+    pub fn record_alive(&mut self, now: Time, endpoint: &str, at: Time) {
+        self.take_outlived(now, endpoint, |ended| ended.at <= at);
+    }
+
+    /// Takes the runs that an endpoint has outlived off its list, and clears the suspects of those that were completed.
+    fn take_outlived(&mut self, now: Time, endpoint: &str, is_outlived: impl Fn(&Ended) -> bool) {
+        let Some(ended) = self.ended.get_mut(endpoint) else { return };
+        let outlived: Vec<Ended> = ended.extract_if(.., |ended| is_outlived(ended)).collect();
+        if ended.is_empty() {
+            self.ended.remove(endpoint);
         }
+        self.clear_completed(now, outlived);
     }
 
     /// Records that an endpoint has crashed: it is unreachable, removed or restarted. Returns the number of suspects.
     pub fn record_crash(&mut self, now: Time, endpoint: &str) -> usize {
-        let mut count = 0;
-        for interruption in self.interrupted.remove(endpoint).unwrap_or_default() {
-            let Interruption { at, crash, suspects, is_trial } = interruption;
-            if now.since(at) >= CRASH_WINDOW {
-                continue;
-            }
+        let ended = self.ended.remove(endpoint).unwrap_or_default();
+        let (recent, earlier): (Vec<Ended>, Vec<Ended>) =
+            ended.into_iter().partition(|ended| now.since(ended.at) < CRASH_WINDOW);
+        self.clear_completed(now, earlier);
+        let (mut count, mut is_serious) = (0, false);
+        for Ended { at, crash, suspects, ending, is_trial } in recent {
+            let run = match ending {
+                Ending::Interrupted(run) => run,
+                Ending::Completed => Run::Generating,
+            };
             count += suspects.len();
             for suspect in &*suspects {
                 // What else a trial contains is not tried.
                 let is_trial = is_trial && self.held.contains(suspect);
-                let begun = self.begun.get(suspect).copied();
-                let record = self.records.entry(*suspect).or_insert_with(|| Record::new(begun));
-                record.add(crash, Evidence { at: stamp(at), is_trial, is_own: true });
+                let completed = self.completed.get(suspect).copied();
+                let record = self.records.entry(*suspect).or_insert_with(|| Record::new(completed));
+                record.add(crash, Evidence { at: stamp(at), run, is_trial, is_own: true });
+                is_serious |= record.is_serious();
             }
         }
-        if count > 0 {
+        if is_serious {
             self.mark_unsaved();
+        }
+        if count > 0 {
             self.drop_least();
             self.update(now);
         }
         count
     }
 
-    /// Records that a request got past its first event, or that a call was answered.
-    pub fn record_begun(&mut self, now: Time, suspects: &[Suspect]) {
-        let mut is_changed = false;
-        for suspect in suspects {
-            self.begun.insert(*suspect, stamp(now));
-            if let Some(record) = self.records.get_mut(suspect) {
-                is_changed |= record.clear(stamp(now));
+    /// Clears the suspects of runs that were completed on endpoints that have outlived them.
+    fn clear_completed(&mut self, now: Time, outlived: Vec<Ended>) {
+        let (mut is_changed, mut is_serious) = (false, false);
+        for ended in outlived.into_iter().filter(|ended| ended.ending == Ending::Completed) {
+            let at = stamp(ended.at);
+            for suspect in &*ended.suspects {
+                self.completed.insert(*suspect, at);
+                let Some(record) = self.records.get_mut(suspect) else { continue };
+                let was_serious = record.is_serious();
+                if record.clear(at) {
+                    (is_changed, is_serious) = (true, is_serious || was_serious);
+                }
             }
         }
-        if self.begun.len() > MAX_BEGUN {
-            self.drop_oldest_begun();
+        if self.completed.len() > MAX_COMPLETED {
+            self.drop_oldest_completed();
         }
-        if is_changed {
+        if is_serious {
             self.mark_unsaved();
             self.update(now);
+        } else if is_changed {
+            // Peers learn of it with the next full digest.
+            self.update_held();
         }
     }
 
@@ -217,11 +276,11 @@
         (self.has_found, self.is_unsaved) = (true, true);
     }
 
-    fn drop_oldest_begun(&mut self) {
-        let mut times: Vec<Stamp> = self.begun.values().copied().collect();
-        let (_, limit, _) = times.select_nth_unstable(MAX_BEGUN / 10);
+    fn drop_oldest_completed(&mut self) {
+        let mut times: Vec<Stamp> = self.completed.values().copied().collect();
+        let (_, limit, _) = times.select_nth_unstable(MAX_COMPLETED / 10);
         let limit = *limit;
-        self.begun.retain(|_, at| *at > limit);
+        self.completed.retain(|_, at| *at > limit);
     }
 
     /// Drops suspects that are too many.
@@ -237,9 +296,14 @@
         }
     }
 
-    /// Recomputes which suspects are held off, after each change of the evidence.
+    /// Recomputes which suspects are held off, after a change of the evidence that peers should learn of soon.
     fn update(&mut self, now: Time) {
         self.changed_at = Some(now);
+        self.update_held();
+    }
+
+    /// Recomputes which suspects are held off.
+    fn update_held(&mut self) {
         let held = blame::held(&self.records);
         if held != self.held {
             self.held = held;
@@ -250,10 +314,12 @@
     /// Drops old evidence; must be called several times a second.
     pub fn expire(&mut self, now: Time) {
         self.demand.expire(now, &self.held);
-        self.interrupted.retain(|_, interrupted| {
-            interrupted.retain(|interruption| now.since(interruption.at) < CRASH_WINDOW);
-            !interrupted.is_empty()
+        let mut outlived = Vec::new();
+        self.ended.retain(|_, ended| {
+            outlived.extend(ended.extract_if(.., |ended| now.since(ended.at) >= CRASH_WINDOW));
+            !ended.is_empty()
         });
+        self.clear_completed(now, outlived);
         let mut is_changed = false;
         for (suspect, record) in &mut self.records {
             let ttl = if self.held.contains(suspect) { HELD_TTL } else { CRASH_TTL };
@@ -342,7 +408,7 @@
                 is_wanted: self.demand.is_wanted(now, *suspect),
                 is_trying: self.demand.is_trying(*suspect),
                 // Not what peers have reported: each hop would make it seem later.
-                begun: self.begun.get(suspect).map(|at| age(now, *at)),
+                completed: self.completed.get(suspect).map(|at| age(now, *at)),
                 ..record.report(now, *suspect, REPORT_TTL, is_own_only(suspect))
             })
             .filter(|report| !report.is_empty())
@@ -373,8 +439,8 @@
     fn apply_reports(&mut self, now: Time, reports: &[Report]) -> bool {
         let mut is_changed = false;
         for report in reports {
-            let begun = self.begun.get(&report.suspect).copied();
-            let record = self.records.entry(report.suspect).or_insert_with(|| Record::new(begun));
+            let completed = self.completed.get(&report.suspect).copied();
+            let record = self.records.entry(report.suspect).or_insert_with(|| Record::new(completed));
             is_changed |= record.merge(now, report);
         }
         if is_changed {
--- a/crates/core/src/gateway/suspect/blame.rs
+++ b/crates/core/src/gateway/suspect/blame.rs
@@ -7,14 +7,15 @@
 
 use super::{
     Suspect,
-    evidence::{Crash, Record, Stamp},
+    evidence::{Crash, Evidence, Record, Run, Stamp},
 };
 use crate::clock::micros;
 
-/// Number of crashes, not explained by others, for which a suspect is held off.
-const CRASH_LIMIT: usize = 2;
-/// Number of waves of crashes for which a suspect is held off that had got past its first event before. Popular parts are
-/// interrupted by each wave of unrelated crashes.
+/// Weight of crashes, not explained by others, for which a suspect is held off: two under runs that had just started, or
+/// three.
+const GUILT_WEIGHT: u32 = 6;
+/// Number of waves of crashes for which a suspect is held off that was completed before. Popular parts are interrupted by
+/// each wave of unrelated crashes.
 const WAVE_LIMIT: usize = 3;
 /// Crashes that follow each other within this time are one wave.
 const WAVE_GAP: Duration = Duration::from_millis(500);
@@ -38,11 +39,23 @@
 
 fn is_guilty(record: &Record, explained: &BTreeSet<Crash>) -> bool {
     let unexplained = record.crashes.iter().filter(|(crash, _)| !explained.contains(crash));
-    let mut times: Vec<Stamp> = unexplained.map(|(_, evidence)| evidence.at).collect();
-    times.sort_unstable();
-    match record.begun() {
-        None => times.len() >= CRASH_LIMIT,
-        Some(_) => waves(&times) >= WAVE_LIMIT,
+    let unexplained: Vec<Evidence> = unexplained.map(|(_, evidence)| *evidence).collect();
+    match record.completed() {
+        None => unexplained.iter().map(|evidence| weight(evidence.run)).sum::<u32>() >= GUILT_WEIGHT,
+        Some(_) => {
+            let mut times: Vec<Stamp> = unexplained.iter().map(|evidence| evidence.at).collect();
+            times.sort_unstable();
+            waves(&times) >= WAVE_LIMIT
+        }
+    }
+}
+
+/// Returns how much a crash under a run counts. A crash that its request causes comes soon after the run starts, but the
+/// endpoint may have sent events by then.
+fn weight(run: Run) -> u32 {
+    match run {
+        Run::Starting => 3,
+        Run::Generating => 2,
     }
 }
 
--- a/crates/core/src/gateway/suspect/evidence.rs
+++ b/crates/core/src/gateway/suspect/evidence.rs
@@ -43,11 +43,22 @@
     }
 }
 
+/// How far a run had come when its endpoint crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Run {
+    /// Its response was not past its first event.
+    Starting,
+    /// Its response was past its first event. Most runs are, whatever ends their endpoint.
+    Generating,
+}
+
 /// How a crash counts against a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Evidence {
     /// When it was noticed first.
     pub(super) at: Stamp,
+    /// The run with the suspect; of several, the one that had come least far.
+    pub(super) run: Run,
     /// Whether a trial of the suspect ended in it.
     pub(super) is_trial: bool,
     /// Whether this replica has noticed it itself.
@@ -59,6 +70,8 @@
 pub struct Sighting {
     /// Time since the crash was noticed first.
     pub age: Duration,
+    /// The run with the suspect that it interrupted.
+    pub run: Run,
     /// Whether a trial of the suspect ended in it.
     pub is_trial: bool,
 }
@@ -68,10 +81,10 @@
 pub struct Report {
     /// The suspect.
     pub suspect: Suspect,
-    /// Crashes since a request with it last got past its first event.
+    /// Crashes since a request with it was last completed.
     pub crashes: BTreeMap<Crash, Sighting>,
-    /// Time since a request with it got past its first event at the sender, if any did.
-    pub begun: Option<Duration>,
+    /// Time since a request with it was completed at the sender, if any was.
+    pub completed: Option<Duration>,
     /// Whether callers have lately sent requests with it to the sender, which refused them.
     pub is_wanted: bool,
     /// Whether the sender is trying a request with it.
@@ -81,7 +94,7 @@
 impl Report {
     /// Returns whether the report says nothing.
     pub(super) fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.begun.is_none() && !self.is_wanted && !self.is_trying
+        self.crashes.is_empty() && self.completed.is_none() && !self.is_wanted && !self.is_trying
     }
 
     /// Returns the order in which suspects are reported, the highest first.
@@ -94,32 +107,33 @@
 /// What counts against a suspect, and for it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
-    /// Crashes later than `begun`.
+    /// Crashes later than `completed`.
     pub(super) crashes: BTreeMap<Crash, Evidence>,
-    /// When a request with the suspect last got past its first event.
-    begun: Option<Stamp>,
+    /// When a request with the suspect was last completed.
+    completed: Option<Stamp>,
     /// When it was last cleared.
     cleared: Option<Stamp>,
 }
 
 impl Record {
-    pub(super) fn new(begun: Option<Stamp>) -> Self {
-        Self { begun, ..Self::default() }
+    pub(super) fn new(completed: Option<Stamp>) -> Self {
+        Self { completed, ..Self::default() }
     }
 
-    pub(super) fn begun(&self) -> Option<Stamp> {
-        self.begun
+    pub(super) fn completed(&self) -> Option<Stamp> {
+        self.completed
     }
 
     /// Adds a crash; returns whether that changes anything.
     pub(super) fn add(&mut self, crash: Crash, evidence: Evidence) -> bool {
-        if self.begun.is_some_and(|begun| evidence.at <= begun) {
+        if self.completed.is_some_and(|completed| evidence.at <= completed) {
             return false;
         }
         let known = self.crashes.get(&crash).copied();
         // The earliest report is the most exact one, as each hop between replicas adds a delay.
         let merged = known.map_or(evidence, |known| Evidence {
             at: known.at.min(evidence.at),
+            run: if known.run == Run::Starting { Run::Starting } else { evidence.run },
             is_trial: known.is_trial || evidence.is_trial,
             is_own: known.is_own || evidence.is_own,
         });
@@ -131,15 +145,15 @@
             self.crashes.remove(&oldest);
             return oldest != crash;
         }
-        known.is_none_or(|known| known.is_trial != merged.is_trial)
+        known.is_none_or(|known| (known.run, known.is_trial) != (merged.run, merged.is_trial))
     }
 
-    /// Records a success. Returns whether that changes how the crashes count.
+    /// Records the completion of a request. Returns whether that changes how the crashes count.
     pub(super) fn clear(&mut self, at: Stamp) -> bool {
-        if self.begun.is_some_and(|begun| begun >= at) {
+        if self.completed.is_some_and(|completed| completed >= at) {
             return false;
         }
-        let is_first = self.begun.replace(at).is_none();
+        let is_first = self.completed.replace(at).is_none();
         let count = self.crashes.len();
         self.crashes.retain(|_, evidence| evidence.at > at);
         let is_cleared = self.crashes.len() < count;
@@ -151,13 +165,14 @@
 
     /// Applies the report of a peer; returns whether that changes anything.
     pub(super) fn merge(&mut self, now: Time, report: &Report) -> bool {
-        let mut is_changed = report.begun.is_some_and(|age| self.clear(before(now, age)));
-        for (crash, Sighting { age, is_trial }) in &report.crashes {
-            let evidence = Evidence { at: before(now, *age), is_trial: *is_trial, is_own: false };
-            if self.begun.is_some_and(|begun| evidence.at <= begun) {
+        let mut is_changed = report.completed.is_some_and(|age| self.clear(before(now, age)));
+        for (crash, Sighting { age, run, is_trial }) in &report.crashes {
+            let (run, is_trial) = (*run, *is_trial);
+            let evidence = Evidence { at: before(now, *age), run, is_trial, is_own: false };
+            if self.completed.is_some_and(|completed| evidence.at <= completed) {
                 // The peer has to learn that the suspect was cleared.
-                is_changed |= self.cleared != self.begun;
-                self.cleared = self.begun;
+                is_changed |= self.cleared != self.completed;
+                self.cleared = self.completed;
             } else {
                 is_changed |= self.add(*crash, evidence);
             }
@@ -181,6 +196,11 @@
         self.crashes.values().map(|evidence| evidence.at).max()
     }
 
+    /// Returns whether another crash under a run that has just started would be enough to hold the suspect off.
+    pub(super) fn is_serious(&self) -> bool {
+        self.crashes.len() > 1 || self.crashes.values().any(|evidence| evidence.run == Run::Starting)
+    }
+
     pub(super) fn failed_trials(&self) -> usize {
         self.crashes.values().filter(|evidence| evidence.is_trial).count()
     }
@@ -200,12 +220,13 @@
     pub(super) fn report(&self, now: Time, suspect: Suspect, ttl: Duration, is_own_only: bool) -> Report {
         let reported = self.crashes.iter().filter(|(_, evidence)| evidence.is_own || !is_own_only);
         let sightings = reported.map(|(crash, evidence)| {
-            (*crash, Sighting { age: age(now, evidence.at), is_trial: evidence.is_trial })
+            let Evidence { at, run, is_trial, .. } = *evidence;
+            (*crash, Sighting { age: age(now, at), run, is_trial })
         });
         Report {
             suspect,
             crashes: sightings.filter(|(_, sighting)| sighting.age < ttl).collect(),
-            begun: None,
+            completed: None,
             is_wanted: false,
             is_trying: false,
         }
--- a/crates/core/tests/gateway/state.rs
+++ b/crates/core/tests/gateway/state.rs
@@ -17,7 +17,7 @@
         placement::Filter,
         queue::{Entry, Verdict},
         state::{Admission, Identity, Listing, State},
-        suspect::Suspect,
+        suspect::{Run, Suspect},
     },
     refusal::Code,
 };
@@ -186,7 +186,7 @@
     let mut state = ready_state();
     let suspects: Arc<[Suspect]> = [Suspect(77)].into();
     for (now, id) in [(0, "d-1"), (1_000, "p-1")] {
-        state.record_interrupted(at(now), &endpoint(id, Stage::Decode), &suspects, false);
+        state.record_interrupted(at(now), &endpoint(id, Stage::Decode), &suspects, Run::Starting, false);
         let listing = Listing {
             position: position(10 + now),
             is_complete: false,
@@ -211,7 +211,13 @@
     }
     assert!(state.dispatch(at(10)).is_empty());
     for (now, id) in [(100, "d-2"), (800, "d-3")] {
-        state.record_interrupted(at(now), &endpoint(id, Stage::Decode), &[Suspect(77)].into(), false);
+        state.record_interrupted(
+            at(now),
+            &endpoint(id, Stage::Decode),
+            &[Suspect(77)].into(),
+            Run::Starting,
+            false,
+        );
         state.record_crash(at(now + 10), id);
     }
     let refused = state.dispatch(at(900));
--- a/crates/core/tests/gateway/suspect.rs
+++ b/crates/core/tests/gateway/suspect.rs
@@ -4,7 +4,7 @@
 
 use tarragonhill_core::gateway::{
     directory::Stage,
-    suspect::{Suspect, Suspects, Verdict},
+    suspect::{Run, Suspect, Suspects, Verdict},
 };
 
 use crate::{at, endpoint};
@@ -23,15 +23,26 @@
     Suspects::new(name.into())
 }
 
-/// Lets an endpoint crash while it runs requests with these suspects, each with others.
+/// Lets an endpoint crash while it starts to run requests with these suspects, each with others.
 fn crash(suspects: &mut Suspects, now: u64, id: &str, running: &[&[Suspect]]) {
+    crash_under(suspects, now, id, running, Run::Starting);
+}
+
+fn crash_under(suspects: &mut Suspects, now: u64, id: &str, running: &[&[Suspect]], run: Run) {
     let endpoint = endpoint(id, Stage::Decode);
     for request in running {
-        suspects.record_interrupted(at(now), &endpoint, &Arc::from(*request), false);
+        suspects.record_interrupted(at(now), &endpoint, &Arc::from(*request), run, false);
     }
     suspects.record_crash(at(now + 30), id);
 }
 
+/// Completes a request with these suspects on an endpoint that outlives it.
+fn complete(suspects: &mut Suspects, now: u64, request: &[Suspect]) {
+    let (endpoint, request) = (endpoint("sound", Stage::Decode), Arc::from(request));
+    suspects.record_completed(at(now), &endpoint, &request, at(now.saturating_sub(10)), false);
+    suspects.record_alive(at(now + 1), &endpoint.id, at(now + 1));
+}
+
 fn tell(from: (&str, &Suspects), to: &mut Suspects, now: u64) {
     to.apply_peer(at(now), &from.0.into(), &from.1.report(at(now), true));
 }
@@ -70,15 +81,16 @@
     let mut suspects = suspects("one");
     let e_1 = endpoint("e-1", Stage::Decode);
     for now in 0..5 {
-        suspects.record_interrupted(at(now), &e_1, &[CRASHING].into(), false);
+        suspects.record_interrupted(at(now), &e_1, &[CRASHING].into(), Run::Starting, false);
     }
     assert!(!suspects.holds(&[CRASHING]));
     // The endpoint crashes much later, with other requests running.
     suspects.record_crash(at(60_000), "e-1");
     // Others are found alive, and crash a moment later.
     for (now, id) in [(70_000, "e-2"), (71_000, "e-3")] {
-        suspects.record_interrupted(at(now), &endpoint(id, Stage::Decode), &[CRASHING].into(), false);
-        suspects.record_alive(id, at(now + 10));
+        let endpoint = endpoint(id, Stage::Decode);
+        suspects.record_interrupted(at(now), &endpoint, &[CRASHING].into(), Run::Starting, false);
+        suspects.record_alive(at(now + 20), id, at(now + 10));
         suspects.record_crash(at(now + 100), id);
     }
     assert_eq!(verdict(&mut suspects, 72_000, &[CRASHING]), Verdict::Free);
@@ -86,7 +98,7 @@
 
 /// Guards against a suspect that is refused for good.
 #[test]
-fn a_suspect_is_tried_again_and_cleared_by_its_first_event_at_every_replica() {
+fn a_suspect_is_tried_again_and_cleared_by_its_completion_at_every_replica() {
     let (mut one, mut two) = (suspects("one"), suspects("two"));
     crash(&mut one, 0, "e-1", &[&[HARMLESS]]);
     crash(&mut one, 1_000, "e-2", &[&[HARMLESS]]);
@@ -97,7 +109,7 @@
     tell(("one", &one), &mut two, 2_000);
     assert!(matches!(verdict(&mut two, 2_000, &[HARMLESS]), Verdict::Held(_)));
     assert!(matches!(verdict(&mut two, 2_700, &[HARMLESS]), Verdict::Held(_)), "one trial at a time");
-    one.record_begun(at(2_800), &[HARMLESS]);
+    complete(&mut one, 2_800, &[HARMLESS]);
     one.end_trial(at(2_800), &[HARMLESS]);
     assert_eq!(verdict(&mut one, 2_810, &[HARMLESS]), Verdict::Free);
     tell(("one", &one), &mut two, 2_900);
@@ -136,7 +148,7 @@
         let guilty = [POPULAR, document(number), CRASHING];
         let neighbour = [POPULAR, document(number + 1)];
         crash(&mut suspects, number * 700, &id, &[&guilty, &neighbour]);
-        suspects.record_begun(at(number * 700 + 300), &[POPULAR]);
+        complete(&mut suspects, number * 700 + 300, &[POPULAR]);
     }
     assert_eq!(suspects.held().iter().copied().collect::<Vec<_>>(), [CRASHING]);
 }
@@ -148,20 +160,20 @@
     let parts = [CRASHING, Suspect(9)];
     for number in 0..6 {
         crash(&mut suspects, number * 700, &format!("e-{number}"), &[&[POPULAR, parts[number as usize % 2]]]);
-        suspects.record_begun(at(number * 700 + 300), &[POPULAR]);
+        complete(&mut suspects, number * 700 + 300, &[POPULAR]);
     }
     assert_eq!(suspects.held().iter().copied().collect::<Vec<_>>(), parts);
 }
 
 /// Guards against a popular part that is held off because it waits at all endpoints when some of them crash at once.
 #[test]
-fn a_part_of_answers_that_had_begun_is_not_held_off_after_a_wave_of_crashes() {
+fn a_part_of_completed_requests_is_not_held_off_after_a_wave_of_crashes() {
     let (mut one, mut two) = (suspects("one"), suspects("two"));
-    two.record_begun(at(0), &[POPULAR]);
+    complete(&mut two, 0, &[POPULAR]);
     for number in 0..6 {
         crash(&mut one, 1_000 + number, &format!("e-{number}"), &[&[POPULAR]]);
     }
-    // It has begun at another replica only, which says so.
+    // It was completed at another replica only, which says so.
     tell(("one", &one), &mut two, 1_100);
     tell(("two", &two), &mut one, 1_200);
     assert!(!one.holds(&[POPULAR]) && !two.holds(&[POPULAR]));
@@ -232,6 +244,7 @@
                 at(now),
                 &endpoint(&id, Stage::Decode),
                 &[CRASHING].into(),
+                Run::Starting,
                 is_trial,
             );
             fleet[number].end_trial(at(now), &[CRASHING]);
@@ -254,6 +267,75 @@
     assert!(late <= MOST_AFTER, "{case}: {late} of {} requests ran late: {runs:?}", runs.len());
 }
 
+/// Guards against a request that is never held off because a part of its response gets out before each crash.
+#[test]
+fn a_request_that_crashes_endpoints_in_the_middle_of_its_response_is_held_off() {
+    for runs in [[Run::Generating; 3], [Run::Starting, Run::Generating, Run::Generating]] {
+        let mut suspects = suspects("one");
+        for (number, run) in (0..).zip(runs) {
+            assert!(!suspects.holds(&[CRASHING]), "{number} crashes");
+            crash_under(&mut suspects, number * 2_000, &format!("e-{number}"), &[&[CRASHING]], run);
+        }
+        assert!(suspects.holds(&[CRASHING]), "{runs:?}");
+    }
+}
+
+/// Guards against streams that are cut by two unrelated crashes and then refused.
+#[test]
+fn a_request_in_the_middle_of_its_response_at_two_crashes_is_not_held_off() {
+    let mut suspects = suspects("one");
+    for number in 0..2 {
+        crash_under(&mut suspects, number * 2_000, &format!("e-{number}"), &[&[HARMLESS]], Run::Generating);
+    }
+    assert_eq!(verdict(&mut suspects, 4_000, &[HARMLESS]), Verdict::Free);
+}
+
+/// Guards against a popular part that is in the middle of responses at each of many unrelated crashes.
+#[test]
+fn a_part_that_is_completed_between_crashes_is_not_held_off() {
+    let mut suspects = suspects("one");
+    for number in 0..20 {
+        let (now, id) = (number * 700, format!("e-{number}"));
+        crash_under(&mut suspects, now, &id, &[&[POPULAR, Suspect(100 + number)]], Run::Generating);
+        complete(&mut suspects, now + 300, &[POPULAR]);
+    }
+    assert!(suspects.held().is_empty());
+}
+
+/// Guards against a response that ended with its connection, or just before the crash, and clears the request that caused it.
+#[test]
+fn a_response_that_its_endpoint_does_not_outlive_clears_nothing() {
+    let mut suspects = suspects("one");
+    for number in 0..3 {
+        let (now, id) = (number * 2_000, format!("e-{number}"));
+        let endpoint = endpoint(&id, Stage::Decode);
+        suspects.record_completed(at(now), &endpoint, &[CRASHING].into(), at(now - number), false);
+        suspects.record_crash(at(now + 30), &id);
+    }
+    assert!(suspects.holds(&[CRASHING]));
+}
+
+/// Guards against completions that are forgotten because no later request shows that the endpoint lives.
+#[test]
+fn a_completion_without_a_crash_in_time_clears_a_suspect() {
+    let mut suspects = suspects("one");
+    for number in 0..2 {
+        crash(&mut suspects, number * 1_000, &format!("e-{number}"), &[&[HARMLESS]]);
+    }
+    let sound = endpoint("sound", Stage::Decode);
+    suspects.record_completed(at(3_000), &sound, &[HARMLESS].into(), at(2_000), true);
+    assert!(suspects.holds(&[HARMLESS]));
+    suspects.expire(at(9_000));
+    assert!(!suspects.holds(&[HARMLESS]));
+    // The completion of a later request shows it too.
+    for number in 10..12 {
+        crash(&mut suspects, number * 1_000, &format!("e-{number}"), &[&[CRASHING]]);
+    }
+    suspects.record_completed(at(12_500), &sound, &[CRASHING].into(), at(12_400), true);
+    suspects.record_completed(at(12_800), &sound, &[POPULAR].into(), at(12_600), false);
+    assert!(!suspects.holds(&[CRASHING]));
+}
+
 /// Guards against replicas that all try a suspect again at the same time.
 #[test]
 fn a_fleet_tries_a_crashing_part_few_times_in_ten_minutes() {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -19,7 +19,7 @@
         origin::{Origin, Stream},
         shutdown::Shutdown,
         state::{Admission, Admitted, quarantined},
-        suspect::Suspect,
+        suspect::{Run, Suspect},
     },
     refusal::Code,
 };
@@ -30,6 +30,7 @@
     edge::{Dialect, Dispatch, Message, Metadata, Task},
     exchange::{Client, Exchange, Failure, Recipient},
     held::Held,
+    liveness::Checks,
     metrics::Metrics,
     pool::Pool,
     shutdown::Monitor,
@@ -46,6 +47,8 @@
     pub(crate) pool: Pool,
     /// Bytes held for callers and endpoints.
     pub(crate) held: Arc<Held>,
+    /// Running checks of endpoints that may have crashed.
+    pub(crate) checks: Checks,
     pub(crate) metrics: Metrics,
     /// Set when the shutdown begins.
     pub(crate) shutdown: OnceLock<Shutdown>,
@@ -67,14 +70,22 @@
 
     /// Checks in a background task whether an endpoint has crashed.
     fn check_endpoint(self: &Arc<Self>, endpoint: &Arc<Endpoint>) {
+        if !self.checks.begin(&endpoint.id) {
+            return;
+        }
         let (context, endpoint) = (self.clone(), endpoint.clone());
         async_std::task::spawn(async move {
-            let began = context.clock.now();
-            match context.client().is_alive(&endpoint).await {
-                Ok(()) => context.control.record_alive(&endpoint.id, began),
-                Err(failure) => {
-                    spdlog::info!("endpoint crashed", kv: { endpoint = &*endpoint.id, reason = failure.to_string().as_str() });
-                    context.control.record_crash(&endpoint.id);
+            loop {
+                let began = context.clock.now();
+                match context.client().is_alive(&endpoint).await {
+                    Ok(()) => context.control.record_alive(&endpoint.id, began),
+                    Err(failure) => {
+                        spdlog::info!("endpoint crashed", kv: { endpoint = &*endpoint.id, reason = failure.to_string().as_str() });
+                        context.control.record_crash(&endpoint.id);
+                    }
+                }
+                if context.checks.end(&endpoint.id) {
+                    return;
                 }
             }
         });
@@ -178,20 +189,36 @@
         is_held_off.then(|| quarantined(Duration::ZERO))
     }
 
-    /// Records that the request was interrupted on an endpoint before it got past its first event, and checks whether the
-    /// endpoint has crashed.
-    pub(crate) fn record_interrupted(&self, context: &Arc<Context>, endpoint: &Arc<Endpoint>, reason: &str) {
+    /// Records that the request was interrupted on an endpoint, and checks whether the endpoint has crashed.
+    pub(crate) fn record_interrupted(
+        &self,
+        context: &Arc<Context>,
+        endpoint: &Arc<Endpoint>,
+        run: Run,
+        reason: &str,
+    ) {
         let suspects: Vec<String> =
             self.admission.suspects.iter().map(|Suspect(id)| format!("{id:016x}")).collect();
         spdlog::info!("request interrupted", kv: {
             request = self.id(), endpoint = &*endpoint.id, reason, trial = self.is_trial(),
-            parts = self.metadata.parts.join(",").as_str(), suspects = suspects.join(",").as_str()
+            generating = run == Run::Generating, parts = self.metadata.parts.join(",").as_str(), suspects = suspects.join(",").as_str()
         });
-        context.control.record_interrupted(endpoint, &self.admission.suspects, self.is_trial());
+        context.control.record_interrupted(endpoint, &self.admission.suspects, run, self.is_trial());
         self.end_trial(context);
         context.check_endpoint(endpoint);
     }
 
+    /// Records that a run from the beginning of the request, which was sent at `sent`, has brought its whole response.
+    pub(crate) fn record_completed(&self, context: &Arc<Context>, endpoint: &Arc<Endpoint>, sent: Time) {
+        let is_trial = self.is_trial();
+        context.control.record_completed(endpoint, &self.admission.suspects, sent, is_trial);
+        self.end_trial(context);
+        // The suspects of a trial stay held off until the endpoint is known to have outlived it.
+        if is_trial {
+            context.check_endpoint(endpoint);
+        }
+    }
+
     /// Returns the service that handles the request.
     pub(crate) fn service(&self) -> &Arc<str> {
         &self.admission.service
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -36,7 +36,7 @@
             Admission, Admitted,
             explain::{Explanation, Query, Unknown},
         },
-        suspect::Suspect,
+        suspect::{Run, Suspect},
         throttle::{Cause, Gate},
     },
     refusal::Code,
@@ -76,10 +76,10 @@
     RecordEvents(Lease, Arc<str>, u64),
     RecordResponse(Lease),
     Release(Lease, Outcome),
-    RecordInterrupted(Arc<Endpoint>, Arc<[Suspect]>, bool),
+    RecordInterrupted(Arc<Endpoint>, Arc<[Suspect]>, Run, bool),
     RecordAlive(Arc<str>, Time),
     RecordCrash(Arc<str>),
-    RecordBegun(Arc<[Suspect]>),
+    RecordCompleted(Arc<Endpoint>, Arc<[Suspect]>, Time, bool),
     EndTrial(Arc<[Suspect]>),
     RecordLeaving(Arc<str>, u64),
     RecordBackoff(Arc<str>, Time),
@@ -370,9 +370,26 @@
         !shared.held.is_empty() && suspects.iter().any(|suspect| shared.held.contains(suspect))
     }
 
-    /// Records that a request was interrupted at an endpoint, which may have been running it, before it got past its first event.
-    pub fn record_interrupted(&self, endpoint: &Arc<Endpoint>, suspects: &Arc<[Suspect]>, is_trial: bool) {
-        self.send(Command::RecordInterrupted(endpoint.clone(), suspects.clone(), is_trial));
+    /// Records that a request was interrupted at an endpoint, which may have been running it.
+    pub fn record_interrupted(
+        &self,
+        endpoint: &Arc<Endpoint>,
+        suspects: &Arc<[Suspect]>,
+        run: Run,
+        is_trial: bool,
+    ) {
+        self.send(Command::RecordInterrupted(endpoint.clone(), suspects.clone(), run, is_trial));
+    }
+
+    /// Records that a run from the beginning of a request, which was sent at `sent`, has brought its whole response.
+    pub fn record_completed(
+        &self,
+        endpoint: &Arc<Endpoint>,
+        suspects: &Arc<[Suspect]>,
+        sent: Time,
+        is_trial: bool,
+    ) {
+        self.send(Command::RecordCompleted(endpoint.clone(), suspects.clone(), sent, is_trial));
     }
 
     /// Records that an endpoint was found alive by a check that began at `began`.
@@ -385,11 +402,6 @@
         self.send(Command::RecordCrash(endpoint.clone()));
     }
 
-    /// Records that a request got past its first event, or that a call was answered.
-    pub fn record_begun(&self, suspects: &Arc<[Suspect]>) {
-        self.send(Command::RecordBegun(suspects.clone()));
-    }
-
     /// Records that a request that was admitted as a trial has ended or failed.
     pub fn end_trial(&self, suspects: &Arc<[Suspect]>) {
         self.send(Command::EndTrial(suspects.clone()));
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -578,15 +578,17 @@
             }
             Command::RecordResponse(lease) => self.state.record_first_event(now, &lease),
             Command::Release(lease, outcome) => self.state.record_end(now, &lease, outcome),
-            Command::RecordInterrupted(endpoint, suspects, is_trial) => {
-                self.state.record_interrupted(now, &endpoint, &suspects, is_trial);
+            Command::RecordInterrupted(endpoint, suspects, run, is_trial) => {
+                self.state.record_interrupted(now, &endpoint, &suspects, run, is_trial);
             }
-            Command::RecordAlive(endpoint, began) => self.state.record_alive(&endpoint, began),
+            Command::RecordCompleted(endpoint, suspects, sent, is_trial) => {
+                self.state.record_completed(now, &endpoint, &suspects, sent, is_trial);
+            }
+            Command::RecordAlive(endpoint, began) => self.state.record_alive(now, &endpoint, began),
             Command::RecordCrash(endpoint) => {
                 let suspects = self.state.record_crash(now, &endpoint);
                 spdlog::info!("crash recorded", kv: { endpoint = &*endpoint, suspects });
             }
-            Command::RecordBegun(suspects) => self.state.record_begun(now, &suspects),
             Command::EndTrial(suspects) => self.state.end_trial(now, &suspects),
             Command::RecordLeaving(endpoint, started_ms) => {
                 if let Some(change) = self.state.record_leaving(&endpoint, started_ms) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gossip;
 mod held;
 mod identify;
+mod liveness;
 pub mod metrics;
 pub mod mirror;
 mod orders;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -42,6 +42,7 @@
     edge::{Claims, Dialect, Update},
     frontend, gossip,
     held::Held,
+    liveness::Checks,
     metrics::Metrics,
     mirror::Mirror,
     orders,
@@ -169,6 +170,7 @@
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
             held: Held::new(settings.memory),
+            checks: Checks::default(),
             clock,
             control: control.clone(),
             dialect,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,7 +17,7 @@
     Refusal, Time,
     gateway::{
         directory::Endpoint, forecast::Observation, health::Outcome, ledger::Plan,
-        state::ENDPOINT_RETRY_AFTER,
+        state::ENDPOINT_RETRY_AFTER, suspect::Run,
     },
     refusal::Code,
 };
@@ -80,9 +80,9 @@
         }
     }
 
-    /// Returns whether the current attempt got past its first event, so that it is no cause of a crash.
-    fn is_past_first_event(&self) -> bool {
-        self.attempt_events > 1
+    /// Returns how far the current attempt has come.
+    fn run(&self) -> Run {
+        if self.attempt_events > 1 { Run::Generating } else { Run::Starting }
     }
 
     /// Returns whether the request may be retried if its current attempt, which may have run, fails.
@@ -333,9 +333,7 @@
 ) -> Result<Option<String>, Refusal> {
     progress.runs += 1;
     progress.avoid.push(endpoint.id.clone());
-    if !progress.is_past_first_event() {
-        inbound.record_interrupted(context, endpoint, &reason);
-    }
+    inbound.record_interrupted(context, endpoint, progress.run(), &reason);
     if inbound.may_retry(progress.runs) {
         return Ok(Some(reason));
     }
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -4,6 +4,7 @@
 
 use tarragonhill_core::gateway::{
     completion::Prompt, directory::Endpoint, forecast::Observation, health::Outcome, ledger::Plan,
+    suspect::Run,
 };
 
 use super::{
@@ -105,7 +106,7 @@
                 permit.observe(Observation::PrefillTimeout { tokens: permit.prefill_tokens, waited });
             }
             if !is_unsent {
-                inbound.record_interrupted(context, endpoint, &failure.to_string());
+                inbound.record_interrupted(context, endpoint, Run::Starting, &failure.to_string());
             }
             permit.finish(if is_unsent { Outcome::Unreachable } else { Outcome::Failed });
             Err(failure)
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -7,7 +7,7 @@
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
     Time,
-    gateway::{forecast::Observation, health::Outcome},
+    gateway::{directory::Endpoint, forecast::Observation, health::Outcome},
 };
 use tarragonhill_h1::body::Framing;
 
@@ -118,10 +118,7 @@
         let Some(chunk) = chunk else {
             let framing = exchange.framing;
             exchange.recycle();
-            // A stream of a single event ends before it is past the first.
-            if progress.attempt_events > 0 && !progress.is_past_first_event() {
-                record_begun(context, inbound);
-            }
+            record_end(context, inbound, progress, &permit.endpoint, sent);
             let size = inbound.size();
             pending.flush(context.clock.now(), &permit);
             permit.observe(Observation::Completed {
@@ -152,11 +149,7 @@
             inbound.record_origin(context, &permit.endpoint.software_version);
         }
         let (now, count) = (context.clock.now(), count_events(&events));
-        let was_past_first_event = progress.is_past_first_event();
         progress.attempt_events += count;
-        if progress.is_past_first_event() && !was_past_first_event {
-            record_begun(context, inbound);
-        }
         writer.timing.record(now, count);
         (progress.waiting_since, progress.events) = (now, writer.timing.events);
         if pending.since.is_none()
@@ -169,10 +162,20 @@
     }
 }
 
-/// Records that the response got past its first event.
-fn record_begun(context: &Context, inbound: &Inbound) {
-    context.control.record_begun(&inbound.admission.suspects);
-    inbound.end_trial(context);
+/// Records that the response has come to its end. A run that took up a stream has not been through all of its request.
+fn record_end(
+    context: &Arc<Context>,
+    inbound: &Inbound,
+    progress: &Progress,
+    endpoint: &Arc<Endpoint>,
+    sent: Time,
+) {
+    let is_whole = progress.attempt_events == progress.events && inbound.metadata.resume.is_none();
+    if is_whole {
+        inbound.record_completed(context, endpoint, sent);
+    } else {
+        inbound.end_trial(context);
+    }
 }
 
 /// Returns whether the caller has no event of a stream, from this gateway or before it took the stream up.
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -8,8 +8,8 @@
 use async_std::future::timeout;
 use futures_lite::FutureExt as _;
 use tarragonhill_core::{
-    Refusal,
-    gateway::{health::Outcome, ledger::Plan, state::ENDPOINT_RETRY_AFTER},
+    Refusal, Time,
+    gateway::{health::Outcome, ledger::Plan, state::ENDPOINT_RETRY_AFTER, suspect::Run},
     refusal::Code,
 };
 
@@ -173,6 +173,7 @@
 async fn attempt(context: &Arc<Context>, inbound: &Inbound, mut permit: Permit) -> Attempt {
     let endpoint = permit.endpoint.clone();
     inbound.mark_sent();
+    let sent_at = context.clock.now();
     let sent = inbound.send(context, &endpoint, Task::Whole, Duration::MAX).await;
     let exchanged = match sent {
         Ok(exchange) => {
@@ -181,7 +182,7 @@
         }
         Err(failure) => Err(failure),
     };
-    let attempt = classify(inbound, exchanged, permit, context);
+    let attempt = classify(inbound, exchanged, permit, sent_at, context);
     if matches!(attempt, Attempt::NotRun(_) | Attempt::NotSent(_)) {
         inbound.mark_not_run();
     }
@@ -194,6 +195,7 @@
     inbound: &Inbound,
     exchanged: Result<Answer, Failure>,
     permit: Permit,
+    sent_at: Time,
     context: &Arc<Context>,
 ) -> Attempt {
     let answer = match exchanged {
@@ -209,22 +211,24 @@
         }
         Err(failure) => {
             let reason = format!("{}: {failure}", permit.endpoint.id);
-            inbound.record_interrupted(context, &permit.endpoint, &failure.to_string());
+            inbound.record_interrupted(context, &permit.endpoint, Run::Starting, &failure.to_string());
             permit.finish(Outcome::Failed);
             return Attempt::MayHaveRun(reason);
         }
     };
     let Answer { head, reply, .. } = &answer;
-    if !reply.not_run && head.status != MISDIRECTED {
-        context.control.record_begun(&inbound.admission.suspects);
-        inbound.end_trial(context);
-    }
     if reply.not_run || head.status == MISDIRECTED {
         let reason = format!("{} did not run the request, status {}", permit.endpoint.id, head.status);
         let outcome = not_run_outcome(head, reply, &permit.endpoint, Outcome::Refused);
         permit.finish(outcome);
         return Attempt::NotRun(reason);
     }
+    if reply.is_signed {
+        inbound.record_completed(context, &permit.endpoint, sent_at);
+    } else {
+        // Bytes without a signature may not be the endpoint's response.
+        inbound.end_trial(context);
+    }
     if !reply.is_signed || reply.is_encoded {
         let reason =
             format!("{}: unsigned or re-encoded response, status {}", permit.endpoint.id, head.status);
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -19,7 +19,7 @@
         position::{Edition, Position},
         relay::Parcel,
         staleness::Versions,
-        suspect::{Crash, Report, Sighting, Suspect},
+        suspect::{Crash, Report, Run, Sighting, Suspect},
         throttle::Cause,
     },
 };
@@ -236,13 +236,14 @@
         Self {
             id: report.suspect.0,
             crashes: crashes
-                .map(|(crash, Sighting { age, is_trial })| proto::Crash {
+                .map(|(crash, Sighting { age, run, is_trial })| proto::Crash {
                     id: crash.0,
                     age_us: micros(*age),
                     trial: *is_trial,
+                    generating: *run == Run::Generating,
                 })
                 .collect(),
-            begun_us: report.begun.map(micros),
+            completed_us: report.completed.map(micros),
             wanted: report.is_wanted,
             trying: report.is_trying,
         }
@@ -255,11 +256,12 @@
         Self {
             suspect: Suspect(message.id),
             crashes: crashes
-                .map(|proto::Crash { id, age_us, trial }| {
-                    (Crash(id), Sighting { age: Duration::from_micros(age_us), is_trial: trial })
+                .map(|proto::Crash { id, age_us, trial, generating }| {
+                    let run = if generating { Run::Generating } else { Run::Starting };
+                    (Crash(id), Sighting { age: Duration::from_micros(age_us), run, is_trial: trial })
                 })
                 .collect(),
-            begun: message.begun_us.map(Duration::from_micros),
+            completed: message.completed_us.map(Duration::from_micros),
             is_wanted: message.wanted,
             is_trying: message.trying,
         }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -668,9 +668,9 @@
     pub id: u64,
     #[prost(message, repeated, tag = "3")]
     pub crashes: ::prost::alloc::vec::Vec<Crash>,
-    /// Time since a request with it got past its first event at the sender.
-    #[prost(uint64, optional, tag = "4")]
-    pub begun_us: ::core::option::Option<u64>,
+    /// Time since a request with it was completed at the sender.
+    #[prost(uint64, optional, tag = "7")]
+    pub completed_us: ::core::option::Option<u64>,
     /// Whether the sender has lately refused requests with it.
     #[prost(bool, tag = "5")]
     pub wanted: bool,
@@ -678,7 +678,8 @@
     #[prost(bool, tag = "6")]
     pub trying: bool,
 }
-/// A crash that counts against a suspect, and whether a trial ended in it.
+/// A crash that counts against a suspect, whether a trial ended in it, and whether all runs with the suspect were past their
+/// first event.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Crash {
     #[prost(fixed64, tag = "1")]
@@ -687,6 +688,8 @@
     pub age_us: u64,
     #[prost(bool, tag = "3")]
     pub trial: bool,
+    #[prost(bool, tag = "4")]
+    pub generating: bool,
 }
 /// An endpoint that was ordered to change to `stage`; `left_us` is the time left to do so.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/convert.rs
+++ b/crates/wire/tests/convert.rs
@@ -16,7 +16,7 @@
         snapshot::Snapshot,
         staleness::Versions,
         state::Listing,
-        suspect::{self, Crash, Sighting, Suspect},
+        suspect::{self, Crash, Run, Sighting, Suspect},
         throttle::Cause,
     },
     message::{Event, FailureCause, Heartbeat, Load, Order, PeerReply, PeerRequest, Work},
@@ -218,11 +218,11 @@
         suspects: vec![suspect::Report {
             suspect: Suspect(7),
             crashes: [
-                (Crash(3), Sighting { age: Duration::from_millis(40), is_trial: true }),
-                (Crash(4), Sighting { age: Duration::ZERO, is_trial: false }),
+                (Crash(3), Sighting { age: Duration::from_millis(40), run: Run::Generating, is_trial: true }),
+                (Crash(4), Sighting { age: Duration::ZERO, run: Run::Starting, is_trial: false }),
             ]
             .into(),
-            begun: Some(Duration::from_millis(900)),
+            completed: Some(Duration::from_millis(900)),
             is_wanted: true,
             is_trying: false,
         }],
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -29,7 +29,7 @@
         speed::Sample,
         staleness::Versions,
         state::{Identity, Listing, State},
-        suspect::{self, Crash, Sighting, Suspect},
+        suspect::{self, Crash, Run, Sighting, Suspect},
         throttle::Cause,
     },
 };
@@ -86,11 +86,11 @@
         suspects: vec![suspect::Report {
             suspect: Suspect(7),
             crashes: [
-                (Crash(3), Sighting { age: Duration::from_millis(40), is_trial: true }),
-                (Crash(4), Sighting { age: Duration::ZERO, is_trial: false }),
+                (Crash(3), Sighting { age: Duration::from_millis(40), run: Run::Generating, is_trial: true }),
+                (Crash(4), Sighting { age: Duration::ZERO, run: Run::Starting, is_trial: false }),
             ]
             .into(),
-            begun: Some(Duration::from_millis(900)),
+            completed: Some(Duration::from_millis(900)),
             is_wanted: true,
             is_trying: false,
         }],
@@ -265,9 +265,14 @@
         (loan.borrower, loan.interval_us) = ("own".into(), u64::MAX);
     }
     for suspect in &mut message.suspects {
-        suspect.begun_us = Some(u64::MAX);
+        suspect.completed_us = Some(u64::MAX);
         suspect.crashes = (0..9)
-            .map(|id| proto::Crash { id, age_us: if id < 5 { u64::MAX } else { 0 }, trial: true })
+            .map(|id| proto::Crash {
+                id,
+                age_us: if id < 5 { u64::MAX } else { 0 },
+                trial: true,
+                generating: id > 2,
+            })
             .collect();
     }
     for forecast in &mut message.forecasts {
