Directory: a cut of one gateway from the store is no outage

Cause: the grace period for endpoints whose rows lapse in an outage of the store began whenever this gateway had failed to read, and counted from when it noticed that it could read again, up to 1.4 s after the end of the cut.

`store recovered` now tells since when a peer had contact and when the last failed call began.

Change: digests carry for how long the sender has read the store and when it last did; the period counts from the first replica that reaches it after the loss. Where none says so, it ends 2.85 s after the last failed call began, one tick before the 3 s after the end of a cut are over. Calls that time out are repeated at once, so that this leaves at least 1.8 s from the store's return. Only the feed of endpoints counts as the loss of their list, and one 429 does not.

Why it works: a cut ends after the last call that it made fail had begun, so the bound holds whatever the cause; and a peer that reads without interruption shows that nothing lapsed.

--- a/crates/bench/src/platform/store.rs
+++ b/crates/bench/src/platform/store.rs
@@ -4,12 +4,16 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, LazyLock, Mutex},
+    sync::{
+        Arc, LazyLock, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use async_std::task;
 use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use strum::Display;
@@ -71,6 +75,8 @@
     /// Whether responses name the era.
     names_era: bool,
     fault: Fault,
+    /// Table whose next feed call is refused as one too many.
+    throttled: Option<String>,
     /// Rate at which responses are written, in bytes per second; `None` is unlimited.
     rate: Option<u64>,
     calls: u64,
@@ -85,6 +91,7 @@
             era: FIRST_ERA,
             names_era: true,
             fault: Fault::None,
+            throttled: None,
             rate: None,
             calls: 0,
             feed_calls: BTreeMap::new(),
@@ -138,12 +145,16 @@
     /// Starts an empty store. Port 0 selects an unused port.
     pub async fn start(address: SocketAddr) -> io::Result<Self> {
         let state: Arc<Mutex<State>> = Arc::default();
-        let shared = state.clone();
-        let server = Server::start(address, move |head, body, connection| {
-            let state = shared.clone();
-            async move { handle(state, head, body.to_vec(), connection).await }
-        });
-        Ok(Self { server: server.await?, state })
+        let server = serve(address, state.clone(), Arc::default()).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Starts another way to this store, which can be cut.
+    pub async fn link(&self) -> io::Result<Link> {
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let address = SocketAddr::from((self.address().ip(), 0));
+        let server = serve(address, self.state.clone(), is_cut.clone()).await?;
+        Ok(Link { server, is_cut })
     }
 
     /// Returns the local address.
@@ -204,6 +215,16 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Refuses the next feed call for a table with status 429.
+    pub fn throttle_next(&self, table: &str) {
+        lock(&self.state).throttled = Some(table.to_owned());
+    }
+
+    /// Returns whether a feed call is still to be refused.
+    pub fn is_throttling(&self) -> bool {
+        lock(&self.state).throttled.is_some()
+    }
+
     /// Limits the rate at which responses are written, in bytes per second; `None` removes the limit.
     pub fn set_rate(&self, rate: Option<u64>) {
         lock(&self.state).rate = rate;
@@ -233,12 +254,43 @@
     }
 }
 
+/// A way to a store. While it is cut, calls get no answer, then or later.
+pub struct Link {
+    server: Server,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    /// Returns the local address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Cuts the link, or heals it for new calls.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+}
+
+async fn serve(address: SocketAddr, state: Arc<Mutex<State>>, is_cut: Arc<AtomicBool>) -> io::Result<Server> {
+    let handler = move |head, body: Bytes, connection| {
+        let (state, is_cut) = (state.clone(), is_cut.clone());
+        async move { handle(state, head, body.to_vec(), is_cut, connection).await }
+    };
+    Server::start(address, handler).await
+}
+
 async fn handle(
     state: Arc<Mutex<State>>,
     head: Request,
     body: Vec<u8>,
+    is_cut: Arc<AtomicBool>,
     mut connection: Connection,
 ) -> (Connection, Action) {
+    if is_cut.load(Ordering::Relaxed) {
+        wait_for_close(&mut connection).await;
+        return (connection, Action::Close);
+    }
     lock(&state).calls += 1;
     let fault = lock(&state).fault;
     match fault {
@@ -257,6 +309,9 @@
         .unwrap_or_default();
     let table = query.get("table").copied().unwrap_or_default();
     if head.path() == "/v1/rows-feed" {
+        if lock(&state).throttled.take_if(|throttled| throttled == table).is_some() {
+            return reply(&state, connection, 429, &json!({})).await;
+        }
         *lock(&state).feed_calls.entry(table.to_owned()).or_default() += 1;
     }
     let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
@@ -273,6 +328,11 @@
     if lock(&state).fault == Fault::Reset {
         return (connection, Action::Reset);
     }
+    // The answer to a call that was waiting is lost too.
+    if is_cut.load(Ordering::Relaxed) {
+        wait_for_close(&mut connection).await;
+        return (connection, Action::Close);
+    }
     reply(&state, connection, status, &value).await
 }
 
--- a/crates/core/src/gateway/digest.rs
+++ b/crates/core/src/gateway/digest.rs
@@ -6,6 +6,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
+    contact,
     directory::{Departure, Stage},
     evacuation, fairness,
     forecast::Forecast,
@@ -98,6 +99,8 @@
     pub loans: Vec<Loan>,
     /// Versions of the sender's copy of the store.
     pub versions: Versions,
+    /// The sender's contact with the store; `None` while it cannot read the endpoints.
+    pub contact: Option<contact::Report>,
     /// Evacuated zones. Receivers act on them without reading the store.
     pub evacuations: evacuation::Report,
     /// Endpoints that have left although the store still lists them.
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -12,10 +12,12 @@
 use super::{evacuation::Evacuations, position::Position};
 use crate::clock::Time;
 
-/// How long endpoints whose rows lapsed in a store outage stay in use once the store is reachable
-/// again, so that they can write their rows. Running endpoints do so within 2 s; the rest is for
-/// the change to arrive here.
+/// How long endpoints whose rows lapsed in a store outage stay in use once the store is back, so that they can write their
+/// rows. Running endpoints do so within 2 s; the rest is for the change to arrive here.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+/// Time after a cut from the store from which on a replica must not use endpoints that were removed meanwhile, less what a
+/// change takes to be applied. The cut ended after the last failed call had begun.
+const CUT_GRACE: Duration = Duration::from_millis(2_850);
 
 /// The part of a request that an endpoint serves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
@@ -126,24 +128,36 @@
     position: Position,
     /// Position of the newest row.
     newest_row: Position,
-    /// When the store became reachable again after an outage.
-    store_recovered: Option<Time>,
-    is_store_unreachable: bool,
+    /// Until when endpoints whose rows lapse stay in use, after the store has come back.
+    grace_end: Option<Time>,
+    /// Latest end of that period if this replica may have been cut off alone.
+    cut_grace_end: Option<Time>,
+    /// Whether that period began with a new era, in whose history all replicas miss rows.
+    is_new_era: bool,
     /// Endpoints of these zones are listed but do not serve.
     evacuations: Evacuations,
 }
 
 impl Directory {
-    /// Marks the store as unreachable; the list is kept.
-    pub fn mark_store_unreachable(&mut self) {
-        self.is_store_unreachable = true;
+    /// Records that the store can be read again, after a call that began at `last_failure` and failed. Rows that are missing
+    /// may have lapsed; if only this replica was cut off, they were removed.
+    pub fn record_store_recovered(&mut self, now: Time, last_failure: Time) {
+        let cut_grace_end = last_failure.plus(CUT_GRACE);
+        self.cut_grace_end = Some(cut_grace_end);
+        self.grace_end = Some(now.plus(LAPSE_GRACE).min(cut_grace_end));
+        self.is_new_era = false;
     }
 
-    /// Marks the store as reachable.
-    pub fn mark_store_reachable(&mut self, now: Time) {
-        if std::mem::take(&mut self.is_store_unreachable) {
-            self.store_recovered = Some(now);
+    /// Records that the store was available to others at `returned`, so that rows which are still missing after the grace
+    /// period from then on were removed.
+    pub fn record_store_returned(&mut self, returned: Time) {
+        let grace_end = returned.plus(LAPSE_GRACE);
+        if self.is_new_era || self.grace_end.is_none_or(|known| known <= grace_end) {
+            return;
         }
+        self.grace_end = Some(grace_end);
+        let lapsed = self.records.values_mut().filter_map(|record| record.expires.as_mut());
+        lapsed.for_each(|expires| *expires = grace_end.min(*expires));
     }
 
     /// Returns the evacuated zones.
@@ -168,7 +182,10 @@
         }
         if position.is_later_era_than(self.position) {
             // Endpoints whose registration the store has lost write it again.
-            self.store_recovered = Some(now);
+            let bound = self.cut_grace_end.filter(|bound| *bound > now);
+            let grace_end = now.plus(LAPSE_GRACE);
+            self.grace_end = Some(bound.map_or(grace_end, |bound| bound.min(grace_end)));
+            self.is_new_era = true;
         }
         self.position = self.position.max(position);
         let newest_row = rows.iter().map(|row| row.position).max().unwrap_or_default();
@@ -313,7 +330,7 @@
 
     /// Returns until when endpoints whose rows lapse now stay in use; `None` if they do not.
     fn lapse_grace(&self, now: Time) -> Option<Time> {
-        self.store_recovered.map(|recovered| recovered.plus(LAPSE_GRACE)).filter(|until| *until > now)
+        self.grace_end.filter(|until| *until > now)
     }
 
     fn remove_row(
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -27,6 +27,7 @@
     budget::{Budget, Rule},
     catalog::{Catalog, Customer, Engine},
     cold::Tolerance,
+    contact::Contact,
     digest::{Member, Peers},
     directory::{Change, Directory, Endpoint, Row},
     fairness::Fairness,
@@ -139,6 +140,7 @@
     catalog: Option<Arc<Catalog>>,
     /// Versions read from the store and known to peers.
     staleness: Staleness,
+    contact: Contact,
     directory: Directory,
     /// Endpoints that take only few requests, and when this replica may send to them.
     gate: Gate,
@@ -189,6 +191,7 @@
             identity,
             catalog: None,
             staleness: Staleness::default(),
+            contact: Contact::default(),
             directory: Directory::default(),
             gate: Gate::default(),
             limits: Limits::default(),
@@ -253,6 +256,7 @@
             self.loads.remove_peer(peer);
             self.waiting_peers.remove(peer);
             self.suspects.remove_peer(peer);
+            self.contact.remove_peer(peer);
             self.loans.remove_peer(peer);
             self.pools.remove_peer(peer);
             self.forecasts.remove_peer(peer);
--- a/crates/core/src/gateway/state/peers.rs
+++ b/crates/core/src/gateway/state/peers.rs
@@ -57,6 +57,7 @@
             return false;
         }
         self.staleness.record_peer(now, digest.versions);
+        self.apply_contact(now, &digest.name, digest.contact);
         self.merge_evacuations(now, &digest.evacuations);
         self.apply_departures(now, &digest.departures);
         let names = digest.members.iter().map(|member| &member.name).chain([&digest.name]);
@@ -150,6 +151,7 @@
             speeds: if is_full { self.forecasts.take_speeds(now) } else { BTreeMap::new() },
             demands: if is_full { self.demands(now) } else { BTreeMap::new() },
             versions: self.staleness.own(),
+            contact: self.contact.report(now),
             evacuations: self.directory.evacuations().report(now),
             departures: self.directory.departures().collect(),
             observed: if is_full { self.history.span(now) } else { Duration::ZERO },
--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -11,6 +11,7 @@
     clock::Time,
     gateway::{
         catalog::Catalog,
+        contact,
         digest::Member,
         directory::{Change, Departure, Row},
         evacuation::{self, Evacuations},
@@ -102,11 +103,31 @@
 
     /// Applies a list of endpoints read from the store.
     pub fn apply_listing(&mut self, now: Time, listing: Listing) -> Vec<Change> {
-        self.directory.mark_store_reachable(now);
+        self.contact.record_read(now);
         self.history.record_read(now, self.has_gap(&listing));
         self.update_directory(now, listing)
     }
 
+    /// Records that the list of endpoints can be read again, after a call that began at `last_failure` and failed. Returns by
+    /// when the store was available to a peer, if one says so.
+    pub fn record_store_recovered(&mut self, now: Time, last_failure: Time) -> Option<Time> {
+        self.directory.record_store_recovered(now, last_failure);
+        self.limit_grace()
+    }
+
+    /// Shortens the use of endpoints whose rows have lapsed if the store was available to a peer before.
+    fn limit_grace(&mut self) -> Option<Time> {
+        let returned = self.contact.returned()?;
+        self.directory.record_store_returned(returned);
+        Some(returned)
+    }
+
+    /// Applies what a peer says of its contact with the store.
+    pub(super) fn apply_contact(&mut self, now: Time, peer: &Arc<str>, report: Option<contact::Report>) {
+        self.contact.apply_peer(now, peer, report);
+        self.limit_grace();
+    }
+
     /// Returns whether endpoints may have come and gone since the last list.
     fn has_gap(&self, listing: &Listing) -> bool {
         let is_read_again = listing.is_complete && self.directory.is_loaded();
@@ -183,9 +204,9 @@
         self.suspects.mark_lost();
     }
 
-    /// Records that the store is unreachable.
-    pub fn mark_store_unreachable(&mut self) {
-        self.directory.mark_store_unreachable();
+    /// Records that the list of endpoints cannot be read.
+    pub fn mark_store_unreachable(&mut self, now: Time) {
+        self.contact.record_loss(now);
         self.history.mark_store_unreachable();
     }
 
--- a/crates/core/tests/gateway/directory.rs
+++ b/crates/core/tests/gateway/directory.rs
@@ -68,8 +68,7 @@
         position(1),
         vec![row(1, endpoint("e-1", Stage::Whole)), row(1, endpoint("e-2", Stage::Whole))],
     );
-    directory.mark_store_unreachable();
-    directory.mark_store_reachable(at(6_000));
+    directory.record_store_recovered(at(6_000), at(5_600));
     let changes =
         directory.update(at(6_000), position(5), vec![removed_row(4, "e-1"), removed_row(5, "e-2")]);
     assert!(matches!(changes[..], [Change::Lapsed(_), Change::Lapsed(_)]), "{changes:?}");
@@ -161,8 +160,7 @@
 fn a_lapsed_endpoint_that_leaves_is_reported_as_removed() {
     let mut directory = Directory::default();
     directory.update(at(0), position(1), vec![row(1, endpoint("e-1", Stage::Whole))]);
-    directory.mark_store_unreachable();
-    directory.mark_store_reachable(at(10));
+    directory.record_store_recovered(at(10), at(10));
     let changes = directory.update(at(11), position(2), vec![removed_row(2, "e-1")]);
     assert!(matches!(changes[..], [Change::Lapsed(_)]), "{changes:?}");
     directory.mark_leaving("e-1", 1);
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -42,7 +42,7 @@
     Command, Control, FORECAST_PROMPT_TOKENS, Permit, Permits, PermitsResult, ReplySender, Shared, lock,
     shutting_down,
 };
-use crate::edge::Update;
+use crate::edge::{Table, Update};
 
 /// Interval of expiring state.
 const TICK: Duration = Duration::from_millis(100);
@@ -660,11 +660,23 @@
             }
             Update::MembersRead => self.state.mark_members_read(now),
             Update::Era(era) => self.record_era(now, era),
-            Update::StoreLost { what, reason } => {
+            Update::StoreLost { table, reason } => {
+                let what: &'static str = table.into();
                 spdlog::warn!("store lost", kv: { what, reason = reason.as_str() });
-                self.state.mark_store_unreachable();
+                if table == Table::Endpoints {
+                    self.state.mark_store_unreachable(now);
+                }
+            }
+            Update::StoreRecovered { table, since_failure } => {
+                let returned = match table {
+                    Table::Configuration => None,
+                    Table::Endpoints => self.state.record_store_recovered(now, now.minus(since_failure)),
+                };
+                let (what, since_failure_ms): (&'static str, u64) =
+                    (table.into(), since_failure.as_millis() as u64);
+                let peer_contact_ms = returned.map_or(0, |returned| now.since(returned).as_millis() as u64);
+                spdlog::info!("store recovered", kv: { what, since_failure_ms, peer_contact_ms });
             }
-            Update::StoreRecovered { what } => spdlog::info!("store recovered", kv: { what }),
         }
         if self.state.is_ready() {
             self.initializing = None;
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
+use strum::{Display, IntoStaticStr};
 use tarragonhill_core::{
     Refusal,
     gateway::{
@@ -274,16 +275,28 @@
     MembersRead,
     /// The era of the store was read: the first one, or a new one, in which the store has come back from a copy.
     Era(u64),
-    /// The store became unreachable.
+    /// A table of the store became unreachable.
     StoreLost {
-        /// Part of the store that could not be read.
-        what: &'static str,
+        /// The table.
+        table: Table,
         /// Cause of the failure.
         reason: String,
     },
-    /// The store is reachable again.
+    /// A table of the store can be read again. Sent before what was read.
     StoreRecovered {
-        /// Part of the store that is read again.
-        what: &'static str,
+        /// The table.
+        table: Table,
+        /// Time since the last call that failed began.
+        since_failure: Duration,
     },
 }
+
+/// A table of the store that replicas follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Table {
+    /// Configuration and evacuations.
+    Configuration,
+    /// Endpoints.
+    Endpoints,
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -365,7 +365,10 @@
 async fn apply_updates(updates: Receiver<Update>, context: Arc<Context>) {
     while let Ok(update) = updates.recv().await {
         match &update {
-            Update::StoreLost { what, .. } => context.metrics.store_losses.with_label_values(&[what]).inc(),
+            Update::StoreLost { table, .. } => {
+                let table: &'static str = (*table).into();
+                context.metrics.store_losses.with_label_values(&[table]).inc();
+            }
             Update::InvalidRow { what, .. } => context.metrics.invalid_rows.with_label_values(&[what]).inc(),
             _ => {}
         }
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -9,6 +9,7 @@
 use tarragonhill_core::{
     clock::micros,
     gateway::{
+        contact,
         digest::{Digest, Member, Share, StageChange},
         directory::Departure,
         evacuation,
@@ -87,6 +88,10 @@
                 .collect(),
             configuration: digest.versions.configuration.position.version(),
             endpoints: digest.versions.endpoints.version(),
+            contact: digest.contact.map(|contact::Report { since, last_read }| proto::Contact {
+                since_ms: millis(since),
+                last_read_ms: millis(last_read),
+            }),
             configuration_number: digest.versions.configuration.version,
             configuration_era: digest.versions.configuration.position.era(),
             endpoints_era: digest.versions.endpoints.era(),
@@ -101,6 +106,10 @@
     }
 }
 
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Encodes a member; the sender's name is left out, since the digest has it.
 fn encode_member(digest: &Digest, member: &Member) -> proto::Member {
     let mut encoded = proto::Member::from(member);
@@ -346,6 +355,10 @@
                 },
                 endpoints: Position::new(digest.endpoints_era, digest.endpoints),
             },
+            contact: digest.contact.map(|proto::Contact { since_ms, last_read_ms }| contact::Report {
+                since: Duration::from_millis(since_ms.into()),
+                last_read: Duration::from_millis(last_read_ms.into()),
+            }),
             departures: digest.departures.into_iter().map(Departure::from).collect(),
             evacuations: decode_evacuations(digest.evacuations),
             limits: digest.limits.into_iter().map(decode_limit).collect(),
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -465,6 +465,17 @@
     /// Empty in most digests.
     #[prost(message, repeated, tag = "28")]
     pub demands: ::prost::alloc::vec::Vec<Demand>,
+    /// Absent while the sender cannot read the endpoints from the store.
+    #[prost(message, optional, tag = "29")]
+    pub contact: ::core::option::Option<Contact>,
+}
+/// For how long the sender has read the store without interruption, and the time since its newest read.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Contact {
+    #[prost(uint32, tag = "1")]
+    pub since_ms: u32,
+    #[prost(uint32, tag = "2")]
+    pub last_read_ms: u32,
 }
 /// Requests of one service and urgency that wait for memory. `due_us` is the time until the first of them has to start.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/tests/digest.rs
+++ b/crates/wire/tests/digest.rs
@@ -11,6 +11,7 @@
         catalog::{Catalog, Customer, Engine, Limits, Service},
         cold::Tolerance,
         completion::Completion,
+        contact,
         digest::{Digest, Member, Share, StageChange},
         directory::{Departure, Endpoint, Row, Stage},
         evacuation::{self, Former},
@@ -63,6 +64,10 @@
     let share = Share { running: 2, memory: 16_000, growth: Growth([16_000; 8]), ..Share::default() };
     let trend = Some(Trend { base: 0.01, slope: 1e-5 });
     Digest {
+        contact: Some(contact::Report {
+            since: Duration::from_secs(90),
+            last_read: Duration::from_millis(1_250),
+        }),
         evacuations: evacuations(),
         name: name.into(),
         incarnation: 9,
