Gateway: bounds in memory and time on all that endpoints send

Cause: timeouts covered the head of a response and limits the length of what is kept. Nothing covered a body that goes on; each byte of an event that never ended restarted its clock, and the whole event was searched again with each part.

Change: each read of a whole body takes a bound in bytes and time. A head ends within 2 s of its first byte. An event has at most 1 MB and the time from the last event on. What is read only to reuse a connection, or belongs to another request, is discarded, 64 KB or 0.25 s and 16 MB or 2 s. One response holds at most half of what the gateway may hold.

Why it works: every read from an endpoint has both bounds, and the time of one that has no other is that of its call.

One of held.rs for the share of a response.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, OnceLock},
     time::{Duration, Instant},
 };
 
@@ -24,6 +24,8 @@
 
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval at which bytes without an end are sent slowly.
+const SLOW_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay of [`Fault::RefuseLate`]; longer than the hedging delay of the gateway.
 const LATE_REFUSAL_DELAY: Duration = Duration::from_millis(700);
 /// Period in which requests to an endpoint that has named a limit are counted.
@@ -109,6 +111,50 @@
     pub received_at: Instant,
 }
 
+/// Bytes without an end that an endpoint sends in place of a response, until the caller closes the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
+pub enum Endless {
+    /// Bytes that begin no head.
+    Bytes,
+    /// Fields of a head.
+    Head,
+    /// The body of a successful response that ends with its connection, without an event.
+    Body,
+    /// The same in chunks.
+    Chunks,
+    /// The body of a refusal.
+    Refusal,
+}
+
+/// How fast an endpoint sends bytes without an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
+pub enum Pace {
+    /// As fast as the caller reads.
+    Fast,
+    /// A few bytes at a time.
+    Slow,
+}
+
+/// Responses without an end to some calls, by the first of several endpoints that gets one.
+#[derive(Clone, Debug)]
+pub struct EndlessFault {
+    /// Beginning of the paths of the calls.
+    pub path: &'static str,
+    /// What is sent.
+    pub endless: Endless,
+    /// How fast.
+    pub pace: Pace,
+    /// The endpoint that got the first call.
+    pub endpoint: Arc<OnceLock<Arc<str>>>,
+}
+
+impl EndlessFault {
+    /// Returns whether an endpoint responds to a call without an end.
+    fn concerns(&self, endpoint: &Arc<str>, path: &str) -> bool {
+        path.starts_with(self.path) && self.endpoint.get_or_init(|| endpoint.clone()) == endpoint
+    }
+}
+
 /// Where in a response an endpoint crashes. Calls have no events; there, those points are in the middle of the body.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CrashPoint {
@@ -184,6 +230,10 @@
     crashing_body: Option<Vec<u8>>,
     /// Where in the response it crashes.
     crash_point: CrashPoint,
+    /// Responses without an end, if it sends some.
+    endless: Option<EndlessFault>,
+    /// Responses without an end whose connections callers have closed.
+    closed_endless: u32,
     /// When the process crashed.
     crashed_at: Option<Instant>,
     /// Accepted orders: holder and fencing token.
@@ -428,6 +478,16 @@
         lock(&self.state).crashing_parts = parts.iter().map(|part| (*part).into()).collect();
     }
 
+    /// Makes the process respond without an end.
+    pub fn set_endless(&self, fault: EndlessFault) {
+        lock(&self.state).endless = Some(fault);
+    }
+
+    /// Returns the number of responses without an end whose connections callers have closed.
+    pub fn closed_endless(&self) -> u32 {
+        lock(&self.state).closed_endless
+    }
+
     /// Makes the process crash in the response to requests with this body.
     pub fn set_crashing_body(&self, body: &[u8]) {
         lock(&self.state).crashing_body = Some(body.into());
@@ -528,6 +588,12 @@
 
     async fn respond(self, connection: Connection) -> (Connection, Action) {
         lock(&self.state).calls.push(self.head.clone());
+        let endless = lock(&self.state).endless.clone();
+        if let Some(EndlessFault { endless, pace, .. }) =
+            endless.filter(|fault| fault.concerns(&self.id, self.head.path()))
+        {
+            return self.send_endless(connection, endless, pace).await;
+        }
         let expected = self.head.fields.get("Tarragonhill-Expected-Instance");
         let is_replaced = lock(&self.state).fault == Fault::Replaced;
         if is_replaced || expected.is_some_and(|expected| expected != &*self.id) {
@@ -557,6 +623,45 @@
         }
     }
 
+    async fn send_endless(
+        self,
+        mut connection: Connection,
+        endless: Endless,
+        pace: Pace,
+    ) -> (Connection, Action) {
+        self.record(endless != Endless::Refusal);
+        let status = if endless == Endless::Refusal { 503 } else { 200 };
+        let mut head = self.new_head(status, status == 200);
+        match endless {
+            Endless::Refusal => head.fields.push("Tarragonhill-Not-Executed", "1"),
+            Endless::Chunks => head.fields.push("Transfer-Encoding", "chunked"),
+            Endless::Bytes | Endless::Head | Endless::Body => {}
+        }
+        let mut begin = match endless {
+            Endless::Bytes => Vec::new(),
+            _ => head.encode(),
+        };
+        if endless == Endless::Head {
+            // The empty line that ends the head.
+            begin.truncate(begin.len() - 2);
+        }
+        let count = if pace == Pace::Fast { 512 } else { 1 };
+        let more = match endless {
+            Endless::Head => b"X-Padding: 12345\r\n".repeat(count),
+            Endless::Chunks => chunk(b"bytes of no event").repeat(count),
+            Endless::Bytes | Endless::Body | Endless::Refusal => b"no response.".repeat(count),
+        };
+        let mut is_open = connection.write(&begin).await.is_ok();
+        while is_open {
+            is_open = connection.write(&more).await.is_ok();
+            if pace == Pace::Slow {
+                task::sleep(SLOW_INTERVAL).await;
+            }
+        }
+        lock(&self.state).closed_endless += 1;
+        (connection, Action::Close)
+    }
+
     async fn reserve(self, connection: Connection) -> (Connection, Action) {
         let refusal = lock(&self.state).take_reservation_refusal();
         if refusal.is_some() {
--- a/crates/core/src/gateway/held.rs
+++ b/crates/core/src/gateway/held.rs
@@ -34,6 +34,14 @@
             Self::Response => 1.0,
         }
     }
+
+    /// Returns the part of the bound that one holder may have: a response without an end must leave room for others.
+    fn largest_share(self) -> f64 {
+        match self {
+            Self::Response => 0.5,
+            Self::Backlog | Self::ReadAhead | Self::Request => 1.0,
+        }
+    }
 }
 
 /// Refusal to hold more.
@@ -71,9 +79,10 @@
 
     /// Holds `added` bytes more for a holder that has `own` bytes already, or none of them.
     pub fn hold(&mut self, purpose: Purpose, own: u64, added: u64) -> Result<(), Exceeded> {
-        let total = self.held.saturating_add(added);
-        let limit = self.bound.map(|bound| (bound as f64 * purpose.share(own.saturating_add(added))) as u64);
-        if limit.is_some_and(|limit| total > limit) {
+        let (total, holder) = (self.held.saturating_add(added), own.saturating_add(added));
+        let exceeds =
+            |share: f64, bytes: u64| self.bound.is_some_and(|bound| bytes > (bound as f64 * share) as u64);
+        if exceeds(purpose.largest_share(), holder) || exceeds(purpose.share(holder), total) {
             let is_first = !std::mem::replace(&mut self.is_reached, true);
             return Err(Exceeded { is_first });
         }
--- a/crates/core/tests/gateway/held.rs
+++ b/crates/core/tests/gateway/held.rs
@@ -33,6 +33,19 @@
     assert!(ledger.hold(Purpose::Request, SMALL_REQUEST_BYTES, SMALL_REQUEST_BYTES).is_err());
 }
 
+/// Guards against a response without an end that takes all that may be held.
+#[test]
+fn a_response_without_an_end_leaves_room_for_others() {
+    let mut ledger = Ledger::new(Some(MEMORY));
+    let bound = ledger.bound().expect("a bound");
+    let mut held = 0;
+    while ledger.hold(Purpose::Response, held, LARGE).is_ok() {
+        held += LARGE;
+    }
+    assert!(held <= bound / 2 && held > bound / 2 - LARGE, "{held} of {bound}");
+    assert_eq!(ledger.hold(Purpose::Response, 0, LARGE), Ok(()));
+}
+
 /// Guards against bytes that stay counted, and against a log line for each refusal.
 #[test]
 fn refusals_take_nothing_and_the_first_is_marked_until_the_bound_is_far() {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -28,7 +28,7 @@
 use crate::{
     control::{Block, Control},
     edge::{Dialect, Dispatch, Message, Metadata, Task},
-    exchange::{Client, Exchange, Failure, Recipient},
+    exchange::{Bound, Client, Exchange, Failure, Recipient},
     held::Held,
     liveness::Checks,
     metrics::Metrics,
@@ -96,7 +96,7 @@
         let context = self.clone();
         async_std::task::spawn(async move {
             match context.client().send_message(&endpoint, &message, DETACHED_TIMEOUT).await {
-                Ok(exchange) => drop(exchange.read_whole().await),
+                Ok(exchange) => drop(exchange.read_whole(Bound::message(DETACHED_TIMEOUT)).await),
                 Err(failure) => {
                     spdlog::debug!("sending a release failed", kv: { endpoint = &*endpoint.id, reason = failure.to_string().as_str() });
                 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -45,8 +45,17 @@
 /// rarely taken.
 const MAX_TURN_WAIT: Duration = Duration::from_millis(600);
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Limit on a body that is read whole.
+/// Time from the first byte of a head to its end. Endpoints send heads whole.
+const HEAD_TIME: Duration = Duration::from_secs(2);
+/// Limit on the body of a response that is relayed.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Limit on the body of a response to a message of the gateway's own.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Limits on a body that is only read so that its connection can be reused.
+const MAX_SKIPPED_BYTES: usize = 64 << 10;
+const SKIP_TIME: Duration = Duration::from_millis(250);
+/// Time for the body of a response to another request.
+const UNRELATED_BODY_TIME: Duration = Duration::from_secs(2);
 /// Maximum responses skipped on one connection because they belong to other requests or are informational.
 const MAX_SKIPPED_RESPONSES: u32 = 2;
 
@@ -114,6 +123,25 @@
     _guard: Guard,
 }
 
+/// How much of a body is read, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bound {
+    bytes: usize,
+    time: Duration,
+}
+
+impl Bound {
+    /// Returns the bound on a response that is relayed.
+    pub(crate) fn response(time: Duration) -> Self {
+        Self { bytes: MAX_BODY_BYTES, time }
+    }
+
+    /// Returns the bound on a response to a message of the gateway's own.
+    pub(crate) fn message(time: Duration) -> Self {
+        Self { bytes: MAX_MESSAGE_BYTES, time }
+    }
+}
+
 /// Exchange whose response head has been read.
 pub(crate) struct Exchange<'a> {
     pub(crate) head: Response,
@@ -144,13 +172,21 @@
         self.connection.read_part(&mut self.decoder).await.map_err(Failure::Connection)
     }
 
-    /// Reads the whole body and returns the connection to the pool.
-    pub(crate) async fn read_whole(mut self) -> Result<Answer, Failure> {
+    /// Reads the whole body within a bound and returns the connection to the pool. Bytes that are no response may come without
+    /// an end.
+    pub(crate) async fn read_whole(self, bound: Bound) -> Result<Answer, Failure> {
+        timeout(bound.time, self.read_up_to(bound.bytes)).await.unwrap_or(Err(Failure::Timeout))
+    }
+
+    async fn read_up_to(mut self, limit: usize) -> Result<Answer, Failure> {
+        if matches!(self.framing, Framing::Length(length) if length > limit as u64) {
+            return Err(Failure::Connection(Error::TooLarge));
+        }
         let mut guard = self.held.guard(Purpose::Response);
         let mut body = BytesMut::new();
         while let Some(part) = self.next_chunk().await? {
             let length = body.len() + part.len();
-            if length > MAX_BODY_BYTES {
+            if length > limit {
                 return Err(Failure::Connection(Error::TooLarge));
             }
             guard.set(length).map_err(|_| Failure::InvalidResponse(OVER_BOUND))?;
@@ -167,6 +203,14 @@
         Ok(answer)
     }
 
+    /// Reads the rest of a body that nobody needs, if it is short, and returns the connection to the pool.
+    pub(crate) async fn skip(mut self) {
+        let skipped = self.connection.skip_body(&mut self.decoder, MAX_SKIPPED_BYTES);
+        if let Ok(Ok(())) = timeout(SKIP_TIME, skipped).await {
+            self.recycle();
+        }
+    }
+
     /// Returns a guard for what is held of the response.
     pub(crate) fn guard(&self) -> Guard {
         self.held.guard(Purpose::Response)
@@ -181,7 +225,7 @@
 
     /// Reads the whole body and returns it with the connection, if that can carry another request.
     async fn into_body(mut self) -> Result<(Bytes, Option<Connection>), Failure> {
-        let body = self.connection.read_body(&mut self.decoder, MAX_BODY_BYTES).await;
+        let body = self.connection.read_body(&mut self.decoder, MAX_MESSAGE_BYTES).await;
         let body = body.map_err(Failure::Connection)?;
         let is_reusable = self.is_sent && self.decoder.is_done() && self.head.keeps_alive();
         Ok((body, is_reusable.then_some(self.connection)))
@@ -302,7 +346,8 @@
         }
     }
 
-    /// Sends a message of the gateway's own and waits for the response head, for at most `limit`.
+    /// Sends a message of the gateway's own and waits for the response head, for at most `limit`. The body is read with
+    /// [`Bound::message`].
     pub(crate) async fn send_message(
         self,
         endpoint: &'a Endpoint,
@@ -351,7 +396,9 @@
             // Informational, or a late response to an earlier request on this connection.
             let is_unrelated = response.status < 200 || id.is_some() && reply.id.as_deref() != id;
             if is_unrelated && (response.status < 200 || reply.id.is_some()) {
-                connection.read_body(&mut decoder, MAX_BODY_BYTES).await.map_err(Failure::Connection)?;
+                let skipped = connection.skip_body(&mut decoder, MAX_BODY_BYTES);
+                let skipped = timeout(UNRELATED_BODY_TIME, skipped).await.unwrap_or(Err(Error::TooSlow));
+                skipped.map_err(Failure::Connection)?;
                 continue;
             }
             if is_unrelated && response.status < 400 {
@@ -504,7 +551,7 @@
     connection: &mut Connection,
     writing: &mut PendingWrite<'_>,
 ) -> Result<Response, Error> {
-    let mut reading = pin!(connection.read_response(MAX_HEAD_BYTES));
+    let mut reading = pin!(connection.read_prompt_response(MAX_HEAD_BYTES, HEAD_TIME));
     poll_fn(|cx| {
         writing.poll(cx);
         match reading.as_mut().poll(cx) {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -212,7 +212,7 @@
     move |error| match error {
         Error::Malformed(_) => Some(400),
         Error::TooLarge => Some(too_large),
-        Error::Closed | Error::Truncated | Error::Io(_) => None,
+        Error::Closed | Error::Truncated | Error::TooSlow | Error::Io(_) => None,
     }
 }
 
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -14,7 +14,7 @@
 use crate::{
     context::Context,
     edge::{Claims, Message, Report, StageChange},
-    exchange::Answer,
+    exchange::{Answer, Bound},
 };
 
 /// Response timeout for reports and orders.
@@ -112,6 +112,7 @@
     if exchange.reply.is_leaving {
         return Err("the endpoint is leaving".into());
     }
-    let Answer { head, body, .. } = exchange.read_whole().await.map_err(|failure| failure.to_string())?;
+    let read = exchange.read_whole(Bound::message(RESPONSE_TIMEOUT)).await;
+    let Answer { head, body, .. } = read.map_err(|failure| failure.to_string())?;
     Ok((head.status, body))
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -33,7 +33,9 @@
     context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late},
     control::Permit,
     edge::{Decode, Task},
-    exchange::{Answer, Exchange, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
+    exchange::{
+        Answer, Bound, Exchange, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome,
+    },
     shutdown::Phase,
 };
 
@@ -463,7 +465,8 @@
 ) -> Result<Upstream<'a>, Abort> {
     inbound.mark_sent();
     let (began, start) = (context.clock.now(), Start::of(&task));
-    let sent = inbound.send(context, endpoint, task, inbound.route.stall_timeout + STALL_TIMEOUT_SLACK).await;
+    let limit = inbound.route.stall_timeout + STALL_TIMEOUT_SLACK;
+    let sent = inbound.send(context, endpoint, task, limit).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(Failure::Blocked(block)) => {
@@ -496,8 +499,7 @@
             endpoint,
             Outcome::ReservationRejected,
         ));
-        // Reading the body allows the connection to be reused.
-        let _ = exchange.read_whole().await;
+        exchange.skip().await;
         return Err(if status == MISDIRECTED {
             Abort::Misdirected { reason, prefilled: None }
         } else {
@@ -510,7 +512,7 @@
     }
     permit.finish(Outcome::Failed);
     let is_error_response = exchange.reply.is_signed && status >= 400 && !is_not_run_status(status);
-    match exchange.read_whole().await {
+    match exchange.read_whole(Bound::response(limit)).await {
         Ok(answer) if is_error_response => Err(Abort::ErrorResponse(answer)),
         Ok(_) => Err(Abort::MayHaveRun(format!("{}: invalid response, status {status}", endpoint.id))),
         Err(failure) => Err(Abort::MayHaveRun(format!("{}: {failure}", endpoint.id))),
--- a/crates/gateway/src/stream/events.rs
+++ b/crates/gateway/src/stream/events.rs
@@ -1,9 +1,11 @@
 //! Parsing of server-sent events.
 
-/// Returns the length of the complete events in `bytes`, or `None` if there are none.
-pub(super) fn complete_length(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+/// Returns the length of the complete events in `bytes`, or `None` if there are none. The first `searched` bytes are known to
+/// have none.
+pub(super) fn complete_length(bytes: &[u8], searched: usize) -> Option<usize> {
+    let from = searched.saturating_sub(3);
+    let lf = bytes[from..].windows(2).rposition(|pair| pair == b"\n\n").map(|at| from + at + 2);
+    let crlf = bytes[from..].windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| from + at + 4);
     lf.max(crlf)
 }
 
--- a/crates/gateway/src/stream/placement.rs
+++ b/crates/gateway/src/stream/placement.rs
@@ -14,7 +14,7 @@
 use crate::{
     context::{Context, Inbound},
     control::{Permit, Permits},
-    exchange::{Answer, Failure},
+    exchange::{Answer, Bound, Failure},
 };
 
 /// Response timeout for a reservation.
@@ -135,7 +135,8 @@
     if exchange.is_replaced() {
         return Err(ReserveError::Replaced);
     }
-    let Answer { head, body, .. } = exchange.read_whole().await.map_err(unreachable)?;
+    let Answer { head, body, .. } =
+        exchange.read_whole(Bound::message(RESERVE_TIMEOUT)).await.map_err(unreachable)?;
     match (head.status, context.dialect.decode_reservation(&body)) {
         (200, Some(name)) => {
             Ok(Some(Guard { context: context.clone(), endpoint: endpoint.clone(), kind: Kind::Memory(name) }))
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -15,7 +15,7 @@
     context::{Context, Inbound},
     control::Permit,
     edge::Task,
-    exchange::{Answer, Failure, MISDIRECTED, not_run_outcome},
+    exchange::{Answer, Bound, Failure, MISDIRECTED, not_run_outcome},
 };
 
 /// Maximum endpoints that are tried for one prompt.
@@ -76,7 +76,7 @@
     let began = context.clock.now();
     let sent = inbound.send(context, endpoint, Task::Prefill, permit.prefill_timeout).await;
     let exchanged = match sent {
-        Ok(exchange) => exchange.read_whole().await,
+        Ok(exchange) => exchange.read_whole(Bound::message(permit.prefill_timeout)).await,
         Err(failure) => Err(failure),
     };
     match exchanged {
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -33,6 +33,9 @@
 /// How much longer than the caller the gateway waits for an event.
 pub(super) const STALL_TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 
+/// Longest part of an event that is kept until the rest comes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Minimum interval at which a stream's event rate is recorded. Short enough to follow a change of speed
 /// during a stream, and much longer than the time between events.
 const RECORD_INTERVAL: Duration = Duration::from_millis(250);
@@ -78,8 +81,10 @@
     let mut buffer = BytesMut::new();
     let mut guard = exchange.guard();
     let mut pending = PendingEvents { since: None, events: 0 };
+    // Since when an event is awaited. Bytes that end none are no progress.
+    let mut quiet_since = context.clock.now();
     loop {
-        let next = next_step(context, inbound, &mut exchange, progress, &permit);
+        let next = next_step(context, inbound, &mut exchange, progress, &permit, quiet_since);
         let step = writer.while_writing(pin!(next)).await;
         let chunk = match step.map_err(Interruption::CallerDisconnected)? {
             Step::Chunk(chunk) => chunk,
@@ -134,12 +139,21 @@
             }
             return Ok(());
         };
+        let searched = buffer.len();
         buffer.extend_from_slice(&chunk);
         if guard.set(buffer.len()).is_err() {
             let reason = format!("{}: {OVER_BOUND}", permit.endpoint.id);
             return Err(Interruption::EndpointFailed(reason));
         }
-        let Some(length) = complete_length(&buffer) else { continue };
+        let Some(length) = complete_length(&buffer, searched) else {
+            let silence = context.clock.now().since(quiet_since);
+            if buffer.len() <= MAX_EVENT_BYTES && silence < stall_timeout(inbound) {
+                continue;
+            }
+            let reason = format!("{}: an event without an end", permit.endpoint.id);
+            permit.finish(Outcome::Failed);
+            return Err(Interruption::EndpointFailed(reason));
+        };
         let events = buffer.split_to(length);
         if let Some(id) = last_id(&events) {
             progress.last_event = Some(id.into());
@@ -159,6 +173,7 @@
         }
         pending.add(now, count, &permit);
         writer.write_chunk(&events).await.map_err(Interruption::CallerDisconnected)?;
+        quiet_since = context.clock.now();
     }
 }
 
@@ -210,14 +225,16 @@
     exchange: &mut Exchange<'_>,
     progress: &Progress,
     permit: &Permit,
+    quiet_since: Time,
 ) -> Step {
-    let limit = inbound.route.stall_timeout + STALL_TIMEOUT_SLACK;
+    let silence = context.clock.now().since(quiet_since);
+    let limit = stall_timeout(inbound).saturating_sub(silence);
     let chunk = async { timeout(limit, exchange.next_chunk()).await.unwrap_or(Err(Failure::Timeout)).into() };
     if !progress.may_retry_after_failure(inbound) {
         return chunk.await;
     }
     let replacement = async {
-        async_std::task::sleep(stall_delay(inbound)).await;
+        async_std::task::sleep(stall_delay(inbound).saturating_sub(silence)).await;
         let mut progress = progress.clone();
         progress.avoid.push(permit.endpoint.id.clone());
         match place(context, inbound, &progress).await {
@@ -228,6 +245,11 @@
     chunk.or(replacement).await
 }
 
+/// Returns how long an event is awaited.
+fn stall_timeout(inbound: &Inbound) -> Duration {
+    inbound.route.stall_timeout + STALL_TIMEOUT_SLACK
+}
+
 /// Returns how long a resumable stream may be silent before another endpoint is sought.
 fn stall_delay(inbound: &Inbound) -> Duration {
     let gap = inbound.route.target_gap;
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -18,7 +18,7 @@
     context::{Context, Inbound, ends_too_late},
     control::Permit,
     edge::Task,
-    exchange::{Answer, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
+    exchange::{Answer, Bound, Failure, MISDIRECTED, OVER_BUDGET, is_not_run_status, not_run_outcome},
 };
 
 /// Fraction of the route's latency target after which an idempotent request is hedged; leaves time for the
@@ -178,7 +178,8 @@
     let exchanged = match sent {
         Ok(exchange) => {
             permit.record_response();
-            exchange.read_whole().await
+            let left = inbound.deadline.since(context.clock.now());
+            exchange.read_whole(Bound::response(left)).await
         }
         Err(failure) => Err(failure),
     };
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -31,6 +31,8 @@
     Malformed(Malformed),
     /// The head or body exceeds the caller's limit.
     TooLarge,
+    /// A head that had begun did not end in time.
+    TooSlow,
 }
 
 impl fmt::Display for Error {
@@ -41,6 +43,7 @@
             Self::Io(error) => write!(f, "connection broke: {error}"),
             Self::Malformed(reason) => write!(f, "malformed message: {reason}"),
             Self::TooLarge => f.write_str("message too large"),
+            Self::TooSlow => f.write_str("message too slow"),
         }
     }
 }
@@ -137,6 +140,14 @@
         self.read_head(limit, Response::parse).await
     }
 
+    /// Does the same. The head has to end within `time` of its first byte, however long that takes to come.
+    pub async fn read_prompt_response(&mut self, limit: usize, time: Duration) -> Result<Response, Error> {
+        if self.buffer.is_empty() && self.fill().await? == 0 {
+            return Err(Error::Closed);
+        }
+        timeout(time, self.read_response(limit)).await.unwrap_or(Err(Error::TooSlow))
+    }
+
     async fn read_head<T>(&mut self, limit: usize, parse: Parser<T>) -> Result<T, Error> {
         loop {
             if let Some((head, length)) = parse(&self.buffer)? {
@@ -180,6 +191,18 @@
         Ok(body.freeze())
     }
 
+    /// Reads the rest of a body, at most `limit` bytes, and discards it.
+    pub async fn skip_body(&mut self, decoder: &mut Decoder, limit: usize) -> Result<(), Error> {
+        let mut skipped = 0;
+        while let Some(part) = self.read_part(decoder).await? {
+            skipped += part.len();
+            if skipped > limit {
+                return Err(Error::TooLarge);
+            }
+        }
+        Ok(())
+    }
+
     /// Writes all of `bytes`.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
