Gateway: keep connections with unnamed refusals from callers' requests

Cause: an answer of status 400 and above without a request id was taken for the answer to the request that was sent last. Endpoints echo ids, but refuse without one, so that it cannot be told from a second copy.

Change: a connection remembers what it has carried without an id. Callers' requests are sent on none that has carried such a refusal; the gateway's own calls go on using those. An answer below 400 without an id is skipped where one was due to an own call before; own calls skip named answers.

Why it works: an endpoint repeats an answer on the connection it was sent on. On those that remain, the only refusal without an id that can come is that of the request itself.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -230,6 +230,14 @@
     crashing_body: Option<Vec<u8>>,
     /// Where in the response it crashes.
     crash_point: CrashPoint,
+    /// Whether it sends second copies of its own answers and refusals, late, and refuses each third reservation.
+    is_doubling: bool,
+    /// Reservations asked for while it does.
+    doubling_reservations: u32,
+    /// Whether refusals carry no request id.
+    has_unnamed_refusals: bool,
+    /// Second copies that are due when the next request on a connection arrives, by the caller's address.
+    late: BTreeMap<SocketAddr, Vec<u8>>,
     /// Responses without an end, if it sends some.
     endless: Option<EndlessFault>,
     /// Responses without an end whose connections callers have closed.
@@ -478,6 +486,13 @@
         lock(&self.state).crashing_parts = parts.iter().map(|part| (*part).into()).collect();
     }
 
+    /// Makes the process send its refusals, and its responses to calls of the gateway's own, a second time when the next request
+    /// on the connection arrives. Each third reservation is refused.
+    pub fn set_doubling(&self, has_unnamed_refusals: bool) {
+        let mut state = lock(&self.state);
+        (state.is_doubling, state.has_unnamed_refusals) = (true, has_unnamed_refusals);
+    }
+
     /// Makes the process respond without an end.
     pub fn set_endless(&self, fault: EndlessFault) {
         lock(&self.state).endless = Some(fault);
@@ -586,8 +601,12 @@
         (connection, if is_reset { Action::Reset } else { action })
     }
 
-    async fn respond(self, connection: Connection) -> (Connection, Action) {
+    async fn respond(self, mut connection: Connection) -> (Connection, Action) {
         lock(&self.state).calls.push(self.head.clone());
+        let late = connection.stream().peer_addr().ok().and_then(|peer| lock(&self.state).late.remove(&peer));
+        if let Some(late) = late {
+            let _ = connection.write(&late).await;
+        }
         let endless = lock(&self.state).endless.clone();
         if let Some(EndlessFault { endless, pace, .. }) =
             endless.filter(|fault| fault.concerns(&self.id, self.head.path()))
@@ -664,7 +683,12 @@
 
     async fn reserve(self, connection: Connection) -> (Connection, Action) {
         let refusal = lock(&self.state).take_reservation_refusal();
-        if refusal.is_some() {
+        let is_third = {
+            let mut state = lock(&self.state);
+            state.doubling_reservations += u32::from(state.is_doubling);
+            state.doubling_reservations % 3 == 2
+        };
+        if refusal.is_some() || is_third {
             return self.refuse(connection, refusal).await;
         }
         let reservation: Value = serde_json::from_slice(&self.body).unwrap_or_default();
@@ -1072,19 +1096,34 @@
     /// Responds that the request was not executed, with a retry delay if there is one.
     async fn refuse(&self, connection: Connection, retry_after: Option<Duration>) -> (Connection, Action) {
         let mut head = self.new_head(503, false);
+        if lock(&self.state).has_unnamed_refusals {
+            head.fields.remove("Tarragonhill-Request-Id");
+        }
         head.fields.push("Tarragonhill-Not-Executed", "1");
         if let Some(retry_after) = retry_after {
             head.fields.push("Retry-After", retry_after.as_secs_f64().to_string());
         }
+        self.keep_second(&connection, &head, b"");
         send(connection, head, b"", Action::Keep).await
     }
 
+    /// Keeps a second copy of a response for the next request on its connection.
+    fn keep_second(&self, connection: &Connection, head: &Response, body: &[u8]) {
+        let mut state = lock(&self.state);
+        if let (true, Ok(peer)) = (state.is_doubling, connection.stream().peer_addr()) {
+            let mut head = head.clone();
+            head.fields.push("Content-Length", body.len().to_string());
+            state.late.insert(peer, [&head.encode(), body].concat());
+        }
+    }
+
     async fn send_json(&self, connection: Connection, status: u16, value: &Value) -> (Connection, Action) {
         let mut head = self.new_head(status, false);
         head.fields.push("Content-Type", "application/json");
         if self.is_unframed() {
             return send_unframed(connection, &head, value.to_string().as_bytes()).await;
         }
+        self.keep_second(&connection, &head, value.to_string().as_bytes());
         send(connection, head, value.to_string().as_bytes(), Action::Keep).await
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -149,9 +149,7 @@
     pub(crate) reply: Reply,
     /// Framing of the body.
     pub(crate) framing: Framing,
-    connection: Connection,
-    /// Whether the connection certainly leads to the process that is listed.
-    is_listed: bool,
+    line: Line,
     decoder: Decoder,
     /// Whether the whole request was written. Otherwise the connection cannot be reused: the endpoint would
     /// read the next request as the rest of this one.
@@ -169,7 +167,7 @@
 
     /// Reads the next chunk of the body; `None` at its regular end.
     pub(crate) async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        self.connection.read_part(&mut self.decoder).await.map_err(Failure::Connection)
+        self.line.connection.read_part(&mut self.decoder).await.map_err(Failure::Connection)
     }
 
     /// Reads the whole body within a bound and returns the connection to the pool. Bytes that are no response may come without
@@ -205,7 +203,7 @@
 
     /// Reads the rest of a body that nobody needs, if it is short, and returns the connection to the pool.
     pub(crate) async fn skip(mut self) {
-        let skipped = self.connection.skip_body(&mut self.decoder, MAX_SKIPPED_BYTES);
+        let skipped = self.line.connection.skip_body(&mut self.decoder, MAX_SKIPPED_BYTES);
         if let Ok(Ok(())) = timeout(SKIP_TIME, skipped).await {
             self.recycle();
         }
@@ -219,16 +217,16 @@
     /// Returns the connection to the pool if it can carry another request.
     pub(crate) fn recycle(self) {
         if self.is_sent && self.decoder.is_done() && self.head.keeps_alive() {
-            self.pool.put(self.endpoint, self.connection, self.is_listed, self.reply.keep_alive);
+            self.pool.put(self.endpoint, self.line, self.reply.keep_alive);
         }
     }
 
     /// Reads the whole body and returns it with the connection, if that can carry another request.
-    async fn into_body(mut self) -> Result<(Bytes, Option<Connection>), Failure> {
-        let body = self.connection.read_body(&mut self.decoder, MAX_MESSAGE_BYTES).await;
+    async fn into_body(mut self) -> Result<(Bytes, Option<Line>), Failure> {
+        let body = self.line.connection.read_body(&mut self.decoder, MAX_MESSAGE_BYTES).await;
         let body = body.map_err(Failure::Connection)?;
         let is_reusable = self.is_sent && self.decoder.is_done() && self.head.keeps_alive();
-        Ok((body, is_reusable.then_some(self.connection)))
+        Ok((body, is_reusable.then_some(self.line)))
     }
 }
 
@@ -241,6 +239,61 @@
     Listed,
 }
 
+/// What responses without a request id a connection has carried. An endpoint may send each response a second time, late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Unnamed {
+    /// None.
+    None,
+    /// None that refused.
+    Success,
+    /// One that refused. A second one looks like the refusal of a later request.
+    Refusal,
+}
+
+impl Unnamed {
+    fn of(response: &Response, reply: &Reply) -> Self {
+        match &reply.id {
+            Some(_) => Self::None,
+            None if response.status >= 400 => Self::Refusal,
+            None => Self::Success,
+        }
+    }
+}
+
+/// A connection to an endpoint.
+#[derive(Debug)]
+pub(crate) struct Line {
+    pub(crate) connection: Connection,
+    /// Whether it certainly leads to the process that is listed.
+    pub(crate) is_listed: bool,
+    pub(crate) unnamed: Unnamed,
+}
+
+/// How a response relates to the request that was sent last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relation {
+    /// It belongs to the request.
+    Own,
+    /// It is informational, or belongs to an earlier request on the connection.
+    Other,
+    /// It has no request id, and nothing tells what it belongs to.
+    Unknown,
+}
+
+/// Returns how a response relates to a request with this id. Endpoints echo ids, but may refuse without one.
+fn relation(response: &Response, reply: &Reply, id: Option<&str>, unnamed: Unnamed) -> Relation {
+    match (id, reply.id.as_deref()) {
+        _ if response.status < 200 => Relation::Other,
+        (Some(id), Some(named)) if named == id => Relation::Own,
+        (_, Some(_)) => Relation::Other,
+        (None, None) => Relation::Own,
+        // Requests with an id are sent on no connection that has carried another refusal without one.
+        (Some(_), None) if response.status >= 400 => Relation::Own,
+        (Some(_), None) if unnamed == Unnamed::Success => Relation::Other,
+        (Some(_), None) => Relation::Unknown,
+    }
+}
+
 /// Sends requests to endpoints over pooled connections.
 #[derive(Clone, Copy)]
 pub(crate) struct Client<'a> {
@@ -272,15 +325,17 @@
         };
         check()?;
         let needs_listed = recipient == Recipient::Listed && endpoint.started_ms > 0;
-        let (connection, is_listed) = match self.pool.take(endpoint).await {
-            Some((connection, is_listed)) if is_listed || !needs_listed => (connection, is_listed),
-            Some((connection, _)) => match self.identify(endpoint, connection, limit).await {
-                Ok(connection) => (connection, true),
+        // A second answer to an unnamed refusal could be taken for the answer to a request of a caller.
+        let max_unnamed = if id.is_some() { Unnamed::Success } else { Unnamed::Refusal };
+        let line = match self.pool.take(endpoint, max_unnamed).await {
+            Some(line) if line.is_listed || !needs_listed => line,
+            Some(line) => match self.identify(endpoint, line, limit).await {
+                Ok(line) => line,
                 // The endpoint may just have closed it.
-                Err(_) => (self.open_listed(endpoint, limit).await?, true),
+                Err(_) => self.open_listed(endpoint, limit).await?,
             },
-            None if needs_listed => (self.open_listed(endpoint, limit).await?, true),
-            None => (self.open(endpoint, limit).await?, false),
+            None if needs_listed => self.open_listed(endpoint, limit).await?,
+            None => self.open(endpoint, limit).await?,
         };
         // That may have changed while the connection was opened.
         check()?;
@@ -289,61 +344,57 @@
             self.wait_for_turn(endpoint, limit.saturating_sub(began.elapsed())).await?;
         }
         is_written.store(true, Ordering::Relaxed);
-        let exchanged = self.exchange(endpoint, connection, head, body, id);
+        let exchanged = self.exchange(endpoint, line, head, body, id);
         let exchanged =
             timeout(limit.saturating_sub(began.elapsed()), exchanged).await.unwrap_or(Err(Failure::Timeout));
         let exchange = exchanged?;
         self.control.record_read(&endpoint.id, sent_at);
-        Ok(Exchange { is_listed, ..exchange })
+        Ok(exchange)
     }
 
     /// Opens a connection within `limit`, at most [`CONNECT_TIMEOUT`].
-    async fn open(self, endpoint: &Endpoint, limit: Duration) -> Result<Connection, Failure> {
+    async fn open(self, endpoint: &Endpoint, limit: Duration) -> Result<Line, Failure> {
         let opened = Connection::open(endpoint.address, limit.min(CONNECT_TIMEOUT), TCP_USER_TIMEOUT).await;
-        opened.map_err(Failure::Connect)
+        let connection = opened.map_err(Failure::Connect)?;
+        Ok(Line { connection, is_listed: false, unnamed: Unnamed::None })
     }
 
     /// Returns why an endpoint does not serve as the process that is listed, if it does not.
     pub(crate) async fn is_alive(self, endpoint: &'a Endpoint) -> Result<(), Failure> {
         let is_listed = endpoint.stage != Stage::Whole && endpoint.started_ms > 0;
-        let connection = if is_listed {
+        let line = if is_listed {
             self.open_listed(endpoint, CONNECT_TIMEOUT).await?
         } else {
             self.open(endpoint, CONNECT_TIMEOUT).await?
         };
-        self.pool.put(endpoint, connection, is_listed, None);
+        self.pool.put(endpoint, line, None);
         Ok(())
     }
 
     /// Opens a connection to the process that is listed.
-    async fn open_listed(self, endpoint: &'a Endpoint, limit: Duration) -> Result<Connection, Failure> {
-        let connection = self.open(endpoint, limit).await?;
-        self.identify(endpoint, connection, limit).await
+    async fn open_listed(self, endpoint: &'a Endpoint, limit: Duration) -> Result<Line, Failure> {
+        let line = self.open(endpoint, limit).await?;
+        self.identify(endpoint, line, limit).await
     }
 
     /// Asks the process at the other end of a connection when it started, since its row may be older. Returns a connection to
     /// the process that is listed. A connection does not outlast its process, so it is asked once.
-    async fn identify(
-        self,
-        endpoint: &'a Endpoint,
-        connection: Connection,
-        limit: Duration,
-    ) -> Result<Connection, Failure> {
+    async fn identify(self, endpoint: &'a Endpoint, line: Line, limit: Duration) -> Result<Line, Failure> {
         let Message { head, body } = self.dialect.request_report(endpoint);
-        let asked =
-            async { self.exchange(endpoint, connection, &head, &body, None).await?.into_body().await };
+        let asked = async { self.exchange(endpoint, line, &head, &body, None).await?.into_body().await };
         let asked = timeout(limit.min(CONNECT_TIMEOUT), asked).await.unwrap_or(Err(Failure::Timeout));
         let unknown = |failure: Failure| Failure::Connect(io::Error::other(failure.to_string()));
-        let (body, connection) = asked.map_err(unknown)?;
+        let (body, line) = asked.map_err(unknown)?;
         let started = self.dialect.decode_report(&body).and_then(|report| report.started_ms);
         if started.is_some_and(|started| started != endpoint.started_ms) {
             spdlog::info!("endpoint is newer than its row", kv: { endpoint = &*endpoint.id });
             return Err(Failure::Connect(io::Error::other("another process than the one that is listed")));
         }
-        match connection {
-            Some(connection) => Ok(connection),
-            None => self.open(endpoint, limit).await,
-        }
+        let line = match line {
+            Some(line) => line,
+            None => self.open(endpoint, limit).await?,
+        };
+        Ok(Line { is_listed: true, ..line })
     }
 
     /// Sends a message of the gateway's own and waits for the response head, for at most `limit`. The body is read with
@@ -375,11 +426,12 @@
     async fn exchange(
         self,
         endpoint: &'a Endpoint,
-        mut connection: Connection,
+        line: Line,
         head: &Request,
         body: &[u8],
         id: Option<&str>,
     ) -> Result<Exchange<'a>, Failure> {
+        let Line { mut connection, is_listed, unnamed } = line;
         let (bytes, rest) = encode(head, body);
         let stream = connection.stream().clone();
         let mut writing = PendingWrite::new(stream, &bytes, rest);
@@ -393,27 +445,26 @@
             self.record_unknown_fields(endpoint, &response);
             let framing = response.framing(&head.method).map_err(invalid)?;
             let mut decoder = Decoder::new(framing);
-            // Informational, or a late response to an earlier request on this connection.
-            let is_unrelated = response.status < 200 || id.is_some() && reply.id.as_deref() != id;
-            if is_unrelated && (response.status < 200 || reply.id.is_some()) {
+            let relation = relation(&response, &reply, id, unnamed);
+            if relation == Relation::Other {
                 let skipped = connection.skip_body(&mut decoder, MAX_BODY_BYTES);
                 let skipped = timeout(UNRELATED_BODY_TIME, skipped).await.unwrap_or(Err(Error::TooSlow));
                 skipped.map_err(Failure::Connection)?;
                 continue;
             }
-            if is_unrelated && response.status < 400 {
+            if relation == Relation::Unknown {
                 return Err(Failure::InvalidResponse("missing request id"));
             }
-            if !is_unrelated && reply.limit.is_none() {
+            if reply.id.as_deref() == id && reply.limit.is_none() {
                 self.control.record_limit(self.clock.now(), endpoint, None);
             }
             let is_sent = writing.is_done;
+            let unnamed = unnamed.max(Unnamed::of(&response, &reply));
             return Ok(Exchange {
                 head: response,
                 reply,
                 framing,
-                connection,
-                is_listed: false,
+                line: Line { connection, is_listed, unnamed },
                 decoder,
                 is_sent,
                 endpoint,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,7 +7,8 @@
 };
 
 use tarragonhill_core::{Clock, Time, gateway::directory::Endpoint};
-use tarragonhill_h1::Connection;
+
+use crate::exchange::{Line, Unnamed};
 
 /// Maximum idle connections per endpoint; above the number of concurrent requests in an ordinary burst.
 const MAX_IDLE: usize = 16;
@@ -19,9 +20,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    connection: Connection,
-    /// Whether it certainly leads to the process that is listed.
-    is_listed: bool,
+    line: Line,
     /// When the connection is no longer used.
     until: Time,
 }
@@ -39,31 +38,29 @@
         Self { clock, idle: Mutex::default() }
     }
 
-    /// Takes an idle connection that is still open and has no unread bytes. Also returns whether it certainly leads to the
-    /// process that is listed.
-    pub(crate) async fn take(&self, endpoint: &Endpoint) -> Option<(Connection, bool)> {
+    /// Takes an idle connection that is still open, has no unread bytes and has carried no other unnamed responses than these.
+    pub(crate) async fn take(&self, endpoint: &Endpoint, max_unnamed: Unnamed) -> Option<Line> {
         loop {
             let idle = {
                 let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-                all.get_mut(&endpoint.id)?.pop()?
+                let kept = all.get_mut(&endpoint.id)?;
+                // Those that may carry little are left for requests that need them.
+                let usable = kept.iter().enumerate().filter(|(_, idle)| idle.line.unnamed <= max_unnamed);
+                let (best, _) =
+                    usable.max_by_key(|(at, idle)| (idle.line.unnamed == Unnamed::Refusal, *at))?;
+                kept.remove(best)
             };
             // Unread bytes would be read as part of the next response.
-            if idle.until > self.clock.now() && idle.connection.is_idle().await {
-                return Some((idle.connection, idle.is_listed));
+            if idle.until > self.clock.now() && idle.line.connection.is_idle().await {
+                return Some(idle.line);
             }
         }
     }
 
     /// Returns a connection whose last response has been read completely.
-    pub(crate) fn put(
-        &self,
-        endpoint: &Endpoint,
-        connection: Connection,
-        is_listed: bool,
-        keep_alive: Option<Duration>,
-    ) {
+    pub(crate) fn put(&self, endpoint: &Endpoint, line: Line, keep_alive: Option<Duration>) {
         let span = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(CLOSE_MARGIN);
-        if span.is_zero() || connection.buffered() > 0 {
+        if span.is_zero() || line.connection.buffered() > 0 {
             return;
         }
         let now = self.clock.now();
@@ -74,7 +71,7 @@
         });
         let kept = all.entry(endpoint.id.clone()).or_default();
         if kept.len() < MAX_IDLE {
-            kept.push(Idle { connection, is_listed, until: now.plus(span) });
+            kept.push(Idle { line, until: now.plus(span) });
         }
     }
 }
