Calls: a refused hedge does not hide a run whose answer was lost

Cause: of two results, the one that came first was kept unless the other was a response. Change: a result that may have run goes before one that has not, and each endpoint that may have run the request counts.

Test: one of five endpoints refuses, the others lose their answers after the hedge is sent; with one order of them three ran where two are allowed.

--- a/crates/bench/tests/budget.rs
+++ b/crates/bench/tests/budget.rs
@@ -2,13 +2,14 @@
 
 use std::{
     sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
 use async_std::task;
 use futures_lite::future;
 use tarragonhill_bench::platform::{
-    caller::{self, completion_request},
+    caller::{self, completion_request, plain_request},
     endpoint::{Endpoint, Fault, ReceivedRequest, Role},
     retries::{arrivals, first_excess},
     site::{KEY, Shape, Site, wait_until},
@@ -92,3 +93,33 @@
         assert_eq!(arrivals(&received(&site)).len(), 0);
     });
 }
+
+/// Guards against a hedge that reports that a lookup has not run, although the answer of the first endpoint was lost.
+#[test]
+fn a_refused_hedge_does_not_hide_a_run_whose_answer_was_lost() {
+    const ENDPOINTS: usize = 5;
+    const LOST_AFTER: Duration = Duration::from_millis(700);
+    /// `max_attempts` of the route.
+    const MAX_RUNS: usize = 2;
+    let play = async |refusing: usize| {
+        let shape = Shape { gateways: 1, prefill: 1, decode: 1, plain: ENDPOINTS };
+        let site = Site::start(shape).await.expect("the site starts");
+        let endpoints = site.endpoints(Role::Plain);
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            let is_refusing = number == refusing;
+            endpoint.set_fault(if is_refusing { Fault::Refuse } else { Fault::ResetAfterRun });
+            endpoint.set_service_time(if is_refusing { Duration::ZERO } else { LOST_AFTER });
+        }
+        let head = plain_request("GET", "/lookup/x", KEY, "r1");
+        let _ = caller::request(site.address(), head, b"").await;
+        let runs: usize = endpoints.iter().map(|endpoint| endpoint.executed().len()).sum();
+        println!("endpoint {refusing} refuses: {runs} runs");
+        assert!(runs <= MAX_RUNS, "{runs} runs");
+    };
+    thread::scope(|scope| {
+        for refusing in 0..ENDPOINTS {
+            let play = &play;
+            scope.spawn(move || task::block_on(play(refusing)));
+        }
+    });
+}
--- a/crates/gateway/src/unary.rs
+++ b/crates/gateway/src/unary.rs
@@ -39,6 +39,22 @@
     MayHaveRun(String),
 }
 
+impl Attempt {
+    /// Returns whether the endpoint may have run the request.
+    fn may_have_run(&self) -> bool {
+        matches!(self, Self::Response(_) | Self::MayHaveRun(_))
+    }
+
+    /// Returns the result of two attempts: a response, or what says most about whether the request has run.
+    fn merge(self, other: Self) -> Self {
+        match (&self, &other) {
+            (_, Self::Response(_)) => other,
+            (Self::NotSent(_) | Self::NotRun(_), Self::MayHaveRun(_)) => other,
+            _ => self,
+        }
+    }
+}
+
 /// Serves a request. Returns a refusal if the caller has not received a response.
 pub(crate) async fn serve(
     context: &Arc<Context>,
@@ -62,13 +78,13 @@
         inbound.log_placement(context.clock.now(), &permit.endpoint, None);
         avoid.push(permit.endpoint.id.clone());
         let (attempt, used) = attempt_with_hedge(context, inbound, permit, &mut avoid, runs).await;
+        runs += used;
         let reason = match attempt {
-            Attempt::Response(answer) if answer.head.status < 500 || !inbound.may_retry(runs + used) => {
+            Attempt::Response(answer) if answer.head.status < 500 || !inbound.may_retry(runs) => {
                 return relay(inbound, writer, answer).await;
             }
             Attempt::Response(answer) => {
                 error_response = Some(answer);
-                runs += used;
                 "the endpoint failed".into()
             }
             Attempt::NotSent(reason) if sends < MAX_SENDS => {
@@ -77,7 +93,6 @@
             }
             Attempt::NotSent(reason) | Attempt::NotRun(reason) => reason,
             Attempt::MayHaveRun(reason) => {
-                runs += used;
                 if !inbound.may_retry(runs) {
                     let refusal = Refusal::may_have_run(Code::OutcomeUnknown, reason);
                     return give_up(inbound, writer, error_response, refusal).await;
@@ -139,20 +154,24 @@
     avoid: &mut Vec<Arc<str>>,
     runs: u32,
 ) -> (Attempt, u32) {
+    let alone = |attempt: Attempt| {
+        let used = u32::from(attempt.may_have_run());
+        (attempt, used)
+    };
     let mut first = pin!(attempt(context, inbound, permit));
     if !inbound.may_retry(runs + 1) {
-        return (first.await, 1);
+        return alone(first.await);
     }
     let delay = inbound.route.target_latency.mul_f64(HEDGE_AFTER);
     if let Ok(attempt) = timeout(delay, first.as_mut()).await {
-        return (attempt, 1);
+        return alone(attempt);
     }
     let Ok(permit) = context.control.place(inbound.service(), avoid, None).await else {
-        return (first.await, 1);
+        return alone(first.await);
     };
     if !inbound.charge(context, Plan::Run).await {
         drop(permit);
-        return (first.await, 1);
+        return alone(first.await);
     }
     avoid.push(permit.endpoint.id.clone());
     spdlog::info!("hedging the request", kv: { request = inbound.id(), endpoint = &*permit.endpoint.id });
@@ -166,8 +185,8 @@
         return (earlier, 2);
     }
     let later = if is_first { second.await } else { first.await };
-    let better = if matches!(later, Attempt::Response(_)) { later } else { earlier };
-    (better, 2)
+    let used = u32::from(earlier.may_have_run()) + u32::from(later.may_have_run());
+    (earlier.merge(later), used)
 }
 
 async fn attempt(context: &Arc<Context>, inbound: &Inbound, mut permit: Permit) -> Attempt {
