--- a/crates/core/tests/gateway/suspect.rs
+++ b/crates/core/tests/gateway/suspect.rs
@@ -315,6 +315,24 @@
     assert!(suspects.holds(&[CRASHING]));
 }
 
+/// Guards against requests that count as the cause of a crash because their endpoints left soon after they were completed.
+#[test]
+fn a_response_of_an_endpoint_that_leaves_clears_its_request() {
+    let mut suspects = suspects("one");
+    for number in 0..6 {
+        let (now, id) = (number * 1_000, format!("e-{number}"));
+        let endpoint = endpoint(&id, Stage::Decode);
+        suspects.record_completed(at(now + 10), &endpoint, &[HARMLESS].into(), at(now), false);
+        let interrupted = [Suspect(100 + number)].into();
+        suspects.record_interrupted(at(now + 10), &endpoint, &interrupted, Run::Starting, false);
+        suspects.record_removed(at(now + 500), &id);
+    }
+    assert!(suspects.held().is_empty());
+    let reports = suspects.report(at(6_000), true);
+    assert!(reports.iter().all(|report| report.suspect != HARMLESS), "{reports:?}");
+    assert_eq!(reports.len(), 6);
+}
+
 /// Guards against completions that are forgotten because no later request shows that the endpoint lives.
 #[test]
 fn a_completion_without_a_crash_in_time_clears_a_suspect() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -602,7 +602,7 @@
     connection: &mut Connection,
     writing: &mut PendingWrite<'_>,
 ) -> Result<Response, Error> {
-    let mut reading = pin!(connection.read_prompt_response(MAX_HEAD_BYTES, HEAD_TIME));
+    let mut reading = pin!(connection.read_response_within(MAX_HEAD_BYTES, HEAD_TIME));
     poll_fn(|cx| {
         writing.poll(cx);
         match reading.as_mut().poll(cx) {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -44,7 +44,7 @@
             let idle = {
                 let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
                 let kept = all.get_mut(&endpoint.id)?;
-                // Those that may carry little are left for requests that need them.
+                // Connections that all requests can use are taken last.
                 let usable = kept.iter().enumerate().filter(|(_, idle)| idle.line.unnamed <= max_unnamed);
                 let (best, _) =
                     usable.max_by_key(|(at, idle)| (idle.line.unnamed == Unnamed::Refusal, *at))?;
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -141,7 +141,7 @@
     }
 
     /// Does the same. The head has to end within `time` of its first byte, however long that takes to come.
-    pub async fn read_prompt_response(&mut self, limit: usize, time: Duration) -> Result<Response, Error> {
+    pub async fn read_response_within(&mut self, limit: usize, time: Duration) -> Result<Response, Error> {
         if self.buffer.is_empty() && self.fill().await? == 0 {
             return Err(Error::Closed);
         }
