--- a/crates/core/src/gateway/state/store.rs
+++ b/crates/core/src/gateway/state/store.rs
@@ -176,7 +176,11 @@
                     self.budget.record_read(now, &endpoint.id, now);
                 }
                 Change::Removed(endpoint) => {
-                    self.suspects.record_removed(now, &endpoint.id);
+                    if endpoint.is_draining {
+                        self.suspects.record_left(now, &endpoint.id);
+                    } else {
+                        self.suspects.record_crash(now, &endpoint.id);
+                    }
                     self.loads.remove_if_idle(&endpoint.id);
                     self.limits.remove(&endpoint.id);
                     self.forecasts.remove_endpoint(&endpoint.service, &endpoint.id);
--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -209,14 +209,13 @@
         self.clear_completed(now, outlived);
     }
 
-    /// Records that the row of an endpoint is gone. It may have left without notice, which says nothing against what was
-    /// completed there.
-    pub fn record_removed(&mut self, now: Time, endpoint: &str) {
+    /// Records that an endpoint that was leaving is gone, which says nothing against what was completed there.
+    pub fn record_left(&mut self, now: Time, endpoint: &str) {
         self.take_outlived(now, endpoint, |ended| ended.ending == Ending::Completed);
         self.record_crash(now, endpoint);
     }
 
-    /// Records that an endpoint has crashed: it is unreachable or restarted. Returns the number of suspects.
+    /// Records that an endpoint has crashed: it is unreachable, removed or restarted. Returns the number of suspects.
     pub fn record_crash(&mut self, now: Time, endpoint: &str) -> usize {
         let ended = self.ended.remove(endpoint).unwrap_or_default();
         let (recent, earlier): (Vec<Ended>, Vec<Ended>) =
--- a/crates/core/tests/gateway/suspect.rs
+++ b/crates/core/tests/gateway/suspect.rs
@@ -325,7 +325,7 @@
         suspects.record_completed(at(now + 10), &endpoint, &[HARMLESS].into(), at(now), false);
         let interrupted = [Suspect(100 + number)].into();
         suspects.record_interrupted(at(now + 10), &endpoint, &interrupted, Run::Starting, false);
-        suspects.record_removed(at(now + 500), &id);
+        suspects.record_left(at(now + 500), &id);
     }
     assert!(suspects.held().is_empty());
     let reports = suspects.report(at(6_000), true);
