--- a/crates/bench/tests/late_answers.rs
+++ b/crates/bench/tests/late_answers.rs
@@ -24,7 +24,7 @@
     /// Answered as not run.
     ran_although_refused: usize,
     whole: usize,
-    /// Not run, and told so.
+    /// Answered as not run, and did not run.
     refused: usize,
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -201,7 +201,7 @@
         Ok(answer)
     }
 
-    /// Reads the rest of a body that nobody needs, if it is short, and returns the connection to the pool.
+    /// Discards the rest of a body, if it is short, and returns the connection to the pool.
     pub(crate) async fn skip(mut self) {
         let skipped = self.line.connection.skip_body(&mut self.decoder, MAX_SKIPPED_BYTES);
         if let Ok(Ok(())) = timeout(SKIP_TIME, skipped).await {
