Clients that do not behave: tests against a gateway as a process

Cause: callers whose software nobody controls come to all addresses of a gateway, and no test played them.

Change: `abuse` starts a gateway as a process, plays groups of clients in processes of their own beside ordinary callers, samples the gateway's resident memory and what the operating system has received for it, stops it beyond the memory of the smallest host, and checks refusals against what endpoints have run.

--- a/crates/bench/src/cmd.rs
+++ b/crates/bench/src/cmd.rs
@@ -1,5 +1,7 @@
 //! Subcommands of `tarragonhill-bench`, one module each.
 
+pub mod abuse;
+pub mod attack;
 pub mod check;
 pub mod demo;
 pub mod gossip;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,7 @@
 //! Benchmarks, load generators and fault checks of the router, and the simulated back ends they use.
 //!
 //! Nearly everything runs as tasks of one process over loopback TCP: the daemons' own code, and simulated
-//! engines and services that speak the protocols of `docs/protocol-*.md`. Only [`soak`] starts child processes.
+//! engines and services that speak the protocols of `docs/protocol-*.md`. Only [`soak`] and [`abuse`] start child processes.
 //!
 //! ```no_run
 //! use tarragonhill_bench::fleet::{Fleet, Shape};
@@ -13,6 +13,7 @@
 //! # }
 //! ```
 
+pub mod abuse;
 pub mod caller;
 pub mod check;
 pub mod cmd;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use bpaf::Bpaf;
 use tarragonhill_bench::{
-    cmd::{check, demo, gossip, measure, overhead, restarts, site, slopes, soak, stand_in},
+    cmd::{abuse, attack, check, demo, gossip, measure, overhead, restarts, site, slopes, soak, stand_in},
     fleet::FleetError,
 };
 use tarragonhill_daemon::logging;
@@ -42,6 +42,12 @@
     /// Run gateways, endpoints and a store as processes, disturb them by signals and proxies, and check the retry budget
     #[bpaf(command)]
     Soak(#[bpaf(external(soak::options))] soak::Options),
+    /// Play clients that do not behave against a gateway, and check its memory and what ordinary callers get
+    #[bpaf(command)]
+    Abuse(#[bpaf(external(abuse::options))] abuse::Options),
+    /// Run clients that do not behave as a process of its own, for `abuse`
+    #[bpaf(command)]
+    Attack(#[bpaf(external(attack::options))] attack::Options),
     /// Run one simulated server as a process of its own, for `soak`
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(stand_in::options))] stand_in::Options),
@@ -61,6 +67,8 @@
         Options::Gossip(options) => gossip::execute(options),
         Options::Restarts(options) => restarts::execute(options).map_err(FleetError::from),
         Options::Soak(options) => soak::execute(options).map_err(FleetError::from),
+        Options::Abuse(options) => abuse::execute(options).map_err(FleetError::from),
+        Options::Attack(options) => task::block_on(attack::execute(options)).map_err(FleetError::from),
         Options::StandIn(options) => task::block_on(stand_in::execute(options)).map_err(FleetError::from),
         Options::Measure(options) => task::block_on(measure::execute(options)),
         Options::Overhead(options) => task::block_on(overhead::execute(options)),
