Heads: any number of fields within the limit on their length

What callers saw: a request whose head was inside the limit of 16,384 bytes but had more than 100 fields was refused with 400, in calm, at every route. Beside that, a head that came byte by byte was parsed again with each byte, and a `Connection` field of thousands of names was compared with each field for each name.

Cause: a fixed array of 100 fields; two allocations and 48 bytes for each field; `strip_hop_by_hop` quadratic; 8 KiB of read buffer for each connection that waits.

The first new test of messages.rs fails before (too many fields); the one of `Connection` takes seconds there instead of failing.

Change: fields share one buffer with 12 bytes each; a head is parsed when its end has arrived or it has doubled; listed names are removed in one pass; a connection that waits has no read buffer; chunks are decoded in bulk; a request is encoded for its endpoint without a copy of its head.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -512,11 +512,8 @@
 /// Encodes the head, with the body unless that is long, and returns what is left of the body. The body is sent with
 /// `Content-Length`, even if it was received in chunks.
 fn encode<'a>(head: &Request, body: &'a [u8]) -> (Vec<u8>, &'a [u8]) {
-    let mut head = head.clone();
-    if !body.is_empty() || head.fields.count("content-length") > 0 {
-        head.fields.set("Content-Length", body.len().to_string());
-    }
-    let mut bytes = head.encode();
+    let states_length = !body.is_empty() || head.fields.count("content-length") > 0;
+    let mut bytes = head.encode_with(states_length.then_some(body.len()));
     if body.len() >= MIN_SEPARATE_BODY_BYTES {
         return (bytes, body);
     }
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -75,61 +75,97 @@
 
     /// Decodes and removes body bytes from the front of `buffer`. Bytes after the body are left in it.
     pub fn step(&mut self, buffer: &mut BytesMut) -> Result<Step, Malformed> {
+        Ok(match self.advance(buffer)? {
+            Piece::Data(count) => Step::Data(buffer.split_to(count).freeze()),
+            Piece::End => Step::End,
+            Piece::NeedMore => Step::NeedMore,
+        })
+    }
+
+    /// Decodes and removes all body bytes in `buffer` and passes them to `keep`, piece by piece, until that fails. Bytes after
+    /// the body are left in it.
+    pub fn drain<E: From<Malformed>>(
+        &mut self,
+        buffer: &mut BytesMut,
+        mut keep: impl FnMut(&[u8]) -> Result<(), E>,
+    ) -> Result<(), E> {
+        while let Piece::Data(count) = self.advance(buffer)? {
+            keep(&buffer[..count])?;
+            buffer.advance(count);
+        }
+        Ok(())
+    }
+
+    /// Removes framing from the front of `buffer`, and returns how much of the body follows there.
+    fn advance(&mut self, buffer: &mut BytesMut) -> Result<Piece, Malformed> {
         loop {
             match self.0 {
-                State::Done => return Ok(Step::End),
-                _ if buffer.is_empty() => return Ok(Step::NeedMore),
-                State::UntilClose => return Ok(Step::Data(buffer.split().freeze())),
+                State::Done => return Ok(Piece::End),
+                _ if buffer.is_empty() => return Ok(Piece::NeedMore),
+                State::UntilClose => return Ok(Piece::Data(buffer.len())),
                 State::Remaining(left) => {
-                    return Ok(Step::Data(self.take(buffer, left, State::Remaining, State::Done)));
+                    return Ok(self.data(buffer, left, State::Remaining, State::Done));
                 }
                 State::ChunkData(left) => {
-                    return Ok(Step::Data(self.take(buffer, left, State::ChunkData, State::ChunkEnd)));
+                    return Ok(self.data(buffer, left, State::ChunkData, State::ChunkEnd));
                 }
                 State::ChunkSize => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedMore) };
-                    let size = parse_chunk_size(&line)?;
+                    let Some(length) = line_length(buffer)? else { return Ok(Piece::NeedMore) };
+                    let size = parse_chunk_size(&buffer[..length])?;
+                    buffer.advance(length + LINE_END.len());
                     self.0 = if size == 0 { State::Trailers(0) } else { State::ChunkData(size) };
                 }
                 State::ChunkEnd => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedMore) };
-                    if !line.is_empty() {
+                    let Some(length) = line_length(buffer)? else { return Ok(Piece::NeedMore) };
+                    if length > 0 {
                         return Err(Malformed("missing line ending after a chunk"));
                     }
+                    buffer.advance(LINE_END.len());
                     self.0 = State::ChunkSize;
                 }
                 State::Trailers(read) => {
-                    let Some(line) = take_line(buffer)? else { return Ok(Step::NeedMore) };
-                    let read = read + line.len();
+                    let Some(length) = line_length(buffer)? else { return Ok(Piece::NeedMore) };
+                    let read = read + length;
                     if read > MAX_TRAILER_BYTES {
                         return Err(Malformed("trailers too long"));
                     }
-                    self.0 = if line.is_empty() { State::Done } else { State::Trailers(read) };
+                    buffer.advance(length + LINE_END.len());
+                    self.0 = if length == 0 { State::Done } else { State::Trailers(read) };
                 }
             }
         }
     }
 
-    /// Takes up to `left` bytes from the buffer and moves to state `end` once all have been taken.
-    fn take(&mut self, buffer: &mut BytesMut, left: u64, more: fn(u64) -> State, end: State) -> Bytes {
+    /// Takes up to `left` bytes of the buffer as data and moves to state `end` once all are taken.
+    fn data(&mut self, buffer: &BytesMut, left: u64, more: fn(u64) -> State, end: State) -> Piece {
         let count = usize::try_from(left).unwrap_or(usize::MAX).min(buffer.len());
         let left = left - count as u64;
         self.0 = if left == 0 { end } else { more(left) };
-        buffer.split_to(count).freeze()
+        Piece::Data(count)
     }
 }
 
-/// Takes the next line without its line ending; `None` while it is incomplete.
-fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, Malformed> {
+/// What stands at the front of a buffer.
+enum Piece {
+    /// This many bytes of body data.
+    Data(usize),
+    /// The end of the body.
+    End,
+    /// No more body data.
+    NeedMore,
+}
+
+const LINE_END: &[u8] = b"\r\n";
+
+/// Returns the length of the next line without its line ending; `None` while it is incomplete.
+fn line_length(buffer: &[u8]) -> Result<Option<usize>, Malformed> {
     let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
         return if buffer.len() > MAX_LINE_BYTES { Err(Malformed("line too long")) } else { Ok(None) };
     };
     if end == 0 || buffer[end - 1] != b'\r' {
         return Err(Malformed("bare line feed in a chunked body"));
     }
-    let line = buffer.split_to(end - 1).freeze();
-    buffer.advance(2);
-    Ok(Some(line))
+    Ok(Some(end - 1))
 }
 
 fn parse_chunk_size(line: &[u8]) -> Result<u64, Malformed> {
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -1,6 +1,6 @@
 //! Buffered connection that reads and writes HTTP/1.1 messages.
 
-use std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration};
+use std::{fmt, io, net::SocketAddr, pin::Pin, task::Poll, time::Duration};
 
 use async_std::{future::timeout, net::TcpStream};
 use bytes::{Buf as _, Bytes, BytesMut};
@@ -65,6 +65,35 @@
 /// Parses a head and returns it with its length in bytes, or `None` while it is incomplete.
 type Parser<T> = fn(&[u8]) -> Result<Option<(T, usize)>, Malformed>;
 
+/// How far a buffer has been searched for the end of a head. A head that comes byte by byte is not parsed with each of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Search {
+    /// Bytes that contain no end.
+    searched: usize,
+    /// Bytes with which parsing was tried last.
+    parsed: usize,
+}
+
+impl Search {
+    /// Returns whether the head may be complete, or has grown so much that an invalid one should be noticed.
+    fn is_due(&mut self, buffer: &[u8]) -> bool {
+        // An end may begin in what was searched before.
+        let from = self.searched.saturating_sub(END_BYTES - 1);
+        let unsearched = &buffer[from.min(buffer.len())..];
+        let has_end = unsearched.windows(2).any(|pair| pair == b"\n\n")
+            || unsearched.windows(END_BYTES).any(|bytes| bytes == b"\n\r\n");
+        self.searched = buffer.len();
+        let is_due = !buffer.is_empty() && (has_end || buffer.len() >= 2 * self.parsed);
+        if is_due {
+            self.parsed = buffer.len();
+        }
+        is_due
+    }
+}
+
+/// Longest end of a head's last line together with the empty line after it, without the first carriage return.
+const END_BYTES: usize = 3;
+
 /// A TCP connection with a read buffer.
 #[derive(Debug)]
 pub struct Connection {
@@ -102,7 +131,7 @@
     /// Discards what was read but not consumed; returns the number of bytes.
     pub fn discard(&mut self) -> usize {
         let discarded = self.buffer.len();
-        self.buffer.clear();
+        self.consume(discarded);
         discarded
     }
 
@@ -117,19 +146,30 @@
     pub async fn fill(&mut self) -> io::Result<usize> {
         let Self { stream, buffer } = self;
         poll_fn(|cx| {
-            let filled = buffer.len();
-            buffer.resize(filled + READ_SIZE, 0);
-            let read = Pin::new(&mut *stream).poll_read(cx, &mut buffer[filled..]);
-            let count = match &read {
-                std::task::Poll::Ready(Ok(count)) => *count,
-                _ => 0,
-            };
-            buffer.truncate(filled + count);
-            read
+            // On the stack, so that a connection that waits takes no memory for what may come.
+            let mut bytes = [0; READ_SIZE];
+            let read = std::task::ready!(Pin::new(&mut *stream).poll_read(cx, &mut bytes));
+            if let Ok(count) = read {
+                buffer.extend_from_slice(&bytes[..count]);
+            }
+            Poll::Ready(read)
         })
         .await
     }
 
+    /// Returns the memory of the read buffer, in bytes.
+    pub fn memory(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Removes `count` bytes from the buffer, and its memory once it is empty.
+    fn consume(&mut self, count: usize) {
+        self.buffer.advance(count);
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Reads the head of the next request, at most `limit` bytes.
     pub async fn read_request(&mut self, limit: usize) -> Result<Request, Error> {
         self.read_head(limit, Request::parse).await
@@ -149,23 +189,55 @@
     }
 
     async fn read_head<T>(&mut self, limit: usize, parse: Parser<T>) -> Result<T, Error> {
+        let mut search = Search::default();
         loop {
-            if let Some((head, length)) = parse(&self.buffer)? {
-                if length > limit {
-                    return Err(Error::TooLarge);
-                }
-                self.buffer.advance(length);
+            if let Some(head) = self.take_head(limit, parse, &mut search)? {
                 return Ok(head);
             }
-            if self.buffer.len() > limit {
-                return Err(Error::TooLarge);
-            }
             if self.fill().await? == 0 {
                 return Err(if self.buffer.is_empty() { Error::Closed } else { Error::Truncated });
             }
         }
     }
 
+    /// Takes the head of the next request out of the buffer, at most `limit` bytes; `None` while it is incomplete. `search` is
+    /// the same for all calls for one head.
+    pub fn take_request(&mut self, limit: usize, search: &mut Search) -> Result<Option<Request>, Error> {
+        self.take_head(limit, Request::parse, search)
+    }
+
+    fn take_head<T>(
+        &mut self,
+        limit: usize,
+        parse: Parser<T>,
+        search: &mut Search,
+    ) -> Result<Option<T>, Error> {
+        if search.is_due(&self.buffer)
+            && let Some((head, length)) = parse(&self.buffer)?
+        {
+            if length > limit {
+                return Err(Error::TooLarge);
+            }
+            self.consume(length);
+            return Ok(Some(head));
+        }
+        if self.buffer.len() > limit {
+            return Err(Error::TooLarge);
+        }
+        Ok(None)
+    }
+
+    /// Passes what has been received of a body to `keep`, piece by piece, until that fails.
+    pub fn drain_body<E: From<Malformed>>(
+        &mut self,
+        decoder: &mut Decoder,
+        keep: impl FnMut(&[u8]) -> Result<(), E>,
+    ) -> Result<(), E> {
+        let drained = decoder.drain(&mut self.buffer, keep);
+        self.consume(0);
+        drained
+    }
+
     /// Reads the next part of a body; `None` at its end. A truncated body is an error.
     pub async fn read_part(&mut self, decoder: &mut Decoder) -> Result<Option<Bytes>, Error> {
         loop {
--- a/crates/h1/src/field.rs
+++ b/crates/h1/src/field.rs
@@ -1,19 +1,63 @@
 //! Header fields in the order received. Names are compared case-insensitively.
 
+use std::{collections::BTreeSet, fmt};
+
 /// One header field.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Field {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Field<'a> {
     /// The name in its original case.
-    pub name: String,
+    pub name: &'a str,
     /// The value without surrounding white space; not necessarily UTF-8.
-    pub value: Vec<u8>,
+    pub value: &'a [u8],
+}
+
+/// Header fields of a message. They share one buffer, since a head may consist of thousands of short fields.
+#[derive(Clone, Default)]
+pub struct Fields {
+    /// Names, each of which is followed by its value. What belongs to a field that was removed stays.
+    text: Vec<u8>,
+    entries: Vec<Entry>,
 }
 
-/// Header fields of a message.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Fields(Vec<Field>);
+/// Where a field stands.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    /// Beginning of the name, which is UTF-8.
+    name: u32,
+    /// End of the name and beginning of the value.
+    value: u32,
+    /// End of the value.
+    end: u32,
+}
 
 impl Fields {
+    /// Creates fields with room for `count` of them, with `bytes` of names and values.
+    pub(crate) fn with_capacity(count: usize, bytes: usize) -> Self {
+        Self { text: Vec::with_capacity(bytes), entries: Vec::with_capacity(count) }
+    }
+
+    /// Returns how much memory the fields take, in bytes.
+    pub fn memory(&self) -> usize {
+        self.text.capacity() + self.entries.capacity() * size_of::<Entry>()
+    }
+
+    fn name(&self, entry: &Entry) -> &[u8] {
+        &self.text[entry.name as usize..entry.value as usize]
+    }
+
+    fn field(&self, entry: &Entry) -> Field<'_> {
+        Field {
+            name: std::str::from_utf8(self.name(entry)).unwrap_or_default(),
+            value: &self.text[entry.value as usize..entry.end as usize],
+        }
+    }
+
+    /// Iterates over the values of a field.
+    fn values(&self, name: &str) -> impl Iterator<Item = &[u8]> {
+        let is_named = move |entry: &&Entry| self.name(entry).eq_ignore_ascii_case(name.as_bytes());
+        self.entries.iter().filter(is_named).map(|entry| self.field(entry).value)
+    }
+
     /// Returns the first UTF-8 value of a field.
     pub fn get(&self, name: &str) -> Option<&str> {
         self.all(name).next()
@@ -21,31 +65,35 @@
 
     /// Returns all UTF-8 values of a field.
     pub fn all<'a>(&'a self, name: &str) -> impl Iterator<Item = &'a str> {
-        self.0
-            .iter()
-            .filter(move |field| field.name.eq_ignore_ascii_case(name))
-            .filter_map(|field| std::str::from_utf8(&field.value).ok())
+        self.values(name).filter_map(|value| std::str::from_utf8(value).ok())
     }
 
     /// Returns how often a field occurs, including values that are not UTF-8.
     pub fn count(&self, name: &str) -> usize {
-        self.0.iter().filter(|field| field.name.eq_ignore_ascii_case(name)).count()
+        self.values(name).count()
     }
 
     /// Appends a field.
-    pub fn push(&mut self, name: impl Into<String>, value: impl Into<Vec<u8>>) {
-        self.0.push(Field { name: name.into(), value: value.into() });
+    pub fn push(&mut self, name: impl AsRef<str>, value: impl AsRef<[u8]>) {
+        let at = |length: usize| u32::try_from(length).unwrap_or(u32::MAX);
+        let start = at(self.text.len());
+        self.text.extend_from_slice(name.as_ref().as_bytes());
+        let value_start = at(self.text.len());
+        self.text.extend_from_slice(value.as_ref());
+        self.entries.push(Entry { name: start, value: value_start, end: at(self.text.len()) });
     }
 
     /// Replaces all fields of this name by one.
-    pub fn set(&mut self, name: &str, value: impl Into<Vec<u8>>) {
+    pub fn set(&mut self, name: &str, value: impl AsRef<[u8]>) {
         self.remove(name);
         self.push(name, value);
     }
 
     /// Removes all fields of this name.
     pub fn remove(&mut self, name: &str) {
-        self.0.retain(|field| !field.name.eq_ignore_ascii_case(name));
+        let Self { text, entries } = self;
+        let name_of = |entry: &Entry| &text[entry.name as usize..entry.value as usize];
+        entries.retain(|entry| !name_of(entry).eq_ignore_ascii_case(name.as_bytes()));
     }
 
     /// Returns whether a comma-separated field contains a token, compared case-insensitively.
@@ -55,19 +103,33 @@
 
     /// Removes hop-by-hop fields: the standard ones and those listed in `Connection`.
     pub fn strip_hop_by_hop(&mut self) {
-        let named: Vec<String> = self
-            .all("connection")
-            .flat_map(|value| value.split(','))
-            .map(|token| token.trim().to_owned())
-            .collect();
-        for name in HOP_BY_HOP.iter().copied().chain(named.iter().map(String::as_str)) {
-            self.remove(name);
-        }
+        let listed = self.all("connection").flat_map(|value| value.split(','));
+        let listed = listed.map(|token| token.trim().to_ascii_lowercase());
+        let names: BTreeSet<String> = listed.chain(HOP_BY_HOP.map(str::to_owned)).collect();
+        let Self { text, entries } = self;
+        entries.retain(|entry| {
+            let name = &text[entry.name as usize..entry.value as usize];
+            std::str::from_utf8(name).is_ok_and(|name| !names.contains(&name.to_ascii_lowercase()))
+        });
     }
 
     /// Iterates over the fields in order.
-    pub fn iter(&self) -> std::slice::Iter<'_, Field> {
-        self.0.iter()
+    pub fn iter(&self) -> impl Iterator<Item = Field<'_>> {
+        self.entries.iter().map(|entry| self.field(entry))
+    }
+}
+
+impl PartialEq for Fields {
+    fn eq(&self, other: &Self) -> bool {
+        self.iter().eq(other.iter())
+    }
+}
+
+impl Eq for Fields {}
+
+impl fmt::Debug for Fields {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.iter()).finish()
     }
 }
 
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -2,7 +2,8 @@
 
 use crate::{Malformed, body::Framing, field::Fields};
 
-const MAX_FIELDS: usize = 100;
+/// Number of fields up to which a head is parsed without an allocation for them.
+const USUAL_FIELDS: usize = 48;
 
 /// The head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,13 +26,12 @@
 
     /// Parses a head and returns it with its length in bytes; `None` while it is incomplete.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, Malformed> {
-        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut request = httparse::Request::new(&mut fields);
-        let length = match request.parse(bytes) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(error) => return Err(parse_error(error)),
-        };
+        with_fields(bytes, Self::parse_into)
+    }
+
+    fn parse_into<'b>(bytes: &'b [u8], fields: &mut [httparse::Header<'b>]) -> Parsed<Self> {
+        let mut request = httparse::Request::new(fields);
+        let httparse::Status::Complete(length) = request.parse(bytes)? else { return Ok(None) };
         let head = Self {
             method: request.method.unwrap_or_default().to_owned(),
             target: request.path.unwrap_or_default().to_owned(),
@@ -41,11 +41,21 @@
         Ok(Some((head, length)))
     }
 
+    /// Returns how much memory the head takes, in bytes.
+    pub fn memory(&self) -> usize {
+        self.method.capacity() + self.target.capacity() + self.fields.memory()
+    }
+
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// Returns the query without the question mark; empty if there is none.
+    pub fn query(&self) -> &str {
+        self.target.split_once('?').map_or("", |(_, query)| query)
+    }
+
     /// Returns how the body is framed.
     ///
     /// Ambiguous or unsupported framing is an error. Another server could determine a different end
@@ -65,12 +75,17 @@
 
     /// Encodes the head, including the empty line that ends it.
     pub fn encode(&self) -> Vec<u8> {
+        self.encode_with(None)
+    }
+
+    /// Encodes the head, with this `Content-Length` in place of its own if one is given.
+    pub fn encode_with(&self, length: Option<usize>) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(512);
         bytes.extend_from_slice(self.method.as_bytes());
         bytes.push(b' ');
         bytes.extend_from_slice(self.target.as_bytes());
         bytes.extend_from_slice(b" HTTP/1.1\r\n");
-        encode_fields(&self.fields, &mut bytes);
+        encode_fields(&self.fields, length, &mut bytes);
         bytes
     }
 
@@ -101,13 +116,12 @@
 
     /// Parses a head and returns it with its length in bytes; `None` while it is incomplete.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, Malformed> {
-        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut response = httparse::Response::new(&mut fields);
-        let length = match response.parse(bytes) {
-            Ok(httparse::Status::Complete(length)) => length,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(error) => return Err(parse_error(error)),
-        };
+        with_fields(bytes, Self::parse_into)
+    }
+
+    fn parse_into<'b>(bytes: &'b [u8], fields: &mut [httparse::Header<'b>]) -> Parsed<Self> {
+        let mut response = httparse::Response::new(fields);
+        let httparse::Status::Complete(length) = response.parse(bytes)? else { return Ok(None) };
         let head = Self {
             status: response.code.unwrap_or_default(),
             reason: response.reason.unwrap_or_default().to_owned(),
@@ -136,7 +150,7 @@
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(512);
         bytes.extend_from_slice(format!("HTTP/1.1 {} {}\r\n", self.status, self.reason).as_bytes());
-        encode_fields(&self.fields, &mut bytes);
+        encode_fields(&self.fields, None, &mut bytes);
         bytes
     }
 
@@ -146,21 +160,47 @@
     }
 }
 
+/// A head with its length in bytes; `None` while it is incomplete.
+type Parsed<T> = Result<Option<(T, usize)>, httparse::Error>;
+
+/// Parses a head with room for as many fields as it has.
+fn with_fields<T>(
+    bytes: &[u8],
+    parse: for<'b> fn(&'b [u8], &mut [httparse::Header<'b>]) -> Parsed<T>,
+) -> Result<Option<(T, usize)>, Malformed> {
+    let parsed = match parse(bytes, &mut [httparse::EMPTY_HEADER; USUAL_FIELDS]) {
+        Err(httparse::Error::TooManyHeaders) => {
+            let lines = bytes.iter().filter(|byte| **byte == b'\n').count();
+            parse(bytes, &mut vec![httparse::EMPTY_HEADER; lines])
+        }
+        parsed => parsed,
+    };
+    parsed.map_err(parse_error)
+}
+
 fn collect_fields(headers: &[httparse::Header<'_>]) -> Fields {
-    let mut fields = Fields::default();
+    let bytes = headers.iter().map(|header| header.name.len() + header.value.len()).sum();
+    let mut fields = Fields::with_capacity(headers.len(), bytes);
     for header in headers {
         fields.push(header.name, header.value);
     }
     fields
 }
 
-fn encode_fields(fields: &Fields, bytes: &mut Vec<u8>) {
+/// Encodes fields, with this `Content-Length` in place of their own if there is one.
+fn encode_fields(fields: &Fields, length: Option<usize>, bytes: &mut Vec<u8>) {
     for field in fields.iter() {
+        if length.is_some() && field.name.eq_ignore_ascii_case("content-length") {
+            continue;
+        }
         bytes.extend_from_slice(field.name.as_bytes());
         bytes.extend_from_slice(b": ");
-        bytes.extend_from_slice(&field.value);
+        bytes.extend_from_slice(field.value);
         bytes.extend_from_slice(b"\r\n");
     }
+    if let Some(length) = length {
+        bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    }
     bytes.extend_from_slice(b"\r\n");
 }
 
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -133,6 +133,51 @@
         "GET / HTTP/1.1\r\nHost: a\r\nConnection: close, X-Own\r\nX-Own: 1\r\nTE: x\r\nX-Other: 2\r\n\r\n";
     let (mut head, _) = parse_request(text).expect("valid").expect("complete");
     head.fields.strip_hop_by_hop();
-    let names: Vec<&str> = head.fields.iter().map(|field| field.name.as_str()).collect();
+    let names: Vec<&str> = head.fields.iter().map(|field| field.name).collect();
     assert_eq!(names, ["Host", "X-Other"]);
 }
+
+/// Guards against a head within its limit that is refused for the number of its fields, and against memory that grows with it.
+#[test]
+fn a_head_of_many_short_fields_is_read_and_takes_little_memory() {
+    let text = format!("GET / HTTP/1.1\r\nHost: a\r\n{}\r\n", "b:\r\n".repeat(4_000));
+    let (head, length) = parse_request(&text).expect("valid").expect("complete");
+    assert_eq!((length, head.fields.iter().count(), head.fields.count("B")), (text.len(), 4_001, 4_000));
+    assert!(head.memory() < 4 * text.len(), "{} for {}", head.memory(), text.len());
+}
+
+/// Guards against time that grows with the fields and with the names that `Connection` lists.
+#[test]
+fn fields_listed_many_times_are_removed_in_one_pass() {
+    let text = format!(
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: {}\r\n{}\r\n",
+        "b,".repeat(30_000),
+        "b:\r\n".repeat(30_000)
+    );
+    let (mut head, _) = parse_request(&text).expect("valid").expect("complete");
+    head.fields.strip_hop_by_hop();
+    assert_eq!(head.fields.iter().map(|field| field.name).collect::<Vec<_>>(), ["Host"]);
+}
+
+/// Guards against small chunks whose framing is kept, or whose data is lost, when a body is read in bulk.
+#[test]
+fn a_body_in_bulk_is_the_same_as_piece_by_piece() {
+    fn property(parts: Vec<Vec<u8>>, cut: usize) -> bool {
+        let parts: Vec<Vec<u8>> = parts.into_iter().filter(|part| !part.is_empty()).collect();
+        let mut encoded: Vec<u8> = parts.iter().flat_map(|part| chunk(part)).collect();
+        encoded.extend_from_slice(b"0\r\n\r\nnext");
+        let cut = cut % encoded.len();
+        let (mut decoder, mut buffer, mut body) =
+            (Decoder::new(Framing::Chunked), BytesMut::new(), Vec::new());
+        for piece in [&encoded[..cut], &encoded[cut..]] {
+            buffer.extend_from_slice(piece);
+            let kept = decoder.drain(&mut buffer, |data| {
+                body.extend_from_slice(data);
+                Ok::<(), Malformed>(())
+            });
+            kept.expect("valid");
+        }
+        decoder.is_done() && body == parts.concat() && &buffer[..] == b"next"
+    }
+    QuickCheck::new().quickcheck(property as fn(Vec<Vec<u8>>, usize) -> bool);
+}
