Long bodies: memory of their own, which the operating system gets back

What callers saw: a gateway beside callers with bodies of the full length passed the memory of its host although it held no more than it counted, and all its requests were lost.

Cause: a buffer that doubles takes up to three times the length while it is copied, and an allocator keeps what was freed for each thread: the largest blocks of all threads add up.

Change: a body of over 64 KiB is an anonymous mapping, whose untouched pages take no memory; here for responses, which were copied as they grew.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 };
 
 use async_std::{future::timeout, net::TcpStream};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::{AsyncWriteExt as _, future::poll_fn};
 use tarragonhill_core::{
     Clock,
@@ -31,6 +31,7 @@
 };
 
 use crate::{
+    body::Body,
     control::{Block, Control},
     edge::{Dialect, Message, Reply},
     held::{Guard, Held},
@@ -181,19 +182,20 @@
             return Err(Failure::Connection(Error::TooLarge));
         }
         let mut guard = self.held.guard(Purpose::Response);
-        let mut body = BytesMut::new();
+        let mut body = Body::framed(self.framing, limit);
         while let Some(part) = self.next_chunk().await? {
             let length = body.len() + part.len();
             if length > limit {
                 return Err(Failure::Connection(Error::TooLarge));
             }
-            guard.set(length).map_err(|_| Failure::InvalidResponse(OVER_BOUND))?;
-            body.extend_from_slice(&part);
+            guard.set(body.memory(length)).map_err(|_| Failure::InvalidResponse(OVER_BOUND))?;
+            body.reserve(length).map_err(|_| Failure::InvalidResponse(OVER_BOUND))?;
+            body.append(&part);
         }
         let answer = Answer {
             head: self.head.clone(),
             reply: self.reply.clone(),
-            body: body.freeze(),
+            body: body.finish(),
             framing: self.framing,
             _guard: guard,
         };
