Gateway: connections of callers, and all that they hold, are bounded

What callers saw: beside crowds that send slowly, read slowly or stop half-way, or many bodies at once, a gateway ran out of memory or of descriptors and was stopped with all its requests; others found no place, or waited for a thread that one connection kept to itself.

Cause: 3,000 callers' connections were allowed where the host has 2,875 sockets, with 22 KB each; heads, read buffers and what is sent ahead were not counted; bodies were read for requests that their heads already refuse; what is slow kept its place and its memory as long as it liked; a connection whose bytes were always there never yielded.

Change: `core::gateway::connections` bounds connections and requests by the host's memory and descriptors and decides which connection gives way; `reader` counts what a connection holds, discards what will not be used, and refuses by the head; bodies may take as long as their caller waits. New settings `descriptors`, `max-caller-connections`, `max-requests`, `max-admin-connections`; metrics `gateway_connections`, `gateway_evictions_total`, `gateway_connection_refusals_total`. 28 % of the memory may be held instead of a quarter, so that two of the longest bodies with answers of the same length leave room for small requests.

--- a/crates/bench/src/abuse.rs
+++ b/crates/bench/src/abuse.rs
@@ -268,6 +268,7 @@
             format!("--table={}", self.site.store.address()),
             format!("--grace-s={}", GRACE.as_secs()),
             format!("--memory-mb={MEMORY_MB}"),
+            format!("--descriptors={DESCRIPTORS}"),
         ];
         let child = Command::new(&self.programs.daemon)
             .args(arguments)
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use tarragonhill_core::{
     Clock,
-    gateway::{budget::Rule, cold::Tolerance, mechanism::Mechanisms},
+    gateway::{budget::Rule, cold::Tolerance, connections::Capacity, mechanism::Mechanisms},
 };
 use tarragonhill_daemon::{
     StartError,
@@ -238,6 +238,8 @@
             cold_tolerance: COLD_TOLERANCE,
             mechanisms: Mechanisms::default(),
             memory: self.memory,
+            capacity: Capacity::of(self.memory, None),
+            admin_capacity: Capacity { connections: 64, requests: 64 },
         }
     }
 
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod cold;
 pub mod completion;
+pub mod connections;
 pub mod contact;
 pub mod digest;
 pub mod directory;
--- a/crates/core/src/gateway/held.rs
+++ b/crates/core/src/gateway/held.rs
@@ -6,8 +6,9 @@
 /// Largest request that counts as small; longer than most requests without a prompt in their body.
 pub const SMALL_REQUEST_BYTES: u64 = 16 << 10;
 /// Part of a host's memory that may be held: the rest is for the process itself, for connections and for what the operating
-/// system has received and the process has not read.
-const HELD_SHARE: f64 = 0.25;
+/// system has received and the process has not read. On the smallest hosts, two of the longest requests with responses of the same
+/// length leave room for small ones.
+const HELD_SHARE: f64 = 0.28;
 /// Part of the bound below which it no longer counts as reached.
 const RELIEVED_SHARE: f64 = 0.25;
 
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod catalog;
 mod cold;
+mod connections;
 mod contact;
 mod digest;
 mod directory;
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -6,11 +6,13 @@
 use std::{collections::BTreeSet, fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bpaf::Bpaf;
+use rustix::process::{Resource, getrlimit};
 use spdlog::LevelFilter;
 use tarragonhill_core::{
     gateway::{
         budget::Rule,
         cold::Tolerance,
+        connections::Capacity,
         mechanism::{Mechanism, Mechanisms},
     },
     placement::Policy,
@@ -22,6 +24,7 @@
 /// Prefix of the environment variables.
 const ENV_PREFIX: &str = "TARRAGONHILL_";
 const MAX_MEMORY_MB: f64 = 1e9;
+const MAX_DESCRIPTORS: f64 = 1e9;
 
 /// Command line before validation.
 #[derive(Clone, Debug, Bpaf)]
@@ -179,6 +182,18 @@
     /// Memory of the host, MB, a part of which may be held for slow callers and endpoints; empty or 0 for no bound
     #[bpaf(long, env("TARRAGONHILL_MEMORY_MB"), argument("MB"), fallback(String::new()))]
     pub memory_mb: String,
+    /// Descriptors that the process may have open; empty or 0 for the limit of the process
+    #[bpaf(long, env("TARRAGONHILL_DESCRIPTORS"), argument("N"), fallback(String::new()))]
+    pub descriptors: String,
+    /// Connections that callers may have open; 0 for what the memory and the descriptors bear
+    #[bpaf(long, env("TARRAGONHILL_MAX_CALLER_CONNECTIONS"), argument("N"), fallback(0), display_fallback)]
+    pub max_caller_connections: usize,
+    /// Requests of callers that are served at once; 0 for what the descriptors bear
+    #[bpaf(long, env("TARRAGONHILL_MAX_REQUESTS"), argument("N"), fallback(0), display_fallback)]
+    pub max_requests: usize,
+    /// Connections that clients of the admin address may have open
+    #[bpaf(long, env("TARRAGONHILL_MAX_ADMIN_CONNECTIONS"), argument("N"), fallback(64), display_fallback)]
+    pub max_admin_connections: usize,
     /// Mechanisms to switch off, separated by commas, to see what each is worth
     #[bpaf(long, env("TARRAGONHILL_WITHOUT"), argument("NAMES"), fallback(String::new()))]
     pub without: String,
@@ -277,6 +292,10 @@
     pub mechanisms: Mechanisms,
     /// Memory of the host, bytes; `None` if it is not known.
     pub memory: Option<u64>,
+    /// How many connections callers may have, and how many of their requests are served at once.
+    pub capacity: Capacity,
+    /// The same for clients of the admin address.
+    pub admin_capacity: Capacity,
 }
 
 /// Validated settings of a daemon.
@@ -388,6 +407,9 @@
             slack: optional_number("cold-slack", &gateway.cold_slack, 0.0, 1e6)?.unwrap_or(declared.slack),
         };
         let memory = optional_number("memory-mb", &gateway.memory_mb, 0.0, MAX_MEMORY_MB)?;
+        let memory = memory.filter(|memory| *memory > 0.0).map(|memory| (memory * 1e6) as u64);
+        let descriptors = optional_number("descriptors", &gateway.descriptors, 0.0, MAX_DESCRIPTORS)?;
+        let descriptors = descriptors.filter(|count| *count > 0.0).map(|count| count as u64);
         Ok(Self {
             common: common.try_into()?,
             peer: address("peer", &gateway.peer)?,
@@ -396,11 +418,30 @@
             retries,
             cold_tolerance,
             mechanisms: mechanisms("without", &gateway.without)?,
-            memory: memory.filter(|memory| *memory > 0.0).map(|memory| (memory * 1e6) as u64),
+            memory,
+            capacity: capacity(Capacity::of(memory, descriptors.or_else(descriptor_limit)), &gateway),
+            admin_capacity: Capacity {
+                connections: gateway.max_admin_connections.max(1),
+                requests: gateway.max_admin_connections.max(1),
+            },
         })
     }
 }
 
+/// Returns the capacity by the settings, and by what the host bears where they leave it open.
+fn capacity(host: Capacity, gateway: &GatewayOptions) -> Capacity {
+    let choose = |set: usize, borne: usize| if set > 0 { set } else { borne };
+    Capacity {
+        connections: choose(gateway.max_caller_connections, host.connections),
+        requests: choose(gateway.max_requests, host.requests),
+    }
+}
+
+/// Returns the limit of the process on its descriptors, if it has one.
+fn descriptor_limit() -> Option<u64> {
+    getrlimit(Resource::Nofile).current
+}
+
 /// Parses the names of mechanisms that are switched off.
 fn mechanisms(setting: &str, text: &str) -> Result<Mechanisms, ConfigError> {
     let names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
@@ -460,7 +501,7 @@
 }
 
 /// Names of all settings: flags without the leading dashes.
-pub const SETTING_NAMES: [&str; 29] = [
+pub const SETTING_NAMES: [&str; 33] = [
     "name",
     "zone",
     "listen",
@@ -489,6 +530,10 @@
     "cold-overage",
     "cold-slack",
     "memory-mb",
+    "descriptors",
+    "max-caller-connections",
+    "max-requests",
+    "max-admin-connections",
     "without",
 ];
 
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -47,6 +47,8 @@
             cold_tolerance: settings.cold_tolerance,
             mechanisms: settings.mechanisms,
             memory: settings.memory,
+            capacity: settings.capacity,
+            admin_capacity: settings.admin_capacity,
             drain_delay: DEREGISTRATION_DELAY,
             grace: settings.grace.saturating_sub(EXIT_RESERVE),
         };
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{
-    exchange::write_all,
+    client::Client,
     held::{Guard, Held},
     shutdown::{Monitor, Phase},
     timing::Timing,
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 pub struct ResponseWriter {
     stream: TcpStream,
+    /// The connection, which gives way to others while the caller does not read.
+    client: Option<Arc<Client>>,
     /// Minor HTTP version of the caller; HTTP/1.0 has no chunked encoding.
     minor: u8,
     is_head: bool,
@@ -81,8 +83,15 @@
 impl ResponseWriter {
     /// Creates a writer for the response to a request. The connection closes after it if the caller asks for
     /// that, or if the gateway is shutting down by then.
-    pub(crate) fn new(stream: TcpStream, request: &Request, phases: Monitor, held: &Arc<Held>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        request: &Request,
+        phases: Monitor,
+        held: &Arc<Held>,
+        client: Arc<Client>,
+    ) -> Self {
         Self {
+            client: Some(client),
             minor: request.minor,
             is_head: request.method == "HEAD",
             close: !request.keeps_alive(),
@@ -96,6 +105,7 @@
     pub(crate) fn closing(stream: TcpStream) -> Self {
         Self {
             stream,
+            client: None,
             minor: 1,
             is_head: false,
             close: true,
@@ -202,6 +212,7 @@
     /// Writes what is kept until at most `limit` bytes are left. Cancel safe.
     async fn flush_to(&mut self, limit: usize) -> io::Result<()> {
         while self.backlog.len() > limit {
+            self.set_stalled(true);
             let left = WRITE_TIMEOUT.saturating_sub(self.stalled_since.elapsed());
             let written = timeout(left, self.stream.write(&self.backlog)).await;
             let count = written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -211,6 +222,7 @@
             self.backlog.advance(count);
             self.stalled_since = Instant::now();
             self.count_backlog();
+            self.set_stalled(false);
         }
         Ok(())
     }
@@ -288,7 +300,25 @@
         }
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        write_all(&mut self.stream, bytes, WRITE_TIMEOUT).await
+    async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        if let Some(written) = future::poll_once(self.stream.write(bytes)).await {
+            bytes = &bytes[written?..];
+        }
+        while !bytes.is_empty() {
+            self.set_stalled(true);
+            let written = timeout(WRITE_TIMEOUT, self.stream.write(bytes)).await;
+            match written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                count => bytes = &bytes[count..],
+            }
+            self.set_stalled(false);
+        }
+        Ok(())
+    }
+
+    fn set_stalled(&self, is_stalled: bool) {
+        if let Some(client) = &self.client {
+            client.set_stalled(is_stalled);
+        }
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -26,6 +26,7 @@
 use tarragonhill_h1::head::Request;
 
 use crate::{
+    client::Crowd,
     control::{Block, Control},
     edge::{Dialect, Dispatch, Message, Metadata, Task},
     exchange::{Bound, Client, Exchange, Failure, Recipient},
@@ -47,6 +48,10 @@
     pub(crate) pool: Pool,
     /// Bytes held for callers and endpoints.
     pub(crate) held: Arc<Held>,
+    /// Open connections of callers.
+    pub(crate) callers: Arc<Crowd>,
+    /// Open connections of the admin address.
+    pub(crate) admin: Arc<Crowd>,
     /// Running checks of endpoints that may have crashed.
     pub(crate) checks: Checks,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -11,50 +11,30 @@
     net::{TcpListener, TcpStream},
     task,
 };
-use bytes::{Bytes, BytesMut};
-use futures_lite::{FutureExt as _, future};
+use bytes::Bytes;
+use futures_lite::{AsyncWriteExt as _, future};
 use tarragonhill_core::{
-    Refusal, Time,
-    gateway::{
-        catalog::{Catalog, Kind, Limits},
-        held::Purpose,
-    },
+    Clock, Refusal, Time,
+    gateway::catalog::{Catalog, Kind, Limits},
     refusal::Code,
 };
-use tarragonhill_h1::{
-    Connection, Error,
-    body::{Decoder, Framing},
-    head::Request,
-};
+use tarragonhill_h1::{body::Framing, head::Request};
 
 use crate::{
     caller::ResponseWriter,
+    client::{Client, Crowd},
     context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late},
     edge::Metadata,
-    exchange::OVER_BOUND,
-    held::Guard,
-    identify::identify,
+    identify::{check, identify},
+    reader::{Reader, Unread},
     shutdown::Phase,
     stream, unary,
 };
 
-/// How long sent data may stay unacknowledged before the operating system closes a caller's connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Timeout for reading a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum unread bytes buffered while a request is served.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
-/// Maximum bytes discarded after the last response.
-const MAX_DISCARDED_BYTES: usize = 4 << 20;
-/// How long incoming bytes are discarded after the last response. Closing a connection with unread bytes
-/// resets it, and the caller may lose the response.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a new connection stays open without a request while the gateway shuts down.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Maximum caller connections; leaves file descriptors for connections to endpoints.
-const MAX_CONNECTIONS: usize = 3_000;
+/// Response to a request that is not read to its end because its connection gives way to others.
+const GIVES_WAY: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
 /// Accepts callers' connections. `open` is dropped once this future and all connections have ended.
 pub(crate) async fn accept(context: Arc<Context>, listener: TcpListener, open: Sender<()>) {
@@ -64,74 +44,120 @@
 
 async fn accept_until_cancelled(context: &Arc<Context>, listener: &TcpListener, open: &Sender<()>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                spdlog::warn!("accepting a connection failed", kv: { reason = error.to_string().as_str() });
-                context.clock.sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        if open.sender_count() > MAX_CONNECTIONS {
-            spdlog::warn!("connection limit reached; closing the new connection");
-            continue;
-        }
+        let (stream, client) = accept_one(&context.clock, listener, &context.callers).await;
         let (context, open) = (context.clone(), open.clone());
         task::spawn(async move {
             // Boxed because the future is too large to be moved into the combinators on the stack.
-            let served = Box::pin(serve_connection(&context, stream));
-            run_until(served, context.phases.reached(Phase::Ended)).await;
+            let served = Box::pin(serve_connection(&context, stream.clone(), client.clone()));
+            let served = run_until(served, context.phases.reached(Phase::Ended));
+            let evicted = run_until(served, client.evicted()).await.is_none();
+            if evicted && client.is_receiving() {
+                let _ = future::poll_once((&stream).write(GIVES_WAY)).await;
+            }
             drop(open);
         });
     }
 }
 
-async fn serve_connection(context: &Arc<Context>, stream: TcpStream) {
-    let mut connection = Connection::new(stream, TCP_USER_TIMEOUT);
+/// Accepts a connection that has a place.
+pub(crate) async fn accept_one(
+    clock: &Clock,
+    listener: &TcpListener,
+    crowd: &Arc<Crowd>,
+) -> (TcpStream, Arc<Client>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Some(client) = crowd.open() {
+                    return (stream, Arc::new(client));
+                }
+            }
+            Err(error) => {
+                spdlog::warn!("accepting a connection failed", kv: { reason = error.to_string().as_str() });
+                clock.sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(context: &Arc<Context>, stream: TcpStream, client: Arc<Client>) {
+    let mut reader = Reader::new(context, stream, client.clone());
     // A new connection counts as well, because its caller is about to send a request.
     let mut in_flight = Some(InFlight::new(context));
     loop {
         let limits = context.control.catalog().map_or_else(Limits::default, |catalog| catalog.limits());
         let is_new = in_flight.is_some();
-        if !wait_for_bytes(context, &mut connection, limits, is_new).await {
+        if !reader.wait_for_bytes(limits, is_new).await {
             return;
         }
         in_flight.get_or_insert_with(|| InFlight::new(context));
-        let head = match read_head(&mut connection, limits).await {
-            Ok(head) => head,
-            Err(Some(status)) => return reject(&mut connection, status).await,
-            Err(None) => return,
-        };
-        let metadata = context.dialect.decode_metadata(&head);
-        let id = metadata.id.clone();
-        let mut guard = context.held.guard(Purpose::Request);
-        let body = match read_body(&mut connection, &head, limits, &mut guard).await {
-            Ok(body) => body,
-            Err(Unread::Rejected(status)) => return reject(&mut connection, status).await,
-            Err(Unread::OverBound) => return refuse_body(context, &mut connection, id.as_deref()).await,
+        let (head, metadata, body) = match read_request(context, &mut reader, limits).await {
+            Ok(request) => request,
+            Err(Unread::Rejected(status)) => return reader.reject(status).await,
+            Err(Unread::Refused(refusal, id)) => {
+                return refuse_unread(context, &mut reader, &refusal, id).await;
+            }
             Err(Unread::Disconnected) => return,
         };
+        let id = metadata.id.clone();
         let phases = context.phases.clone();
-        let mut writer = ResponseWriter::new(connection.stream().clone(), &head, phases, &context.held);
+        let stream = reader.stream().clone();
+        let mut writer = ResponseWriter::new(stream, &head, phases, &context.held, client.clone());
         let cut_guard = CutGuard { context, id: id.clone(), began: context.clock.now(), is_finished: false };
         // Boxed, as it is large and an idle connection needs none of it.
-        let serving = Box::pin(serve(context, head, body, metadata, &mut writer));
-        let served = run_until(serving, wait_for_close(context, &mut connection)).await;
+        let serving = Box::pin(serve(context, &client, head, body, metadata, &mut writer));
+        let served = run_until(serving, reader.wait_for_close()).await;
         cut_guard.finish();
         in_flight = None;
         if served.is_none() {
             spdlog::info!("caller closed its connection", kv: { request = id.as_deref().unwrap_or("-") });
             return;
         }
+        if (200..300).contains(&writer.status) {
+            client.record_served();
+        }
+        reader.end_request();
         if !writer.keeps_alive() {
             if writer.is_complete() {
-                linger(&mut connection).await;
+                reader.linger().await;
             }
             return;
         }
     }
 }
 
+/// Reads a request. One that would be refused anyway is refused before its body is read.
+async fn read_request(
+    context: &Context,
+    reader: &mut Reader<'_>,
+    limits: Limits,
+) -> Result<(Request, Metadata, Bytes), Unread> {
+    let head = reader.read_head(limits).await?;
+    let metadata = context.dialect.decode_metadata(&head);
+    let framing = head.framing().map_err(|_| Unread::Rejected(400))?;
+    if !reader.has_received(framing) {
+        context.control.wait_initialized(&context.clock).await;
+        let catalog = context.control.catalog();
+        check(catalog.as_deref(), context.control.is_stale(), &head, &metadata)
+            .map_err(|refusal| Unread::Refused(refusal, metadata.id.clone()))?;
+    }
+    let time = metadata.timeout.unwrap_or_default();
+    let body = reader.read_body(&head, framing, limits, time).await.map_err(|unread| match unread {
+        // The request is named in the refusal.
+        Unread::Refused(refusal, _) => Unread::Refused(refusal, metadata.id.clone()),
+        unread => unread,
+    })?;
+    Ok((head, metadata, body))
+}
+
+/// Refuses a request that has not been read whole, and closes the connection.
+async fn refuse_unread(context: &Context, reader: &mut Reader<'_>, refusal: &Refusal, id: Option<Arc<str>>) {
+    let mut writer = ResponseWriter::closing(reader.stream().clone());
+    reader.end_request();
+    refuse(context, refusal, id.as_deref(), &mut writer).await;
+    reader.linger().await;
+}
+
 /// Counts a request in [`Context::in_flight`] until it is dropped.
 struct InFlight<'a>(&'a Context);
 
@@ -173,153 +199,9 @@
     }
 }
 
-/// Waits for the first bytes of a request. Returns false if the connection should be closed. A new connection
-/// stays open for longer once idle ones are closed.
-async fn wait_for_bytes(
-    context: &Context,
-    connection: &mut Connection,
-    limits: Limits,
-    is_new: bool,
-) -> bool {
-    if connection.buffered() > 0 {
-        return true;
-    }
-    let closing = async {
-        context.phases.reached(Phase::Closing).await;
-        if is_new {
-            let expired = context.phases.reached(Phase::Expired);
-            expired.or(context.clock.sleep(FIRST_REQUEST_TIMEOUT)).await;
-        }
-    };
-    let filled = timeout(limits.idle_timeout, run_until(connection.fill(), closing)).await;
-    matches!(filled, Ok(Some(Ok(read))) if read > 0)
-}
-
-/// Status to respond with; `None` if the connection failed.
-type Rejection = Option<u16>;
-
-async fn read_head(connection: &mut Connection, limits: Limits) -> Result<Request, Rejection> {
-    let read = timeout(limits.head_timeout, connection.read_request(limits.max_head_bytes)).await;
-    let head = read.map_err(|_| Some(408))?.map_err(rejection(431))?;
-    let host_count = head.fields.count("host");
-    if host_count != 1 || !head.target.starts_with('/') {
-        return Err(Some(400));
-    }
-    Ok(head)
-}
-
-fn rejection(too_large: u16) -> impl Fn(Error) -> Rejection {
-    move |error| match error {
-        Error::Malformed(_) => Some(400),
-        Error::TooLarge => Some(too_large),
-        Error::Closed | Error::Truncated | Error::TooSlow | Error::Io(_) => None,
-    }
-}
-
-/// Why a body was not read.
-enum Unread {
-    /// Status to respond with.
-    Rejected(u16),
-    /// More would be held than memory allows.
-    OverBound,
-    /// The connection failed.
-    Disconnected,
-}
-
-impl From<Rejection> for Unread {
-    fn from(rejection: Rejection) -> Self {
-        rejection.map_or(Self::Disconnected, Self::Rejected)
-    }
-}
-
-async fn read_body(
-    connection: &mut Connection,
-    head: &Request,
-    limits: Limits,
-    guard: &mut Guard,
-) -> Result<Bytes, Unread> {
-    let framing = head.framing().map_err(|_| Unread::Rejected(400))?;
-    if let Framing::Length(length) = framing {
-        if length > limits.max_body_bytes as u64 {
-            return Err(Unread::Rejected(413));
-        }
-        guard.set(length as usize).map_err(|_| Unread::OverBound)?;
-    }
-    if framing != Framing::Empty && head.fields.has_token("expect", "100-continue") {
-        let written = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        written.map_err(|_| Unread::Disconnected)?;
-    }
-    let read = read_parts(connection, Decoder::new(framing), limits, guard);
-    timeout(BODY_TIMEOUT, read).await.map_err(|_| Unread::Rejected(408))?
-}
-
-async fn read_parts(
-    connection: &mut Connection,
-    mut decoder: Decoder,
-    limits: Limits,
-    guard: &mut Guard,
-) -> Result<Bytes, Unread> {
-    let mut body = BytesMut::new();
-    while let Some(part) = connection.read_part(&mut decoder).await.map_err(rejection(413))? {
-        let length = body.len() + part.len();
-        if length > limits.max_body_bytes {
-            return Err(Unread::Rejected(413));
-        }
-        guard.grow(length).map_err(|_| Unread::OverBound)?;
-        body.extend_from_slice(&part);
-    }
-    Ok(body.freeze())
-}
-
-/// Refuses a request whose body would take too much memory, and closes the connection.
-async fn refuse_body(context: &Context, connection: &mut Connection, id: Option<&str>) {
-    context.metrics.held_refusals.inc();
-    let refusal = Refusal::not_run(Code::Overloaded, OVER_BOUND).with_retry_after(RETRY_ELSEWHERE);
-    let mut writer = ResponseWriter::closing(connection.stream().clone());
-    refuse(context, &refusal, id, &mut writer).await;
-    linger(connection).await;
-}
-
-/// Responds to an invalid request and closes the connection.
-async fn reject(connection: &mut Connection, status: u16) {
-    spdlog::info!("request rejected", kv: { status });
-    let head = tarragonhill_h1::head::Response::new(status);
-    let mut writer = ResponseWriter::closing(connection.stream().clone());
-    if writer.write_whole(head, b"", Framing::Empty).await.is_ok() {
-        linger(connection).await;
-    }
-}
-
-/// Shuts down the write side and discards incoming bytes for a short time.
-async fn linger(connection: &mut Connection) {
-    let _ = connection.stream().shutdown(std::net::Shutdown::Write);
-    let drain = async {
-        let mut discarded = 0;
-        while discarded < MAX_DISCARDED_BYTES && matches!(connection.fill().await, Ok(read) if read > 0) {
-            discarded += connection.discard();
-        }
-    };
-    let _ = timeout(LINGER_TIMEOUT, drain).await;
-}
-
-/// Completes once the caller has closed its connection. Pipelined requests are buffered up to a limit, beyond
-/// which a disconnection is no longer detected.
-async fn wait_for_close(context: &Context, connection: &mut Connection) {
-    let mut guard = context.held.guard(Purpose::ReadAhead);
-    loop {
-        let buffered = connection.buffered();
-        if buffered > MAX_READ_AHEAD_BYTES || guard.set(buffered).is_err() {
-            return std::future::pending().await;
-        }
-        match connection.fill().await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
-        }
-    }
-}
-
 async fn serve(
     context: &Arc<Context>,
+    client: &Client,
     head: Request,
     body: Bytes,
     metadata: Metadata,
@@ -334,6 +216,9 @@
         Ok(inbound) => inbound,
         Err(refusal) => return refuse(context, &refusal, id.as_deref(), writer).await,
     };
+    if !client.begin_serving() {
+        return refuse(context, &too_many(), id.as_deref(), writer).await;
+    }
     let expired = || context.phases.reached(Phase::Expired);
     let admitted = run_until(context.control.admit(inbound.admission.clone()), expired()).await;
     match admitted.unwrap_or_else(|| Err(ends_too_late())) {
@@ -379,6 +264,11 @@
     log_end(context, &inbound, writer);
 }
 
+/// Returns the refusal of a request beyond the number that is served at once.
+fn too_many() -> Refusal {
+    Refusal::not_run(Code::Overloaded, "too many requests are being served").with_retry_after(RETRY_ELSEWHERE)
+}
+
 async fn handle(
     context: &Arc<Context>,
     inbound: &Inbound,
@@ -488,7 +378,10 @@
 }
 
 /// Runs `work` to its end, or returns `None` if `until` completes first.
-async fn run_until<T>(work: impl Future<Output = T>, until: impl Future<Output = ()>) -> Option<T> {
+pub(crate) async fn run_until<T>(
+    work: impl Future<Output = T>,
+    until: impl Future<Output = ()>,
+) -> Option<T> {
     let work = async { Some(work.await) };
     let until = async {
         until.await;
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -38,9 +38,9 @@
 }
 
 impl Guard {
-    /// Holds `bytes` in total, unless it holds more already.
-    pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Exceeded> {
-        if bytes as u64 > self.bytes { self.set(bytes) } else { Ok(()) }
+    /// Returns how many bytes are held.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
     }
 
     /// Sets how many bytes are held. If these are too many, nothing changes.
--- a/crates/gateway/src/identify.rs
+++ b/crates/gateway/src/identify.rs
@@ -32,14 +32,7 @@
     metadata: Metadata,
     received: Time,
 ) -> Result<Inbound, Refusal> {
-    let resolved = match catalog {
-        Some(catalog) => look_up(catalog, &head, &metadata).map_err(|error| refusal(error, is_stale)),
-        None => {
-            let refusal = Refusal::not_run(Code::SettingsUnconfirmed, "no configuration has been read yet");
-            Err(refusal.with_retry_after(RETRY_WITHOUT_CATALOG))
-        }
-    };
-    let (route, customer) = resolved?;
+    let (route, customer) = resolve(catalog, is_stale, &head, &metadata)?;
     let service = route.pick_service(rand::rng().random()).clone();
     let customer_name = customer.as_ref().map_or("", |customer| &*customer.name);
     let admission = Admission {
@@ -51,6 +44,31 @@
     Ok(Inbound::new(head, body, metadata, route, admission, received))
 }
 
+/// Refuses a request of which only the head has been read if its route or key is unknown.
+pub(crate) fn check(
+    catalog: Option<&Catalog>,
+    is_stale: bool,
+    head: &Request,
+    metadata: &Metadata,
+) -> Result<(), Refusal> {
+    resolve(catalog, is_stale, head, metadata).map(drop)
+}
+
+fn resolve(
+    catalog: Option<&Catalog>,
+    is_stale: bool,
+    head: &Request,
+    metadata: &Metadata,
+) -> Result<Resolved, Refusal> {
+    match catalog {
+        Some(catalog) => look_up(catalog, head, metadata).map_err(|error| refusal(error, is_stale)),
+        None => {
+            let refusal = Refusal::not_run(Code::SettingsUnconfirmed, "no configuration has been read yet");
+            Err(refusal.with_retry_after(RETRY_WITHOUT_CATALOG))
+        }
+    }
+}
+
 /// Returns the tokens that a request takes from its customer's token bucket.
 fn token_cost(customer: &Customer, metadata: &Metadata) -> u64 {
     let tokens = metadata.tokens.filter(|_| customer.counts_tokens);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 pub mod caller;
+mod client;
 mod context;
 pub mod control;
 pub mod edge;
@@ -21,6 +22,7 @@
 pub mod mirror;
 mod orders;
 mod pool;
+mod reader;
 mod server;
 mod shutdown;
 mod stream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,12 @@
     pub held_bytes: IntGauge,
     /// Requests refused because too many bytes were held.
     pub held_refusals: IntCounter,
+    /// Open connections, by address.
+    pub connections: GaugeVec,
+    /// Connections closed in favour of others, by address and reason.
+    pub evictions: IntCounterVec,
+    /// Connections closed at once because no other one gave way to them, by address.
+    pub connection_refusals: IntCounterVec,
     /// Version of the active configuration; 0 before the first.
     pub version: IntGauge,
     /// Forecast durations of the parts of a completion, seconds, by service and part.
@@ -101,6 +107,17 @@
                 "gateway_held_refusals_total",
                 "Requests refused because too many bytes were held",
             ),
+            connections: gauges("gateway_connections", "Open connections", &["address"]),
+            evictions: counter(
+                "gateway_evictions_total",
+                "Connections closed in favour of others",
+                &["address", "reason"],
+            ),
+            connection_refusals: counter(
+                "gateway_connection_refusals_total",
+                "Connections closed because there were too many",
+                &["address"],
+            ),
             version: gauge("gateway_configuration_version", "Version of the configuration in force"),
             forecasts: gauges("gateway_forecast_seconds", "Forecast times", &["service", "part"]),
             speeds: gauges(
@@ -109,7 +126,7 @@
                 &["service", "rank"],
             ),
         };
-        let collectors: [Box<dyn Collector>; 22] = [
+        let collectors: [Box<dyn Collector>; 25] = [
             Box::new(metrics.requests.clone()),
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
@@ -129,6 +146,9 @@
             Box::new(metrics.unknown_fields.clone()),
             Box::new(metrics.held_bytes.clone()),
             Box::new(metrics.held_refusals.clone()),
+            Box::new(metrics.connections.clone()),
+            Box::new(metrics.evictions.clone()),
+            Box::new(metrics.connection_refusals.clone()),
             Box::new(metrics.version.clone()),
             Box::new(metrics.forecasts.clone()),
             Box::new(metrics.speeds.clone()),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -17,11 +17,13 @@
 };
 use futures_lite::FutureExt as _;
 use prometheus::Registry;
+use socket2::{Domain, Socket, Type};
 use tarragonhill_core::{
     Clock, Time,
     gateway::{
         budget::Rule,
         cold::Tolerance,
+        connections::Capacity,
         mechanism::Mechanisms,
         shutdown::Shutdown,
         speed::Summary,
@@ -34,6 +36,7 @@
 };
 
 use crate::{
+    client::Crowd,
     context::Context,
     control::{
         FORECAST_PROMPT_TOKENS, Yields,
@@ -62,6 +65,11 @@
 /// Capacity of the order channel.
 const ORDER_CAPACITY: usize = 4;
 
+/// Connections that the operating system keeps until they are accepted; as many as a crowd opens at a time.
+const ACCEPT_BACKLOG: i32 = 1_024;
+/// What the operating system keeps for a connection that is not being read. It is part of the host's memory.
+const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
+
 /// The gateway's access to the store.
 pub struct Store {
     /// Updates read from the store.
@@ -93,6 +101,10 @@
     pub mechanisms: Mechanisms,
     /// Memory of the host, bytes; `None` if it is not known.
     pub memory: Option<u64>,
+    /// How many connections callers may have, and how many requests are served at once.
+    pub capacity: Capacity,
+    /// The same for clients of the admin address.
+    pub admin_capacity: Capacity,
     /// How long new connections are still accepted after shutdown has begun and the gateway reports not ready.
     pub drain_delay: Duration,
     /// Maximum duration of a shutdown, including `drain_delay`.
@@ -142,7 +154,7 @@
         store: Store,
         registry: &Registry,
     ) -> Result<Self, StartError> {
-        let listener = TcpListener::bind(settings.listen).await;
+        let listener = listen(settings.listen);
         let listener = listener.map_err(|error| StartError::Listen(settings.listen, error))?;
         let address = listener.local_addr().map_err(|error| StartError::Listen(settings.listen, error))?;
         let listen_error = |error| StartError::Listen(settings.peer, error);
@@ -170,6 +182,8 @@
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
             held: Held::new(settings.memory),
+            callers: Crowd::new(clock.clone(), settings.capacity),
+            admin: Crowd::new(clock.clone(), settings.admin_capacity),
             checks: Checks::default(),
             clock,
             control: control.clone(),
@@ -259,6 +273,18 @@
     }
 }
 
+/// Listens for callers, or for clients of the admin address.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    // Accepted connections inherit it.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(std::net::TcpListener::from(socket).into())
+}
+
 /// Waits until no request is in flight. Returns false if the deadline passes first.
 async fn wait_until_idle(context: &Context, deadline: Time) -> bool {
     while context.clock.now() < deadline {
@@ -327,6 +353,9 @@
             counter.inc_by(count.saturating_sub(counter.get()));
         }
         self.0.metrics.held_bytes.set(i64::try_from(self.0.held.bytes()).unwrap_or(i64::MAX));
+        for (address, crowd) in [("callers", &self.0.callers), ("admin", &self.0.admin)] {
+            update_connections(&self.0.metrics, address, crowd);
+        }
         let cold_endpoints = self.0.control.cold_count(self.0.clock.now());
         self.0.metrics.cold_endpoints.set(i64::try_from(cold_endpoints).unwrap_or(i64::MAX));
         for (service, forecast) in self.0.control.forecasts().await {
@@ -362,6 +391,16 @@
     }
 }
 
+fn update_connections(metrics: &Metrics, address: &str, crowd: &Crowd) {
+    metrics.connections.with_label_values(&[address]).set(crowd.len() as f64);
+    let refusals = metrics.connection_refusals.with_label_values(&[address]);
+    refusals.inc_by(crowd.refusals().saturating_sub(refusals.get()));
+    for (reason, count) in crowd.evictions() {
+        let evictions = metrics.evictions.with_label_values(&[address, reason]);
+        evictions.inc_by(count.saturating_sub(evictions.get()));
+    }
+}
+
 async fn apply_updates(updates: Receiver<Update>, context: Arc<Context>) {
     while let Ok(update) = updates.recv().await {
         match &update {
