Gateway: the admin address is served with the bounds of callers

What callers saw: beside bodies of the full length at readiness, state, metrics or any other path of the admin address, a gateway passed the memory of its host and was stopped; crowds there took all descriptors; a head of over 8 KiB was refused with 400.

Cause: a general server with bounds for each connection only: 4,096 connections, 4 MiB of body each, no time for a response.

Change: the reader of callers' requests serves the address, with places of its own; bodies are discarded; large pages are made one after the other and have to be taken in 5 s.

--- a/crates/bench/src/abuse.rs
+++ b/crates/bench/src/abuse.rs
@@ -52,6 +52,7 @@
 const EXIT_SLACK: Duration = Duration::from_secs(2);
 /// Time until the gateway holds nothing once the clients are gone.
 const RELIEF_TIMEOUT: Duration = Duration::from_secs(30);
+const RELIEF_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of the load balancer's check, and its timeout.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time from the signal in which the load balancer may still send callers to the gateway.
@@ -333,26 +334,33 @@
         true
     }
 
-    /// Checks that the gateway recovers, and serves each request that is within the limits.
-    async fn check_after(&mut self, plan: &Plan) -> Vec<String> {
+    /// Waits until the gateway holds nothing for callers. Returns the number of bytes that it still holds.
+    async fn wait_until_released(&mut self) -> Value {
         let began = Instant::now();
         let mut held = Value::Null;
         while held != 0 && began.elapsed() < RELIEF_TIMEOUT && !self.has_ended() {
             let dump = crate::platform::site::state(self.target.admin);
             let state = timeout(CHECK_INTERVAL, dump).await.unwrap_or_default();
             held = state["held_bytes"].clone();
-            task::sleep(Duration::from_millis(50)).await;
+            task::sleep(RELIEF_INTERVAL).await;
         }
+        held
+    }
+
+    /// Checks that the gateway recovers, and serves each request that is within the limits.
+    async fn check_after(&mut self, plan: &Plan) -> Vec<String> {
         let mut faults = Vec::new();
-        if self.has_ended() {
-            return faults;
-        }
-        if held != 0 {
-            faults.push(format!("the gateway still holds {held} bytes"));
-        }
         // A run without clients is the calm in which all of them have to be served.
         let lone = if plan.attacks.is_empty() { Lone::all() } else { Lone::some() };
         for lone in lone {
+            // What is held for the request before would not leave it alone.
+            let held = self.wait_until_released().await;
+            if self.has_ended() {
+                return faults;
+            }
+            if held != 0 {
+                faults.push(format!("the gateway still holds {held} bytes"));
+            }
             if let Err(reason) = lone.send(self.target).await {
                 faults.push(format!("a lone request, {lone}: {reason}"));
             }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,11 +1,16 @@
 //! Handlers of the admin paths that all roles share: metrics, health and readiness.
 
 use prometheus::{Encoder as _, Registry, TextEncoder};
-use tarragonhill_http::server::{Inbound, Outbound};
+use tarragonhill_http::server::Outbound;
 
 /// Handles the paths that all roles share; returns `None` for other paths.
-pub(crate) fn handle_common(inbound: &Inbound, registry: &Registry, is_ready: bool) -> Option<Outbound> {
-    match (inbound.method.as_str(), inbound.path.as_str()) {
+pub(crate) fn handle_common(
+    method: &str,
+    path: &str,
+    registry: &Registry,
+    is_ready: bool,
+) -> Option<Outbound> {
+    match (method, path) {
         ("GET", "/metrics") => Some(metrics(registry)),
         ("GET", "/healthz") => Some(Outbound::text(200, "ok\n")),
         ("GET", "/readyz") if is_ready => Some(Outbound::text(200, "ready\n")),
@@ -24,7 +29,7 @@
 }
 
 /// Returns the 404 response for an unknown path.
-pub(crate) fn not_found(inbound: &Inbound) -> Outbound {
-    let message = format!("no {} {}", inbound.method, inbound.path);
+pub(crate) fn not_found(method: &str, path: &str) -> Outbound {
+    let message = format!("no {method} {path}");
     Outbound::json(404, &serde_json::json!({"error": {"code": "not_found", "message": message}}))
 }
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -108,11 +108,12 @@
     metrics: Arc<Metrics>,
 ) -> Outbound {
     let is_ready = current.get().version > 0;
-    if let Some(outbound) = admin::handle_common(&inbound, metrics.registry(), is_ready) {
+    if let Some(outbound) = admin::handle_common(&inbound.method, &inbound.path, metrics.registry(), is_ready)
+    {
         return outbound;
     }
     match (inbound.method.as_str(), inbound.path.as_str()) {
         ("GET", "/dump") => Outbound::json(200, &control.dump().await),
-        _ => admin::not_found(&inbound),
+        _ => admin::not_found(&inbound.method, &inbound.path),
     }
 }
--- a/crates/daemon/src/entry/operators.rs
+++ b/crates/daemon/src/entry/operators.rs
@@ -26,7 +26,9 @@
 /// Serves one HTTP request at the admin address.
 pub(crate) async fn handle(context: Arc<Context>, inbound: Inbound) -> Outbound {
     let ready = context.check_serving().is_ok();
-    if let Some(outbound) = admin::handle_common(&inbound, context.metrics.registry(), ready) {
+    if let Some(outbound) =
+        admin::handle_common(&inbound.method, &inbound.path, context.metrics.registry(), ready)
+    {
         return outbound;
     }
     if !is_authorized(&context, &inbound) {
@@ -40,9 +42,9 @@
         ("POST", "/confirm") => confirm(&context, body).await,
         ("GET", path) => match path.strip_prefix("/plans/") {
             Some(id) => resolve(&context, id).await,
-            None => admin::not_found(&inbound),
+            None => admin::not_found(&inbound.method, &inbound.path),
         },
-        _ => admin::not_found(&inbound),
+        _ => admin::not_found(&inbound.method, &inbound.path),
     }
 }
 
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use tarragonhill_core::gateway::state::explain::{Address, Query, Unknown};
 use tarragonhill_gateway::Status;
-use tarragonhill_http::server::{Inbound, Outbound};
+use tarragonhill_http::server::{Outbound, parameters};
 
 /// The path.
 pub(crate) const PATH: &str = "/explain";
@@ -15,11 +15,11 @@
 const MAX_PRIORITY: u64 = 9;
 
 /// Explains the request that the query describes.
-pub(crate) async fn handle(inbound: &Inbound, status: &Status) -> Outbound {
-    if inbound.method != "GET" {
+pub(crate) async fn handle(method: &str, query: &str, status: &Status) -> Outbound {
+    if method != "GET" {
         return error(405, "bad_request", "only GET is allowed");
     }
-    let query = match parse(inbound.parameters()) {
+    let query = match parse(parameters(query)) {
         Ok(query) => query,
         Err(problem) => return error(400, "bad_request", &problem),
     };
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -3,11 +3,14 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
-use async_std::task::{self, JoinHandle};
 use prometheus::{IntGauge, Registry};
 use tarragonhill_core::{Clock, gateway::digest::Member};
-use tarragonhill_gateway::{Gateway, Settings, Status, Store};
-use tarragonhill_http::server::{Inbound, Limits, Outbound, Server};
+use tarragonhill_gateway::{
+    Gateway, Settings, Status, Store,
+    admin::{Cost, Page, Pages},
+};
+use tarragonhill_h1::head::Request;
+use tarragonhill_http::server::Outbound;
 use tarragonhill_platform::{
     READINESS_PATH, claims::Claims, client::Client, dialect::Dialect, era::Eras, store, suspects,
 };
@@ -27,7 +30,6 @@
     name: Arc<str>,
     gateway: Gateway,
     admin: SocketAddr,
-    admin_task: JoinHandle<()>,
 }
 
 impl Process {
@@ -56,7 +58,7 @@
         let claims = Box::new(Claims::new(common.table, eras.clone()));
         let store = Store { updates: received, claims };
         let result = Gateway::start(gateway, clock, Arc::new(Dialect), store, &registry).await;
-        let gateway = result.map_err(StartError::Gateway)?;
+        let mut gateway = result.map_err(StartError::Gateway)?;
         let own = Member {
             name: common.name.clone(),
             address: gateway.peer_address(),
@@ -66,20 +68,17 @@
         let client = Client::new(common.table, eras.clone());
         suspects::keep(client, common.name.clone(), gateway.unsaved_suspects(), updates.clone());
         store::follow(common.table, &eras, own, gateway.mirror(), updates);
-        let server = Server::bind(&common.admin.to_string(), Limits::default()).await;
-        let server = server.map_err(|error| StartError::Listen {
+        let pages =
+            Admin { status: gateway.status(), dropped_lines: register_dropped_lines(&registry), registry };
+        let admin = gateway.serve_admin(common.admin, pages).map_err(|error| StartError::Listen {
             setting: "admin",
             address: common.admin.to_string(),
             error,
         })?;
-        let admin = server.address();
-        let admin_state =
-            Admin { status: gateway.status(), dropped_lines: register_dropped_lines(&registry), registry };
-        let admin_task = task::spawn(server.serve(move |inbound| handle(inbound, admin_state.clone())));
         spdlog::info!("gateway started", kv: {
             name = &*common.name, zone = &*common.zone, listen = gateway.address().to_string().as_str()
         });
-        Ok(Self { name: common.name.clone(), gateway, admin, admin_task })
+        Ok(Self { name: common.name.clone(), gateway, admin })
     }
 
     /// Returns the bound address for callers.
@@ -100,14 +99,12 @@
     /// Cancels all tasks at once, as in a crash.
     pub async fn kill(self) {
         self.gateway.kill().await;
-        self.admin_task.cancel().await;
     }
 
     /// Drains running requests within the grace period, then stops.
     pub async fn shutdown(self) {
         spdlog::info!("gateway stopping", kv: { name = &*self.name });
         self.gateway.shutdown().await;
-        self.admin_task.cancel().await;
     }
 }
 
@@ -119,8 +116,7 @@
     Ok(())
 }
 
-/// Shared state of the admin handlers.
-#[derive(Clone)]
+/// Pages of the admin address.
 struct Admin {
     status: Status,
     registry: Registry,
@@ -136,18 +132,35 @@
     gauge
 }
 
-async fn handle(inbound: Inbound, admin: Admin) -> Outbound {
-    let is_ready = admin.status.is_ready();
-    if inbound.path == READINESS_PATH {
-        return Outbound::text(if is_ready { 200 } else { 503 }, "");
+impl Pages for Admin {
+    fn cost(&self, request: &Request) -> Cost {
+        match request.path() {
+            "/state" | "/metrics" | explain::PATH => Cost::Large,
+            _ => Cost::Small,
+        }
     }
-    if inbound.path == "/state" {
-        return Outbound::json(200, &admin.status.dump().await);
+
+    async fn page(&self, request: Request) -> Page {
+        let (status, content_type, body) = self.outbound(&request).await.into_parts();
+        Page { status, content_type, body }
     }
-    if inbound.path == explain::PATH {
-        return explain::handle(&inbound, &admin.status).await;
+}
+
+impl Admin {
+    async fn outbound(&self, request: &Request) -> Outbound {
+        let (method, path) = (request.method.as_str(), request.path());
+        let is_ready = self.status.is_ready();
+        match path {
+            READINESS_PATH => return Outbound::text(if is_ready { 200 } else { 503 }, ""),
+            "/state" => return Outbound::json(200, &self.status.dump().await),
+            explain::PATH => return explain::handle(method, request.query(), &self.status).await,
+            "/metrics" => {
+                self.status.update_metrics().await;
+                self.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
+            }
+            _ => {}
+        }
+        admin::handle_common(method, path, &self.registry, is_ready)
+            .unwrap_or_else(|| admin::not_found(method, path))
     }
-    admin.status.update_metrics().await;
-    admin.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
-    admin::handle_common(&inbound, &admin.registry, is_ready).unwrap_or_else(|| admin::not_found(&inbound))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! endpoint. Admission and placement are decided by [`tarragonhill_core::gateway`], whose state belongs to
 //! the [`control`] thread. An [`edge::Dialect`] encodes and decodes the messages on both sides.
 
+pub mod admin;
 mod body;
 pub mod caller;
 mod client;
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -233,6 +233,27 @@
         }
     }
 
+    /// Reads a body and discards it.
+    pub(crate) async fn discard_body(&mut self, framing: Framing, limits: Limits) -> Result<(), Unread> {
+        if matches!(framing, Framing::Length(length) if length > limits.max_body_bytes as u64) {
+            return Err(Unread::Rejected(413));
+        }
+        let (mut decoder, mut discarded) = (Decoder::new(framing), 0);
+        let reading = async {
+            loop {
+                self.connection.drain_body(&mut decoder, |part| {
+                    discarded += part.len();
+                    if discarded > limits.max_body_bytes { Err(Unread::Rejected(413)) } else { Ok(()) }
+                })?;
+                if decoder.is_done() {
+                    return Ok(());
+                }
+                self.fill().await?;
+            }
+        };
+        timeout(MAX_BODY_TIMEOUT, reading).await.unwrap_or(Err(Unread::Rejected(408)))
+    }
+
     /// Ends the request that was read or served: nothing is held for it any more.
     pub(crate) fn end_request(&mut self) {
         // Fewer bytes than before are always held.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -36,6 +36,7 @@
 };
 
 use crate::{
+    admin::{self, Pages},
     client::Crowd,
     context::Context,
     control::{
@@ -227,6 +228,15 @@
         self.unsaved_suspects.clone()
     }
 
+    /// Listens for clients of the admin address, and serves pages to them until the gateway ends. Returns the bound address.
+    pub fn serve_admin(&mut self, address: SocketAddr, pages: impl Pages) -> io::Result<SocketAddr> {
+        let listener = listen(address)?;
+        let address = listener.local_addr()?;
+        let serving = admin::serve(self.context.clone(), listener, self.context.admin.clone(), pages);
+        self.tasks.0.push(task::spawn(serving));
+        Ok(address)
+    }
+
     /// Returns the status for the admin address.
     pub fn status(&self) -> Status {
         Status(self.context.clone())
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -19,7 +19,7 @@
     task,
 };
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, future::poll_once};
-use http_types::{Body, Request, Response, StatusCode};
+use http_types::{Body, Request, Response, StatusCode, Url};
 
 use crate::stream::{Reader, Sender};
 
@@ -94,7 +94,7 @@
 
     /// Returns the decoded parameters of the query. Of several with one name, the last counts.
     pub fn parameters(&self) -> BTreeMap<String, String> {
-        self.headers.url().query_pairs().into_owned().collect()
+        parameters(&self.query)
     }
 
     /// Returns a watch for the client's disconnection, which may outlive the request.
@@ -103,6 +103,12 @@
     }
 }
 
+/// Returns the decoded parameters of a query. Of several with one name, the last counts.
+pub fn parameters(query: &str) -> BTreeMap<String, String> {
+    let url = Url::parse(&format!("http://host/?{query}"));
+    url.map_or_else(|_| BTreeMap::new(), |url| url.query_pairs().into_owned().collect())
+}
+
 /// Detects that a client disconnects while its request is being handled.
 #[derive(Clone, Debug)]
 pub struct Watch(TcpStream);
@@ -169,6 +175,14 @@
         self.status
     }
 
+    /// Returns the status, the media type and the body, which is empty if it is streamed.
+    pub fn into_parts(self) -> (u16, &'static str, Vec<u8>) {
+        match self.body {
+            Payload::Bytes(content_type, body) => (self.status, content_type, body),
+            Payload::Stream(content_type, _) => (self.status, content_type, Vec::new()),
+        }
+    }
+
     fn into_response(self) -> Response {
         let status = StatusCode::try_from(self.status).unwrap_or(StatusCode::InternalServerError);
         let mut response = Response::new(status);
