--- a/crates/bench/src/abuse.rs
+++ b/crates/bench/src/abuse.rs
@@ -25,7 +25,7 @@
 use tarragonhill_h1::head::Request;
 
 use self::{
-    client::{Attack, Target},
+    client::{Attack, Kind, Target},
     lone::Lone,
     ordinary::Tally,
     watch::Watch,
@@ -238,6 +238,8 @@
     target: Target,
     peer: SocketAddr,
     log: PathBuf,
+    /// Whether anyone reads what the gateway prints.
+    is_log_read: bool,
     gateway: Option<Child>,
     watch: Option<Watch>,
 }
@@ -254,7 +256,9 @@
         let name = plan.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
         let log = logs.join(format!("{name}.log"));
         let programs = Programs { bench: programs.bench.clone(), daemon: programs.daemon.clone() };
-        Ok(Self { site, programs, target, peer: unused_address()?, log, gateway: None, watch: None })
+        let is_log_read = plan.attacks.iter().all(|attack| attack.kind != Kind::LongId);
+        let peer = unused_address()?;
+        Ok(Self { site, programs, target, peer, log, is_log_read, gateway: None, watch: None })
     }
 
     fn start_gateway(&mut self) -> io::Result<()> {
@@ -271,11 +275,12 @@
             format!("--memory-mb={MEMORY_MB}"),
             format!("--descriptors={DESCRIPTORS}"),
         ];
+        let stdout = if self.is_log_read { output.try_clone()?.into() } else { Stdio::piped() };
         let child = Command::new(&self.programs.daemon)
             .args(arguments)
             .stdin(Stdio::null())
-            .stderr(output.try_clone()?)
-            .stdout(output)
+            .stderr(output)
+            .stdout(stdout)
             .spawn()?;
         let most = DESCRIPTORS - FILE_DESCRIPTORS;
         let limit = Rlimit { current: Some(most), maximum: Some(most) };
@@ -352,6 +357,9 @@
         let mut faults = Vec::new();
         // A run without clients is the calm in which all of them have to be served.
         let lone = if plan.attacks.is_empty() { Lone::all() } else { Lone::some() };
+        if plan.attacks.is_empty() {
+            lone::send_numbers(self.target).await;
+        }
         for lone in lone {
             // What is held for the request before would not leave it alone.
             let held = self.wait_until_released().await;
--- a/crates/bench/src/abuse/client.rs
+++ b/crates/bench/src/abuse/client.rs
@@ -52,6 +52,8 @@
     OversizedBody,
     /// Sends the longest head with as many short fields, or parts of one field, as fit.
     ManyFields,
+    /// Sends the longest request id, to a gateway whose log nobody reads.
+    LongId,
     /// Sends many requests ahead and reads no response.
     Ahead,
     /// Sends a byte now and then, of the head or the body.
@@ -67,7 +69,7 @@
     pub fn connections(self) -> usize {
         match self {
             Self::WholeBody | Self::PiecedBody | Self::ChunkedBody | Self::OversizedBody => 120,
-            Self::ManyFields | Self::Ahead => 400,
+            Self::ManyFields | Self::LongId | Self::Ahead => 400,
             Self::SlowSender | Self::SlowReader | Self::HalfRequest => 4_000,
         }
     }
@@ -219,6 +221,11 @@
                 let head = self.many_fields(&id);
                 self.exchange(stream, &id, &[&head]).await
             }
+            Kind::LongId => {
+                let id = format!("{id}-{}", "x".repeat(MAX_HEAD - 600));
+                let head = self.head(&id, &length(0));
+                self.exchange(stream, &id, &[&head]).await
+            }
             Kind::Ahead => self.send_ahead(stream, &id).await,
             Kind::SlowSender => self.send_slowly(stream, &id).await,
             Kind::SlowReader => self.read_slowly(stream, &id).await,
@@ -311,7 +318,7 @@
     async fn read_response(&self, stream: TcpStream, id: &str) -> io::Result<()> {
         let mut connection = Connection::new(stream, RESPONSE_TIMEOUT);
         let broken = |_| io::Error::from(io::ErrorKind::InvalidData);
-        let head = connection.read_response(MAX_HEAD).await.map_err(broken)?;
+        let head = connection.read_response(2 * MAX_HEAD).await.map_err(broken)?;
         if NOT_RUN.contains(&head.status) {
             lock(&self.log.refused).push(id.to_owned());
         }
--- a/crates/bench/src/abuse/lone.rs
+++ b/crates/bench/src/abuse/lone.rs
@@ -4,14 +4,17 @@
 
 use async_std::{future::timeout, net::TcpStream};
 use futures_lite::{AsyncWriteExt as _, future};
-use tarragonhill_h1::Connection;
+use tarragonhill_h1::{Connection, body::Decoder};
 
-use super::client::{MAX_BODY, MAX_HEAD, Target};
+use super::client::{self, MAX_BODY, MAX_HEAD, Target};
 use crate::platform::site::KEY;
 
 /// How long a client waits for a response, longer than the time for which a body may take.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long a response to a request with odd numbers is waited for.
+const NUMBER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What a request consists of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Content {
@@ -79,17 +82,7 @@
     }
 
     async fn exchange(self, address: SocketAddr) -> Option<u16> {
-        let stream = TcpStream::connect(address).await.ok()?;
-        let mut writer = stream.clone();
-        let request = self.encode();
-        let writing = async {
-            // A refusal may arrive before the request has been written.
-            let _ = writer.write_all(&request).await;
-            future::pending().await
-        };
-        let mut connection = Connection::new(stream, TIMEOUT);
-        let reading = async { connection.read_response(MAX_HEAD).await.ok().map(|head| head.status) };
-        future::or(reading, writing).await
+        exchange(address, self.encode()).await
     }
 
     fn encode(self) -> Vec<u8> {
@@ -122,3 +115,39 @@
         request.into_bytes()
     }
 }
+
+/// Sends a request and returns the status of its response, which is read whole.
+async fn exchange(address: SocketAddr, request: Vec<u8>) -> Option<u16> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let mut writer = stream.clone();
+    let writing = async {
+        // A refusal may arrive before the request has been written.
+        let _ = writer.write_all(&request).await;
+        future::pending().await
+    };
+    let mut connection = Connection::new(stream, TIMEOUT);
+    let reading = async {
+        let head = connection.read_response(2 * MAX_HEAD).await.ok()?;
+        let mut decoder = Decoder::new(head.framing("GET").ok()?);
+        connection.skip_body(&mut decoder, usize::MAX).await.ok()?;
+        Some(head.status)
+    };
+    future::or(reading, writing).await
+}
+
+/// Sends requests with numbers that no ordinary caller sends. Any response will do.
+pub async fn send_numbers(target: Target) {
+    let numbers = ["0", "-1", "1", "9223372036854775807", "18446744073709551615", "1e999", "NaN"];
+    for path in ["/submit/number", "/stream/number", "/resumable/number"] {
+        for number in numbers {
+            let request = format!(
+                "POST {path} HTTP/1.1\r\nHost: a.example\r\nTarragonhill-Request-Id: n\r\nAuthorization: Bearer {}\r\n\
+                 Tarragonhill-Deadline-Ms: {number}\r\nTarragonhill-Model: m\r\nTarragonhill-Token-Counts: {number},{number}\r\n\
+                 Tarragonhill-Prompt-Prefix: 1:{number},2:{number}\r\nTarragonhill-Length-Hint: {number}\r\n\
+                 Last-Event-Id: {number}\r\nContent-Length: 0\r\n\r\n",
+                client::KEY
+            );
+            let _ = timeout(NUMBER_TIMEOUT, exchange(target.callers, request.into_bytes())).await;
+        }
+    }
+}
--- a/crates/bench/tests/abuse.rs
+++ b/crates/bench/tests/abuse.rs
@@ -97,6 +97,12 @@
     assert_withstood_everywhere(Kind::ManyFields);
 }
 
+/// Guards against lines that wait for a log that nobody reads, as long as callers make them.
+#[test]
+fn long_request_ids_leave_memory_and_room_for_others() {
+    assert_withstood_everywhere(Kind::LongId);
+}
+
 /// Guards against requests that are kept, and against connections that keep a thread to themselves.
 #[test]
 fn requests_sent_ahead_leave_memory_and_room_for_others() {
