Logs: what a caller sends is cut to 128 bytes a field

What callers saw: nothing alone; where nobody reads the output of a gateway, lines with request ids of 15 KB filled its queue of 2,048 lines, beside all memory that is bounded.

Cause: the queue is bounded by the number of lines, and ids may be as long as a head.

Change: request ids, resumed streams, parts and suspects are cut when they are logged.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -110,6 +110,15 @@
     }
 }
 
+/// Longest part of a caller's text that is logged, in bytes. Lines that wait to be written are bounded by their number.
+const MAX_LOGGED_BYTES: usize = 128;
+
+/// Returns what is logged of a text that a caller has sent.
+pub(crate) fn logged(text: Option<&str>) -> &str {
+    let text = text.unwrap_or("-");
+    &text[..text.floor_char_boundary(MAX_LOGGED_BYTES)]
+}
+
 /// Returns the refusal of a request that is not expected to end before the gateway does.
 pub(crate) fn ends_too_late() -> Refusal {
     Refusal::not_run(Code::ShuttingDown, "the request would not end before the gateway shuts down")
@@ -204,9 +213,10 @@
     ) {
         let suspects: Vec<String> =
             self.admission.suspects.iter().map(|Suspect(id)| format!("{id:016x}")).collect();
+        let (parts, suspects) = (self.metadata.parts.join(","), suspects.join(","));
         spdlog::info!("request interrupted", kv: {
             request = self.id(), endpoint = &*endpoint.id, reason, trial = self.is_trial(),
-            generating = run == Run::Generating, parts = self.metadata.parts.join(",").as_str(), suspects = suspects.join(",").as_str()
+            generating = run == Run::Generating, parts = logged(Some(&parts)), suspects = logged(Some(&suspects))
         });
         context.control.record_interrupted(endpoint, &self.admission.suspects, run, self.is_trial());
         self.end_trial(context);
@@ -229,8 +239,9 @@
         &self.admission.service
     }
 
+    /// Returns the request id as it is logged.
     pub(crate) fn id(&self) -> &str {
-        self.metadata.id.as_deref().unwrap_or("-")
+        logged(self.metadata.id.as_deref())
     }
 
     /// Returns the size of a completion; zero for other requests.
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -23,7 +23,7 @@
 use crate::{
     caller::ResponseWriter,
     client::{Client, Crowd},
-    context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late},
+    context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late, logged},
     edge::Metadata,
     identify::{check, identify},
     reader::{Reader, Unread},
@@ -110,7 +110,7 @@
         cut_guard.finish();
         in_flight = None;
         if served.is_none() {
-            spdlog::info!("caller closed its connection", kv: { request = id.as_deref().unwrap_or("-") });
+            spdlog::info!("caller closed its connection", kv: { request = logged(id.as_deref()) });
             return;
         }
         if (200..300).contains(&writer.status) {
@@ -193,7 +193,7 @@
         if !self.is_finished {
             let age = self.context.clock.now().since(self.began);
             spdlog::warn!("request cut", kv: {
-                request = self.id.as_deref().unwrap_or("-"), age_ms = age.as_millis() as u64
+                request = logged(self.id.as_deref()), age_ms = age.as_millis() as u64
             });
         }
     }
@@ -307,7 +307,7 @@
     let (head, body) = context.dialect.encode_refusal(refusal, id);
     let written = writer.write_whole(head, &body, Framing::Length(body.len() as u64)).await;
     spdlog::info!("request refused", kv: {
-        request = id.unwrap_or("-"), code, status = writer.status, not_run = refusal.not_run,
+        request = logged(id), code, status = writer.status, not_run = refusal.not_run,
         reason = refusal.message.as_str(), told = written.is_ok(),
         retry_after_ms = refusal.retry_after.map_or(0, |span| span.as_millis() as u64)
     });
@@ -316,8 +316,8 @@
 fn log_admission(inbound: &Inbound, catalog: Option<&Catalog>) {
     if let Some(resume) = &inbound.metadata.resume {
         spdlog::info!("stream resumed by its caller", kv: {
-            request = inbound.id(), stream = resume.stream.as_deref().unwrap_or(""),
-            after = resume.last_event.as_deref().unwrap_or("")
+            request = inbound.id(), stream = logged(Some(resume.stream.as_deref().unwrap_or(""))),
+            after = logged(Some(resume.last_event.as_deref().unwrap_or("")))
         });
     }
     spdlog::info!("request admitted", kv: {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,7 +30,7 @@
 };
 use crate::{
     caller::ResponseWriter,
-    context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late},
+    context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late, logged},
     control::Permit,
     edge::{Decode, Task},
     exchange::{
@@ -252,7 +252,7 @@
         }
         spdlog::info!("retrying the request", kv: {
             request = inbound.id(), sends = progress.sends, reason = reason.as_str(), endpoint = &*endpoint.id,
-            after = progress.last_event.as_deref().unwrap_or(""), events = writer.timing.events,
+            after = logged(Some(progress.last_event.as_deref().unwrap_or(""))), events = writer.timing.events,
             silent_ms = silent_ms(context, inbound, writer)
         });
     }
