Gateway: no second answer to a caller whose connection is evicted while it is refused

Cause: found in a reading of the change, not seen: a request without a route, or beyond the requests served at once, still counted as being received while it was refused. Had its connection been evicted then, 408 would have followed the refusal.

Change: once a request has been read whole, its connection counts as idle until it is served. The connections' table has a name of the field's.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     caller::ResponseWriter,
-    client::{Client, Crowd},
+    client::{Client, Clients},
     context::Context,
     frontend::{accept_one, run_until},
     reader::{Reader, Unread},
@@ -60,7 +60,7 @@
 pub(crate) async fn serve<P: Pages>(
     context: Arc<Context>,
     listener: TcpListener,
-    crowd: Arc<Crowd>,
+    clients: Arc<Clients>,
     pages: P,
 ) {
     let pages = Arc::new(pages);
@@ -69,7 +69,7 @@
     let _ = turn.try_send(());
     let turns = Turns { turn, turns };
     loop {
-        let (stream, client) = accept_one(&context.clock, &listener, &crowd).await;
+        let (stream, client) = accept_one(&context.clock, &listener, &clients).await;
         let (context, pages, turns) = (context.clone(), pages.clone(), turns.clone());
         task::spawn(async move {
             let evicted = client.evicted();
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,4 +1,4 @@
-//! Connections of callers, as far as they compete with each other for places and memory.
+//! Open connections of callers: who gets a place, and which one is closed in favour of another.
 
 use std::{
     collections::BTreeMap,
@@ -25,9 +25,9 @@
 const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
 const ROOM_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Open connections at one address.
+/// Open connections at one address. [`Connections`] decides; this tells the connections' tasks.
 #[derive(Debug)]
-pub(crate) struct Crowd {
+pub(crate) struct Clients {
     clock: Clock,
     state: Mutex<State>,
     evictions: BTreeMap<&'static str, AtomicU64>,
@@ -39,15 +39,15 @@
     connections: Connections,
     /// Dropping a sender tells its connection to give way.
     senders: BTreeMap<Id, Sender<()>>,
-    /// Whether a connection had to give way since less than half of the places were taken.
-    is_crowded: bool,
+    /// Whether a connection was evicted since less than half of the places were taken; logged once.
+    is_full: bool,
 }
 
-impl Crowd {
+impl Clients {
     /// Creates the state for an address with this capacity.
     pub(crate) fn new(clock: Clock, capacity: Capacity) -> Arc<Self> {
         let state =
-            State { connections: Connections::new(capacity), senders: BTreeMap::new(), is_crowded: false };
+            State { connections: Connections::new(capacity), senders: BTreeMap::new(), is_full: false };
         let reasons = [Reason::Connections, Reason::Memory, Reason::SentAhead];
         let evictions = reasons.map(|reason| (<&str>::from(reason), AtomicU64::new(0))).into();
         Arc::new(Self { clock, state: Mutex::new(state), evictions, refusals: AtomicU64::new(0) })
@@ -68,7 +68,7 @@
         let (sender, evicted) = async_channel::bounded(1);
         state.senders.insert(id, sender);
         drop(state);
-        Some(Client { crowd: self.clone(), id, evicted })
+        Some(Client { clients: self.clone(), id, evicted })
     }
 
     fn evict(&self, state: &mut State, victim: Option<Id>, reason: Reason) {
@@ -78,7 +78,7 @@
         if let Some(count) = self.evictions.get(name) {
             count.fetch_add(1, Ordering::Relaxed);
         }
-        if !std::mem::replace(&mut state.is_crowded, true) {
+        if !std::mem::replace(&mut state.is_full, true) {
             let (open, most) = (state.connections.len(), state.connections.capacity().connections);
             spdlog::warn!("closing connections in favour of others", kv: { reason = name, open, most });
         }
@@ -103,7 +103,7 @@
 /// One open connection. Dropping it gives up its place.
 #[derive(Debug)]
 pub(crate) struct Client {
-    crowd: Arc<Crowd>,
+    clients: Arc<Clients>,
     id: Id,
     evicted: Receiver<()>,
 }
@@ -118,50 +118,50 @@
     }
 
     pub(crate) fn enter(&self, phase: Phase) {
-        let now = self.crowd.clock.now();
-        self.crowd.state().connections.enter(now, self.id, phase);
+        let now = self.clients.clock.now();
+        self.clients.state().connections.enter(now, self.id, phase);
     }
 
     /// Returns whether a request is being read. Nothing of it has run.
     pub(crate) fn is_receiving(&self) -> bool {
-        self.crowd.state().connections.is_receiving(self.id)
+        self.clients.state().connections.is_receiving(self.id)
     }
 
     /// Begins to serve a request. Returns false if too many are being served.
     pub(crate) fn begin_serving(&self) -> bool {
-        let now = self.crowd.clock.now();
-        let mut state = self.crowd.state();
+        let now = self.clients.clock.now();
+        let mut state = self.clients.state();
         let may_serve = state.connections.may_serve();
         if may_serve {
             state.connections.enter(now, self.id, Phase::Serving);
         } else {
             // For the request's next attempt, or for another one.
             let victim = state.connections.victim_for_request(now);
-            self.crowd.evict(&mut state, victim, Reason::Connections);
+            self.clients.evict(&mut state, victim, Reason::Connections);
         }
         may_serve
     }
 
     pub(crate) fn receive(&self, bytes: usize) {
-        self.crowd.state().connections.receive(self.id, bytes as u64);
+        self.clients.state().connections.receive(self.id, bytes as u64);
     }
 
     pub(crate) fn record_served(&self) {
-        self.crowd.state().connections.record_served(self.id);
+        self.clients.state().connections.record_served(self.id);
     }
 
     /// Records whether the caller accepts the response that is being written.
     pub(crate) fn set_stalled(&self, is_stalled: bool) {
-        let now = self.crowd.clock.now();
-        self.crowd.state().connections.set_stalled(now, self.id, is_stalled);
+        let now = self.clients.clock.now();
+        self.clients.state().connections.set_stalled(now, self.id, is_stalled);
     }
 
     /// Records that the caller sends more than is read ahead.
     pub(crate) fn record_ahead(&self) {
-        let now = self.crowd.clock.now();
-        let mut state = self.crowd.state();
+        let now = self.clients.clock.now();
+        let mut state = self.clients.state();
         let victim = state.connections.record_ahead(now, self.id);
-        self.crowd.evict(&mut state, victim, Reason::SentAhead);
+        self.clients.evict(&mut state, victim, Reason::SentAhead);
     }
 
     /// Holds `bytes` in total for the request that is being read. If these are too many, requests that come slowly or are larger
@@ -175,7 +175,7 @@
             Err(exceeded) => self.wait_for_room(guard, bytes, exceeded).await,
         };
         if held.is_ok() {
-            self.crowd.state().connections.set_held(self.id, guard.bytes());
+            self.clients.state().connections.set_held(self.id, guard.bytes());
         }
         held
     }
@@ -186,18 +186,18 @@
         bytes: usize,
         exceeded: Exceeded,
     ) -> Result<(), Exceeded> {
-        let clock = &self.crowd.clock;
+        let clock = &self.clients.clock;
         let ends = clock.now().plus(ROOM_TIMEOUT);
         while clock.now() < ends {
             {
-                let mut state = self.crowd.state();
+                let mut state = self.clients.state();
                 let is_expected = state.connections.is_room_expected();
                 if !is_expected {
                     let victim = state.connections.victim_for_room(clock.now(), self.id, bytes as u64);
                     if victim.is_none() {
                         return Err(exceeded);
                     }
-                    self.crowd.evict(&mut state, victim, Reason::Memory);
+                    self.clients.evict(&mut state, victim, Reason::Memory);
                 }
             }
             clock.sleep(ROOM_INTERVAL).await;
@@ -211,11 +211,11 @@
 
 impl Drop for Client {
     fn drop(&mut self) {
-        let mut state = self.crowd.state();
+        let mut state = self.clients.state();
         state.connections.close(self.id);
         state.senders.remove(&self.id);
         if state.connections.len() * 2 < state.connections.capacity().connections {
-            state.is_crowded = false;
+            state.is_full = false;
         }
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -26,7 +26,7 @@
 use tarragonhill_h1::head::Request;
 
 use crate::{
-    client::Crowd,
+    client::Clients,
     control::{Block, Control},
     edge::{Dialect, Dispatch, Message, Metadata, Task},
     exchange::{Bound, Client, Exchange, Failure, Recipient},
@@ -49,9 +49,9 @@
     /// Bytes held for callers and endpoints.
     pub(crate) held: Arc<Held>,
     /// Open connections of callers.
-    pub(crate) callers: Arc<Crowd>,
+    pub(crate) callers: Arc<Clients>,
     /// Open connections of the admin address.
-    pub(crate) admin: Arc<Crowd>,
+    pub(crate) admin: Arc<Clients>,
     /// Running checks of endpoints that may have crashed.
     pub(crate) checks: Checks,
     pub(crate) metrics: Metrics,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -15,14 +15,17 @@
 use futures_lite::{AsyncWriteExt as _, future};
 use tarragonhill_core::{
     Clock, Refusal, Time,
-    gateway::catalog::{Catalog, Kind, Limits},
+    gateway::{
+        catalog::{Catalog, Kind, Limits},
+        connections,
+    },
     refusal::Code,
 };
 use tarragonhill_h1::{body::Framing, head::Request};
 
 use crate::{
     caller::ResponseWriter,
-    client::{Client, Crowd},
+    client::{Client, Clients},
     context::{Context, Inbound, RETRY_ELSEWHERE, ends_too_late, logged},
     edge::Metadata,
     identify::{check, identify},
@@ -33,8 +36,8 @@
 
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Response to a request that is not read to its end because its connection gives way to others.
-const GIVES_WAY: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+/// Response to a request that has not been read whole when its connection is evicted.
+const EVICTED: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
 /// Accepts callers' connections. `open` is dropped once this future and all connections have ended.
 pub(crate) async fn accept(context: Arc<Context>, listener: TcpListener, open: Sender<()>) {
@@ -52,7 +55,7 @@
             let served = run_until(served, context.phases.reached(Phase::Ended));
             let evicted = run_until(served, client.evicted()).await.is_none();
             if evicted && client.is_receiving() {
-                let _ = future::poll_once((&stream).write(GIVES_WAY)).await;
+                let _ = future::poll_once((&stream).write(EVICTED)).await;
             }
             drop(open);
         });
@@ -63,12 +66,12 @@
 pub(crate) async fn accept_one(
     clock: &Clock,
     listener: &TcpListener,
-    crowd: &Arc<Crowd>,
+    clients: &Arc<Clients>,
 ) -> (TcpStream, Arc<Client>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Some(client) = crowd.open() {
+                if let Some(client) = clients.open() {
                     return (stream, Arc::new(client));
                 }
             }
@@ -209,6 +212,8 @@
 ) {
     let id = metadata.id.clone();
     let received = context.clock.now();
+    // The response may begin from now on.
+    client.enter(connections::Phase::Idle);
     context.control.wait_initialized(&context.clock).await;
     let catalog = context.control.catalog();
     let is_stale = context.control.is_stale();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -37,7 +37,7 @@
 
 use crate::{
     admin::{self, Pages},
-    client::Crowd,
+    client::Clients,
     context::Context,
     control::{
         FORECAST_PROMPT_TOKENS, Yields,
@@ -66,7 +66,7 @@
 /// Capacity of the order channel.
 const ORDER_CAPACITY: usize = 4;
 
-/// Connections that the operating system keeps until they are accepted; as many as a crowd opens at a time.
+/// Connections that the operating system keeps until they are accepted; as many as a registry opens at a time.
 const ACCEPT_BACKLOG: i32 = 1_024;
 /// What the operating system keeps for a connection that is not being read. It is part of the host's memory.
 const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
@@ -183,8 +183,8 @@
         let context = Arc::new(Context {
             pool: Pool::new(clock.clone()),
             held: Held::new(settings.memory),
-            callers: Crowd::new(clock.clone(), settings.capacity),
-            admin: Crowd::new(clock.clone(), settings.admin_capacity),
+            callers: Clients::new(clock.clone(), settings.capacity),
+            admin: Clients::new(clock.clone(), settings.admin_capacity),
             checks: Checks::default(),
             clock,
             control: control.clone(),
@@ -363,8 +363,8 @@
             counter.inc_by(count.saturating_sub(counter.get()));
         }
         self.0.metrics.held_bytes.set(i64::try_from(self.0.held.bytes()).unwrap_or(i64::MAX));
-        for (address, crowd) in [("callers", &self.0.callers), ("admin", &self.0.admin)] {
-            update_connections(&self.0.metrics, address, crowd);
+        for (address, clients) in [("callers", &self.0.callers), ("admin", &self.0.admin)] {
+            update_connections(&self.0.metrics, address, clients);
         }
         let cold_endpoints = self.0.control.cold_count(self.0.clock.now());
         self.0.metrics.cold_endpoints.set(i64::try_from(cold_endpoints).unwrap_or(i64::MAX));
@@ -401,11 +401,11 @@
     }
 }
 
-fn update_connections(metrics: &Metrics, address: &str, crowd: &Crowd) {
-    metrics.connections.with_label_values(&[address]).set(crowd.len() as f64);
+fn update_connections(metrics: &Metrics, address: &str, clients: &Clients) {
+    metrics.connections.with_label_values(&[address]).set(clients.len() as f64);
     let refusals = metrics.connection_refusals.with_label_values(&[address]);
-    refusals.inc_by(crowd.refusals().saturating_sub(refusals.get()));
-    for (reason, count) in crowd.evictions() {
+    refusals.inc_by(clients.refusals().saturating_sub(refusals.get()));
+    for (reason, count) in clients.evictions() {
         let evictions = metrics.evictions.with_label_values(&[address, reason]);
         evictions.inc_by(count.saturating_sub(evictions.get()));
     }
