--- a/crates/bench/src/abuse.rs
+++ b/crates/bench/src/abuse.rs
@@ -87,6 +87,8 @@
     pub attacks: Vec<Attack>,
     /// Duration of the traffic.
     pub lasts: Duration,
+    /// How long ordinary callers wait for their responses.
+    pub patience: Duration,
 }
 
 impl fmt::Display for Plan {
@@ -194,7 +196,8 @@
         run.wait_until_ready().await?;
     }
     let until = Instant::now() + plan.lasts;
-    let traffic = task::spawn(ordinary::send(run.target.callers, "ordinary", traffic_end(&plan, until)));
+    let traffic =
+        task::spawn(ordinary::send(run.target.callers, "ordinary", traffic_end(&plan, until), plan.patience));
     let checking = task::spawn(check(run.target.admin, traffic_end(&plan, until)));
     if plan.moment == Moment::Shutdown {
         task::sleep(plan.lasts / 3).await;
--- a/crates/bench/src/cmd/abuse.rs
+++ b/crates/bench/src/cmd/abuse.rs
@@ -14,6 +14,9 @@
     soak::Programs,
 };
 
+/// How long ordinary callers wait; between the deadlines of calls and of streams.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 /// Options of `abuse`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Options {
@@ -54,14 +57,14 @@
     let lasts = Duration::from_secs(options.seconds);
     let attack =
         |kind: Kind, door| Attack { kind, door, connections: kind.connections(), seed: options.seed };
-    let mut plans = vec![Plan { moment: options.moment, attacks: Vec::new(), lasts }];
+    let mut plans = vec![Plan { moment: options.moment, attacks: Vec::new(), lasts, patience: PATIENCE }];
     for (index, kind) in kinds.iter().enumerate() {
         for door in &doors {
             let mut attacks = vec![attack(*kind, *door)];
             if options.pairs {
                 attacks.push(attack(kinds[(index + 1) % kinds.len()], *door));
             }
-            plans.push(Plan { moment: options.moment, attacks, lasts });
+            plans.push(Plan { moment: options.moment, attacks, lasts, patience: PATIENCE });
         }
     }
     let outcomes = play_all(&programs, plans, options.at_once, &options.logs).map_err(io::Error::other)?;
