Admin address: state and metrics are served while callers hold much

What operators saw: 503 at `/state` while streams that nobody reads held the half of the bound that they may; the page counted like such a stream.

Change: a page counts like a response, which always finds room.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -166,7 +166,8 @@
     };
     client.enter(ConnectionPhase::Serving);
     let mut page = pages.page(head).await;
-    let mut guard = context.held.guard(Purpose::Backlog);
+    // Operators need these pages most while callers hold much.
+    let mut guard = context.held.guard(Purpose::Response);
     let mut response = Response::new(page.status);
     if guard.set(page.body.len()).is_err() {
         page.body = Vec::new();
