Connections: a request gives way to another only if it is at least twice as large

What callers saw: a caller that had declared a body of 60,000 bytes was cut for a body in chunks that had come to 49,152 and had the same length in the end.

Change: equal requests do not displace each other; one that is much larger still gives way.

--- a/crates/core/src/gateway/connections.rs
+++ b/crates/core/src/gateway/connections.rs
@@ -29,6 +29,9 @@
 /// Bytes a second below which a caller that has had [`PATIENCE`] counts as slow.
 const SLOW_BYTES_PER_S: f64 = 8_192.0;
 
+/// A request gives way to one that holds this many times less.
+const LARGER_FACTOR: u64 = 2;
+
 /// How many connections may be open, and how many of them may have a request that is being served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Capacity {
@@ -130,7 +133,7 @@
     fn room_rank(&self, now: Time, bytes: u64) -> Option<(bool, u64)> {
         let is_receiving = matches!(self.phase, Phase::Receiving { .. });
         let is_slow = self.is_slow(now) || self.is_stalled(now);
-        let gives_way = is_slow || is_receiving && self.held > bytes;
+        let gives_way = is_slow || is_receiving && self.held / LARGER_FACTOR >= bytes;
         (gives_way && self.held > 0 && !self.is_leaving).then_some((is_slow, self.held))
     }
 }
--- a/crates/core/tests/gateway/connections.rs
+++ b/crates/core/tests/gateway/connections.rs
@@ -83,6 +83,7 @@
         connections.set_held(id, bytes);
     }
     assert_eq!(connections.victim_for_room(at(100), own, 250), None);
+    assert_eq!(connections.victim_for_room(at(100), own, 150), None, "not much larger");
     assert_eq!(connections.victim_for_room(at(100), own, 60), Some(larger));
     assert!(connections.is_room_expected());
     connections.close(larger);
