Test of held bytes: it fills what large requests may take, whatever the bound

Requests of 100 KiB left 75 KB below the part of the bound for large ones since that is 28 % of the memory in place of 25, and two small parts fit there.

Change: the rest is filled with the shortest large requests first, so that less than one of them is left at any bound. The assertions are the same: a small request is held, and as a part of a larger one it is not.

--- a/crates/core/tests/gateway/held.rs
+++ b/crates/core/tests/gateway/held.rs
@@ -29,6 +29,8 @@
 fn a_holder_is_as_large_as_all_its_parts() {
     let mut ledger = Ledger::new(Some(MEMORY));
     fill(&mut ledger, Purpose::Request, LARGE);
+    // Less is left than the shortest large request takes, whatever the bound.
+    fill(&mut ledger, Purpose::Request, SMALL_REQUEST_BYTES + 1);
     assert_eq!(ledger.hold(Purpose::Request, 0, SMALL_REQUEST_BYTES), Ok(()));
     assert!(ledger.hold(Purpose::Request, SMALL_REQUEST_BYTES, SMALL_REQUEST_BYTES).is_err());
 }
