--- a/crates/bench/src/abuse/client.rs
+++ b/crates/bench/src/abuse/client.rs
@@ -52,7 +52,7 @@
     OversizedBody,
     /// Sends the longest head with as many short fields, or parts of one field, as fit.
     ManyFields,
-    /// Sends the longest request id, to a gateway whose log nobody reads.
+    /// Sends the longest request id, to a gateway whose standard output is not read.
     LongId,
     /// Sends many requests ahead and reads no response.
     Ahead,
--- a/crates/bench/tests/abuse.rs
+++ b/crates/bench/tests/abuse.rs
@@ -99,7 +99,7 @@
     assert_withstood_everywhere(Kind::ManyFields);
 }
 
-/// Guards against lines that wait for a log that nobody reads, as long as callers make them.
+/// Guards against queued log lines whose length callers choose, while standard output is not read.
 #[test]
 fn long_request_ids_leave_memory_and_room_for_others() {
     assert_withstood_everywhere(Kind::LongId);
--- a/crates/core/src/gateway/connections.rs
+++ b/crates/core/src/gateway/connections.rs
@@ -96,7 +96,7 @@
     has_served: bool,
     /// Bytes held for the request that is being read.
     held: u64,
-    /// Whether it has been told to give way; it still counts until it is closed.
+    /// Whether it is being evicted; its memory counts until it is closed.
     is_leaving: bool,
 }
 
@@ -154,7 +154,7 @@
     open: BTreeMap<Id, Connection>,
     /// Number of connections whose request is being served.
     serving: usize,
-    /// Number of connections that were told to give way and are not closed.
+    /// Number of connections that are being evicted and not closed yet.
     leaving: usize,
     last_id: Id,
 }
@@ -289,7 +289,7 @@
         self.leave(victim)
     }
 
-    /// Returns whether a connection that was told to give way holds something for a request.
+    /// Returns whether a connection that is being evicted still holds something for a request.
     pub fn is_room_expected(&self) -> bool {
         self.leaving > 0 && self.open.values().any(|connection| connection.is_leaving && connection.held > 0)
     }
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -70,7 +70,7 @@
 pub struct Search {
     /// Bytes that contain no end.
     searched: usize,
-    /// Bytes with which parsing was tried last.
+    /// Length of the buffer at the last attempt to parse it.
     parsed: usize,
 }
 
