Store: names are encoded in the queries of calls

Cause: the next page was asked for with the last key in the query as it was, so the rest of the list was never read. A key of 200 bytes with a zero byte appended is no key either, and the store refuses it. A page without a new row was asked for without an end.

Change: h1::target::Target encodes what a target contains of others. A page begins with the last row of the one before, and one that brings no new row while more follow is an error. The stand-in store decodes queries as HTTP servers do, refuses targets that are not valid, names over 200 bytes, and ends pages at 1 MB.

percent-encoding (already in the lock file) becomes a dependency of tarragonhill-h1, form_urlencoded of the stand-ins.

--- a/crates/bench/src/platform/server.rs
+++ b/crates/bench/src/platform/server.rs
@@ -22,6 +22,9 @@
 /// A connection whose sent bytes stay unacknowledged for this long counts as dead.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Response to what is not a valid request; the connection closes after it.
+const BAD_REQUEST: &[u8] = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 /// What to do with a connection after a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Action {
@@ -96,6 +99,10 @@
 {
     let mut connection = Connection::new(stream, TCP_USER_TIMEOUT);
     while let Ok(head) = connection.read_request(MAX_BYTES).await {
+        if !is_target(&head.target) {
+            let _ = connection.write(BAD_REQUEST).await;
+            return;
+        }
         let Ok(framing) = head.framing() else { return };
         let Ok(body) = connection.read_body(&mut Decoder::new(framing), MAX_BYTES).await else { return };
         let action;
@@ -115,6 +122,20 @@
     }
 }
 
+/// Returns whether a request target has the form of a path and a query (RFC 3986).
+fn is_target(target: &str) -> bool {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=:@/?".contains(&byte);
+    let mut rest = target.as_bytes();
+    loop {
+        rest = match rest {
+            [] => return target.starts_with('/'),
+            [b'%', high, low, rest @ ..] if high.is_ascii_hexdigit() && low.is_ascii_hexdigit() => rest,
+            [byte, rest @ ..] if is_plain(*byte) => rest,
+            _ => return false,
+        };
+    }
+}
+
 /// Makes the operating system reset the connection when it is closed.
 fn reset_on_close(connection: &Connection) {
     let _ = socket2::SockRef::from(connection.stream()).set_linger(Some(Duration::ZERO));
--- a/crates/bench/src/platform/store.rs
+++ b/crates/bench/src/platform/store.rs
@@ -26,7 +26,11 @@
 use crate::sim::lock;
 
 /// Maximum rows per page of a table.
-const PAGE_ROWS: usize = 500;
+pub const PAGE_ROWS: usize = 500;
+/// Maximum bytes per page of a table. A page holds at least one row.
+const PAGE_BYTES: usize = 1 << 20;
+/// Maximum length of the names of tables and parts and of keys, in bytes.
+pub const MAX_NAME_BYTES: usize = 200;
 /// Interval at which a waiting feed checks for changes.
 const FEED_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Chunks per second in which a rate-limited response is written.
@@ -302,23 +306,23 @@
             return (connection, Action::Close);
         }
     }
-    let query: BTreeMap<&str, &str> = head
-        .target
-        .split_once('?')
-        .map(|(_, query)| query.split('&').filter_map(|pair| pair.split_once('=')).collect())
-        .unwrap_or_default();
-    let table = query.get("table").copied().unwrap_or_default();
+    let query: BTreeMap<String, String> =
+        form_urlencoded::parse(head.query().as_bytes()).into_owned().collect();
+    let text = |name: &str| query.get(name).map_or("", String::as_str);
+    let table = text("table");
     if head.path() == "/v1/rows-feed" {
         if lock(&state).throttled.take_if(|throttled| throttled == table).is_some() {
             return reply(&state, connection, 429, &json!({})).await;
         }
         *lock(&state).feed_calls.entry(table.to_owned()).or_default() += 1;
     }
-    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+    let names = ["table", "part", "from", "target"];
+    if names.into_iter().any(|name| text(name).len() > MAX_NAME_BYTES) {
+        return reply(&state, connection, 400, &json!({})).await;
+    }
+    let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
     let (status, value) = match head.path() {
-        "/v1/rows-get" => {
-            (200, get(&lock(&state).contents, table, query.get("from").copied().unwrap_or_default()))
-        }
+        "/v1/rows-get" => (200, get(&lock(&state).contents, table, text("from"))),
         "/v1/rows-feed" => {
             feed(&state, table, number("after"), Duration::from_millis(number("wait_ms"))).await
         }
@@ -337,17 +341,20 @@
 }
 
 fn get(contents: &Contents, table: &str, from: &str) -> Value {
-    // Pages continue from the last key with a zero byte appended, which is encoded as `%00`.
-    let from = from.replace("%00", "\0");
     let rows = contents
         .rows
         .iter()
-        .filter(|((row_table, key), row)| row_table == table && !row.is_removed && *key >= from);
-    let mut rows: Vec<Value> =
-        rows.take(PAGE_ROWS + 1).map(|((table, key), row)| encode(table, key, row)).collect();
-    let truncated = rows.len() > PAGE_ROWS;
-    rows.truncate(PAGE_ROWS);
-    let mut response = contents.rows_response(rows);
+        .filter(|((row_table, key), row)| row_table == table && !row.is_removed && key.as_str() >= from);
+    let (mut page, mut bytes, mut truncated) = (Vec::new(), 0, false);
+    for ((table, key), row) in rows {
+        bytes += key.len() + row.value.len();
+        truncated = page.len() == PAGE_ROWS || (bytes > PAGE_BYTES && !page.is_empty());
+        if truncated {
+            break;
+        }
+        page.push(encode(table, key, row));
+    }
+    let mut response = contents.rows_response(page);
     response["truncated"] = truncated.into();
     response
 }
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod connection;
 pub mod field;
 pub mod head;
+pub mod target;
 
 pub use connection::{Connection, Error};
 
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -1,11 +1,13 @@
 //! Parsing of heads and bodies, and rejection of ambiguous framing.
 
 use bytes::BytesMut;
+use percent_encoding::percent_decode_str;
 use quickcheck::{Gen, QuickCheck, TestResult};
 use tarragonhill_h1::{
     Malformed,
     body::{Decoder, Framing, LAST_CHUNK, Step, chunk},
     head::{Request, Response},
+    target::Target,
 };
 
 fn parse_request(text: &str) -> Result<Option<(Request, usize)>, Malformed> {
@@ -181,3 +183,19 @@
     }
     QuickCheck::new().quickcheck(property as fn(Vec<Vec<u8>>, usize) -> bool);
 }
+
+/// Guards against names that end a parameter, a segment or the request line.
+#[test]
+fn any_byte_of_a_name_stays_within_its_part_of_the_target() {
+    fn holds(name: Vec<u8>) -> bool {
+        let target = Target::new("/p").segment(&name).parameter("q", &name).parameter("r", "1");
+        let head = Request::new("GET", target).encode();
+        let Ok(Some((parsed, _))) = Request::parse(&head) else { return false };
+        let segment = parsed.path().strip_prefix("/p/").unwrap_or_default();
+        let is_decoded = percent_decode_str(segment).eq(name) && !segment.contains(['/', '+']);
+        is_decoded && parsed.query() == format!("q={segment}&r=1")
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(64, 1)).quickcheck(holds as fn(Vec<u8>) -> bool);
+    let target = Target::new("/v1/rows-get").parameter("from", "a&b+c#d%e f/\u{e9}");
+    assert_eq!(String::from(target), "/v1/rows-get?from=a%26b%2Bc%23d%25e%20f%2F%C3%A9");
+}
