Names of others are checked and encoded where they are sent

What callers would have seen: requests answered 503 while a row names an endpoint with a line ending or a control byte; streams that fail, and memory that stays reserved, where an endpoint gives such names to reservations and prefill results. Not seen in service.

Cause: keys of rows and names from endpoints were sent in fields and paths as they were. A prefill without a valid name did not count as a failure of its endpoint.

Evidence, on the code before: an_entry_whose_name_cannot_be_sent_names_no_endpoint, 503 instead of 200 at "a\r\nX-Injected: 1"; a_resource_whose_name_cannot_be_sent_is_not_used, no events; a_resource_whose_name_is_odd_but_can_be_sent_is_used_and_released, "timed out waiting until nothing is reserved". an_endpoint_whose_name_is_odd_but_can_be_sent_serves and an_entry_with_an_odd_value_names_no_endpoint held.

Change: field::is_value tells what can be sent; rows and resources under other names are not used.

After: all of odd_entries.rs and odd_names.rs pass.

--- a/crates/bench/src/platform/endpoint.rs
+++ b/crates/bench/src/platform/endpoint.rs
@@ -11,6 +11,7 @@
 use async_std::task;
 use bytes::Bytes;
 use futures_lite::future;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use strum::{Display, EnumIter};
 use tarragonhill_h1::{
@@ -190,6 +191,10 @@
     is_eager: bool,
     /// Bytes by which each event is longer.
     padding: usize,
+    /// Whether these bytes are no text.
+    is_binary: bool,
+    /// Id of the event before the one in the middle of a stream, if it is not its number.
+    odd_event_id: Option<&'static str>,
     /// Name of a field without a meaning that all responses carry.
     extra_field: Option<&'static str>,
     /// End of the cold phase.
@@ -244,6 +249,8 @@
     closed_endless: u32,
     /// When the process crashed.
     crashed_at: Option<Instant>,
+    /// Beginning of the names of reservations and prefill results.
+    name_prefix: String,
     /// Accepted orders: holder and fencing token.
     orders: Vec<(String, u64)>,
     last_id: u64,
@@ -272,7 +279,7 @@
 
     fn next_id(&mut self, prefix: &str) -> String {
         self.last_id += 1;
-        format!("{prefix}{}", self.last_id)
+        format!("{}{prefix}{}", self.name_prefix, self.last_id)
     }
 }
 
@@ -406,6 +413,11 @@
         lock(&self.state).has_relative_faults = true;
     }
 
+    /// Makes the names of further reservations and prefill results begin with `prefix`.
+    pub fn set_name_prefix(&self, prefix: &str) {
+        lock(&self.state).name_prefix = prefix.into();
+    }
+
     /// Refuses all further orders to change the role.
     pub fn fix_role(&self) {
         lock(&self.state).has_fixed_role = true;
@@ -421,6 +433,17 @@
         lock(&self.state).padding = bytes;
     }
 
+    /// Makes events contain bytes that are no text.
+    pub fn set_binary(&self) {
+        let mut state = lock(&self.state);
+        (state.padding, state.is_binary) = (3, true);
+    }
+
+    /// Sets the id of the event before the one in the middle of streams.
+    pub fn set_odd_event_id(&self, id: &'static str) {
+        lock(&self.state).odd_event_id = Some(id);
+    }
+
     /// Sets when the process started, for reports.
     pub fn set_born(&self, born: u64) {
         lock(&self.state).born = Some(born);
@@ -734,7 +757,8 @@
     }
 
     async fn release(self, connection: Connection) -> (Connection, Action) {
-        let id = self.head.path().rsplit('/').next().unwrap_or_default().to_owned();
+        let segment = self.head.path().rsplit('/').next().unwrap_or_default();
+        let id = percent_decode_str(segment).decode_utf8_lossy().into_owned();
         {
             let mut state = lock(&self.state);
             state.released += 1;
@@ -793,7 +817,7 @@
         if fault == Fault::Hang {
             return wait_for_close(connection).await;
         }
-        let handle = format!("{}-{}", self.id, lock(&self.state).next_id("r"));
+        let handle = lock(&self.state).next_id(&format!("{}-r", self.id));
         if fault != Fault::LoseResult {
             self.kv_handles.insert(handle.clone());
         }
@@ -804,7 +828,8 @@
 
     async fn decode(self, connection: Connection, fault: Fault) -> (Connection, Action) {
         if let Some(source) = self.head.fields.get("Tarragonhill-Kv-Source") {
-            let handle = source.rsplit('/').next().unwrap_or_default();
+            // The name may contain slashes itself.
+            let handle = source.split_once('/').map_or("", |(_, handle)| handle);
             if !self.kv_handles.take(handle) {
                 self.record(false);
                 return self.refuse(connection, None).await;
@@ -871,7 +896,7 @@
                 return closed;
             }
             if is_middle && matches!(fault, Fault::CutInEvent | Fault::EndInEvent) {
-                let _ = connection.write(&frame(&event.as_bytes()[..event.len() / 2])).await;
+                let _ = connection.write(&frame(&event[..event.len() / 2])).await;
             }
             if is_middle && fault == Fault::CutInEvent {
                 return (connection, Action::Close);
@@ -884,10 +909,10 @@
                 return (connection, Action::Reset);
             }
             if crash_point == Some(CrashPoint::InsideEvent(id - last_id)) {
-                let _ = connection.write(&frame(&event.as_bytes()[..event.len() / 2])).await;
+                let _ = connection.write(&frame(&event[..event.len() / 2])).await;
                 return self.crash(connection, CrashPoint::InsideEvent(id - last_id));
             }
-            is_disconnected |= !write_within(&mut connection, &frame(event.as_bytes()), &mut budget).await;
+            is_disconnected |= !write_within(&mut connection, &frame(&event), &mut budget).await;
             if crash_point == Some(CrashPoint::AfterEvent(id - last_id)) {
                 return self.crash(connection, CrashPoint::AfterEvent(id - last_id));
             }
@@ -938,13 +963,18 @@
     }
 
     /// Returns what is sent for an event. `has_begun` tells whether its beginning was sent with the event before.
-    fn event(&self, id: u32, has_begun: bool, has_next: bool) -> String {
+    fn event(&self, id: u32, has_begun: bool, has_next: bool) -> Vec<u8> {
         let state = lock(&self.state);
         let version = if state.version.is_empty() { String::new() } else { format!("{} ", state.version) };
         let begin = if state.is_eager && has_begun { String::new() } else { format!("id: {id}\n") };
         let next = if state.is_eager && has_next { format!("id: {}\n", id + 1) } else { String::new() };
-        let padding = ".".repeat(state.padding);
-        format!("{begin}data: {version}token-{id}{padding}\n\n{next}")
+        let begin = match state.odd_event_id {
+            Some(odd) if id == EVENT_COUNT / 2 - 1 => format!("id: {odd}\n"),
+            _ => begin,
+        };
+        let padding = vec![if state.is_binary { 0xff } else { b'.' }; state.padding];
+        let data = format!("{begin}data: {version}token-{id}");
+        [data.as_bytes(), &padding, b"\n\n", next.as_bytes()].concat()
     }
 
     /// Waits for one event interval; returns whether the caller disconnects meanwhile.
--- a/crates/bench/src/platform/site.rs
+++ b/crates/bench/src/platform/site.rs
@@ -366,6 +366,11 @@
         self.registrations.insert(endpoint.id().clone(), row);
     }
 
+    /// Returns the row of an endpoint as it was last written; null if it has none.
+    pub fn registration(&self, endpoint: &Endpoint) -> Value {
+        self.registrations.get(endpoint.id()).cloned().unwrap_or_default()
+    }
+
     /// Removes the row of an endpoint that has left.
     pub fn unregister(&mut self, endpoint: &Endpoint) {
         self.registrations.remove(endpoint.id());
--- a/crates/gateway/src/stream/prefill.rs
+++ b/crates/gateway/src/stream/prefill.rs
@@ -81,13 +81,14 @@
     };
     match exchanged {
         Ok(answer) if answer.head.status == 200 => {
-            let result = context.dialect.decode_prefill(&answer.body);
-            if result.is_some() {
-                let took = context.clock.now().since(began);
-                permit.observe(Observation::Prefill { tokens: permit.prefill_tokens, took });
-                permit.record_response();
-            }
-            result.ok_or(Failure::InvalidResponse("the name of the prefill result is missing"))
+            let Some(result) = context.dialect.decode_prefill(&answer.body) else {
+                permit.finish(Outcome::Failed);
+                return Err(Failure::InvalidResponse("the name of the prefill result is missing or invalid"));
+            };
+            let took = context.clock.now().since(began);
+            permit.observe(Observation::Prefill { tokens: permit.prefill_tokens, took });
+            permit.record_response();
+            Ok(result)
         }
         Ok(Answer { head, reply, .. }) => {
             let is_not_run = reply.not_run || head.status == MISDIRECTED;
--- a/crates/h1/src/field.rs
+++ b/crates/h1/src/field.rs
@@ -11,6 +11,13 @@
     pub value: &'a [u8],
 }
 
+/// Returns whether a name can be the value of a field: it is not empty, and arrives as it was sent (RFC 9110, section 5.5).
+pub fn is_value(name: &[u8]) -> bool {
+    let is_blank = |byte: Option<&u8>| byte.is_none_or(|byte| matches!(byte, b' ' | b'\t'));
+    let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
+    !is_blank(name.first()) && !is_blank(name.last()) && !name.iter().any(is_control)
+}
+
 /// Header fields of a message. They share one buffer, since a head may consist of thousands of short fields.
 #[derive(Clone, Default)]
 pub struct Fields {
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -195,7 +195,10 @@
         }
         bytes.extend_from_slice(field.name.as_bytes());
         bytes.extend_from_slice(b": ");
-        bytes.extend_from_slice(field.value);
+        // No value ends its field or the head (RFC 9110, section 5.5).
+        bytes.extend(
+            field.value.iter().map(|byte| if matches!(byte, b'\r' | b'\n' | 0) { b' ' } else { *byte }),
+        );
         bytes.extend_from_slice(b"\r\n");
     }
     if let Some(length) = length {
