Streams: the id of the last event is read from any bytes

Cause: ids were read from events only if these were text as a whole. Otherwise the id of an earlier event was kept, or none. An id with a control byte was kept, and the next endpoint read another number.

Evidence, on the code before: a_stream_with_bytes_that_are_no_text_goes_on_after_its_last_event, events 1 to 9, then 1 to 20; an_event_whose_id_cannot_be_sent_is_replaced_by_that_of_another_endpoint, events 1 to 8, then 2 to 20.

Change: ids are read from bytes. An event of a resumable stream whose id cannot be sent in a field is a failure of its endpoint.

After: both pass.

--- a/crates/bench/tests/odd_names.rs
+++ b/crates/bench/tests/odd_names.rs
@@ -1,9 +1,11 @@
 //! Tests of names that endpoints give to reservations, prefill results and events, over real connections.
 
+use std::sync::Arc;
+
 use async_std::task;
 use tarragonhill_bench::platform::{
     caller::{self, Response, completion_request},
-    endpoint::{EVENT_COUNT, Role},
+    endpoint::{EVENT_COUNT, Endpoint, Fault, Role},
     site::{KEY, Shape, Site, wait_until},
 };
 
@@ -73,3 +75,40 @@
         }
     });
 }
+
+/// Returns the decode endpoint that gets a stream of an idle site.
+async fn first_engine(site: &Site) -> Arc<Endpoint> {
+    request(site, "probe").await;
+    let engines = site.endpoints(Role::Decode);
+    engines.into_iter().find(|engine| !engine.executed().is_empty()).expect("the stream was executed")
+}
+
+/// Guards against events that come twice because the id of the last one was not read.
+#[test]
+fn a_stream_with_bytes_that_are_no_text_goes_on_after_its_last_event() {
+    task::block_on(async {
+        let site = start_site("").await;
+        let engine = first_engine(&site).await;
+        engine.set_binary();
+        engine.fail_next(Fault::Cut, 1);
+        let response = request(&site, "r1").await;
+        assert_eq!(engine.executed().len(), 2);
+        assert_eq!(response.event_ids(), (1..=EVENT_COUNT).collect::<Vec<_>>());
+    });
+}
+
+/// Guards against a resume that begins after an earlier event, because the id of the last one cannot be sent.
+#[test]
+fn an_event_whose_id_cannot_be_sent_is_replaced_by_that_of_another_endpoint() {
+    task::block_on(async {
+        for odd in ["1\0", "1\u{7f}2", "\u{1}", ""] {
+            let site = start_site("").await;
+            let engine = first_engine(&site).await;
+            engine.set_odd_event_id(odd);
+            engine.fail_next(Fault::Cut, 1);
+            let response = request(&site, "r1").await;
+            assert_eq!(engine.executed().len(), 2, "{odd:?}");
+            assert_eq!(response.event_ids(), (1..=EVENT_COUNT).collect::<Vec<_>>(), "{odd:?}");
+        }
+    });
+}
--- a/crates/gateway/src/stream/events.rs
+++ b/crates/gateway/src/stream/events.rs
@@ -23,8 +23,8 @@
     (lf + crlf) as u64
 }
 
-/// Returns the id of the last event that has one.
-pub(super) fn last_id(events: &[u8]) -> Option<&str> {
-    let text = std::str::from_utf8(events).ok()?;
-    text.lines().rev().find_map(|line| line.strip_prefix("id:")).map(str::trim)
+/// Returns the id of the last event that has one. It may hold any byte but line feeds.
+pub(super) fn last_id(events: &[u8]) -> Option<&[u8]> {
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    lines.find_map(|line| line.strip_prefix(b"id:")).map(<[u8]>::trim_ascii)
 }
--- a/crates/gateway/src/stream/relay.rs
+++ b/crates/gateway/src/stream/relay.rs
@@ -9,7 +9,7 @@
     Time,
     gateway::{directory::Endpoint, forecast::Observation, health::Outcome},
 };
-use tarragonhill_h1::body::Framing;
+use tarragonhill_h1::{body::Framing, field};
 
 use super::{
     Interruption, Progress, Upstream,
@@ -156,7 +156,14 @@
         };
         let events = buffer.split_to(length);
         if let Some(id) = last_id(&events) {
-            progress.last_event = Some(id.into());
+            let name = std::str::from_utf8(id).ok().filter(|name| field::is_value(name.as_bytes()));
+            // A resume after an earlier event would repeat events.
+            if name.is_none() && inbound.route.is_resumable {
+                let reason = format!("{}: an event whose id cannot be sent", permit.endpoint.id);
+                permit.finish(Outcome::Failed);
+                return Err(Interruption::EndpointFailed(reason));
+            }
+            progress.last_event = name.map(Arc::from);
         }
         progress.software_version.get_or_insert_with(|| permit.endpoint.software_version.clone());
         if progress.events == 0 {
