Exchange: a reset that a write noticed does not end a body

Cause: the request is written while the response is read. The operating system reports a reset once; the write got it and dropped it, and the read came to an end of the connection that looked regular, which ends a body without a length.

Change: an exchange remembers that the write failed; a body that ends with the connection is then truncated.

A stand-in that answers before it has read a request: platform::raw.

--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod endpoint;
+pub mod raw;
 pub mod restarts;
 pub mod retries;
 mod server;
--- a/crates/bench/src/platform/server.rs
+++ b/crates/bench/src/platform/server.rs
@@ -137,6 +137,6 @@
 }
 
 /// Makes the operating system reset the connection when it is closed.
-fn reset_on_close(connection: &Connection) {
+pub(crate) fn reset_on_close(connection: &Connection) {
     let _ = socket2::SockRef::from(connection.stream()).set_linger(Some(Duration::ZERO));
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -155,6 +155,9 @@
     /// Whether the whole request was written. Otherwise the connection cannot be reused: the endpoint would
     /// read the next request as the rest of this one.
     is_sent: bool,
+    /// Whether writing the request failed. The operating system tells of a reset only once, so that reading may then seem to come to
+    /// a regular end of the connection.
+    has_write_failed: bool,
     endpoint: &'a Endpoint,
     pool: &'a Pool,
     held: &'a Arc<Held>,
@@ -168,7 +171,11 @@
 
     /// Reads the next chunk of the body; `None` at its regular end.
     pub(crate) async fn next_chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        self.line.connection.read_part(&mut self.decoder).await.map_err(Failure::Connection)
+        let part = self.line.connection.read_part(&mut self.decoder).await.map_err(Failure::Connection)?;
+        if part.is_none() && self.has_write_failed && self.framing == Framing::UntilClose {
+            return Err(Failure::Connection(Error::Truncated));
+        }
+        Ok(part)
     }
 
     /// Reads the whole body within a bound and returns the connection to the pool. Bytes that are no response may come without
@@ -460,7 +467,7 @@
             if reply.id.as_deref() == id && reply.limit.is_none() {
                 self.control.record_limit(self.clock.now(), endpoint, None);
             }
-            let is_sent = writing.is_done;
+            let (is_sent, has_write_failed) = (writing.is_done, writing.is_over && !writing.is_done);
             let unnamed = unnamed.max(Unnamed::of(&response, &reply));
             return Ok(Exchange {
                 head: response,
@@ -469,6 +476,7 @@
                 line: Line { connection, is_listed, unnamed },
                 decoder,
                 is_sent,
+                has_write_failed,
                 endpoint,
                 pool: self.pool,
                 held: self.held,
