Heads: a response without a valid status is none

What callers saw in the tests: answers with the status 600 or 999; the body of an answer with the status 000, 099 or 101 as an answer of its own; answers after an empty line.

Cause: the parser takes any three digits, and what is below 200 counted as informational, without a body. Nothing asked whether a status has a meaning.

Change: Response::parse refuses statuses outside of 100 to 599, 101, and an empty line before the status line.

--- a/crates/bench/src/platform/raw.rs
+++ b/crates/bench/src/platform/raw.rs
@@ -123,12 +123,16 @@
     connection.skip_body(&mut Decoder::new(framing), usize::MAX).await.is_ok()
 }
 
-/// Puts the id of a request in the place of `{id}`.
+/// Puts the id of a request in the places of `{id}`.
 fn with_id(bytes: &[u8], head: &Request) -> Vec<u8> {
     const PLACE: &[u8] = b"{id}";
     let id = head.fields.get("Tarragonhill-Request-Id").unwrap_or_default();
-    match bytes.windows(PLACE.len()).position(|window| window == PLACE) {
-        Some(at) => [&bytes[..at], id.as_bytes(), &bytes[at + PLACE.len()..]].concat(),
-        None => bytes.to_vec(),
+    let (mut rest, mut replaced) = (bytes, Vec::with_capacity(bytes.len()));
+    while let Some(at) = rest.windows(PLACE.len()).position(|window| window == PLACE) {
+        replaced.extend_from_slice(&rest[..at]);
+        replaced.extend_from_slice(id.as_bytes());
+        rest = &rest[at + PLACE.len()..];
     }
+    replaced.extend_from_slice(rest);
+    replaced
 }
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,7 +1,12 @@
 //! Request and response heads: the start line and the header fields.
 
+use std::ops::RangeInclusive;
+
 use crate::{Malformed, body::Framing, field::Fields};
 
+/// Status codes that have a meaning (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Number of fields up to which a head is parsed without an allocation for them.
 const USUAL_FIELDS: usize = 48;
 
@@ -116,7 +121,17 @@
 
     /// Parses a head and returns it with its length in bytes; `None` while it is incomplete.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, Malformed> {
-        with_fields(bytes, Self::parse_into)
+        // The parser skips empty lines, which may only come before a request.
+        if matches!(bytes.first(), Some(b'\r' | b'\n')) {
+            return Err(Malformed("empty line before a status line"));
+        }
+        let parsed = with_fields(bytes, Self::parse_into)?;
+        match parsed.as_ref().map(|(head, _)| head.status) {
+            // Nobody asks for another protocol, and what follows would not be HTTP.
+            Some(SWITCHING_PROTOCOLS) => Err(Malformed("switch to another protocol")),
+            Some(status) if !STATUSES.contains(&status) => Err(Malformed("invalid status")),
+            _ => Ok(parsed),
+        }
     }
 
     fn parse_into<'b>(bytes: &'b [u8], fields: &mut [httparse::Header<'b>]) -> Parsed<Self> {
