Bodies: odd lines between chunks are malformed

Cause: lines between chunks were read for sizes and for the end only: control bytes in extensions and trailers that are no fields passed. Chunks in HTTP/1.0 were accepted from endpoints.

Change: the decoder of bodies refuses control bytes in a chunk's line and trailers that are no fields; Response::framing refuses chunks in HTTP/1.0, as Request::framing does.

--- a/crates/bench/tests/odd_answers.rs
+++ b/crates/bench/tests/odd_answers.rs
@@ -26,6 +26,14 @@
     .into_bytes()
 }
 
+/// Returns an answer with these fields and this body.
+fn framed(fields: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\nTarragonhill-Request-Id: {{id}}\r\nTarragonhill-Server-Signature: odd.1\r\n{fields}\r\n{body}"
+    )
+    .into_bytes()
+}
+
 fn odd_status_lines() -> Vec<Vec<u8>> {
     let lines = [
         "HTTP/1.1 000 ",
@@ -90,6 +98,36 @@
     fields.iter().map(|field| answer("HTTP/1.1 200 OK", &format!("{field}\r\n"))).collect()
 }
 
+fn odd_framings() -> Vec<Vec<u8>> {
+    let whole = format!("{:x}\r\n{EVENTS}\r\n", EVENTS.len());
+    let chunked =
+        |fields: &str, body: String| framed(&format!("{fields}Transfer-Encoding: chunked\r\n"), &body);
+    vec![
+        framed("Content-Length: 3\r\nContent-Length: 4\r\n", EVENTS),
+        framed("Content-Length: 3, 3\r\n", EVENTS),
+        framed("Content-Length: -3\r\n", EVENTS),
+        framed("Content-Length: +3\r\n", EVENTS),
+        framed("Content-Length: 0x3\r\n", EVENTS),
+        framed("Content-Length: \r\n", EVENTS),
+        framed("Content-Length: 99999999999999999999\r\n", EVENTS),
+        framed("Transfer-Encoding: gzip\r\n", EVENTS),
+        framed("Transfer-Encoding: identity\r\n", EVENTS),
+        framed("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", &format!("{whole}0\r\n\r\n")),
+        chunked("Content-Length: 3\r\n", format!("{whole}0\r\n\r\n")),
+        chunked("", format!("x\r\n{EVENTS}\r\n0\r\n\r\n")),
+        chunked("", format!("-1\r\n{EVENTS}\r\n0\r\n\r\n")),
+        chunked("", format!("ffffffffffffffffff\r\n{EVENTS}\r\n0\r\n\r\n")),
+        chunked("", format!("{whole}\r\n0\r\n\r\n")),
+        chunked("", whole.replace("\r\n", "\n") + "0\n\n"),
+        chunked("", whole.replacen("\r\n", ";a\x01b\r\n", 1) + "0\r\n\r\n"),
+        chunked("", whole.replacen("\r\n", ";a\rb\r\n", 1) + "0\r\n\r\n"),
+        chunked("", format!("{whole}0\r\nX Odd: 1\r\n\r\n")),
+        chunked("", format!("{whole}0\r\nX\x01Odd: 1\r\n\r\n")),
+        chunked("", format!("{whole}0\r\nno field\r\n\r\n")),
+        chunked("", format!("{whole}0\r\nX-Odd: a\0b\r\n\r\n")),
+    ]
+}
+
 /// Starts a site with one gateway, a sound endpoint of each role and one that answers requests to these paths like this.
 async fn start_site(odd: &[u8], paths: &'static [&'static str]) -> (Site, Endpoint) {
     let shape = Shape { gateways: 1, prefill: 1, decode: 1, plain: 1 };
@@ -183,10 +221,16 @@
     for_each(odd_fields(), async |odd| request_all(odd).await);
 }
 
+/// Guards against answers with a body of which it is not sure what it is.
+#[test]
+fn an_answer_with_an_odd_framing_is_none() {
+    for_each(odd_framings(), async |odd| request_all(odd).await);
+}
+
 /// Guards against streams that fail because a message of the gateway's own is answered like this.
 #[test]
 fn an_odd_answer_to_a_message_of_the_gateway_is_that_of_a_failed_endpoint() {
-    let answers: Vec<Vec<u8>> = [odd_status_lines(), odd_fields()].concat();
+    let answers: Vec<Vec<u8>> = [odd_status_lines(), odd_fields(), odd_framings()].concat();
     for path in [&["/v1/report"][..], &["/v1/hold-take"]] {
         for_each(answers.clone(), async |odd| {
             let (site, endpoint) = start_site(odd, path).await;
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -3,7 +3,7 @@
 use bytes::{Buf as _, Bytes, BytesMut};
 use strum::Display;
 
-use crate::Malformed;
+use crate::{Malformed, field};
 
 /// Limit on a chunk size line or a trailer line.
 const MAX_LINE_BYTES: usize = 4_096;
@@ -129,6 +129,9 @@
                     if read > MAX_TRAILER_BYTES {
                         return Err(Malformed("trailers too long"));
                     }
+                    if length > 0 && !field::is_field(&buffer[..length]) {
+                        return Err(Malformed("invalid trailer"));
+                    }
                     buffer.advance(length + LINE_END.len());
                     self.0 = if length == 0 { State::Done } else { State::Trailers(read) };
                 }
@@ -169,6 +172,9 @@
 }
 
 fn parse_chunk_size(line: &[u8]) -> Result<u64, Malformed> {
+    if field::has_controls(line) {
+        return Err(Malformed("invalid chunk extension"));
+    }
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
     let text = std::str::from_utf8(digits).map_err(|_| Malformed("invalid chunk size"))?;
     let text = text.trim_end_matches([' ', '\t']);
--- a/crates/h1/src/field.rs
+++ b/crates/h1/src/field.rs
@@ -14,8 +14,19 @@
 /// Returns whether a name can be the value of a field: it is not empty, and arrives as it was sent (RFC 9110, section 5.5).
 pub fn is_value(name: &[u8]) -> bool {
     let is_blank = |byte: Option<&u8>| byte.is_none_or(|byte| matches!(byte, b' ' | b'\t'));
-    let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
-    !is_blank(name.first()) && !is_blank(name.last()) && !name.iter().any(is_control)
+    !is_blank(name.first()) && !is_blank(name.last()) && !has_controls(name)
+}
+
+/// Returns whether bytes contain control characters other than tabs.
+pub(crate) fn has_controls(bytes: &[u8]) -> bool {
+    bytes.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t')
+}
+
+/// Returns whether a line, without its ending, is a field.
+pub(crate) fn is_field(line: &[u8]) -> bool {
+    let is_token = |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else { return false };
+    colon > 0 && line[..colon].iter().all(is_token) && !has_controls(&line[colon..])
 }
 
 /// Header fields of a message. They share one buffer, since a head may consist of thousands of short fields.
@@ -75,6 +86,13 @@
         self.values(name).filter_map(|value| std::str::from_utf8(value).ok())
     }
 
+    /// Returns the whole value of a field, also if it stands in several lines (RFC 9110, section 5.3). Bytes that are not UTF-8 are
+    /// replaced.
+    pub fn combined(&self, name: &str) -> Option<String> {
+        let values: Vec<&[u8]> = self.values(name).collect();
+        (!values.is_empty()).then(|| String::from_utf8_lossy(&values.join(&b", "[..])).into_owned())
+    }
+
     /// Returns how often a field occurs, including values that are not UTF-8.
     pub fn count(&self, name: &str) -> usize {
         self.values(name).count()
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -158,6 +158,9 @@
         if length.is_some() {
             return Err(Malformed("both content-length and transfer-encoding"));
         }
+        if self.minor == 0 {
+            return Err(Malformed("transfer-encoding in HTTP/1.0"));
+        }
         chunked_framing(&self.fields)
     }
 
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -199,3 +199,31 @@
     let target = Target::new("/v1/rows-get").parameter("from", "a&b+c#d%e f/\u{e9}");
     assert_eq!(String::from(target), "/v1/rows-get?from=a%26b%2Bc%23d%25e%20f%2F%C3%A9");
 }
+
+/// Guards against bodies that end where another recipient would not see their end.
+#[test]
+fn a_response_with_chunks_in_http_1_0_is_malformed() {
+    for (minor, is_valid) in [(0, false), (1, true)] {
+        let head = format!("HTTP/1.{minor} 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let (head, _) = Response::parse(head.as_bytes()).expect("valid").expect("complete");
+        assert_eq!(head.framing("GET").is_ok(), is_valid);
+    }
+}
+
+/// Guards against lines between chunks that are no HTTP.
+#[test]
+fn odd_lines_of_a_chunked_body_are_malformed() {
+    let valid = ["1\r\na\r\n0\r\n\r\n", "1;x=\"y\"\r\na\r\n0\r\nX-Sum:\t1\r\nY:\r\n\r\n"];
+    let odd = [
+        "1;x\x01\r\na\r\n0\r\n\r\n",
+        "1\r\na\r\n0\r\nX Y: 1\r\n\r\n",
+        "1\r\na\r\n0\r\n: 1\r\n\r\n",
+        "1\r\na\r\n0\r\nX\r\n\r\n",
+    ];
+    for body in valid {
+        assert_eq!(decode(Framing::Chunked, &[body.as_bytes()]), Ok(Some(b"a".to_vec())), "{body:?}");
+    }
+    for body in odd {
+        assert!(decode(Framing::Chunked, &[body.as_bytes()]).is_err(), "{body:?}");
+    }
+}
