Replies: several request ids or signatures are those of no request

Cause: only the first value of a field was read.

Evidence: with the two fields, an_answer_with_an_odd_field_is_none failed on the code before, for each of them in a run of its own.

An answer with several ids, one of which is the request's, is invalid.

After: the test passes.

--- a/crates/bench/tests/odd_answers.rs
+++ b/crates/bench/tests/odd_answers.rs
@@ -94,6 +94,8 @@
         "Content Length: 3",
         "Transfer-Encoding : chunked",
         "Transfer-Encoding\x0b: chunked",
+        "Tarragonhill-Server-Signature: odd.2",
+        "Tarragonhill-Request-Id: another",
     ];
     fields.iter().map(|field| answer("HTTP/1.1 200 OK", &format!("{field}\r\n"))).collect()
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -285,7 +285,7 @@
     Own,
     /// It is informational, or belongs to an earlier request on the connection.
     Other,
-    /// It has no request id, and nothing tells what it belongs to.
+    /// It has no request id or several ones, and nothing tells what it belongs to.
     Unknown,
 }
 
@@ -294,6 +294,7 @@
     match (id, reply.id.as_deref()) {
         _ if response.status < 200 => Relation::Other,
         (Some(id), Some(named)) if named == id => Relation::Own,
+        (Some(id), Some(named)) if named.split(", ").any(|part| part == id) => Relation::Unknown,
         (_, Some(_)) => Relation::Other,
         (None, None) => Relation::Own,
         // Requests with an id are sent on no connection that has carried another refusal without one.
@@ -462,7 +463,7 @@
                 continue;
             }
             if relation == Relation::Unknown {
-                return Err(Failure::InvalidResponse("missing request id"));
+                return Err(Failure::InvalidResponse("missing or ambiguous request id"));
             }
             if reply.id.as_deref() == id && reply.limit.is_none() {
                 self.control.record_limit(self.clock.now(), endpoint, None);
