Versions: a stream that nobody knows is resumed only at a version that is certain

What callers saw: the rest of a stream from another version than its first part, after all gateways had been killed and the endpoints of the old version had left (ORDER).

Cause: for a caller that resumes by Last-Event-Id alone, the only version that a gateway had seen listed was enough. After a start the list shows nothing of versions that have left.

Evidence: a_stream_that_no_gateway_knows_any_more_does_not_go_on_at_another_version failed on the code before, for an unnamed stream whose version had left: resumed at v2.

Change: named or not, a stream that nobody knows goes on only if its service certainly had one version for as long as the stream may have lasted. a_single_known_version_is_known_at_once asked for the guess; a_single_listed_version_is_not_certain_before_its_time replaces it.

After: the test passes, in all four cases.

--- a/crates/bench/tests/versions.rs
+++ b/crates/bench/tests/versions.rs
@@ -324,3 +324,53 @@
         }
     });
 }
+
+/// Guards against streams that go on at another version after all gateways were killed, when the endpoints of their version
+/// have just left.
+#[test]
+fn a_stream_that_no_gateway_knows_any_more_does_not_go_on_at_another_version() {
+    task::block_on(async {
+        for (names_stream, stays) in [(false, false), (true, false), (false, true), (true, true)] {
+            let mut site = start_site(2, &["v1"]).await;
+            let caller = begin(&site, 0, "begin").await;
+            let old = decodes(&site).remove(0);
+            add_decodes(&mut site, &["v2", "v2"]).await;
+            for _ in 0..2 {
+                site.gateways.remove(0).kill().await;
+            }
+            drop(caller);
+            if !stays {
+                site.unregister(&old);
+            }
+            let listed = if stays { 3 } else { 2 };
+            for _ in 0..2 {
+                site.add_gateway().await.expect("a gateway");
+            }
+            for gateway in 0..2 {
+                wait_until("the endpoints are known", async || {
+                    let state = site.state(gateway).await;
+                    state["endpoints"].as_array().is_some_and(|known| known.len() == listed)
+                })
+                .await;
+            }
+            decodes(&site).iter().for_each(|endpoint| endpoint.set_paused(false));
+            for gateway in 0..2 {
+                let id = format!("resume-{gateway}");
+                let mut head = resumable(&id);
+                head.fields.push("Last-Event-Id", LAST_EVENT.to_string());
+                if names_stream {
+                    head.fields.push("Resumes", "begin");
+                }
+                let address = site.gateways[gateway].address();
+                let response = caller::request(address, head, b"prompt").await.expect("a response");
+                let versions = versions_of(&site, &id);
+                assert!(versions.iter().all(|version| *version == "v1"), "{versions:?}");
+                assert!(response.head.status == 503 || versions == ["v1"], "{}", response.head.status);
+                // New streams begin.
+                let head = resumable(&format!("new-{gateway}"));
+                let response = caller::request(address, head, b"prompt").await.expect("a response");
+                assert_eq!(response.head.status, 200);
+            }
+        }
+    });
+}
--- a/crates/core/src/gateway/history.rs
+++ b/crates/core/src/gateway/history.rs
@@ -105,12 +105,8 @@
     /// Returns the version of a service if it certainly had no other one for `span`.
     pub fn sole(&self, now: Time, service: &str, span: Duration) -> Option<&Arc<str>> {
         let is_certain = self.is_current && self.span(now) >= span;
-        self.known_sole(now, service, span).filter(|_| is_certain)
-    }
-
-    /// Returns the version of a service if no other one is known for `span`.
-    pub fn known_sole(&self, now: Time, service: &str, span: Duration) -> Option<&Arc<str>> {
-        if self.mixed(now).get(service).is_some_and(|age| *age < span) {
+        let is_mixed = self.mixed(now).get(service).is_some_and(|age| *age < span);
+        if !is_certain || is_mixed {
             return None;
         }
         let versions = self.listed.get(service)?;
--- a/crates/core/src/gateway/state/streams.rs
+++ b/crates/core/src/gateway/state/streams.rs
@@ -75,21 +75,9 @@
         messages.into_iter().collect()
     }
 
-    /// Returns the version at which a stream goes on that no replica knows. A caller that does not name its stream does not know of
-    /// versions either, so it is enough that this replica knows a single one.
-    pub fn assumed_version(
-        &self,
-        now: Time,
-        service: &str,
-        span: Duration,
-        is_named: bool,
-    ) -> Option<Arc<str>> {
-        let sole = if is_named {
-            self.history.sole(now, service, span)
-        } else {
-            self.history.known_sole(now, service, span)
-        };
-        sole.cloned()
+    /// Returns the version at which a stream goes on that no replica knows: the only one that it can have begun at.
+    pub fn assumed_version(&self, now: Time, service: &str, span: Duration) -> Option<Arc<str>> {
+        self.history.sole(now, service, span).cloned()
     }
 
     /// Returns the number of known streams.
--- a/crates/core/tests/gateway/history.rs
+++ b/crates/core/tests/gateway/history.rs
@@ -66,17 +66,17 @@
     assert_eq!(sole(&history, 35_000), Some("v1"));
 }
 
-/// Guards against callers that name no stream and are refused where there is one version only.
+/// Guards against streams that go on at the only version that is listed, although endpoints of another one have just left.
 #[test]
-fn a_single_known_version_is_known_at_once() {
+fn a_single_listed_version_is_not_certain_before_its_time() {
     let mut history = History::default();
-    history.record(at(0), &listed(&["v1"]));
-    let known = |history: &History, now| history.known_sole(at(now), "drafting", SPAN).cloned();
-    assert_eq!(known(&history, 0).as_deref(), Some("v1"));
-    history.record(at(1_000), &listed(&["v2"]));
-    assert_eq!(known(&history, 1_000), None);
-    history.record(at(14_000), &listed(&["v2"]));
-    assert_eq!(known(&history, 14_000).as_deref(), Some("v2"));
+    history.record_read(at(0), false);
+    history.record(at(0), &listed(&["v2"]));
+    assert_eq!(sole(&history, 0), None);
+    history.record(at(1_000), &listed(&["v3"]));
+    history.record(at(14_000), &listed(&["v3"]));
+    assert_eq!(sole(&history, 13_999), None, "v2 was listed less than the span ago");
+    assert_eq!(sole(&history, 14_000), Some("v3"));
 }
 
 #[test]
--- a/crates/gateway/src/control/worker.rs
+++ b/crates/gateway/src/control/worker.rs
@@ -345,7 +345,7 @@
     /// Answers those who wait for a stream that no peer knows, or that is not named.
     fn give_up_search(&self, now: Time, stream: Option<Stream>, seekers: Vec<Seeker>) {
         for Seeker { service, span, reply } in seekers {
-            let version = self.state.assumed_version(now, &service, span, stream.is_some());
+            let version = self.state.assumed_version(now, &service, span);
             let name = stream.map_or_else(String::new, |stream| format!("{:016x}", stream.0));
             spdlog::info!("stream not known", kv: {
                 stream = name.as_str(), service = &*service,
