Exchange: the head of a response counts as held until it ends

Cause here: each response is bounded, but heads that have not ended were not part of what the gateway may hold in total. Some hundred of them at 64 KB, for 2 s each, could take the memory of a small host.

Evidence: heads_of_responses_that_have_not_ended_count_as_held failed on the code before: 64 heads of 40 KB, nothing held. That a host runs out of memory was not played.

What held: the bounds on each response. endless.rs passed before, with new tests for orders, reports before orders, and releases.

Change: the head is read with a guard, which counts it until it has come whole.

After: all tests of endless.rs pass.

--- a/crates/bench/tests/endless.rs
+++ b/crates/bench/tests/endless.rs
@@ -3,13 +3,16 @@
 use std::{
     sync::{Arc, OnceLock},
     thread,
+    time::Duration,
 };
 
 use async_std::task;
+use serde_json::json;
 use strum::IntoEnumIterator as _;
 use tarragonhill_bench::platform::{
     caller::{self, Response, completion_request, plain_request},
     endpoint::{EVENT_COUNT, Endless, EndlessFault, Endpoint, Pace, Role},
+    raw::{self, Step},
     site::{KEY, Shape, Site, wait_until},
 };
 use tarragonhill_h1::head::Request;
@@ -135,3 +138,78 @@
         });
     }
 }
+
+/// Guards against orders that never end, which would hold up all later ones, and against streams that wait for them.
+#[test]
+fn an_order_that_meets_an_endless_response_ends() {
+    for path in ["/v1/order", "/v1/report"] {
+        for_each_form(forms(), async |form| {
+            let shape = Shape { gateways: 1, prefill: 5, decode: 2, plain: 0 };
+            let site = Site::start(shape).await.expect("the site starts");
+            let (endless, pace) = form;
+            let first = Arc::new(OnceLock::new());
+            let fault = EndlessFault { path, endless, pace, endpoint: first.clone() };
+            let engines = site.endpoints(Role::Prefill);
+            engines.iter().for_each(|engine| engine.set_endless(fault.clone()));
+            let mut count = 0;
+            wait_until("a connection is closed", async || {
+                count += 1;
+                let response = request(&site, stream(&format!("r{count}"))).await;
+                assert_eq!(response.event_ids().len(), EVENT_COUNT as usize, "{path} {form:?}");
+                engines.iter().any(|engine| engine.closed_endless() > 0)
+            })
+            .await;
+            wait_until("nothing is held", async || site.state(0).await["held_bytes"] == 0).await;
+        });
+    }
+}
+
+/// Guards against releases of which each keeps a connection for good.
+#[test]
+fn a_release_that_meets_an_endless_response_is_over_in_its_time() {
+    for_each_form(forms(), async |form| {
+        let site = start_site().await;
+        for prefill in site.endpoints(Role::Prefill) {
+            prefill.kill().await;
+        }
+        let (endpoint, _) = meet(&site, Role::Decode, "/v1/hold-drop/", form, stream("first")).await;
+        wait_until_closed(&site, &endpoint).await;
+    });
+}
+
+/// Guards against heads without an end that together take the memory of the host, since only bodies were counted.
+#[test]
+fn heads_of_responses_that_have_not_ended_count_as_held() {
+    const CALLERS: u64 = 64;
+    const PART: u64 = 40_000;
+    task::block_on(async {
+        let mut site =
+            Site::start(Shape { gateways: 0, prefill: 0, decode: 0, plain: 0 }).await.expect("a site");
+        site.set_memory(MEMORY);
+        site.add_gateway().await.expect("the gateway starts");
+        let part = [b"HTTP/1.1 200 OK\r\n", &b"X-Padding: 12345\r\n".repeat(PART as usize / 18)[..]].concat();
+        let answer = move |_: &Request| vec![Step::send(&part), Step::Wait(Duration::from_secs(30))];
+        let endless = raw::Endpoint::start(answer).await.expect("an endpoint");
+        let row = json!({
+            "service": "filing", "address": endless.address().to_string(), "zone": "zone-a", "version": "v1",
+            "slots": 48, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
+        });
+        site.store.put("servers", "endless", &row);
+        wait_until("the endpoint is known", async || {
+            site.state(0).await["endpoints"].as_array().is_some_and(|known| known.len() == 1)
+        })
+        .await;
+        let address = site.address();
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|number| task::spawn(caller::request(address, submission(&format!("r{number}")), b"")))
+            .collect();
+        wait_until("the heads are held", async || {
+            site.state(0).await["held_bytes"].as_u64() >= Some(CALLERS * PART / 2)
+        })
+        .await;
+        for caller in callers {
+            assert_eq!(caller.await.expect("a response").head.status, 502);
+        }
+        wait_until("nothing is held", async || site.state(0).await["held_bytes"] == 0).await;
+    });
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -27,6 +27,7 @@
 use tarragonhill_h1::{
     Connection, Error, Malformed,
     body::{Decoder, Framing},
+    connection::Search,
     head::{Request, Response},
 };
 
@@ -446,8 +447,9 @@
         let stream = connection.stream().clone();
         let mut writing = PendingWrite::new(stream, &bytes, rest);
         for _ in 0..=MAX_SKIPPED_RESPONSES {
-            let response =
-                read_while_writing(&mut connection, &mut writing).await.map_err(Failure::Connection)?;
+            let response = read_while_writing(&mut connection, &mut writing, self.held)
+                .await
+                .map_err(Failure::Connection)?;
             let reply = self.dialect.decode_reply(&response);
             if !is_replaced(&response, &reply, endpoint) {
                 self.record_notice(endpoint, &reply);
@@ -609,8 +611,9 @@
 async fn read_while_writing(
     connection: &mut Connection,
     writing: &mut PendingWrite<'_>,
+    held: &Arc<Held>,
 ) -> Result<Response, Error> {
-    let mut reading = pin!(connection.read_response_within(MAX_HEAD_BYTES, HEAD_TIME));
+    let mut reading = pin!(read_head(connection, held));
     poll_fn(|cx| {
         writing.poll(cx);
         match reading.as_mut().poll(cx) {
@@ -623,3 +626,24 @@
     })
     .await
 }
+
+/// Reads the head of a response, which has to end within [`HEAD_TIME`] of its first byte. Until then, it counts as held.
+async fn read_head(connection: &mut Connection, held: &Arc<Held>) -> Result<Response, Error> {
+    if connection.buffered() == 0 && connection.fill().await? == 0 {
+        return Err(Error::Closed);
+    }
+    let mut guard = held.guard(Purpose::Response);
+    let mut search = Search::default();
+    let reading = async {
+        loop {
+            if let Some(head) = connection.take_response(MAX_HEAD_BYTES, &mut search)? {
+                return Ok(head);
+            }
+            guard.set(connection.memory()).map_err(|_| Error::TooLarge)?;
+            if connection.fill().await? == 0 {
+                return Err(Error::Truncated);
+            }
+        }
+    };
+    timeout(HEAD_TIME, reading).await.unwrap_or(Err(Error::TooSlow))
+}
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -180,14 +180,6 @@
         self.read_head(limit, Response::parse).await
     }
 
-    /// Does the same. The head has to end within `time` of its first byte, however long that takes to come.
-    pub async fn read_response_within(&mut self, limit: usize, time: Duration) -> Result<Response, Error> {
-        if self.buffer.is_empty() && self.fill().await? == 0 {
-            return Err(Error::Closed);
-        }
-        timeout(time, self.read_response(limit)).await.unwrap_or(Err(Error::TooSlow))
-    }
-
     async fn read_head<T>(&mut self, limit: usize, parse: Parser<T>) -> Result<T, Error> {
         let mut search = Search::default();
         loop {
@@ -206,6 +198,11 @@
         self.take_head(limit, Request::parse, search)
     }
 
+    /// Takes the head of the next response in the same way.
+    pub fn take_response(&mut self, limit: usize, search: &mut Search) -> Result<Option<Response>, Error> {
+        self.take_head(limit, Response::parse, search)
+    }
+
     fn take_head<T>(
         &mut self,
         limit: usize,
