Tests: late requests of a planned stop

Reported from another system: requests that came late in the grace period were passed on, and cut at its end without an answer (LOST).

It does not happen here: shutdown.rs and restarts.rs hold, and so do two new tests on the code as it is: all_requests_in_flight_when_the_gateway_ends_get_a_response (300 submissions that hang are answered 502) and a_request_on_a_kept_connection_late_in_the_grace_period_reaches_no_endpoint. Nothing is changed for it.

--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -33,6 +33,8 @@
 const FIRST_BYTE_SENT: &str = "gateway_first_byte_seconds_count{kind=\"streaming\"} 1";
 /// How long a caller is connected before it sends its request.
 const REQUEST_DELAY: Duration = Duration::from_millis(50);
+/// Callers whose requests are in flight at the end.
+const CALLERS: usize = 300;
 /// Time limit for a response that the gateway should send at once.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -265,3 +267,50 @@
         fixture.finish(stopping).await;
     });
 }
+
+/// Guards against requests that were passed on and get no response because too many wait for one when the gateway ends.
+#[test]
+fn all_requests_in_flight_when_the_gateway_ends_get_a_response() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        let endpoint = fixture.endpoint(Role::Plain);
+        endpoint.set_fault(Fault::Hang);
+        let mut callers = Vec::new();
+        for number in 0..CALLERS {
+            let mut caller = Caller::open(fixture.address).await.expect("a connection");
+            caller.send(submit(&format!("r{number}")), b"").await.expect("sent");
+            callers.push(caller);
+        }
+        wait_until("the requests are passed on", async || endpoint.received().len() == CALLERS).await;
+        let stopping = fixture.begin_shutdown(AFTER_DRAIN_DELAY).await;
+        fixture.finish(stopping).await;
+        for mut caller in callers {
+            let response = caller.read_response().await.expect("a response");
+            assert_eq!((response.head.status, response.is_complete), (502, true));
+        }
+    });
+}
+
+/// Guards against requests on kept connections that are passed on when there is no time left for them.
+#[test]
+fn a_request_on_a_kept_connection_late_in_the_grace_period_reaches_no_endpoint() {
+    for head in [submit("r2"), lookup("r2"), short_stream("r2")] {
+        run(async {
+            let (mut fixture, endpoint, mut running) = Fixture::start_with_request().await;
+            let mut late = Caller::open(fixture.address).await.expect("a connection");
+            let warm = late.request(short_stream("warm"), b"prompt").await.expect("a response");
+            assert_eq!(warm.head.status, 200);
+            let engine = fixture.endpoint(Role::Decode);
+            let streams = engine.received().len();
+            let stopping = fixture.begin_shutdown(NEAR_THE_END).await;
+            late.send(head.clone(), b"prompt").await.expect("sent");
+            if let Ok(response) = late.read_response().await {
+                assert_eq!((response.head.status, response.is_complete), (503, true), "{}", head.target);
+            }
+            assert_eq!((endpoint.received().len(), engine.received().len()), (1, streams), "{}", head.target);
+            endpoint.set_paused(false);
+            assert_eq!(running.read_response().await.expect("a response").head.status, 200);
+            fixture.finish(stopping).await;
+        });
+    }
+}
