Tests: odd values of fields that gateways read

Numbers out of range, times in other forms and bytes that are no text, in answers and in refusals, for calls and streams: all requests were served, and the gateway's threads went on. It held on the code as it is; nothing is changed for it.

--- a/crates/bench/tests/odd_answers.rs
+++ b/crates/bench/tests/odd_answers.rs
@@ -246,3 +246,50 @@
         });
     }
 }
+
+/// Guards against values of fields that the gateway reads and that end its threads or all use of an endpoint.
+#[test]
+fn odd_values_of_fields_that_are_read_do_no_harm() {
+    let fields = [
+        "Keep-Alive: timeout=18446744073709551615",
+        "Keep-Alive: timeout=99999999999999999999, max=-1",
+        "Keep-Alive: timeout=\u{e9}",
+        "Server-Limit: 1e308",
+        "Server-Limit: 1e-308",
+        "Server-Limit: NaN",
+        "Server-Limit: -inf",
+        "Tarragonhill-Cold-Ms: 1e308",
+        "Tarragonhill-Cold-Ms: -0",
+        "Tarragonhill-Cold-Ms: inf",
+        "Retry-After: 1e308",
+        "Retry-After: -1",
+        "Retry-After: Fri, 31 Dec 1999 23:59:59 GMT",
+        "Server-Leaving: 2",
+        "Tarragonhill-Instance-Id: \u{e9}\"\\",
+        "X-Unknown: \u{e9}\u{1f600}",
+    ];
+    let refusal = |field: &str| {
+        let status = "HTTP/1.1 503 Service Unavailable\r\nTarragonhill-Request-Id: {id}\r\nTarragonhill-Not-Executed: 1";
+        format!("{status}\r\n{field}\r\nContent-Length: 0\r\n\r\n").into_bytes()
+    };
+    let answers = fields.iter().flat_map(|field| {
+        [framed(&format!("{field}\r\nContent-Length: {}\r\n", EVENTS.len()), EVENTS), refusal(field)]
+    });
+    for_each(answers.collect(), async |odd| {
+        let (site, _endpoint) = start_site(odd, &["/lookup/", "/submit/", "/stream/", "/resumable/"]).await;
+        let text = String::from_utf8_lossy(odd);
+        // Few, since each refusal takes from the retry budget.
+        for number in 0..3 {
+            for (kind, path) in [("lookup", "/lookup/x"), ("submit", "/submit/x"), ("stream", "/stream/x")] {
+                let id = format!("{kind}-{number}");
+                let head = match kind {
+                    "stream" => completion_request(path, KEY, &id, 100),
+                    _ => plain_request("POST", path, KEY, &id),
+                };
+                let response = caller::request(site.address(), head, b"body").await.expect("a response");
+                assert!((response.head.status, response.is_complete) == (200, true), "{path} {text:?}");
+            }
+        }
+        assert!(site.state(0).await["endpoints"].is_array(), "{text:?}");
+    });
+}
