--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -50,6 +50,20 @@
                 continue
 
 
+class Spans:
+    """A disruption that lasts for `length_s`, again and again with a pause in between."""
+
+    def __init__(self, length_s, pause_s, is_wanted):
+        self.length_s, self.pause_s, self.is_wanted, self.since = length_s, pause_s, is_wanted, None
+
+    def begin(self):
+        self.since = now()
+
+    def is_on(self):
+        is_begun = self.is_wanted and self.since is not None
+        return is_begun and (now() - self.since) % (self.length_s + self.pause_s) < self.length_s
+
+
 class Record:
     """What was sent, answered and run: one line for each event, written to a file at the end."""
 
@@ -187,13 +201,16 @@
                 sock, _ = self.socket.accept()
             except OSError:
                 return
-            wire = Wire(sock)
-            with self.guard:
-                if not self.is_open:
-                    wire.close(reset=True)
-                    return
-                self.wires.add(wire)
-            threading.Thread(target=self.run, args=(wire,), daemon=True).start()
+            self.admit(sock)
+
+    def admit(self, sock):
+        wire = Wire(sock)
+        with self.guard:
+            if not self.is_open:
+                wire.close(reset=True)
+                return
+            self.wires.add(wire)
+        threading.Thread(target=self.run, args=(wire,), daemon=True).start()
 
     def run(self, wire):
         try:
@@ -672,6 +689,14 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code, gateways = 2, []
+
+    def end(*_):
+        for gateway in gateways:
+            gateway.stop()
+        os._exit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, end)
     with tempfile.TemporaryDirectory() as temporary:
         try:
             code = 0 if case(record, temporary, trouble, gateways) else 1
